--- /dev/null
+++ b/Makefile
@@ -0,0 +1,132 @@
+# Build of bilberryhook.  `make SAN=1` builds with sanitizers into build-san.
+
+PACKAGES = gcc clang clang-format clang-tidy make pkg-config libc6-dev \
+	libuv1-dev libh2o-dev libssl-dev libmsgpack-dev libyaml-dev \
+	libargtable2-dev libglib2.0-dev uthash-dev libxxhash-dev \
+	libjansson-dev libclang-rt-14-dev mandoc gnuplot-nox python3 python3-yaml
+
+CC = gcc
+# `make V=1` prints the commands.
+Q = $(if $(V),,@)
+B = build
+OPT = -O2
+SANFLAGS =
+ifdef SAN
+B = build-san
+OPT = -O1
+SANFLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
+	-fno-sanitize-recover=undefined
+endif
+
+WARN = -Wall -Wextra -Werror -Wstrict-prototypes -Wmissing-prototypes -Wshadow
+GLIB_CFLAGS := $(shell pkg-config --cflags glib-2.0 2>/dev/null)
+CPPFLAGS = -D_GNU_SOURCE -DBB_VERSION='"0.1.0"' -Iinclude $(GLIB_CFLAGS)
+CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS)
+LDLIBS = -lh2o -luv -lssl -lcrypto -lmsgpackc -lyaml -largtable2 -lglib-2.0 \
+	-lxxhash -ljansson -lm
+
+LIBDIRS := $(sort $(filter-out libharness/,$(wildcard lib*/)))
+CMDS := $(patsubst cmd/%/,%,$(wildcard cmd/*/))
+FAKES := $(filter-out lib,$(patsubst fake/%/,%,$(wildcard fake/*/)))
+BENCHES := $(patsubst bench/%.c,%,$(wildcard bench/*.c))
+TESTS := $(patsubst test/%.c,%,$(wildcard test/test_*.c))
+
+objects = $(patsubst %.c,$(B)/obj/%.o,$(wildcard $(1)/*.c))
+LIB_OBJECTS := $(foreach d,$(LIBDIRS),$(call objects,$(patsubst %/,%,$(d))))
+program = $(if $(filter bilberry,$(1)),$(B)/bilberry,$(B)/bilberry-$(1))
+PROGRAMS := $(foreach c,$(CMDS),$(call program,$(c))) \
+	$(FAKES:%=$(B)/fake-%)
+TEST_PROGRAMS := $(TESTS:%=$(B)/test/%)
+BENCH_PROGRAMS := $(BENCHES:%=$(B)/bench/%)
+HARNESS := $(call objects,test/harness)
+
+all: $(PROGRAMS) $(B)/demo
+
+deps:
+	apt-get update -q
+	DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
+		--no-install-recommends $(PACKAGES)
+
+# Installs what is missing; an installed machine needs no network.
+need-deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || $(MAKE) deps
+
+$(B)/obj/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(Q)$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(B)/libbilberry.a: $(LIB_OBJECTS)
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+
+define PROGRAM_RULE
+$$(call program,$(1)): $$(call objects,cmd/$(1)) $$(B)/libbilberry.a
+	$(Q)$$(CC) $$(CFLAGS) -o $$@ $$^ $$(LDLIBS)
+endef
+$(foreach c,$(CMDS),$(eval $(call PROGRAM_RULE,$(c))))
+
+define FAKE_RULE
+$$(B)/fake-$(1): $$(call objects,fake/$(1)) $$(call objects,fake/lib) $$(B)/libbilberry.a
+	$(Q)$$(CC) $$(CFLAGS) -o $$@ $$^ $$(LDLIBS)
+endef
+$(foreach f,$(FAKES),$(eval $(call FAKE_RULE,$(f))))
+
+$(B)/test/%: $(B)/obj/test/%.o $(HARNESS) $(B)/libbilberry.a
+	@mkdir -p $(dir $@)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/bench/%: $(B)/obj/bench/%.o $(HARNESS) $(B)/libbilberry.a
+	@mkdir -p $(dir $@)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/demo: $(B)/obj/test/demo.o $(HARNESS) $(B)/libbilberry.a
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+# Every test program, one after the other; the last line sums up.
+check: need-deps
+	$(MAKE) check-built
+
+check-built: all $(TEST_PROGRAMS)
+	test/run $(B) $(TEST_PROGRAMS)
+
+demo: need-deps
+	$(MAKE) all
+	$(B)/demo
+
+run: need-deps
+	$(MAKE) all
+	$(B)/demo --keep
+
+bench: need-deps
+	$(MAKE) all $(BENCH_PROGRAMS)
+	bench/run $(B)
+
+SOURCES := $(shell git ls-files '*.c' '*.h' 2>/dev/null)
+TIDY_SOURCES := $(filter-out libproto/messages.c,$(filter %.c,$(SOURCES)))
+TIDY_FLAGS = -D_GNU_SOURCE -Iinclude $(GLIB_CFLAGS)
+
+lint: need-deps
+	clang-format --dry-run -Werror $(SOURCES)
+	$(MAKE) generated-check
+	mandoc -Tlint -Wwarning man/*.[1-9]
+	printf '%s\n' $(TIDY_SOURCES) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 $(TIDY_FLAGS) 2>/dev/null' tidy
+
+# The committed code must be what the schema gives.
+generated-check:
+	rm -rf $(B)/generated
+	schema/generate $(B)/generated
+	cd $(B)/generated && find . -type f | while read -r f; do \
+		cmp "$$f" "$(CURDIR)/$$f" || exit 1; done
+
+generate:
+	schema/generate .
+
+clean:
+	rm -rf build build-*
+
+.PHONY: all deps need-deps check check-built demo run bench lint generate \
+	generated-check clean
+.SECONDARY:
+
+-include $(shell find $(B)/obj -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/cmd/agent/peer.c
@@ -0,0 +1,81 @@
+#include "agent.h"
+
+#include <stdlib.h>
+#include <utlist.h>
+
+static void
+on_open (struct bb_conn *c)
+{
+  struct agent *a = bb_conn_user (c);
+  struct peer *p = calloc (1, sizeof *p);
+  struct bb_hello hello = { .role = BB_ROLE_AGENT,
+                            .incarnation = a->daemon->incarnation,
+                            .name = bb_bytes_of (a->daemon->name),
+                            .revision = a->daemon->revision,
+                            .load = agent_load (a) };
+
+  p->agent = a;
+  p->conn = c;
+  DL_APPEND (a->peers, p);
+  bb_conn_set_user (c, p);
+  bb_put_hello (bb_conn_out (c), &hello);
+}
+
+static void
+on_message (struct bb_conn *c, const struct bb_message *m)
+{
+  struct peer *p = bb_conn_user (c);
+
+  switch (m->type)
+    {
+    case BB_MSG_CALL:
+      call_start (p, &m->u.call);
+      break;
+    case BB_MSG_CANCEL:
+      call_cancel (p, m->u.cancel.id);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_close (struct bb_conn *c, const char *why)
+{
+  struct peer *p = bb_conn_user (c);
+
+  (void)why;
+  call_orphan_all (p);
+  DL_DELETE (p->agent->peers, p);
+  free (p);
+}
+
+static const struct bb_conn_ops peer_ops
+    = { .on_message = on_message, .on_open = on_open, .on_close = on_close };
+
+bool
+peer_listen (struct agent *a, const char *address)
+{
+  struct sockaddr_storage addr;
+  int error = 0;
+
+  if (!bb_address_parse (address, &addr))
+    return false;
+  a->listener
+      = bb_listener_open (a->daemon->loop, &addr, &peer_ops, a, &error);
+  if (!a->listener)
+    bb_log (BB_LOG_ERROR, "agent", "Cannot listen on %s: %s.", address,
+            uv_strerror (error));
+  return a->listener != NULL;
+}
+
+void
+peer_send_heartbeats (struct agent *a)
+{
+  struct bb_heartbeat h = { .incarnation = a->daemon->incarnation,
+                            .load = agent_load (a),
+                            .revision = a->daemon->revision };
+
+  for (struct peer *p = a->peers; p; p = p->next)
+    bb_put_heartbeat (bb_conn_out (p->conn), &h);
+}
--- /dev/null
+++ b/cmd/bilberry/settings.c
@@ -0,0 +1,62 @@
+#include "commands.h"
+
+#include "bilberry/settings.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+static int
+bad_usage (const char *command)
+{
+  fprintf (stderr, "Usage: bilberry %s DIR\n", command);
+  return 2;
+}
+
+static void
+print_faults (const struct bb_faults *faults)
+{
+  for (size_t i = 0; i < faults->count; i++)
+    fprintf (stderr, "%s\n", faults->lines[i]);
+}
+
+int
+command_check (int argc, char **argv)
+{
+  struct bb_files files = { 0 };
+  struct bb_faults faults = { 0 };
+  struct bb_settings *s = NULL;
+  int rc;
+
+  if (argc != 2)
+    return bad_usage (argv[0]);
+  if (bb_files_read (argv[1], &files, &faults))
+    s = bb_settings_make (&files, &faults);
+  print_faults (&faults);
+  rc = s ? 0 : 1;
+  bb_settings_free (s);
+  bb_files_free (&files);
+  bb_faults_free (&faults);
+  return rc;
+}
+
+int
+command_show (int argc, char **argv)
+{
+  struct bb_files files = { 0 };
+  struct bb_faults faults = { 0 };
+  char *text = NULL;
+  int rc;
+
+  if (argc != 2)
+    return bad_usage (argv[0]);
+  if (bb_files_read (argv[1], &files, &faults))
+    text = bb_settings_show (&files, &faults);
+  print_faults (&faults);
+  if (text)
+    fputs (text, stdout);
+  rc = text ? 0 : 1;
+  free (text);
+  bb_files_free (&files);
+  bb_faults_free (&faults);
+  return rc;
+}
--- /dev/null
+++ b/cmd/entry/entry.h
@@ -0,0 +1,88 @@
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "bilberry/daemon.h"
+#include "bilberry/route.h"
+
+#include <uthash.h>
+
+/* The way to one agent.  */
+struct link
+{
+  struct entry *entry;
+  char *name; /* of the upstream */
+  char *address;
+  char *pool;
+  char *failure_domain;
+  bool in; /* may receive new work by the settings */
+  struct bb_conn *conn;
+  bool ready; /* the agent has said hello */
+  uint64_t agent_incarnation;
+  struct bb_load load;
+  uint32_t in_flight;
+  uv_timer_t again;
+  struct link *next;
+  bool gone; /* no longer in the settings */
+};
+
+/* A caller's request.  */
+struct request
+{
+  uint64_t id;
+  struct entry *entry;
+  struct bb_http_request *http; /* NULL once the answer is handed over */
+  char *customer;
+  char *pool;
+  bool idempotent;
+  struct link *link;  /* where the present try runs */
+  struct link *tried; /* where the last try ended */
+  uint32_t attempts;
+  bb_ms deadline;
+  bb_ms started;
+  uv_timer_t timer;
+  bool streaming; /* the head has been sent to the caller */
+  uint16_t status;
+  struct bb_header headers[64]; /* kept until the answer is whole */
+  uint32_t headers_count;
+  char *kept; /* bytes behind headers and body */
+  size_t kept_size;
+  UT_hash_handle hh;
+};
+
+struct entry
+{
+  struct bb_daemon *daemon;
+  struct bb_http_server *server;
+  struct link *links;
+  struct request *requests; /* by id */
+  uint32_t open_answers;    /* callers whose answer is not sent out yet */
+  uint64_t last_id;
+  GRand *rand;
+  struct bb_retry_budget budget;
+};
+
+/* link.c */
+
+/* Makes the links fit the settings in force.  */
+void links_update (struct entry *e);
+
+/* request.c */
+void request_begin (struct bb_http_request *r, void *arg);
+void request_on_head (struct entry *e, const struct bb_head *m);
+void request_on_data (struct entry *e, const struct bb_data *m);
+void request_on_end (struct entry *e, const struct bb_end *m);
+void request_on_refusal (struct entry *e, const struct bb_refusal *m);
+
+/* The connection of LINK is lost; its requests end or are tried again.  */
+void request_on_link_lost (struct link *l);
+
+/* problem.c */
+
+/* Refuses a request for good: status, problem body, counter.  */
+void problem_respond (struct bb_http_request *r, const struct bb_verdict *v);
+
+/* Ends an event stream that cannot be made whole by an error event.  */
+void problem_end_stream (struct bb_http_request *r,
+                         const struct bb_verdict *v);
+
+#endif
--- /dev/null
+++ b/cmd/entry/request.c
@@ -0,0 +1,415 @@
+#include "entry.h"
+
+#include <openssl/sha.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum
+{
+  CANDIDATES_MAX = 256,
+  RETRY_AFTER_MS = 1000
+};
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  struct request *q = h->data;
+
+  free (q->customer);
+  free (q->pool);
+  free (q->kept);
+  free (q);
+}
+
+/* Forgets a request whose caller has its answer or is gone.  */
+static void
+request_end (struct request *q)
+{
+  struct entry *e = q->entry;
+
+  if (q->link)
+    q->link->in_flight--;
+  q->link = NULL;
+  if (q->http)
+    q->http->user = NULL;
+  q->http = NULL;
+  HASH_DEL (e->requests, q);
+  uv_close ((uv_handle_t *)&q->timer, on_timer_closed);
+}
+
+static void
+refuse (struct request *q, const struct bb_verdict *v)
+{
+  if (q->streaming)
+    problem_end_stream (q->http, v);
+  else
+    problem_respond (q->http, v);
+  request_end (q);
+}
+
+static void
+send_cancel (struct request *q)
+{
+  struct bb_cancel m = { .id = q->id };
+
+  if (q->link && q->link->conn)
+    bb_put_cancel (bb_conn_out (q->link->conn), &m);
+}
+
+/* The answer is out, or the caller went away before it.  */
+static void
+on_gone (struct bb_http_request *r)
+{
+  struct request *q = r->user;
+
+  ((struct entry *)r->owner)->open_answers--;
+  if (!q)
+    return;
+  q->http = NULL;
+  send_cancel (q);
+  bb_count_refusal (BB_REASON_CANCELLED);
+  request_end (q);
+}
+
+static void
+on_deadline (uv_timer_t *t)
+{
+  struct request *q = t->data;
+  struct bb_verdict v
+      = { .run = BB_RUN_MAYBE_RUN, .reason = BB_REASON_DEADLINE };
+
+  send_cancel (q);
+  refuse (q, &v);
+}
+
+static struct link *
+choose (struct request *q)
+{
+  struct entry *e = q->entry;
+  struct bb_candidate c[CANDIDATES_MAX];
+  struct link *links[CANDIDATES_MAX];
+  uint32_t count = 0;
+  uint32_t i;
+
+  for (struct link *l = e->links; l && count < CANDIDATES_MAX; l = l->next)
+    {
+      if (!l->in || !l->ready || l->load.draining
+          || strcmp (l->pool, q->pool) != 0)
+        continue;
+      c[count].own_in_flight = l->in_flight;
+      c[count].reported = l->load.in_flight + l->load.queued;
+      c[count].limit = l->load.limit;
+      c[count].tried = l == q->tried;
+      links[count++] = l;
+    }
+  i = bb_route_choose (c, count, e->rand);
+  return i == BB_ROUTE_NONE ? NULL : links[i];
+}
+
+static bool
+is_passed_on (struct bb_bytes name)
+{
+  static const char authorization[] = "authorization";
+
+  if (name.size == sizeof authorization - 1
+      && strncasecmp (name.ptr, authorization, name.size) == 0)
+    return false;
+  return !bb_header_is_hop (name);
+}
+
+static void
+send_call (struct request *q)
+{
+  const struct bb_http_request *r = q->http;
+  struct bb_call m = { .id = q->id,
+                       .agent_incarnation = q->link->agent_incarnation,
+                       .customer = bb_bytes_of (q->customer),
+                       .method = r->method,
+                       .path = r->path,
+                       .body = r->body,
+                       .idempotent = q->idempotent,
+                       .attempt = (uint8_t)q->attempts,
+                       .revision = q->entry->daemon->revision };
+
+  m.deadline_ms = (uint32_t)(q->deadline - (bb_ms)uv_now (q->timer.loop));
+  m.key = bb_header_find (r->headers, r->headers_count, "idempotency-key");
+  for (uint32_t i = 0; i < r->headers_count; i++)
+    if (is_passed_on (r->headers[i].name))
+      m.headers[m.headers_count++] = r->headers[i];
+  bb_put_call (bb_conn_out (q->link->conn), &m);
+}
+
+static void
+try_once (struct request *q)
+{
+  struct bb_verdict v = { .run = BB_RUN_NOT_RUN,
+                          .reason = BB_REASON_NO_UPSTREAM,
+                          .retry_after_ms = RETRY_AFTER_MS };
+
+  q->link = choose (q);
+  if (!q->link)
+    {
+      refuse (q, &v);
+      return;
+    }
+  HASH_DEL (q->entry->requests, q);
+  q->id = ++q->entry->last_id;
+  HASH_ADD (hh, q->entry->requests, id, sizeof q->id, q);
+  q->link->in_flight++;
+  q->attempts++;
+  send_call (q);
+}
+
+/* The present try ended without an answer: tries again or refuses.  */
+static void
+try_failed (struct request *q, const struct bb_verdict *v)
+{
+  struct bb_try t = { .verdict = *v,
+                      .idempotent = q->idempotent,
+                      .answer_started = q->streaming,
+                      .attempts = q->attempts };
+
+  q->link->in_flight--;
+  q->tried = q->link;
+  q->link = NULL;
+  free (q->kept);
+  q->kept = NULL;
+  q->kept_size = 0;
+  t.left_ms = q->deadline - (bb_ms)uv_now (q->timer.loop);
+  if (!bb_retry_allow (&q->entry->budget, &t))
+    {
+      refuse (q, v);
+      return;
+    }
+  bb_count_retry (v->reason);
+  try_once (q);
+}
+
+static void
+hex_sha256 (struct bb_bytes key, char hex[65])
+{
+  unsigned char sum[SHA256_DIGEST_LENGTH];
+
+  SHA256 ((const unsigned char *)key.ptr, key.size, sum);
+  for (uint32_t i = 0; i < sizeof sum; i++)
+    snprintf (hex + 2 * (size_t)i, 3, "%02x", sum[i]);
+}
+
+static const struct bb_customer_settings *
+find_customer (const struct bb_settings *s, const struct bb_http_request *r,
+               struct bb_verdict *v)
+{
+  static const char scheme[] = "Bearer ";
+  const struct bb_customer_settings *c;
+  char hex[65];
+  struct bb_bytes key
+      = bb_header_find (r->headers, r->headers_count, "authorization");
+
+  v->reason = BB_REASON_NO_KEY;
+  if (key.size < sizeof scheme
+      || strncasecmp (key.ptr, scheme, sizeof scheme - 1) != 0)
+    return NULL;
+  key.ptr += sizeof scheme - 1;
+  key.size -= sizeof scheme - 1;
+  hex_sha256 (key, hex);
+  c = bb_settings_customer (s, hex);
+  v->reason = BB_REASON_UNKNOWN_KEY;
+  return c;
+}
+
+static const struct bb_route_settings *
+find_route (const struct bb_settings *s, const struct bb_http_request *r,
+            struct bb_verdict *v)
+{
+  const char *query = memchr (r->path.ptr, '?', r->path.size);
+  size_t size = query ? (size_t)(query - r->path.ptr) : r->path.size;
+  bool path_known;
+  const struct bb_route_settings *route = bb_settings_route (
+      s, r->method.ptr, r->method.size, r->path.ptr, size, &path_known);
+
+  v->reason = path_known ? BB_REASON_BAD_METHOD : BB_REASON_NO_ROUTE;
+  if (route && r->body.size > route->body_max_bytes)
+    {
+      v->reason = BB_REASON_BODY_TOO_LARGE;
+      return NULL;
+    }
+  return route;
+}
+
+void
+request_begin (struct bb_http_request *r, void *arg)
+{
+  struct entry *e = arg;
+  const struct bb_settings *s = e->daemon->settings;
+  struct bb_verdict v = { .run = BB_RUN_NOT_RUN };
+  const struct bb_customer_settings *customer = find_customer (s, r, &v);
+  const struct bb_route_settings *route;
+  struct request *q;
+
+  if (!customer)
+    {
+      problem_respond (r, &v);
+      return;
+    }
+  route = find_route (s, r, &v);
+  if (!route)
+    {
+      problem_respond (r, &v);
+      return;
+    }
+  q = calloc (1, sizeof *q);
+  q->id = ++e->last_id;
+  q->entry = e;
+  q->http = r;
+  q->customer = strdup (customer->name);
+  q->pool = strdup (route->pool);
+  q->idempotent = route->idempotent;
+  q->started = (bb_ms)uv_now (e->daemon->loop);
+  q->deadline = q->started + route->timeout_ms;
+  r->user = q;
+  r->owner = e;
+  e->open_answers++;
+  r->on_gone = on_gone;
+  HASH_ADD (hh, e->requests, id, sizeof q->id, q);
+  uv_timer_init (e->daemon->loop, &q->timer);
+  q->timer.data = q;
+  uv_timer_start (&q->timer, on_deadline, route->timeout_ms, 0);
+  bb_retry_earn (&e->budget);
+  try_once (q);
+}
+
+static struct request *
+find_request (struct entry *e, uint64_t id)
+{
+  struct request *q;
+
+  HASH_FIND (hh, e->requests, &id, sizeof id, q);
+  if (!q)
+    bb_counter ("bilberry_late_answers_total", "")->value++;
+  return q;
+}
+
+static void
+keep (struct request *q, const char *data, size_t size)
+{
+  q->kept = realloc (q->kept, q->kept_size + size + 1);
+  if (!q->kept)
+    abort ();
+  memcpy (q->kept + q->kept_size, data, size);
+  q->kept_size += size;
+}
+
+static bool
+is_event_stream (const struct bb_head *m)
+{
+  static const char type[] = "text/event-stream";
+  struct bb_bytes v
+      = bb_header_find (m->headers, m->headers_count, "content-type");
+
+  return v.size >= sizeof type - 1
+         && strncasecmp (v.ptr, type, sizeof type - 1) == 0;
+}
+
+void
+request_on_head (struct entry *e, const struct bb_head *m)
+{
+  struct request *q = find_request (e, m->id);
+
+  if (!q)
+    return;
+  q->status = m->status;
+  if (is_event_stream (m))
+    {
+      q->streaming = true;
+      bb_http_start (q->http, m->status, m->headers, m->headers_count);
+      return;
+    }
+  /* The answer is sent once it is whole; until then its headers are kept
+     as sizes, since their bytes may still move.  */
+  q->headers_count = m->headers_count;
+  for (uint32_t i = 0; i < m->headers_count; i++)
+    {
+      q->headers[i] = m->headers[i];
+      keep (q, m->headers[i].name.ptr, m->headers[i].name.size);
+      keep (q, m->headers[i].value.ptr, m->headers[i].value.size);
+    }
+}
+
+void
+request_on_data (struct entry *e, const struct bb_data *m)
+{
+  struct request *q = find_request (e, m->id);
+
+  if (!q)
+    return;
+  if (q->streaming)
+    bb_http_write (q->http, m->body);
+  else
+    keep (q, m->body.ptr, m->body.size);
+}
+
+/* Points the kept headers into the kept bytes; returns the body.  */
+static struct bb_bytes
+restore_headers (struct request *q)
+{
+  struct bb_bytes body;
+  const char *p = q->kept;
+
+  for (uint32_t i = 0; i < q->headers_count; i++)
+    {
+      q->headers[i].name.ptr = p;
+      p += q->headers[i].name.size;
+      q->headers[i].value.ptr = p;
+      p += q->headers[i].value.size;
+    }
+  body.ptr = p;
+  body.size = (uint32_t)(q->kept_size - (size_t)(p - q->kept));
+  return body;
+}
+
+void
+request_on_end (struct entry *e, const struct bb_end *m)
+{
+  struct request *q = find_request (e, m->id);
+  struct bb_bytes body;
+
+  if (!q)
+    return;
+  if (q->streaming)
+    bb_http_end (q->http);
+  else
+    {
+      body = restore_headers (q);
+      bb_http_respond (q->http, q->status, q->headers, q->headers_count, body);
+    }
+  bb_counter ("bilberry_answers_total", "")->value++;
+  request_end (q);
+}
+
+void
+request_on_refusal (struct entry *e, const struct bb_refusal *m)
+{
+  struct request *q = find_request (e, m->id);
+  struct bb_verdict v = { .run = m->run,
+                          .reason = m->reason,
+                          .retry_after_ms = m->retry_after_ms };
+
+  if (q)
+    try_failed (q, &v);
+}
+
+void
+request_on_link_lost (struct link *l)
+{
+  struct request *q;
+  struct request *next;
+  struct bb_verdict v
+      = { .run = BB_RUN_MAYBE_RUN, .reason = BB_REASON_AGENT_LOST };
+
+  HASH_ITER (hh, l->entry->requests, q, next)
+  {
+    if (q->link == l)
+      try_failed (q, &v);
+  }
+}
--- /dev/null
+++ b/fake/engine/engine.c
@@ -0,0 +1,279 @@
+/* fake-engine - a stand-in for a model engine.
+
+   It batches continuously: each step, every running sequence yields one
+   token.  A sequence waits while the batch is full, then spends its prefill
+   time.  The tokens follow from the prompt alone, so that a test can tell
+   whether an answer is whole.  A cold engine dies when it is given more than
+   it bears; a prompt that holds the word "crash-engine" kills it.  */
+
+#include "../lib/fake.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+enum
+{
+  STEP_MS,
+  PREFILL_MS,
+  BATCH,
+  COLD_MS,
+  COLD_BATCH,
+  OPTIONS
+};
+
+static struct fake_option options[OPTIONS + 1] = {
+  [STEP_MS] = { "step-ms", "time of one step", 5 },
+  [PREFILL_MS] = { "prefill-ms", "time of prefill", 10 },
+  [BATCH] = { "batch", "sequences that run at once", 16 },
+  [COLD_MS] = { "cold-ms", "how long the engine is cold", 0 },
+  [COLD_BATCH] = { "cold-batch", "sequences a cold engine bears", 2 },
+};
+
+struct sequence
+{
+  struct bb_http_request *r; /* NULL once the caller is gone */
+  uint32_t id;               /* hash of the prompt */
+  uint32_t next_token;
+  uint32_t tokens;
+  bool stream;
+  bool running;
+  bb_ms ready_at; /* end of prefill */
+  char *text;
+  size_t text_size;
+  struct sequence *prev;
+  struct sequence *next;
+};
+
+static struct sequence *sequences;
+static uint32_t sequences_count;
+static uv_timer_t step;
+static bb_ms started;
+static uint64_t cancelled;
+static uint64_t finished;
+
+static void
+sequence_free (struct sequence *s)
+{
+  DL_DELETE (sequences, s);
+  sequences_count--;
+  free (s->text);
+  free (s);
+}
+
+static void
+on_gone (struct bb_http_request *r)
+{
+  struct sequence *s = r->user;
+
+  if (!s)
+    return;
+  cancelled++;
+  sequence_free (s);
+}
+
+static void
+print_token (struct sequence *s, char *out, size_t size)
+{
+  snprintf (out, size, "t%08x-%u ", s->id, s->next_token);
+}
+
+static void
+send_event (struct sequence *s, const char *token)
+{
+  char event[256];
+
+  snprintf (event, sizeof event,
+            "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s\"}}]"
+            "}\n\n",
+            token);
+  bb_http_write (s->r, bb_bytes_of (event));
+}
+
+static void
+keep_token (struct sequence *s, const char *token)
+{
+  size_t size = strlen (token);
+
+  s->text = realloc (s->text, s->text_size + size + 1);
+  memcpy (s->text + s->text_size, token, size + 1);
+  s->text_size += size;
+}
+
+static void
+sequence_finish (struct sequence *s)
+{
+  json_t *body;
+
+  s->r->user = NULL;
+  finished++;
+  if (s->stream)
+    {
+      bb_http_write (s->r, bb_bytes_of ("data: [DONE]\n\n"));
+      bb_http_end (s->r);
+    }
+  else
+    {
+      body = json_pack ("{s:[{s:i, s:{s:s, s:s}}], s:{s:i}}", "choices",
+                        "index", 0, "message", "role", "assistant", "content",
+                        s->text ? s->text : "", "usage", "completion_tokens",
+                        (int)s->tokens);
+      fake_respond_json (s->r, 200, body);
+    }
+  sequence_free (s);
+}
+
+static void
+sequence_step (struct sequence *s)
+{
+  char token[64];
+
+  print_token (s, token, sizeof token);
+  s->next_token++;
+  if (s->stream)
+    send_event (s, token);
+  else
+    keep_token (s, token);
+  if (s->next_token >= s->tokens)
+    sequence_finish (s);
+}
+
+static void
+die (const char *why)
+{
+  fprintf (stderr, "fake-engine: %s\n", why);
+  _exit (70);
+}
+
+static void
+on_step (uv_timer_t *t)
+{
+  bb_ms now = (bb_ms)uv_now (t->loop);
+  int running = 0;
+  struct sequence *s;
+  struct sequence *next;
+
+  DL_FOREACH_SAFE (sequences, s, next)
+  {
+    if (running >= options[BATCH].value)
+      break;
+    running++;
+    if (!s->running)
+      {
+        s->running = true;
+        s->ready_at = now + options[PREFILL_MS].value;
+      }
+    if (now >= s->ready_at)
+      sequence_step (s);
+  }
+}
+
+static const char *
+prompt_of (json_t *body)
+{
+  json_t *messages = json_object_get (body, "messages");
+  json_t *last = json_array_get (messages, json_array_size (messages) > 0
+                                               ? json_array_size (messages) - 1
+                                               : 0);
+  const char *prompt = json_string_value (json_object_get (last, "content"));
+
+  if (!prompt)
+    prompt = json_string_value (json_object_get (body, "prompt"));
+  return prompt;
+}
+
+static uint32_t
+number_of (json_t *body, const char *name, uint32_t fallback)
+{
+  json_t *v = json_object_get (body, name);
+
+  return json_is_integer (v) ? (uint32_t)json_integer_value (v) : fallback;
+}
+
+static void
+sequence_start (struct bb_http_request *r, json_t *body, const char *prompt)
+{
+  struct bb_header h = { .name = bb_bytes_of ("content-type"),
+                         .value = bb_bytes_of ("text/event-stream") };
+  struct sequence *s = calloc (1, sizeof *s);
+
+  s->r = r;
+  s->id = XXH32 (prompt, strlen (prompt), 0);
+  s->tokens = number_of (body, "max_tokens", 16);
+  s->next_token = number_of (body, "resume_tokens", 0);
+  s->stream = json_is_true (json_object_get (body, "stream"));
+  r->user = s;
+  r->on_gone = on_gone;
+  DL_APPEND (sequences, s);
+  sequences_count++;
+  if (s->stream)
+    bb_http_start (r, 200, &h, 1);
+}
+
+static void
+complete (struct bb_http_request *r)
+{
+  json_t *body = json_loadb (r->body.ptr, r->body.size, 0, NULL);
+  const char *prompt = prompt_of (body);
+  bb_ms age = (bb_ms)uv_now (step.loop) - started;
+
+  if (!prompt)
+    {
+      fake_respond_text (r, 400, "no prompt\n");
+      json_decref (body);
+      return;
+    }
+  if (strstr (prompt, "crash-engine"))
+    die ("crashed by a prompt");
+  if (age < options[COLD_MS].value
+      && sequences_count >= (uint32_t)options[COLD_BATCH].value)
+    die ("crashed by load while cold");
+  sequence_start (r, body, prompt);
+  json_decref (body);
+}
+
+static void
+respond_metrics (struct bb_http_request *r)
+{
+  char text[512];
+
+  snprintf (text, sizeof text,
+            "engine_start_time_ms %lld\nengine_sequences %u\n"
+            "engine_finished_total %llu\nengine_cancelled_total %llu\n",
+            (long long)started, sequences_count, (unsigned long long)finished,
+            (unsigned long long)cancelled);
+  fake_respond_text (r, 200, text);
+}
+
+static void
+on_request (struct bb_http_request *r, void *arg)
+{
+  (void)arg;
+  if (bb_bytes_equal (r->method, "GET")
+      && bb_bytes_equal (r->path, "/metrics"))
+    respond_metrics (r);
+  else if (bb_bytes_equal (r->method, "POST")
+           && (bb_bytes_equal (r->path, "/v1/chat/completions")
+               || bb_bytes_equal (r->path, "/v1/completions")))
+    complete (r);
+  else
+    fake_respond_text (r, 404, "no such path\n");
+}
+
+static void
+start_steps (uv_timer_t *t)
+{
+  uv_timer_start (t, on_step, (uint64_t)options[STEP_MS].value,
+                  (uint64_t)options[STEP_MS].value);
+}
+
+int
+main (int argc, char **argv)
+{
+  uv_timer_init (uv_default_loop (), &step);
+  started = (bb_ms)uv_now (step.loop);
+  uv_timer_start (&step, start_steps, 0, 0);
+  return fake_main (argc, argv, options, on_request, NULL);
+}
--- /dev/null
+++ b/fake/plain/plain.c
@@ -0,0 +1,108 @@
+/* fake-plain - a stand-in for a plain service beside the engines.
+
+   POST on any path runs an order: the idempotency key names it, or the body
+   where there is none.  GET /ran tells how often each order ran.  GET on any
+   other path is a check that changes nothing.  */
+
+#include "../lib/fake.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  DELAY_MS,
+  OPTIONS
+};
+
+static struct fake_option options[OPTIONS + 1] = {
+  [DELAY_MS] = { "delay-ms", "time that an order takes", 0 },
+};
+
+static json_t *ran;
+
+/* An order that has run and whose answer waits.  */
+struct order
+{
+  struct bb_http_request *r;
+  char *name;
+  json_int_t count;
+  uv_timer_t timer;
+};
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  struct order *o = h->data;
+
+  free (o->name);
+  free (o);
+}
+
+static void
+answer (uv_timer_t *t)
+{
+  struct order *o = t->data;
+
+  if (o->r)
+    {
+      o->r->user = NULL;
+      fake_respond_json (
+          o->r, 201,
+          json_pack ("{s:s, s:I}", "order", o->name, "ran", o->count));
+    }
+  uv_close ((uv_handle_t *)t, on_timer_closed);
+}
+
+static void
+on_gone (struct bb_http_request *r)
+{
+  struct order *o = r->user;
+
+  if (o)
+    o->r = NULL;
+}
+
+static void
+run_order (struct bb_http_request *r)
+{
+  struct order *o = calloc (1, sizeof *o);
+  struct bb_bytes key
+      = bb_header_find (r->headers, r->headers_count, "idempotency-key");
+
+  if (key.size == 0)
+    key = r->body;
+  o->r = r;
+  o->name = strndup (key.ptr ? key.ptr : "", key.size);
+  o->count = json_integer_value (json_object_get (ran, o->name)) + 1;
+  json_object_set_new (ran, o->name, json_integer (o->count));
+  r->user = o;
+  r->on_gone = on_gone;
+  uv_timer_init (uv_default_loop (), &o->timer);
+  o->timer.data = o;
+  uv_timer_start (&o->timer, answer, (uint64_t)options[DELAY_MS].value, 0);
+}
+
+static void
+on_request (struct bb_http_request *r, void *arg)
+{
+  (void)arg;
+  if (bb_bytes_equal (r->method, "POST"))
+    run_order (r);
+  else if (bb_bytes_equal (r->path, "/ran"))
+    fake_respond_json (r, 200, json_incref (ran));
+  else
+    fake_respond_json (r, 200,
+                       json_pack ("{s:s%, s:s%, s:s%}", "method",
+                                  r->method.ptr, (size_t)r->method.size,
+                                  "path", r->path.ptr, (size_t)r->path.size,
+                                  "body", r->body.ptr ? r->body.ptr : "",
+                                  (size_t)r->body.size));
+}
+
+int
+main (int argc, char **argv)
+{
+  ran = json_object ();
+  return fake_main (argc, argv, options, on_request, NULL);
+}
--- /dev/null
+++ b/libbase/counter.c
@@ -0,0 +1,163 @@
+#include "bilberry/base.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct bb_counter *counters;
+static struct bb_histogram *histograms;
+
+/* The counters of one reason family, found once and kept.  */
+static struct bb_counter *refusals[BB_REASON_COUNT];
+static struct bb_counter *retries[BB_REASON_COUNT];
+
+struct bb_counter *
+bb_counter (const char *name, const char *labels)
+{
+  struct bb_counter **at = &counters;
+  struct bb_counter *c;
+
+  for (; *at; at = &(*at)->next)
+    if (strcmp ((*at)->name, name) == 0 && strcmp ((*at)->labels, labels) == 0)
+      return *at;
+  c = calloc (1, sizeof *c);
+  if (!c)
+    abort ();
+  c->name = name;
+  snprintf (c->labels, sizeof c->labels, "%s", labels);
+  *at = c;
+  return c;
+}
+
+static void
+count_reason (struct bb_counter **family, const char *name, uint32_t reason)
+{
+  char labels[96];
+
+  if (reason >= BB_REASON_COUNT)
+    reason = BB_REASON_INTERNAL;
+  if (!family[reason])
+    {
+      snprintf (labels, sizeof labels, "reason=\"%s\"",
+                bb_reason_name (reason));
+      family[reason] = bb_counter (name, labels);
+    }
+  family[reason]->value++;
+}
+
+void
+bb_count_refusal (uint32_t reason)
+{
+  count_reason (refusals, "bilberry_refusals_total", reason);
+}
+
+void
+bb_count_retry (uint32_t reason)
+{
+  count_reason (retries, "bilberry_retries_total", reason);
+}
+
+void
+bb_histogram_register (struct bb_histogram *h, const char *name)
+{
+  h->name = name;
+  h->next = histograms;
+  histograms = h;
+}
+
+/* Values below 8 have a bucket each; above, eight buckets split each
+   doubling.  */
+static uint32_t
+bucket_of (uint64_t value)
+{
+  uint32_t top;
+
+  if (value < 8)
+    return (uint32_t)value;
+  top = 63 - (uint32_t)__builtin_clzll (value);
+  return (top - 2) * 8 + (uint32_t)((value >> (top - 3)) & 7);
+}
+
+static uint64_t
+bucket_bound (uint32_t bucket)
+{
+  uint32_t top;
+
+  if (bucket < 8)
+    return bucket;
+  top = bucket / 8 + 2;
+  return ((UINT64_C (8) + bucket % 8 + 1) << (top - 3)) - 1;
+}
+
+void
+bb_histogram_add (struct bb_histogram *h, uint64_t value)
+{
+  h->counts[bucket_of (value)]++;
+  h->total++;
+  h->sum += value;
+}
+
+uint64_t
+bb_histogram_quantile (const struct bb_histogram *h, double q)
+{
+  uint64_t rank = (uint64_t)(q * (double)h->total);
+  uint64_t seen = 0;
+
+  for (uint32_t i = 0; i < BB_HISTOGRAM_BUCKETS; i++)
+    {
+      seen += h->counts[i];
+      if (h->counts[i] > 0 && seen >= rank)
+        return bucket_bound (i);
+    }
+  return 0;
+}
+
+static void
+print_histogram (FILE *out, const struct bb_histogram *h)
+{
+  static const double quantiles[] = { 0.5, 0.95, 0.99 };
+
+  fprintf (out, "# TYPE %s summary\n", h->name);
+  for (uint32_t i = 0; i < sizeof quantiles / sizeof *quantiles; i++)
+    fprintf (out, "%s{quantile=\"%g\"} %llu\n", h->name, quantiles[i],
+             (unsigned long long)bb_histogram_quantile (h, quantiles[i]));
+  fprintf (out, "%s_sum %llu\n", h->name, (unsigned long long)h->sum);
+  fprintf (out, "%s_count %llu\n", h->name, (unsigned long long)h->total);
+}
+
+/* Prints the counters of C's name; the names before C were printed before. */
+static void
+print_family (FILE *out, const struct bb_counter *c)
+{
+  for (const struct bb_counter *o = counters; o != c; o = o->next)
+    if (strcmp (o->name, c->name) == 0)
+      return;
+  fprintf (out, "# TYPE %s counter\n", c->name);
+  for (const struct bb_counter *o = c; o; o = o->next)
+    {
+      if (strcmp (o->name, c->name) != 0)
+        continue;
+      if (*o->labels)
+        fprintf (out, "%s{%s} %llu\n", o->name, o->labels,
+                 (unsigned long long)o->value);
+      else
+        fprintf (out, "%s %llu\n", o->name, (unsigned long long)o->value);
+    }
+}
+
+char *
+bb_metrics_print (void)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+
+  if (!out)
+    abort ();
+  for (const struct bb_counter *c = counters; c; c = c->next)
+    print_family (out, c);
+  for (const struct bb_histogram *h = histograms; h; h = h->next)
+    print_histogram (out, h);
+  fclose (out);
+  return text;
+}
--- /dev/null
+++ b/libnet/header.c
@@ -0,0 +1,39 @@
+#include "bilberry/net.h"
+
+#include <string.h>
+#include <strings.h>
+
+struct bb_bytes
+bb_header_find (const struct bb_header *headers, uint32_t count,
+                const char *name)
+{
+  struct bb_bytes none = { .ptr = NULL, .size = 0 };
+  size_t size = strlen (name);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (headers[i].name.size == size
+        && strncasecmp (headers[i].name.ptr, name, size) == 0)
+      return headers[i].value;
+  return none;
+}
+
+bool
+bb_header_is_hop (struct bb_bytes name)
+{
+  static const char *const hops[] = { "connection",
+                                      "keep-alive",
+                                      "proxy-authenticate",
+                                      "proxy-authorization",
+                                      "te",
+                                      "trailer",
+                                      "transfer-encoding",
+                                      "upgrade",
+                                      "content-length",
+                                      "host" };
+
+  for (size_t i = 0; i < sizeof hops / sizeof *hops; i++)
+    if (name.size == strlen (hops[i])
+        && strncasecmp (name.ptr, hops[i], name.size) == 0)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/libnet/http_client.c
@@ -0,0 +1,215 @@
+#include "bilberry/net.h"
+
+#include <h2o.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HEADERS_MAX = 64,
+  POOL_SOCKETS = 256,
+  POOL_IDLE_MS = 10000
+};
+
+struct bb_http_client
+{
+  h2o_http1client_ctx_t ctx;
+  h2o_timeout_t io_timeout;
+  h2o_socketpool_t pool;
+  char host[64];
+};
+
+struct bb_http_call
+{
+  h2o_http1client_t *client;
+  const struct bb_http_call_ops *ops;
+  void *user;
+  char *request; /* the request as sent */
+  size_t request_size;
+  h2o_iovec_t iov;
+  bool is_head;
+  bool chunked;
+};
+
+static void
+free_call (struct bb_http_call *c)
+{
+  free (c->request);
+  free (c);
+}
+
+static void
+end_call (struct bb_http_call *c, const char *error, enum bb_run run)
+{
+  c->ops->on_end (c, error, run);
+  free_call (c);
+}
+
+/* Whether the peer closed before the last chunk.  The client of h2o takes
+   such an end for a whole body; a read that met the end has no bytes.  */
+static bool
+is_cut_off (const struct bb_http_call *c, const h2o_http1client_t *client)
+{
+  return c->chunked && client->sock->bytes_read == 0;
+}
+
+static int
+on_body (h2o_http1client_t *client, const char *error)
+{
+  struct bb_http_call *c = client->data;
+  h2o_buffer_t *in = client->sock->input;
+  struct bb_bytes piece = { .ptr = in->bytes, .size = (uint32_t)in->size };
+
+  if (error && error != h2o_http1client_error_is_eos)
+    {
+      end_call (c, error, BB_RUN_MAYBE_RUN);
+      return -1;
+    }
+  if (piece.size > 0)
+    {
+      c->ops->on_data (c, piece);
+      h2o_buffer_consume (&client->sock->input, client->sock->input->size);
+    }
+  if (error && is_cut_off (c, client))
+    end_call (c, "the body is cut off", BB_RUN_MAYBE_RUN);
+  else if (error)
+    end_call (c, NULL, BB_RUN_RAN);
+  return 0;
+}
+
+static uint32_t
+copy_headers (struct bb_header *out, const h2o_header_t *in, size_t count)
+{
+  uint32_t n = 0;
+
+  for (size_t i = 0; i < count && n < HEADERS_MAX; i++)
+    {
+      out[n].name.ptr = in[i].name->base;
+      out[n].name.size = (uint32_t)in[i].name->len;
+      out[n].value.ptr = in[i].value.base;
+      out[n].value.size = (uint32_t)in[i].value.len;
+      n++;
+    }
+  return n;
+}
+
+static h2o_http1client_body_cb
+on_head (h2o_http1client_t *client, const char *error, int minor, int status,
+         h2o_iovec_t msg, h2o_header_t *headers, size_t count, int rlen)
+{
+  struct bb_http_call *c = client->data;
+  struct bb_header copy[HEADERS_MAX] = { 0 };
+  uint32_t n;
+
+  (void)minor;
+  (void)msg;
+  (void)rlen;
+  if (error && error != h2o_http1client_error_is_eos)
+    {
+      end_call (c, error, BB_RUN_MAYBE_RUN);
+      return NULL;
+    }
+  n = copy_headers (copy, headers, count);
+  c->chunked = bb_header_find (copy, n, "transfer-encoding").size > 0;
+  c->ops->on_head (c, (uint16_t)status, copy, n);
+  if (!error)
+    return on_body;
+  end_call (c, NULL, BB_RUN_RAN);
+  return NULL;
+}
+
+static h2o_http1client_head_cb
+on_connect (h2o_http1client_t *client, const char *error, h2o_iovec_t **bufs,
+            size_t *bufs_count, int *is_head)
+{
+  struct bb_http_call *c = client->data;
+
+  if (error)
+    {
+      end_call (c, error, BB_RUN_NOT_RUN);
+      return NULL;
+    }
+  c->iov = h2o_iovec_init (c->request, c->request_size);
+  *bufs = &c->iov;
+  *bufs_count = 1;
+  *is_head = c->is_head;
+  return on_head;
+}
+
+struct bb_http_client *
+bb_http_client_new (uv_loop_t *loop, const struct sockaddr_storage *addr,
+                    const char *host, bb_ms io_timeout_ms)
+{
+  struct bb_http_client *client = calloc (1, sizeof *client);
+  socklen_t size = addr->ss_family == AF_INET ? sizeof (struct sockaddr_in)
+                                              : sizeof (struct sockaddr_in6);
+
+  snprintf (client->host, sizeof client->host, "%s", host);
+  h2o_timeout_init (loop, &client->io_timeout, (uint64_t)io_timeout_ms);
+  client->ctx.loop = loop;
+  client->ctx.io_timeout = &client->io_timeout;
+  h2o_socketpool_init_by_address (&client->pool, (struct sockaddr *)addr, size,
+                                  0, POOL_SOCKETS);
+  h2o_socketpool_set_timeout (&client->pool, loop, POOL_IDLE_MS);
+  return client;
+}
+
+void
+bb_http_client_free (struct bb_http_client *client)
+{
+  h2o_socketpool_dispose (&client->pool);
+  h2o_timeout_dispose (client->ctx.loop, &client->io_timeout);
+  free (client);
+}
+
+static void
+print_request (struct bb_http_call *c, const char *host,
+               struct bb_bytes method, struct bb_bytes path,
+               const struct bb_header *headers, uint32_t count,
+               struct bb_bytes body)
+{
+  FILE *out = open_memstream (&c->request, &c->request_size);
+
+  fprintf (out, "%.*s %.*s HTTP/1.1\r\nhost: %s\r\n", (int)method.size,
+           method.ptr, (int)path.size, path.ptr, host);
+  for (uint32_t i = 0; i < count; i++)
+    if (!bb_header_is_hop (headers[i].name))
+      fprintf (out, "%.*s: %.*s\r\n", (int)headers[i].name.size,
+               headers[i].name.ptr, (int)headers[i].value.size,
+               headers[i].value.ptr);
+  if (body.size > 0 || !bb_bytes_equal (method, "GET"))
+    fprintf (out, "content-length: %u\r\n", body.size);
+  fputs ("\r\n", out);
+  fwrite (body.ptr, 1, body.size, out);
+  fclose (out);
+}
+
+struct bb_http_call *
+bb_http_client_send (struct bb_http_client *client, struct bb_bytes method,
+                     struct bb_bytes path, const struct bb_header *headers,
+                     uint32_t headers_count, struct bb_bytes body,
+                     const struct bb_http_call_ops *ops, void *user)
+{
+  struct bb_http_call *c = calloc (1, sizeof *c);
+
+  c->ops = ops;
+  c->user = user;
+  c->is_head = bb_bytes_equal (method, "HEAD");
+  print_request (c, client->host, method, path, headers, headers_count, body);
+  h2o_http1client_connect_with_pool (&c->client, c, &client->ctx,
+                                     &client->pool, on_connect);
+  return c;
+}
+
+void
+bb_http_call_cancel (struct bb_http_call *c)
+{
+  h2o_http1client_cancel (c->client);
+  free_call (c);
+}
+
+void *
+bb_http_call_user (const struct bb_http_call *c)
+{
+  return c->user;
+}
--- /dev/null
+++ b/libproto/bounded.c
@@ -0,0 +1,120 @@
+/* Checks a msgpack value before it is unpacked.  The unpacker reserves room
+   for as many elements as an array or map claims; this check refuses claims
+   that the remaining bytes cannot hold.  */
+
+#include "wire.h"
+
+enum
+{
+  DEPTH_MAX = 8
+};
+
+struct scan
+{
+  const uint8_t *p;
+  const uint8_t *end;
+};
+
+static bool scan_value (struct scan *s, uint32_t depth);
+
+static bool
+skip (struct scan *s, uint64_t size)
+{
+  if ((uint64_t)(s->end - s->p) < size)
+    return false;
+  s->p += size;
+  return true;
+}
+
+static bool
+read_size (struct scan *s, uint32_t width, uint64_t *size)
+{
+  *size = 0;
+  if ((uint64_t)(s->end - s->p) < width)
+    return false;
+  for (uint32_t i = 0; i < width; i++)
+    *size = *size << 8 | *s->p++;
+  return true;
+}
+
+static bool
+skip_sized (struct scan *s, uint32_t width, uint32_t extra)
+{
+  uint64_t size;
+
+  return read_size (s, width, &size) && skip (s, size + extra);
+}
+
+static bool
+scan_items (struct scan *s, uint64_t count, uint32_t depth)
+{
+  if (depth >= DEPTH_MAX || count > (uint64_t)(s->end - s->p))
+    return false;
+  for (uint64_t i = 0; i < count; i++)
+    if (!scan_value (s, depth + 1))
+      return false;
+  return true;
+}
+
+static bool
+scan_counted (struct scan *s, uint32_t width, uint32_t each, uint32_t depth)
+{
+  uint64_t count;
+
+  return read_size (s, width, &count) && scan_items (s, count * each, depth);
+}
+
+/* Sizes of the values that follow the type bytes 0xc0 to 0xdf.  */
+static bool
+scan_long (struct scan *s, uint8_t type, uint32_t depth)
+{
+  if (type == 0xc0 || type == 0xc2 || type == 0xc3)
+    return true;
+  if (type >= 0xc4 && type <= 0xc6)
+    return skip_sized (s, 1U << (type - 0xc4), 0);
+  if (type >= 0xc7 && type <= 0xc9)
+    return skip_sized (s, 1U << (type - 0xc7), 1);
+  if (type == 0xca || type == 0xcb)
+    return skip (s, type == 0xca ? 4 : 8);
+  if (type >= 0xcc && type <= 0xcf)
+    return skip (s, UINT64_C (1) << (type - 0xcc));
+  if (type >= 0xd0 && type <= 0xd3)
+    return skip (s, UINT64_C (1) << (type - 0xd0));
+  if (type >= 0xd4 && type <= 0xd8)
+    return skip (s, (UINT64_C (1) << (type - 0xd4)) + 1);
+  if (type >= 0xd9 && type <= 0xdb)
+    return skip_sized (s, 1U << (type - 0xd9), 0);
+  if (type == 0xdc || type == 0xdd)
+    return scan_counted (s, type == 0xdc ? 2 : 4, 1, depth);
+  if (type == 0xde || type == 0xdf)
+    return scan_counted (s, type == 0xde ? 2 : 4, 2, depth);
+  return false;
+}
+
+static bool
+scan_value (struct scan *s, uint32_t depth)
+{
+  uint8_t type;
+
+  if (s->p == s->end)
+    return false;
+  type = *s->p++;
+  if (type <= 0x7f || type >= 0xe0)
+    return true;
+  if (type <= 0x8f)
+    return scan_items (s, (uint64_t)(type & 0x0f) * 2, depth);
+  if (type <= 0x9f)
+    return scan_items (s, type & 0x0f, depth);
+  if (type <= 0xbf)
+    return skip (s, type & 0x1f);
+  return scan_long (s, type, depth);
+}
+
+bool
+bb_wire_bounded (const char *data, size_t size)
+{
+  struct scan s = { .p = (const uint8_t *)data };
+
+  s.end = s.p + size;
+  return scan_value (&s, 0) && s.p == s.end;
+}
--- /dev/null
+++ b/libsettings/bind.c
@@ -0,0 +1,338 @@
+/* Binds a merged tree to the settings structs by the generated tables.  */
+
+#include "table.h"
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct bind
+{
+  const struct bb_node *root;
+  struct bb_faults *faults;
+};
+
+static const char *
+section_name_at (const void *arg, size_t i)
+{
+  (void)arg;
+  return bb_sections[i].name;
+}
+
+static const char *
+field_name_at (const void *arg, size_t i)
+{
+  return ((const struct bb_field *)arg)[i].name;
+}
+
+static const char *
+word_at (const void *arg, size_t i)
+{
+  return ((const char *const *)arg)[i];
+}
+
+static const char *
+item_name_at (const void *arg, size_t i)
+{
+  const struct bb_node *c = ((const struct bb_node *)arg)->children;
+
+  for (; c && i > 0; i--)
+    c = c->next;
+  return c ? c->key : NULL;
+}
+
+/* Reports that KEY is not known, with the nearest known name.  */
+static void
+report_unknown (struct bind *b, const struct bb_node *n, const char *what,
+                const char *near)
+{
+  if (near)
+    bb_fault (b->faults, n->file, n->line,
+              "unknown %s '%s'; did you mean '%s'?", what, n->key, near);
+  else
+    bb_fault (b->faults, n->file, n->line, "unknown %s '%s'", what, n->key);
+}
+
+static bool
+parse_u32 (struct bind *b, const struct bb_node *n, const struct bb_field *f,
+           uint32_t *out)
+{
+  char *end;
+  unsigned long long v = strtoull (n->value, &end, 10);
+
+  if (!isdigit ((unsigned char)n->value[0]) || *end || n->quoted)
+    {
+      bb_fault (b->faults, n->file, n->line,
+                "%s: '%s' is not a whole number; write one from %u to %u",
+                f->name, n->value, f->min, f->max);
+      return false;
+    }
+  if (v < f->min || v > f->max)
+    {
+      bb_fault (b->faults, n->file, n->line,
+                "%s: %s is out of range; write a number from %u to %u",
+                f->name, n->value, f->min, f->max);
+      return false;
+    }
+  *out = (uint32_t)v;
+  return true;
+}
+
+static bool
+parse_enum (struct bind *b, const struct bb_node *n, const struct bb_field *f,
+            uint32_t *out)
+{
+  const char *near;
+
+  for (uint32_t i = 0; f->words[i]; i++)
+    if (strcmp (f->words[i], n->value) == 0)
+      {
+        *out = i;
+        return true;
+      }
+  near = bb_nearest (n->value, word_at, f->words);
+  bb_fault (b->faults, n->file, n->line, "%s: unknown value '%s'; write '%s'",
+            f->name, n->value, near ? near : f->words[0]);
+  return false;
+}
+
+static bool
+parse_bool (struct bind *b, const struct bb_node *n, const struct bb_field *f,
+            bool *out)
+{
+  *out = strcmp (n->value, "true") == 0;
+  if (*out || strcmp (n->value, "false") == 0)
+    return true;
+  bb_fault (b->faults, n->file, n->line,
+            "%s: '%s' is neither true nor false; write one of them", f->name,
+            n->value);
+  return false;
+}
+
+static bool
+is_sha256 (const char *text)
+{
+  size_t n = strlen (text);
+
+  for (size_t i = 0; i < n; i++)
+    if (!isxdigit ((unsigned char)text[i]) || isupper ((unsigned char)text[i]))
+      return false;
+  return n == 64;
+}
+
+static bool
+check_text (struct bind *b, const struct bb_node *n, const struct bb_field *f)
+{
+  struct sockaddr_storage addr;
+  const struct bb_node *section;
+  const char *near;
+
+  switch (f->type)
+    {
+    case BB_FIELD_ADDRESS:
+      if (bb_address_parse (n->value, &addr))
+        return true;
+      bb_fault (b->faults, n->file, n->line,
+                "%s: bad address '%s'; write an IP number and a port, such as "
+                "127.0.0.1:8080",
+                f->name, n->value);
+      return false;
+    case BB_FIELD_SHA256:
+      if (is_sha256 (n->value))
+        return true;
+      bb_fault (b->faults, n->file, n->line,
+                "%s: not a SHA-256; write 64 lower-case hexadecimal digits",
+                f->name);
+      return false;
+    case BB_FIELD_REF:
+      section = bb_node_child (b->root, f->ref);
+      if (section && bb_node_child (section, n->value))
+        return true;
+      near = section ? bb_nearest (n->value, item_name_at, section) : NULL;
+      bb_fault (b->faults, n->file, n->line,
+                "%s: '%s' is not one of %s; %s%s%s", f->name, n->value, f->ref,
+                near ? "did you mean '" : "add it there", near ? near : "",
+                near ? "'?" : "");
+      return false;
+    default:
+      if (*n->value)
+        return true;
+      bb_fault (b->faults, n->file, n->line, "%s: the value is empty",
+                f->name);
+      return false;
+    }
+}
+
+static void
+bind_value (struct bind *b, const struct bb_node *n, const struct bb_field *f,
+            char *item)
+{
+  void *at = item + f->offset;
+
+  if (n->kind != BB_NODE_SCALAR)
+    {
+      bb_fault (b->faults, n->file, n->line,
+                "%s: wrong type; write a single value", f->name);
+      return;
+    }
+  switch (f->type)
+    {
+    case BB_FIELD_U32:
+      parse_u32 (b, n, f, at);
+      break;
+    case BB_FIELD_BOOL:
+      parse_bool (b, n, f, at);
+      break;
+    case BB_FIELD_ENUM:
+      parse_enum (b, n, f, at);
+      break;
+    default:
+      if (check_text (b, n, f))
+        *(char **)at = strdup (n->value);
+      break;
+    }
+}
+
+static const struct bb_field *
+find_field (const struct bb_section *s, const char *name)
+{
+  for (const struct bb_field *f = s->fields; f->name; f++)
+    if (strcmp (f->name, name) == 0)
+      return f;
+  return NULL;
+}
+
+static void
+bind_item (struct bind *b, const struct bb_section *s,
+           const struct bb_node *map, char *item)
+{
+  *(char **)item = strdup (map->key);
+  if (map->kind != BB_NODE_MAP)
+    {
+      bb_fault (b->faults, map->file, map->line,
+                "%s: wrong type; write a mapping of fields", map->key);
+      return;
+    }
+  for (const struct bb_node *n = map->children; n; n = n->next)
+    {
+      const struct bb_field *f = find_field (s, n->key);
+      if (f)
+        bind_value (b, n, f, item);
+      else
+        report_unknown (b, n, "field",
+                        bb_nearest (n->key, field_name_at, s->fields));
+    }
+  for (const struct bb_field *f = s->fields; f->name; f++)
+    {
+      struct bb_node fallback = { .kind = BB_NODE_SCALAR,
+                                  .value = (char *)f->fallback,
+                                  .file = map->file,
+                                  .line = map->line };
+      if (bb_node_child (map, f->name))
+        continue;
+      if (f->required)
+        bb_fault (b->faults, map->file, map->line, "%s: field '%s' is missing",
+                  map->key, f->name);
+      else if (f->fallback)
+        bind_value (b, &fallback, f, item);
+    }
+}
+
+static uint32_t
+count_children (const struct bb_node *n)
+{
+  uint32_t count = 0;
+
+  for (const struct bb_node *c = n->children; c; c = c->next)
+    count++;
+  return count;
+}
+
+static void
+bind_section (struct bind *b, const struct bb_section *s,
+              const struct bb_node *map, struct bb_settings *out)
+{
+  uint32_t count = count_children (map);
+  char *items = calloc (count ? count : 1, s->item_size);
+  char *item = items;
+
+  *(void **)((char *)out + s->items_offset) = items;
+  *(uint32_t *)((char *)out + s->count_offset) = count;
+  if (map->kind != BB_NODE_MAP)
+    {
+      bb_fault (b->faults, map->file, map->line,
+                "%s: wrong type; write a mapping from names to items",
+                map->key);
+      *(uint32_t *)((char *)out + s->count_offset) = 0;
+      return;
+    }
+  for (const struct bb_node *n = map->children; n; n = n->next)
+    {
+      bind_item (b, s, n, item);
+      item += s->item_size;
+    }
+}
+
+static const struct bb_section *
+find_section (const char *name)
+{
+  for (const struct bb_section *s = bb_sections; s->name; s++)
+    if (strcmp (s->name, name) == 0)
+      return s;
+  return NULL;
+}
+
+struct bb_settings *
+bb_settings_make (const struct bb_files *files, struct bb_faults *faults)
+{
+  size_t first = faults->count;
+  struct bb_node *root = bb_files_merge (files, faults);
+  struct bind b = { .root = root, .faults = faults };
+  struct bb_settings *out;
+
+  if (!root)
+    return NULL;
+  out = calloc (1, sizeof *out);
+  for (const struct bb_node *n = root->children; n; n = n->next)
+    {
+      const struct bb_section *s = find_section (n->key);
+      if (s)
+        bind_section (&b, s, n, out);
+      else
+        report_unknown (&b, n, "section",
+                        bb_nearest (n->key, section_name_at, NULL));
+    }
+  bb_node_free (root);
+  if (faults->count == first)
+    return out;
+  bb_settings_free (out);
+  return NULL;
+}
+
+static void
+free_item (const struct bb_section *s, char *item)
+{
+  free (*(char **)item);
+  for (const struct bb_field *f = s->fields; f->name; f++)
+    if (f->type != BB_FIELD_U32 && f->type != BB_FIELD_BOOL
+        && f->type != BB_FIELD_ENUM)
+      free (*(char **)(item + f->offset));
+}
+
+void
+bb_settings_free (struct bb_settings *s)
+{
+  if (!s)
+    return;
+  for (const struct bb_section *t = bb_sections; t->name; t++)
+    {
+      char *items = *(char **)((char *)s + t->items_offset);
+      uint32_t count = *(uint32_t *)((char *)s + t->count_offset);
+      for (uint32_t i = 0; i < count; i++)
+        free_item (t, items + i * t->item_size);
+      free (items);
+    }
+  free (s);
+}
--- /dev/null
+++ b/libsettings/files.c
@@ -0,0 +1,99 @@
+#include "table.h"
+
+#include <dirent.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+static int
+is_settings_file (const struct dirent *d)
+{
+  size_t n = strlen (d->d_name);
+
+  return d->d_name[0] != '.' && n > 5
+         && strcmp (d->d_name + n - 5, ".yaml") == 0;
+}
+
+static bool
+read_file (const char *dir, const char *name, struct bb_file *file)
+{
+  char path[4096];
+  FILE *in;
+  FILE *copy;
+  char buf[8192];
+  size_t n;
+  bool good;
+
+  snprintf (path, sizeof path, "%s/%s", dir, name);
+  in = fopen (path, "r");
+  if (!in)
+    return false;
+  copy = open_memstream (&file->data, &file->size);
+  while ((n = fread (buf, 1, sizeof buf, in)) > 0)
+    fwrite (buf, 1, n, copy);
+  good = !ferror (in);
+  fclose (copy);
+  fclose (in);
+  file->name = strdup (name);
+  return good;
+}
+
+bool
+bb_files_read (const char *dir, struct bb_files *files,
+               struct bb_faults *faults)
+{
+  struct dirent **list = NULL;
+  int n = scandir (dir, &list, is_settings_file, alphasort);
+  size_t first = faults->count;
+
+  files->files = NULL;
+  files->count = 0;
+  if (n < 0)
+    {
+      bb_fault (faults, dir, 0, "cannot read the folder: %s",
+                strerror (errno));
+      return false;
+    }
+  if (n == 0)
+    bb_fault (faults, dir, 0,
+              "the folder is empty; it needs files that end in .yaml");
+  files->files = calloc ((size_t)n + 1, sizeof *files->files);
+  for (int i = 0; i < n; i++)
+    {
+      if (!read_file (dir, list[i]->d_name, &files->files[files->count++]))
+        bb_fault (faults, list[i]->d_name, 0, "cannot read the file: %s",
+                  strerror (errno));
+      free (list[i]);
+    }
+  free (list);
+  return faults->count == first;
+}
+
+void
+bb_files_free (struct bb_files *files)
+{
+  for (size_t i = 0; i < files->count; i++)
+    {
+      free (files->files[i].name);
+      free (files->files[i].data);
+    }
+  free (files->files);
+  files->files = NULL;
+  files->count = 0;
+}
+
+uint64_t
+bb_files_hash (const struct bb_files *files)
+{
+  uint64_t hash = 0;
+
+  for (size_t i = 0; i < files->count; i++)
+    {
+      const struct bb_file *f = &files->files[i];
+      hash = XXH64 (f->name, strlen (f->name) + 1, hash);
+      hash = XXH64 (f->data, f->size, hash);
+    }
+  return hash;
+}
--- /dev/null
+++ b/test/harness/fleet.h
@@ -0,0 +1,70 @@
+#ifndef FLEET_H
+#define FLEET_H
+
+/* A small fleet of real processes: engines and plain services, an agent
+   before each, and entries.  */
+
+#include "harness.h"
+
+enum
+{
+  FLEET_MAX = 64
+};
+
+struct fleet_upstream
+{
+  char name[32];
+  char pool[16]; /* "draft" has an engine, "order" a plain service */
+  char failure_domain[16];
+  uint16_t port;
+  uint16_t agent_port;
+  uint16_t operator_port;
+  pid_t upstream;
+  pid_t agent;
+};
+
+struct fleet_entry
+{
+  char name[32];
+  uint16_t port;
+  uint16_t operator_port;
+  pid_t pid;
+};
+
+struct fleet
+{
+  struct harness *h;
+  struct fleet_upstream upstreams[FLEET_MAX];
+  uint32_t upstreams_count;
+  struct fleet_entry entries[FLEET_MAX];
+  uint32_t entries_count;
+  const char *engine_options[8]; /* further options of each engine */
+};
+
+/* The bearer header line of the customer "customer-1".  */
+extern const char fleet_key[];
+
+/* Makes a fleet of DRAFTS engines, ORDERS plain services and ENTRIES entries,
+   spread over the failure domains fd-a, fd-b and fd-c; writes the settings
+   but starts nothing.  */
+void fleet_init (struct fleet *f, const char *build, uint32_t drafts,
+                 uint32_t orders, uint32_t entries);
+
+/* Writes the file that says which failure domain is out; "" for none.  */
+void fleet_set_out (struct fleet *f, const char *failure_domain);
+
+/* Starts one upstream, one agent or one entry again.  */
+void fleet_start_upstream (struct fleet *f, struct fleet_upstream *u);
+void fleet_start_agent (struct fleet *f, struct fleet_upstream *u);
+void fleet_start_entry (struct fleet *f, struct fleet_entry *e);
+
+/* Starts everything and waits until each entry sees each agent.  */
+void fleet_start (struct fleet *f);
+void fleet_free (struct fleet *f);
+
+/* Whether BODY is the whole event stream that the engine gives for PROMPT
+   and TOKENS.  */
+bool fleet_stream_is_whole (const char *body, const char *prompt,
+                            uint32_t tokens);
+
+#endif
--- /dev/null
+++ b/test/harness/http.c
@@ -0,0 +1,194 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  ANSWER_MS = 60000,
+  POLL_MS = 20
+};
+
+int
+harness_connect (uint16_t port)
+{
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (connect (fd, (struct sockaddr *)&addr, sizeof addr) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static bool
+send_all (int fd, const char *data, size_t size)
+{
+  while (size > 0)
+    {
+      ssize_t n = send (fd, data, size, MSG_NOSIGNAL);
+      if (n <= 0)
+        return false;
+      data += n;
+      size -= (size_t)n;
+    }
+  return true;
+}
+
+static char *
+read_all (int fd, size_t *size, int timeout_ms)
+{
+  char *text = NULL;
+  FILE *out = open_memstream (&text, size);
+  struct pollfd p = { .fd = fd, .events = POLLIN };
+  char buf[65536];
+  ssize_t n;
+
+  while (poll (&p, 1, timeout_ms) > 0 && (n = read (fd, buf, sizeof buf)) > 0)
+    fwrite (buf, 1, (size_t)n, out);
+  fclose (out);
+  return text;
+}
+
+char *
+harness_raw (uint16_t port, const char *data, size_t size, int timeout_ms)
+{
+  int fd = harness_connect (port);
+  size_t got = 0;
+  char *text;
+
+  if (fd < 0)
+    return strdup ("");
+  send_all (fd, data, size);
+  text = read_all (fd, &got, timeout_ms);
+  close (fd);
+  return text;
+}
+
+/* Decodes chunks in place; false when the last chunk is missing.  */
+static bool
+decode_chunks (char *body, size_t *size)
+{
+  char *in = body;
+  char *out = body;
+  char *end = body + *size;
+
+  for (;;)
+    {
+      char *rest;
+      size_t n = strtoul (in, &rest, 16);
+      if (rest == in || rest + 2 > end)
+        return false;
+      in = strstr (rest, "\r\n");
+      if (!in || (size_t)(end - in) < n + 2)
+        return false;
+      in += 2;
+      if (n == 0)
+        break;
+      memmove (out, in, n);
+      out += n;
+      in += n + 2;
+    }
+  *size = (size_t)(out - body);
+  *out = '\0';
+  return true;
+}
+
+static void
+parse_answer (struct answer *a, char *text, size_t size)
+{
+  char *body = strstr (text, "\r\n\r\n");
+  const char *length;
+
+  if (!body || sscanf (text, "HTTP/1.%*d %d", &a->status) != 1)
+    {
+      a->status = 0;
+      return;
+    }
+  a->headers = strndup (text, (size_t)(body - text) + 2);
+  body += 4;
+  a->body_size = size - (size_t)(body - text);
+  a->body = malloc (a->body_size + 1);
+  memcpy (a->body, body, a->body_size);
+  a->body[a->body_size] = '\0';
+  length = strcasestr (a->headers, "\r\ncontent-length:");
+  if (length)
+    a->whole = strtoul (length + 17, NULL, 10) == a->body_size;
+  else if (strcasestr (a->headers, "\r\ntransfer-encoding: chunked"))
+    a->whole = decode_chunks (a->body, &a->body_size);
+  else
+    a->whole = true;
+}
+
+struct answer
+harness_http (uint16_t port, const char *method, const char *path,
+              const char *headers, const char *body)
+{
+  struct answer a = { 0 };
+  char *request = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&request, &size);
+  char *text;
+
+  fprintf (out, "%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n%s",
+           method, path, headers);
+  if (*body || strcmp (method, "POST") == 0)
+    fprintf (out, "Content-Length: %zu\r\n", strlen (body));
+  fprintf (out, "\r\n%s", body);
+  fclose (out);
+  text = harness_raw (port, request, size, ANSWER_MS);
+  parse_answer (&a, text, strlen (text));
+  free (text);
+  free (request);
+  return a;
+}
+
+void
+answer_free (struct answer *a)
+{
+  free (a->headers);
+  free (a->body);
+  memset (a, 0, sizeof *a);
+}
+
+bool
+harness_await (uint16_t port, const char *path, const char *text,
+               int timeout_ms)
+{
+  for (int spent = 0; spent < timeout_ms; spent += POLL_MS)
+    {
+      struct answer a = harness_http (port, "GET", path, "", "");
+      bool found = a.body && strstr (a.body, text);
+      answer_free (&a);
+      if (found)
+        return true;
+      harness_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+uint64_t
+harness_counter (uint16_t port, const char *name, const char *labels)
+{
+  struct answer a = harness_http (port, "GET", "/metrics", "", "");
+  char line[256];
+  const char *at;
+  uint64_t value = 0;
+
+  if (*labels)
+    snprintf (line, sizeof line, "\n%s{%s} ", name, labels);
+  else
+    snprintf (line, sizeof line, "\n%s ", name);
+  at = a.body ? strstr (a.body, line) : NULL;
+  if (at)
+    value = strtoull (at + strlen (line), NULL, 10);
+  answer_free (&a);
+  return value;
+}
--- /dev/null
+++ b/test/harness/process.c
@@ -0,0 +1,254 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <openssl/sha.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  ARGUMENTS_MAX = 32,
+  PORTS_MAX = 1024,
+  READY_MS = 20000
+};
+
+struct harness
+{
+  char build[2048];
+  char dir[64];
+  char config[80];
+  pid_t processes[HARNESS_PROCESSES_MAX];
+  uint32_t processes_count;
+  int ports[PORTS_MAX];
+  uint32_t ports_count;
+};
+
+static void
+fail (const char *what)
+{
+  fprintf (stderr, "harness: %s: %s\n", what, strerror (errno));
+  abort ();
+}
+
+struct harness *
+harness_new (const char *build)
+{
+  struct harness *h = calloc (1, sizeof *h);
+
+  signal (SIGPIPE, SIG_IGN);
+  snprintf (h->build, sizeof h->build, "%s", build);
+  snprintf (h->dir, sizeof h->dir, "/tmp/bilberry-XXXXXX");
+  if (!mkdtemp (h->dir))
+    fail ("mkdtemp");
+  snprintf (h->config, sizeof h->config, "%s/config", h->dir);
+  if (mkdir (h->config, 0755) < 0)
+    fail ("mkdir");
+  return h;
+}
+
+static void
+remove_dir (const char *dir)
+{
+  char command[160];
+
+  snprintf (command, sizeof command, "rm -rf '%s'", dir);
+  if (system (command) != 0)
+    fprintf (stderr, "harness: %s is left behind\n", dir);
+}
+
+void
+harness_free (struct harness *h)
+{
+  for (uint32_t i = 0; i < h->processes_count; i++)
+    {
+      if (h->processes[i] == 0)
+        continue;
+      kill (h->processes[i], SIGCONT);
+      kill (h->processes[i], SIGKILL);
+      waitpid (h->processes[i], NULL, 0);
+    }
+  for (uint32_t i = 0; i < h->ports_count; i++)
+    close (h->ports[i]);
+  remove_dir (h->dir);
+  free (h);
+}
+
+const char *
+harness_config_dir (const struct harness *h)
+{
+  return h->config;
+}
+
+uint16_t
+harness_port (struct harness *h)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  socklen_t size = sizeof addr;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (fd < 0 || h->ports_count == PORTS_MAX
+      || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0
+      || bind (fd, (struct sockaddr *)&addr, size) < 0
+      || getsockname (fd, (struct sockaddr *)&addr, &size) < 0)
+    fail ("port");
+  h->ports[h->ports_count++] = fd;
+  return ntohs (addr.sin_port);
+}
+
+void
+harness_write (struct harness *h, const char *name, const char *format, ...)
+{
+  char path[256];
+  char next[256];
+  FILE *out;
+  va_list ap;
+
+  snprintf (path, sizeof path, "%s/%s", h->config, name);
+  snprintf (next, sizeof next, "%s/.%s.next", h->config, name);
+  out = fopen (next, "w");
+  if (!out)
+    fail (next);
+  va_start (ap, format);
+  vfprintf (out, format, ap);
+  va_end (ap);
+  fclose (out);
+  if (rename (next, path) < 0)
+    fail (path);
+}
+
+static void
+exec_child (const struct harness *h, const char *log, const char *program,
+            char **argv, int out)
+{
+  char path[4096];
+  char log_path[256];
+  int err;
+
+  snprintf (path, sizeof path, "%s/%s", h->build, program);
+  snprintf (log_path, sizeof log_path, "%s/%s.log", h->dir, log);
+  err = open (log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  dup2 (out, STDOUT_FILENO);
+  if (!getenv ("HARNESS_VERBOSE"))
+    dup2 (err, STDERR_FILENO);
+  execv (path, argv);
+  _exit (127);
+}
+
+/* Waits for the line "ready"; the pipe stays open for the process.  */
+static bool
+await_ready (int fd)
+{
+  char text[256];
+  size_t size = 0;
+  struct pollfd p = { .fd = fd, .events = POLLIN };
+
+  while (size < sizeof text - 1 && poll (&p, 1, READY_MS) > 0)
+    {
+      ssize_t n = read (fd, text + size, sizeof text - 1 - size);
+      if (n <= 0)
+        return false;
+      size += (size_t)n;
+      text[size] = '\0';
+      if (strncmp (text, "ready", 5) == 0 && strchr (text, '\n'))
+        return true;
+    }
+  return false;
+}
+
+static void
+show_log (const struct harness *h, const char *log)
+{
+  char command[256];
+
+  snprintf (command, sizeof command, "tail -n 20 '%s/%s.log' >&2", h->dir,
+            log);
+  if (system (command) != 0)
+    fprintf (stderr, "harness: no log of %s\n", log);
+}
+
+pid_t
+harness_start (struct harness *h, const char *log, const char *program, ...)
+{
+  char *argv[ARGUMENTS_MAX] = { (char *)program };
+  int pipes[2];
+  uint32_t n = 1;
+  va_list ap;
+  pid_t pid;
+
+  va_start (ap, program);
+  while (n < ARGUMENTS_MAX - 1 && (argv[n] = va_arg (ap, char *)))
+    n++;
+  va_end (ap);
+  if (pipe2 (pipes, O_CLOEXEC) < 0)
+    fail ("pipe");
+  pid = fork ();
+  if (pid == 0)
+    exec_child (h, log, program, argv, pipes[1]);
+  close (pipes[1]);
+  if (!await_ready (pipes[0]))
+    {
+      fprintf (stderr, "harness: %s did not come up\n", program);
+      show_log (h, log);
+      abort ();
+    }
+  close (pipes[0]);
+  if (h->processes_count == HARNESS_PROCESSES_MAX)
+    fail ("too many processes");
+  h->processes[h->processes_count++] = pid;
+  return pid;
+}
+
+void
+harness_signal (struct harness *h, pid_t pid, int signal)
+{
+  (void)h;
+  if (kill (pid, signal) < 0)
+    fail ("kill");
+}
+
+int
+harness_wait (struct harness *h, pid_t pid)
+{
+  int status = 0;
+
+  if (waitpid (pid, &status, 0) != pid)
+    fail ("waitpid");
+  for (uint32_t i = 0; i < h->processes_count; i++)
+    if (h->processes[i] == pid)
+      h->processes[i] = 0;
+  if (WIFSIGNALED (status))
+    return 128 + WTERMSIG (status);
+  return WEXITSTATUS (status);
+}
+
+void
+harness_sha256 (const char *key, char out[65])
+{
+  unsigned char sum[SHA256_DIGEST_LENGTH];
+
+  SHA256 ((const unsigned char *)key, strlen (key), sum);
+  for (uint32_t i = 0; i < sizeof sum; i++)
+    snprintf (out + 2 * (size_t)i, 3, "%02x", sum[i]);
+}
+
+void
+harness_sleep_ms (int ms)
+{
+  struct timespec ts
+      = { .tv_sec = ms / 1000, .tv_nsec = (long)(ms % 1000) * 1000000 };
+
+  while (nanosleep (&ts, &ts) < 0 && errno == EINTR)
+    ;
+}
