--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,16 @@
 	-fno-sanitize-recover=undefined
 endif
 
+# `make MUTANT=name` removes one guard, so that its test can be seen to fail.
+MUTANT_FLAGS =
+ifdef MUTANT
+B = build-mutant-$(MUTANT)
+MUTANT_FLAGS = -DBB_MUTANT_$(MUTANT)
+endif
+
 WARN = -Wall -Wextra -Werror -Wstrict-prototypes -Wmissing-prototypes -Wshadow
 GLIB_CFLAGS := $(shell pkg-config --cflags glib-2.0 2>/dev/null)
-CPPFLAGS = -D_GNU_SOURCE -DBB_VERSION='"0.1.0"' -Iinclude $(GLIB_CFLAGS)
+CPPFLAGS = -D_GNU_SOURCE -DBB_VERSION='"0.1.0"' -Iinclude $(GLIB_CFLAGS) $(MUTANT_FLAGS)
 CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS)
 LDLIBS = -lh2o -luv -lssl -lcrypto -lmsgpackc -lyaml -largtable2 -lglib-2.0 \
 	-lxxhash -ljansson -lm
@@ -112,6 +119,11 @@
 	printf '%s\n' $(TIDY_SOURCES) | xargs -P 8 -n 4 sh -c \
 		'clang-tidy --quiet "$$@" -- -std=gnu11 $(TIDY_FLAGS) 2>/dev/null' tidy
 
+# Each line of test/mutants.txt names a guard and the test that fails without
+# it; see docs/PROOF.md.
+proof: need-deps
+	test/proof test/mutants.txt
+
 # The committed code must be what the schema gives.
 generated-check:
 	rm -rf $(B)/generated
@@ -125,8 +137,8 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all deps need-deps check check-built demo run bench lint generate \
-	generated-check clean
+.PHONY: all deps need-deps check check-built demo run bench lint proof \
+	generate generated-check clean
 .SECONDARY:
 
 -include $(shell find $(B)/obj -name '*.d' 2>/dev/null)
--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -34,6 +34,7 @@
   char *customer;
   char *pool;
   bool idempotent;
+  uint64_t key_hash;  /* of the customer and the idempotency key */
   struct link *link;  /* where the present try runs */
   struct link *tried; /* where the last try ended */
   uint32_t attempts;
@@ -66,6 +67,30 @@
 /* Makes the links fit the settings in force.  */
 void links_update (struct entry *e);
 
+/* choose.c */
+
+/* Chooses where the next try of Q runs; NULL where nothing can take it.  */
+struct link *choose_link (struct request *q);
+
+/* home.c */
+
+/* Finds the home of the key of a non-idempotent request; NULL where it cannot
+   take it now.  */
+struct link *home_link (struct request *q);
+
+/* input.c */
+
+/* Finds the customer that the bearer key names; NULL and a verdict where
+   there is none.  */
+const struct bb_customer_settings *
+input_customer (const struct bb_settings *s, const struct bb_http_request *r,
+                struct bb_verdict *v);
+
+/* Finds the route of a request; NULL and a verdict where there is none.  */
+const struct bb_route_settings *input_route (const struct bb_settings *s,
+                                             const struct bb_http_request *r,
+                                             struct bb_verdict *v);
+
 /* request.c */
 void request_begin (struct bb_http_request *r, void *arg);
 void request_on_head (struct entry *e, const struct bb_head *m);
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -1,13 +1,12 @@
 #include "entry.h"
 
-#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 enum
 {
-  CANDIDATES_MAX = 256,
   RETRY_AFTER_MS = 1000
 };
 
@@ -83,30 +82,6 @@
   refuse (q, &v);
 }
 
-static struct link *
-choose (struct request *q)
-{
-  struct entry *e = q->entry;
-  struct bb_candidate c[CANDIDATES_MAX];
-  struct link *links[CANDIDATES_MAX];
-  uint32_t count = 0;
-  uint32_t i;
-
-  for (struct link *l = e->links; l && count < CANDIDATES_MAX; l = l->next)
-    {
-      if (!l->in || !l->ready || l->load.draining
-          || strcmp (l->pool, q->pool) != 0)
-        continue;
-      c[count].own_in_flight = l->in_flight;
-      c[count].reported = l->load.in_flight + l->load.queued;
-      c[count].limit = l->load.limit;
-      c[count].tried = l == q->tried;
-      links[count++] = l;
-    }
-  i = bb_route_choose (c, count, e->rand);
-  return i == BB_ROUTE_NONE ? NULL : links[i];
-}
-
 static bool
 is_passed_on (struct bb_bytes name)
 {
@@ -147,7 +122,7 @@
                           .reason = BB_REASON_NO_UPSTREAM,
                           .retry_after_ms = RETRY_AFTER_MS };
 
-  q->link = choose (q);
+  q->link = q->idempotent ? choose_link (q) : home_link (q);
   if (!q->link)
     {
       refuse (q, &v);
@@ -186,55 +161,16 @@
   try_once (q);
 }
 
-static void
-hex_sha256 (struct bb_bytes key, char hex[65])
-{
-  unsigned char sum[SHA256_DIGEST_LENGTH];
-
-  SHA256 ((const unsigned char *)key.ptr, key.size, sum);
-  for (uint32_t i = 0; i < sizeof sum; i++)
-    snprintf (hex + 2 * (size_t)i, 3, "%02x", sum[i]);
-}
-
-static const struct bb_customer_settings *
-find_customer (const struct bb_settings *s, const struct bb_http_request *r,
-               struct bb_verdict *v)
+/* A call without a key gets a random one.  */
+static uint64_t
+hash_key (const char *customer, const struct bb_http_request *r)
 {
-  static const char scheme[] = "Bearer ";
-  const struct bb_customer_settings *c;
-  char hex[65];
   struct bb_bytes key
-      = bb_header_find (r->headers, r->headers_count, "authorization");
-
-  v->reason = BB_REASON_NO_KEY;
-  if (key.size < sizeof scheme
-      || strncasecmp (key.ptr, scheme, sizeof scheme - 1) != 0)
-    return NULL;
-  key.ptr += sizeof scheme - 1;
-  key.size -= sizeof scheme - 1;
-  hex_sha256 (key, hex);
-  c = bb_settings_customer (s, hex);
-  v->reason = BB_REASON_UNKNOWN_KEY;
-  return c;
-}
+      = bb_header_find (r->headers, r->headers_count, "idempotency-key");
 
-static const struct bb_route_settings *
-find_route (const struct bb_settings *s, const struct bb_http_request *r,
-            struct bb_verdict *v)
-{
-  const char *query = memchr (r->path.ptr, '?', r->path.size);
-  size_t size = query ? (size_t)(query - r->path.ptr) : r->path.size;
-  bool path_known;
-  const struct bb_route_settings *route = bb_settings_route (
-      s, r->method.ptr, r->method.size, r->path.ptr, size, &path_known);
-
-  v->reason = path_known ? BB_REASON_BAD_METHOD : BB_REASON_NO_ROUTE;
-  if (route && r->body.size > route->body_max_bytes)
-    {
-      v->reason = BB_REASON_BODY_TOO_LARGE;
-      return NULL;
-    }
-  return route;
+  if (key.size == 0)
+    return bb_random_id ();
+  return XXH64 (key.ptr, key.size, XXH64 (customer, strlen (customer), 0));
 }
 
 void
@@ -243,7 +179,7 @@
   struct entry *e = arg;
   const struct bb_settings *s = e->daemon->settings;
   struct bb_verdict v = { .run = BB_RUN_NOT_RUN };
-  const struct bb_customer_settings *customer = find_customer (s, r, &v);
+  const struct bb_customer_settings *customer = input_customer (s, r, &v);
   const struct bb_route_settings *route;
   struct request *q;
 
@@ -252,7 +188,7 @@
       problem_respond (r, &v);
       return;
     }
-  route = find_route (s, r, &v);
+  route = input_route (s, r, &v);
   if (!route)
     {
       problem_respond (r, &v);
@@ -265,6 +201,7 @@
   q->customer = strdup (customer->name);
   q->pool = strdup (route->pool);
   q->idempotent = route->idempotent;
+  q->key_hash = hash_key (q->customer, r);
   q->started = (bb_ms)uv_now (e->daemon->loop);
   q->deadline = q->started + route->timeout_ms;
   r->user = q;
