--- a/cmd/agent/peer.c
+++ b/cmd/agent/peer.c
@@ -21,6 +21,18 @@
   bb_put_hello (bb_conn_out (c), &hello);
 }
 
+static void
+send_report (struct peer *p, const struct bb_probe *probe)
+{
+  const struct agent *a = p->agent;
+  struct bb_report m = { .nonce = probe->nonce,
+                         .incarnation = a->daemon->incarnation,
+                         .load = agent_load (a),
+                         .revision = a->daemon->revision };
+
+  bb_put_report (bb_conn_out (p->conn), &m);
+}
+
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
@@ -34,6 +46,9 @@
     case BB_MSG_CANCEL:
       call_cancel (p, m->u.cancel.id);
       break;
+    case BB_MSG_PROBE:
+      send_report (p, &m->u.probe);
+      break;
     default:
       break;
     }
--- /dev/null
+++ b/cmd/entry/answer.c
@@ -0,0 +1,213 @@
+/* The answer of an upstream on its way to the caller.  */
+
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+static struct request *
+find_request (struct entry *e, uint64_t id)
+{
+  struct request *q;
+
+  HASH_FIND (hh, e->requests, &id, sizeof id, q);
+  if (!q)
+    bb_counter ("bilberry_late_answers_total", "")->value++;
+  return q;
+}
+
+static void
+keep (struct request *q, const char *data, size_t size)
+{
+  q->kept = realloc (q->kept, q->kept_size + size + 1);
+  if (!q->kept)
+    abort ();
+  memcpy (q->kept + q->kept_size, data, size);
+  q->kept_size += size;
+}
+
+static bool
+is_event_stream (const struct bb_head *m)
+{
+  static const char type[] = "text/event-stream";
+  struct bb_bytes v
+      = bb_header_find (m->headers, m->headers_count, "content-type");
+
+  return v.size >= sizeof type - 1
+         && strncasecmp (v.ptr, type, sizeof type - 1) == 0;
+}
+
+/* The upstream's answer cannot be used: the try has failed.  */
+static void
+fail_try (struct request *q)
+{
+  struct bb_verdict v
+      = { .run = BB_RUN_MAYBE_RUN, .reason = BB_REASON_UPSTREAM_FAILED };
+
+  try_cancel (q);
+  try_failed (q, &v);
+}
+
+/* Starts the answer of a stream; its length is not known, since another
+   upstream may give the rest.  */
+static void
+start_stream (struct request *q, const struct bb_head *m)
+{
+  static const char length[] = "content-length";
+  struct bb_header headers[64];
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < m->headers_count; i++)
+    {
+      struct bb_bytes name = m->headers[i].name;
+      if (name.size != sizeof length - 1
+          || strncasecmp (name.ptr, length, name.size) != 0)
+        headers[n++] = m->headers[i];
+    }
+  q->streaming = true;
+  bb_http_start (q->http, m->status, headers, n);
+}
+
+/* The answer is sent once it is whole; until then its headers are kept as
+   sizes, since their bytes may still move.  */
+static void
+keep_head (struct request *q, const struct bb_head *m)
+{
+  q->headers_count = m->headers_count;
+  for (uint32_t i = 0; i < m->headers_count; i++)
+    {
+      q->headers[i] = m->headers[i];
+      keep (q, m->headers[i].name.ptr, m->headers[i].name.size);
+      keep (q, m->headers[i].value.ptr, m->headers[i].value.size);
+    }
+}
+
+void
+answer_on_head (struct entry *e, const struct bb_head *m)
+{
+  struct request *q = find_request (e, m->id);
+
+  if (!q)
+    return;
+  if (q->streaming && (m->status != q->status || !is_event_stream (m)))
+    {
+      fail_try (q);
+      return;
+    }
+  if (q->streaming)
+    return;
+  q->status = m->status;
+  if (is_event_stream (m))
+    start_stream (q, m);
+  else
+    keep_head (q, m);
+}
+
+static void
+write_event (void *arg, struct bb_bytes event)
+{
+  struct request *q = arg;
+
+  bb_http_write (q->http, event);
+}
+
+void
+answer_on_data (struct entry *e, const struct bb_data *m)
+{
+  struct request *q = find_request (e, m->id);
+
+  if (!q)
+    return;
+  if (!q->streaming)
+    {
+      keep (q, m->body.ptr, m->body.size);
+      return;
+    }
+  bb_stream_feed (&q->stream, m->body, write_event, q);
+  if (q->stream.broken)
+    fail_try (q);
+}
+
+/* Points the kept headers into the kept bytes; returns the body.  */
+static struct bb_bytes
+restore_headers (struct request *q)
+{
+  struct bb_bytes body;
+  const char *p = q->kept;
+
+  for (uint32_t i = 0; i < q->headers_count; i++)
+    {
+      q->headers[i].name.ptr = p;
+      p += q->headers[i].name.size;
+      q->headers[i].value.ptr = p;
+      p += q->headers[i].value.size;
+    }
+  body.ptr = p;
+  body.size = (uint32_t)(q->kept_size - (size_t)(p - q->kept));
+  return body;
+}
+
+void
+answer_finish (struct request *q)
+{
+  struct bb_bytes body;
+
+  if (q->streaming)
+    {
+      struct bb_bytes rest
+          = { .ptr = q->stream.part, .size = (uint32_t)q->stream.part_size };
+      if (rest.size > 0)
+        bb_http_write (q->http, rest);
+      bb_http_end (q->http);
+    }
+  else
+    {
+      body = restore_headers (q);
+      bb_http_respond (q->http, q->status, q->headers, q->headers_count, body);
+    }
+  bb_counter ("bilberry_answers_total", "")->value++;
+  request_end (q);
+}
+
+void
+answer_on_end (struct entry *e, const struct bb_end *m)
+{
+  struct request *q = find_request (e, m->id);
+
+  if (!q)
+    return;
+  bb_health_ok (&q->link->health, &q->pool_links->health, entry_now ());
+  if (q->streaming && q->stream.tokens > 0 && !q->stream.done)
+    fail_try (q);
+  else
+    answer_finish (q);
+}
+
+/* Counts a failure against the upstream of the present try.  */
+static void
+blame (struct request *q, uint32_t reason)
+{
+  struct link *l = q->link;
+
+  if (!bb_health_failed (&l->health, &q->pool_links->health, reason,
+                         entry_now ()))
+    return;
+  bb_counter ("bilberry_ejections_total", "")->value++;
+  bb_log (BB_LOG_WARN, "entry", "%s is left out for a while: %s.", l->name,
+          bb_reason_text (reason));
+}
+
+void
+answer_on_refusal (struct entry *e, const struct bb_refusal *m)
+{
+  struct request *q = find_request (e, m->id);
+  struct bb_verdict v = { .run = m->run,
+                          .reason = m->reason,
+                          .retry_after_ms = m->retry_after_ms };
+
+  if (!q)
+    return;
+  blame (q, m->reason);
+  try_failed (q, &v);
+}
--- a/cmd/entry/choose.c
+++ b/cmd/entry/choose.c
@@ -1,34 +1,63 @@
-/* Chooses the upstream of an idempotent call.  */
+/* Chooses the upstream of an idempotent call among the links of its pool.  */
 
 #include "entry.h"
 
-#include <string.h>
-
 enum
 {
-  CANDIDATES_MAX = 256
+  CANDIDATES_MAX = 128 /* more than a subset holds */
 };
 
+bool
+choose_was_tried (const struct request *q, const struct link *l)
+{
+  for (uint32_t i = 0; i < q->tried_count; i++)
+    if (q->tried[i] == l->name_hash)
+      return true;
+  return false;
+}
+
+static bool
+domain_was_tried (const struct request *q, const struct link *l)
+{
+  for (uint32_t i = 0; i < q->tried_count; i++)
+    if (q->tried_domains[i] == l->domain_hash)
+      return true;
+  return false;
+}
+
+static struct bb_candidate
+candidate_of (const struct request *q, const struct link *l, bb_ms now)
+{
+  struct bb_candidate c = { .own_in_flight = l->in_flight,
+                            .others = l->others,
+                            .age_ms = now - l->report_ms,
+                            .limit = l->load.limit,
+                            .ramp_percent = bb_health_ramp (&l->health, now),
+                            .near = l->near,
+                            .tried = choose_was_tried (q, l),
+                            .domain_tried = domain_was_tried (q, l) };
+
+  return c;
+}
+
 struct link *
 choose_link (struct request *q)
 {
-  struct entry *e = q->entry;
+  const struct pool *p = q->pool_links;
   struct bb_candidate c[CANDIDATES_MAX];
   struct link *links[CANDIDATES_MAX];
+  bb_ms now = entry_now ();
   uint32_t count = 0;
   uint32_t i;
 
-  for (struct link *l = e->links; l && count < CANDIDATES_MAX; l = l->next)
+  for (i = 0; i < p->links_count && count < CANDIDATES_MAX; i++)
     {
-      if (!l->in || !l->ready || l->load.draining
-          || strcmp (l->pool, q->pool) != 0)
+      struct link *l = p->links[i];
+      if (!link_usable (l) || !bb_health_usable (&l->health, now))
         continue;
-      c[count].own_in_flight = l->in_flight;
-      c[count].reported = l->load.in_flight + l->load.queued;
-      c[count].limit = l->load.limit;
-      c[count].tried = l == q->tried;
+      c[count] = candidate_of (q, l, now);
       links[count++] = l;
     }
-  i = bb_route_choose (c, count, e->rand);
+  i = bb_route_choose (c, count, q->entry->rand);
   return i == BB_ROUTE_NONE ? NULL : links[i];
 }
--- /dev/null
+++ b/cmd/entry/customer.c
@@ -0,0 +1,53 @@
+/* Limits of customers at this entry.  */
+
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RETRY_AFTER_MS = 1000
+};
+
+static struct customer *
+find_or_add (struct entry *e, const char *name)
+{
+  struct customer *c;
+
+  HASH_FIND_STR (e->customers, name, c);
+  if (c)
+    return c;
+  c = calloc (1, sizeof *c);
+  c->name = strdup (name);
+  HASH_ADD_KEYPTR (hh, e->customers, c->name, strlen (c->name), c);
+  return c;
+}
+
+struct customer *
+customer_enter (struct entry *e, const struct bb_customer_settings *s,
+                struct bb_verdict *v)
+{
+  struct customer *c = find_or_add (e, s->name);
+
+#ifndef BB_MUTANT_customer_limit
+  if (c->in_flight >= s->limit)
+    {
+      v->reason = BB_REASON_CUSTOMER_LIMIT;
+      v->retry_after_ms = RETRY_AFTER_MS;
+      return NULL;
+    }
+#endif
+  c->in_flight++;
+  return c;
+}
+
+void
+customer_leave (struct entry *e, struct customer *c)
+{
+  if (--c->in_flight > 0)
+    return;
+  HASH_DEL (e->customers, c);
+  free (c->name);
+  free (c);
+}
--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -6,6 +6,22 @@
 
 #include <uthash.h>
 
+enum
+{
+  TRIES_MAX = 8
+};
+
+/* The links of one pool.  A pool that the settings no longer name stays,
+   empty.  */
+struct pool
+{
+  char *name;
+  struct link **links;
+  uint32_t links_count;
+  struct bb_health_pool health;
+  UT_hash_handle hh;
+};
+
 /* The way to one agent.  */
 struct link
 {
@@ -14,15 +30,36 @@
   char *address;
   char *pool;
   char *failure_domain;
-  bool in; /* may receive new work by the settings */
+  uint64_t name_hash;
+  uint64_t domain_hash;
+  struct pool *pool_links;
+  bool in;   /* may receive new work by the settings */
+  bool near; /* in the entry's own failure domain */
+  enum bb_resume resume;
   struct bb_conn *conn;
-  bool ready; /* the agent has said hello */
+  bool ready;     /* the agent has said hello */
+  bool known;     /* it has said hello before */
+  bool refreshed; /* it has reported since this process was last paused */
+  uint64_t probe; /* nonce of the probe under way */
+  bb_ms heard_ms; /* its last message */
   uint64_t agent_incarnation;
   struct bb_load load;
+  uint32_t others; /* its load by other entries */
+  bb_ms report_ms; /* when it told the load */
+  struct bb_health health;
   uint32_t in_flight;
   uv_timer_t again;
   struct link *next;
-  bool gone; /* no longer in the settings */
+  bool gone;   /* no longer in the settings, or in this entry's subset */
+  bool closed; /* has left the list of links */
+};
+
+/* Requests of one customer at this entry.  */
+struct customer
+{
+  char *name;
+  uint32_t in_flight;
+  UT_hash_handle hh;
 };
 
 /* A caller's request.  */
@@ -31,17 +68,24 @@
   uint64_t id;
   struct entry *entry;
   struct bb_http_request *http; /* NULL once the answer is handed over */
+  struct customer *customer_use;
   char *customer;
   char *pool;
+  struct pool *pool_links;
   bool idempotent;
-  uint64_t key_hash;  /* of the customer and the idempotency key */
-  struct link *link;  /* where the present try runs */
-  struct link *tried; /* where the last try ended */
+  uint64_t key_hash; /* of the customer and the idempotency key */
+  struct link *link; /* where the present try runs */
+  uint64_t tried[TRIES_MAX];
+  uint64_t tried_domains[TRIES_MAX];
+  uint32_t tried_count;
   uint32_t attempts;
+  struct bb_verdict verdict; /* of all tries that failed */
   bb_ms deadline;
   bb_ms started;
   uv_timer_t timer;
+  bool waiting;   /* for an agent to report after a pause */
   bool streaming; /* the head has been sent to the caller */
+  struct bb_stream stream;
   uint16_t status;
   struct bb_header headers[64]; /* kept until the answer is whole */
   uint32_t headers_count;
@@ -55,23 +99,67 @@
   struct bb_daemon *daemon;
   struct bb_http_server *server;
   struct link *links;
-  struct request *requests; /* by id */
-  uint32_t open_answers;    /* callers whose answer is not sent out yet */
+  struct pool *pools;         /* by name */
+  struct request *requests;   /* by id */
+  struct customer *customers; /* by name; those with requests in flight */
+  uint32_t open_answers;      /* callers whose answer is not sent out yet */
   uint64_t last_id;
   GRand *rand;
   struct bb_retry_budget budget;
+  struct bb_pause pause;
+  bb_ms woke_ms; /* when the last pause was found; 0: never paused */
+  uv_timer_t tick;
 };
 
+/* Returns the time in ms; the loop's clock may be behind it.  */
+bb_ms entry_now (void);
+
 /* link.c */
 
+/* Takes the load that an agent told while OWN requests of this entry were
+   part of it.  */
+void link_report (struct link *l, const struct bb_load *load, uint32_t own);
+
+/* Closes a link that is gone once it is idle.  */
+void link_release (struct link *l);
+
+/* Whether new work may be sent there.  */
+bool link_usable (const struct link *l);
+
+/* pool.c */
+
 /* Makes the links fit the settings in force.  */
 void links_update (struct entry *e);
 
+/* Finds the pool NAME, making it at the first call.  */
+struct pool *pool_find (struct entry *e, const char *name);
+
+/* link.c, for pool.c */
+struct link *link_find (struct entry *e, const struct bb_upstream_settings *u);
+struct link *link_add (struct entry *e, const struct bb_upstream_settings *u);
+void link_set (struct link *l, const struct bb_upstream_settings *u);
+void links_drop_gone (struct entry *e);
+
+/* watch.c */
+
+/* Starts to look for pauses of this process and for silent agents.  */
+void watch_start (struct entry *e);
+
+/* Looks at the clock; after a pause the settings are read again and each
+   agent has to report before it gets work.  */
+void watch_look (struct entry *e);
+
+/* Whether agents are still expected to report after a pause.  */
+bool watch_refreshing (const struct entry *e);
+
 /* choose.c */
 
 /* Chooses where the next try of Q runs; NULL where nothing can take it.  */
 struct link *choose_link (struct request *q);
 
+/* Whether Q was refused or failed at L.  */
+bool choose_was_tried (const struct request *q, const struct link *l);
+
 /* home.c */
 
 /* Finds the home of the key of a non-idempotent request; NULL where it cannot
@@ -91,15 +179,62 @@
                                              const struct bb_http_request *r,
                                              struct bb_verdict *v);
 
+/* customer.c */
+
+/* Counts a request of a customer in; NULL and a verdict where its limit is
+ * reached. */
+struct customer *customer_enter (struct entry *e,
+                                 const struct bb_customer_settings *s,
+                                 struct bb_verdict *v);
+void customer_leave (struct entry *e, struct customer *c);
+
 /* request.c */
 void request_begin (struct bb_http_request *r, void *arg);
-void request_on_head (struct entry *e, const struct bb_head *m);
-void request_on_data (struct entry *e, const struct bb_data *m);
-void request_on_end (struct entry *e, const struct bb_end *m);
-void request_on_refusal (struct entry *e, const struct bb_refusal *m);
+
+/* Forgets a request whose caller has its answer or is gone.  */
+void request_end (struct request *q);
+
+/* Refuses a request for good.  */
+void request_refuse (struct request *q, const struct bb_verdict *v);
+
+/* try.c */
+
+/* Sends Q to an upstream, or refuses it where none can take it.  */
+void try_once (struct request *q);
+
+/* The present try ended without an answer: tries again or refuses.  */
+void try_failed (struct request *q, const struct bb_verdict *v);
+
+/* Tells the agent that nobody waits for the present try.  */
+void try_cancel (struct request *q);
+
+/* Requests that waited for an agent to report are sent.  */
+void try_waiting (struct entry *e);
 
 /* The connection of LINK is lost; its requests end or are tried again.  */
-void request_on_link_lost (struct link *l);
+void try_link_lost (struct link *l);
+
+/* LINK has been silent; its idempotent requests are tried elsewhere.  */
+void try_link_silent (struct link *l);
+
+/* resume.c */
+
+/* Returns the body of Q for an upstream that continues its stream; NULL where
+   the body is none that can be continued.  The caller frees it.  */
+char *resume_body (const struct request *q);
+
+/* Whether the rest of the answer can be had from L.  */
+bool resume_possible (const struct request *q, const struct link *l);
+
+/* answer.c */
+
+/* Ends the answer, which is whole.  */
+void answer_finish (struct request *q);
+
+void answer_on_head (struct entry *e, const struct bb_head *m);
+void answer_on_data (struct entry *e, const struct bb_data *m);
+void answer_on_end (struct entry *e, const struct bb_end *m);
+void answer_on_refusal (struct entry *e, const struct bb_refusal *m);
 
 /* problem.c */
 
--- a/cmd/entry/link.c
+++ b/cmd/entry/link.c
@@ -2,10 +2,12 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
-  RECONNECT_MS = 200
+  RECONNECT_MS = 200,
+  QUIET_MS = 2000 /* agents send heartbeats several times as often */
 };
 
 static void link_connect (struct link *l);
@@ -37,8 +39,8 @@
     bb_log (BB_LOG_WARN, "entry", "Lost the agent of %s: %s.", l->name, why);
   l->conn = NULL;
   l->ready = false;
-  request_on_link_lost (l);
-  if (l->gone)
+  try_link_lost (l);
+  if (l->closed)
     uv_close ((uv_handle_t *)&l->again, on_timer_closed);
   else
     uv_timer_start (&l->again, on_again, RECONNECT_MS, 0);
@@ -66,8 +68,31 @@
       return;
     }
   l->agent_incarnation = m->incarnation;
-  l->load = m->load;
   l->ready = true;
+  l->refreshed = true;
+  if (l->known)
+    bb_health_returned (&l->health, entry_now ());
+  l->known = true;
+  link_report (l, &m->load, l->in_flight);
+  try_waiting (l->entry);
+}
+
+/* A report counts as fresh when it answers the last probe.  */
+static void
+on_report (struct link *l, const struct bb_report *m)
+{
+  link_report (l, &m->load, l->in_flight);
+  if (m->nonce != l->probe || m->incarnation != l->agent_incarnation)
+    return;
+  l->refreshed = true;
+  try_waiting (l->entry);
+}
+
+/* A request has ended at the agent, so it is no longer part of its load.  */
+static void
+report_after_end (struct link *l, const struct bb_load *load)
+{
+  link_report (l, load, l->in_flight > 0 ? l->in_flight - 1 : 0);
 }
 
 static void
@@ -75,27 +100,31 @@
 {
   struct link *l = bb_conn_user (c);
 
+  l->heard_ms = entry_now ();
   switch (m->type)
     {
     case BB_MSG_HELLO:
       on_hello (l, &m->u.hello);
       break;
     case BB_MSG_HEARTBEAT:
-      l->load = m->u.heartbeat.load;
+      link_report (l, &m->u.heartbeat.load, l->in_flight);
+      break;
+    case BB_MSG_REPORT:
+      on_report (l, &m->u.report);
       break;
     case BB_MSG_HEAD:
-      request_on_head (l->entry, &m->u.head);
+      answer_on_head (l->entry, &m->u.head);
       break;
     case BB_MSG_DATA:
-      request_on_data (l->entry, &m->u.data);
+      answer_on_data (l->entry, &m->u.data);
       break;
     case BB_MSG_END:
-      l->load = m->u.end.load;
-      request_on_end (l->entry, &m->u.end);
+      report_after_end (l, &m->u.end.load);
+      answer_on_end (l->entry, &m->u.end);
       break;
     case BB_MSG_REFUSAL:
-      l->load = m->u.refusal.load;
-      request_on_refusal (l->entry, &m->u.refusal);
+      report_after_end (l, &m->u.refusal.load);
+      answer_on_refusal (l->entry, &m->u.refusal);
       break;
     default:
       break;
@@ -114,8 +143,8 @@
     l->conn = bb_conn_connect (l->entry->daemon->loop, &addr, &link_ops, l);
 }
 
-static struct link *
-find (struct entry *e, const struct bb_upstream_settings *u)
+struct link *
+link_find (struct entry *e, const struct bb_upstream_settings *u)
 {
   for (struct link *l = e->links; l; l = l->next)
     if (strcmp (l->name, u->name) == 0 && strcmp (l->address, u->agent) == 0)
@@ -123,13 +152,14 @@
   return NULL;
 }
 
-static struct link *
-add (struct entry *e, const struct bb_upstream_settings *u)
+struct link *
+link_add (struct entry *e, const struct bb_upstream_settings *u)
 {
   struct link *l = calloc (1, sizeof *l);
 
   l->entry = e;
   l->name = strdup (u->name);
+  l->name_hash = XXH64 (u->name, strlen (u->name), 0);
   l->address = strdup (u->agent);
   uv_timer_init (e->daemon->loop, &l->again);
   l->again.data = l;
@@ -146,45 +176,82 @@
   *field = strdup (text);
 }
 
-/* Forgets links that the settings no longer name, once they are idle.  */
+static enum bb_resume
+resume_of (const struct bb_upstream_settings *u)
+{
+  static const enum bb_resume how[] = {
+    [BB_UPSTREAM_RESUME_NONE] = BB_RESUME_NONE,
+    [BB_UPSTREAM_RESUME_RESTART] = BB_RESUME_RESTART,
+    [BB_UPSTREAM_RESUME_CONTINUE] = BB_RESUME_CONTINUE,
+  };
+
+  return how[u->resume];
+}
+
+void
+link_set (struct link *l, const struct bb_upstream_settings *u)
+{
+  const struct bb_daemon *d = l->entry->daemon;
+  const struct bb_entry_settings *own
+      = bb_settings_entry (d->settings, d->name);
+
+  l->in = bb_settings_upstream_in (d->settings, u);
+  l->near = own && strcmp (own->failure_domain, u->failure_domain) == 0;
+  l->resume = resume_of (u);
+  l->pool_links = pool_find (l->entry, u->pool);
+  l->domain_hash = XXH64 (u->failure_domain, strlen (u->failure_domain), 0);
+  set_text (&l->pool, u->pool);
+  set_text (&l->failure_domain, u->failure_domain);
+}
+
 static void
-drop_gone (struct entry *e)
+unlist (struct link *l)
 {
-  struct link **at = &e->links;
+  struct link **at = &l->entry->links;
 
-  while (*at)
-    {
-      struct link *l = *at;
-      if (!l->gone)
-        {
-          at = &l->next;
-          continue;
-        }
-      *at = l->next;
-      if (l->conn)
-        bb_conn_close (l->conn, "the upstream left the settings");
-      else
-        uv_close ((uv_handle_t *)&l->again, on_timer_closed);
-    }
+  while (*at != l)
+    at = &(*at)->next;
+  *at = l->next;
 }
 
 void
-links_update (struct entry *e)
+link_release (struct link *l)
 {
-  const struct bb_settings *s = e->daemon->settings;
+  if (!l->gone || l->in_flight > 0 || l->closed)
+    return;
+  l->closed = true;
+  unlist (l);
+  if (l->conn)
+    bb_conn_close (l->conn, "the upstream left the settings");
+  else
+    uv_close ((uv_handle_t *)&l->again, on_timer_closed);
+}
 
-  for (struct link *l = e->links; l; l = l->next)
-    l->gone = true;
-  for (uint32_t i = 0; i < s->upstreams_count; i++)
+void
+links_drop_gone (struct entry *e)
+{
+  struct link *next;
+
+  for (struct link *l = e->links; l; l = next)
     {
-      const struct bb_upstream_settings *u = &s->upstreams[i];
-      struct link *l = find (e, u);
-      if (!l)
-        l = add (e, u);
-      l->gone = false;
-      l->in = bb_settings_upstream_in (s, u);
-      set_text (&l->pool, u->pool);
-      set_text (&l->failure_domain, u->failure_domain);
+      next = l->next;
+      link_release (l);
     }
-  drop_gone (e);
+}
+
+bool
+link_usable (const struct link *l)
+{
+  return l->in && l->ready && l->refreshed && !l->load.draining
+         && entry_now () - l->heard_ms < QUIET_MS;
+}
+
+void
+link_report (struct link *l, const struct bb_load *load, uint32_t own)
+{
+  uint32_t all = load->in_flight + load->queued;
+
+  l->load = *load;
+  l->others = all > own ? all - own : 0;
+  l->report_ms = entry_now ();
 }
--- a/cmd/entry/main.c
+++ b/cmd/entry/main.c
@@ -26,6 +26,8 @@
     }
   e->daemon = d;
   e->rand = g_rand_new_with_seed ((guint32)d->incarnation);
+  bb_retry_budget_init (&e->budget, entry_now ());
+  watch_start (e);
   links_update (e);
   e->server
       = bb_http_server_open (d->loop, &addr, &o, request_begin, e, &error);
@@ -66,10 +68,11 @@
   for (const struct link *l = e->links; l; l = l->next)
     json_array_append_new (
         upstreams,
-        json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:i, s:i, s:i}", "name",
-                   l->name, "pool", l->pool, "failure_domain",
+        json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:i}",
+                   "name", l->name, "pool", l->pool, "failure_domain",
                    l->failure_domain, "in", l->in, "connected", l->ready,
-                   "cold", l->load.cold, "limit", (int)l->load.limit,
+                   "ejected", l->health.state != BB_HEALTH_IN, "cold",
+                   l->load.cold, "limit", (int)l->load.limit,
                    "reported_in_flight", (int)l->load.in_flight,
                    "own_in_flight", (int)l->in_flight));
   json_object_set_new (out, "upstreams", upstreams);
--- /dev/null
+++ b/cmd/entry/pool.c
@@ -0,0 +1,116 @@
+/* Pools and the subset of their agents that this entry holds links to.  */
+
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SUBSET_MAX = 48 /* links to the agents of one pool */
+};
+
+struct pool *
+pool_find (struct entry *e, const char *name)
+{
+  struct pool *p;
+
+  HASH_FIND_STR (e->pools, name, p);
+  if (p)
+    return p;
+  p = calloc (1, sizeof *p);
+  p->name = strdup (name);
+  HASH_ADD_KEYPTR (hh, e->pools, p->name, strlen (p->name), p);
+  return p;
+}
+
+/* Whether a route sends non-idempotent calls to the pool.  Their home may be
+   any of its agents, so each entry holds links to all.  */
+static bool
+has_homes (const struct bb_settings *s, const char *pool)
+{
+  for (uint32_t i = 0; i < s->routes_count; i++)
+    if (!s->routes[i].idempotent && strcmp (s->routes[i].pool, pool) == 0)
+      return true;
+  return false;
+}
+
+static void
+keep_link (struct entry *e, const struct bb_upstream_settings *u)
+{
+  struct link *l = link_find (e, u);
+
+  if (!l)
+    l = link_add (e, u);
+  l->gone = false;
+  link_set (l, u);
+}
+
+/* Finds or makes the links of the subset of one pool.  */
+static void
+update_pool (struct entry *e, const struct pool *p)
+{
+  const struct bb_settings *s = e->daemon->settings;
+  struct bb_subset_item *items
+      = calloc (s->upstreams_count + 1, sizeof *items);
+  const struct bb_upstream_settings **of
+      = calloc (s->upstreams_count + 1, sizeof (void *));
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < s->upstreams_count; i++)
+    if (strcmp (s->upstreams[i].pool, p->name) == 0)
+      {
+        of[n] = &s->upstreams[i];
+        items[n].name = of[n]->name;
+        items[n].failure_domain = of[n]->failure_domain;
+        n++;
+      }
+  bb_subset_choose (items, n, has_homes (s, p->name) ? n : SUBSET_MAX,
+                    e->daemon->name);
+  for (uint32_t i = 0; i < n; i++)
+    if (items[i].chosen)
+      keep_link (e, of[i]);
+  free (items);
+  free (of);
+}
+
+/* Lists the links of each pool anew.  */
+static void
+index_links (struct entry *e)
+{
+  uint32_t total = 0;
+
+  for (struct link *l = e->links; l; l = l->next)
+    total++;
+  for (struct pool *p = e->pools; p; p = p->hh.next)
+    {
+      p->links = realloc (p->links, (total + 1) * sizeof (struct link *));
+      p->links_count = 0;
+      p->health.ejected = 0;
+    }
+  for (struct link *l = e->links; l; l = l->next)
+    {
+      struct pool *p = l->pool_links;
+      if (l->gone)
+        continue;
+      p->links[p->links_count++] = l;
+      p->health.ejected += l->health.state != BB_HEALTH_IN ? 1 : 0;
+    }
+  for (struct pool *p = e->pools; p; p = p->hh.next)
+    p->health.count = p->links_count;
+}
+
+void
+links_update (struct entry *e)
+{
+  const struct bb_settings *s = e->daemon->settings;
+
+  for (struct link *l = e->links; l; l = l->next)
+    l->gone = true;
+  for (uint32_t i = 0; i < s->upstreams_count; i++)
+    pool_find (e, s->upstreams[i].pool);
+  for (struct pool *p = e->pools; p; p = p->hh.next)
+    update_pool (e, p);
+  index_links (e);
+  links_drop_gone (e);
+}
--- a/fake/engine/engine.c
+++ b/fake/engine/engine.c
@@ -130,6 +130,11 @@
 {
   char token[64];
 
+  if (s->next_token >= s->tokens)
+    {
+      sequence_finish (s); /* it was resumed after its last token */
+      return;
+    }
   print_token (s, token, sizeof token);
   s->next_token++;
   if (s->stream)
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -98,6 +98,21 @@
   uint32_t wait_ms;
 };
 
+/* Asks an agent for a fresh report; sent by an entry that was paused.  */
+struct bb_probe
+{
+  uint64_t nonce;
+};
+
+/* Answers a probe with the present load and revision of the agent.  */
+struct bb_report
+{
+  uint64_t nonce;
+  uint64_t incarnation;
+  struct bb_load load;
+  uint64_t revision;
+};
+
 /* First message on a connection, sent by both sides.  */
 struct bb_hello
 {
@@ -178,6 +193,8 @@
 
 enum bb_message_type
 {
+  BB_MSG_PROBE = 20,
+  BB_MSG_REPORT = 21,
   BB_MSG_HELLO = 1,
   BB_MSG_CALL = 2,
   BB_MSG_CANCEL = 3,
@@ -195,6 +212,8 @@
   msgpack_zone zone;
   union
   {
+    struct bb_probe probe;
+    struct bb_report report;
     struct bb_hello hello;
     struct bb_call call;
     struct bb_cancel cancel;
@@ -206,6 +225,10 @@
   } u;
 };
 
+/* Appends a frame that holds V to BUF.  */
+void bb_put_probe (msgpack_sbuffer *buf, const struct bb_probe *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_report (msgpack_sbuffer *buf, const struct bb_report *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v);
 /* Appends a frame that holds V to BUF.  */
--- a/include/bilberry/route.h
+++ b/include/bilberry/route.h
@@ -1,8 +1,9 @@
 #ifndef BILBERRY_ROUTE_H
 #define BILBERRY_ROUTE_H
 
-/* libroute - decisions of an entry: which upstream, and whether to try again.
-   Pure: no socket, no clock, no global.  Link with -lroute.  */
+/* libroute - decisions of an entry: which upstream, whether to try again, how
+   to continue an event stream, which upstream to leave out for a while.
+   Pure: no socket, no clock, no global.  Link with -lroute -ljansson.  */
 
 #include "bilberry/base.h"
 
@@ -12,9 +13,14 @@
 struct bb_candidate
 {
   uint32_t own_in_flight; /* sent by this entry and not ended */
-  uint32_t reported;      /* in flight and queued, as the agent last said */
+  uint32_t others;        /* in flight and queued for other entries, as the
+                             agent last said */
+  bb_ms age_ms;           /* since the agent last said so */
   uint32_t limit;         /* as the agent last said; 0 where it has not */
+  uint32_t ramp_percent;  /* share of the limit to use; see bb_health_ramp */
+  bool near;              /* in the entry's own failure domain */
   bool tried;             /* this request was refused or failed there */
+  bool domain_tried;      /* or in its failure domain */
 };
 
 enum
@@ -23,19 +29,95 @@
 };
 
 /* Chooses one of the candidates by power of two choices on load over limit.
-   Candidates already tried come last.  Returns its index, or BB_ROUTE_NONE
+   A candidate in a failure domain that has not been tried comes before one in
+   a domain that has, and that before one that was tried itself.  The nearest
+   failure domain comes first while its choice has room.  An old report counts
+   less: the mean of all takes its place.  Returns an index, or BB_ROUTE_NONE
    when COUNT is 0.  */
 uint32_t bb_route_choose (const struct bb_candidate *c, uint32_t count,
                           GRand *rand);
 
-/* Retries are paid from a budget that first tries fill.  */
+/* An upstream that an entry could hold a link to.  */
+struct bb_subset_item
+{
+  const char *name;
+  const char *failure_domain;
+  bool chosen; /* result */
+};
+
+/* Marks MAX of the items as chosen: the same number of each failure domain
+   where there are enough, and in each the highest rendezvous hashes of ENTRY
+   and item.  All are chosen when MAX is not below COUNT.  An item that comes
+   or goes changes at most one other choice in its failure domain.  */
+void bb_subset_choose (struct bb_subset_item *items, uint32_t count,
+                       uint32_t max, const char *entry);
+
+/* Whether an upstream is left out because it fails while others do not.  */
+enum bb_health_state
+{
+  BB_HEALTH_IN,
+  BB_HEALTH_EJECTED,
+  BB_HEALTH_TRIAL /* one request is under way to see whether it is back */
+};
+
+struct bb_health
+{
+  uint8_t state;
+  uint32_t failures;  /* in a row */
+  uint32_t ejections; /* in a row */
+  bb_ms until_ms;     /* next change of an ejected or tried upstream */
+  bb_ms returned_ms;  /* start of slow start; 0: never away */
+};
+
+/* Ejections of one pool.  */
+struct bb_health_pool
+{
+  uint32_t count;   /* upstreams of the pool */
+  uint32_t ejected; /* of them ejected or on trial */
+};
+
+/* The upstream answered.  */
+void bb_health_ok (struct bb_health *h, struct bb_health_pool *p,
+                   bb_ms now_ms);
+
+/* A try failed there for REASON.  Returns whether it is ejected by that.  */
+bool bb_health_failed (struct bb_health *h, struct bb_health_pool *p,
+                       uint32_t reason, bb_ms now_ms);
+
+/* A request is sent there; starts the trial of an ejected upstream.  */
+void bb_health_sent (struct bb_health *h, bb_ms now_ms);
+
+/* The upstream or its agent is back after a break; slow start begins.  */
+void bb_health_returned (struct bb_health *h, bb_ms now_ms);
+
+/* Whether a request may be sent there.  */
+bool bb_health_usable (const struct bb_health *h, bb_ms now_ms);
+
+/* Returns the percentage of its limit to use: less than 100 in slow start.  */
+uint32_t bb_health_ramp (const struct bb_health *h, bb_ms now_ms);
+
+/* Tells when a process was paused: its clock jumped between two looks.  */
+struct bb_pause
+{
+  bb_ms seen_ms; /* 0 before the first look */
+};
+
+/* Looks at the clock; true when the process was paused since the last look. */
+bool bb_pause_check (struct bb_pause *p, bb_ms now_ms);
+
+/* Retries are paid from a budget that first tries fill: one for five.  Time
+   keeps a small reserve in it, so that a quiet entry can retry too.  */
 struct bb_retry_budget
 {
   uint32_t tokens; /* hundredths of a retry */
+  bb_ms filled_ms; /* when time last added to the reserve */
 };
 
+/* Starts with a full reserve.  */
+void bb_retry_budget_init (struct bb_retry_budget *b, bb_ms now_ms);
+
 /* Adds what one first try earns.  */
-void bb_retry_earn (struct bb_retry_budget *b);
+void bb_retry_earn (struct bb_retry_budget *b, bb_ms now_ms);
 
 /* What is known of a try that did not end well.  */
 struct bb_try
@@ -43,6 +125,8 @@
   struct bb_verdict verdict;
   bool idempotent;
   bool answer_started; /* the caller has seen a part of the answer */
+  bool resumable;      /* and the rest can be had from another upstream */
+  bool same_upstream;  /* nothing but the upstream just tried is free */
   uint32_t attempts;   /* made so far */
   bb_ms left_ms;       /* to the deadline */
 };
@@ -50,4 +134,44 @@
 /* Decides whether to try again; takes the price from the budget.  */
 bool bb_retry_allow (struct bb_retry_budget *b, const struct bb_try *t);
 
+/* Joins the verdict of one more try into that of all tries of a request: it
+   may have run when any of them may have, and the shortest wait counts.  */
+void bb_verdict_join (struct bb_verdict *all, const struct bb_verdict *v);
+
+/* How an upstream continues a stream of another that was lost.  */
+enum bb_resume
+{
+  BB_RESUME_NONE,    /* cannot */
+  BB_RESUME_RESTART, /* gives the same tokens again from the first */
+  BB_RESUME_CONTINUE /* starts after the number of tokens it is told */
+};
+
+/* Follows an event stream on its way to the caller.  Only whole events are
+   passed on, and each token once, so that another upstream can continue.  An
+   event of one token has a choice with text.  */
+struct bb_stream
+{
+  uint32_t tokens;  /* passed on */
+  uint32_t skip;    /* of the present try, still to be left out */
+  bool retried;     /* not the first upstream */
+  bool role;        /* the event that names the role was passed on */
+  bool done;        /* the closing event was passed on */
+  bool broken;      /* the rest does not fit what was passed on */
+  char *part;       /* an event that has not arrived whole */
+  size_t part_size; /* in bytes */
+  size_t part_room; /* in bytes */
+};
+
+typedef void bb_stream_write_fn (void *arg, struct bb_bytes event);
+
+/* Takes the next PIECE of the stream; calls WRITE for each whole event that
+   the caller has not seen.  Bytes after the closing event are dropped.  */
+void bb_stream_feed (struct bb_stream *s, struct bb_bytes piece,
+                     bb_stream_write_fn *write, void *arg);
+
+/* Another upstream is going to give the stream, as HOW says.  */
+void bb_stream_restart (struct bb_stream *s, enum bb_resume how);
+
+void bb_stream_free (struct bb_stream *s);
+
 #endif
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -12,6 +12,13 @@
   BB_FAILURE_DOMAIN_STATE_OUT,
 };
 
+enum bb_upstream_resume
+{
+  BB_UPSTREAM_RESUME_NONE,
+  BB_UPSTREAM_RESUME_RESTART,
+  BB_UPSTREAM_RESUME_CONTINUE,
+};
+
 enum bb_upstream_state
 {
   BB_UPSTREAM_STATE_IN,
@@ -38,6 +45,7 @@
   uint32_t limit;
   uint32_t cold_limit;
   uint32_t queue;
+  uint32_t resume;
   uint32_t state;
 };
 
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -243,6 +243,107 @@
   return true;
 }
 
+static void
+put_probe (msgpack_packer *pk, const struct bb_probe *v)
+{
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->nonce);
+}
+
+static bool
+get_probe (const msgpack_object *obj, struct bb_probe *v,
+           struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "probe", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "nonce", e))
+            return false;
+          v->nonce = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("probe", "nonce", e);
+  return true;
+}
+
+static void
+put_report (msgpack_packer *pk, const struct bb_report *v)
+{
+  msgpack_pack_map (pk, 4);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->nonce);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->incarnation);
+  msgpack_pack_uint8 (pk, 3);
+  put_load (pk, &v->load);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->revision);
+}
+
+static bool
+get_report (const msgpack_object *obj, struct bb_report *v,
+            struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "report", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "nonce", e))
+            return false;
+          v->nonce = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "incarnation", e))
+            return false;
+          v->incarnation = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!get_load (o, &v->load, e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "revision", e))
+            return false;
+          v->revision = (uint64_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("report", "nonce", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("report", "incarnation", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("report", "load", e);
+  return true;
+}
+
 static void
 put_hello (msgpack_packer *pk, const struct bb_hello *v)
 {
@@ -789,6 +890,24 @@
   return true;
 }
 
+void
+bb_put_probe (msgpack_sbuffer *buf, const struct bb_probe *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PROBE);
+  put_probe (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_report (msgpack_sbuffer *buf, const struct bb_report *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_REPORT);
+  put_report (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v)
 {
@@ -868,6 +987,10 @@
   m->type = (enum bb_message_type)type;
   switch (type)
     {
+    case BB_MSG_PROBE:
+      return get_probe (obj, &m->u.probe, e);
+    case BB_MSG_REPORT:
+      return get_report (obj, &m->u.report, e);
     case BB_MSG_HELLO:
       return get_hello (obj, &m->u.hello, e);
     case BB_MSG_CALL:
--- a/libroute/choose.c
+++ b/libroute/choose.c
@@ -1,31 +1,125 @@
 #include "bilberry/route.h"
 
+enum
+{
+  STALE_MS = 2000,       /* a report this old says nothing */
+  NEAR_MAX_PERCENT = 60, /* of its limit, for the nearest failure domain */
+  TIER_COUNT = 3
+};
+
+/* The members of the candidates that a choice is made among.  */
+struct among
+{
+  const struct bb_candidate *c;
+  uint32_t count;
+  uint32_t tier;
+  bool near_only;
+  uint32_t mean_others;
+};
+
+static uint32_t
+tier_of (const struct bb_candidate *c)
+{
+  if (c->tried)
+    return 2;
+#ifndef BB_MUTANT_retry_other_domain
+  return c->domain_tried ? 1 : 0;
+#else
+  return 0;
+#endif
+}
+
 static bool
-less_loaded (const struct bb_candidate *a, const struct bb_candidate *b)
+is_member (const struct among *a, const struct bb_candidate *c)
 {
-  uint64_t la = (uint64_t)a->own_in_flight + a->reported;
-  uint64_t lb = (uint64_t)b->own_in_flight + b->reported;
-  uint64_t wa = a->limit ? a->limit : 1;
-  uint64_t wb = b->limit ? b->limit : 1;
+  return tier_of (c) == a->tier && (c->near || !a->near_only);
+}
 
-  if (a->tried != b->tried)
-    return !a->tried;
-  return la * wb < lb * wa;
+static uint32_t
+count_members (const struct among *a)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < a->count; i++)
+    n += is_member (a, &a->c[i]) ? 1 : 0;
+  return n;
 }
 
-uint32_t
-bb_route_choose (const struct bb_candidate *c, uint32_t count, GRand *rand)
+static uint32_t
+nth_member (const struct among *a, uint32_t n)
+{
+  uint32_t i = 0;
+
+  while (!is_member (a, &a->c[i]) || n-- > 0)
+    i++;
+  return i;
+}
+
+/* Returns load over limit in hundredths of a percent.  */
+static uint64_t
+load_of (const struct among *a, const struct bb_candidate *c)
+{
+  uint64_t old = c->age_ms > STALE_MS ? STALE_MS
+                 : c->age_ms > 0      ? (uint64_t)c->age_ms
+                                      : 0;
+  uint64_t others
+      = (c->others * (STALE_MS - old) + a->mean_others * old) * 100 / STALE_MS;
+  uint64_t limit = (uint64_t)(c->limit ? c->limit : 1) * c->ramp_percent;
+
+  if (limit == 0)
+    limit = 1;
+  return ((uint64_t)c->own_in_flight * 100 + others) * 10000 / limit;
+}
+
+static uint32_t
+choose_of_two (const struct among *a, uint32_t members, GRand *rand)
 {
   uint32_t first;
   uint32_t second;
 
-  if (count == 0)
-    return BB_ROUTE_NONE;
-  if (count == 1)
-    return 0;
-  first = (uint32_t)g_rand_int_range (rand, 0, (gint32)count);
-  second = (uint32_t)g_rand_int_range (rand, 0, (gint32)count - 1);
+  if (members == 1)
+    return nth_member (a, 0);
+  first = (uint32_t)g_rand_int_range (rand, 0, (gint32)members);
+  second = (uint32_t)g_rand_int_range (rand, 0, (gint32)members - 1);
   if (second >= first)
     second++;
-  return less_loaded (&c[second], &c[first]) ? second : first;
+  first = nth_member (a, first);
+  second = nth_member (a, second);
+  return load_of (a, &a->c[second]) < load_of (a, &a->c[first]) ? second
+                                                                : first;
+}
+
+static uint32_t
+mean_of_others (const struct bb_candidate *c, uint32_t count)
+{
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    sum += c[i].others;
+  return (uint32_t)(sum / count);
+}
+
+uint32_t
+bb_route_choose (const struct bb_candidate *c, uint32_t count, GRand *rand)
+{
+  struct among a
+      = { .c = c, .count = count, .tier = TIER_COUNT, .near_only = true };
+  uint32_t members;
+  uint32_t chosen;
+
+  if (count == 0)
+    return BB_ROUTE_NONE;
+  for (uint32_t i = 0; i < count; i++)
+    if (tier_of (&c[i]) < a.tier)
+      a.tier = tier_of (&c[i]);
+  a.mean_others = mean_of_others (c, count);
+  members = count_members (&a);
+  if (members > 0)
+    {
+      chosen = choose_of_two (&a, members, rand);
+      if (load_of (&a, &c[chosen]) < (uint64_t)NEAR_MAX_PERCENT * 100)
+        return chosen;
+    }
+  a.near_only = false;
+  return choose_of_two (&a, count_members (&a), rand);
 }
--- /dev/null
+++ b/libroute/health.c
@@ -0,0 +1,111 @@
+/* Ejection of upstreams that fail while others do not, and slow start.  */
+
+#include "bilberry/route.h"
+
+enum
+{
+  FAILURES_MAX = 3, /* in a row, of a kind that may be the request's fault */
+  EJECT_MS = 500,   /* doubles with each ejection in a row */
+  EJECT_DOUBLINGS = 4,
+  EJECT_MAX_PERCENT = 50, /* of a pool */
+  TRIAL_MS = 5000,        /* a trial without a result counts as none */
+  RAMP_MS = 5000,
+  RAMP_MIN_PERCENT = 10
+};
+
+static void
+come_back (struct bb_health *h, struct bb_health_pool *p, bb_ms now_ms)
+{
+  if (h->state == BB_HEALTH_IN)
+    return;
+  p->ejected--;
+  h->state = BB_HEALTH_IN;
+  h->returned_ms = now_ms;
+}
+
+void
+bb_health_ok (struct bb_health *h, struct bb_health_pool *p, bb_ms now_ms)
+{
+  h->failures = 0;
+  if (h->state == BB_HEALTH_EJECTED)
+    return; /* an answer to a request from before */
+  come_back (h, p, now_ms);
+  h->ejections = 0;
+}
+
+static bool
+may_eject (const struct bb_health_pool *p)
+{
+#ifndef BB_MUTANT_eject_share
+  return (p->ejected + 1) * 100 <= p->count * EJECT_MAX_PERCENT;
+#else
+  return p->count > 0;
+#endif
+}
+
+static bool
+fails_enough (const struct bb_health *h, uint32_t reason)
+{
+  return reason == BB_REASON_UPSTREAM_REFUSED || h->failures >= FAILURES_MAX;
+}
+
+bool
+bb_health_failed (struct bb_health *h, struct bb_health_pool *p,
+                  uint32_t reason, bb_ms now_ms)
+{
+  uint32_t doublings
+      = h->ejections < EJECT_DOUBLINGS ? h->ejections : EJECT_DOUBLINGS;
+
+  if (reason != BB_REASON_UPSTREAM_REFUSED
+      && reason != BB_REASON_UPSTREAM_FAILED)
+    return false;
+  h->failures++;
+  if (h->state == BB_HEALTH_EJECTED)
+    return false;
+  if (h->state == BB_HEALTH_IN)
+    {
+      if (!fails_enough (h, reason) || !may_eject (p))
+        return false;
+      p->ejected++;
+    }
+  h->state = BB_HEALTH_EJECTED;
+  h->until_ms = now_ms + ((bb_ms)EJECT_MS << doublings);
+  h->ejections++;
+  return true;
+}
+
+void
+bb_health_sent (struct bb_health *h, bb_ms now_ms)
+{
+  if (h->state == BB_HEALTH_IN)
+    return;
+  h->state = BB_HEALTH_TRIAL;
+  h->until_ms = now_ms + TRIAL_MS;
+}
+
+void
+bb_health_returned (struct bb_health *h, bb_ms now_ms)
+{
+  h->returned_ms = now_ms;
+}
+
+bool
+bb_health_usable (const struct bb_health *h, bb_ms now_ms)
+{
+#ifndef BB_MUTANT_eject
+  return h->state == BB_HEALTH_IN || now_ms >= h->until_ms;
+#else
+  return h->state <= BB_HEALTH_TRIAL || now_ms >= h->until_ms;
+#endif
+}
+
+uint32_t
+bb_health_ramp (const struct bb_health *h, bb_ms now_ms)
+{
+  bb_ms spent = now_ms - h->returned_ms;
+
+  if (h->returned_ms == 0 || spent >= RAMP_MS)
+    return 100;
+  return RAMP_MIN_PERCENT
+         + (uint32_t)(spent * (100 - RAMP_MIN_PERCENT) / RAMP_MS);
+}
--- /dev/null
+++ b/libroute/pause.c
@@ -0,0 +1,19 @@
+#include "bilberry/route.h"
+
+enum
+{
+  PAUSE_MS = 2000 /* looks are far closer than this */
+};
+
+bool
+bb_pause_check (struct bb_pause *p, bb_ms now_ms)
+{
+  bool paused = p->seen_ms > 0 && now_ms - p->seen_ms >= PAUSE_MS;
+
+  p->seen_ms = now_ms;
+#ifndef BB_MUTANT_pause_check
+  return paused;
+#else
+  return paused && now_ms < 0;
+#endif
+}
--- a/libroute/retry.c
+++ b/libroute/retry.c
@@ -5,28 +5,85 @@
   EARN = 20, /* hundredths: one retry for five first tries */
   PRICE = 100,
   TOKENS_MAX = 10000,
+  RESERVE_MAX = 1000,  /* hundredths that time alone fills */
+  RESERVE_PER_S = 200, /* hundredths */
   ATTEMPTS_MAX = 4,
   LEFT_MIN_MS = 10
 };
 
+/* A quiet entry has few first tries; time fills a small reserve for it.  */
+static void
+fill_reserve (struct bb_retry_budget *b, bb_ms now_ms)
+{
+  bb_ms gain = (now_ms - b->filled_ms) * RESERVE_PER_S / 1000;
+
+  if (gain <= 0)
+    return;
+  b->filled_ms = now_ms;
+  if (b->tokens >= RESERVE_MAX)
+    return;
+  b->tokens = gain >= RESERVE_MAX - (bb_ms)b->tokens
+                  ? RESERVE_MAX
+                  : b->tokens + (uint32_t)gain;
+}
+
 void
-bb_retry_earn (struct bb_retry_budget *b)
+bb_retry_budget_init (struct bb_retry_budget *b, bb_ms now_ms)
 {
+  b->tokens = RESERVE_MAX;
+  b->filled_ms = now_ms;
+}
+
+void
+bb_retry_earn (struct bb_retry_budget *b, bb_ms now_ms)
+{
+  fill_reserve (b, now_ms);
   b->tokens += EARN;
   if (b->tokens > TOKENS_MAX)
     b->tokens = TOKENS_MAX;
 }
 
+/* Whether the upstream that gave V may take the same request at once.  */
+static bool
+helps_at_same (const struct bb_verdict *v)
+{
+  return v->reason == BB_REASON_UPSTREAM_FAILED
+         || v->reason == BB_REASON_AGENT_LOST
+         || v->reason == BB_REASON_STALE_INCARNATION;
+}
+
 bool
 bb_retry_allow (struct bb_retry_budget *b, const struct bb_try *t)
 {
-  if (t->answer_started || t->attempts >= ATTEMPTS_MAX
-      || t->left_ms < LEFT_MIN_MS)
+  if (t->attempts >= ATTEMPTS_MAX || t->left_ms < LEFT_MIN_MS)
     return false;
+  if (t->answer_started && !t->resumable)
+    return false;
+#ifndef BB_MUTANT_retry_not_run
   if (t->verdict.run != BB_RUN_NOT_RUN && !t->idempotent)
     return false;
+#endif
+  if (t->same_upstream && !helps_at_same (&t->verdict))
+    return false;
+#ifndef BB_MUTANT_retry_budget
   if (b->tokens < PRICE)
     return false;
   b->tokens -= PRICE;
+#endif
   return true;
 }
+
+void
+bb_verdict_join (struct bb_verdict *all, const struct bb_verdict *v)
+{
+#ifndef BB_MUTANT_verdict_join
+  if (v->run > all->run)
+    all->run = v->run;
+#else
+  all->run = v->run;
+#endif
+  all->reason = v->reason;
+  if (v->retry_after_ms > 0
+      && (all->retry_after_ms == 0 || v->retry_after_ms < all->retry_after_ms))
+    all->retry_after_ms = v->retry_after_ms;
+}
--- /dev/null
+++ b/libroute/stream.c
@@ -0,0 +1,224 @@
+/* Event streams that another upstream can continue.  */
+
+#include "bilberry/route.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  EVENT_MAX_BYTES = 1024 * 1024
+};
+
+enum kind
+{
+  KIND_OTHER,
+  KIND_ROLE, /* names the role of the answer before its first token */
+  KIND_TOKEN,
+  KIND_DONE
+};
+
+struct event
+{
+  enum kind kind;
+  json_t *json; /* NULL where the data is none */
+};
+
+/* Finds the data of the first data line of an event.  */
+static struct bb_bytes
+data_of (struct bb_bytes event)
+{
+  static const char field[] = "data:";
+  struct bb_bytes none = { 0 };
+  const char *at = event.ptr;
+  const char *end = event.ptr + event.size;
+
+  while (at < end)
+    {
+      const char *line_end = memchr (at, '\n', (size_t)(end - at));
+      struct bb_bytes line = { .ptr = at };
+      line.size = (uint32_t)((line_end ? line_end : end) - at);
+      if (line.size > 0 && line.ptr[line.size - 1] == '\r')
+        line.size--;
+      if (line.size >= sizeof field - 1
+          && memcmp (line.ptr, field, sizeof field - 1) == 0)
+        {
+          line.ptr += sizeof field - 1;
+          line.size -= sizeof field - 1;
+          if (line.size > 0 && *line.ptr == ' ')
+            {
+              line.ptr++;
+              line.size--;
+            }
+          return line;
+        }
+      if (!line_end)
+        break;
+      at = line_end + 1;
+    }
+  return none;
+}
+
+static bool
+has_text (json_t *object, const char *name)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+
+  return text && *text;
+}
+
+static struct event
+parse_event (struct bb_bytes bytes)
+{
+  struct event e = { 0 };
+  struct bb_bytes data = data_of (bytes);
+  json_t *choice;
+  json_t *delta;
+
+  if (bb_bytes_equal (data, "[DONE]"))
+    {
+      e.kind = KIND_DONE;
+      return e;
+    }
+  e.json = json_loadb (data.ptr ? data.ptr : "", data.size, 0, NULL);
+  choice = json_array_get (json_object_get (e.json, "choices"), 0);
+  delta = json_object_get (choice, "delta");
+  if (has_text (delta, "content") || has_text (choice, "text"))
+    e.kind = KIND_TOKEN;
+  else if (has_text (delta, "role"))
+    e.kind = KIND_ROLE;
+  return e;
+}
+
+/* Writes an event whose usage counts the tokens of all upstreams.  */
+static void
+write_usage (const struct bb_stream *s, json_t *json,
+             bb_stream_write_fn *write, void *arg)
+{
+  json_t *usage = json_object_get (json, "usage");
+  json_int_t prompt
+      = json_integer_value (json_object_get (usage, "prompt_tokens"));
+  char *text;
+
+  json_object_set_new (usage, "completion_tokens", json_integer (s->tokens));
+  if (json_object_get (usage, "total_tokens"))
+    json_object_set_new (usage, "total_tokens",
+                         json_integer (prompt + s->tokens));
+  text = json_dumps (json, JSON_COMPACT | JSON_PRESERVE_ORDER);
+  if (!text)
+    abort ();
+  write (arg, bb_bytes_of ("data: "));
+  write (arg, bb_bytes_of (text));
+  write (arg, bb_bytes_of ("\n\n"));
+  free (text);
+}
+
+/* Whether the caller has seen E, so that it is left out.  */
+static bool
+is_seen (struct bb_stream *s, const struct event *e)
+{
+  if (s->skip > 0)
+    {
+#ifndef BB_MUTANT_stream_skip
+      s->skip -= e->kind == KIND_TOKEN ? 1 : 0;
+      return true;
+#else
+      return e->kind != KIND_TOKEN;
+#endif
+    }
+  return s->role && e->kind == KIND_ROLE;
+}
+
+static void
+take_event (struct bb_stream *s, struct bb_bytes bytes,
+            bb_stream_write_fn *write, void *arg)
+{
+  struct event e = parse_event (bytes);
+
+  if (e.kind == KIND_DONE && s->skip > 0)
+    s->broken = true;
+  else if (!is_seen (s, &e))
+    {
+      s->tokens += e.kind == KIND_TOKEN ? 1 : 0;
+      s->role = s->role || e.kind == KIND_ROLE;
+      s->done = e.kind == KIND_DONE;
+      if (s->retried && json_is_object (json_object_get (e.json, "usage")))
+        write_usage (s, e.json, write, arg);
+      else
+        write (arg, bytes);
+    }
+  json_decref (e.json);
+}
+
+static void
+append (struct bb_stream *s, struct bb_bytes piece)
+{
+  size_t need = s->part_size + piece.size;
+
+  if (need > s->part_room)
+    {
+      s->part_room = need * 2;
+      s->part = realloc (s->part, s->part_room);
+      if (!s->part)
+        abort ();
+    }
+  if (piece.size > 0)
+    memcpy (s->part + s->part_size, piece.ptr, piece.size);
+  s->part_size = need;
+}
+
+/* Returns the size of the first whole event in the SIZE bytes at P, with the
+   empty line that ends it; 0 where it has not arrived whole.  */
+static size_t
+event_size (const char *p, size_t size)
+{
+  for (size_t i = 0; i + 1 < size; i++)
+    {
+      if (p[i] != '\n')
+        continue;
+      if (p[i + 1] == '\n')
+        return i + 2;
+      if (p[i + 1] == '\r' && i + 2 < size && p[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
+void
+bb_stream_feed (struct bb_stream *s, struct bb_bytes piece,
+                bb_stream_write_fn *write, void *arg)
+{
+  size_t at = 0;
+  size_t n;
+
+  append (s, piece);
+  while (!s->done && !s->broken
+         && (n = event_size (s->part + at, s->part_size - at)) > 0)
+    {
+      struct bb_bytes event = { .ptr = s->part + at, .size = (uint32_t)n };
+      take_event (s, event, write, arg);
+      at += n;
+    }
+  s->part_size -= at;
+  memmove (s->part, s->part + at, s->part_size);
+  if (s->done)
+    s->part_size = 0;
+  if (s->part_size > EVENT_MAX_BYTES)
+    s->broken = true;
+}
+
+void
+bb_stream_restart (struct bb_stream *s, enum bb_resume how)
+{
+  s->retried = true;
+  s->part_size = 0;
+  s->skip = how == BB_RESUME_CONTINUE ? 0 : s->tokens;
+}
+
+void
+bb_stream_free (struct bb_stream *s)
+{
+  free (s->part);
+  s->part = NULL;
+}
--- a/libsettings/tables.c
+++ b/libsettings/tables.c
@@ -14,6 +14,8 @@
   { .name = NULL },
 };
 
+static const char *const upstream_resume_words[]
+    = { "none", "restart", "continue", NULL };
 static const char *const upstream_state_words[] = { "in", "leaving", NULL };
 static const struct bb_field upstream_fields[] = {
   { .name = "address",
@@ -57,6 +59,11 @@
     .fallback = "64",
     .min = 0,
     .max = 100000 },
+  { .name = "resume",
+    .type = BB_FIELD_ENUM,
+    .offset = offsetof (struct bb_upstream_settings, resume),
+    .fallback = "continue",
+    .words = upstream_resume_words },
   { .name = "state",
     .type = BB_FIELD_ENUM,
     .offset = offsetof (struct bb_upstream_settings, state),
--- /dev/null
+++ b/test/test_entry.c
@@ -0,0 +1,351 @@
+/* Tests of the entry with real processes: streams that another upstream
+   continues, ejection, limits, pauses and graceful shutdown.  */
+
+#include "harness/fleet.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <string.h>
+
+enum
+{
+  TOKENS = 300,
+  AWAIT_MS = 20000
+};
+
+static const char *
+build_dir (void)
+{
+  const char *dir = g_getenv ("BILBERRY_BUILD");
+
+  return dir ? dir : "build";
+}
+
+/* A streamed draft on a thread of its own.  */
+struct draft
+{
+  struct fleet *f;
+  char prompt[64];
+  uint32_t tokens;
+  struct answer answer;
+  pthread_t thread;
+};
+
+static void *
+run_draft (void *arg)
+{
+  struct draft *d = arg;
+  char *body = g_strdup_printf (
+      "{\"stream\":true,\"max_tokens\":%u,\"messages\":[{\"role\":\"user\","
+      "\"content\":\"%s\"}]}",
+      d->tokens, d->prompt);
+
+  d->answer = harness_http (d->f->entries[0].port, "POST",
+                            "/v1/chat/completions", fleet_key, body);
+  g_free (body);
+  return NULL;
+}
+
+static void
+start_draft (struct draft *d, struct fleet *f, uint32_t n, uint32_t tokens)
+{
+  d->f = f;
+  d->tokens = tokens;
+  g_snprintf (d->prompt, sizeof d->prompt, "restock list %u", n);
+  pthread_create (&d->thread, NULL, run_draft, d);
+}
+
+/* Waits for the end of D; whether it was whole.  */
+static bool
+end_draft (struct draft *d)
+{
+  bool whole;
+
+  pthread_join (d->thread, NULL);
+  whole = d->answer.whole && d->answer.status == 200
+          && fleet_stream_is_whole (d->answer.body, d->prompt, d->tokens);
+  answer_free (&d->answer);
+  return whole;
+}
+
+/* Waits until a sequence runs at some engine; returns its upstream.  */
+static struct fleet_upstream *
+await_running (struct fleet *f, const struct fleet_upstream * not )
+{
+  for (int spent = 0; spent < AWAIT_MS; spent += 10)
+    {
+      for (uint32_t i = 0; i < f->upstreams_count; i++)
+        {
+          struct fleet_upstream *u = &f->upstreams[i];
+          struct answer a;
+          bool runs;
+          if (u == not || strcmp (u->pool, "draft") != 0)
+            continue;
+          a = harness_http (u->port, "GET", "/metrics", "", "");
+          runs = a.body && strstr (a.body, "engine_sequences 1");
+          answer_free (&a);
+          if (runs)
+            return u;
+        }
+      harness_sleep_ms (10);
+    }
+  g_assert_not_reached ();
+}
+
+static uint64_t
+resumed (struct fleet *f)
+{
+  return harness_counter (f->entries[0].operator_port,
+                          "bilberry_streams_resumed_total", "");
+}
+
+static void
+test_resume_engine (void)
+{
+  struct fleet f;
+  struct draft d;
+  struct fleet_upstream *u;
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_start (&f);
+  start_draft (&d, &f, 1, TOKENS);
+  u = await_running (&f, NULL);
+  harness_sleep_ms (200);
+  harness_signal (f.h, u->upstream, SIGKILL);
+  g_assert_true (end_draft (&d));
+  g_assert_cmpuint (resumed (&f), ==, 1);
+  fleet_free (&f);
+}
+
+static void
+test_resume_agent (void)
+{
+  struct fleet f;
+  struct draft d;
+  struct fleet_upstream *u;
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_start (&f);
+  start_draft (&d, &f, 1, TOKENS);
+  u = await_running (&f, NULL);
+  harness_sleep_ms (200);
+  harness_signal (f.h, u->agent, SIGKILL);
+  g_assert_true (end_draft (&d));
+  g_assert_cmpuint (resumed (&f), ==, 1);
+  fleet_free (&f);
+}
+
+/* Two upstreams are lost one after the other.  */
+static void
+test_resume_twice (void)
+{
+  struct fleet f;
+  struct draft d;
+  struct fleet_upstream *first;
+  struct fleet_upstream *second;
+
+  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_start (&f);
+  /* Earlier requests fill the retry budget.  */
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      start_draft (&d, &f, 100 + i, 1);
+      g_assert_true (end_draft (&d));
+    }
+  start_draft (&d, &f, 1, 2 * TOKENS);
+  first = await_running (&f, NULL);
+  harness_sleep_ms (200);
+  harness_signal (f.h, first->upstream, SIGKILL);
+  second = await_running (&f, first);
+  harness_sleep_ms (200);
+  harness_signal (f.h, second->agent, SIGKILL);
+  g_assert_true (end_draft (&d));
+  g_assert_cmpuint (resumed (&f), ==, 2);
+  fleet_free (&f);
+}
+
+/* An engine that gives the same tokens again from the first.  */
+static void
+test_resume_restart (void)
+{
+  struct fleet f;
+  struct draft d;
+  struct fleet_upstream *u;
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  harness_write (f.h, "50-resume.yaml",
+                 "upstreams:\n  draft-1: {resume: restart}\n"
+                 "  draft-2: {resume: restart}\n");
+  fleet_start (&f);
+  start_draft (&d, &f, 1, TOKENS);
+  u = await_running (&f, NULL);
+  harness_sleep_ms (200);
+  harness_signal (f.h, u->upstream, SIGKILL);
+  g_assert_true (end_draft (&d));
+  g_assert_cmpuint (resumed (&f), ==, 1);
+  fleet_free (&f);
+}
+
+/* After an engine's death its upstream is left out, so that drafts that
+   follow are whole and retries stay few.  */
+static void
+test_ejection (void)
+{
+  struct fleet f;
+  struct draft d;
+  uint64_t retries;
+
+  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_start (&f);
+  harness_signal (f.h, f.upstreams[0].upstream, SIGKILL);
+  harness_wait (f.h, f.upstreams[0].upstream);
+  for (uint32_t i = 0; i < 60; i++)
+    {
+      start_draft (&d, &f, i, 2);
+      g_assert_true (end_draft (&d));
+    }
+  retries
+      = harness_counter (f.entries[0].operator_port, "bilberry_retries_total",
+                         "reason=\"upstream_refused\"");
+  g_assert_cmpuint (retries, <=, 6);
+  fleet_start_upstream (&f, &f.upstreams[0]);
+  /* It comes back by a trial request.  */
+  for (uint32_t i = 0; i < 1000; i++)
+    {
+      struct answer a;
+      bool out;
+      start_draft (&d, &f, i, 2);
+      g_assert_true (end_draft (&d));
+      a = harness_http (f.entries[0].operator_port, "GET", "/status", "", "");
+      out = strstr (a.body, "\"ejected\": true") != NULL;
+      answer_free (&a);
+      if (!out)
+        break;
+      g_assert_cmpuint (i, <, 999);
+      harness_sleep_ms (20);
+    }
+  fleet_free (&f);
+}
+
+static void
+test_customer_limit (void)
+{
+  struct fleet f;
+  struct draft d[3];
+  struct answer a;
+
+  fleet_init (&f, build_dir (), 1, 1, 1);
+  harness_write (f.h, "50-limit.yaml",
+                 "customers:\n  customer-1: {limit: 2}\n");
+  fleet_start (&f);
+  start_draft (&d[0], &f, 0, TOKENS);
+  start_draft (&d[1], &f, 1, TOKENS);
+  g_assert_true (harness_await (f.upstreams[0].port, "/metrics",
+                                "engine_sequences 2", AWAIT_MS));
+  a = harness_http (f.entries[0].port, "GET", "/stock/1", fleet_key, "");
+  g_assert_cmpint (a.status, ==, 429);
+  g_assert_nonnull (strstr (a.body, "customer_limit"));
+  g_assert_nonnull (strstr (a.headers, "retry-after: "));
+  answer_free (&a);
+  g_assert_true (end_draft (&d[0]));
+  g_assert_true (end_draft (&d[1]));
+  a = harness_http (f.entries[0].port, "GET", "/stock/1", fleet_key, "");
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  fleet_free (&f);
+}
+
+/* A stopped entry that wakes sends its first request only to an agent that
+   has reported since, by the settings of now.  */
+static void
+test_pause (void)
+{
+  struct fleet f;
+  struct draft d;
+  struct draft late;
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_start (&f);
+  start_draft (&d, &f, 1, 1000);
+  await_running (&f, NULL);
+  harness_signal (f.h, f.entries[0].pid, SIGSTOP);
+  start_draft (&late, &f, 2, 2);
+  fleet_set_out (&f, "fd-a");
+  harness_sleep_ms (2500);
+  harness_signal (f.h, f.entries[0].pid, SIGCONT);
+  g_assert_true (end_draft (&late));
+  g_assert_true (end_draft (&d));
+  g_assert_cmpuint (harness_counter (f.entries[0].operator_port,
+                                     "bilberry_pauses_total", ""),
+                    ==, 1);
+  g_assert_cmpuint (harness_counter (f.entries[0].operator_port,
+                                     "bilberry_retries_total",
+                                     "reason=\"draining\""),
+                    ==, 0);
+  fleet_free (&f);
+}
+
+/* SIGTERM to the entry cuts no stream.  */
+static void
+test_shutdown (void)
+{
+  struct fleet f;
+  struct draft d[6];
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_start (&f);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (d); i++)
+    start_draft (&d[i], &f, i, TOKENS);
+  await_running (&f, NULL);
+  harness_sleep_ms (200);
+  harness_signal (f.h, f.entries[0].pid, SIGTERM);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (d); i++)
+    g_assert_true (end_draft (&d[i]));
+  g_assert_cmpint (harness_wait (f.h, f.entries[0].pid), ==, 0);
+  fleet_free (&f);
+}
+
+/* SIGTERM to an agent under load: what runs there ends whole, and what comes
+   goes elsewhere.  */
+static void
+test_agent_shutdown (void)
+{
+  struct fleet f;
+  struct draft d[6];
+  struct draft after;
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_start (&f);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (d); i++)
+    start_draft (&d[i], &f, i, TOKENS);
+  harness_sleep_ms (300);
+  harness_signal (f.h, f.upstreams[0].agent, SIGTERM);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      start_draft (&after, &f, 100 + i, 2);
+      g_assert_true (end_draft (&after));
+    }
+  for (uint32_t i = 0; i < G_N_ELEMENTS (d); i++)
+    g_assert_true (end_draft (&d[i]));
+  g_assert_cmpint (harness_wait (f.h, f.upstreams[0].agent), ==, 0);
+  g_assert_cmpuint (resumed (&f), ==, 0);
+  fleet_free (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/entry/resume-engine", test_resume_engine);
+  g_test_add_func ("/entry/resume-agent", test_resume_agent);
+  g_test_add_func ("/entry/resume-twice", test_resume_twice);
+  g_test_add_func ("/entry/resume-restart", test_resume_restart);
+  g_test_add_func ("/entry/ejection", test_ejection);
+  g_test_add_func ("/entry/customer-limit", test_customer_limit);
+  g_test_add_func ("/entry/pause", test_pause);
+  g_test_add_func ("/entry/shutdown", test_shutdown);
+  g_test_add_func ("/entry/agent-shutdown", test_agent_shutdown);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/test_route.c
@@ -0,0 +1,355 @@
+/* Tests of the entry's decisions: streams, budget, ejection, subset, choice.
+ */
+
+#include "bilberry/route.h"
+
+#include <glib.h>
+#include <string.h>
+
+static void
+collect (void *arg, struct bb_bytes event)
+{
+  g_string_append_len (arg, event.ptr, event.size);
+}
+
+static void
+add_token (GString *text, uint32_t i)
+{
+  g_string_append_printf (text,
+                          "data: {\"choices\":[{\"delta\":{\"content\":\"t%u"
+                          "\"}}]}\r\n\r\n",
+                          i);
+}
+
+/* Prints the stream of tokens FROM to TO as an engine gives it.  */
+static GString *
+print_stream (uint32_t from, uint32_t to, int usage)
+{
+  GString *text = g_string_new (
+      "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n");
+
+  for (uint32_t i = from; i < to; i++)
+    add_token (text, i);
+  if (usage >= 0)
+    g_string_append_printf (text,
+                            "data: {\"choices\":[],\"usage\":{\"prompt_"
+                            "tokens\":3,\"completion_tokens\":%d,\"total_"
+                            "tokens\":%d}}\n\n",
+                            usage, usage + 3);
+  g_string_append (text, "data: [DONE]\n\n");
+  return text;
+}
+
+/* Feeds the first SIZE bytes of TEXT in pieces of random sizes.  */
+static void
+feed (struct bb_stream *s, GRand *rand, const GString *text, size_t size,
+      GString *out)
+{
+  size_t at = 0;
+
+  while (at < size)
+    {
+      size_t n = (size_t)g_rand_int_range (rand, 1, 60);
+      struct bb_bytes piece = { .ptr = text->str + at };
+      piece.size = (uint32_t)(n < size - at ? n : size - at);
+      bb_stream_feed (s, piece, collect, out);
+      at += piece.size;
+    }
+}
+
+static void
+check_whole (const GString *out, uint32_t tokens)
+{
+  const char *at = out->str;
+  char want[32];
+
+  g_assert_nonnull (strstr (at, "\"role\""));
+  g_assert_null (strstr (strstr (at, "\"role\"") + 1, "\"role\""));
+  for (uint32_t i = 0; i < tokens; i++)
+    {
+      g_snprintf (want, sizeof want, "\"content\":\"t%u\"", i);
+      at = strstr (at, "\"content\"");
+      g_assert_nonnull (at);
+      g_assert_true (strncmp (at, want, strlen (want)) == 0);
+      at += strlen (want);
+    }
+  g_assert_null (strstr (at, "\"content\""));
+  g_assert_nonnull (strstr (at, "\"completion_tokens\":40"));
+  g_assert_nonnull (strstr (at, "\"total_tokens\":43"));
+  at = strstr (at, "[DONE]");
+  g_assert_nonnull (at);
+  g_assert_null (strstr (at + 1, "[DONE]"));
+}
+
+/* Streams that are cut at any byte, up to three times, and continued in
+   either way reach the caller whole.  */
+static void
+test_stream (void)
+{
+  enum
+  {
+    TOKENS = 40
+  };
+  for (uint32_t seed = 0; seed < 500; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      enum bb_resume how = seed % 2 ? BB_RESUME_CONTINUE : BB_RESUME_RESTART;
+      GString *out = g_string_new ("");
+      struct bb_stream s = { 0 };
+      for (uint32_t cuts = seed % 4; !s.done; cuts--)
+        {
+          uint32_t from = how == BB_RESUME_CONTINUE ? s.tokens : 0;
+          GString *text = print_stream (from, TOKENS, (int)(TOKENS - from));
+          size_t size = cuts > 0 ? (size_t)g_rand_int_range (rand, 0,
+                                                             (gint32)text->len)
+                                 : text->len;
+          feed (&s, rand, text, size, out);
+          g_string_free (text, TRUE);
+          if (!s.done)
+            bb_stream_restart (&s, how);
+        }
+      g_assert_cmpuint (s.tokens, ==, TOKENS);
+      check_whole (out, TOKENS);
+      bb_stream_free (&s);
+      g_string_free (out, TRUE);
+      g_rand_free (rand);
+    }
+}
+
+/* A second answer that is shorter than what was passed on cannot be joined. */
+static void
+test_stream_broken (void)
+{
+  struct bb_stream s = { 0 };
+  GRand *rand = g_rand_new_with_seed (1);
+  GString *out = g_string_new ("");
+  GString *text = print_stream (0, 10, -1);
+
+  feed (&s, rand, text, text->len - 20, out);
+  g_string_free (text, TRUE);
+  bb_stream_restart (&s, BB_RESUME_RESTART);
+  text = print_stream (0, 5, -1);
+  feed (&s, rand, text, text->len, out);
+  g_assert_true (s.broken);
+  g_assert_null (strstr (out->str, "[DONE]"));
+  g_string_free (text, TRUE);
+  g_string_free (out, TRUE);
+  g_rand_free (rand);
+  bb_stream_free (&s);
+}
+
+/* The budget against a naive one that recounts all that happened.  */
+static void
+test_budget (void)
+{
+  for (uint32_t seed = 0; seed < 200; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      struct bb_retry_budget b;
+      struct bb_try t = { .idempotent = true, .attempts = 1, .left_ms = 1000 };
+      uint64_t firsts = 0;
+      uint64_t retries = 0;
+      bb_ms now = 0;
+      t.verdict.reason = BB_REASON_UPSTREAM_FAILED;
+      t.verdict.run = BB_RUN_MAYBE_RUN;
+      bb_retry_budget_init (&b, now);
+      for (uint32_t i = 0; i < 2000; i++)
+        {
+          now += g_rand_int_range (rand, 0, 20);
+          if (g_rand_boolean (rand))
+            {
+              firsts++;
+              bb_retry_earn (&b, now);
+            }
+          else if (bb_retry_allow (&b, &t))
+            retries++;
+          /* Reserve, one for five first tries, two a second.  */
+          g_assert_cmpuint (retries * 100, <=, 1000 + firsts * 20 + now / 5);
+        }
+      g_assert_cmpuint (retries, >=, firsts / 5);
+      g_rand_free (rand);
+    }
+}
+
+/* No call that may have run is repeated unless it is idempotent.  */
+static void
+test_retry_rules (void)
+{
+  struct bb_retry_budget b;
+  struct bb_try t = { .attempts = 1, .left_ms = 1000 };
+
+  bb_retry_budget_init (&b, 0);
+  t.verdict.run = BB_RUN_NOT_RUN;
+  t.verdict.reason = BB_REASON_OVERLOAD;
+  g_assert_true (bb_retry_allow (&b, &t));
+  t.same_upstream = true;
+  g_assert_false (bb_retry_allow (&b, &t));
+  t.same_upstream = false;
+  t.verdict.run = BB_RUN_MAYBE_RUN;
+  g_assert_false (bb_retry_allow (&b, &t));
+  t.idempotent = true;
+  g_assert_true (bb_retry_allow (&b, &t));
+  t.answer_started = true;
+  g_assert_false (bb_retry_allow (&b, &t));
+  t.resumable = true;
+  g_assert_true (bb_retry_allow (&b, &t));
+  t.left_ms = 0;
+  g_assert_false (bb_retry_allow (&b, &t));
+}
+
+/* A refusal says "not run" only when no try may have run.  */
+static void
+test_verdict_join (void)
+{
+  struct bb_verdict all = { 0 };
+  struct bb_verdict maybe
+      = { .run = BB_RUN_MAYBE_RUN, .reason = BB_REASON_AGENT_LOST };
+  struct bb_verdict no = { .run = BB_RUN_NOT_RUN,
+                           .reason = BB_REASON_OVERLOAD,
+                           .retry_after_ms = 700 };
+
+  bb_verdict_join (&all, &maybe);
+  bb_verdict_join (&all, &no);
+  no.retry_after_ms = 900;
+  bb_verdict_join (&all, &no);
+  g_assert_cmpuint (all.run, ==, BB_RUN_MAYBE_RUN);
+  g_assert_cmpuint (all.reason, ==, BB_REASON_OVERLOAD);
+  g_assert_cmpuint (all.retry_after_ms, ==, 700);
+}
+
+static void
+test_health (void)
+{
+  struct bb_health h[4] = { 0 };
+  struct bb_health_pool p = { .count = 4 };
+
+  for (uint32_t i = 0; i < 4; i++)
+    bb_health_failed (&h[i], &p, BB_REASON_UPSTREAM_REFUSED, 1000);
+  /* Half of a pool at most.  */
+  g_assert_cmpuint (p.ejected, ==, 2);
+  g_assert_false (bb_health_usable (&h[0], 1400));
+  g_assert_true (bb_health_usable (&h[2], 1400));
+  /* One trial, then the answer brings it back in slow start.  */
+  g_assert_true (bb_health_usable (&h[0], 1500));
+  bb_health_sent (&h[0], 1500);
+  g_assert_false (bb_health_usable (&h[0], 1600));
+  bb_health_ok (&h[0], &p, 1700);
+  g_assert_cmpuint (p.ejected, ==, 1);
+  g_assert_cmpuint (bb_health_ramp (&h[0], 1700), ==, 10);
+  g_assert_cmpuint (bb_health_ramp (&h[0], 6700), ==, 100);
+  /* A trial that fails takes longer each time.  */
+  bb_health_sent (&h[1], 1500);
+  bb_health_failed (&h[1], &p, BB_REASON_UPSTREAM_REFUSED, 1600);
+  g_assert_false (bb_health_usable (&h[1], 2500));
+  g_assert_true (bb_health_usable (&h[1], 2600));
+  g_assert_cmpuint (p.ejected, ==, 1);
+}
+
+enum
+{
+  ITEMS = 560,
+  DOMAINS = 7,
+  MAX = 48
+};
+
+static void
+make_items (struct bb_subset_item *items, char names[][16], uint32_t count)
+{
+  static const char *const domains[DOMAINS]
+      = { "a", "b", "c", "d", "e", "f", "g" };
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      g_snprintf (names[i], 16, "u-%u", i);
+      items[i].name = names[i];
+      items[i].failure_domain = domains[i % DOMAINS];
+    }
+}
+
+/* A subset spans the failure domains evenly, and one upstream that goes
+   changes few links.  */
+static void
+test_subset (void)
+{
+  static struct bb_subset_item items[ITEMS];
+  static struct bb_subset_item fewer[ITEMS];
+  static char names[ITEMS][16];
+  uint32_t domains[DOMAINS] = { 0 };
+  uint32_t changed = 0;
+
+  make_items (items, names, ITEMS);
+  make_items (fewer, names, ITEMS);
+  bb_subset_choose (items, ITEMS, MAX, "entry-1");
+  bb_subset_choose (fewer, ITEMS - 1, MAX, "entry-1");
+  for (uint32_t i = 0; i < ITEMS; i++)
+    domains[i % DOMAINS] += items[i].chosen ? 1 : 0;
+  for (uint32_t i = 0; i < DOMAINS; i++)
+    {
+      g_assert_cmpuint (domains[i], >=, MAX / DOMAINS);
+      g_assert_cmpuint (domains[i], <=, MAX / DOMAINS + 1);
+    }
+  for (uint32_t i = 0; i < ITEMS - 1; i++)
+    changed += items[i].chosen != fewer[i].chosen ? 1 : 0;
+  g_assert_cmpuint (changed, <=, 1);
+  bb_subset_choose (items, 20, MAX, "entry-1");
+  for (uint32_t i = 0; i < 20; i++)
+    g_assert_true (items[i].chosen);
+}
+
+/* Returns the tier that a naive reading of the rules gives.  */
+static int
+naive_tier (const struct bb_candidate *c)
+{
+  if (c->tried)
+    return 2;
+  return c->domain_tried ? 1 : 0;
+}
+
+/* The choice against a naive reading: always of the best tier, and never the
+   most loaded of three or more when nothing else tells them apart.  */
+static void
+test_choice (void)
+{
+  for (uint32_t seed = 0; seed < 2000; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      struct bb_candidate c[12] = { 0 };
+      uint32_t n = (uint32_t)g_rand_int_range (rand, 1, 13);
+      int best = 3;
+      uint32_t chosen;
+      for (uint32_t i = 0; i < n; i++)
+        {
+          c[i].own_in_flight = (uint32_t)g_rand_int_range (rand, 0, 40);
+          c[i].limit = 32;
+          c[i].ramp_percent = 100;
+          c[i].domain_tried = g_rand_int_range (rand, 0, 3) == 0;
+          c[i].tried = c[i].domain_tried && g_rand_boolean (rand);
+          best = MIN (best, naive_tier (&c[i]));
+        }
+      chosen = bb_route_choose (c, n, rand);
+      g_assert_cmpuint (chosen, <, n);
+      g_assert_cmpint (naive_tier (&c[chosen]), ==, best);
+      for (uint32_t i = 0; i < n; i++)
+        c[i] = (struct bb_candidate){ .own_in_flight = i,
+                                      .limit = 32,
+                                      .ramp_percent = 100 };
+      if (n > 1)
+        g_assert_cmpuint (bb_route_choose (c, n, rand), <, n - 1);
+      g_rand_free (rand);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/route/stream", test_stream);
+  g_test_add_func ("/route/stream-broken", test_stream_broken);
+  g_test_add_func ("/route/budget", test_budget);
+  g_test_add_func ("/route/retry-rules", test_retry_rules);
+  g_test_add_func ("/route/verdict-join", test_verdict_join);
+  g_test_add_func ("/route/health", test_health);
+  g_test_add_func ("/route/subset", test_subset);
+  g_test_add_func ("/route/choice", test_choice);
+  return g_test_run ();
+}
