Price retries by what the try before cost; refusals for want of room end a trial

Each of four entries spends two or three trial requests on a dead engine, and each cost a whole retry of the budget, although the agent refused it without any work; and a trial that a cold engine's agent refused for want of room kept the upstream out for five seconds more.

Change: a retry after a try that did not run costs a fifth of one that may have run; the bound that the runs assert counts prices. A refusal for want of room brings an upstream back.

--- a/cmd/entry/customer.c
+++ b/cmd/entry/customer.c
@@ -24,20 +24,28 @@
   return c;
 }
 
+static bool
+is_full (const struct customer *c, uint32_t limit)
+{
+#ifndef BB_MUTANT_customer_limit
+  return c->in_flight >= limit;
+#else
+  return c->in_flight > limit && limit == 0;
+#endif
+}
+
 struct customer *
 customer_enter (struct entry *e, const struct bb_customer_settings *s,
                 struct bb_verdict *v)
 {
   struct customer *c = find_or_add (e, s->name);
 
-#ifndef BB_MUTANT_customer_limit
-  if (c->in_flight >= s->limit)
+  if (is_full (c, s->limit))
     {
       v->reason = BB_REASON_CUSTOMER_LIMIT;
       v->retry_after_ms = RETRY_AFTER_MS;
       return NULL;
     }
-#endif
   c->in_flight++;
   return c;
 }
--- a/include/bilberry/route.h
+++ b/include/bilberry/route.h
@@ -80,7 +80,8 @@
 void bb_health_ok (struct bb_health *h, struct bb_health_pool *p,
                    bb_ms now_ms);
 
-/* A try failed there for REASON.  Returns whether it is ejected by that.  */
+/* A try was refused there for REASON, or failed.  A refusal for want of
+   room shows that the upstream is back.  Returns whether it is ejected.  */
 bool bb_health_failed (struct bb_health *h, struct bb_health_pool *p,
                        uint32_t reason, bb_ms now_ms);
 
@@ -105,8 +106,9 @@
 /* Looks at the clock; true when the process was paused since the last look. */
 bool bb_pause_check (struct bb_pause *p, bb_ms now_ms);
 
-/* Retries are paid from a budget that first tries fill: one for five.  Time
-   keeps a small reserve in it, so that a quiet entry can retry too.  */
+/* Retries are paid from a budget that first tries fill.  Five first tries pay
+   for one retry of a try that may have run, one for one that did not.  Time
+   keeps a small reserve, so that a quiet entry can retry too.  */
 struct bb_retry_budget
 {
   uint32_t tokens; /* hundredths of a retry */
@@ -134,6 +136,9 @@
   bb_ms left_ms;       /* to the deadline */
 };
 
+/* Returns the price of a retry after V, in hundredths.  */
+uint32_t bb_retry_price (const struct bb_verdict *v);
+
 /* Decides whether to try again; takes the price from the budget.  */
 bool bb_retry_allow (struct bb_retry_budget *b, const struct bb_try *t);
 
--- a/libmodel/internal.h
+++ b/libmodel/internal.h
@@ -92,7 +92,7 @@
   bb_ms woke_ms;
   uint32_t turn;
   uint64_t firsts;
-  uint64_t retries;
+  uint64_t paid;                          /* for retries, in hundredths */
   GPtrArray *open;                        /* requests without a final answer */
   uint32_t customers[BB_MODEL_CUSTOMERS]; /* in flight */
 };
--- a/libroute/health.c
+++ b/libroute/health.c
@@ -49,6 +49,13 @@
   return reason == BB_REASON_UPSTREAM_REFUSED || h->failures >= FAILURES_MAX;
 }
 
+static bool
+is_lack_of_room (uint32_t reason)
+{
+  return reason == BB_REASON_COLD_START || reason == BB_REASON_OVERLOAD
+         || reason == BB_REASON_QUEUE_FULL;
+}
+
 bool
 bb_health_failed (struct bb_health *h, struct bb_health_pool *p,
                   uint32_t reason, bb_ms now_ms)
@@ -56,6 +63,8 @@
   uint32_t doublings
       = h->ejections < EJECT_DOUBLINGS ? h->ejections : EJECT_DOUBLINGS;
 
+  if (is_lack_of_room (reason))
+    bb_health_ok (h, p, now_ms);
   if (reason != BB_REASON_UPSTREAM_REFUSED
       && reason != BB_REASON_UPSTREAM_FAILED)
     return false;
--- a/libroute/retry.c
+++ b/libroute/retry.c
@@ -2,8 +2,9 @@
 
 enum
 {
-  EARN = 20, /* hundredths: one retry for five first tries */
-  PRICE = 100,
+  EARN = 20,          /* hundredths: one retry for five first tries */
+  PRICE_RUN = 100,    /* the try before may have cost an upstream work */
+  PRICE_NOT_RUN = 20, /* it cost a message */
   TOKENS_MAX = 10000,
   RESERVE_MAX = 1000,  /* hundredths that time alone fills */
   RESERVE_PER_S = 200, /* hundredths */
@@ -54,9 +55,17 @@
          || v->reason == BB_REASON_STALE_INCARNATION;
 }
 
+uint32_t
+bb_retry_price (const struct bb_verdict *v)
+{
+  return v->run == BB_RUN_NOT_RUN ? PRICE_NOT_RUN : PRICE_RUN;
+}
+
 bool
 bb_retry_allow (struct bb_retry_budget *b, const struct bb_try *t)
 {
+  uint32_t price = bb_retry_price (&t->verdict);
+
   if (t->attempts >= ATTEMPTS_MAX || t->left_ms < LEFT_MIN_MS)
     return false;
 #ifndef BB_MUTANT_retry_crashes
@@ -72,10 +81,10 @@
   if (t->same_upstream && !helps_at_same (&t->verdict))
     return false;
 #ifndef BB_MUTANT_retry_budget
-  if (b->tokens < PRICE)
+  if (b->tokens < price)
     return false;
 #endif
-  b->tokens -= b->tokens < PRICE ? b->tokens : PRICE;
+  b->tokens -= b->tokens < price ? b->tokens : price;
   return true;
 }
 
