--- a/bench/route.c
+++ b/bench/route.c
@@ -43,6 +43,7 @@
   { "bilberry", &bb_model_bilberry, 0, CUSTOMER_LIMIT },
   { "bilberry_hedge", &bb_model_bilberry, 150, CUSTOMER_LIMIT },
   { "bilberry_no_limit", &bb_model_bilberry, 0, 0 },
+  { "bilberry_no_prefix", &bb_model_no_prefix, 0, CUSTOMER_LIMIT },
 };
 
 static void
@@ -85,14 +86,17 @@
   const char *name;
   bb_sim_fn *fault;
   bb_ms at_ms;
+  uint32_t prefixes; /* different ones among the prompts; 0: all */
+  bb_ms prefill_ms;
 };
 
 static const struct scenario scenarios[] = {
-  { "steady", NULL, 0 },
-  { "domain", leave, LEAVE_MS },
-  { "cold", restart_some_engine, 5000 },
-  { "flood", flood, LEAVE_MS },
-  { "poison", send_poison, 5000 },
+  { "steady", NULL, 0, 0, 8 },
+  { "domain", leave, LEAVE_MS, 0, 8 },
+  { "cold", restart_some_engine, 5000, 0, 8 },
+  { "flood", flood, LEAVE_MS, 0, 8 },
+  { "poison", send_poison, 5000, 0, 8 },
+  { "prefix", NULL, 0, 200, 30 },
 };
 
 static void
@@ -115,6 +119,7 @@
   to->hedges += from->hedges;
   to->crashes += from->crashes;
   to->tokens += from->tokens;
+  to->cached += from->cached;
   for (uint32_t i = 0; i < BB_MODEL_REASONS; i++)
     to->refused_by[i] += from->refused_by[i];
   for (uint32_t i = 0; i < BB_MODEL_CUSTOMERS; i++)
@@ -141,6 +146,10 @@
                                 .cold_bears = bears,
                                 .rate_per_s = 130,
                                 .tokens = 40,
+                                .prefixes = sc->prefixes,
+                                .cache = 32,
+                                .prefill_ms = sc->prefill_ms,
+                                .cached_prefill_ms = 2,
                                 .timeout_ms = 30000,
                                 .settings_ms = 2000,
                                 .customer_limit = v->customer_limit,
@@ -257,6 +266,12 @@
            (unsigned long long)s->tokens);
 }
 
+static void
+print_cached (const struct bb_model_stats *s)
+{
+  printf ("    prefix cached for %.1f%%\n", percent (s->cached, s->sent));
+}
+
 static void
 print_reasons (const struct bb_model_stats *s)
 {
@@ -332,6 +347,8 @@
         run_seed (sc, &variants[i], bears, seed, sum);
       print_row (csv, sc->name, bears, variants[i].name, sum);
       print_reasons (sum);
+      if (sc->prefixes > 0)
+        print_cached (sum);
       if (sc->fault == leave)
         {
           print_targets (sum);
--- a/cmd/entry/choose.c
+++ b/cmd/entry/choose.c
@@ -40,6 +40,30 @@
   return c;
 }
 
+/* Marks the link that likely holds the prefix of the prompt: where a long
+   part of it was sent last, else the highest rendezvous hash.  */
+static void
+mark_holder (const struct request *q, struct bb_candidate *c,
+             struct link *const *links, uint32_t count)
+{
+  uint64_t holder = bb_prefix_find (&q->entry->prefixes, &q->prefix);
+  uint64_t best = 0;
+  uint32_t at = BB_ROUTE_NONE;
+
+  for (uint32_t i = 0; i < count && q->prefix.count > 0; i++)
+    {
+      uint64_t score = links[i]->name_hash == holder
+                           ? UINT64_MAX
+                           : bb_prefix_score (&q->prefix, links[i]->name_hash);
+      if (at != BB_ROUTE_NONE && score <= best)
+        continue;
+      best = score;
+      at = i;
+    }
+  if (at != BB_ROUTE_NONE)
+    c[at].holds_prefix = true;
+}
+
 struct link *
 choose_link (struct request *q)
 {
@@ -58,6 +82,10 @@
       c[count] = candidate_of (q, l, now);
       links[count++] = l;
     }
+  mark_holder (q, c, links, count);
   i = bb_route_choose (c, count, q->entry->rand);
-  return i == BB_ROUTE_NONE ? NULL : links[i];
+  if (i == BB_ROUTE_NONE)
+    return NULL;
+  bb_prefix_put (&q->entry->prefixes, &q->prefix, links[i]->name_hash);
+  return links[i];
 }
--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -74,6 +74,7 @@
   char *pool;
   struct pool *pool_links;
   bool idempotent;
+  struct bb_prefix prefix;
   uint64_t key_hash; /* of the customer and the idempotency key */
   struct link *link; /* where the present try runs */
   uint64_t tried[TRIES_MAX];
@@ -108,6 +109,7 @@
   uint64_t last_id;
   GRand *rand;
   struct bb_retry_budget budget;
+  struct bb_prefix_table prefixes;
   struct bb_pause pause;
   bb_ms woke_ms; /* when the last pause was found; 0: never paused */
   uv_timer_t tick;
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -93,6 +93,26 @@
   return XXH64 (key.ptr, key.size, XXH64 (customer, strlen (customer), 0));
 }
 
+/* Hashes the prompt, which starts behind the name of its field.  */
+static void
+hash_prompt (struct request *q)
+{
+  static const char *const fields[] = { "\"messages\"", "\"prompt\"" };
+  struct bb_bytes body = q->http->body;
+
+  for (uint32_t i = 0; i < sizeof fields / sizeof *fields; i++)
+    {
+      const char *at
+          = memmem (body.ptr, body.size, fields[i], strlen (fields[i]));
+      struct bb_bytes text = { .ptr = at };
+      if (!at)
+        continue;
+      text.size = body.size - (uint32_t)(at - body.ptr);
+      bb_prefix_hash (&q->prefix, text);
+      return;
+    }
+}
+
 static struct request *
 request_new (struct entry *e, struct bb_http_request *r,
              struct customer *customer, const struct bb_route_settings *route)
@@ -108,6 +128,8 @@
   q->pool_links = pool_find (e, route->pool);
   q->idempotent = route->idempotent;
   q->key_hash = hash_key (q->customer, r);
+  if (q->idempotent && r->body.size > 0)
+    hash_prompt (q);
   q->started = entry_now ();
   q->deadline = q->started + route->timeout_ms;
   HASH_ADD (hh, e->requests, id, sizeof q->id, q);
--- a/include/bilberry/model.h
+++ b/include/bilberry/model.h
@@ -38,13 +38,15 @@
   const char *name;
   uint32_t (*choose) (const struct bb_candidate *c, uint32_t count,
                       uint32_t *turn, GRand *rand);
-  bool ejects; /* leaves out upstreams that fail */
+  bool ejects;   /* leaves out upstreams that fail */
+  bool prefixes; /* sends a prefix where it is likely cached */
 };
 
 extern const struct bb_model_choice bb_model_round_robin;
 extern const struct bb_model_choice bb_model_random;
 extern const struct bb_model_choice bb_model_least_in_flight;
 extern const struct bb_model_choice bb_model_bilberry;
+extern const struct bb_model_choice bb_model_no_prefix;
 
 struct bb_model_options
 {
@@ -58,6 +60,10 @@
   uint32_t cold_bears;     /* sequences that kill a cold engine are more */
   uint32_t rate_per_s;     /* requests of all customers */
   uint32_t tokens;         /* mean for a request */
+  uint32_t prefixes;       /* different ones among the prompts; 0: all */
+  uint32_t cache;          /* prefixes that an engine keeps */
+  bb_ms prefill_ms;        /* lengthens the step that takes a sequence in */
+  bb_ms cached_prefill_ms; /* the same where the prefix is cached */
   uint32_t once_permille;  /* requests that are not idempotent */
   uint32_t customer_limit; /* in flight at one entry; 0: none */
   bb_ms timeout_ms;
@@ -93,6 +99,7 @@
   uint64_t hedges;
   uint64_t crashes; /* of engines */
   uint64_t tokens;  /* given by engines */
+  uint64_t cached;  /* sequences whose prefix was cached */
   uint64_t customer_sent[BB_MODEL_CUSTOMERS];
   uint64_t customer_whole[BB_MODEL_CUSTOMERS];
   struct bb_histogram first_ms;
--- a/include/bilberry/route.h
+++ b/include/bilberry/route.h
@@ -19,6 +19,7 @@
   uint32_t limit;         /* as the agent last said; 0 where it has not */
   uint32_t ramp_percent;  /* share of the limit to use; see bb_health_ramp */
   bool near;              /* in the entry's own failure domain */
+  bool holds_prefix;      /* likely has the prompt's prefix in its cache */
   bool tried;             /* this request was refused or failed there */
   bool domain_tried;      /* or in its failure domain */
 };
@@ -31,12 +32,51 @@
 /* Chooses one of the candidates by power of two choices on load over limit.
    A candidate in a failure domain that has not been tried comes before one in
    a domain that has, and that before one that was tried itself.  The nearest
-   failure domain comes first while its choice has room.  An old report counts
-   less: the mean of all takes its place.  Returns an index, or BB_ROUTE_NONE
+   failure domain comes first while its choice has room.  A candidate that
+   holds the prompt's prefix is taken unless it is much more loaded than the
+   choice.  An old report counts less: the mean of all takes its place.
+   Returns an index, or BB_ROUTE_NONE
    when COUNT is 0.  */
 uint32_t bb_route_choose (const struct bb_candidate *c, uint32_t count,
                           GRand *rand);
 
+enum
+{
+  BB_PREFIX_BLOCKS_MAX = 8,
+  BB_PREFIX_SLOTS = 4096
+};
+
+/* Hashes of the blocks that a prompt starts with; each covers all before.  */
+struct bb_prefix
+{
+  uint64_t hashes[BB_PREFIX_BLOCKS_MAX];
+  uint32_t count;
+};
+
+/* Hashes the whole blocks of TEXT.  A short text has none.  */
+void bb_prefix_hash (struct bb_prefix *p, struct bb_bytes text);
+
+/* Where prefixes were last sent: hints of fixed size, which may be wrong.  */
+struct bb_prefix_table
+{
+  uint64_t hashes[BB_PREFIX_SLOTS];
+  uint64_t holders[BB_PREFIX_SLOTS];
+};
+
+/* Returns the holder of the longest known prefix of two blocks or more; 0
+   where none is known.  */
+uint64_t bb_prefix_find (const struct bb_prefix_table *t,
+                         const struct bb_prefix *p);
+
+/* Returns the rendezvous hash of the first block of P and HOLDER.  Entries
+   that share no state agree by it on where a prefix belongs; 0 where P has no
+   block.  */
+uint64_t bb_prefix_score (const struct bb_prefix *p, uint64_t holder);
+
+/* Notes that HOLDER is going to have P in its cache.  */
+void bb_prefix_put (struct bb_prefix_table *t, const struct bb_prefix *p,
+                    uint64_t holder);
+
 /* An upstream that an entry could hold a link to.  */
 struct bb_subset_item
 {
--- a/libmodel/agent.c
+++ b/libmodel/agent.c
@@ -6,7 +6,6 @@
 {
   STEP_MS = 15,
   STEP_PER_SEQUENCE_US = 500,
-  PREFILL_MS = 8, /* lengthens the step that takes a sequence in */
   COLD_MS = 5000
 };
 
@@ -53,6 +52,7 @@
   a->engine_start_ms = -COLD_MS;
   a->incarnation = ++m->last_id;
   a->sequences = g_ptr_array_new_with_free_func (g_free);
+  a->cache = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   a->seen = g_hash_table_new (NULL, NULL);
   a->admit = m->o.admit->make (m->o.limit, m->o.cold_limit);
   bb_sim_at (m->sim, (bb_ms)number % HEARTBEAT_MS, heartbeat, a);
@@ -79,6 +79,7 @@
   drop_all (a);
   g_ptr_array_free (a->sequences, TRUE);
   g_hash_table_destroy (a->seen);
+  g_array_free (a->cache, TRUE);
   a->model->o.admit->free (a->admit);
 }
 
@@ -121,6 +122,7 @@
       refuse (a, s->entry, s->request, s->id, s->number, &v);
     }
   drop_all (a);
+  g_array_set_size (a->cache, 0);
   a->model->o.admit->restarted (a->admit);
   bb_sim_at (a->model->sim, back_ms, engine_back, a);
 }
@@ -177,12 +179,34 @@
   return true;
 }
 
+/* Uses the prefix of S, which is cached from now on; returns its prefill time
+   in ms.  */
+static bb_ms
+prefill (struct agent *a, const struct sequence *s)
+{
+  const struct bb_model_options *o = &a->model->o;
+  uint64_t prefix = model_request (a->model, s->request)->prefix;
+  bool cached = false;
+
+  for (guint i = 0; i < a->cache->len && !cached; i++)
+    if (g_array_index (a->cache, uint64_t, i) == prefix)
+      {
+        g_array_remove_index (a->cache, i);
+        cached = true;
+      }
+  g_array_append_val (a->cache, prefix);
+  if (a->cache->len > o->cache)
+    g_array_remove_index (a->cache, 0);
+  a->model->stats.cached += cached ? 1 : 0;
+  return cached ? o->cached_prefill_ms : o->prefill_ms;
+}
+
 /* Gives a token of each running sequence and takes the others in; returns
-   how many were taken in.  */
-static uint32_t
+   their prefill time in ms.  */
+static bb_ms
 run_batch (struct agent *a)
 {
-  uint32_t started = 0;
+  bb_ms spent = 0;
   guint i = 0;
 
   while (i < a->sequences->len)
@@ -190,11 +214,12 @@
       struct sequence *s = g_ptr_array_index (a->sequences, i);
       if (s->running && give_token (a, i))
         continue;
-      started += s->running ? 0 : 1;
+      if (!s->running)
+        spent += prefill (a, s);
       s->running = true;
       i++;
     }
-  return started;
+  return spent;
 }
 
 static bool
@@ -213,19 +238,19 @@
 step (struct bb_sim *sim, void *arg)
 {
   struct agent *a = arg;
-  uint32_t started;
+  bb_ms spent;
   uint32_t running;
 
   (void)sim;
   a->stepping = false;
   if (!a->engine_up)
     return;
-  started = run_batch (a);
+  spent = run_batch (a);
   running = a->sequences->len;
   if (is_poisoned (a) || (is_cold (a) && running > a->model->o.cold_bears))
     agent_kill_engine (a, 2000);
   else if (running > 0)
-    step_later (a, STEP_MS + (bb_ms)started * PREFILL_MS
+    step_later (a, STEP_MS + spent
                        + (bb_ms)running * STEP_PER_SEQUENCE_US / 1000);
 }
 
--- a/libmodel/entry.c
+++ b/libmodel/entry.c
@@ -116,6 +116,9 @@
 static uint32_t
 pick (struct entry *e, const struct request *q)
 {
+  struct bb_prefix prefix = { .hashes = { q->prefix }, .count = 1 };
+  uint64_t best = 0;
+  uint32_t holder = BB_ROUTE_NONE;
   const struct bb_model *m = e->model;
   struct bb_candidate c[128];
   uint32_t agents[128];
@@ -138,8 +141,15 @@
                                     .tried = was_tried (q, i),
                                     .domain_tried
                                     = domain_was_tried (e, q, domain) };
+      if (m->o.choice->prefixes && bb_prefix_score (&prefix, i) > best)
+        {
+          best = bb_prefix_score (&prefix, i);
+          holder = n;
+        }
       agents[n++] = i;
     }
+  if (holder != BB_ROUTE_NONE)
+    c[holder].holds_prefix = true;
   i = m->o.choice->choose (c, n, &e->turn, bb_sim_rand (m->sim));
   return i == BB_ROUTE_NONE ? BB_ROUTE_NONE : agents[i];
 }
--- a/libmodel/internal.h
+++ b/libmodel/internal.h
@@ -47,6 +47,7 @@
   struct entry *at; /* the same, once it has arrived */
   uint32_t slot;    /* among the open requests of the entry */
   uint32_t tokens;
+  uint64_t prefix;
   bool idempotent;
   bool poison;
   bool ended;
@@ -118,6 +119,7 @@
   uint64_t incarnation;
   void *admit;
   GPtrArray *sequences;
+  GArray *cache;    /* prefixes, the one used last at the end */
   GHashTable *seen; /* numbers of all tries */
   bool engine_up;
   uint32_t engine_starts;
--- a/libmodel/model.c
+++ b/libmodel/model.c
@@ -137,6 +137,10 @@
   q->tokens = (uint32_t)g_rand_int_range (rand, 1, 2 * (gint32)m->o.tokens);
   q->idempotent
       = (uint32_t)g_rand_int_range (rand, 0, 1000) >= m->o.once_permille;
+  q->prefix
+      = m->o.prefixes > 0
+            ? 1 + (uint64_t)g_rand_int_range (rand, 0, (gint32)m->o.prefixes)
+            : (uint64_t)q->number + 1;
   q->entry = (uint32_t)g_rand_int_range (rand, 0, (gint32)m->o.entries);
   q->sent_ms = model_now (m);
   g_ptr_array_add (m->requests, q);
--- a/libroute/choose.c
+++ b/libroute/choose.c
@@ -2,8 +2,9 @@
 
 enum
 {
-  STALE_MS = 2000,       /* a report this old says nothing */
-  NEAR_MAX_PERCENT = 30, /* of its limit, for the nearest failure domain */
+  STALE_MS = 2000,         /* a report this old says nothing */
+  NEAR_MAX_PERCENT = 30,   /* of its limit, for the nearest failure domain */
+  PREFIX_MAX_PERCENT = 15, /* of its limit, that a holder may be fuller */
   TIER_COUNT = 3
 };
 
@@ -99,27 +100,60 @@
   return (uint32_t)(sum / count);
 }
 
-uint32_t
-bb_route_choose (const struct bb_candidate *c, uint32_t count, GRand *rand)
+/* Returns the choice by load and nearness.  */
+static uint32_t
+choose_by_load (struct among *a, GRand *rand)
 {
-  struct among a
-      = { .c = c, .count = count, .tier = TIER_COUNT, .near_only = true };
   uint32_t members;
   uint32_t chosen;
 
+  a->near_only = true;
+  members = count_members (a);
+  if (members > 0)
+    {
+      chosen = choose_of_two (a, members, rand);
+      if (load_of (a, &a->c[chosen]) < (uint64_t)NEAR_MAX_PERCENT * 100)
+        return chosen;
+    }
+  a->near_only = false;
+  return choose_of_two (a, count_members (a), rand);
+}
+
+static bool
+is_within (uint64_t load, uint64_t most)
+{
+#ifndef BB_MUTANT_prefix_bound
+  return load <= most;
+#else
+  return load <= most || load > most;
+#endif
+}
+
+/* Returns the candidate that holds the prompt's prefix where it is not much
+   more loaded than CHOSEN.  */
+static uint32_t
+prefer_holder (const struct among *a, uint32_t chosen)
+{
+  uint64_t most
+      = load_of (a, &a->c[chosen]) + (uint64_t)PREFIX_MAX_PERCENT * 100;
+
+  for (uint32_t i = 0; i < a->count; i++)
+    if (a->c[i].holds_prefix && tier_of (&a->c[i]) == a->tier
+        && is_within (load_of (a, &a->c[i]), most))
+      return i;
+  return chosen;
+}
+
+uint32_t
+bb_route_choose (const struct bb_candidate *c, uint32_t count, GRand *rand)
+{
+  struct among a = { .c = c, .count = count, .tier = TIER_COUNT };
+
   if (count == 0)
     return BB_ROUTE_NONE;
   for (uint32_t i = 0; i < count; i++)
     if (tier_of (&c[i]) < a.tier)
       a.tier = tier_of (&c[i]);
   a.mean_others = mean_of_others (c, count);
-  members = count_members (&a);
-  if (members > 0)
-    {
-      chosen = choose_of_two (&a, members, rand);
-      if (load_of (&a, &c[chosen]) < (uint64_t)NEAR_MAX_PERCENT * 100)
-        return chosen;
-    }
-  a.near_only = false;
-  return choose_of_two (&a, count_members (&a), rand);
+  return prefer_holder (&a, choose_by_load (&a, rand));
 }
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -355,6 +355,37 @@
   fleet_free (&f);
 }
 
+/* Prompts that share a long prefix go to one engine while it has room.  */
+static void
+test_prefix (void)
+{
+  struct fleet f;
+  char *start = g_strnfill (600, 'x');
+  uint32_t idle = 0;
+
+  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_start (&f);
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      char *body = g_strdup_printf (
+          "{\"max_tokens\":1,\"messages\":[{\"content\":\"%s %u\"}]}", start,
+          i);
+      struct answer a = harness_http (f.entries[0].port, "POST",
+                                      "/v1/chat/completions", fleet_key, body);
+      g_assert_cmpint (a.status, ==, 200);
+      answer_free (&a);
+      g_free (body);
+    }
+  for (uint32_t i = 0; i < f.upstreams_count; i++)
+    idle += harness_await (f.upstreams[i].port, "/metrics",
+                           "engine_finished_total 0\n", 1)
+                ? 1
+                : 0;
+  g_assert_cmpuint (idle, ==, 2);
+  g_free (start);
+  fleet_free (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -369,5 +400,6 @@
   g_test_add_func ("/entry/pause", test_pause);
   g_test_add_func ("/entry/shutdown", test_shutdown);
   g_test_add_func ("/entry/agent-shutdown", test_agent_shutdown);
+  g_test_add_func ("/entry/prefix", test_prefix);
   return g_test_run ();
 }
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -347,6 +347,46 @@
     }
 }
 
+/* A prefix draws requests to its holder, but not far above the others' load.
+ */
+static void
+test_prefix (void)
+{
+  struct bb_candidate c[4] = { 0 };
+  struct bb_prefix_table *t = g_new0 (struct bb_prefix_table, 1);
+  struct bb_prefix p = { 0 };
+  struct bb_prefix longer = { 0 };
+  GRand *rand = g_rand_new_with_seed (1);
+  char *text = g_strnfill (1000, 'x');
+
+  for (uint32_t i = 0; i < 4; i++)
+    c[i] = (struct bb_candidate){ .limit = 32, .ramp_percent = 100 };
+  c[3].holds_prefix = true;
+  for (uint32_t i = 0; i < 100; i++)
+    g_assert_cmpuint (bb_route_choose (c, 4, rand), ==, 3);
+  c[3].own_in_flight = 4;
+  g_assert_cmpuint (bb_route_choose (c, 4, rand), ==, 3);
+  c[3].own_in_flight = 5;
+  for (uint32_t i = 0; i < 100; i++)
+    g_assert_cmpuint (bb_route_choose (c, 4, rand), !=, 3);
+  bb_prefix_hash (&p, (struct bb_bytes){ .ptr = text, .size = 255 });
+  g_assert_cmpuint (p.count, ==, 0);
+  g_assert_cmpuint (bb_prefix_score (&p, 1), ==, 0);
+  bb_prefix_hash (&p, (struct bb_bytes){ .ptr = text, .size = 600 });
+  bb_prefix_hash (&longer, (struct bb_bytes){ .ptr = text, .size = 1000 });
+  g_assert_cmpuint (p.count, ==, 2);
+  g_assert_cmpuint (bb_prefix_find (t, &longer), ==, 0);
+  bb_prefix_put (t, &p, 7);
+  g_assert_cmpuint (bb_prefix_find (t, &longer), ==, 7);
+  text[300] = 'y';
+  bb_prefix_hash (&longer, (struct bb_bytes){ .ptr = text, .size = 1000 });
+  g_assert_cmpuint (bb_prefix_find (t, &longer), ==, 0);
+  g_assert_cmpuint (bb_prefix_score (&longer, 7), ==, bb_prefix_score (&p, 7));
+  g_free (text);
+  g_free (t);
+  g_rand_free (rand);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -359,5 +399,6 @@
   g_test_add_func ("/route/health", test_health);
   g_test_add_func ("/route/subset", test_subset);
   g_test_add_func ("/route/choice", test_choice);
+  g_test_add_func ("/route/prefix", test_prefix);
   return g_test_run ();
 }
