Close the timer of a link once; tests of links that leave the settings

Cause: when the agent of a link that had left the settings was lost with requests in flight, the last request released the link inside on_close, which then closed the link's timer again; libuv aborts on that. Found by reading, seen red by /entry/removed-upstream-lost, then green four times.

/entry/removed-upstream shows that a link that leaves the settings ends its streams first; mutant link_release.

--- a/cmd/entry/link.c
+++ b/cmd/entry/link.c
@@ -39,10 +39,10 @@
   l->conn = NULL;
   l->ready = false;
   try_link_lost (l);
-  if (l->closed)
-    uv_close ((uv_handle_t *)&l->again, on_timer_closed);
-  else
+  if (!l->closed)
     uv_timer_start (&l->again, on_again, RECONNECT_MS, 0);
+  else if (!uv_is_closing ((uv_handle_t *)&l->again))
+    uv_close ((uv_handle_t *)&l->again, on_timer_closed);
 }
 
 static void
@@ -217,8 +217,12 @@
 void
 link_release (struct link *l)
 {
-  if (!l->gone || l->in_flight > 0 || l->closed)
+  if (!l->gone || l->closed)
+    return;
+#ifndef BB_MUTANT_link_release
+  if (l->in_flight > 0)
     return;
+#endif
   l->closed = true;
   unlist (l);
   if (l->conn)
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -355,6 +355,59 @@
   fleet_free (&f);
 }
 
+/* Removes draft upstream U from the settings and waits for the entry.  */
+static void
+remove_upstream (struct fleet *f, const struct fleet_upstream *u)
+{
+  const struct fleet_upstream *other = &f->upstreams[u == f->upstreams];
+
+  harness_write (f->h, "20-fleet.yaml",
+                 "entries:\n  entry-1: {address: '127.0.0.1:%u', operator: "
+                 "'127.0.0.1:%u', failure_domain: fd-a}\n"
+                 "upstreams:\n  %s: {address: '127.0.0.1:%u', agent: "
+                 "'127.0.0.1:%u', failure_domain: %s, pool: draft}\n",
+                 f->entries[0].port, f->entries[0].operator_port, other->name,
+                 other->port, other->agent_port, other->failure_domain);
+  g_assert_true (harness_await (f->entries[0].operator_port, "/status",
+                                "\"revision\": 2", AWAIT_MS));
+}
+
+/* An upstream that operators remove from the settings ends its streams
+   first.  */
+static void
+test_removed_upstream (void)
+{
+  struct fleet f;
+  struct draft d;
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_start (&f);
+  start_draft (&d, &f, 1, TOKENS);
+  remove_upstream (&f, await_running (&f, NULL));
+  g_assert_true (end_draft (&d));
+  g_assert_cmpuint (resumed (&f), ==, 0);
+  fleet_free (&f);
+}
+
+/* And where its agent is lost meanwhile, another continues.  */
+static void
+test_removed_upstream_lost (void)
+{
+  struct fleet f;
+  struct draft d;
+  struct fleet_upstream *u;
+
+  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_start (&f);
+  start_draft (&d, &f, 1, 3 * TOKENS);
+  u = await_running (&f, NULL);
+  remove_upstream (&f, u);
+  harness_signal (f.h, u->agent, SIGKILL);
+  g_assert_true (end_draft (&d));
+  g_assert_cmpuint (resumed (&f), ==, 1);
+  fleet_free (&f);
+}
+
 /* Prompts that share a long prefix go to one engine while it has room.  */
 static void
 test_prefix (void)
@@ -400,6 +453,8 @@
   g_test_add_func ("/entry/pause", test_pause);
   g_test_add_func ("/entry/shutdown", test_shutdown);
   g_test_add_func ("/entry/agent-shutdown", test_agent_shutdown);
+  g_test_add_func ("/entry/removed-upstream", test_removed_upstream);
+  g_test_add_func ("/entry/removed-upstream-lost", test_removed_upstream_lost);
   g_test_add_func ("/entry/prefix", test_prefix);
   return g_test_run ();
 }
