Limit of a customer over all entries, in equal parts

customers.fleet_limit: each entry takes an equal part of it, rounded up, so that nothing is sent and the bound (less than the limit plus the number of entries) is hard.

--- a/cmd/entry/customer.c
+++ b/cmd/entry/customer.c
@@ -39,8 +39,10 @@
                 struct bb_verdict *v)
 {
   struct customer *c = find_or_add (e, s->name);
+  uint32_t limit = bb_customer_share (s->limit, s->fleet_limit,
+                                      e->daemon->settings->entries_count);
 
-  if (is_full (c, s->limit))
+  if (is_full (c, limit))
     {
       v->reason = BB_REASON_CUSTOMER_LIMIT;
       v->retry_after_ms = RETRY_AFTER_MS;
--- a/include/bilberry/route.h
+++ b/include/bilberry/route.h
@@ -146,6 +146,13 @@
 /* Looks at the clock; true when the process was paused since the last look. */
 bool bb_pause_check (struct bb_pause *p, bb_ms now_ms);
 
+/* Returns how many requests of a customer may be in flight at one of ENTRIES
+   entries: ENTRY_LIMIT, and no more than an equal part, rounded up, of
+   FLEET_LIMIT where that is not 0.  All entries together stay below
+   FLEET_LIMIT + ENTRIES.  */
+uint32_t bb_customer_share (uint32_t entry_limit, uint32_t fleet_limit,
+                            uint32_t entries);
+
 /* Retries are paid from a budget that first tries fill.  Five first tries pay
    for one retry of a try that may have run, one for one that did not.  Time
    keeps a small reserve, so that a quiet entry can retry too.  */
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -56,6 +56,7 @@
   char *key_sha256;
   uint32_t weight;
   uint32_t limit;
+  uint32_t fleet_limit;
 };
 
 /* Which calls go to which pool, and which are non-idempotent.  */
--- a/libsettings/tables.c
+++ b/libsettings/tables.c
@@ -89,6 +89,12 @@
     .fallback = "1000",
     .min = 1,
     .max = 100000 },
+  { .name = "fleet_limit",
+    .type = BB_FIELD_U32,
+    .offset = offsetof (struct bb_customer_settings, fleet_limit),
+    .fallback = "0",
+    .min = 0,
+    .max = 10000000 },
   { .name = NULL },
 };
 
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -278,6 +278,33 @@
   fleet_free (&f);
 }
 
+/* Two entries hold a limit over the fleet, each its part.  */
+static void
+test_fleet_limit (void)
+{
+  struct fleet f;
+  struct draft d[2];
+  struct answer a;
+
+  fleet_init (&f, build_dir (), 1, 1, 2);
+  harness_write (f.h, "50-limit.yaml",
+                 "customers:\n  customer-1: {fleet_limit: 4}\n");
+  fleet_start (&f);
+  start_draft (&d[0], &f, 0, TOKENS);
+  start_draft (&d[1], &f, 1, TOKENS);
+  g_assert_true (harness_await (f.upstreams[0].port, "/metrics",
+                                "engine_sequences 2", AWAIT_MS));
+  a = harness_http (f.entries[0].port, "GET", "/stock/1", fleet_key, "");
+  g_assert_cmpint (a.status, ==, 429);
+  answer_free (&a);
+  a = harness_http (f.entries[1].port, "GET", "/stock/1", fleet_key, "");
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  g_assert_true (end_draft (&d[0]));
+  g_assert_true (end_draft (&d[1]));
+  fleet_free (&f);
+}
+
 /* A stopped entry that wakes sends its first request only to an agent that
    has reported since, by the settings of now.  */
 static void
@@ -450,6 +477,7 @@
   g_test_add_func ("/entry/ejection", test_ejection);
   g_test_add_func ("/entry/silent-agent", test_silent_agent);
   g_test_add_func ("/entry/customer-limit", test_customer_limit);
+  g_test_add_func ("/entry/fleet-limit", test_fleet_limit);
   g_test_add_func ("/entry/pause", test_pause);
   g_test_add_func ("/entry/shutdown", test_shutdown);
   g_test_add_func ("/entry/agent-shutdown", test_agent_shutdown);
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -387,6 +387,19 @@
   g_rand_free (rand);
 }
 
+static void
+test_share (void)
+{
+  g_assert_cmpuint (bb_customer_share (10, 0, 4), ==, 10);
+  g_assert_cmpuint (bb_customer_share (10, 8, 4), ==, 2);
+  g_assert_cmpuint (bb_customer_share (10, 9, 4), ==, 3);
+  g_assert_cmpuint (bb_customer_share (10, 1, 4), ==, 1);
+  g_assert_cmpuint (bb_customer_share (10, 1000, 4), ==, 10);
+  for (uint32_t limit = 1; limit < 200; limit++)
+    for (uint32_t n = 1; n < 50; n++)
+      g_assert_cmpuint (n * bb_customer_share (1000, limit, n), <, limit + n);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -400,5 +413,6 @@
   g_test_add_func ("/route/subset", test_subset);
   g_test_add_func ("/route/choice", test_choice);
   g_test_add_func ("/route/prefix", test_prefix);
+  g_test_add_func ("/route/share", test_share);
   return g_test_run ();
 }
