Test the gate at the agent with real processes, a relay and raw frames

What an agent refuses must hold whatever an entry believes. A relay of the tests cuts or holds traffic between an entry and an agent; entries may have a settings folder of their own, so that they lag behind the agents. A framed peer says what no well-behaved entry would.

--- a/test/harness/fleet.c
+++ b/test/harness/fleet.c
@@ -31,8 +31,18 @@
     }
 }
 
+/* Writes a file for the agents, and for the entries where their folder is
+   another one.  */
 static void
-write_upstreams (struct fleet *f)
+write_both (struct fleet *f, const char *name, const char *text)
+{
+  harness_write_in (harness_config_dir (f->h), name, text);
+  if (f->entry_config)
+    harness_write_in (f->entry_config, name, text);
+}
+
+static char *
+print_upstreams (const struct fleet *f, bool relayed)
 {
   char *text = NULL;
   size_t size = 0;
@@ -46,9 +56,34 @@
                "  %s: {address: '127.0.0.1:%u', agent: '127.0.0.1:%u', "
                "operator: '127.0.0.1:%u', failure_domain: %s, pool: %s, "
                "limit: 32, cold_limit: 8}\n",
-               u->name, u->port, u->agent_port, u->operator_port,
-               u->failure_domain, u->pool);
+               u->name, u->port, relayed ? u->relay_port : u->agent_port,
+               u->operator_port, u->failure_domain, u->pool);
     }
+  fclose (out);
+  return text;
+}
+
+static void
+write_upstreams (struct fleet *f)
+{
+  char *text = print_upstreams (f, false);
+
+  harness_write_in (harness_config_dir (f->h), "20-upstreams.yaml", text);
+  free (text);
+  if (!f->entry_config)
+    return;
+  text = print_upstreams (f, true);
+  harness_write_in (f->entry_config, "20-upstreams.yaml", text);
+  free (text);
+}
+
+static void
+write_entries (struct fleet *f)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+
   fputs ("entries:\n", out);
   for (uint32_t i = 0; i < f->entries_count; i++)
     fprintf (out,
@@ -58,7 +93,7 @@
              f->entries[i].operator_port,
              failure_domains[i % FAILURE_DOMAINS]);
   fclose (out);
-  harness_write (f->h, "20-fleet.yaml", "%s", text);
+  write_both (f, "25-entries.yaml", text);
   free (text);
 }
 
@@ -66,12 +101,14 @@
 write_rules (struct fleet *f)
 {
   char sha[65];
+  char text[256];
 
   harness_sha256 ("key-1", sha);
-  harness_write (f->h, "30-customers.yaml",
-                 "customers:\n  customer-1: {key_sha256: '%s'}\n", sha);
-  harness_write (
-      f->h, "40-routes.yaml",
+  snprintf (text, sizeof text,
+            "customers:\n  customer-1: {key_sha256: '%s'}\n", sha);
+  write_both (f, "30-customers.yaml", text);
+  write_both (
+      f, "40-routes.yaml",
       "routes:\n"
       "  chat: {path: /v1/chat/completions, pool: draft, idempotent: true}\n"
       "  completions: {path: /v1/completions, pool: draft, idempotent: true}\n"
@@ -80,8 +117,8 @@
       "idempotent: true}\n");
 }
 
-void
-fleet_set_out (struct fleet *f, const char *failure_domain)
+static char *
+print_failure_domains (const char *out_name)
 {
   char *text = NULL;
   size_t size = 0;
@@ -90,18 +127,38 @@
   fputs ("failure_domains:\n", out);
   for (uint32_t i = 0; i < FAILURE_DOMAINS; i++)
     fprintf (out, "  %s: {state: %s}\n", failure_domains[i],
-             strcmp (failure_domain, failure_domains[i]) == 0 ? "out" : "in");
+             strcmp (out_name, failure_domains[i]) == 0 ? "out" : "in");
   fclose (out);
-  harness_write (f->h, "10-failure-domains.yaml", "%s", text);
+  return text;
+}
+
+void
+fleet_set_out (struct fleet *f, const char *failure_domain)
+{
+  char *text = print_failure_domains (failure_domain);
+
+  write_both (f, "10-failure-domains.yaml", text);
   free (text);
 }
 
 void
-fleet_init (struct fleet *f, const char *build, uint32_t drafts,
-            uint32_t orders, uint32_t entries)
+fleet_set_out_at_agents (struct fleet *f, const char *failure_domain)
+{
+  char *text = print_failure_domains (failure_domain);
+
+  harness_write_in (harness_config_dir (f->h), "10-failure-domains.yaml",
+                    text);
+  free (text);
+}
+
+static void
+init (struct fleet *f, const char *build, uint32_t drafts, uint32_t orders,
+      uint32_t entries, bool relayed)
 {
   memset (f, 0, sizeof *f);
   f->h = harness_new (build);
+  if (relayed)
+    f->entry_config = harness_make_dir (f->h, "config-entry");
   add_upstreams (f, "draft", drafts);
   add_upstreams (f, "order", orders);
   for (uint32_t i = 0; i < entries; i++)
@@ -111,11 +168,32 @@
       e->port = harness_port (f->h);
       e->operator_port = harness_port (f->h);
     }
+  for (uint32_t i = 0; relayed && i < f->upstreams_count; i++)
+    {
+      struct fleet_upstream *u = &f->upstreams[i];
+      u->relay_port = harness_port (f->h);
+      u->relay = relay_start (u->relay_port, u->agent_port);
+    }
   fleet_set_out (f, "");
   write_upstreams (f);
+  write_entries (f);
   write_rules (f);
 }
 
+void
+fleet_init (struct fleet *f, const char *build, uint32_t drafts,
+            uint32_t orders, uint32_t entries)
+{
+  init (f, build, drafts, orders, entries, false);
+}
+
+void
+fleet_init_relayed (struct fleet *f, const char *build, uint32_t drafts,
+                    uint32_t orders, uint32_t entries)
+{
+  init (f, build, drafts, orders, entries, true);
+}
+
 void
 fleet_start_upstream (struct fleet *f, struct fleet_upstream *u)
 {
@@ -149,8 +227,9 @@
   char ready[64];
 
   e->pid = harness_start (f->h, e->name, "bilberry-entry", "--config",
-                          harness_config_dir (f->h), "--name", e->name,
-                          (char *)NULL);
+                          f->entry_config ? f->entry_config
+                                          : harness_config_dir (f->h),
+                          "--name", e->name, (char *)NULL);
   /* An entry is of use once no agent is unconnected.  */
   snprintf (ready, sizeof ready, "\"connected\": false");
   for (int spent = 0; spent < CONNECT_MS; spent += 20)
@@ -182,6 +261,10 @@
 void
 fleet_free (struct fleet *f)
 {
+  for (uint32_t i = 0; i < f->upstreams_count; i++)
+    if (f->upstreams[i].relay)
+      relay_stop (f->upstreams[i].relay);
+  free (f->entry_config);
   harness_free (f->h);
 }
 
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -5,6 +5,7 @@
    before each, and entries.  */
 
 #include "harness.h"
+#include "relay.h"
 
 enum
 {
@@ -19,6 +20,8 @@
   uint16_t port;
   uint16_t agent_port;
   uint16_t operator_port;
+  uint16_t relay_port; /* where entries reach the agent through the relay */
+  struct relay *relay;
   pid_t upstream;
   pid_t agent;
 };
@@ -39,6 +42,7 @@
   struct fleet_entry entries[FLEET_MAX];
   uint32_t entries_count;
   const char *engine_options[8]; /* further options of each engine */
+  char *entry_config; /* settings folder of entries, where it is another */
 };
 
 /* The bearer header line of the customer "customer-1".  */
@@ -50,9 +54,17 @@
 void fleet_init (struct fleet *f, const char *build, uint32_t drafts,
                  uint32_t orders, uint32_t entries);
 
+/* The same, with a relay between the entries and each agent.  Entries have
+   a settings folder of their own, which names the relays.  */
+void fleet_init_relayed (struct fleet *f, const char *build, uint32_t drafts,
+                         uint32_t orders, uint32_t entries);
+
 /* Writes the file that says which failure domain is out; "" for none.  */
 void fleet_set_out (struct fleet *f, const char *failure_domain);
 
+/* The same, for the folder of the agents alone.  */
+void fleet_set_out_at_agents (struct fleet *f, const char *failure_domain);
+
 /* Starts one upstream, one agent or one entry again.  */
 void fleet_start_upstream (struct fleet *f, struct fleet_upstream *u);
 void fleet_start_agent (struct fleet *f, struct fleet_upstream *u);
--- /dev/null
+++ b/test/harness/frame.c
@@ -0,0 +1,90 @@
+#include "frame.h"
+
+#include "harness.h"
+
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct frame_peer *
+frame_connect (uint16_t port)
+{
+  struct frame_peer *p = calloc (1, sizeof *p);
+
+  p->fd = harness_connect (port);
+  if (p->fd < 0)
+    abort ();
+  return p;
+}
+
+void
+frame_close (struct frame_peer *p)
+{
+  close (p->fd);
+  free (p);
+}
+
+void
+frame_send (struct frame_peer *p, msgpack_sbuffer *buf)
+{
+  size_t at = 0;
+
+  while (at < buf->size)
+    {
+      ssize_t n = send (p->fd, buf->data + at, buf->size - at, MSG_NOSIGNAL);
+      if (n <= 0)
+        break;
+      at += (size_t)n;
+    }
+  buf->size = 0;
+}
+
+static bool
+receive (struct frame_peer *p, int timeout_ms)
+{
+  struct pollfd polled = { .fd = p->fd, .events = POLLIN };
+  ssize_t n;
+
+  if (poll (&polled, 1, timeout_ms) <= 0)
+    return false;
+  n = recv (p->fd, p->in + p->in_size, sizeof p->in - p->in_size, 0);
+  if (n <= 0)
+    return false;
+  p->in_size += (size_t)n;
+  return true;
+}
+
+static void
+drop_taken (struct frame_peer *p)
+{
+  memmove (p->in, p->in + p->taken, p->in_size - p->taken);
+  p->in_size -= p->taken;
+  p->taken = 0;
+}
+
+bool
+frame_await (struct frame_peer *p, enum bb_message_type type,
+             struct bb_message *m, int timeout_ms)
+{
+  struct bb_decode_error e;
+  size_t size;
+
+  for (;;)
+    {
+      drop_taken (p);
+      if (bb_frame_peek (p->in, p->in_size, &size) != BB_FRAME_WHOLE)
+        {
+          if (!receive (p, timeout_ms))
+            return false;
+          continue;
+        }
+      p->taken = BB_FRAME_HEAD_BYTES + size;
+      if (!bb_message_decode (p->in + BB_FRAME_HEAD_BYTES, size, m, &e))
+        return false;
+      if (m->type == type)
+        return true;
+      bb_message_free (m);
+    }
+}
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -36,6 +36,12 @@
 void harness_write (struct harness *h, const char *name, const char *format,
                     ...) __attribute__ ((format (printf, 3, 4)));
 
+/* Makes a further settings folder.  The caller frees its path.  */
+char *harness_make_dir (struct harness *h, const char *name);
+
+/* Writes TEXT to file NAME of folder DIR in one step.  */
+void harness_write_in (const char *dir, const char *name, const char *text);
+
 /* Starts PROGRAM with the arguments that follow, ended by NULL, and waits
    until it prints a line that starts with "ready".  Standard error goes to
    LOG in the harness folder.  Returns its id; aborts when it does not come
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -107,27 +107,49 @@
   return ntohs (addr.sin_port);
 }
 
+char *
+harness_make_dir (struct harness *h, const char *name)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "%s/%s", h->dir, name);
+  if (mkdir (path, 0755) < 0)
+    fail (path);
+  return strdup (path);
+}
+
 void
-harness_write (struct harness *h, const char *name, const char *format, ...)
+harness_write_in (const char *dir, const char *name, const char *text)
 {
   char path[256];
   char next[256];
   FILE *out;
-  va_list ap;
 
-  snprintf (path, sizeof path, "%s/%s", h->config, name);
-  snprintf (next, sizeof next, "%s/.%s.next", h->config, name);
+  snprintf (path, sizeof path, "%s/%s", dir, name);
+  snprintf (next, sizeof next, "%s/.%s.next", dir, name);
   out = fopen (next, "w");
   if (!out)
     fail (next);
-  va_start (ap, format);
-  vfprintf (out, format, ap);
-  va_end (ap);
+  fputs (text, out);
   fclose (out);
   if (rename (next, path) < 0)
     fail (path);
 }
 
+void
+harness_write (struct harness *h, const char *name, const char *format, ...)
+{
+  char *text = NULL;
+  va_list ap;
+
+  va_start (ap, format);
+  if (vasprintf (&text, format, ap) < 0)
+    fail ("vasprintf");
+  va_end (ap);
+  harness_write_in (h->config, name, text);
+  free (text);
+}
+
 static void
 exec_child (const struct harness *h, const char *log, const char *program,
             char **argv, int out)
