Drop answers of an agent that was not asked

Cause: an entry found the open request by the id of the try alone, so a message with that id from any agent was taken as the answer. Ruled out: ids used twice (each try draws a new one). The request is now found by id and the link of its present try; the rest is counted as late. /crossed/other-agent was red before and is red again without the guard (make proof).

The harness ends its processes when a test aborts.

--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -93,10 +93,11 @@
 
 /* request.c */
 void request_begin (struct bb_http_request *r, void *arg);
-void request_on_head (struct entry *e, const struct bb_head *m);
-void request_on_data (struct entry *e, const struct bb_data *m);
-void request_on_end (struct entry *e, const struct bb_end *m);
-void request_on_refusal (struct entry *e, const struct bb_refusal *m);
+/* Messages from the agent of L about a request.  */
+void request_on_head (struct link *l, const struct bb_head *m);
+void request_on_data (struct link *l, const struct bb_data *m);
+void request_on_end (struct link *l, const struct bb_end *m);
+void request_on_refusal (struct link *l, const struct bb_refusal *m);
 
 /* The connection of LINK is lost; its requests end or are tried again.  */
 void request_on_link_lost (struct link *l);
--- a/cmd/entry/link.c
+++ b/cmd/entry/link.c
@@ -84,18 +84,18 @@
       l->load = m->u.heartbeat.load;
       break;
     case BB_MSG_HEAD:
-      request_on_head (l->entry, &m->u.head);
+      request_on_head (l, &m->u.head);
       break;
     case BB_MSG_DATA:
-      request_on_data (l->entry, &m->u.data);
+      request_on_data (l, &m->u.data);
       break;
     case BB_MSG_END:
       l->load = m->u.end.load;
-      request_on_end (l->entry, &m->u.end);
+      request_on_end (l, &m->u.end);
       break;
     case BB_MSG_REFUSAL:
       l->load = m->u.refusal.load;
-      request_on_refusal (l->entry, &m->u.refusal);
+      request_on_refusal (l, &m->u.refusal);
       break;
     default:
       break;
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -216,12 +216,18 @@
   try_once (q);
 }
 
+/* Finds the request whose present try is ID at the agent of L.  Messages for
+   earlier tries, or for tries at another agent, are counted and dropped.  */
 static struct request *
-find_request (struct entry *e, uint64_t id)
+find_request (struct link *l, uint64_t id)
 {
   struct request *q;
 
-  HASH_FIND (hh, e->requests, &id, sizeof id, q);
+  HASH_FIND (hh, l->entry->requests, &id, sizeof id, q);
+#ifndef BB_MUTANT_crossed
+  if (q && q->link != l)
+    q = NULL;
+#endif
   if (!q)
     bb_counter ("bilberry_late_answers_total", "")->value++;
   return q;
@@ -249,9 +255,9 @@
 }
 
 void
-request_on_head (struct entry *e, const struct bb_head *m)
+request_on_head (struct link *l, const struct bb_head *m)
 {
-  struct request *q = find_request (e, m->id);
+  struct request *q = find_request (l, m->id);
 
   if (!q)
     return;
@@ -274,9 +280,9 @@
 }
 
 void
-request_on_data (struct entry *e, const struct bb_data *m)
+request_on_data (struct link *l, const struct bb_data *m)
 {
-  struct request *q = find_request (e, m->id);
+  struct request *q = find_request (l, m->id);
 
   if (!q)
     return;
@@ -306,9 +312,9 @@
 }
 
 void
-request_on_end (struct entry *e, const struct bb_end *m)
+request_on_end (struct link *l, const struct bb_end *m)
 {
-  struct request *q = find_request (e, m->id);
+  struct request *q = find_request (l, m->id);
   struct bb_bytes body;
 
   if (!q)
@@ -325,9 +331,9 @@
 }
 
 void
-request_on_refusal (struct entry *e, const struct bb_refusal *m)
+request_on_refusal (struct link *l, const struct bb_refusal *m)
 {
-  struct request *q = find_request (e, m->id);
+  struct request *q = find_request (l, m->id);
   struct bb_verdict v = { .run = m->run,
                           .reason = m->reason,
                           .retry_after_ms = m->retry_after_ms };
--- a/test/harness/frame.c
+++ b/test/harness/frame.c
@@ -2,6 +2,7 @@
 
 #include "harness.h"
 
+#include <arpa/inet.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +20,33 @@
   return p;
 }
 
+int
+frame_listen (uint16_t port)
+{
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *)&addr, sizeof addr) < 0
+      || listen (fd, 1) < 0)
+    abort ();
+  return fd;
+}
+
+struct frame_peer *
+frame_accept (int listener)
+{
+  struct frame_peer *p = calloc (1, sizeof *p);
+
+  p->fd = accept (listener, NULL, NULL);
+  if (p->fd < 0)
+    abort ();
+  return p;
+}
+
 void
 frame_close (struct frame_peer *p)
 {
--- a/test/harness/frame.h
+++ b/test/harness/frame.h
@@ -18,6 +18,12 @@
 struct frame_peer *frame_connect (uint16_t port);
 void frame_close (struct frame_peer *p);
 
+/* Listens on 127.0.0.1:PORT in the place of an agent.  Returns the socket.  */
+int frame_listen (uint16_t port);
+
+/* Takes the next connection at LISTENER.  */
+struct frame_peer *frame_accept (int listener);
+
 /* Sends the frames in BUF and empties it.  */
 void frame_send (struct frame_peer *p, msgpack_sbuffer *buf);
 
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -40,11 +40,34 @@
   abort ();
 }
 
+/* The harness of this process, for the case that a test aborts.  */
+static struct harness *current;
+
+static void
+kill_processes (const struct harness *h)
+{
+  for (uint32_t i = 0; i < h->processes_count; i++)
+    if (h->processes[i] > 0)
+      kill (h->processes[i], SIGKILL);
+}
+
+static void
+on_abort (int number)
+{
+  if (current)
+    kill_processes (current);
+  signal (number, SIG_DFL);
+  raise (number);
+}
+
 struct harness *
 harness_new (const char *build)
 {
   struct harness *h = calloc (1, sizeof *h);
 
+  current = h;
+  signal (SIGABRT, on_abort);
+
   signal (SIGPIPE, SIG_IGN);
   snprintf (h->build, sizeof h->build, "%s", build);
   snprintf (h->dir, sizeof h->dir, "/tmp/bilberry-XXXXXX");
@@ -69,12 +92,12 @@
 void
 harness_free (struct harness *h)
 {
+  current = NULL;
+  kill_processes (h);
   for (uint32_t i = 0; i < h->processes_count; i++)
     {
       if (h->processes[i] == 0)
         continue;
-      kill (h->processes[i], SIGCONT);
-      kill (h->processes[i], SIGKILL);
       waitpid (h->processes[i], NULL, 0);
     }
   for (uint32_t i = 0; i < h->ports_count; i++)
