Measure what the way through entry and agent costs

bench/overhead sends one short request, in turn, to a bare handler of h2o, to a stand-in directly and through one entry with four agents, with 5,200 other customers in the settings. Three rounds of one run each, one after the other in the same run.

--- /dev/null
+++ b/bench/overhead.c
@@ -0,0 +1,277 @@
+/* overhead - what the way through entry and agent costs.
+
+   Sends the same short request, in turn, to a bare handler of h2o, to the
+   stand-in directly and through one entry with several agents, first on one
+   connection and then on many.  Prints requests a second, latencies, what is
+   added, and processor time and memory of each process.  */
+
+#include "../test/harness/fleet.h"
+#include "../test/harness/load.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  UPSTREAMS = 4,
+  CUSTOMERS = 5200,
+  CONNECTIONS = 64,
+  THREADS = 2,
+  WARM_MS = 1000,
+  SPAN_MS = 4000,
+  ROUNDS = 3
+};
+
+enum target
+{
+  BARE,
+  DIRECT,
+  THROUGH,
+  TARGETS
+};
+
+static const char *const target_names[] = { "bare", "direct", "through" };
+
+struct usage
+{
+  double cpu_s;
+  uint64_t rss_kb;
+};
+
+static struct fleet fleet;
+static uint16_t ports[TARGETS];
+static pid_t pids[TARGETS];
+static FILE *csv;
+
+static struct usage
+read_usage (pid_t pid)
+{
+  struct usage u = { 0 };
+  char path[64];
+  char line[256];
+  unsigned long user = 0;
+  unsigned long sys = 0;
+  FILE *in;
+
+  snprintf (path, sizeof path, "/proc/%d/stat", (int)pid);
+  in = fopen (path, "r");
+  if (in
+      && fscanf (in,
+                 "%*d %*s %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+                 &user, &sys)
+             == 2)
+    u.cpu_s = (double)(user + sys) / (double)sysconf (_SC_CLK_TCK);
+  if (in)
+    fclose (in);
+  snprintf (path, sizeof path, "/proc/%d/status", (int)pid);
+  in = fopen (path, "r");
+  while (in && fgets (line, sizeof line, in))
+    if (strncmp (line, "VmRSS:", 6) == 0)
+      u.rss_kb = strtoul (line + 6, NULL, 10);
+  if (in)
+    fclose (in);
+  return u;
+}
+
+static void
+measure (enum target t, uint32_t connections, uint32_t span_ms,
+         struct load_result *r)
+{
+  static const char request[] = "GET /stock/7 HTTP/1.1\r\n"
+                                "Host: 127.0.0.1\r\n"
+                                "Authorization: Bearer key-1\r\n\r\n";
+  struct load_options o = { .port = ports[t],
+                            .connections = connections,
+                            .threads = connections > 1 ? THREADS : 1,
+                            .span_ms = span_ms,
+                            .request = request };
+
+  load_run (&o, r);
+}
+
+static void
+print_row (uint32_t round, enum target t, uint32_t connections,
+           const struct load_result *r, double cores)
+{
+  double rate = (double)r->answers / r->span_s;
+  double p50 = load_quantile_us (r, 0.5);
+  double p95 = load_quantile_us (r, 0.95);
+  double p99 = load_quantile_us (r, 0.99);
+
+  printf ("%5u %-8s %5u %9.0f %8.0f %8.0f %8.0f %7llu %6.2f\n", round,
+          target_names[t], connections, rate, p50, p95, p99,
+          (unsigned long long)r->others, cores);
+  if (csv)
+    fprintf (csv, "%u,%s,%u,%.0f,%.1f,%.1f,%.1f,%llu,%.2f\n", round,
+             target_names[t], connections, rate, p50, p95, p99,
+             (unsigned long long)r->others, cores);
+}
+
+/* Measures the three targets one after the other; what the path adds and its
+   share of the bare rate follow.  */
+static void
+run_round (uint32_t round, uint32_t connections)
+{
+  struct load_result r[TARGETS];
+
+  for (enum target t = BARE; t < TARGETS; t++)
+    {
+      struct usage before = read_usage (pids[t]);
+      measure (t, connections, SPAN_MS, &r[t]);
+      print_row (round, t, connections, &r[t],
+                 (read_usage (pids[t]).cpu_s - before.cpu_s) / r[t].span_s);
+    }
+  printf ("      added p50 %.0f us, p95 %.0f us, p99 %.0f us; "
+          "through/bare %.2f, through/direct %.2f\n",
+          load_quantile_us (&r[THROUGH], 0.5)
+              - load_quantile_us (&r[DIRECT], 0.5),
+          load_quantile_us (&r[THROUGH], 0.95)
+              - load_quantile_us (&r[DIRECT], 0.95),
+          load_quantile_us (&r[THROUGH], 0.99)
+              - load_quantile_us (&r[DIRECT], 0.99),
+          (double)r[THROUGH].answers / (double)r[BARE].answers,
+          (double)r[THROUGH].answers / (double)r[DIRECT].answers);
+  for (enum target t = BARE; t < TARGETS; t++)
+    load_free (&r[t]);
+}
+
+static void
+print_process (const char *name, pid_t pid)
+{
+  struct usage u = read_usage (pid);
+
+  printf ("%-16s %8.2f %8llu\n", name, u.cpu_s, (unsigned long long)u.rss_kb);
+}
+
+static void
+print_processes (void)
+{
+  char name[64];
+
+  printf ("\n%-16s %8s %8s\n", "process", "cpu s", "RSS KB");
+  print_process ("bare", pids[BARE]);
+  print_process (fleet.entries[0].name, fleet.entries[0].pid);
+  for (uint32_t i = 0; i < fleet.upstreams_count; i++)
+    {
+      snprintf (name, sizeof name, "agent-%s", fleet.upstreams[i].name);
+      print_process (name, fleet.upstreams[i].agent);
+      print_process (fleet.upstreams[i].name, fleet.upstreams[i].upstream);
+    }
+}
+
+/* Customers beside the one that sends; their names come before its name.  */
+static void
+write_customers (void)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  char key[32];
+  char sha[65];
+
+  fputs ("customers:\n", out);
+  for (uint32_t i = 0; i < CUSTOMERS; i++)
+    {
+      snprintf (key, sizeof key, "other-%u", i);
+      harness_sha256 (key, sha);
+      fprintf (out, "  other-%u: {key_sha256: '%s'}\n", i, sha);
+    }
+  fclose (out);
+  harness_write (fleet.h, "05-customers.yaml", "%s", text);
+  free (text);
+}
+
+/* The stand-ins bear everything, so that the way to them is measured.  */
+static void
+lift_limits (void)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+
+  fputs ("upstreams:\n", out);
+  for (uint32_t i = 0; i < fleet.upstreams_count; i++)
+    fprintf (out, "  %s: {limit: 1000, cold_limit: 1000}\n",
+             fleet.upstreams[i].name);
+  fclose (out);
+  harness_write (fleet.h, "50-limits.yaml", "%s", text);
+  free (text);
+}
+
+static void
+start (const char *build)
+{
+  char address[32];
+
+  fleet_init (&fleet, build, 0, UPSTREAMS, 1);
+  lift_limits ();
+  write_customers ();
+  fleet_start (&fleet);
+  ports[BARE] = harness_port (fleet.h);
+  snprintf (address, sizeof address, "127.0.0.1:%u", ports[BARE]);
+  pids[BARE] = harness_start (fleet.h, "bare", "fake-bare", "--address",
+                              address, (char *)NULL);
+  ports[DIRECT] = fleet.upstreams[0].port;
+  pids[DIRECT] = fleet.upstreams[0].upstream;
+  ports[THROUGH] = fleet.entries[0].port;
+  pids[THROUGH] = fleet.entries[0].pid;
+}
+
+static void
+open_csv (void)
+{
+  const char *report = getenv ("BILBERRY_REPORT");
+  char path[4096];
+  FILE *script;
+
+  if (!report)
+    return;
+  snprintf (path, sizeof path, "%s/overhead.csv", report);
+  csv = fopen (path, "w");
+  if (csv)
+    fputs ("round,target,connections,rate,p50_us,p95_us,p99_us,others,cores\n",
+           csv);
+  snprintf (path, sizeof path, "%s/overhead.gnuplot", report);
+  script = fopen (path, "w");
+  if (!script)
+    return;
+  fputs ("set terminal png size 800,500\n"
+         "set output 'overhead.png'\n"
+         "set datafile separator ','\n"
+         "set style data histogram\n"
+         "set style fill solid\n"
+         "set yrange [0:*]\n"
+         "set ylabel 'requests a second, many connections'\n"
+         "plot 'overhead.csv' using ($3>1?$4:NaN):xtic(2) notitle\n",
+         script);
+  fclose (script);
+}
+
+int
+main (void)
+{
+  const char *build = getenv ("BILBERRY_BUILD");
+  struct load_result r;
+
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  open_csv ();
+  start (build ? build : "build");
+  for (enum target t = BARE; t < TARGETS; t++)
+    {
+      measure (t, CONNECTIONS, WARM_MS, &r);
+      load_free (&r);
+    }
+  printf ("%5s %-8s %5s %9s %8s %8s %8s %7s %6s\n", "round", "target", "conns",
+          "req/s", "p50 us", "p95 us", "p99 us", "others", "cores");
+  for (uint32_t round = 1; round <= ROUNDS; round++)
+    {
+      run_round (round, 1);
+      run_round (round, CONNECTIONS);
+    }
+  print_processes ();
+  if (csv)
+    fclose (csv);
+  fleet_free (&fleet);
+  return 0;
+}
