Look settings up by hash tables

Cause: with 5,200 customers, half of an entry's samples (perf) lay in strcmp below bb_settings_customer, which went through the list. The merge searched lists in the same way and grew faster than the folder.

Change: nodes of a merged tree with many children keep a hash table, children are appended at the end, and bound settings carry tables by name and by key.

--- /dev/null
+++ b/bench/settings.c
@@ -0,0 +1,192 @@
+/* settings - what a folder of settings costs to read and to look up in.
+
+   Makes folders of rising size, up to 5,200 customers and 5,000 upstreams, and
+   prints the time to merge and check each and the time of one look-up.  */
+
+#include "bilberry/settings.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  FILES = 8, /* a file stays under a megabyte */
+  LOOKUPS = 20000,
+  SIZES = 4
+};
+
+static const uint32_t customers_of[SIZES] = { 650, 1300, 2600, 5200 };
+static const uint32_t upstreams_of[SIZES] = { 625, 1250, 2500, 5000 };
+
+static double
+now_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (double)ts.tv_sec * 1e3 + (double)ts.tv_nsec / 1e6;
+}
+
+static char *
+customer_key (uint32_t i)
+{
+  char text[32];
+
+  g_snprintf (text, sizeof text, "key-%u", i);
+  return g_compute_checksum_for_string (G_CHECKSUM_SHA256, text, -1);
+}
+
+static void
+print_customers (GString *out, uint32_t from, uint32_t to)
+{
+  g_string_append (out, "customers:\n");
+  for (uint32_t i = from; i < to; i++)
+    {
+      char *key = customer_key (i);
+      g_string_append_printf (
+          out, "  customer-%u: {key_sha256: '%s', weight: 2}\n", i, key);
+      g_free (key);
+    }
+}
+
+static void
+print_upstreams (GString *out, uint32_t from, uint32_t to)
+{
+  g_string_append (out, "upstreams:\n");
+  for (uint32_t i = from; i < to; i++)
+    g_string_append_printf (out,
+                            "  upstream-%u: {address: '10.0.%u.%u:8000', "
+                            "agent: '10.0.%u.%u:8001', failure_domain: fd-%u, "
+                            "pool: pool-%u}\n",
+                            i, i / 250, i % 250, i / 250, i % 250, i % 7,
+                            i % 9);
+}
+
+static void
+make_files (struct bb_files *files, uint32_t customers, uint32_t upstreams)
+{
+  files->files = calloc (FILES + 1, sizeof *files->files);
+  files->count = FILES + 1;
+  files->files[0].name = g_strdup ("00.yaml");
+  files->files[0].data = g_strdup ("failure_domains: {fd-0: {}, fd-1: {}, "
+                                   "fd-2: {}, fd-3: {}, fd-4: {}, fd-5: {}, "
+                                   "fd-6: {}}\n");
+  files->files[0].size = strlen (files->files[0].data);
+  for (uint32_t i = 0; i < FILES; i++)
+    {
+      struct bb_file *f = &files->files[i + 1];
+      GString *out = g_string_new (NULL);
+      print_customers (out, customers * i / FILES,
+                       customers * (i + 1) / FILES);
+      print_upstreams (out, upstreams * i / FILES,
+                       upstreams * (i + 1) / FILES);
+      f->name = g_strdup_printf ("%02u.yaml", i + 1);
+      f->size = out->len;
+      f->data = g_string_free (out, FALSE);
+    }
+}
+
+static double
+measure_lookups (const struct bb_settings *s, uint32_t customers)
+{
+  char **keys = calloc (customers, sizeof *keys);
+  uint32_t found = 0;
+  double start;
+  double spent;
+
+  for (uint32_t i = 0; i < customers; i++)
+    keys[i] = customer_key (i);
+  start = now_ms ();
+  for (uint32_t i = 0; i < LOOKUPS; i++)
+    if (bb_settings_customer (s, keys[i * 7919U % customers]))
+      found++;
+  spent = now_ms () - start;
+  if (found != LOOKUPS)
+    abort ();
+  for (uint32_t i = 0; i < customers; i++)
+    g_free (keys[i]);
+  free (keys);
+  return spent * 1e6 / LOOKUPS;
+}
+
+static void
+run (FILE *csv, uint32_t customers, uint32_t upstreams)
+{
+  struct bb_files files = { 0 };
+  struct bb_faults faults = { 0 };
+  struct bb_settings *s;
+  size_t bytes = 0;
+  double start;
+  double make_ms;
+  double find_ns;
+
+  make_files (&files, customers, upstreams);
+  for (size_t i = 0; i < files.count; i++)
+    bytes += files.files[i].size;
+  start = now_ms ();
+  s = bb_settings_make (&files, &faults);
+  make_ms = now_ms () - start;
+  if (!s)
+    {
+      printf ("%s\n", faults.lines[0]);
+      abort ();
+    }
+  find_ns = measure_lookups (s, customers);
+  printf ("%9u %9u %9zu %9.1f %9.0f\n", customers, upstreams, bytes / 1024,
+          make_ms, find_ns);
+  if (csv)
+    fprintf (csv, "%u,%u,%zu,%.1f,%.0f\n", customers, upstreams, bytes,
+             make_ms, find_ns);
+  bb_settings_free (s);
+  bb_files_free (&files);
+}
+
+static FILE *
+open_report (void)
+{
+  const char *report = getenv ("BILBERRY_REPORT");
+  FILE *csv;
+  FILE *script;
+  char *path;
+
+  if (!report)
+    return NULL;
+  path = g_build_filename (report, "settings.gnuplot", NULL);
+  script = fopen (path, "w");
+  g_free (path);
+  if (script)
+    {
+      fputs ("set terminal png size 800,500\n"
+             "set output 'settings.png'\n"
+             "set datafile separator ','\n"
+             "set yrange [0:*]\n"
+             "set xlabel 'customers'\n"
+             "set ylabel 'ms to merge and check'\n"
+             "plot 'settings.csv' using 1:4 with linespoints notitle\n",
+             script);
+      fclose (script);
+    }
+  path = g_build_filename (report, "settings.csv", NULL);
+  csv = fopen (path, "w");
+  g_free (path);
+  if (csv)
+    fputs ("customers,upstreams,bytes,make_ms,find_ns\n", csv);
+  return csv;
+}
+
+int
+main (void)
+{
+  FILE *csv = open_report ();
+
+  printf ("%9s %9s %9s %9s %9s\n", "customers", "upstreams", "KB", "make ms",
+          "find ns");
+  for (uint32_t i = 0; i < SIZES; i++)
+    run (csv, customers_of[i], upstreams_of[i]);
+  if (csv)
+    fclose (csv);
+  return 0;
+}
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -71,9 +71,12 @@
   char *failure_domain;
 };
 
+struct bb_settings_index;
+
 /* All settings, bound and checked.  */
 struct bb_settings
 {
+  struct bb_settings_index *index;
   struct bb_failure_domain_settings *failure_domains;
   uint32_t failure_domains_count;
   struct bb_upstream_settings *upstreams;
--- a/libsettings/bind.c
+++ b/libsettings/bind.c
@@ -240,21 +240,11 @@
     }
 }
 
-static uint32_t
-count_children (const struct bb_node *n)
-{
-  uint32_t count = 0;
-
-  for (const struct bb_node *c = n->children; c; c = c->next)
-    count++;
-  return count;
-}
-
 static void
 bind_section (struct bind *b, const struct bb_section *s,
               const struct bb_node *map, struct bb_settings *out)
 {
-  uint32_t count = count_children (map);
+  uint32_t count = map->count;
   char *items = calloc (count ? count : 1, s->item_size);
   char *item = items;
 
@@ -306,7 +296,10 @@
     }
   bb_node_free (root);
   if (faults->count == first)
-    return out;
+    {
+      out->index = bb_index_new (out);
+      return out;
+    }
   bb_settings_free (out);
   return NULL;
 }
@@ -326,6 +319,7 @@
 {
   if (!s)
     return;
+  bb_index_free (s->index);
   for (const struct bb_section *t = bb_sections; t->name; t++)
     {
       char *items = *(char **)((char *)s + t->items_offset);
--- a/libsettings/find.c
+++ b/libsettings/find.c
@@ -8,28 +8,19 @@
 const struct bb_failure_domain_settings *
 bb_settings_failure_domain (const struct bb_settings *s, const char *name)
 {
-  for (uint32_t i = 0; i < s->failure_domains_count; i++)
-    if (strcmp (s->failure_domains[i].name, name) == 0)
-      return &s->failure_domains[i];
-  return NULL;
+  return g_hash_table_lookup (s->index->failure_domains, name);
 }
 
 const struct bb_upstream_settings *
 bb_settings_upstream (const struct bb_settings *s, const char *name)
 {
-  for (uint32_t i = 0; i < s->upstreams_count; i++)
-    if (strcmp (s->upstreams[i].name, name) == 0)
-      return &s->upstreams[i];
-  return NULL;
+  return g_hash_table_lookup (s->index->upstreams, name);
 }
 
 const struct bb_entry_settings *
 bb_settings_entry (const struct bb_settings *s, const char *name)
 {
-  for (uint32_t i = 0; i < s->entries_count; i++)
-    if (strcmp (s->entries[i].name, name) == 0)
-      return &s->entries[i];
-  return NULL;
+  return g_hash_table_lookup (s->index->entries, name);
 }
 
 bool
@@ -46,10 +37,7 @@
 const struct bb_customer_settings *
 bb_settings_customer (const struct bb_settings *s, const char *key_hex)
 {
-  for (uint32_t i = 0; i < s->customers_count; i++)
-    if (strcmp (s->customers[i].key_sha256, key_hex) == 0)
-      return &s->customers[i];
-  return NULL;
+  return g_hash_table_lookup (s->index->customers_by_key, key_hex);
 }
 
 static bool
--- a/libsettings/node.c
+++ b/libsettings/node.c
@@ -1,171 +1,44 @@
-/* Parses YAML by libyaml into trees that keep the file and line of each
-   value.  */
+/* Trees of settings: children by key, and merging.  */
 
 #include "table.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <yaml.h>
 
 enum
 {
-  DEPTH_MAX = 16
+  HASH_FROM = 16 /* children; fewer are searched one by one */
 };
 
-struct parse
-{
-  yaml_document_t doc;
-  const char *file;
-  struct bb_faults *faults;
-};
-
-static struct bb_node *convert (struct parse *p, int id, uint32_t depth);
-
-static bool
-convert_pair (struct parse *p, struct bb_node *map,
-              const yaml_node_pair_t *pair, uint32_t depth)
-{
-  const yaml_node_t *key = yaml_document_get_node (&p->doc, pair->key);
-  struct bb_node *child;
-
-  if (key->type != YAML_SCALAR_NODE)
-    {
-      bb_fault (p->faults, p->file, key->start_mark.line + 1,
-                "a key must be a plain word");
-      return false;
-    }
-  if (bb_node_child (map, (const char *)key->data.scalar.value))
-    {
-      bb_fault (p->faults, p->file, key->start_mark.line + 1,
-                "duplicate name '%s'; give each name once in a file",
-                key->data.scalar.value);
-      return false;
-    }
-  child = convert (p, pair->value, depth + 1);
-  if (!child)
-    return false;
-  child->key = strdup ((const char *)key->data.scalar.value);
-  child->line = key->start_mark.line + 1;
-  child->next = map->children;
-  map->children = child;
-  return true;
-}
-
-static void
-reverse_children (struct bb_node *n)
-{
-  struct bb_node *list = NULL;
-
-  while (n->children)
-    {
-      struct bb_node *c = n->children;
-      n->children = c->next;
-      c->next = list;
-      list = c;
-    }
-  n->children = list;
-}
-
-static bool
-convert_children (struct parse *p, struct bb_node *n, const yaml_node_t *y,
-                  uint32_t depth)
-{
-  bool good = true;
-
-  if (y->type == YAML_MAPPING_NODE)
-    {
-      const yaml_node_pair_t *pair = y->data.mapping.pairs.start;
-      for (; pair < y->data.mapping.pairs.top; pair++)
-        good &= convert_pair (p, n, pair, depth);
-    }
-  else
-    {
-      const yaml_node_item_t *item = y->data.sequence.items.start;
-      for (; item < y->data.sequence.items.top; item++)
-        {
-          struct bb_node *child = convert (p, *item, depth + 1);
-          if (!child)
-            return false;
-          child->next = n->children;
-          n->children = child;
-        }
-    }
-  reverse_children (n);
-  return good;
-}
-
-static struct bb_node *
-convert (struct parse *p, int id, uint32_t depth)
-{
-  const yaml_node_t *y = yaml_document_get_node (&p->doc, id);
-  struct bb_node *n;
-
-  if (depth > DEPTH_MAX)
-    {
-      bb_fault (p->faults, p->file, y->start_mark.line + 1,
-                "values are nested too deep");
-      return NULL;
-    }
-  n = calloc (1, sizeof *n);
-  n->file = p->file;
-  n->line = y->start_mark.line + 1;
-  if (y->type == YAML_SCALAR_NODE)
-    {
-      n->kind = BB_NODE_SCALAR;
-      n->value = strdup ((const char *)y->data.scalar.value);
-      n->quoted = y->data.scalar.style != YAML_PLAIN_SCALAR_STYLE;
-      return n;
-    }
-  n->kind = y->type == YAML_MAPPING_NODE ? BB_NODE_MAP : BB_NODE_LIST;
-  if (convert_children (p, n, y, depth))
-    return n;
-  bb_node_free (n);
-  return NULL;
-}
-
 static void
-report_syntax (const struct bb_file *file, const yaml_parser_t *y,
-               struct bb_faults *faults)
+hash_children (struct bb_node *map)
 {
-  if (y->error == YAML_READER_ERROR)
-    bb_fault (faults, file->name, 1, "not UTF-8 text: %s at byte %zu",
-              y->problem, y->problem_offset);
-  else
-    bb_fault (faults, file->name, y->problem_mark.line + 1, "not YAML: %s",
-              y->problem ? y->problem : "unknown fault");
+  map->by_key = g_hash_table_new (g_str_hash, g_str_equal);
+  for (struct bb_node *c = map->children; c; c = c->next)
+    g_hash_table_insert (map->by_key, c->key, c);
 }
 
-struct bb_node *
-bb_node_parse (const struct bb_file *file, struct bb_faults *faults)
+void
+bb_node_add (struct bb_node *parent, struct bb_node *child)
 {
-  struct parse p = { .file = file->name, .faults = faults };
-  struct bb_node *root = NULL;
-  yaml_parser_t y;
-  const yaml_node_t *top;
-
-  if (!yaml_parser_initialize (&y))
-    abort ();
-  yaml_parser_set_input_string (&y, (const unsigned char *)file->data,
-                                file->size);
-  if (!yaml_parser_load (&y, &p.doc))
-    {
-      report_syntax (file, &y, faults);
-      goto out;
-    }
-  top = yaml_document_get_root_node (&p.doc);
-  if (!top || top->type != YAML_MAPPING_NODE)
-    bb_fault (faults, file->name, 1, "the file must hold a mapping");
+  child->next = NULL;
+  if (parent->last)
+    parent->last->next = child;
   else
-    root = convert (&p, 1, 0);
-  yaml_document_delete (&p.doc);
-out:
-  yaml_parser_delete (&y);
-  return root;
+    parent->children = child;
+  parent->last = child;
+  parent->count++;
+  if (parent->by_key)
+    g_hash_table_insert (parent->by_key, child->key, child);
+  else if (parent->kind == BB_NODE_MAP && parent->count == HASH_FROM)
+    hash_children (parent);
 }
 
 struct bb_node *
 bb_node_child (const struct bb_node *map, const char *key)
 {
+  if (map->by_key)
+    return g_hash_table_lookup (map->by_key, key);
   for (struct bb_node *c = map->children; c; c = c->next)
     if (c->key && strcmp (c->key, key) == 0)
       return c;
@@ -179,6 +52,8 @@
 
   if (!node)
     return;
+  if (node->by_key)
+    g_hash_table_destroy (node->by_key);
   for (struct bb_node *c = node->children; c; c = next)
     {
       next = c->next;
@@ -189,27 +64,25 @@
   free (node);
 }
 
-/* Gives BASE the content of LATER and frees LATER.  */
+/* Gives BASE, which keeps its key and place, the content of LATER and frees
+   LATER.  */
 static void
 replace (struct bb_node *base, struct bb_node *later)
 {
   struct bb_node old = *base;
 
-  base->kind = later->kind;
-  base->value = later->value;
-  base->quoted = later->quoted;
-  base->file = later->file;
-  base->line = later->line;
-  base->children = later->children;
-  later->value = old.value;
-  later->children = old.children;
+  *base = *later;
+  base->key = old.key;
+  base->next = old.next;
+  old.key = later->key;
+  old.next = NULL;
+  *later = old;
   bb_node_free (later);
 }
 
 void
 bb_node_merge (struct bb_node *base, struct bb_node *later)
 {
-  struct bb_node **tail = &base->children;
   struct bb_node *next;
 
   if (base->kind != BB_NODE_MAP || later->kind != BB_NODE_MAP)
@@ -221,15 +94,10 @@
     {
       struct bb_node *same = bb_node_child (base, c->key);
       next = c->next;
-      c->next = NULL;
       if (same)
-        {
-          bb_node_merge (same, c);
-          continue;
-        }
-      while (*tail)
-        tail = &(*tail)->next;
-      *tail = c;
+        bb_node_merge (same, c);
+      else
+        bb_node_add (base, c);
     }
   later->children = NULL;
   bb_node_free (later);
--- a/libsettings/table.h
+++ b/libsettings/table.h
@@ -5,6 +5,8 @@
 
 #include "bilberry/settings.h"
 
+#include <glib.h>
+
 enum bb_field_type
 {
   BB_FIELD_STRING,
@@ -57,9 +59,15 @@
   const char *file;
   size_t line;
   struct bb_node *children;
+  struct bb_node *last; /* of the children */
+  uint32_t count;       /* of the children */
+  GHashTable *by_key;   /* of a map with many children */
   struct bb_node *next;
 };
 
+/* Adds CHILD, whose key is set, to the end of a map or list.  */
+void bb_node_add (struct bb_node *parent, struct bb_node *child);
+
 /* Parses FILE into a tree; NULL and a fault when it is not a YAML mapping.  */
 struct bb_node *bb_node_parse (const struct bb_file *file,
                                struct bb_faults *faults);
@@ -73,6 +81,18 @@
 struct bb_node *bb_files_merge (const struct bb_files *files,
                                 struct bb_faults *faults);
 
+/* Hash tables over bound settings, for look-ups by name.  */
+struct bb_settings_index
+{
+  GHashTable *failure_domains;
+  GHashTable *upstreams;
+  GHashTable *entries;
+  GHashTable *customers_by_key;
+};
+
+struct bb_settings_index *bb_index_new (const struct bb_settings *s);
+void bb_index_free (struct bb_settings_index *index);
+
 void bb_fault (struct bb_faults *faults, const char *file, size_t line,
                const char *format, ...)
     __attribute__ ((format (printf, 4, 5)));
