--- /dev/null
+++ b/bench/map.c
@@ -0,0 +1,437 @@
+/* map - step-time skew, weights moved and throughput of ways to keep an
+   expert map, on the same made traces; and the time of the planners.
+
+   Usage: map [LAYERS [INTERVALS]]  */
+
+#include "bilberry/map.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  INTERVAL_MS = 10000,
+  INTERVALS = 240,
+  LAYERS = 3,
+  MODEL_LAYERS = 60,
+  TOKENS = 1600000, /* on a layer and interval */
+  CHECK_INTERVALS = 1,
+  FULL_INTERVALS = 30,
+  WARM_INTERVALS = 12, /* not measured: all ways start from counts */
+  GAP_PERMILLE = 100,
+  EXPERT_KB = 44000,
+  STORE_KB_PER_MS = 1000,
+  PAUSE_MS = 50,
+  HORIZON_MS = 600000,
+  REFRESH_MS = 60000,
+  MOVES_MAX = 240, /* of one switch: about one interval of transfer */
+  BUDGET = 400
+};
+
+static const double move_ms = 4.4; /* a tenth of the transfer time */
+static const double exponents[] = { 0.6, 1.0, 1.4 };
+
+/* A way to keep the map.  */
+struct way
+{
+  const char *name;
+  enum bb_split split;
+  const struct bb_planner *planner; /* NULL: bb_plan with its costs */
+  uint32_t every;                   /* intervals; 0: only at the start */
+  bool instant;                     /* weights move in no time */
+};
+
+static const struct way ways[] = {
+  { "static", BB_SPLIT_EVEN, &bb_planner_greedy, 0, false },
+  { "full-greedy", BB_SPLIT_EVEN, &bb_planner_greedy, FULL_INTERVALS, false },
+  { "full-fill", BB_SPLIT_WEIGHTED, &bb_planner_fill, FULL_INTERVALS, false },
+  { "full-ideal", BB_SPLIT_WEIGHTED, &bb_planner_fill, 1, true },
+  { "plan-even", BB_SPLIT_EVEN, NULL, CHECK_INTERVALS, false },
+  { "plan", BB_SPLIT_WEIGHTED, NULL, CHECK_INTERVALS, false },
+};
+
+enum
+{
+  WAYS = sizeof ways / sizeof *ways
+};
+
+/* One way on one trace.  */
+struct run
+{
+  const struct way *way;
+  const struct bb_trace *trace;
+  struct bb_load_estimate *estimate;
+  struct bb_map *map;     /* in force */
+  struct bb_map *next;    /* being loaded; NULL: none */
+  uint32_t next_interval; /* when it comes into force */
+  uint64_t moves;
+  uint32_t switches;
+  double *skew; /* of each measured interval */
+  double bound;
+  uint32_t measured;
+};
+
+static struct bb_layer_input
+input_of (const struct run *r)
+{
+  struct bb_layer_input in
+      = { .size = r->trace->size, .split = r->way->split };
+
+  return in;
+}
+
+static void
+gather (struct run *r, uint32_t interval, GRand *gaps)
+{
+  for (uint32_t l = 0; l < r->trace->size.layers; l++)
+    if (g_rand_int_range (gaps, 0, 1000) >= GAP_PERMILLE)
+      bb_load_estimate_add (r->estimate, l,
+                            bb_trace_at (r->trace, interval, l),
+                            (bb_ms)(interval + 1) * INTERVAL_MS);
+}
+
+static void
+plan_all (const struct run *r, const struct bb_planner *p, const double *load,
+          struct bb_map *next)
+{
+  struct bb_layer_input in = input_of (r);
+
+  for (uint32_t l = 0; l < in.size.layers; l++)
+    {
+      in.load = load + (size_t)l * in.size.experts;
+      p->plan (&in, &r->map->layers[l], BUDGET, &next->layers[l]);
+    }
+}
+
+static bool
+plan (struct run *r, uint32_t interval, struct bb_map *next)
+{
+  struct bb_layer_input in = input_of (r);
+  struct bb_plan_cost cost
+      = { .horizon_ms = HORIZON_MS,
+          .refresh_ms = REFRESH_MS,
+          .moves_max = MAX (1, MOVES_MAX * in.size.layers / MODEL_LAYERS),
+          .pause_ms = PAUSE_MS,
+          .move_ms = move_ms * MODEL_LAYERS / in.size.layers,
+          .budget = BUDGET };
+  double *load = g_new (double, in.size.layers *in.size.experts);
+  bool change = true;
+
+  bb_load_estimate_at (r->estimate, (bb_ms)(interval + 1) * INTERVAL_MS, load);
+  if (interval <= WARM_INTERVALS)
+    plan_all (r,
+              r->way->split == BB_SPLIT_EVEN ? &bb_planner_greedy
+                                             : &bb_planner_fill,
+              load, next);
+  else if (r->way->planner)
+    plan_all (r, r->way->planner, load, next);
+  else
+    change = bb_plan (&in, load, &cost, r->map, next).worthwhile;
+  g_free (load);
+  return change;
+}
+
+/* Starts to load a map where the way wants one.  */
+static void
+decide (struct run *r, uint32_t interval)
+{
+  struct bb_map *next;
+  uint32_t moves;
+  bb_ms load_ms;
+
+  if (r->next || interval < WARM_INTERVALS
+      || (interval > WARM_INTERVALS
+          && (r->way->every == 0 || interval % r->way->every != 0)))
+    return;
+  next = bb_map_copy (r->map);
+  if (!plan (r, interval, next))
+    {
+      bb_map_free (next);
+      return;
+    }
+  g_assert_true (bb_map_is_valid (next));
+  moves = bb_map_moves (r->map, next);
+  load_ms = (bb_ms)moves * MODEL_LAYERS / r->trace->size.layers * EXPERT_KB
+            / STORE_KB_PER_MS;
+  r->next = next;
+  r->next_interval = interval + 1;
+  if (interval == WARM_INTERVALS)
+    return;
+  if (!r->way->instant)
+    r->next_interval += (uint32_t)(load_ms / INTERVAL_MS);
+  r->moves += moves;
+  r->switches++;
+}
+
+static void
+measure (struct run *r, uint32_t interval)
+{
+  struct bb_layer_input in = input_of (r);
+  double *load = g_new (double, in.size.experts);
+  double largest = 0;
+  double mean = 0;
+  double bound = 0;
+
+  in.load = load;
+  for (uint32_t l = 0; l < in.size.layers; l++)
+    {
+      const uint32_t *tokens = bb_trace_at (r->trace, interval, l);
+      struct bb_layer_time t;
+      for (uint32_t e = 0; e < in.size.experts; e++)
+        load[e] = tokens[e];
+      t = bb_layer_time (&in, &r->map->layers[l]);
+      largest += t.largest;
+      mean += t.mean;
+      bound += bb_layer_bound (&in);
+    }
+  r->skew[r->measured++] = largest / mean;
+  r->bound += bound / mean;
+  g_free (load);
+}
+
+static void
+run_way (struct run *r, const struct way *way, const struct bb_trace *trace)
+{
+  struct bb_load_options o
+      = { .drift_ms = 30 * INTERVAL_MS, .trend_ms = 30 * INTERVAL_MS };
+  GRand *gaps = g_rand_new_with_seed (7);
+
+  memset (r, 0, sizeof *r);
+  r->way = way;
+  r->trace = trace;
+  r->estimate = bb_load_estimate_new (&trace->size, &o);
+  r->map = bb_map_new (&trace->size);
+  r->skew = g_new (double, trace->intervals);
+  for (uint32_t i = 0; i < trace->intervals; i++)
+    {
+      if (r->next && i >= r->next_interval)
+        {
+          bb_map_free (r->map);
+          r->map = r->next;
+          r->next = NULL;
+        }
+      if (i > WARM_INTERVALS)
+        measure (r, i);
+      gather (r, i, gaps);
+      decide (r, i);
+    }
+  g_rand_free (gaps);
+}
+
+static void
+run_free (struct run *r)
+{
+  bb_load_estimate_free (r->estimate);
+  bb_map_free (r->map);
+  bb_map_free (r->next);
+  g_free (r->skew);
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+static FILE *
+report (const char *name)
+{
+  const char *dir = g_getenv ("BILBERRY_REPORT");
+  char *path = g_build_filename (dir ? dir : ".", name, NULL);
+  FILE *out = fopen (path, "w");
+
+  if (!out)
+    g_error ("cannot write %s", path);
+  g_free (path);
+  return out;
+}
+
+static void
+print_run (const struct run *r, const char *kind, double exponent, FILE *csv)
+{
+  double *sorted = g_memdup2 (r->skew, r->measured * sizeof *r->skew);
+  double bound = r->bound / r->measured;
+  double mean = 0;
+  double p99;
+  double span_ms = (double)r->measured * INTERVAL_MS;
+  double paused = r->switches * (double)PAUSE_MS / span_ms;
+  double gb = (double)r->moves * MODEL_LAYERS / r->trace->size.layers
+              * EXPERT_KB / 1e6;
+
+  for (uint32_t i = 0; i < r->measured; i++)
+    mean += r->skew[i] / r->measured;
+  qsort (sorted, r->measured, sizeof *sorted, by_value);
+  p99 = sorted[(r->measured - 1) * 99 / 100];
+  printf ("%-8s %4.1f %-12s %7.3f %7.3f %7.3f %8.1f%% %9.0f %7u %8.3f%% "
+          "%7.3f\n",
+          kind, exponent, r->way->name, mean, p99, bound,
+          (mean / bound - 1) * 100, gb, r->switches, paused * 100,
+          (1 - paused) / mean);
+  fprintf (csv, "%s,%.1f,%s,%.4f,%.4f,%.4f,%.1f,%u,%.6f,%.4f\n", kind,
+           exponent, r->way->name, mean, p99, bound, gb, r->switches, paused,
+           (1 - paused) / mean);
+  fflush (stdout);
+  g_free (sorted);
+}
+
+/* Writes skew over time, a column for each way, and how to plot it.  */
+static void
+write_plot (const struct run *runs, const char *kind, double exponent)
+{
+  char *name = g_strdup_printf ("map-%s-%.1f.csv", kind, exponent);
+  char *script = g_strdup_printf ("map-%s-%.1f.gnuplot", kind, exponent);
+  FILE *out = report (name);
+
+  fprintf (out, "minutes");
+  for (uint32_t w = 0; w < WAYS; w++)
+    fprintf (out, ",%s", runs[w].way->name);
+  fprintf (out, "\n");
+  for (uint32_t i = 0; i < runs[0].measured; i++)
+    {
+      fprintf (out, "%.2f",
+               (i + WARM_INTERVALS + 1) * (double)INTERVAL_MS / 60000);
+      for (uint32_t w = 0; w < WAYS; w++)
+        fprintf (out, ",%.4f", runs[w].skew[i]);
+      fprintf (out, "\n");
+    }
+  fclose (out);
+  out = report (script);
+  fprintf (out,
+           "set terminal svg size 900,420\nset output 'map-%s-%.1f.svg'\n"
+           "set datafile separator ','\nset key outside\n"
+           "set title 'Step-time skew, %s, Zipf %.1f'\n"
+           "set xlabel 'minutes'\nset ylabel 'largest over mean rank time'\n"
+           "plot for [i=2:%d] '%s' using 1:i with lines "
+           "title columnheader(i)\n",
+           kind, exponent, kind, exponent, WAYS + 1, name);
+  fclose (out);
+  g_free (name);
+  g_free (script);
+}
+
+static void
+compare_ways (uint32_t layers, uint32_t intervals)
+{
+  struct bb_map_size size
+      = { .layers = layers, .experts = 128, .ranks = 128, .slots = 2 };
+  FILE *csv = report ("map.csv");
+
+  printf ("%-8s %4s %-12s %7s %7s %7s %9s %9s %7s %9s %7s\n", "trace", "zipf",
+          "way", "mean", "p99", "bound", "over", "moved-GB", "changes",
+          "paused", "thrput");
+  fprintf (csv, "trace,zipf,way,skew_mean,skew_p99,bound,moved_gb,switches,"
+                "paused,throughput\n");
+  for (uint32_t k = 0; k < BB_TRACE_KINDS; k++)
+    for (size_t x = 0; x < sizeof exponents / sizeof *exponents; x++)
+      {
+        GRand *rand = g_rand_new_with_seed (1000 + k);
+        struct bb_trace *t = bb_trace_make (
+            k, exponents[x], &size, INTERVAL_MS, intervals, TOKENS, rand);
+        struct run runs[WAYS];
+        for (uint32_t w = 0; w < WAYS; w++)
+          {
+            run_way (&runs[w], &ways[w], t);
+            print_run (&runs[w], bb_trace_kind_name (k), exponents[x], csv);
+          }
+        write_plot (runs, bb_trace_kind_name (k), exponents[x]);
+        for (uint32_t w = 0; w < WAYS; w++)
+          run_free (&runs[w]);
+        bb_trace_free (t);
+        g_rand_free (rand);
+      }
+  fclose (csv);
+}
+
+/* Plans LAYERS layers by P; the map present fits the loads of a day before. */
+static void
+time_planner (const struct bb_planner *p, enum bb_split split,
+              const struct bb_map_size *size, double exponent, FILE *csv)
+{
+  GRand *rand = g_rand_new_with_seed (5);
+  struct bb_trace *t = bb_trace_make (BB_TRACE_EVENING, exponent, size,
+                                      INTERVAL_MS, 40, TOKENS, rand);
+  struct bb_layer_input in = { .size = *size, .split = split };
+  struct bb_map *map = bb_map_new (size);
+  struct bb_map *next = bb_map_copy (map);
+  double *load = g_new (double, size->experts);
+  double over = 0;
+  gint64 worst = 0;
+  gint64 spent = 0;
+
+  in.load = load;
+  for (uint32_t l = 0; l < size->layers; l++)
+    {
+      gint64 from;
+      for (uint32_t e = 0; e < size->experts; e++)
+        load[e] = bb_trace_at (t, 0, l)[e];
+      bb_planner_fill.plan (&in, &map->layers[l], BUDGET, &map->layers[l]);
+      for (uint32_t e = 0; e < size->experts; e++)
+        load[e] = bb_trace_at (t, 39, l)[e];
+      from = g_get_monotonic_time ();
+      p->plan (&in, &map->layers[l], BUDGET, &next->layers[l]);
+      from = g_get_monotonic_time () - from;
+      spent += from;
+      worst = MAX (worst, from);
+      over += bb_layer_time (&in, &next->layers[l]).largest
+              / bb_layer_bound (&in) / size->layers;
+    }
+  printf ("%-8s %-8s %4.1f %6u %8u %5u %9.2f %9.2f %8.1f%% %8.1f\n", p->name,
+          split == BB_SPLIT_EVEN ? "even" : "weighted", exponent, size->ranks,
+          size->experts, size->slots, (double)spent / 1000 / size->layers,
+          (double)worst / 1000, (over - 1) * 100,
+          (double)bb_map_moves (map, next) / size->layers);
+  fprintf (csv, "%s,%s,%.1f,%u,%u,%u,%.3f,%.3f,%.4f\n", p->name,
+           split == BB_SPLIT_EVEN ? "even" : "weighted", exponent, size->ranks,
+           size->experts, size->slots, (double)spent / 1000 / size->layers,
+           (double)worst / 1000, over);
+  bb_map_free (map);
+  bb_map_free (next);
+  g_free (load);
+  bb_trace_free (t);
+  g_rand_free (rand);
+}
+
+static void
+time_planners (void)
+{
+  static const uint32_t ranks[] = { 32, 64, 128 };
+  FILE *csv = report ("map-planner.csv");
+
+  printf ("\n%-8s %-8s %4s %6s %8s %5s %9s %9s %9s %8s\n", "planner", "split",
+          "zipf", "ranks", "experts", "slots", "mean-ms", "worst-ms", "over",
+          "moves");
+  for (uint32_t n = 0; bb_planners[n]; n++)
+    for (uint32_t split = 0; split < 2; split++)
+      for (size_t x = 0; x < sizeof exponents / sizeof *exponents; x++)
+        {
+          struct bb_map_size size
+              = { .layers = 60, .experts = 128, .ranks = 128, .slots = 2 };
+          time_planner (bb_planners[n], split, &size, exponents[x], csv);
+        }
+  for (size_t i = 0; i < sizeof ranks / sizeof *ranks; i++)
+    for (uint32_t experts = ranks[i]; experts <= 256; experts *= 2)
+      {
+        struct bb_map_size size = { .layers = 10,
+                                    .experts = experts,
+                                    .ranks = ranks[i],
+                                    .slots = experts / ranks[i] + 1 };
+        time_planner (&bb_planner_local, BB_SPLIT_WEIGHTED, &size, 1.0, csv);
+      }
+  fclose (csv);
+}
+
+int
+main (int argc, char **argv)
+{
+  uint32_t layers = argc > 1 ? (uint32_t)atoi (argv[1]) : LAYERS;
+  uint32_t intervals = argc > 2 ? (uint32_t)atoi (argv[2]) : INTERVALS;
+
+  time_planners ();
+  printf ("\n");
+  compare_ways (layers, intervals);
+  return 0;
+}
--- /dev/null
+++ b/libmap/bound.c
@@ -0,0 +1,85 @@
+#include "work.h"
+
+#include <math.h>
+
+struct bb_layer_time
+bb_layer_time (const struct bb_layer_input *in,
+               const struct bb_map_layer *layer)
+{
+  struct bb_layer_time t = { 0 };
+  double speed = 0;
+  double total = 0;
+
+  for (uint32_t r = 0; r < in->size.ranks; r++)
+    {
+      double load = 0;
+      for (uint32_t i = r * in->size.slots; i < (r + 1) * in->size.slots; i++)
+        if (layer->expert[i] != BB_NO_EXPERT)
+          load
+              += in->load[layer->expert[i]] * layer->share[i] / BB_SHARE_WHOLE;
+      t.largest = fmax (t.largest, load / speed_of (in, r));
+      total += load;
+      speed += speed_of (in, r);
+    }
+  t.mean = total / speed;
+  return t;
+}
+
+/* Returns the heaviest share after the spare slots have gone, one by one, to
+   the expert whose share is heaviest.  */
+static double
+heaviest_even_share (const struct bb_layer_input *in)
+{
+  uint32_t spare = in->size.ranks * in->size.slots - in->size.experts;
+  uint32_t *copies = g_new (uint32_t, in->size.experts);
+  double heaviest = 0;
+
+  for (uint32_t e = 0; e < in->size.experts; e++)
+    copies[e] = 1;
+  for (;; spare--)
+    {
+      uint32_t top = 0;
+      for (uint32_t e = 1; e < in->size.experts; e++)
+        if (in->load[e] / copies[e] > in->load[top] / copies[top])
+          top = e;
+      heaviest = in->load[top] / copies[top];
+      if (spare == 0 || copies[top] == in->size.ranks)
+        break;
+      copies[top]++;
+    }
+  g_free (copies);
+  return heaviest;
+}
+
+/* Returns the share of the heaviest expert spread over all ranks that the
+   spare slots allow.  */
+static double
+heaviest_weighted_share (const struct bb_layer_input *in)
+{
+  uint32_t most = in->size.ranks * in->size.slots - in->size.experts + 1;
+  double heaviest = 0;
+
+  most = MIN (most, in->size.ranks);
+  for (uint32_t e = 0; e < in->size.experts; e++)
+    heaviest = fmax (heaviest, in->load[e] / most);
+  return heaviest;
+}
+
+double
+bb_layer_bound (const struct bb_layer_input *in)
+{
+  double total = 0;
+  double speed = 0;
+  double fastest = 0;
+  double share = in->split == BB_SPLIT_EVEN ? heaviest_even_share (in)
+                                            : heaviest_weighted_share (in);
+
+  for (uint32_t e = 0; e < in->size.experts; e++)
+    total += in->load[e];
+  for (uint32_t r = 0; r < in->size.ranks; r++)
+    {
+      speed += speed_of (in, r);
+      fastest = fmax (fastest, speed_of (in, r));
+    }
+  return fmax (total / speed, share / fastest);
+}
--- /dev/null
+++ b/libmap/trace.c
@@ -0,0 +1,201 @@
+#include "bilberry/map.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SIZE_MAX_EACH = 4096,
+  VALUES_MAX = 1 << 28,
+  LINE_MAX_BYTES = SIZE_MAX_EACH * 11 + 64
+};
+
+struct bb_trace *
+bb_trace_new (const struct bb_map_size *size, bb_ms interval_ms,
+              uint32_t intervals)
+{
+  struct bb_trace *t = g_new0 (struct bb_trace, 1);
+
+  t->size = *size;
+  t->interval_ms = interval_ms;
+  t->intervals = intervals;
+  t->tokens
+      = g_new0 (uint32_t, (size_t)intervals * size->layers * size->experts);
+  return t;
+}
+
+void
+bb_trace_free (struct bb_trace *t)
+{
+  if (!t)
+    return;
+  g_free (t->tokens);
+  g_free (t);
+}
+
+uint32_t *
+bb_trace_at (const struct bb_trace *t, uint32_t interval, uint32_t layer)
+{
+  return t->tokens
+         + ((size_t)interval * t->size.layers + layer) * t->size.experts;
+}
+
+void
+bb_trace_write (const struct bb_trace *t, FILE *out)
+{
+  fprintf (out, "bilberry-trace 1\n");
+  fprintf (out, "size %u %u %u %u\n", t->size.layers, t->size.experts,
+           t->size.ranks, t->size.slots);
+  fprintf (out, "interval_ms %" PRId64 "\n", t->interval_ms);
+  for (uint32_t i = 0; i < t->intervals; i++)
+    for (uint32_t l = 0; l < t->size.layers; l++)
+      {
+        const uint32_t *tokens = bb_trace_at (t, i, l);
+        fprintf (out, "%u %u", i, l);
+        for (uint32_t e = 0; e < t->size.experts; e++)
+          fprintf (out, " %u", tokens[e]);
+        fputc ('\n', out);
+      }
+}
+
+struct reader
+{
+  FILE *in;
+  char *text;
+  uint32_t line;
+  const char *why;
+};
+
+static bool
+next_line (struct reader *r)
+{
+  size_t size;
+
+  if (!fgets (r->text, LINE_MAX_BYTES, r->in))
+    return false;
+  r->line++;
+  size = strlen (r->text);
+  if (size > 0 && r->text[size - 1] == '\n')
+    r->text[size - 1] = '\0';
+  else if (!feof (r->in))
+    r->why = "the line is too long";
+  return r->why == NULL;
+}
+
+/* Reads a number up to MOST from *AT and moves *AT behind it.  */
+static bool
+read_number (char **at, uint32_t most, uint32_t *out)
+{
+  char *end;
+  unsigned long n;
+
+  while (**at == ' ')
+    (*at)++;
+  if (**at < '0' || **at > '9')
+    return false;
+  n = strtoul (*at, &end, 10);
+  if (n > most || (*end != ' ' && *end != '\0'))
+    return false;
+  *at = end;
+  *out = (uint32_t)n;
+  return true;
+}
+
+static bool
+read_numbers (struct reader *r, const char *key, uint32_t *out, uint32_t count)
+{
+  size_t size = strlen (key);
+  char *at;
+
+  if (!next_line (r) || strncmp (r->text, key, size) != 0)
+    return false;
+  at = r->text + size;
+  for (uint32_t i = 0; i < count; i++)
+    if (!read_number (&at, UINT32_MAX, &out[i]))
+      return false;
+  return *at == '\0';
+}
+
+static bool
+size_is_good (const uint32_t v[4])
+{
+  for (uint32_t i = 0; i < 4; i++)
+    if (v[i] == 0 || v[i] > SIZE_MAX_EACH)
+      return false;
+  return v[1] <= v[2] * v[3];
+}
+
+static struct bb_trace *
+read_head (struct reader *r)
+{
+  struct bb_map_size size;
+  uint32_t v[4];
+  uint32_t interval_ms;
+
+  if (!next_line (r) || strcmp (r->text, "bilberry-trace 1") != 0)
+    r->why = "this is no trace of version 1";
+  else if (!read_numbers (r, "size ", v, 4) || !size_is_good (v))
+    r->why = "'size LAYERS EXPERTS RANKS SLOTS' is expected, the experts "
+             "fitting the slots";
+  else if (!read_numbers (r, "interval_ms ", &interval_ms, 1)
+           || interval_ms == 0)
+    r->why = "'interval_ms N' is expected";
+  if (r->why)
+    return NULL;
+  size = (struct bb_map_size){
+    .layers = v[0], .experts = v[1], .ranks = v[2], .slots = v[3]
+  };
+  return bb_trace_new (&size, interval_ms, 0);
+}
+
+/* Takes one line of counts.  Intervals rise; a layer that is not named has a
+   gap there, which stays 0.  */
+static bool
+read_counts (struct reader *r, struct bb_trace *t)
+{
+  size_t row = (size_t)t->size.layers * t->size.experts;
+  char *at = r->text;
+  uint32_t interval;
+  uint32_t layer;
+  uint32_t *tokens;
+
+  if (!read_number (&at, VALUES_MAX, &interval)
+      || !read_number (&at, t->size.layers - 1, &layer)
+      || interval + 1 < t->intervals || (interval + 1) * row > VALUES_MAX)
+    return false;
+  if (interval + 1 > t->intervals)
+    {
+      t->tokens = g_renew (uint32_t, t->tokens, (interval + 1) * row);
+      memset (t->tokens + t->intervals * row, 0,
+              (interval + 1 - t->intervals) * row * sizeof *t->tokens);
+      t->intervals = interval + 1;
+    }
+  tokens = bb_trace_at (t, interval, layer);
+  for (uint32_t e = 0; e < t->size.experts; e++)
+    if (!read_number (&at, UINT32_MAX, &tokens[e]))
+      return false;
+  return *at == '\0';
+}
+
+struct bb_trace *
+bb_trace_read (FILE *in, const char **why, uint32_t *line)
+{
+  struct reader r = { .in = in, .text = g_malloc (LINE_MAX_BYTES) };
+  struct bb_trace *t = read_head (&r);
+
+  while (t && !r.why && next_line (&r))
+    if (!read_counts (&r, t))
+      r.why = "'INTERVAL LAYER COUNT...' is expected, a count for each expert";
+  if (t && !r.why && t->intervals == 0)
+    r.why = "the trace holds no counts";
+  if (r.why)
+    {
+      bb_trace_free (t);
+      t = NULL;
+    }
+  *why = r.why;
+  *line = r.line;
+  g_free (r.text);
+  return t;
+}
--- /dev/null
+++ b/libmap/trace_make.c
@@ -0,0 +1,145 @@
+#include "bilberry/map.h"
+
+#include <math.h>
+
+/* Popularity of one layer at an interval.  */
+struct popularity
+{
+  uint32_t experts;
+  double *weight; /* before drift */
+  double *later;  /* the weight in the evening */
+  double *wander; /* logarithm of the drift */
+  uint32_t sudden_at;
+  uint32_t sudden_expert;
+};
+
+static const double wander_step = 0.02; /* of the logarithm, per interval */
+static const double wander_pull = 0.002;
+
+const char *
+bb_trace_kind_name (uint32_t kind)
+{
+  static const char *const names[BB_TRACE_KINDS]
+      = { "steady", "drift", "evening", "sudden" };
+
+  return kind < BB_TRACE_KINDS ? names[kind] : "unknown";
+}
+
+/* Returns a number with mean 0 and deviation 1, near enough to normal.  */
+static double
+noise (GRand *rand)
+{
+  double sum = -6;
+
+  for (int i = 0; i < 12; i++)
+    sum += g_rand_double (rand);
+  return sum;
+}
+
+static void
+shuffle (double *values, uint32_t count, GRand *rand)
+{
+  for (uint32_t i = count; i > 1; i--)
+    {
+      uint32_t j = (uint32_t)g_rand_int_range (rand, 0, (gint32)i);
+      double v = values[i - 1];
+      values[i - 1] = values[j];
+      values[j] = v;
+    }
+}
+
+static void
+start (struct popularity *p, uint32_t experts, double exponent,
+       uint32_t intervals, GRand *rand)
+{
+  p->experts = experts;
+  p->weight = g_new (double, experts);
+  p->wander = g_new0 (double, experts);
+  for (uint32_t e = 0; e < experts; e++)
+    p->weight[e] = pow (e + 1, -exponent);
+  shuffle (p->weight, experts, rand);
+  p->later = g_memdup2 (p->weight, experts * sizeof *p->weight);
+  shuffle (p->later, experts / 2, rand);
+  p->sudden_at = (uint32_t)g_rand_int_range (rand, (gint32)intervals / 4,
+                                             (gint32)intervals * 3 / 4 + 1);
+  p->sudden_expert = 0;
+  for (uint32_t e = 1; e < experts; e++)
+    if (p->weight[e] < p->weight[p->sudden_expert])
+      p->sudden_expert = e;
+}
+
+static void
+finish (struct popularity *p)
+{
+  g_free (p->weight);
+  g_free (p->later);
+  g_free (p->wander);
+}
+
+/* How much of the evening has come: it takes a tenth of the trace.  */
+static double
+evening_part (uint32_t interval, uint32_t intervals)
+{
+  double x = ((double)interval / intervals - 0.45) / 0.1;
+
+  return fmin (fmax (x, 0), 1);
+}
+
+static double
+weight_at (struct popularity *p, enum bb_trace_kind kind, uint32_t e,
+           uint32_t interval, uint32_t intervals, GRand *rand)
+{
+  double part = evening_part (interval, intervals);
+
+  switch (kind)
+    {
+    case BB_TRACE_DRIFT:
+      p->wander[e] += wander_step * noise (rand) - wander_pull * p->wander[e];
+      return p->weight[e] * exp (p->wander[e]);
+    case BB_TRACE_EVENING:
+      return p->weight[e] * (1 - part) + p->later[e] * part;
+    case BB_TRACE_SUDDEN:
+      return interval >= p->sudden_at && e == p->sudden_expert ? 1
+                                                               : p->weight[e];
+    default:
+      return p->weight[e];
+    }
+}
+
+static void
+make_row (struct popularity *p, enum bb_trace_kind kind, uint32_t interval,
+          uint32_t intervals, uint32_t tokens, uint32_t *out, GRand *rand)
+{
+  double *w = g_new (double, p->experts);
+  double total = 0;
+
+  for (uint32_t e = 0; e < p->experts; e++)
+    {
+      w[e] = weight_at (p, kind, e, interval, intervals, rand);
+      total += w[e];
+    }
+  for (uint32_t e = 0; e < p->experts; e++)
+    {
+      double mean = w[e] / total * tokens;
+      out[e] = (uint32_t)fmax (0, round (mean + sqrt (mean) * noise (rand)));
+    }
+  g_free (w);
+}
+
+struct bb_trace *
+bb_trace_make (enum bb_trace_kind kind, double exponent,
+               const struct bb_map_size *size, bb_ms interval_ms,
+               uint32_t intervals, uint32_t tokens, GRand *rand)
+{
+  struct bb_trace *t = bb_trace_new (size, interval_ms, intervals);
+
+  for (uint32_t l = 0; l < size->layers; l++)
+    {
+      struct popularity p;
+      start (&p, size->experts, exponent, intervals, rand);
+      for (uint32_t i = 0; i < intervals; i++)
+        make_row (&p, kind, i, intervals, tokens, bb_trace_at (t, i, l), rand);
+      finish (&p);
+    }
+  return t;
+}
