--- a/include/bilberry/map.h
+++ b/include/bilberry/map.h
@@ -232,4 +232,172 @@
                                 bb_ms interval_ms, uint32_t intervals,
                                 uint32_t tokens, GRand *rand);
 
+/* The switch of all ranks of a group from one map to the next.
+
+   Each rank's agent holds a struct bb_switch.  A value says which map is used
+   from which step on.  A coordinator, which any agent may become, asks all
+   agents to promise its ballot (lead), to load the weights (prepare), to hold
+   at the step of the value (accept) and to go on (decide).  Every phase needs
+   every rank.  docs/design/0031-map-switch.md says why this is safe.
+
+   Messages may be lost, late, doubled or out of order.  An agent that restarts
+   draws a new incarnation; messages to an earlier one are refused.  */
+
+/* Which map a group uses from a step on, and which before.  */
+struct bb_map_value
+{
+  uint64_t id;        /* ballot that proposed it first; fences orders */
+  uint64_t hash;      /* of the map */
+  uint64_t base_id;   /* value in use before FROM_STEP */
+  uint64_t base_hash; /* of its map */
+  uint64_t from_step;
+};
+
+enum bb_switch_type
+{
+  BB_SWITCH_HELLO, /* tells an incarnation and asks for the other's */
+  BB_SWITCH_LEAD,
+  BB_SWITCH_STATE,
+  BB_SWITCH_PREPARE,
+  BB_SWITCH_PREPARED,
+  BB_SWITCH_ACCEPT,
+  BB_SWITCH_ACCEPTED,
+  BB_SWITCH_DECIDE,
+  BB_SWITCH_DECIDED,
+  BB_SWITCH_REFUSED,
+  BB_SWITCH_TYPES
+};
+
+/* One message between agents.  What a type does not need is 0.  */
+struct bb_switch_message
+{
+  uint32_t type; /* enum bb_switch_type */
+  uint16_t from;
+  uint16_t to;
+  uint64_t from_incarnation;
+  uint64_t to_incarnation;   /* 0: not known, in a hello */
+  uint64_t ballot;           /* refused: the highest ballot promised */
+  struct bb_map_value value; /* proposed, or in a state the one accepted */
+  struct bb_map_value in_force;
+  uint64_t accepted_ballot; /* 0: the agent knows nothing yet */
+  uint64_t started;         /* last step that the rank has started */
+  bool decided;
+};
+
+/* What to do after an event: messages to send, in order, and a map whose
+   weights to load.  */
+struct bb_switch_out
+{
+  struct bb_switch_message *messages;
+  uint32_t count;
+  uint32_t room;
+  uint64_t load_hash; /* 0: nothing to load */
+};
+
+void bb_switch_out_clear (struct bb_switch_out *out);
+
+enum bb_switch_phase
+{
+  BB_SWITCH_IDLE,
+  BB_SWITCH_LEADING,
+  BB_SWITCH_PREPARING,
+  BB_SWITCH_ACCEPTING,
+  BB_SWITCH_DECIDING
+};
+
+/* What a coordinator knows of one agent.  */
+struct bb_switch_peer
+{
+  uint64_t incarnation; /* 0: not known */
+  uint64_t accepted_ballot;
+  struct bb_map_value accepted;
+  struct bb_map_value in_force;
+  uint64_t started;
+  bool decided;
+  bool answered; /* in the present phase */
+};
+
+/* What the engine beside the agent keeps.  It holds and changes maps by it,
+   and an agent that restarts alone goes on from it.  The owner copies STARTED
+   in before each event and gives the rest to the engine after it, before
+   messages leave.  */
+struct bb_switch_memory
+{
+  uint64_t accepted_ballot; /* 0: nothing */
+  struct bb_map_value accepted;
+  struct bb_map_value in_force; /* the last value decided */
+  uint64_t started;
+  bool decided; /* ACCEPTED is decided */
+};
+
+struct bb_switch
+{
+  uint32_t ranks;
+  uint32_t self;
+  uint64_t incarnation;
+  uint64_t promised;
+  struct bb_switch_memory memory;
+  uint64_t loaded_hash;
+  uint64_t prepare_ballot; /* answered once the weights are there */
+  uint64_t prepare_hash;
+  /* As coordinator.  */
+  enum bb_switch_phase phase;
+  uint64_t ballot;
+  struct bb_map_value proposal;
+  struct bb_map_value fallback; /* in force when the ballot began */
+  uint64_t wanted_hash;         /* map to propose; 0: none */
+  uint64_t first_hash;          /* map of a group that has none */
+  uint32_t margin_steps;
+  uint64_t counter; /* highest ballot count seen */
+  bb_ms resend_at;
+  bb_ms give_up_at;
+  bb_ms patience_at; /* when it leads itself; 0: nothing is amiss */
+  bb_ms patience_ms;
+  struct bb_switch_peer *peers; /* by rank */
+};
+
+/* Starts the agent of rank SELF of RANKS without memory.  FIRST_HASH is the
+   map that a group starts with when no rank holds one.  */
+void bb_switch_init (struct bb_switch *s, uint32_t ranks, uint32_t self,
+                     uint64_t incarnation, uint64_t first_hash);
+void bb_switch_free (struct bb_switch *s);
+
+/* Gives a started agent the memory that its engine kept.  */
+void bb_switch_restore (struct bb_switch *s, const struct bb_switch_memory *m);
+
+/* Asks for a switch to the map of HASH.  It is dropped when another switch is
+   on its way.  */
+void bb_switch_propose (struct bb_switch *s, uint64_t hash, bb_ms now,
+                        struct bb_switch_out *out);
+void bb_switch_receive (struct bb_switch *s, const struct bb_switch_message *m,
+                        bb_ms now, struct bb_switch_out *out);
+
+/* The weights of the map of HASH are loaded.  */
+void bb_switch_loaded (struct bb_switch *s, uint64_t hash, bb_ms now,
+                       struct bb_switch_out *out);
+
+/* To be called every BB_SWITCH_TICK_MS.  */
+void bb_switch_tick (struct bb_switch *s, bb_ms now,
+                     struct bb_switch_out *out);
+
+/* Whether a rank whose engine keeps M may start STEP, and on which value and
+   map.  */
+bool bb_switch_may_start (const struct bb_switch_memory *m, uint64_t step,
+                          uint64_t *id, uint64_t *hash);
+
+/* Whether no switch is open here.  */
+bool bb_switch_is_settled (const struct bb_switch *s);
+
+enum
+{
+  BB_SWITCH_TICK_MS = 50,
+  BB_SWITCH_RESEND_MS = 200,
+  BB_SWITCH_PREPARE_MS = 600000, /* longest load of weights */
+  BB_SWITCH_PATIENCE_MS = 1000,
+  BB_SWITCH_PATIENCE_MAX_MS = 8000,
+  BB_SWITCH_STAGGER_MS = 20, /* further patience for each rank */
+  BB_SWITCH_MARGIN_STEPS = 16,
+  BB_SWITCH_MARGIN_MAX_STEPS = 1024
+};
+
 #endif
--- /dev/null
+++ b/libmap/lead.c
@@ -0,0 +1,232 @@
+#include "switch.h"
+
+static void
+send_phase (struct bb_switch *s, bb_ms now, struct bb_switch_out *out)
+{
+  static const uint32_t types[] = { [BB_SWITCH_LEADING] = BB_SWITCH_LEAD,
+                                    [BB_SWITCH_PREPARING] = BB_SWITCH_PREPARE,
+                                    [BB_SWITCH_ACCEPTING] = BB_SWITCH_ACCEPT,
+                                    [BB_SWITCH_DECIDING] = BB_SWITCH_DECIDE };
+  struct bb_switch_message m
+      = { .type = types[s->phase], .ballot = s->ballot };
+  enum bb_switch_phase phase = s->phase;
+  uint64_t ballot = s->ballot;
+
+  if (phase != BB_SWITCH_LEADING)
+    {
+      m.value = s->proposal;
+      m.in_force = s->fallback;
+    }
+  s->resend_at = now + BB_SWITCH_RESEND_MS;
+  /* Itself comes last: its answer may end the phase.  */
+  for (uint32_t n = 1; n <= s->ranks; n++)
+    {
+      uint32_t r = (s->self + n) % s->ranks;
+      if (s->phase == phase && s->ballot == ballot && !s->peers[r].answered)
+        switch_send (s, r, &m, now, out);
+    }
+}
+
+static void
+enter (struct bb_switch *s, enum bb_switch_phase phase, bb_ms now,
+       struct bb_switch_out *out)
+{
+  s->phase = phase;
+  for (uint32_t r = 0; r < s->ranks; r++)
+    s->peers[r].answered = false;
+  send_phase (s, now, out);
+}
+
+void
+lead_stop (struct bb_switch *s)
+{
+  s->phase = BB_SWITCH_IDLE;
+  s->wanted_hash = 0;
+}
+
+void
+lead_start (struct bb_switch *s, bb_ms now, struct bb_switch_out *out)
+{
+  s->counter = MAX (s->counter, s->promised >> BALLOT_COUNT_SHIFT) + 1;
+  s->ballot = s->counter << BALLOT_COUNT_SHIFT
+              | (uint64_t)s->self << BALLOT_RANK_SHIFT
+              | (s->incarnation & ((1u << BALLOT_RANK_SHIFT) - 1));
+  s->give_up_at = now + BB_SWITCH_PREPARE_MS;
+  enter (s, BB_SWITCH_LEADING, now, out);
+}
+
+/* What all agents together know.  */
+struct survey
+{
+  uint64_t ballot; /* highest accepted; 0: no agent holds a map */
+  struct bb_map_value value;
+  struct bb_map_value in_force;
+  uint64_t started;
+  bool any_blank;
+  bool same;    /* all that hold a value hold the same */
+  bool decided; /* and have it decided */
+  bool in_use;  /* and all ranks use it */
+};
+
+static struct survey
+survey_peers (const struct bb_switch *s)
+{
+  struct survey v = { .same = true, .decided = true, .in_use = true };
+
+  for (uint32_t r = 0; r < s->ranks; r++)
+    {
+      const struct bb_switch_peer *p = &s->peers[r];
+      v.any_blank = v.any_blank || p->accepted_ballot == 0;
+      v.started = MAX (v.started, p->started);
+      v.decided = v.decided && p->decided;
+      if (p->accepted_ballot > v.ballot)
+        {
+          v.ballot = p->accepted_ballot;
+          v.value = p->accepted;
+        }
+      if (p->in_force.id > v.in_force.id)
+        v.in_force = p->in_force;
+    }
+  for (uint32_t r = 0; r < s->ranks; r++)
+    {
+      const struct bb_switch_peer *p = &s->peers[r];
+      if (p->accepted_ballot != 0 && p->accepted.id != v.value.id)
+        v.same = false;
+      if (p->started + 1 < v.value.from_step)
+        v.in_use = false;
+    }
+  return v;
+}
+
+/* Proposes the wanted map to a group that has settled on another.  */
+static bool
+propose_wanted (struct bb_switch *s, const struct survey *v)
+{
+  if (s->wanted_hash == 0 || !v->in_use || s->wanted_hash == v->value.hash)
+    return false;
+  s->proposal
+      = (struct bb_map_value){ .id = s->ballot,
+                               .hash = s->wanted_hash,
+                               .base_id = v->value.id,
+                               .base_hash = v->value.hash,
+                               .from_step = v->started + s->margin_steps };
+  return true;
+}
+
+/* Chooses the value of the ballot; false where nothing is to be done.  A value
+   that all holders have accepted may be decided, so it stays.  Where they
+   differ none of the open ones can be, and the one in force stays.  */
+static bool
+choose (struct bb_switch *s)
+{
+  struct survey v = survey_peers (s);
+
+  s->fallback = v.in_force;
+  if (v.ballot == 0)
+    {
+      s->proposal = (struct bb_map_value){ .id = s->ballot,
+                                           .hash = s->first_hash,
+                                           .from_step = 1 };
+      return true;
+    }
+  if (v.same && v.decided && !v.any_blank)
+    return propose_wanted (s, &v);
+#ifndef BB_MUTANT_switch_keep_accepted
+  if (v.same || v.in_force.id == 0)
+    s->proposal = v.value;
+  else
+#endif
+    s->proposal = v.in_force;
+  return true;
+}
+
+static void
+next_phase (struct bb_switch *s, bb_ms now, struct bb_switch_out *out)
+{
+  switch (s->phase)
+    {
+    case BB_SWITCH_LEADING:
+      if (choose (s))
+        enter (s, BB_SWITCH_PREPARING, now, out);
+      else
+        lead_stop (s);
+      break;
+    case BB_SWITCH_PREPARING:
+      enter (s, BB_SWITCH_ACCEPTING, now, out);
+      break;
+    case BB_SWITCH_ACCEPTING:
+      enter (s, BB_SWITCH_DECIDING, now, out);
+      break;
+    default:
+      if (s->proposal.hash == s->wanted_hash)
+        s->margin_steps = BB_SWITCH_MARGIN_STEPS;
+      lead_stop (s);
+      break;
+    }
+}
+
+/* Whether the answer M belongs to the present phase.  */
+static bool
+fits (const struct bb_switch *s, const struct bb_switch_message *m)
+{
+  static const uint32_t types[] = { [BB_SWITCH_LEADING] = BB_SWITCH_STATE,
+                                    [BB_SWITCH_PREPARING] = BB_SWITCH_PREPARED,
+                                    [BB_SWITCH_ACCEPTING] = BB_SWITCH_ACCEPTED,
+                                    [BB_SWITCH_DECIDING] = BB_SWITCH_DECIDED };
+
+  return s->phase != BB_SWITCH_IDLE && m->ballot == s->ballot
+         && m->type == types[s->phase] && m->to_incarnation == s->incarnation;
+}
+
+void
+lead_answer (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+             struct bb_switch_out *out)
+{
+  struct bb_switch_peer *p = &s->peers[m->from];
+
+  if (!fits (s, m) || p->answered)
+    return;
+  p->answered = true;
+  p->started = m->started;
+  if (m->type == BB_SWITCH_STATE)
+    {
+      p->accepted_ballot = m->accepted_ballot;
+      p->accepted = m->value;
+      p->in_force = m->in_force;
+      p->decided = m->decided;
+    }
+#ifndef BB_MUTANT_switch_all_ranks
+  for (uint32_t r = 0; r < s->ranks; r++)
+    if (!s->peers[r].answered)
+      return;
+#endif
+  next_phase (s, now, out);
+}
+
+void
+lead_refused (struct bb_switch *s, const struct bb_switch_message *m,
+              bb_ms now, struct bb_switch_out *out)
+{
+  if (s->phase == BB_SWITCH_IDLE || m->to_incarnation != s->incarnation)
+    return;
+  /* A higher ballot is led by somebody else.  */
+  if (m->ballot > s->ballot)
+    lead_stop (s);
+  else if (m->ballot == s->ballot && s->phase == BB_SWITCH_ACCEPTING)
+    {
+      /* The rank is past the step; take the hold back and try a later one.  */
+      s->margin_steps = MIN (s->margin_steps * 2, BB_SWITCH_MARGIN_MAX_STEPS);
+      lead_start (s, now, out);
+    }
+}
+
+void
+lead_tick (struct bb_switch *s, bb_ms now, struct bb_switch_out *out)
+{
+  if (s->phase == BB_SWITCH_IDLE)
+    return;
+  if (s->phase == BB_SWITCH_PREPARING && now >= s->give_up_at)
+    lead_stop (s);
+  else if (now >= s->resend_at)
+    send_phase (s, now, out);
+}
--- a/libmap/plan.c
+++ b/libmap/plan.c
@@ -1,4 +1,4 @@
-#include "bilberry/map.h"
+#include "work.h"
 
 #include <string.h>
 
@@ -46,28 +46,58 @@
          - cost->move_ms * layer_moves (&in->size, present, tried);
 }
 
-/* Plans one layer: new shares alone, a short search and a long one; the best
-   net gain wins.  */
+/* What a layer is planned with.  */
+struct trial
+{
+  const struct bb_layer_input *in;
+  const struct bb_plan_cost *cost;
+  double step_share; /* of the layer in the time of a step */
+  const struct bb_map_layer *present;
+  struct bb_map_layer *next; /* the best so far */
+  struct bb_map_layer *tried;
+  double best;
+};
+
+static void
+keep_better (struct trial *t)
+{
+  double net = net_gain (t->in, t->cost, t->step_share, t->present, t->tried);
+
+  if (net <= t->best)
+    return;
+  t->best = net;
+  copy_layer (&t->in->size, t->next, t->tried);
+}
+
+/* Builds the layer anew and gives each rank what is most like its own.  */
+static void
+try_fresh (struct trial *t, const struct bb_planner *planner,
+           struct bb_map_layer *fresh)
+{
+  if (t->in->speed || t->in->moves_max > 0)
+    return;
+  planner->plan (t->in, t->present, 0, fresh);
+  relabel (&t->in->size, t->present, fresh, t->tried);
+  keep_better (t);
+}
+
+/* Plans one layer: new shares alone, a short search, a long one and a layer
+   built anew; the best net gain wins.  */
 static void
-plan_layer (const struct bb_layer_input *in, const struct bb_plan_cost *cost,
-            double step_share, const struct bb_map_layer *present,
-            struct bb_map_layer *next, struct bb_map_layer *spare)
+plan_layer (struct trial *t, struct bb_map_layer *spare)
 {
-  const uint32_t budgets[] = { 0, cost->budget / 8, cost->budget };
-  double best = 0;
+  const uint32_t budgets[] = { 0, t->cost->budget / 8, t->cost->budget };
 
-  copy_layer (&in->size, next, present);
+  t->best = 0;
+  copy_layer (&t->in->size, t->next, t->present);
   for (size_t i = 0; i < sizeof budgets / sizeof *budgets; i++)
     {
-      double net;
-      bb_planner_local.plan (in, present, budgets[i], spare);
-      net = net_gain (in, cost, step_share, present, spare);
-      if (net > best)
-        {
-          best = net;
-          copy_layer (&in->size, next, spare);
-        }
+      bb_planner_local.plan (t->in, t->present, budgets[i], t->tried);
+      keep_better (t);
     }
+  try_fresh (
+      t, t->in->split == BB_SPLIT_EVEN ? &bb_planner_greedy : &bb_planner_fill,
+      spare);
 }
 
 static struct sums
@@ -97,19 +127,24 @@
              const uint32_t *limits, struct bb_map *next)
 {
   struct sums before = sum_layers (in, load, present);
+  struct bb_map *tried = bb_map_copy (present);
   struct bb_map *spare = bb_map_copy (present);
   struct bb_layer_input layer = *in;
 
   for (uint32_t l = 0; l < in->size.layers; l++)
     {
-      double step_share;
+      struct trial t = { .in = &layer,
+                         .cost = cost,
+                         .present = &present->layers[l],
+                         .next = &next->layers[l],
+                         .tried = &tried->layers[l] };
       layer.load = load + (size_t)l * in->size.experts;
       layer.moves_max = limits ? limits[l] : 0;
-      step_share = bb_layer_time (&layer, &present->layers[l]).largest
-                   / before.largest;
-      plan_layer (&layer, cost, step_share, &present->layers[l],
-                  &next->layers[l], &spare->layers[l]);
+      t.step_share = bb_layer_time (&layer, &present->layers[l]).largest
+                     / before.largest;
+      plan_layer (&t, &spare->layers[l]);
     }
+  bb_map_free (tried);
   bb_map_free (spare);
 }
 
--- /dev/null
+++ b/libmap/switch.c
@@ -0,0 +1,360 @@
+#include "switch.h"
+
+#include <string.h>
+
+void
+bb_switch_out_clear (struct bb_switch_out *out)
+{
+  g_free (out->messages);
+  memset (out, 0, sizeof *out);
+}
+
+void
+bb_switch_init (struct bb_switch *s, uint32_t ranks, uint32_t self,
+                uint64_t incarnation, uint64_t first_hash)
+{
+  memset (s, 0, sizeof *s);
+  s->ranks = ranks;
+  s->self = self;
+  s->incarnation = incarnation;
+  s->first_hash = first_hash;
+  s->margin_steps = BB_SWITCH_MARGIN_STEPS;
+  s->patience_ms = BB_SWITCH_PATIENCE_MS;
+  s->peers = g_new0 (struct bb_switch_peer, ranks);
+  s->peers[self].incarnation = incarnation;
+}
+
+void
+bb_switch_free (struct bb_switch *s)
+{
+  g_free (s->peers);
+  s->peers = NULL;
+}
+
+void
+bb_switch_restore (struct bb_switch *s, const struct bb_switch_memory *m)
+{
+  s->memory = *m;
+  s->counter = m->accepted_ballot >> BALLOT_COUNT_SHIFT;
+  s->loaded_hash = m->accepted.hash;
+}
+
+void
+switch_send (struct bb_switch *s, uint32_t to, struct bb_switch_message *m,
+             bb_ms now, struct bb_switch_out *out)
+{
+  m->from = (uint16_t)s->self;
+  m->to = (uint16_t)to;
+  m->from_incarnation = s->incarnation;
+  m->to_incarnation = s->peers[to].incarnation;
+  if (to == s->self)
+    {
+      struct bb_switch_message own = *m;
+      bb_switch_receive (s, &own, now, out);
+      return;
+    }
+  if (out->count == out->room)
+    {
+      out->room = out->room ? out->room * 2 : 16;
+      out->messages
+          = g_renew (struct bb_switch_message, out->messages, out->room);
+    }
+  out->messages[out->count++] = *m;
+}
+
+static void
+reply (struct bb_switch *s, const struct bb_switch_message *to, uint32_t type,
+       bb_ms now, struct bb_switch_out *out)
+{
+  struct bb_switch_message m = { .type = type, .ballot = to->ballot };
+
+  if (type == BB_SWITCH_REFUSED)
+    m.ballot = s->promised;
+  if (type == BB_SWITCH_STATE)
+    {
+      m.value = s->memory.accepted;
+      m.in_force = s->memory.in_force;
+      m.accepted_ballot = s->memory.accepted_ballot;
+      m.decided = s->memory.decided;
+    }
+  m.started = s->memory.started;
+  switch_send (s, to->from, &m, now, out);
+}
+
+static void
+on_lead (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+         struct bb_switch_out *out)
+{
+  if (m->ballot < s->promised)
+    {
+      reply (s, m, BB_SWITCH_REFUSED, now, out);
+      return;
+    }
+  if (m->ballot > s->promised)
+    {
+      s->promised = m->ballot;
+      s->prepare_ballot = 0;
+      if (s->phase != BB_SWITCH_IDLE && s->ballot < m->ballot)
+        lead_stop (s);
+    }
+  reply (s, m, BB_SWITCH_STATE, now, out);
+}
+
+static void
+on_prepare (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+            struct bb_switch_out *out)
+{
+  if (s->loaded_hash == m->value.hash)
+    {
+      reply (s, m, BB_SWITCH_PREPARED, now, out);
+      return;
+    }
+  s->prepare_ballot = m->ballot;
+  s->prepare_hash = m->value.hash;
+  out->load_hash = m->value.hash;
+}
+
+void
+bb_switch_loaded (struct bb_switch *s, uint64_t hash, bb_ms now,
+                  struct bb_switch_out *out)
+{
+  struct bb_switch_message m
+      = { .type = BB_SWITCH_PREPARED, .ballot = s->prepare_ballot };
+
+  s->loaded_hash = hash;
+  if (s->prepare_ballot == 0 || s->prepare_hash != hash)
+    return;
+  s->prepare_ballot = 0;
+  switch_send (s, (uint32_t)(m.ballot >> BALLOT_RANK_SHIFT & UINT16_MAX), &m,
+               now, out);
+}
+
+/* Whether the rank can still keep to VALUE.  */
+static bool
+can_accept (const struct bb_switch *s, const struct bb_map_value *value)
+{
+  const struct bb_switch_memory *m = &s->memory;
+
+  if (m->accepted_ballot == 0 || value->id == m->accepted.id)
+    return true;
+  if (value->id == m->in_force.id)
+    return true;
+#ifndef BB_MUTANT_switch_settled
+  /* A new value may only follow one that is decided and in use here.  */
+  if (!m->decided || value->id < m->accepted.id
+      || m->started + 1 < m->accepted.from_step)
+    return false;
+#endif
+#ifndef BB_MUTANT_switch_step_ahead
+  if (value->from_step <= m->started)
+    return false;
+#endif
+  return true;
+}
+
+static void
+on_accept (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+           struct bb_switch_out *out)
+{
+  struct bb_switch_memory *mem = &s->memory;
+
+  if (!can_accept (s, &m->value))
+    {
+      reply (s, m, BB_SWITCH_REFUSED, now, out);
+      return;
+    }
+  /* A doubled accept must not undo the decision that followed it.  */
+  if (mem->accepted_ballot != m->ballot)
+    {
+      if (mem->accepted_ballot == 0)
+        mem->in_force = m->in_force;
+      mem->accepted_ballot = m->ballot;
+      mem->accepted = m->value;
+      mem->decided = false;
+    }
+  reply (s, m, BB_SWITCH_ACCEPTED, now, out);
+}
+
+static void
+on_decide (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+           struct bb_switch_out *out)
+{
+  if (s->memory.accepted_ballot != m->ballot)
+    return;
+  s->memory.decided = true;
+  s->memory.in_force = s->memory.accepted;
+  reply (s, m, BB_SWITCH_DECIDED, now, out);
+}
+
+static void
+on_hello (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+          struct bb_switch_out *out)
+{
+  struct bb_switch_message answer = { .type = BB_SWITCH_HELLO };
+
+  if (m->to_incarnation != s->incarnation)
+    switch_send (s, m->from, &answer, now, out);
+}
+
+/* Notes who speaks.  A peer that has restarted ends the ballot that counted
+   on what it said before.  */
+static void
+note_peer (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+           struct bb_switch_out *out)
+{
+  struct bb_switch_peer *p = &s->peers[m->from];
+
+  if (p->incarnation == m->from_incarnation)
+    return;
+  p->incarnation = m->from_incarnation;
+  if (s->phase != BB_SWITCH_IDLE)
+    lead_start (s, now, out);
+}
+
+/* Whether M is of the ballot that this incarnation has promised.  */
+static bool
+is_current (const struct bb_switch *s, const struct bb_switch_message *m)
+{
+#ifndef BB_MUTANT_switch_incarnation
+  if (m->to_incarnation != s->incarnation)
+    return false;
+#endif
+#ifndef BB_MUTANT_switch_promise
+  if (m->type != BB_SWITCH_LEAD && m->ballot != s->promised)
+    return false;
+#endif
+  return true;
+}
+
+static void
+on_request (struct bb_switch *s, const struct bb_switch_message *m, bb_ms now,
+            struct bb_switch_out *out)
+{
+  if (!is_current (s, m))
+    {
+      reply (s, m, BB_SWITCH_REFUSED, now, out);
+      return;
+    }
+  switch (m->type)
+    {
+    case BB_SWITCH_LEAD:
+      on_lead (s, m, now, out);
+      break;
+    case BB_SWITCH_PREPARE:
+      on_prepare (s, m, now, out);
+      break;
+    case BB_SWITCH_ACCEPT:
+      on_accept (s, m, now, out);
+      break;
+    default:
+      on_decide (s, m, now, out);
+      break;
+    }
+}
+
+void
+bb_switch_receive (struct bb_switch *s, const struct bb_switch_message *m,
+                   bb_ms now, struct bb_switch_out *out)
+{
+  if (m->from >= s->ranks || m->to != s->self)
+    return;
+  note_peer (s, m, now, out);
+  s->counter = MAX (s->counter, m->ballot >> BALLOT_COUNT_SHIFT);
+  switch (m->type)
+    {
+    case BB_SWITCH_HELLO:
+      on_hello (s, m, now, out);
+      break;
+    case BB_SWITCH_LEAD:
+    case BB_SWITCH_PREPARE:
+    case BB_SWITCH_ACCEPT:
+    case BB_SWITCH_DECIDE:
+      on_request (s, m, now, out);
+      break;
+    case BB_SWITCH_REFUSED:
+      lead_refused (s, m, now, out);
+      break;
+    default:
+      lead_answer (s, m, now, out);
+      break;
+    }
+}
+
+bool
+bb_switch_may_start (const struct bb_switch_memory *m, uint64_t step,
+                     uint64_t *id, uint64_t *hash)
+{
+  const struct bb_map_value *v = &m->accepted;
+
+  if (m->accepted_ballot == 0)
+    return false;
+  if (step < v->from_step)
+    {
+      *id = v->base_id;
+      *hash = v->base_hash;
+      return true;
+    }
+#ifndef BB_MUTANT_switch_hold
+  if (!m->decided)
+    return false;
+#endif
+  *id = v->id;
+  *hash = v->hash;
+  return true;
+}
+
+bool
+bb_switch_is_settled (const struct bb_switch *s)
+{
+  return s->memory.decided && s->phase == BB_SWITCH_IDLE;
+}
+
+void
+bb_switch_propose (struct bb_switch *s, uint64_t hash, bb_ms now,
+                   struct bb_switch_out *out)
+{
+  if (s->phase != BB_SWITCH_IDLE || !s->memory.decided)
+    return;
+  s->wanted_hash = hash;
+  lead_start (s, now, out);
+}
+
+/* Says hello to peers that have not been heard.  */
+static void
+greet (struct bb_switch *s, bb_ms now, struct bb_switch_out *out)
+{
+  struct bb_switch_message m = { .type = BB_SWITCH_HELLO };
+
+  for (uint32_t r = 0; r < s->ranks; r++)
+    if (s->peers[r].incarnation == 0)
+      switch_send (s, r, &m, now, out);
+}
+
+/* Leads itself when an open switch, or a rank without a map, has waited too
+   long for another coordinator.  */
+static void
+watch (struct bb_switch *s, bb_ms now, struct bb_switch_out *out)
+{
+  if (s->memory.decided || s->phase != BB_SWITCH_IDLE)
+    {
+      s->patience_at = 0;
+      if (s->memory.decided)
+        s->patience_ms = BB_SWITCH_PATIENCE_MS;
+      return;
+    }
+  if (s->patience_at == 0)
+    s->patience_at = now + s->patience_ms + s->self * BB_SWITCH_STAGGER_MS;
+  if (now < s->patience_at)
+    return;
+  s->patience_at = 0;
+  s->patience_ms = MIN (s->patience_ms * 2, BB_SWITCH_PATIENCE_MAX_MS);
+  lead_start (s, now, out);
+}
+
+void
+bb_switch_tick (struct bb_switch *s, bb_ms now, struct bb_switch_out *out)
+{
+  greet (s, now, out);
+  lead_tick (s, now, out);
+  watch (s, now, out);
+}
--- a/libmap/work.h
+++ b/libmap/work.h
@@ -40,6 +40,12 @@
 double speed_of (const struct bb_layer_input *in, uint32_t rank);
 bool work_holds (const struct work *w, uint32_t rank, uint32_t expert);
 
+/* relabel.c: gives the contents of the ranks of FRESH to those ranks that hold
+   the most of them at PRESENT.  All ranks must be equally fast.  */
+void relabel (const struct bb_map_size *size,
+              const struct bb_map_layer *present,
+              const struct bb_map_layer *fresh, struct bb_map_layer *out);
+
 enum
 {
   SPLIT_SWEEPS = 400 /* a split that is to be stored */
