--- a/include/bilberry/map.h
+++ b/include/bilberry/map.h
@@ -280,7 +280,7 @@
   struct bb_map_value value; /* proposed, or in a state the one accepted */
   struct bb_map_value in_force;
   uint64_t accepted_ballot; /* 0: the agent knows nothing yet */
-  uint64_t started;         /* last step that the rank has started */
+  uint64_t started; /* last step that the rank has started, in a state */
   bool decided;
 };
 
--- a/libmap/lead.c
+++ b/libmap/lead.c
@@ -98,6 +98,17 @@
   return v;
 }
 
+/* Whether every rank has the same value decided, so that none is open.  */
+static bool
+is_settled (const struct survey *v)
+{
+#ifndef BB_MUTANT_switch_settled
+  if (!v->same || !v->decided || v->any_blank)
+    return false;
+#endif
+  return v->ballot != 0;
+}
+
 /* Proposes the wanted map to a group that has settled on another.  */
 static bool
 propose_wanted (struct bb_switch *s, const struct survey *v)
@@ -113,30 +124,23 @@
   return true;
 }
 
-/* Chooses the value of the ballot; false where nothing is to be done.  A value
-   that all holders have accepted may be decided, so it stays.  Where they
-   differ none of the open ones can be, and the one in force stays.  */
+/* Chooses the value of the ballot; false where nothing is to be done.  Where
+   the ranks differ no open value can be decided, and the one in force stays.
+ */
 static bool
 choose (struct bb_switch *s)
 {
   struct survey v = survey_peers (s);
 
   s->fallback = v.in_force;
-  if (v.ballot == 0)
-    {
-      s->proposal = (struct bb_map_value){ .id = s->ballot,
-                                           .hash = s->first_hash,
-                                           .from_step = 1 };
-      return true;
-    }
-  if (v.same && v.decided && !v.any_blank)
+  if (is_settled (&v))
     return propose_wanted (s, &v);
-#ifndef BB_MUTANT_switch_keep_accepted
-  if (v.same || v.in_force.id == 0)
-    s->proposal = v.value;
+  if (v.ballot == 0)
+    s->proposal = (struct bb_map_value){ .id = s->ballot,
+                                         .hash = s->first_hash,
+                                         .from_step = 1 };
   else
-#endif
-    s->proposal = v.in_force;
+    s->proposal = v.same || v.in_force.id == 0 ? v.value : v.in_force;
   return true;
 }
 
@@ -187,12 +191,12 @@
   if (!fits (s, m) || p->answered)
     return;
   p->answered = true;
-  p->started = m->started;
   if (m->type == BB_SWITCH_STATE)
     {
       p->accepted_ballot = m->accepted_ballot;
       p->accepted = m->value;
       p->in_force = m->in_force;
+      p->started = m->started;
       p->decided = m->decided;
     }
 #ifndef BB_MUTANT_switch_all_ranks
--- a/libmap/switch.c
+++ b/libmap/switch.c
@@ -75,9 +75,9 @@
       m.value = s->memory.accepted;
       m.in_force = s->memory.in_force;
       m.accepted_ballot = s->memory.accepted_ballot;
+      m.started = s->memory.started;
       m.decided = s->memory.decided;
     }
-  m.started = s->memory.started;
   switch_send (s, to->from, &m, now, out);
 }
 
@@ -207,8 +207,10 @@
   if (p->incarnation == m->from_incarnation)
     return;
   p->incarnation = m->from_incarnation;
+#ifndef BB_MUTANT_switch_incarnation
   if (s->phase != BB_SWITCH_IDLE)
     lead_start (s, now, out);
+#endif
 }
 
 /* Whether M is of the ballot that this incarnation has promised.  */
