--- a/cmd/bilberry/commands.h
+++ b/cmd/bilberry/commands.h
@@ -17,5 +17,7 @@
    usage.  argv[0] is the name of the command.  */
 int command_check (int argc, char **argv);
 int command_show (int argc, char **argv);
+int command_plan (int argc, char **argv);
+int command_trace (int argc, char **argv);
 
 #endif
--- a/cmd/bilberry/main.c
+++ b/cmd/bilberry/main.c
@@ -1,4 +1,4 @@
-/* bilberry - checks and shows settings from an operator's shell.  */
+/* bilberry - an operator's shell: settings, expert maps.  */
 
 #include "commands.h"
 
@@ -8,6 +8,9 @@
 static const struct command commands[] = {
   { "check", "check DIR", "check a folder of settings", command_check },
   { "show", "show DIR", "print the merged settings", command_show },
+  { "plan", "plan [OPTION...] TRACE", "plan an expert map", command_plan },
+  { "trace", "trace [OPTION...] KIND", "make a popularity trace",
+    command_trace },
 };
 
 static void
--- /dev/null
+++ b/cmd/bilberry/trace.c
@@ -0,0 +1,121 @@
+#include "commands.h"
+
+#include "bilberry/map.h"
+
+#include <argtable2.h>
+#include <string.h>
+
+enum
+{
+  NUMBERS = 7,
+  NUMBER_MAX = 1000000000
+};
+
+/* An option that takes a whole number.  */
+struct number
+{
+  const char *name;
+  const char *help;
+  int value;
+};
+
+enum number_index
+{
+  LAYERS,
+  EXPERTS,
+  RANKS,
+  SLOTS,
+  INTERVALS,
+  TOKENS,
+  SEED
+};
+
+static const struct number numbers[NUMBERS] = {
+  [LAYERS] = { "layers", "layers of the model", 1 },
+  [EXPERTS] = { "experts", "experts of a layer", 128 },
+  [RANKS] = { "ranks", "ranks of the group", 128 },
+  [SLOTS] = { "slots", "slots of a rank and layer", 2 },
+  [INTERVALS] = { "intervals", "intervals of ten seconds", 60 },
+  [TOKENS] = { "tokens", "tokens on a layer and interval", 1600000 },
+  [SEED] = { "seed", "seed of all randomness", 1 },
+};
+
+static bool
+find_kind (const char *name, uint32_t *kind)
+{
+  for (*kind = 0; *kind < BB_TRACE_KINDS; (*kind)++)
+    if (strcmp (bb_trace_kind_name (*kind), name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+numbers_are_good (struct arg_int *const *n)
+{
+  for (uint32_t i = 0; i < NUMBERS; i++)
+    if (n[i]->ival[0] < 1 || n[i]->ival[0] > NUMBER_MAX)
+      return false;
+  for (uint32_t i = LAYERS; i <= SLOTS; i++)
+    if (n[i]->ival[0] > BB_TRACE_SIZE_MAX)
+      return false;
+  return n[INTERVALS]->ival[0] <= BB_TRACE_SIZE_MAX
+         && n[EXPERTS]->ival[0] <= n[RANKS]->ival[0] * n[SLOTS]->ival[0];
+}
+
+static void
+make (uint32_t kind, double zipf, struct arg_int *const *n)
+{
+  enum
+  {
+    INTERVAL_MS = 10000
+  };
+  struct bb_map_size size = { .layers = (uint32_t)n[LAYERS]->ival[0],
+                              .experts = (uint32_t)n[EXPERTS]->ival[0],
+                              .ranks = (uint32_t)n[RANKS]->ival[0],
+                              .slots = (uint32_t)n[SLOTS]->ival[0] };
+  GRand *rand = g_rand_new_with_seed ((guint32)n[SEED]->ival[0]);
+  struct bb_trace *t = bb_trace_make (kind, zipf, &size, INTERVAL_MS,
+                                      (uint32_t)n[INTERVALS]->ival[0],
+                                      (uint32_t)n[TOKENS]->ival[0], rand);
+
+  bb_trace_write (t, stdout);
+  bb_trace_free (t);
+  g_rand_free (rand);
+}
+
+int
+command_trace (int argc, char **argv)
+{
+  struct arg_str *kind
+      = arg_str1 (NULL, NULL, "KIND", "steady, drift, evening or sudden");
+  struct arg_dbl *zipf
+      = arg_dbl0 (NULL, "zipf", "X", "exponent of the Zipf law");
+  struct arg_int *n[NUMBERS];
+  void *table[NUMBERS + 3] = { kind, zipf };
+  struct arg_end *end = arg_end (4);
+  uint32_t found = 0;
+  int rc = 2;
+
+  for (uint32_t i = 0; i < NUMBERS; i++)
+    {
+      n[i] = arg_int0 (NULL, numbers[i].name, "N", numbers[i].help);
+      n[i]->ival[0] = numbers[i].value;
+      table[i + 2] = n[i];
+    }
+  table[NUMBERS + 2] = end;
+  zipf->dval[0] = 1;
+  if (arg_parse (argc, argv, table) == 0 && numbers_are_good (n)
+      && find_kind (kind->sval[0], &found))
+    {
+      make (found, zipf->dval[0], n);
+      rc = 0;
+    }
+  else
+    {
+      arg_print_errors (stderr, end, "bilberry trace");
+      fputs ("Usage: bilberry trace", stderr);
+      arg_print_syntax (stderr, table, "\n");
+    }
+  arg_freetable (table, NUMBERS + 3);
+  return rc;
+}
--- a/include/bilberry/map.h
+++ b/include/bilberry/map.h
@@ -193,6 +193,11 @@
                    double usual_us);
 double bb_speed_get (const struct bb_speed *s);
 
+enum
+{
+  BB_TRACE_SIZE_MAX = 4096 /* layers, experts, ranks or slots of a trace */
+};
+
 /* A recorded popularity: token counts of each expert, interval by interval.
    bilberry-trace(5) describes the file.  */
 struct bb_trace
--- a/libmap/trace.c
+++ b/libmap/trace.c
@@ -6,9 +6,8 @@
 
 enum
 {
-  SIZE_MAX_EACH = 4096,
   VALUES_MAX = 1 << 28,
-  LINE_MAX_BYTES = SIZE_MAX_EACH * 11 + 64
+  LINE_MAX_BYTES = BB_TRACE_SIZE_MAX * 11 + 64
 };
 
 struct bb_trace *
@@ -121,7 +120,7 @@
 size_is_good (const uint32_t v[4])
 {
   for (uint32_t i = 0; i < 4; i++)
-    if (v[i] == 0 || v[i] > SIZE_MAX_EACH)
+    if (v[i] == 0 || v[i] > BB_TRACE_SIZE_MAX)
       return false;
   return v[1] <= v[2] * v[3];
 }
