--- a/include/bilberry/map.h
+++ b/include/bilberry/map.h
@@ -405,4 +405,63 @@
   BB_SWITCH_MARGIN_MAX_STEPS = 1024
 };
 
+/* Weights and turns.  */
+
+/* Paces the loads of one group from the weight store.  Each group keeps to its
+   share of the store's rate, so that groups need not agree.  */
+struct bb_weight_pace
+{
+  uint64_t bytes_per_s; /* the group's share */
+  bb_ms free_at;        /* when the next load may start */
+};
+
+/* Starts the pace of one of GROUPS groups on a store that gives BYTES_PER_S to
+   all of them.  The first load waits up to SPREAD_MS, drawn from RAND, so that
+   groups that plan at one time do not load at one time.  */
+void bb_weight_pace_init (struct bb_weight_pace *p, uint64_t bytes_per_s,
+                          uint32_t groups, bb_ms spread_ms, bb_ms now,
+                          GRand *rand);
+
+/* Books a load of BYTES.  Returns when it may start.  */
+bb_ms bb_weight_pace_book (struct bb_weight_pace *p, uint64_t bytes,
+                           bb_ms now);
+
+enum
+{
+  BB_FROM_STORE = UINT32_MAX
+};
+
+/* Returns the rank from which RANK copies EXPERT: the holder on LAYER that has
+   given away the fewest so far, counted in GIVEN by rank; BB_FROM_STORE where
+   no other rank holds it.  */
+uint32_t bb_weight_source (const struct bb_map_size *size,
+                           const struct bb_map_layer *layer, uint32_t rank,
+                           uint32_t expert, uint32_t *given);
+
+/* Refuses orders to an engine that come late.  */
+struct bb_fence
+{
+  uint64_t id; /* of the newest order taken */
+  uint64_t incarnation;
+};
+
+/* Takes an order that carries ID and the INCARNATION of the agent that gave
+   it; false when it is older than one taken before, or of the same id but
+   from another agent.  */
+bool bb_fence_take (struct bb_fence *f, uint64_t id, uint64_t incarnation);
+
+/* Returns which of COUNT groups of a pool may move weights in SLOT: the one
+   whose hash with the slot is highest.  All who know the same groups agree,
+   and a group more or less changes only the slots that it wins.  */
+uint32_t bb_turn_owner (const char *const *groups, uint32_t count,
+                        uint64_t slot);
+
+/* Whether GROUPS[SELF] may start a change that takes NEED_MS: the slot of
+   SLOT_MS is its own, and the change ends GUARD_MS before the next one and
+   starts GUARD_MS after the last.  WALL_MS is the time of day, which VMs agree
+   on within GUARD_MS.  */
+bool bb_turn_is_open (const char *const *groups, uint32_t count, uint32_t self,
+                      bb_ms wall_ms, bb_ms slot_ms, bb_ms guard_ms,
+                      bb_ms need_ms);
+
 #endif
