--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -14,6 +14,19 @@
   uint32_t size;
 };
 
+/* What a process believes of a member.  */
+enum bb_member_status
+{
+  BB_MEMBER_STATUS_ALIVE,   /* alive */
+  BB_MEMBER_STATUS_SUSPECT, /* suspect */
+  BB_MEMBER_STATUS_DEAD,    /* dead */
+  BB_MEMBER_STATUS_LEFT,    /* left */
+  BB_MEMBER_STATUS_COUNT
+};
+
+/* Returns the name of VALUE, or "unknown".  */
+const char *bb_member_status_name (uint32_t value);
+
 /* Whether a request may have run at an upstream.  */
 enum bb_run
 {
@@ -80,6 +93,37 @@
 /* Returns the name of VALUE, or "unknown".  */
 const char *bb_role_name (uint32_t value);
 
+/* A change of one member, spread with other messages.  */
+struct bb_member_update
+{
+  uint64_t id;
+  uint64_t incarnation;
+  uint32_t counter;
+  uint8_t status;
+};
+
+/* A small fact with an end of its own, spread with other messages.  */
+struct bb_pushed
+{
+  uint8_t kind;
+  uint64_t key;
+  uint64_t value;
+  uint64_t origin;
+  uint32_t age_ms;
+};
+
+/* What every message between members carries.  */
+struct bb_gossip
+{
+  uint64_t revision;
+  uint64_t hash;
+  uint64_t rejected;
+  struct bb_member_update updates[8];
+  uint32_t updates_count;
+  struct bb_pushed pushed[4];
+  uint32_t pushed_count;
+};
+
 /* One HTTP header field.  */
 struct bb_header
 {
@@ -98,6 +142,71 @@
   uint32_t wait_ms;
 };
 
+/* A message between members with the proof of its sender.  */
+struct bb_sealed
+{
+  uint32_t key;
+  uint64_t from;
+  uint64_t incarnation;
+  uint64_t to_incarnation;
+  uint64_t sequence;
+  uint32_t counter;
+  struct bb_bytes body;
+  struct bb_bytes tag;
+};
+
+/* Asks a member whether it is alive.  */
+struct bb_ping
+{
+  uint64_t nonce;
+  struct bb_gossip gossip;
+};
+
+/* Answers a ping.  */
+struct bb_ping_ack
+{
+  uint64_t nonce;
+  struct bb_gossip gossip;
+};
+
+/* Asks a member to ping another one.  */
+struct bb_ping_request
+{
+  uint64_t nonce;
+  uint64_t target;
+  struct bb_gossip gossip;
+};
+
+/* Tells of something new without waiting for a ping.  */
+struct bb_notice
+{
+  struct bb_gossip gossip;
+};
+
+/* Asks for a piece of a configuration, as a change of the one held.  */
+struct bb_fetch
+{
+  uint64_t revision;
+  uint64_t hash;
+  uint64_t base_revision;
+  uint64_t base_hash;
+  uint32_t offset;
+};
+
+/* A piece of a configuration. The whole is the first prefix bytes of the base,
+ * size bytes told in chunks and the last suffix bytes of the base.  */
+struct bb_chunk
+{
+  uint64_t revision;
+  uint64_t hash;
+  uint64_t base_revision;
+  uint32_t prefix;
+  uint32_t suffix;
+  uint32_t size;
+  uint32_t offset;
+  struct bb_bytes bytes;
+};
+
 /* First message on a connection, sent by both sides.  */
 struct bb_hello
 {
@@ -178,6 +287,13 @@
 
 enum bb_message_type
 {
+  BB_MSG_SEALED = 30,
+  BB_MSG_PING = 31,
+  BB_MSG_PING_ACK = 32,
+  BB_MSG_PING_REQUEST = 33,
+  BB_MSG_NOTICE = 34,
+  BB_MSG_FETCH = 35,
+  BB_MSG_CHUNK = 36,
   BB_MSG_HELLO = 1,
   BB_MSG_CALL = 2,
   BB_MSG_CANCEL = 3,
@@ -195,6 +311,13 @@
   msgpack_zone zone;
   union
   {
+    struct bb_sealed sealed;
+    struct bb_ping ping;
+    struct bb_ping_ack ping_ack;
+    struct bb_ping_request ping_request;
+    struct bb_notice notice;
+    struct bb_fetch fetch;
+    struct bb_chunk chunk;
     struct bb_hello hello;
     struct bb_call call;
     struct bb_cancel cancel;
@@ -206,6 +329,21 @@
   } u;
 };
 
+/* Appends a frame that holds V to BUF.  */
+void bb_put_sealed (msgpack_sbuffer *buf, const struct bb_sealed *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_ping (msgpack_sbuffer *buf, const struct bb_ping *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_ping_ack (msgpack_sbuffer *buf, const struct bb_ping_ack *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_ping_request (msgpack_sbuffer *buf,
+                          const struct bb_ping_request *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_notice (msgpack_sbuffer *buf, const struct bb_notice *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_fetch (msgpack_sbuffer *buf, const struct bb_fetch *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_chunk (msgpack_sbuffer *buf, const struct bb_chunk *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v);
 /* Appends a frame that holds V to BUF.  */
--- /dev/null
+++ b/libmember/member.c
@@ -0,0 +1,410 @@
+#include "internal.h"
+
+#include <string.h>
+
+enum
+{
+  PAUSED_MS = 1500, /* a tick later than this shows a pause */
+  GREET = 4         /* members asked at start and after a pause */
+};
+
+static const char *const refusal_names[BB_MEMBER_REFUSALS] = {
+  [BB_MEMBER_OK] = "none",
+  [BB_MEMBER_MALFORMED] = "malformed",
+  [BB_MEMBER_UNKNOWN_KEY] = "unknown_key",
+  [BB_MEMBER_BAD_TAG] = "bad_tag",
+  [BB_MEMBER_STRANGER] = "stranger",
+  [BB_MEMBER_MISADDRESSED] = "misaddressed",
+  [BB_MEMBER_REPLAY] = "replay",
+  [BB_MEMBER_OLD_PROCESS] = "old_process",
+  [BB_MEMBER_BAD_BODY] = "bad_body",
+  [BB_MEMBER_LOWER] = "lower_revision",
+  [BB_MEMBER_CONFLICT] = "conflict",
+  [BB_MEMBER_REJECTED] = "rejected",
+  [BB_MEMBER_BAD_HASH] = "bad_hash",
+  [BB_MEMBER_EARLY] = "early",
+};
+
+const char *
+bb_member_refusal_name (enum bb_member_refusal r)
+{
+  return r < BB_MEMBER_REFUSALS ? refusal_names[r] : "unknown";
+}
+
+struct bb_members *
+bb_members_new (const struct bb_member_options *o)
+{
+  struct bb_members *m = g_new0 (struct bb_members, 1);
+
+  m->directory = o->directory;
+  m->self_id = o->self;
+  m->self = bb_directory_find (o->directory, o->self);
+  m->incarnation = o->incarnation;
+  m->keys = o->keys;
+  m->rand = o->rand;
+  m->ops = o->ops;
+  m->user = o->user;
+  m->nonce = (uint64_t)g_rand_int (o->rand) << 16;
+  m->members = g_new0 (struct member, o->directory->count);
+  m->probe.hint = BB_MEMBER_NONE;
+  m->handling = BB_MEMBER_NONE;
+  msgpack_sbuffer_init (&m->body);
+  msgpack_sbuffer_init (&m->out);
+  g_assert (m->self != BB_MEMBER_NONE);
+  return m;
+}
+
+void
+bb_members_free (struct bb_members *m)
+{
+  spread_free (m);
+  msgpack_sbuffer_destroy (&m->body);
+  msgpack_sbuffer_destroy (&m->out);
+  g_free (m->members);
+  g_free (m);
+}
+
+/* Finds where OLD index I is now.  */
+static uint32_t
+moved (const struct bb_directory *old, const struct bb_directory *d,
+       uint32_t i)
+{
+  if (i >= old->count)
+    return BB_MEMBER_NONE;
+  return bb_directory_find (d, old->peers[i].id);
+}
+
+static void
+move_updates (struct bb_members *m, const struct bb_directory *d)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < m->updates_count; i++)
+    {
+      struct update_slot s = m->updates[i];
+      s.index = moved (m->directory, d, s.index);
+      if (s.index != BB_MEMBER_NONE)
+        m->updates[kept++] = s;
+    }
+  m->updates_count = kept;
+}
+
+void
+bb_members_set_directory (struct bb_members *m, const struct bb_directory *d)
+{
+  struct member *members = g_new0 (struct member, d->count);
+
+  for (uint32_t i = 0; i < d->count; i++)
+    {
+      uint32_t was = bb_directory_find (m->directory, d->peers[i].id);
+      if (was != BB_MEMBER_NONE)
+        members[i] = m->members[was];
+    }
+  move_updates (m, d);
+  for (uint32_t i = 0; i < RECENT_MAX; i++)
+    m->recent[i] = moved (m->directory, d, m->recent[i]);
+  m->handling = moved (m->directory, d, m->handling);
+  m->fetch.peer = moved (m->directory, d, m->fetch.peer);
+  m->self = bb_directory_find (d, m->self_id);
+  m->probe.hint = BB_MEMBER_NONE;
+  m->probe.stage = PROBE_IDLE;
+  memset (m->relays, 0, sizeof m->relays);
+  g_free (m->members);
+  m->members = members;
+  m->directory = d;
+  g_assert (m->self != BB_MEMBER_NONE);
+}
+
+void
+bb_members_set_keys (struct bb_members *m, const struct bb_peer_keys *k)
+{
+  m->keys = *k;
+}
+
+/* Whether SEQUENCE of the present process of P is new; notes it.  */
+static bool
+note_sequence (struct member *p, uint64_t sequence)
+{
+  enum
+  {
+    WINDOW = 64
+  };
+  uint64_t ahead;
+
+  if (sequence > p->top)
+    {
+      ahead = sequence - p->top;
+      p->window = ahead >= WINDOW ? 0 : p->window << ahead;
+      p->window |= 1;
+      p->top = sequence;
+      return true;
+    }
+  ahead = p->top - sequence;
+  if (ahead >= WINDOW || (p->window >> ahead & 1) != 0)
+    return false;
+  p->window |= UINT64_C (1) << ahead;
+  return true;
+}
+
+/* Whether the sender's process is the one known, or a later one.  */
+static bool
+is_later_process (const struct member *p, const struct bb_sealed *s)
+{
+  if (p->incarnation == 0 || s->counter > p->counter)
+    return true;
+  return s->counter == p->counter && s->incarnation > p->incarnation;
+}
+
+static void
+note_alive (struct bb_members *m, bb_ms now, uint32_t i, uint32_t counter)
+{
+  struct member *p = &m->members[i];
+  bool news = p->status != BB_MEMBER_STATUS_ALIVE;
+
+  if (counter <= p->counter)
+    return;
+  p->counter = counter;
+  set_status (m, now, i, BB_MEMBER_STATUS_ALIVE);
+  if (news)
+    queue_update (m, i);
+}
+
+static enum bb_member_refusal
+check_sender (struct bb_members *m, bb_ms now, uint32_t i,
+              const struct bb_sealed *s)
+{
+  struct member *p;
+
+#ifndef BB_MUTANT_member_addressed
+  if (s->to_incarnation != m->incarnation)
+    return BB_MEMBER_MISADDRESSED;
+#endif
+  if (i == BB_MEMBER_NONE || i == m->self || s->incarnation == 0)
+    return BB_MEMBER_STRANGER;
+  p = &m->members[i];
+  if (s->incarnation != p->incarnation)
+    {
+      if (!is_later_process (p, s))
+        return BB_MEMBER_OLD_PROCESS;
+      p->incarnation = s->incarnation;
+      p->top = 0;
+      p->window = 0;
+      if (p->counter == 0 && s->counter == 0)
+        set_status (m, now, i, BB_MEMBER_STATUS_ALIVE);
+    }
+#ifndef BB_MUTANT_member_replay
+  if (!note_sequence (p, s->sequence))
+    return BB_MEMBER_REPLAY;
+#endif
+  note_alive (m, now, i, s->counter);
+  m->recent[m->recent_count++ % RECENT_MAX] = i;
+  return BB_MEMBER_OK;
+}
+
+static void
+take_gossip (struct bb_members *m, bb_ms now, uint32_t from,
+             const struct bb_gossip *g)
+{
+  for (uint32_t i = 0; i < g->updates_count; i++)
+    take_update (m, now, &g->updates[i]);
+  for (uint32_t i = 0; i < g->pushed_count; i++)
+    take_pushed (m, now, &g->pushed[i]);
+  spread_heard (m, now, from, g);
+}
+
+/* A member that is thought to be gone but speaks is told so.  */
+static void
+tell_if_gone (struct bb_members *m, bb_ms now, uint32_t from)
+{
+  uint8_t status = m->members[from].status;
+
+  if (status == BB_MEMBER_STATUS_SUSPECT || status == BB_MEMBER_STATUS_DEAD)
+    send_notice (m, now, from);
+}
+
+static enum bb_member_refusal
+take_message (struct bb_members *m, bb_ms now, uint32_t from,
+              const struct bb_message *b)
+{
+  switch (b->type)
+    {
+    case BB_MSG_PING:
+      take_gossip (m, now, from, &b->u.ping.gossip);
+      send_ack (m, now, from, b->u.ping.nonce);
+      return BB_MEMBER_OK;
+    case BB_MSG_PING_ACK:
+      probe_acked (m, now, b->u.ping_ack.nonce);
+      take_gossip (m, now, from, &b->u.ping_ack.gossip);
+      tell_if_gone (m, now, from);
+      return BB_MEMBER_OK;
+    case BB_MSG_PING_REQUEST:
+      take_gossip (m, now, from, &b->u.ping_request.gossip);
+      probe_relay (m, now, from, &b->u.ping_request);
+      return BB_MEMBER_OK;
+    case BB_MSG_NOTICE:
+      take_gossip (m, now, from, &b->u.notice.gossip);
+      return BB_MEMBER_OK;
+    case BB_MSG_FETCH:
+      return spread_on_fetch (m, from, &b->u.fetch);
+    case BB_MSG_CHUNK:
+      return spread_on_chunk (m, now, from, &b->u.chunk);
+    default:
+      return BB_MEMBER_BAD_BODY;
+    }
+}
+
+/* Nothing is believed of this sender, but it may learn: a ping is answered,
+   and a stranger with a key may read.  */
+static void
+answer_only (struct bb_members *m, bb_ms now, uint32_t from,
+             enum bb_member_refusal why, const struct bb_message *b)
+{
+  if (why == BB_MEMBER_REPLAY || from == m->self)
+    return;
+  if (b->type == BB_MSG_PING)
+    send_ack (m, now, from, b->u.ping.nonce);
+  else if (b->type == BB_MSG_FETCH && why == BB_MEMBER_STRANGER)
+    spread_on_fetch (m, from, &b->u.fetch);
+}
+
+static enum bb_member_refusal
+take_sealed (struct bb_members *m, bb_ms now, const struct bb_sealed *s)
+{
+  uint32_t from = bb_directory_find (m->directory, s->from);
+  enum bb_member_refusal r;
+  struct bb_message inner;
+  struct bb_decode_error e;
+  size_t size;
+
+  m->handling = from;
+  m->handling_incarnation = s->incarnation;
+  if (bb_frame_peek (s->body.ptr, s->body.size, &size) != BB_FRAME_WHOLE
+      || size + BB_FRAME_HEAD_BYTES != s->body.size
+      || !bb_message_decode (s->body.ptr + BB_FRAME_HEAD_BYTES, size, &inner,
+                             &e))
+    return BB_MEMBER_BAD_BODY;
+  r = check_sender (m, now, from, s);
+  if (r == BB_MEMBER_OK)
+    r = take_message (m, now, from, &inner);
+  else
+    answer_only (m, now, from, r, &inner);
+  bb_message_free (&inner);
+  return r;
+}
+
+enum bb_member_refusal
+bb_members_receive (struct bb_members *m, bb_ms now, const void *data,
+                    size_t size)
+{
+  struct bb_message sealed;
+  enum bb_member_refusal r;
+
+  m->stats.received++;
+  m->stats.received_bytes += size;
+  r = bb_unseal (data, size, &m->keys, &sealed);
+  if (r == BB_MEMBER_OK)
+    {
+      r = take_sealed (m, now, &sealed.u.sealed);
+      bb_message_free (&sealed);
+    }
+  m->handling = BB_MEMBER_NONE;
+  m->handling_incarnation = 0;
+  if (r != BB_MEMBER_OK)
+    m->stats.refused[r]++;
+  return r;
+}
+
+static void
+greet (struct bb_members *m, bb_ms now)
+{
+  for (uint32_t i = 0; i < GREET; i++)
+    {
+      uint32_t to = pick_live (m, false);
+      if (to != BB_MEMBER_NONE)
+        send_ping (m, now, to, ++m->nonce);
+    }
+}
+
+/* Timers that ran out during a pause decide nothing.  */
+static void
+wake (struct bb_members *m, bb_ms now, bb_ms gap)
+{
+  m->stats.woken++;
+  m->probe.stage = PROBE_IDLE;
+  m->probe.next_at = now;
+  for (uint32_t i = 0; i < m->directory->count; i++)
+    if (m->members[i].status == BB_MEMBER_STATUS_SUSPECT)
+      m->members[i].suspect_until += gap;
+  for (uint32_t i = 0; i < m->pushed_count; i++)
+    m->pushed[i].left = 0;
+  greet (m, now);
+}
+
+void
+bb_members_tick (struct bb_members *m, bb_ms now)
+{
+  bb_ms gap = now - m->last_tick;
+
+  if (m->last_tick == 0)
+    {
+      m->started_at = now;
+      m->probe.next_at = now + g_rand_int_range (m->rand, 0, 1000);
+      greet (m, now);
+    }
+#ifndef BB_MUTANT_member_wake
+  else if (gap > PAUSED_MS)
+    wake (m, now, gap);
+#endif
+  m->last_tick = now ? now : 1;
+  probe_tick (m, now);
+  spread_tick (m, now);
+  reader_tick (m, now);
+}
+
+void
+bb_members_hint (struct bb_members *m, uint64_t id)
+{
+  uint32_t i = bb_directory_find (m->directory, id);
+
+  if (i != BB_MEMBER_NONE && i != m->self)
+    m->probe.hint = i;
+}
+
+void
+bb_members_leave (struct bb_members *m, bb_ms now)
+{
+  m->leaving = true;
+  m->counter++;
+  m->members[m->self].status = BB_MEMBER_STATUS_LEFT;
+  queue_update (m, m->self);
+  greet (m, now);
+}
+
+const struct bb_blob *
+bb_members_in_force (const struct bb_members *m)
+{
+  return m->history[0];
+}
+
+enum bb_member_status
+bb_members_status (const struct bb_members *m, uint32_t index)
+{
+  return (enum bb_member_status)m->members[index].status;
+}
+
+const struct bb_member_stats *
+bb_members_stats (const struct bb_members *m)
+{
+  return &m->stats;
+}
+
+uint32_t
+bb_members_live (const struct bb_members *m)
+{
+  uint32_t live = 0;
+
+  for (uint32_t i = 0; i < m->directory->count; i++)
+    live += m->members[i].status == BB_MEMBER_STATUS_ALIVE
+            || m->members[i].status == BB_MEMBER_STATUS_SUSPECT;
+  return live;
+}
--- /dev/null
+++ b/libmember/reader.c
@@ -0,0 +1,55 @@
+/* Who reads the configuration service: in each failure domain the live
+   members with the highest scores.  */
+
+#include "internal.h"
+
+#include <xxhash.h>
+
+enum
+{
+  RECHECK_MS = 1000
+};
+
+static uint64_t
+score (const struct bb_peer *p)
+{
+  return XXH64 (&p->id, sizeof p->id, p->failure_domain);
+}
+
+static bool
+is_reader (const struct bb_members *m)
+{
+  const struct bb_peer *peers = m->directory->peers;
+  uint32_t domain = peers[m->self].failure_domain;
+  uint64_t own = score (&peers[m->self]);
+  uint32_t above = 0;
+
+  if (m->leaving)
+    return false;
+  for (uint32_t i = 0; i < m->directory->count; i++)
+    {
+      uint8_t status = m->members[i].status;
+      if (peers[i].failure_domain != domain || i == m->self
+          || status == BB_MEMBER_STATUS_DEAD || status == BB_MEMBER_STATUS_LEFT
+          || score (&peers[i]) <= own)
+        continue;
+      if (++above == BB_READERS)
+        return false;
+    }
+  return true;
+}
+
+void
+reader_tick (struct bb_members *m, bb_ms now)
+{
+  if (now < m->next_reader_at)
+    return;
+  m->next_reader_at = now + RECHECK_MS;
+  m->stats.reader = is_reader (m);
+}
+
+bool
+bb_members_wants_service (const struct bb_members *m, bb_ms now)
+{
+  return m->stats.reader || (m->fallback_at != 0 && now >= m->fallback_at);
+}
--- /dev/null
+++ b/libmember/send.c
@@ -0,0 +1,96 @@
+#include "internal.h"
+
+#include <string.h>
+
+/* A member that is not simply alive hears it first hand.  */
+static void
+tell_about (const struct bb_members *m, uint32_t i, struct bb_gossip *g)
+{
+  const struct member *p = &m->members[i];
+  struct bb_member_update *u = &g->updates[g->updates_count];
+
+  if (p->incarnation == 0)
+    return;
+  u->id = m->directory->peers[i].id;
+  u->incarnation = p->incarnation;
+  u->counter = p->counter;
+  u->status = p->status;
+  g->updates_count++;
+}
+
+/* Whether member I should be told what is believed of it.  */
+static bool
+is_news (const struct bb_members *m, uint32_t i)
+{
+  const struct member *p = &m->members[i];
+
+  return p->status != BB_MEMBER_STATUS_ALIVE
+         || (i == m->handling && p->incarnation != m->handling_incarnation);
+}
+
+void
+fill_gossip (struct bb_members *m, bb_ms now, struct bb_gossip *g,
+             uint32_t about)
+{
+  const struct bb_blob *b = m->history[0];
+
+  g->revision = b ? b->revision : 0;
+  g->hash = b ? b->hash : 0;
+  g->rejected = m->stats.rejected_revision;
+  if (about != BB_MEMBER_NONE && is_news (m, about))
+    tell_about (m, about, g);
+  fill_updates (m, g);
+  fill_pushed (m, now, g);
+}
+
+void
+send_body (struct bb_members *m, uint32_t to)
+{
+  struct bb_sealed s = { .from = m->self_id,
+                         .incarnation = m->incarnation,
+                         .sequence = ++m->sequence,
+                         .counter = m->counter };
+
+  if (to == m->handling)
+    s.to_incarnation = m->handling_incarnation;
+  else if (to != BB_MEMBER_NONE)
+    s.to_incarnation = m->members[to].incarnation;
+  s.body.ptr = m->body.data;
+  s.body.size = (uint32_t)m->body.size;
+  m->out.size = 0;
+  bb_seal (&m->out, &s, &m->keys);
+  m->body.size = 0;
+  m->stats.sent++;
+  m->stats.sent_bytes += m->out.size;
+  m->ops->send (m->user, to, m->out.data, m->out.size);
+}
+
+void
+send_ping (struct bb_members *m, bb_ms now, uint32_t to, uint64_t nonce)
+{
+  struct bb_ping p = { .nonce = nonce };
+
+  fill_gossip (m, now, &p.gossip, to);
+  bb_put_ping (&m->body, &p);
+  send_body (m, to);
+}
+
+void
+send_ack (struct bb_members *m, bb_ms now, uint32_t to, uint64_t nonce)
+{
+  struct bb_ping_ack a = { .nonce = nonce };
+
+  fill_gossip (m, now, &a.gossip, to);
+  bb_put_ping_ack (&m->body, &a);
+  send_body (m, to);
+}
+
+void
+send_notice (struct bb_members *m, bb_ms now, uint32_t to)
+{
+  struct bb_notice n = { 0 };
+
+  fill_gossip (m, now, &n.gossip, to);
+  bb_put_notice (&m->body, &n);
+  send_body (m, to);
+}
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -9,6 +9,20 @@
 #define U32_MAX UINT32_MAX
 #define U64_MAX UINT64_MAX
 
+const char *
+bb_member_status_name (uint32_t value)
+{
+  static const char *const table[] = {
+    "alive",
+    "suspect",
+    "dead",
+    "left",
+  };
+  if (value >= BB_MEMBER_STATUS_COUNT)
+    return "unknown";
+  return table[value];
+}
+
 const char *
 bb_run_name (uint32_t value)
 {
@@ -48,97 +62,739 @@
   return table[value];
 }
 
-const char *
-bb_reason_name (uint32_t value)
+const char *
+bb_reason_name (uint32_t value)
+{
+  static const char *const table[] = {
+    "none",       "bad_request",       "no_key",           "unknown_key",
+    "no_route",   "bad_method",        "body_too_large",   "customer_limit",
+    "queue_full", "cold_start",        "overload",         "no_upstream",
+    "draining",   "stale_incarnation", "upstream_refused", "upstream_failed",
+    "agent_lost", "deadline",          "in_doubt",         "in_progress",
+    "key_reused", "quarantined",       "cancelled",        "internal",
+  };
+  if (value >= BB_REASON_COUNT)
+    return "unknown";
+  return table[value];
+}
+
+const char *
+bb_reason_text (uint32_t value)
+{
+  static const char *const table[] = {
+    "no fault",
+    "the request is malformed",
+    "the request carries no bearer key",
+    "the bearer key belongs to no customer",
+    "no route is configured for this path",
+    "the path does not take this method",
+    "the request body is too large",
+    "the customer is over its limit",
+    "the queue before the upstream is full",
+    "the upstream is starting and takes little load",
+    "no upstream has room",
+    "no upstream can be reached",
+    "the process or its failure domain is leaving",
+    "the message was meant for an earlier process",
+    "the upstream refused the connection",
+    "the upstream failed during the request",
+    "the connection to the agent was lost",
+    "the deadline passed",
+    "an earlier try of this key may have run",
+    "an earlier try of this key is still running",
+    "the idempotency key was used for another request",
+    "the request is quarantined after crashing upstreams",
+    "the caller went away",
+    "an internal fault",
+  };
+  if (value >= BB_REASON_COUNT)
+    return "unknown";
+  return table[value];
+}
+
+uint16_t
+bb_reason_status (uint32_t value)
+{
+  static uint16_t const table[] = {
+    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503,
+    503, 503, 503, 502, 502, 504, 409, 409, 422, 422, 499, 500,
+  };
+  if (value >= BB_REASON_COUNT)
+    return 500;
+  return table[value];
+}
+
+const char *
+bb_role_name (uint32_t value)
+{
+  static const char *const table[] = {
+    "entry",
+    "agent",
+  };
+  if (value >= BB_ROLE_COUNT)
+    return "unknown";
+  return table[value];
+}
+
+static void
+put_member_update (msgpack_packer *pk, const struct bb_member_update *v)
+{
+  msgpack_pack_map (pk, 4);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->incarnation);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->counter);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->status);
+}
+
+static bool
+get_member_update (const msgpack_object *obj, struct bb_member_update *v,
+                   struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "member_update", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "incarnation", e))
+            return false;
+          v->incarnation = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "counter", e))
+            return false;
+          v->counter = (uint32_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U8_MAX, &n, "status", e))
+            return false;
+          v->status = (uint8_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("member_update", "id", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("member_update", "incarnation", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("member_update", "counter", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("member_update", "status", e);
+  return true;
+}
+
+static void
+put_pushed (msgpack_packer *pk, const struct bb_pushed *v)
+{
+  msgpack_pack_map (pk, 5);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->kind);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->key);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->value);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->origin);
+  msgpack_pack_uint8 (pk, 5);
+  msgpack_pack_uint64 (pk, v->age_ms);
+}
+
+static bool
+get_pushed (const msgpack_object *obj, struct bb_pushed *v,
+            struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "pushed", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U8_MAX, &n, "kind", e))
+            return false;
+          v->kind = (uint8_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "key", e))
+            return false;
+          v->key = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "value", e))
+            return false;
+          v->value = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "origin", e))
+            return false;
+          v->origin = (uint64_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "age_ms", e))
+            return false;
+          v->age_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 5;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("pushed", "kind", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("pushed", "key", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("pushed", "value", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("pushed", "origin", e);
+  if (!(seen & (UINT64_C (1) << 5)))
+    return bb_wire_missing ("pushed", "age_ms", e);
+  return true;
+}
+
+static void
+put_gossip (msgpack_packer *pk, const struct bb_gossip *v)
+{
+  msgpack_pack_map (pk, 5);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->revision);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->hash);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->rejected);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_count (pk, v->updates_count, 8);
+  for (uint32_t i = 0; i < v->updates_count; i++)
+    put_member_update (pk, &v->updates[i]);
+  msgpack_pack_uint8 (pk, 5);
+  bb_wire_put_count (pk, v->pushed_count, 4);
+  for (uint32_t i = 0; i < v->pushed_count; i++)
+    put_pushed (pk, &v->pushed[i]);
+}
+
+static bool
+get_gossip (const msgpack_object *obj, struct bb_gossip *v,
+            struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "gossip", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "revision", e))
+            return false;
+          v->revision = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "hash", e))
+            return false;
+          v->hash = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "rejected", e))
+            return false;
+          v->rejected = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_is_list (o, 8, "updates", e))
+            return false;
+          v->updates_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->updates_count; i++)
+            {
+              if (!get_member_update (&o->via.array.ptr[i], &v->updates[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_is_list (o, 4, "pushed", e))
+            return false;
+          v->pushed_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->pushed_count; i++)
+            {
+              if (!get_pushed (&o->via.array.ptr[i], &v->pushed[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 5;
+          break;
+        default:
+          break;
+        }
+    }
+  (void)seen;
+  return true;
+}
+
+static void
+put_header (msgpack_packer *pk, const struct bb_header *v)
+{
+  msgpack_pack_map (pk, 2);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->name);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_str (pk, v->value);
+}
+
+static bool
+get_header (const msgpack_object *obj, struct bb_header *v,
+            struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "header", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 256, &v->name, "name", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_str (o, 16384, &v->value, "value", e))
+            return false;
+          seen |= UINT64_C (1) << 2;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("header", "name", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("header", "value", e);
+  return true;
+}
+
+static void
+put_load (msgpack_packer *pk, const struct bb_load *v)
+{
+  msgpack_pack_map (pk, 6);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->in_flight);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->queued);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->limit);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_bool (pk, v->cold);
+  msgpack_pack_uint8 (pk, 5);
+  bb_wire_put_bool (pk, v->draining);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->wait_ms);
+}
+
+static bool
+get_load (const msgpack_object *obj, struct bb_load *v,
+          struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "load", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "in_flight", e))
+            return false;
+          v->in_flight = (uint32_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "queued", e))
+            return false;
+          v->queued = (uint32_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "limit", e))
+            return false;
+          v->limit = (uint32_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_bool (o, &v->cold, "cold", e))
+            return false;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_bool (o, &v->draining, "draining", e))
+            return false;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "wait_ms", e))
+            return false;
+          v->wait_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("load", "in_flight", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("load", "limit", e);
+  return true;
+}
+
+static void
+put_sealed (msgpack_packer *pk, const struct bb_sealed *v)
+{
+  msgpack_pack_map (pk, 8);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->key);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->from);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->incarnation);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->to_incarnation);
+  msgpack_pack_uint8 (pk, 5);
+  msgpack_pack_uint64 (pk, v->sequence);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->counter);
+  msgpack_pack_uint8 (pk, 7);
+  bb_wire_put_bin (pk, v->body);
+  msgpack_pack_uint8 (pk, 8);
+  bb_wire_put_bin (pk, v->tag);
+}
+
+static bool
+get_sealed (const msgpack_object *obj, struct bb_sealed *v,
+            struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "sealed", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "key", e))
+            return false;
+          v->key = (uint32_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "from", e))
+            return false;
+          v->from = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "incarnation", e))
+            return false;
+          v->incarnation = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "to_incarnation", e))
+            return false;
+          v->to_incarnation = (uint64_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "sequence", e))
+            return false;
+          v->sequence = (uint64_t)n;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "counter", e))
+            return false;
+          v->counter = (uint32_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
+        case 7:
+          if (!bb_wire_get_bin (o, 1400, &v->body, "body", e))
+            return false;
+          seen |= UINT64_C (1) << 7;
+          break;
+        case 8:
+          if (!bb_wire_get_bin (o, 16, &v->tag, "tag", e))
+            return false;
+          seen |= UINT64_C (1) << 8;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("sealed", "key", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("sealed", "from", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("sealed", "incarnation", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("sealed", "to_incarnation", e);
+  if (!(seen & (UINT64_C (1) << 5)))
+    return bb_wire_missing ("sealed", "sequence", e);
+  if (!(seen & (UINT64_C (1) << 6)))
+    return bb_wire_missing ("sealed", "counter", e);
+  if (!(seen & (UINT64_C (1) << 7)))
+    return bb_wire_missing ("sealed", "body", e);
+  if (!(seen & (UINT64_C (1) << 8)))
+    return bb_wire_missing ("sealed", "tag", e);
+  return true;
+}
+
+static void
+put_ping (msgpack_packer *pk, const struct bb_ping *v)
+{
+  msgpack_pack_map (pk, 2);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->nonce);
+  msgpack_pack_uint8 (pk, 2);
+  put_gossip (pk, &v->gossip);
+}
+
+static bool
+get_ping (const msgpack_object *obj, struct bb_ping *v,
+          struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "ping", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "nonce", e))
+            return false;
+          v->nonce = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!get_gossip (o, &v->gossip, e))
+            return false;
+          seen |= UINT64_C (1) << 2;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("ping", "nonce", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("ping", "gossip", e);
+  return true;
+}
+
+static void
+put_ping_ack (msgpack_packer *pk, const struct bb_ping_ack *v)
+{
+  msgpack_pack_map (pk, 2);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->nonce);
+  msgpack_pack_uint8 (pk, 2);
+  put_gossip (pk, &v->gossip);
+}
+
+static bool
+get_ping_ack (const msgpack_object *obj, struct bb_ping_ack *v,
+              struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "ping_ack", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "nonce", e))
+            return false;
+          v->nonce = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!get_gossip (o, &v->gossip, e))
+            return false;
+          seen |= UINT64_C (1) << 2;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("ping_ack", "nonce", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("ping_ack", "gossip", e);
+  return true;
+}
+
+static void
+put_ping_request (msgpack_packer *pk, const struct bb_ping_request *v)
 {
-  static const char *const table[] = {
-    "none",       "bad_request",       "no_key",           "unknown_key",
-    "no_route",   "bad_method",        "body_too_large",   "customer_limit",
-    "queue_full", "cold_start",        "overload",         "no_upstream",
-    "draining",   "stale_incarnation", "upstream_refused", "upstream_failed",
-    "agent_lost", "deadline",          "in_doubt",         "in_progress",
-    "key_reused", "quarantined",       "cancelled",        "internal",
-  };
-  if (value >= BB_REASON_COUNT)
-    return "unknown";
-  return table[value];
+  msgpack_pack_map (pk, 3);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->nonce);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->target);
+  msgpack_pack_uint8 (pk, 3);
+  put_gossip (pk, &v->gossip);
 }
 
-const char *
-bb_reason_text (uint32_t value)
+static bool
+get_ping_request (const msgpack_object *obj, struct bb_ping_request *v,
+                  struct bb_decode_error *e)
 {
-  static const char *const table[] = {
-    "no fault",
-    "the request is malformed",
-    "the request carries no bearer key",
-    "the bearer key belongs to no customer",
-    "no route is configured for this path",
-    "the path does not take this method",
-    "the request body is too large",
-    "the customer is over its limit",
-    "the queue before the upstream is full",
-    "the upstream is starting and takes little load",
-    "no upstream has room",
-    "no upstream can be reached",
-    "the process or its failure domain is leaving",
-    "the message was meant for an earlier process",
-    "the upstream refused the connection",
-    "the upstream failed during the request",
-    "the connection to the agent was lost",
-    "the deadline passed",
-    "an earlier try of this key may have run",
-    "an earlier try of this key is still running",
-    "the idempotency key was used for another request",
-    "the request is quarantined after crashing upstreams",
-    "the caller went away",
-    "an internal fault",
-  };
-  if (value >= BB_REASON_COUNT)
-    return "unknown";
-  return table[value];
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "ping_request", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "nonce", e))
+            return false;
+          v->nonce = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "target", e))
+            return false;
+          v->target = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!get_gossip (o, &v->gossip, e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("ping_request", "nonce", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("ping_request", "target", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("ping_request", "gossip", e);
+  return true;
 }
 
-uint16_t
-bb_reason_status (uint32_t value)
+static void
+put_notice (msgpack_packer *pk, const struct bb_notice *v)
 {
-  static uint16_t const table[] = {
-    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503,
-    503, 503, 503, 502, 502, 504, 409, 409, 422, 422, 499, 500,
-  };
-  if (value >= BB_REASON_COUNT)
-    return 500;
-  return table[value];
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  put_gossip (pk, &v->gossip);
 }
 
-const char *
-bb_role_name (uint32_t value)
+static bool
+get_notice (const msgpack_object *obj, struct bb_notice *v,
+            struct bb_decode_error *e)
 {
-  static const char *const table[] = {
-    "entry",
-    "agent",
-  };
-  if (value >= BB_ROLE_COUNT)
-    return "unknown";
-  return table[value];
+  uint64_t seen = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "notice", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!get_gossip (o, &v->gossip, e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("notice", "gossip", e);
+  return true;
 }
 
 static void
-put_header (msgpack_packer *pk, const struct bb_header *v)
+put_fetch (msgpack_packer *pk, const struct bb_fetch *v)
 {
-  msgpack_pack_map (pk, 2);
+  msgpack_pack_map (pk, 5);
   msgpack_pack_uint8 (pk, 1);
-  bb_wire_put_str (pk, v->name);
+  msgpack_pack_uint64 (pk, v->revision);
   msgpack_pack_uint8 (pk, 2);
-  bb_wire_put_str (pk, v->value);
+  msgpack_pack_uint64 (pk, v->hash);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->base_revision);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->base_hash);
+  msgpack_pack_uint8 (pk, 5);
+  msgpack_pack_uint64 (pk, v->offset);
 }
 
 static bool
-get_header (const msgpack_object *obj, struct bb_header *v,
-            struct bb_decode_error *e)
+get_fetch (const msgpack_object *obj, struct bb_fetch *v,
+           struct bb_decode_error *e)
 {
   uint64_t seen = 0;
+  uint64_t n = 0;
   memset (v, 0, sizeof *v);
-  if (!bb_wire_is_map (obj, "header", e))
+  if (!bb_wire_is_map (obj, "fetch", e))
     return false;
   for (uint32_t k = 0; k < obj->via.map.size; k++)
     {
@@ -146,52 +802,82 @@
       switch (bb_wire_field (&obj->via.map.ptr[k].key))
         {
         case 1:
-          if (!bb_wire_get_str (o, 256, &v->name, "name", e))
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "revision", e))
             return false;
+          v->revision = (uint64_t)n;
           seen |= UINT64_C (1) << 1;
           break;
         case 2:
-          if (!bb_wire_get_str (o, 16384, &v->value, "value", e))
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "hash", e))
             return false;
+          v->hash = (uint64_t)n;
           seen |= UINT64_C (1) << 2;
           break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "base_revision", e))
+            return false;
+          v->base_revision = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "base_hash", e))
+            return false;
+          v->base_hash = (uint64_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "offset", e))
+            return false;
+          v->offset = (uint32_t)n;
+          seen |= UINT64_C (1) << 5;
+          break;
         default:
           break;
         }
     }
   if (!(seen & (UINT64_C (1) << 1)))
-    return bb_wire_missing ("header", "name", e);
+    return bb_wire_missing ("fetch", "revision", e);
   if (!(seen & (UINT64_C (1) << 2)))
-    return bb_wire_missing ("header", "value", e);
+    return bb_wire_missing ("fetch", "hash", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("fetch", "base_revision", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("fetch", "base_hash", e);
+  if (!(seen & (UINT64_C (1) << 5)))
+    return bb_wire_missing ("fetch", "offset", e);
   return true;
 }
 
 static void
-put_load (msgpack_packer *pk, const struct bb_load *v)
+put_chunk (msgpack_packer *pk, const struct bb_chunk *v)
 {
-  msgpack_pack_map (pk, 6);
+  msgpack_pack_map (pk, 8);
   msgpack_pack_uint8 (pk, 1);
-  msgpack_pack_uint64 (pk, v->in_flight);
+  msgpack_pack_uint64 (pk, v->revision);
   msgpack_pack_uint8 (pk, 2);
-  msgpack_pack_uint64 (pk, v->queued);
+  msgpack_pack_uint64 (pk, v->hash);
   msgpack_pack_uint8 (pk, 3);
-  msgpack_pack_uint64 (pk, v->limit);
+  msgpack_pack_uint64 (pk, v->base_revision);
   msgpack_pack_uint8 (pk, 4);
-  bb_wire_put_bool (pk, v->cold);
+  msgpack_pack_uint64 (pk, v->prefix);
   msgpack_pack_uint8 (pk, 5);
-  bb_wire_put_bool (pk, v->draining);
+  msgpack_pack_uint64 (pk, v->suffix);
   msgpack_pack_uint8 (pk, 6);
-  msgpack_pack_uint64 (pk, v->wait_ms);
+  msgpack_pack_uint64 (pk, v->size);
+  msgpack_pack_uint8 (pk, 7);
+  msgpack_pack_uint64 (pk, v->offset);
+  msgpack_pack_uint8 (pk, 8);
+  bb_wire_put_bin (pk, v->bytes);
 }
 
 static bool
-get_load (const msgpack_object *obj, struct bb_load *v,
-          struct bb_decode_error *e)
+get_chunk (const msgpack_object *obj, struct bb_chunk *v,
+           struct bb_decode_error *e)
 {
   uint64_t seen = 0;
   uint64_t n = 0;
   memset (v, 0, sizeof *v);
-  if (!bb_wire_is_map (obj, "load", e))
+  if (!bb_wire_is_map (obj, "chunk", e))
     return false;
   for (uint32_t k = 0; k < obj->via.map.size; k++)
     {
@@ -199,47 +885,72 @@
       switch (bb_wire_field (&obj->via.map.ptr[k].key))
         {
         case 1:
-          if (!bb_wire_get_uint (o, U32_MAX, &n, "in_flight", e))
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "revision", e))
             return false;
-          v->in_flight = (uint32_t)n;
+          v->revision = (uint64_t)n;
           seen |= UINT64_C (1) << 1;
           break;
         case 2:
-          if (!bb_wire_get_uint (o, U32_MAX, &n, "queued", e))
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "hash", e))
             return false;
-          v->queued = (uint32_t)n;
+          v->hash = (uint64_t)n;
           seen |= UINT64_C (1) << 2;
           break;
         case 3:
-          if (!bb_wire_get_uint (o, U32_MAX, &n, "limit", e))
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "base_revision", e))
             return false;
-          v->limit = (uint32_t)n;
+          v->base_revision = (uint64_t)n;
           seen |= UINT64_C (1) << 3;
           break;
         case 4:
-          if (!bb_wire_get_bool (o, &v->cold, "cold", e))
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "prefix", e))
             return false;
+          v->prefix = (uint32_t)n;
           seen |= UINT64_C (1) << 4;
           break;
         case 5:
-          if (!bb_wire_get_bool (o, &v->draining, "draining", e))
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "suffix", e))
             return false;
+          v->suffix = (uint32_t)n;
           seen |= UINT64_C (1) << 5;
           break;
         case 6:
-          if (!bb_wire_get_uint (o, U32_MAX, &n, "wait_ms", e))
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "size", e))
             return false;
-          v->wait_ms = (uint32_t)n;
+          v->size = (uint32_t)n;
           seen |= UINT64_C (1) << 6;
           break;
+        case 7:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "offset", e))
+            return false;
+          v->offset = (uint32_t)n;
+          seen |= UINT64_C (1) << 7;
+          break;
+        case 8:
+          if (!bb_wire_get_bin (o, 1100, &v->bytes, "bytes", e))
+            return false;
+          seen |= UINT64_C (1) << 8;
+          break;
         default:
           break;
         }
     }
   if (!(seen & (UINT64_C (1) << 1)))
-    return bb_wire_missing ("load", "in_flight", e);
+    return bb_wire_missing ("chunk", "revision", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("chunk", "hash", e);
   if (!(seen & (UINT64_C (1) << 3)))
-    return bb_wire_missing ("load", "limit", e);
+    return bb_wire_missing ("chunk", "base_revision", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("chunk", "prefix", e);
+  if (!(seen & (UINT64_C (1) << 5)))
+    return bb_wire_missing ("chunk", "suffix", e);
+  if (!(seen & (UINT64_C (1) << 6)))
+    return bb_wire_missing ("chunk", "size", e);
+  if (!(seen & (UINT64_C (1) << 7)))
+    return bb_wire_missing ("chunk", "offset", e);
+  if (!(seen & (UINT64_C (1) << 8)))
+    return bb_wire_missing ("chunk", "bytes", e);
   return true;
 }
 
@@ -789,6 +1500,69 @@
   return true;
 }
 
+void
+bb_put_sealed (msgpack_sbuffer *buf, const struct bb_sealed *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_SEALED);
+  put_sealed (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_ping (msgpack_sbuffer *buf, const struct bb_ping *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PING);
+  put_ping (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_ping_ack (msgpack_sbuffer *buf, const struct bb_ping_ack *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PING_ACK);
+  put_ping_ack (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_ping_request (msgpack_sbuffer *buf, const struct bb_ping_request *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PING_REQUEST);
+  put_ping_request (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_notice (msgpack_sbuffer *buf, const struct bb_notice *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_NOTICE);
+  put_notice (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_fetch (msgpack_sbuffer *buf, const struct bb_fetch *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_FETCH);
+  put_fetch (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_chunk (msgpack_sbuffer *buf, const struct bb_chunk *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_CHUNK);
+  put_chunk (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v)
 {
@@ -868,6 +1642,20 @@
   m->type = (enum bb_message_type)type;
   switch (type)
     {
+    case BB_MSG_SEALED:
+      return get_sealed (obj, &m->u.sealed, e);
+    case BB_MSG_PING:
+      return get_ping (obj, &m->u.ping, e);
+    case BB_MSG_PING_ACK:
+      return get_ping_ack (obj, &m->u.ping_ack, e);
+    case BB_MSG_PING_REQUEST:
+      return get_ping_request (obj, &m->u.ping_request, e);
+    case BB_MSG_NOTICE:
+      return get_notice (obj, &m->u.notice, e);
+    case BB_MSG_FETCH:
+      return get_fetch (obj, &m->u.fetch, e);
+    case BB_MSG_CHUNK:
+      return get_chunk (obj, &m->u.chunk, e);
     case BB_MSG_HELLO:
       return get_hello (obj, &m->u.hello, e);
     case BB_MSG_CALL:
--- /dev/null
+++ b/test/harness/member_run.c
@@ -0,0 +1,439 @@
+#include "member_run.h"
+
+#include <string.h>
+
+enum
+{
+  SERVICE_MIN_MS = 2,
+  SERVICE_SPAN_MS = 10,
+  RETRY_MS = 1000,
+  EDIT_BYTES = 96
+};
+
+static struct run_node *
+node_of (struct member_run *r, uint32_t i)
+{
+  return &r->nodes[i];
+}
+
+static void
+on_send (void *user, uint32_t to, const void *data, size_t size)
+{
+  struct run_node *n = user;
+
+  if (n->run->o.naive)
+    return;
+  g_assert_cmpuint (to, !=, BB_MEMBER_NONE);
+  bb_sim_send (n->run->sim, n->index, to, data, size);
+}
+
+static bb_ms *
+accepted_at (struct member_run *r, uint64_t revision)
+{
+  return &g_array_index (r->first_accepted, bb_ms, revision - 1);
+}
+
+/* The invariant: a process never goes back to a lower revision.  */
+static bool
+on_accept (void *user, const struct bb_blob *b)
+{
+  struct run_node *n = user;
+  struct member_run *r = n->run;
+  bb_ms now = bb_sim_now (r->sim);
+  GBytes *want = g_ptr_array_index (r->published, b->revision - 1);
+  bb_ms *first = accepted_at (r, b->revision);
+  uint32_t spent;
+
+  g_assert_cmpmem (b->data, b->size, g_bytes_get_data (want, NULL),
+                   g_bytes_get_size (want));
+  if (r->bad_revisions >> (b->revision - 1) & 1)
+    return false;
+  g_assert_cmpuint (b->revision, >, n->in_force);
+  n->in_force = b->revision;
+  if (*first < 0)
+    *first = now;
+  spent = (uint32_t)(now - *first);
+  if (b->revision == r->published->len && n->up_since < *first)
+    g_array_append_val (r->spread_ms, spent);
+  return true;
+}
+
+static const struct bb_member_ops member_ops
+    = { .send = on_send, .accept = on_accept };
+
+static void
+on_deliver (struct bb_sim *sim, uint32_t from, uint32_t to, const void *data,
+            size_t size, void *arg)
+{
+  struct run_node *n = node_of (arg, to);
+
+  (void)from;
+  if (n->members)
+    bb_members_receive (n->members, bb_sim_now (sim), data, size);
+}
+
+/* An answer of the service on its way to a member.  */
+struct reply
+{
+  struct run_node *node;
+  uint64_t life;
+  uint64_t revision; /* 0: the call failed */
+};
+
+static void
+on_reply (struct bb_sim *sim, void *arg)
+{
+  struct reply *p = arg;
+  struct run_node *n = p->node;
+  struct member_run *r = n->run;
+  GBytes *bytes;
+  enum bb_member_refusal v = BB_MEMBER_EARLY;
+
+  if (n->members && n->life == p->life)
+    {
+      n->calling = false;
+      if (p->revision > 0)
+        {
+          bytes = g_ptr_array_index (r->published, p->revision - 1);
+          v = bb_members_offer (n->members, bb_sim_now (sim), p->revision,
+                                g_bytes_get_data (bytes, NULL),
+                                g_bytes_get_size (bytes));
+        }
+      if (v != BB_MEMBER_OK)
+        n->call_again_at = bb_sim_now (sim) + RETRY_MS
+                           + g_rand_int_range (n->rand, 0, RETRY_MS);
+    }
+  g_free (p);
+}
+
+static void
+count_calls (struct member_run *r, uint32_t calls)
+{
+  r->service_calls += calls;
+  r->service_calls_second += calls;
+  r->service_calls_most = MAX (r->service_calls_most, r->service_calls_second);
+}
+
+static void
+reply (struct member_run *r, struct run_node *n, uint64_t revision)
+{
+  struct reply *p = g_new0 (struct reply, 1);
+
+  p->node = n;
+  p->life = n->life;
+  p->revision = revision;
+  n->watching = false;
+  bb_sim_at (r->sim,
+             SERVICE_MIN_MS + g_rand_int_range (n->rand, 0, SERVICE_SPAN_MS),
+             on_reply, p);
+}
+
+/* A watch that is answered is followed by a list and a read.  */
+static void
+answer_watch (struct member_run *r, struct run_node *n)
+{
+  uint64_t revision = r->published->len;
+
+  if (r->service_stale && revision > 1)
+    revision
+        -= (uint64_t)g_rand_int_range (n->rand, 0, (gint32)MIN (revision, 4));
+  count_calls (r, 2);
+  reply (r, n, revision);
+}
+
+static void
+call_service (struct member_run *r, struct run_node *n)
+{
+  if (n->calling || bb_sim_now (r->sim) < n->call_again_at)
+    return;
+  count_calls (r, 1);
+  n->calling = true;
+  if (r->service_down)
+    reply (r, n, 0);
+  else if (n->in_force < r->published->len)
+    answer_watch (r, n);
+  else
+    n->watching = true;
+}
+
+static void
+on_tick (struct bb_sim *sim, void *arg)
+{
+  struct run_node *n = arg;
+  struct member_run *r = n->run;
+  bb_ms now = bb_sim_now (sim);
+
+  if (!n->members)
+    return;
+  if (!r->o.naive)
+    bb_members_tick (n->members, now);
+  if (r->o.naive || bb_members_wants_service (n->members, now))
+    call_service (r, n);
+  bb_sim_at_node (sim, n->index, BB_MEMBER_TICK_MS, on_tick, n);
+}
+
+static void
+on_second (struct bb_sim *sim, void *arg)
+{
+  struct member_run *r = arg;
+
+  r->service_calls_second = 0;
+  bb_sim_at (sim, 1000, on_second, r);
+}
+
+void
+member_run_start (struct member_run *r, uint32_t i)
+{
+  struct run_node *n = node_of (r, i);
+  struct bb_member_options o = { .self = r->directory.peers[i].id,
+                                 .directory = &r->directory,
+                                 .keys = r->keys,
+                                 .rand = n->rand,
+                                 .ops = &member_ops,
+                                 .user = n };
+
+  g_assert_null (n->members);
+  o.incarnation
+      = (uint64_t)g_rand_int (n->rand) << 32 | g_rand_int (n->rand) | 1;
+  n->members = bb_members_new (&o);
+  n->in_force = 0;
+  n->life++;
+  n->up_since = bb_sim_now (r->sim);
+  n->paused_until = 0;
+  n->calling = false;
+  n->watching = false;
+  n->call_again_at = 0;
+  bb_sim_at_node (r->sim, i, g_rand_int_range (n->rand, 1, BB_MEMBER_TICK_MS),
+                  on_tick, n);
+}
+
+void
+member_run_stop (struct member_run *r, uint32_t i)
+{
+  struct run_node *n = node_of (r, i);
+
+  if (!n->members)
+    return;
+  bb_sim_crash (r->sim, i);
+  bb_members_free (n->members);
+  n->members = NULL;
+}
+
+void
+member_run_pause (struct member_run *r, uint32_t i, bb_ms ms)
+{
+  struct run_node *n = node_of (r, i);
+
+  bb_sim_pause (r->sim, i, ms);
+  n->paused_until = bb_sim_now (r->sim) + ms;
+}
+
+void
+member_run_cut (struct member_run *r, uint32_t domains)
+{
+  for (uint32_t i = 0; i < r->o.members; i++)
+    {
+      uint32_t side = r->directory.peers[i].failure_domain < domains;
+      r->nodes[i].side = side;
+      bb_sim_set_side (r->sim, i, side);
+    }
+  r->connected_since = bb_sim_now (r->sim);
+}
+
+static void
+make_directory (struct member_run *r)
+{
+  char name[32];
+
+  r->directory.count = r->o.members;
+  r->directory.peers = g_new0 (struct bb_peer, r->o.members);
+  for (uint32_t i = 0; i < r->o.members; i++)
+    {
+      g_snprintf (name, sizeof name, "member-%u", i);
+      r->directory.peers[i].id = bb_peer_id (BB_ROLE_AGENT, name);
+      r->directory.peers[i].failure_domain = i % r->o.domains;
+    }
+  bb_directory_sort (&r->directory);
+}
+
+struct member_run *
+member_run_new (const struct member_run_options *o)
+{
+  struct member_run *r = g_new0 (struct member_run, 1);
+
+  r->o = *o;
+  r->sim = bb_sim_new (o->seed, o->members);
+  bb_sim_set_net (r->sim, &o->net);
+  bb_sim_on_deliver (r->sim, on_deliver, r);
+  r->keys.count = 1;
+  memset (r->keys.keys[0].secret, 7, BB_PEER_KEY_BYTES);
+  r->published
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  r->first_accepted = g_array_new (FALSE, FALSE, sizeof (bb_ms));
+  r->spread_ms = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  make_directory (r);
+  r->nodes = g_new0 (struct run_node, o->members);
+  for (uint32_t i = 0; i < o->members; i++)
+    {
+      r->nodes[i].run = r;
+      r->nodes[i].index = i;
+      r->nodes[i].rand
+          = g_rand_new_with_seed (g_rand_int (bb_sim_rand (r->sim)));
+    }
+  bb_sim_at (r->sim, 1000, on_second, r);
+  return r;
+}
+
+void
+member_run_free (struct member_run *r)
+{
+  for (uint32_t i = 0; i < r->o.members; i++)
+    {
+      if (r->nodes[i].members)
+        bb_members_free (r->nodes[i].members);
+      g_rand_free (r->nodes[i].rand);
+    }
+  bb_sim_free (r->sim);
+  g_ptr_array_free (r->published, TRUE);
+  g_array_free (r->first_accepted, TRUE);
+  g_array_free (r->spread_ms, TRUE);
+  g_free (r->directory.peers);
+  g_free (r->nodes);
+  g_free (r);
+}
+
+void
+member_run_advance (struct member_run *r, bb_ms ms)
+{
+  bb_sim_run (r->sim, bb_sim_now (r->sim) + ms);
+}
+
+/* Whether N was up, awake and connected to the service's side throughout.  */
+static bool
+must_hold (const struct run_node *n, bb_ms since)
+{
+  return n->members && n->up_since + IN_FORCE_MS <= since
+         && n->paused_until + IN_FORCE_MS <= since && n->side == 0;
+}
+
+struct check
+{
+  struct member_run *run;
+  uint64_t revision;
+};
+
+static void
+on_check (struct bb_sim *sim, void *arg)
+{
+  struct check *c = arg;
+  struct member_run *r = c->run;
+  bb_ms first = *accepted_at (r, c->revision);
+  bb_ms now = bb_sim_now (sim);
+
+  if (first < 0 || now < first + IN_FORCE_MS)
+    {
+      bb_sim_at (sim, 100, on_check, c);
+      return;
+    }
+  for (uint32_t i = 0; i < r->o.members; i++)
+    if (must_hold (&r->nodes[i], first)
+        && r->nodes[i].in_force < c->revision)
+      r->late++;
+  if (r->check_within && r->connected_since + IN_FORCE_MS <= first)
+    g_assert_cmpuint (r->late, ==, 0);
+  g_free (c);
+}
+
+static GBytes *
+next_content (struct member_run *r)
+{
+  GRand *rand = bb_sim_rand (r->sim);
+  uint32_t size = r->o.config_bytes;
+  char *text = g_malloc (size);
+  uint32_t at;
+  GBytes *last;
+
+  if (r->published->len == 0)
+    {
+      for (uint32_t i = 0; i < size; i++)
+        text[i] = (char)g_rand_int_range (rand, ' ', '~');
+      return g_bytes_new_take (text, size);
+    }
+  last = g_ptr_array_index (r->published, r->published->len - 1);
+  memcpy (text, g_bytes_get_data (last, NULL), size);
+  at = (uint32_t)g_rand_int_range (rand, 0, (gint32)(size - EDIT_BYTES));
+  for (uint32_t i = 0; i < EDIT_BYTES; i++)
+    text[at + i] = (char)g_rand_int_range (rand, ' ', '~');
+  return g_bytes_new_take (text, size);
+}
+
+uint64_t
+member_run_publish (struct member_run *r)
+{
+  struct check *c = g_new0 (struct check, 1);
+  bb_ms never = -1;
+
+  g_ptr_array_add (r->published, next_content (r));
+  g_array_append_val (r->first_accepted, never);
+  g_array_set_size (r->spread_ms, 0);
+  c->run = r;
+  c->revision = r->published->len;
+  if (r->bad_revisions >> (c->revision - 1) & 1)
+    g_free (c);
+  else
+    bb_sim_at (r->sim, IN_FORCE_MS, on_check, c);
+  if (!r->service_down)
+    for (uint32_t i = 0; i < r->o.members; i++)
+      if (r->nodes[i].members && r->nodes[i].watching)
+        answer_watch (r, &r->nodes[i]);
+  return r->published->len;
+}
+
+bool
+member_run_all_hold (const struct member_run *r, uint64_t revision)
+{
+  for (uint32_t i = 0; i < r->o.members; i++)
+    if (r->nodes[i].members && r->nodes[i].in_force != revision)
+      return false;
+  return true;
+}
+
+bool
+member_run_all_agree (const struct member_run *r, bool gone)
+{
+  for (uint32_t i = 0; i < r->o.members; i++)
+    for (uint32_t k = 0; r->nodes[i].members && k < r->o.members; k++)
+      {
+        enum bb_member_status s = bb_members_status (r->nodes[i].members, k);
+        bool live
+            = s == BB_MEMBER_STATUS_ALIVE || s == BB_MEMBER_STATUS_SUSPECT;
+        if (r->nodes[k].members ? !live : gone && live)
+          return false;
+      }
+  return true;
+}
+
+struct bb_member_stats
+member_run_stats (const struct member_run *r)
+{
+  struct bb_member_stats sum = { 0 };
+
+  for (uint32_t i = 0; i < r->o.members; i++)
+    {
+      const struct bb_member_stats *s;
+      if (!r->nodes[i].members)
+        continue;
+      s = bb_members_stats (r->nodes[i].members);
+      sum.sent += s->sent;
+      sum.sent_bytes += s->sent_bytes;
+      sum.received += s->received;
+      sum.received_bytes += s->received_bytes;
+      sum.suspected += s->suspected;
+      sum.declared += s->declared;
+      sum.woken += s->woken;
+      sum.fetches += s->fetches;
+      for (uint32_t k = 0; k < BB_MEMBER_REFUSALS; k++)
+        sum.refused[k] += s->refused[k];
+    }
+  return sum;
+}
--- /dev/null
+++ b/test/harness/member_run.h
@@ -0,0 +1,91 @@
+#ifndef MEMBER_RUN_H
+#define MEMBER_RUN_H
+
+/* Runs of many members in virtual time: membership, spread of configuration
+   and a stand-in for the configuration service.  Invariants are asserted
+   inside.  */
+
+#include "bilberry/member.h"
+#include "bilberry/sim.h"
+
+struct member_run_options
+{
+  uint64_t seed;
+  uint32_t members;
+  uint32_t domains;
+  uint32_t config_bytes;
+  struct bb_sim_net net;
+  bool naive; /* every member watches the service; no gossip */
+};
+
+struct run_node
+{
+  struct member_run *run;
+  uint32_t index;
+  struct bb_members *members; /* NULL: the process is down */
+  GRand *rand;
+  uint64_t in_force;
+  uint64_t life; /* counts processes of this member */
+  bb_ms up_since;
+  bb_ms paused_until;
+  bool calling;  /* a call to the service is out */
+  bool watching; /* that call waits for a change */
+  bb_ms call_again_at;
+  uint32_t side;
+};
+
+struct member_run
+{
+  struct member_run_options o;
+  struct bb_sim *sim;
+  struct bb_directory directory;
+  struct run_node *nodes;
+  struct bb_peer_keys keys;
+  GPtrArray *published;   /* GBytes by revision - 1 */
+  GArray *first_accepted; /* bb_ms by revision - 1; -1: not yet */
+  GArray *spread_ms;      /* uint32_t: time to in force of each member */
+  bool service_down;
+  bool service_stale;
+  bool check_within; /* in force within IN_FORCE_MS is asserted */
+  bb_ms connected_since;
+  uint64_t service_calls;
+  uint64_t service_calls_second; /* in the present second */
+  uint64_t service_calls_most;   /* in any second */
+  uint64_t declared_wrongly;
+  uint64_t late;          /* members that were not in force in time */
+  uint64_t bad_revisions; /* bit N: revision N + 1 has a fault */
+};
+
+enum
+{
+  IN_FORCE_MS = 3000
+};
+
+struct member_run *member_run_new (const struct member_run_options *o);
+void member_run_free (struct member_run *r);
+
+/* Lets MS pass.  */
+void member_run_advance (struct member_run *r, bb_ms ms);
+
+/* Publishes a new revision that differs from the last in a few bytes.
+   Returns it.  */
+uint64_t member_run_publish (struct member_run *r);
+
+void member_run_stop (struct member_run *r, uint32_t i);
+void member_run_start (struct member_run *r, uint32_t i);
+void member_run_pause (struct member_run *r, uint32_t i, bb_ms ms);
+
+/* Puts members whose failure domain is below DOMAINS on side 1; 0 heals.  */
+void member_run_cut (struct member_run *r, uint32_t domains);
+
+/* Whether all members that are up hold REVISION.  */
+bool member_run_all_hold (const struct member_run *r, uint64_t revision);
+
+/* Whether all members that are up believe all others that are up to be
+   alive and, with GONE, those that are down to be gone.  */
+bool member_run_all_agree (const struct member_run *r, bool gone);
+
+/* Sums up what all present processes have counted.  */
+struct bb_member_stats member_run_stats (const struct member_run *r);
+
+#endif
--- /dev/null
+++ b/test/test_member_runs.c
@@ -0,0 +1,388 @@
+/* Randomised runs of membership and the spread of configuration in virtual
+   time.  That no process goes back and that content is whole is asserted by
+   the run itself.  */
+
+#include "harness/member_run.h"
+
+enum
+{
+  SEEDS = 200,
+  DATAGRAM_HEAD_BYTES = 28, /* IP and UDP */
+  NODE_BYTES_PER_S = 3000,
+  SERVICE_CALLS_PER_S = 2000
+};
+
+static struct member_run_options
+lossy (uint64_t seed, uint32_t members)
+{
+  struct member_run_options o = {
+    .seed = seed, .members = members, .domains = 7, .config_bytes = 4096
+  };
+
+  o.net.delay_min_ms = 1;
+  o.net.delay_max_ms = 60;
+  o.net.loss_permille = 100;
+  o.net.double_permille = 20;
+  return o;
+}
+
+static void
+start_all (struct member_run *r)
+{
+  for (uint32_t i = 0; i < r->o.members; i++)
+    member_run_start (r, i);
+}
+
+static void
+assert_bounds (const struct member_run *r)
+{
+  g_assert_cmpuint (r->service_calls_most, <, SERVICE_CALLS_PER_S);
+}
+
+/* One of many small runs: members crash, pause and are cut off while
+   revisions come, the service goes down and answers with old ones.  */
+static void
+small_run (uint64_t seed)
+{
+  struct member_run_options o = lossy (seed, 8 + (uint32_t)seed % 25);
+  struct member_run *r = member_run_new (&o);
+  GRand *rand = bb_sim_rand (r->sim);
+  uint64_t last;
+
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, 8000);
+  for (uint32_t step = 0; step < 40; step++)
+    {
+      uint32_t i = (uint32_t)g_rand_int_range (rand, 0, (gint32)o.members);
+      switch (g_rand_int_range (rand, 0, 9))
+        {
+        case 0:
+          member_run_stop (r, i);
+          break;
+        case 1:
+          member_run_pause (r, i, g_rand_int_range (rand, 100, 20000));
+          break;
+        case 2:
+          member_run_cut (r, (uint32_t)g_rand_int_range (rand, 0, 7));
+          break;
+        case 3:
+          r->service_down = !r->service_down;
+          break;
+        case 4:
+          r->service_stale = !r->service_stale;
+          break;
+        case 5:
+          member_run_cut (r, 0);
+          break;
+        case 6:
+          if (!r->nodes[i].members)
+            member_run_start (r, i);
+          break;
+        default:
+          member_run_publish (r);
+          break;
+        }
+      member_run_advance (r, g_rand_int_range (rand, 100, 4000));
+    }
+  member_run_cut (r, 0);
+  r->service_down = false;
+  r->service_stale = false;
+  for (uint32_t i = 0; i < o.members; i++)
+    if (!r->nodes[i].members)
+      member_run_start (r, i);
+  last = member_run_publish (r);
+  member_run_advance (r, 60000);
+  g_assert_true (member_run_all_hold (r, last));
+  g_assert_true (member_run_all_agree (r, true));
+  assert_bounds (r);
+  member_run_free (r);
+}
+
+static void
+test_small (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    small_run (seed);
+}
+
+static void
+assert_node_bytes (struct member_run *r, const struct bb_member_stats *before,
+                   bb_ms ms)
+{
+  struct bb_member_stats s = member_run_stats (r);
+  uint64_t bytes
+      = s.sent_bytes + s.received_bytes - before->sent_bytes
+        - before->received_bytes
+        + DATAGRAM_HEAD_BYTES
+              * (s.sent + s.received - before->sent - before->received);
+
+  g_test_message ("%u members: %.0f bytes a second a node, %" G_GUINT64_FORMAT
+                  " suspicions, %" G_GUINT64_FORMAT " declared, most calls "
+                  "%" G_GUINT64_FORMAT,
+                  r->o.members,
+                  (double)bytes * 1000 / (double)ms / r->o.members,
+                  s.suspected, s.declared, r->service_calls_most);
+  g_assert_cmpuint (bytes * 1000 / (uint64_t)ms / r->o.members, <,
+                    NODE_BYTES_PER_S);
+}
+
+/* Many members, loss, churn at ten times the rate designed for, a change
+   every few seconds: all in force within the bound.  */
+static void
+large_run (uint64_t seed, uint32_t members, bb_ms span)
+{
+  enum
+  {
+    WARM_MS = 15000,
+    CHANGE_MS = 5000,
+    RESTARTS_PER_MEMBER_DAY = 10 * (1300 + 41) / 6100 + 1,
+    DAY_MS = 86400000
+  };
+  struct member_run_options o = lossy (seed, members);
+  struct member_run *r = member_run_new (&o);
+  GRand *rand = bb_sim_rand (r->sim);
+  bb_ms restart_ms = DAY_MS / (RESTARTS_PER_MEMBER_DAY * (bb_ms)members);
+  struct bb_member_stats before;
+
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, WARM_MS);
+  r->check_within = true;
+  before = member_run_stats (r);
+  for (bb_ms spent = 0; spent < span; spent += CHANGE_MS)
+    {
+      member_run_publish (r);
+      for (bb_ms t = 0; t < CHANGE_MS; t += MIN (restart_ms, CHANGE_MS))
+        {
+          uint32_t i = (uint32_t)g_rand_int_range (rand, 0, (gint32)members);
+          member_run_advance (r, MIN (restart_ms, CHANGE_MS));
+          member_run_stop (r, i);
+          member_run_start (r, i);
+        }
+    }
+  assert_node_bytes (r, &before, bb_sim_now (r->sim) - WARM_MS);
+  g_assert_cmpuint (member_run_stats (r).declared, ==, 0);
+  assert_bounds (r);
+  member_run_free (r);
+}
+
+static void
+test_large (void)
+{
+  large_run (1, 2000, 20000);
+}
+
+static void
+test_middle (void)
+{
+  for (uint64_t seed = 1; seed <= 5; seed++)
+    large_run (seed, 200, 30000);
+}
+
+/* All are up and nothing but loss happens: hardly any suspicion.  */
+static void
+test_false_suspicion (void)
+{
+  enum
+  {
+    SPAN_MS = 120000,
+    MEMBERS = 200,
+    SUSPICIONS_MAX = 24 /* one member a thousand probes */
+  };
+  struct member_run_options o = lossy (3, MEMBERS);
+  struct member_run *r = member_run_new (&o);
+
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, SPAN_MS);
+  g_assert_cmpuint (member_run_stats (r).suspected, <, SUSPICIONS_MAX);
+  g_assert_cmpuint (member_run_stats (r).declared, ==, 0);
+  member_run_free (r);
+}
+
+/* The service is down for an hour; every member but one is replaced, readers
+   among them; the revision lives on.  */
+static void
+test_service_down_hour (void)
+{
+  struct member_run_options o = lossy (4, 21);
+  struct member_run *r = member_run_new (&o);
+
+  member_run_publish (r);
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, 10000);
+  r->service_down = true;
+  for (uint32_t i = 0; i + 1 < o.members; i++)
+    {
+      member_run_stop (r, i);
+      member_run_advance (r, 100000);
+      member_run_start (r, i);
+      member_run_advance (r, 80000);
+      g_assert_cmpuint (r->nodes[i].in_force, ==, 2);
+    }
+  g_assert_true (member_run_all_hold (r, 2));
+  r->service_down = false;
+  member_run_publish (r);
+  member_run_advance (r, 10000);
+  g_assert_true (member_run_all_hold (r, 3));
+  assert_bounds (r);
+  member_run_free (r);
+}
+
+/* A fresh process whose source is stale takes what its peers hold.  */
+static void
+test_fresh_with_stale_service (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct member_run_options o = lossy (seed, 14);
+      struct member_run *r;
+      o.net.loss_permille = 0;
+      r = member_run_new (&o);
+      for (uint32_t i = 0; i < 5; i++)
+        member_run_publish (r);
+      start_all (r);
+      member_run_advance (r, 10000);
+      g_assert_true (member_run_all_hold (r, 5));
+      r->service_stale = true;
+      for (uint32_t i = 0; i < o.members; i++)
+        {
+          member_run_stop (r, i);
+          member_run_start (r, i);
+          for (uint32_t k = 0; k < 60; k++)
+            {
+              member_run_advance (r, 50);
+              g_assert_true (r->nodes[i].in_force == 0
+                             || r->nodes[i].in_force == 5);
+            }
+          g_assert_cmpuint (r->nodes[i].in_force, ==, 5);
+        }
+      member_run_free (r);
+    }
+}
+
+/* Regions lose each other for an hour; one has the service, the other keeps
+   what it has; then all come together without help.  */
+static void
+test_region_cut_hour (void)
+{
+  struct member_run_options o = lossy (5, 42);
+  struct member_run *r = member_run_new (&o);
+
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, 10000);
+  member_run_cut (r, 3);
+  r->service_down = true;
+  member_run_advance (r, 3600000);
+  for (uint32_t i = 0; i < o.members; i++)
+    g_assert_cmpuint (r->nodes[i].in_force, ==, 1);
+  member_run_cut (r, 0);
+  member_run_advance (r, 120000);
+  g_assert_true (member_run_all_agree (r, true));
+  r->service_down = false;
+  member_run_publish (r);
+  member_run_advance (r, 10000);
+  g_assert_true (member_run_all_hold (r, 2));
+  member_run_free (r);
+}
+
+/* A process that was frozen over several revisions wakes.  */
+static void
+test_frozen (void)
+{
+  struct member_run_options o = lossy (6, 21);
+  struct member_run *r = member_run_new (&o);
+
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, 10000);
+  member_run_pause (r, 3, 120000);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      member_run_publish (r);
+      member_run_advance (r, 10000);
+    }
+  g_assert_cmpuint (r->nodes[3].in_force, ==, 1);
+  member_run_advance (r, 25000);
+  g_assert_cmpuint (bb_members_stats (r->nodes[3].members)->woken, ==, 1);
+  g_assert_cmpuint (bb_members_stats (r->nodes[3].members)->declared, ==, 0);
+  g_assert_true (member_run_all_hold (r, 11));
+  g_assert_true (member_run_all_agree (r, true));
+  member_run_free (r);
+}
+
+/* A rejected revision leaves the last accepted one in force everywhere, and
+   all learn of it.  */
+static void
+test_rejected (void)
+{
+  struct member_run_options o = lossy (7, 21);
+  struct member_run *r = member_run_new (&o);
+
+  r->bad_revisions = 1 << 1;
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, 10000);
+  member_run_publish (r);
+  member_run_advance (r, 20000);
+  g_assert_true (member_run_all_hold (r, 1));
+  for (uint32_t i = 0; i < o.members; i++)
+    g_assert_cmpuint (
+        bb_members_stats (r->nodes[i].members)->rejected_revision, ==, 2);
+  member_run_publish (r);
+  member_run_advance (r, 5000);
+  g_assert_true (member_run_all_hold (r, 3));
+  member_run_free (r);
+}
+
+/* The same schedule with every member watching: the same revision in force,
+   many more calls.  */
+static void
+test_against_naive (void)
+{
+  struct member_run_options o = lossy (8, 300);
+  struct member_run *a;
+  struct member_run *b;
+
+  a = member_run_new (&o);
+  o.naive = true;
+  b = member_run_new (&o);
+  for (uint32_t k = 0; k < 6; k++)
+    {
+      member_run_publish (a);
+      member_run_publish (b);
+      if (k == 0)
+        {
+          start_all (a);
+          start_all (b);
+        }
+      member_run_advance (a, 10000);
+      member_run_advance (b, 10000);
+      for (uint32_t i = 0; i < o.members; i++)
+        g_assert_cmpuint (a->nodes[i].in_force, ==, b->nodes[i].in_force);
+    }
+  g_assert_cmpuint (a->service_calls, <, b->service_calls);
+  member_run_free (a);
+  member_run_free (b);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/member-runs/small", test_small);
+  g_test_add_func ("/member-runs/middle", test_middle);
+  g_test_add_func ("/member-runs/large", test_large);
+  g_test_add_func ("/member-runs/false-suspicion", test_false_suspicion);
+  g_test_add_func ("/member-runs/service-down-hour", test_service_down_hour);
+  g_test_add_func ("/member-runs/fresh-with-stale-service",
+                   test_fresh_with_stale_service);
+  g_test_add_func ("/member-runs/region-cut-hour", test_region_cut_hour);
+  g_test_add_func ("/member-runs/frozen", test_frozen);
+  g_test_add_func ("/member-runs/rejected", test_rejected);
+  g_test_add_func ("/member-runs/against-naive", test_against_naive);
+  return g_test_run ();
+}
