--- a/include/bilberry/member.h
+++ b/include/bilberry/member.h
@@ -209,15 +209,19 @@
 uint32_t bb_members_live (const struct bb_members *m);
 
 /* seal - the envelope of a datagram.  */
+struct bb_signer;
 
-/* Appends BODY, signed by the first key, to BUF.  The tag of S is filled.  */
+struct bb_signer *bb_signer_new (const struct bb_peer_keys *keys);
+void bb_signer_free (struct bb_signer *g);
+
+/* Appends S, signed by the first key, to BUF.  */
 void bb_seal (msgpack_sbuffer *buf, struct bb_sealed *s,
-              const struct bb_peer_keys *keys);
+              const struct bb_signer *g);
 
 /* Decodes and checks a datagram.  On BB_MEMBER_OK the caller ends the use of
-   M by bb_message_free; S points into it.  */
+   M by bb_message_free.  */
 enum bb_member_refusal bb_unseal (const void *data, size_t size,
-                                  const struct bb_peer_keys *keys,
+                                  const struct bb_signer *g,
                                   struct bb_message *m);
 
 #endif
--- a/libmember/internal.h
+++ b/libmember/internal.h
@@ -97,7 +97,7 @@
   uint32_t handling; /* sender of the datagram in hand; BB_MEMBER_NONE */
   uint64_t handling_incarnation;
   struct member *members;
-  struct bb_peer_keys keys;
+  struct bb_signer *signer;
   GRand *rand;
   const struct bb_member_ops *ops;
   void *user;
--- a/libmember/member.c
+++ b/libmember/member.c
@@ -40,7 +40,7 @@
   m->self_id = o->self;
   m->self = bb_directory_find (o->directory, o->self);
   m->incarnation = o->incarnation;
-  m->keys = o->keys;
+  m->signer = bb_signer_new (&o->keys);
   m->rand = o->rand;
   m->ops = o->ops;
   m->user = o->user;
@@ -58,6 +58,7 @@
 bb_members_free (struct bb_members *m)
 {
   spread_free (m);
+  bb_signer_free (m->signer);
   msgpack_sbuffer_destroy (&m->body);
   msgpack_sbuffer_destroy (&m->out);
   g_free (m->members);
@@ -118,7 +119,8 @@
 void
 bb_members_set_keys (struct bb_members *m, const struct bb_peer_keys *k)
 {
-  m->keys = *k;
+  bb_signer_free (m->signer);
+  m->signer = bb_signer_new (k);
 }
 
 /* Whether SEQUENCE of the present process of P is new; notes it.  */
@@ -301,7 +303,7 @@
 
   m->stats.received++;
   m->stats.received_bytes += size;
-  r = bb_unseal (data, size, &m->keys, &sealed);
+  r = bb_unseal (data, size, m->signer, &sealed);
   if (r == BB_MEMBER_OK)
     {
       r = take_sealed (m, now, &sealed.u.sealed);
--- a/libmember/seal.c
+++ b/libmember/seal.c
@@ -2,7 +2,7 @@
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -18,53 +18,92 @@
     at[i] = (uint8_t)(v >> (8 * (7 - i)));
 }
 
+struct bb_signer
+{
+  uint32_t ids[BB_PEER_KEYS_MAX];
+  EVP_MAC_CTX *macs[BB_PEER_KEYS_MAX];
+  uint32_t count;
+};
+
+struct bb_signer *
+bb_signer_new (const struct bb_peer_keys *keys)
+{
+  struct bb_signer *g = g_new0 (struct bb_signer, 1);
+  EVP_MAC *mac = EVP_MAC_fetch (NULL, "HMAC", NULL);
+  char digest[] = "SHA256";
+  OSSL_PARAM params[2]
+      = { OSSL_PARAM_construct_utf8_string ("digest", digest, 0),
+          OSSL_PARAM_construct_end () };
+
+  g->count = keys->count;
+  for (uint32_t i = 0; i < keys->count; i++)
+    {
+      g->ids[i] = keys->keys[i].id;
+      g->macs[i] = EVP_MAC_CTX_new (mac);
+      if (EVP_MAC_init (g->macs[i], keys->keys[i].secret, BB_PEER_KEY_BYTES,
+                        params)
+          != 1)
+        abort ();
+    }
+  EVP_MAC_free (mac);
+  return g;
+}
+
+void
+bb_signer_free (struct bb_signer *g)
+{
+  for (uint32_t i = 0; i < g->count; i++)
+    EVP_MAC_CTX_free (g->macs[i]);
+  g_free (g);
+}
+
 /* Signs numbers and body of S.  */
 static void
-make_tag (const struct bb_sealed *s, const struct bb_peer_key *key,
-          uint8_t tag[TAG_BYTES])
+make_tag (const struct bb_sealed *s, EVP_MAC_CTX *mac, uint8_t tag[TAG_BYTES])
 {
   const uint64_t numbers[NUMBERS]
       = { s->key,      s->from,   s->incarnation, s->to_incarnation,
           s->sequence, s->counter };
-  uint8_t text[8 * NUMBERS + 1400];
+  uint8_t text[8 * NUMBERS];
   uint8_t sum[EVP_MAX_MD_SIZE];
-  unsigned size = sizeof sum;
+  size_t size = 0;
 
   for (uint32_t i = 0; i < NUMBERS; i++)
     put_u64 (text + (size_t)8 * i, numbers[i]);
-  memcpy (text + (size_t)8 * NUMBERS, s->body.ptr, s->body.size);
-  HMAC (EVP_sha256 (), key->secret, sizeof key->secret, text,
-        (size_t)8 * NUMBERS + s->body.size, sum, &size);
+  if (EVP_MAC_init (mac, NULL, 0, NULL) != 1
+      || EVP_MAC_update (mac, text, sizeof text) != 1
+      || EVP_MAC_update (mac, (const uint8_t *)s->body.ptr, s->body.size) != 1
+      || EVP_MAC_final (mac, sum, &size, sizeof sum) != 1)
+    abort ();
   memcpy (tag, sum, TAG_BYTES);
 }
 
 void
-bb_seal (msgpack_sbuffer *buf, struct bb_sealed *s,
-         const struct bb_peer_keys *keys)
+bb_seal (msgpack_sbuffer *buf, struct bb_sealed *s, const struct bb_signer *g)
 {
   uint8_t tag[TAG_BYTES];
 
-  s->key = keys->keys[0].id;
-  make_tag (s, &keys->keys[0], tag);
+  s->key = g->ids[0];
+  make_tag (s, g->macs[0], tag);
   s->tag.ptr = (const char *)tag;
   s->tag.size = TAG_BYTES;
   bb_put_sealed (buf, s);
   s->tag.ptr = NULL;
 }
 
-static const struct bb_peer_key *
-find_key (const struct bb_peer_keys *keys, uint32_t id)
+static EVP_MAC_CTX *
+find_key (const struct bb_signer *g, uint32_t id)
 {
-  for (uint32_t i = 0; i < keys->count; i++)
-    if (keys->keys[i].id == id)
-      return &keys->keys[i];
+  for (uint32_t i = 0; i < g->count; i++)
+    if (g->ids[i] == id)
+      return g->macs[i];
   return NULL;
 }
 
 static enum bb_member_refusal
-check_tag (const struct bb_sealed *s, const struct bb_peer_keys *keys)
+check_tag (const struct bb_sealed *s, const struct bb_signer *g)
 {
-  const struct bb_peer_key *key = find_key (keys, s->key);
+  EVP_MAC_CTX *key = find_key (g, s->key);
   uint8_t tag[TAG_BYTES];
 
   if (!key)
@@ -79,7 +118,7 @@
 }
 
 enum bb_member_refusal
-bb_unseal (const void *data, size_t size, const struct bb_peer_keys *keys,
+bb_unseal (const void *data, size_t size, const struct bb_signer *g,
            struct bb_message *m)
 {
   struct bb_decode_error e;
@@ -92,7 +131,7 @@
       || !bb_message_decode ((const char *)data + BB_FRAME_HEAD_BYTES, body, m,
                              &e))
     return BB_MEMBER_MALFORMED;
-  r = m->type == BB_MSG_SEALED ? check_tag (&m->u.sealed, keys)
+  r = m->type == BB_MSG_SEALED ? check_tag (&m->u.sealed, g)
                                : BB_MEMBER_MALFORMED;
   if (r != BB_MEMBER_OK)
     bb_message_free (m);
--- /dev/null
+++ b/test/test_member.c
@@ -0,0 +1,524 @@
+/* Tests of single members: what is refused, keys, pieces, pushed facts.  */
+
+#include "bilberry/member.h"
+
+#include <string.h>
+
+enum
+{
+  PAIR = 2,
+  DATAGRAMS_MAX = 64
+};
+
+/* A member whose datagrams are kept instead of sent.  */
+struct probe
+{
+  struct bb_members *m;
+  GRand *rand;
+  uint64_t id;
+  uint64_t incarnation;
+  GBytes *out[DATAGRAMS_MAX];
+  uint32_t out_count;
+  uint64_t accepted;
+  bool reject;
+};
+
+struct pair
+{
+  struct bb_directory directory;
+  struct bb_peer_keys keys;
+  struct probe p[PAIR];
+};
+
+static void
+on_send (void *user, uint32_t to, const void *data, size_t size)
+{
+  struct probe *p = user;
+
+  (void)to;
+  g_assert_cmpuint (size, <=, BB_DATAGRAM_MAX_BYTES);
+  if (p->out_count < DATAGRAMS_MAX)
+    p->out[p->out_count++] = g_bytes_new (data, size);
+}
+
+static bool
+on_accept (void *user, const struct bb_blob *b)
+{
+  struct probe *p = user;
+
+  if (p->reject)
+    return false;
+  p->accepted = b->revision;
+  return true;
+}
+
+static const struct bb_member_ops ops
+    = { .send = on_send, .accept = on_accept };
+
+static void
+start (struct pair *q, uint32_t i, uint64_t incarnation)
+{
+  struct probe *p = &q->p[i];
+  struct bb_member_options o = { .self = p->id,
+                                 .incarnation = incarnation,
+                                 .directory = &q->directory,
+                                 .keys = q->keys,
+                                 .ops = &ops,
+                                 .user = p };
+
+  p->incarnation = incarnation;
+  p->rand = g_rand_new_with_seed (i + 1);
+  o.rand = p->rand;
+  p->m = bb_members_new (&o);
+}
+
+static void
+drop_out (struct probe *p)
+{
+  for (uint32_t i = 0; i < p->out_count; i++)
+    g_bytes_unref (p->out[i]);
+  p->out_count = 0;
+}
+
+static void
+stop (struct probe *p)
+{
+  bb_members_free (p->m);
+  g_rand_free (p->rand);
+  drop_out (p);
+}
+
+static void
+pair_init (struct pair *q)
+{
+  memset (q, 0, sizeof *q);
+  q->directory.count = PAIR;
+  q->directory.peers = g_new0 (struct bb_peer, PAIR);
+  q->p[0].id = bb_peer_id (BB_ROLE_ENTRY, "entry-1");
+  q->p[1].id = bb_peer_id (BB_ROLE_AGENT, "draft-1");
+  q->directory.peers[0].id = q->p[0].id;
+  q->directory.peers[1].id = q->p[1].id;
+  bb_directory_sort (&q->directory);
+  q->keys.count = 1;
+  q->keys.keys[0].id = 1;
+  memset (q->keys.keys[0].secret, 1, BB_PEER_KEY_BYTES);
+  start (q, 0, 100);
+  start (q, 1, 200);
+}
+
+static void
+pair_free (struct pair *q)
+{
+  stop (&q->p[0]);
+  stop (&q->p[1]);
+  g_free (q->directory.peers);
+}
+
+static enum bb_member_refusal
+give (struct probe *to, bb_ms now, GBytes *datagram)
+{
+  gsize size;
+  const void *data = g_bytes_get_data (datagram, &size);
+
+  return bb_members_receive (to->m, now, data, size);
+}
+
+/* Delivers what both have sent until nothing is left; returns the last
+   refusal.  */
+static enum bb_member_refusal
+settle (struct pair *q, bb_ms now)
+{
+  enum bb_member_refusal worst = BB_MEMBER_OK;
+
+  for (uint32_t rounds = 0; rounds < 32; rounds++)
+    for (uint32_t i = 0; i < PAIR; i++)
+      {
+        struct probe *from = &q->p[i];
+        GBytes *out[DATAGRAMS_MAX];
+        uint32_t n = from->out_count;
+        memcpy (out, from->out, n * sizeof out[0]);
+        from->out_count = 0;
+        for (uint32_t k = 0; k < n; k++)
+          {
+            enum bb_member_refusal r = give (&q->p[1 - i], now, out[k]);
+            worst = r != BB_MEMBER_OK ? r : worst;
+            g_bytes_unref (out[k]);
+          }
+      }
+  return worst;
+}
+
+/* Both know each other's incarnation afterwards.  */
+static void
+meet (struct pair *q)
+{
+  for (bb_ms now = 100; now <= 3000; now += 100)
+    {
+      bb_members_tick (q->p[0].m, now);
+      bb_members_tick (q->p[1].m, now);
+      settle (q, now);
+    }
+}
+
+/* Seals BODY as if member FROM had sent it.  */
+static GBytes *
+forge (const struct pair *q, const struct bb_peer_keys *keys,
+       struct bb_sealed s, const msgpack_sbuffer *body)
+{
+  struct bb_signer *g = bb_signer_new (keys ? keys : &q->keys);
+  msgpack_sbuffer out;
+  GBytes *bytes;
+
+  msgpack_sbuffer_init (&out);
+  s.body.ptr = body->data;
+  s.body.size = (uint32_t)body->size;
+  bb_seal (&out, &s, g);
+  bytes = g_bytes_new (out.data, out.size);
+  msgpack_sbuffer_destroy (&out);
+  bb_signer_free (g);
+  return bytes;
+}
+
+static struct bb_sealed
+head_from (const struct pair *q, uint64_t sequence)
+{
+  struct bb_sealed s = { .from = q->p[0].id,
+                         .incarnation = q->p[0].incarnation,
+                         .to_incarnation = q->p[1].incarnation,
+                         .sequence = sequence,
+                         .counter = 0 };
+  return s;
+}
+
+static void
+put_notice (msgpack_sbuffer *body, uint64_t revision, uint64_t hash)
+{
+  struct bb_notice n = { .gossip = { .revision = revision, .hash = hash } };
+
+  msgpack_sbuffer_init (body);
+  bb_put_notice (body, &n);
+}
+
+static void
+expect (struct pair *q, const struct bb_peer_keys *keys, struct bb_sealed s,
+        const msgpack_sbuffer *body, enum bb_member_refusal want)
+{
+  GBytes *d = forge (q, keys, s, body);
+  uint64_t before = bb_members_stats (q->p[1].m)->refused[want];
+
+  g_assert_cmpstr (bb_member_refusal_name (give (&q->p[1], 3000, d)), ==,
+                   bb_member_refusal_name (want));
+  if (want != BB_MEMBER_OK)
+    g_assert_cmpuint (bb_members_stats (q->p[1].m)->refused[want], ==,
+                      before + 1);
+  g_bytes_unref (d);
+}
+
+static void
+test_sender_refusals (void)
+{
+  struct pair q;
+  struct bb_sealed s;
+  struct bb_peer_keys other;
+  msgpack_sbuffer body;
+  char rubbish[] = "rubbish";
+
+  pair_init (&q);
+  meet (&q);
+  put_notice (&body, 0, 0);
+  expect (&q, NULL, head_from (&q, 5000), &body, BB_MEMBER_OK);
+  expect (&q, NULL, head_from (&q, 5000), &body, BB_MEMBER_REPLAY);
+  expect (&q, NULL, head_from (&q, 5001), &body, BB_MEMBER_OK);
+  expect (&q, NULL, head_from (&q, 4999), &body, BB_MEMBER_OK);
+  expect (&q, NULL, head_from (&q, 4999), &body, BB_MEMBER_REPLAY);
+  expect (&q, NULL, head_from (&q, 100), &body, BB_MEMBER_REPLAY);
+  s = head_from (&q, 5002);
+  s.to_incarnation = 199;
+  expect (&q, NULL, s, &body, BB_MEMBER_MISADDRESSED);
+  s.to_incarnation = 0;
+  expect (&q, NULL, s, &body, BB_MEMBER_MISADDRESSED);
+  s = head_from (&q, 5002);
+  s.from = 77;
+  expect (&q, NULL, s, &body, BB_MEMBER_STRANGER);
+  s = head_from (&q, 5002);
+  s.incarnation = 99;
+  expect (&q, NULL, s, &body, BB_MEMBER_OLD_PROCESS);
+  other = q.keys;
+  other.keys[0].id = 2;
+  expect (&q, &other, head_from (&q, 5002), &body, BB_MEMBER_UNKNOWN_KEY);
+  other = q.keys;
+  other.keys[0].secret[3] ^= 1;
+  expect (&q, &other, head_from (&q, 5002), &body, BB_MEMBER_BAD_TAG);
+  g_assert_cmpint (
+      bb_members_receive (q.p[1].m, 3000, rubbish, sizeof rubbish), ==,
+      BB_MEMBER_MALFORMED);
+  g_assert_cmpint (bb_members_receive (q.p[1].m, 3000, body.data, body.size),
+                   ==, BB_MEMBER_MALFORMED);
+  msgpack_sbuffer_destroy (&body);
+  pair_free (&q);
+}
+
+/* Any bit that is turned over makes a datagram worthless.  */
+static void
+test_tampering (void)
+{
+  struct pair q;
+  msgpack_sbuffer body;
+  GBytes *d;
+  gsize size;
+  char copy[BB_DATAGRAM_MAX_BYTES];
+
+  pair_init (&q);
+  meet (&q);
+  put_notice (&body, 9, 9);
+  d = forge (&q, NULL, head_from (&q, 5000), &body);
+  for (gsize i = 0; i < g_bytes_get_size (d); i++)
+    {
+      memcpy (copy, g_bytes_get_data (d, &size), g_bytes_get_size (d));
+      copy[i] ^= 1;
+      g_assert_cmpint (bb_members_receive (q.p[1].m, 3000, copy, size), !=,
+                       BB_MEMBER_OK);
+    }
+  g_assert_cmpint (give (&q.p[1], 3000, d), ==, BB_MEMBER_OK);
+  g_bytes_unref (d);
+  msgpack_sbuffer_destroy (&body);
+  pair_free (&q);
+}
+
+static void
+put_chunk (msgpack_sbuffer *body, const struct bb_chunk *c)
+{
+  msgpack_sbuffer_init (body);
+  bb_put_chunk (body, c);
+}
+
+/* Messages whose sender is believed but whose content is refused.  */
+static void
+test_content_refusals (void)
+{
+  struct pair q;
+  msgpack_sbuffer body;
+  struct bb_chunk c = { .revision = 6, .hash = 1, .size = 3 };
+  struct bb_fetch f = { .revision = 9, .hash = 9 };
+  struct bb_hello hello = { .name = bb_bytes_of ("x") };
+
+  pair_init (&q);
+  meet (&q);
+  g_assert_cmpint (bb_members_offer (q.p[1].m, 3000, 5, "five", 4), ==,
+                   BB_MEMBER_OK);
+  c.bytes = bb_bytes_of ("abc");
+  put_chunk (&body, &c);
+  expect (&q, NULL, head_from (&q, 5000), &body, BB_MEMBER_BAD_HASH);
+  msgpack_sbuffer_destroy (&body);
+  c.prefix = 9;
+  put_chunk (&body, &c);
+  expect (&q, NULL, head_from (&q, 5001), &body, BB_MEMBER_BAD_BODY);
+  msgpack_sbuffer_destroy (&body);
+  c.revision = 4;
+  put_chunk (&body, &c);
+  expect (&q, NULL, head_from (&q, 5002), &body, BB_MEMBER_LOWER);
+  msgpack_sbuffer_destroy (&body);
+  msgpack_sbuffer_init (&body);
+  bb_put_fetch (&body, &f);
+  expect (&q, NULL, head_from (&q, 5003), &body, BB_MEMBER_BAD_BODY);
+  msgpack_sbuffer_clear (&body);
+  bb_put_hello (&body, &hello);
+  expect (&q, NULL, head_from (&q, 5004), &body, BB_MEMBER_BAD_BODY);
+  msgpack_sbuffer_clear (&body);
+  msgpack_sbuffer_write (&body, "\0\0\0\1x", 5);
+  expect (&q, NULL, head_from (&q, 5005), &body, BB_MEMBER_BAD_BODY);
+  msgpack_sbuffer_destroy (&body);
+  g_assert_cmpuint (bb_members_in_force (q.p[1].m)->revision, ==, 5);
+  pair_free (&q);
+}
+
+static void
+test_offers (void)
+{
+  struct pair q;
+  struct bb_members *m;
+
+  pair_init (&q);
+  bb_members_tick (q.p[1].m, 100);
+  m = q.p[1].m;
+  g_assert_cmpint (bb_members_offer (m, 200, 5, "five", 4), ==,
+                   BB_MEMBER_EARLY);
+  g_assert_cmpint (bb_members_offer (m, 5000, 5, "five", 4), ==, BB_MEMBER_OK);
+  g_assert_cmpint (bb_members_offer (m, 5000, 5, "five", 4), ==, BB_MEMBER_OK);
+  g_assert_cmpint (bb_members_offer (m, 5000, 5, "FIVE", 4), ==,
+                   BB_MEMBER_CONFLICT);
+  g_assert_cmpint (bb_members_offer (m, 5000, 4, "four", 4), ==,
+                   BB_MEMBER_LOWER);
+  g_assert_cmpint (bb_members_offer (m, 5000, 0, "zero", 4), ==,
+                   BB_MEMBER_BAD_BODY);
+  q.p[1].reject = true;
+  g_assert_cmpint (bb_members_offer (m, 5000, 6, "six", 3), ==,
+                   BB_MEMBER_REJECTED);
+  g_assert_cmpuint (bb_members_stats (m)->rejected_revision, ==, 6);
+  g_assert_cmpuint (bb_members_in_force (m)->revision, ==, 5);
+  q.p[1].reject = false;
+  g_assert_cmpint (bb_members_offer (m, 5000, 6, "six", 3), ==,
+                   BB_MEMBER_REJECTED);
+  g_assert_cmpint (bb_members_offer (m, 5000, 7, "seven", 5), ==,
+                   BB_MEMBER_OK);
+  pair_free (&q);
+}
+
+/* A change of any size reaches the peer, in pieces where it is large.  */
+static void
+test_pieces (void)
+{
+  static const uint32_t sizes[] = { 0, 1, 1100, 1101, 20000, 1048576 };
+
+  for (uint32_t k = 0; k < G_N_ELEMENTS (sizes); k++)
+    {
+      struct pair q;
+      char *text = g_malloc (sizes[k] + 1);
+      bb_ms now = 4000;
+      for (uint32_t i = 0; i < sizes[k]; i++)
+        text[i] = (char)(i * 7 + i / 251);
+      pair_init (&q);
+      meet (&q);
+      bb_members_offer (q.p[0].m, now, 1, text, sizes[k]);
+      for (; now < 60000 && q.p[1].accepted < 1; now += 100)
+        {
+          settle (&q, now);
+          bb_members_tick (q.p[0].m, now);
+          bb_members_tick (q.p[1].m, now);
+        }
+      g_assert_cmpuint (q.p[1].accepted, ==, 1);
+      text[sizes[k] / 2] ^= 1;
+      bb_members_offer (q.p[0].m, now, 2, text, sizes[k]);
+      settle (&q, now);
+      g_assert_cmpuint (q.p[1].accepted, ==, 2);
+      g_free (text);
+      pair_free (&q);
+    }
+}
+
+/* A key is replaced in two steps without losing anybody.  */
+static void
+test_key_rotation (void)
+{
+  struct pair q;
+  struct bb_peer_keys both;
+  struct bb_peer_keys late;
+
+  pair_init (&q);
+  meet (&q);
+  both = q.keys;
+  both.count = 2;
+  both.keys[1].id = 2;
+  memset (both.keys[1].secret, 2, BB_PEER_KEY_BYTES);
+  late = both;
+  late.keys[0] = both.keys[1];
+  late.keys[1] = both.keys[0];
+  bb_members_set_keys (q.p[0].m, &both);
+  bb_members_set_keys (q.p[1].m, &both);
+  bb_members_set_keys (q.p[0].m, &late);
+  bb_members_offer (q.p[0].m, 3000, 1, "one", 3);
+  settle (&q, 3000);
+  g_assert_cmpuint (q.p[1].accepted, ==, 1);
+  late.count = 1;
+  bb_members_set_keys (q.p[0].m, &late);
+  bb_members_set_keys (q.p[1].m, &late);
+  bb_members_offer (q.p[0].m, 3000, 2, "two", 3);
+  settle (&q, 3000);
+  g_assert_cmpuint (q.p[1].accepted, ==, 2);
+  bb_members_set_keys (q.p[0].m, &q.keys);
+  bb_members_offer (q.p[0].m, 3000, 3, "three", 5);
+  g_assert_cmpint (settle (&q, 3000), ==, BB_MEMBER_UNKNOWN_KEY);
+  g_assert_cmpuint (q.p[1].accepted, ==, 2);
+  pair_free (&q);
+}
+
+/* What an earlier process sent is not believed after a later one spoke.  */
+static void
+test_earlier_process (void)
+{
+  struct pair q;
+  msgpack_sbuffer body;
+  struct bb_sealed old;
+
+  pair_init (&q);
+  meet (&q);
+  old = head_from (&q, 6000);
+  stop (&q.p[0]);
+  start (&q, 0, 50);
+  meet (&q);
+  put_notice (&body, 0, 0);
+  expect (&q, NULL, old, &body, BB_MEMBER_OLD_PROCESS);
+  msgpack_sbuffer_destroy (&body);
+  pair_free (&q);
+}
+
+/* Pushed facts reach the peer, end at their bound and stay few.  */
+static void
+test_pushed (void)
+{
+  struct pair q;
+  uint32_t count;
+  bb_ms bound = bb_pushed_max_age_ms (BB_PUSHED_DEMAND);
+  bb_ms now = 3000;
+
+  pair_init (&q);
+  meet (&q);
+  bb_members_push (q.p[0].m, now, BB_PUSHED_DEMAND, 42, 10);
+  bb_members_push (q.p[1].m, now, BB_PUSHED_DEMAND, 42, 5);
+  for (; now < 6000; now += 100)
+    {
+      bb_members_tick (q.p[0].m, now);
+      bb_members_tick (q.p[1].m, now);
+      settle (&q, now);
+    }
+  for (uint32_t i = 0; i < PAIR; i++)
+    {
+      g_assert_cmpuint (
+          bb_members_pushed (q.p[i].m, now, BB_PUSHED_DEMAND, 42, &count), ==,
+          15);
+      g_assert_cmpuint (count, ==, 2);
+      bb_members_pushed (q.p[i].m, 3000 + bound + 1, BB_PUSHED_DEMAND, 42,
+                         &count);
+      g_assert_cmpuint (count, ==, 0);
+    }
+  for (uint64_t key = 0; key < 1000; key++)
+    bb_members_push (q.p[0].m, now + (bb_ms)key, BB_PUSHED_QUARANTINE, key, 1);
+  bb_members_pushed (q.p[0].m, now, BB_PUSHED_QUARANTINE, 0, &count);
+  g_assert_cmpuint (count, ==, 0);
+  bb_members_pushed (q.p[0].m, now, BB_PUSHED_QUARANTINE, 999, &count);
+  g_assert_cmpuint (count, ==, 1);
+  pair_free (&q);
+}
+
+static void
+test_leave (void)
+{
+  struct pair q;
+  uint32_t leaver;
+
+  pair_init (&q);
+  meet (&q);
+  leaver = bb_directory_find (&q.directory, q.p[0].id);
+  bb_members_leave (q.p[0].m, 3000);
+  settle (&q, 3000);
+  g_assert_cmpint (bb_members_status (q.p[1].m, leaver), ==,
+                   BB_MEMBER_STATUS_LEFT);
+  g_assert_cmpuint (bb_members_live (q.p[1].m), ==, 1);
+  pair_free (&q);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/member/sender-refusals", test_sender_refusals);
+  g_test_add_func ("/member/tampering", test_tampering);
+  g_test_add_func ("/member/content-refusals", test_content_refusals);
+  g_test_add_func ("/member/offers", test_offers);
+  g_test_add_func ("/member/pieces", test_pieces);
+  g_test_add_func ("/member/key-rotation", test_key_rotation);
+  g_test_add_func ("/member/earlier-process", test_earlier_process);
+  g_test_add_func ("/member/pushed", test_pushed);
+  g_test_add_func ("/member/leave", test_leave);
+  return g_test_run ();
+}
