Take settings from the configuration service; gossip in both daemons

A revision of a folder that each process numbers itself cannot be compared between processes, so it no longer travels.

--- a/cmd/agent/main.c
+++ b/cmd/agent/main.c
@@ -117,6 +117,7 @@
 {
   static const struct bb_daemon_ops ops = { .program = "bilberry-agent",
                                             .part = "agent",
+                                            .role = BB_ROLE_AGENT,
                                             .start = start,
                                             .on_settings = on_settings,
                                             .on_drain = on_drain,
--- /dev/null
+++ b/fake/confsvc/confsvc.c
@@ -0,0 +1,248 @@
+/* fake-confsvc - a stand-in for the platform's configuration service.
+
+   Publishes the files of the folder --dir under rising revisions, from
+   --revision on:
+     GET /v1/list            all names with the hash of each value
+     GET /v1/read?name=NAME  one value
+     GET /v1/watch?after=N   waits until there is a revision above N
+   POST /control?mode=up|down|stale changes how it answers: down refuses all,
+   stale keeps answering with what it has now.  GET /control tells how many
+   calls came; a waiting watch counts as one.  */
+
+#include "../lib/fake.h"
+
+#include "bilberry/settings.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  REVISION,
+  WATCH_MS,
+  OPTIONS
+};
+
+enum
+{
+  REREAD_MS = 20
+};
+
+static struct fake_option options[OPTIONS + 1] = {
+  [REVISION] = { "revision", "number of the first revision", 1 },
+  [WATCH_MS] = { "watch-ms", "longest wait of a watch", 10000 },
+};
+
+/* A call that waits for a revision.  */
+struct watch
+{
+  struct bb_http_request *r;
+  uint64_t after;
+  bb_ms until;
+};
+
+enum mode
+{
+  UP,
+  DOWN,
+  STALE
+};
+
+static const char *dir;
+static enum mode mode;
+static struct bb_files files; /* as published */
+static uint64_t files_hash;
+static uint64_t revision;
+static uint64_t calls;
+static uint64_t calls_second;
+static uint64_t calls_most;
+static bb_ms second_start;
+static GPtrArray *watches;
+
+static void
+count_call (void)
+{
+  bb_ms now = bb_clock_now ();
+
+  if (now - second_start >= 1000)
+    {
+      second_start = now;
+      calls_second = 0;
+    }
+  calls++;
+  calls_second++;
+  calls_most = MAX (calls_most, calls_second);
+}
+
+static void
+answer_watch (struct watch *w)
+{
+  w->r->user = NULL;
+  fake_respond_json (w->r, 200,
+                     json_pack ("{s:I}", "revision", (json_int_t)revision));
+  g_ptr_array_remove_fast (watches, w);
+  g_free (w);
+}
+
+static void
+answer_watches (void)
+{
+  bb_ms now = bb_clock_now ();
+
+  for (guint i = watches->len; i > 0; i--)
+    {
+      struct watch *w = g_ptr_array_index (watches, i - 1);
+      if (w->after < revision || now >= w->until)
+        answer_watch (w);
+    }
+}
+
+static void
+publish (void)
+{
+  struct bb_files now = { 0 };
+  struct bb_faults faults = { 0 };
+
+  if (mode == UP && bb_files_read (dir, &now, &faults)
+      && bb_files_hash (&now) != files_hash)
+    {
+      struct bb_files old = files;
+      files_hash = bb_files_hash (&now);
+      revision = revision ? revision + 1 : (uint64_t)options[REVISION].value;
+      files = now;
+      now = old;
+    }
+  bb_files_free (&now);
+  bb_faults_free (&faults);
+}
+
+static void
+on_reread (uv_timer_t *t)
+{
+  (void)t;
+  publish ();
+  answer_watches ();
+}
+
+static void
+on_gone (struct bb_http_request *r)
+{
+  struct watch *w = r->user;
+
+  if (!w)
+    return;
+  g_ptr_array_remove_fast (watches, w);
+  g_free (w);
+}
+
+static void
+watch (struct bb_http_request *r, const char *after)
+{
+  struct watch *w = g_new0 (struct watch, 1);
+
+  w->r = r;
+  w->after = strtoull (after, NULL, 10);
+  w->until = bb_clock_now () + options[WATCH_MS].value;
+  r->user = w;
+  r->on_gone = on_gone;
+  g_ptr_array_add (watches, w);
+  answer_watches ();
+}
+
+static void
+list (struct bb_http_request *r)
+{
+  json_t *out = json_array ();
+  char hash[32];
+
+  for (size_t i = 0; i < files.count; i++)
+    {
+      g_snprintf (hash, sizeof hash, "%016llx",
+                  (unsigned long long)XXH64 (files.files[i].data,
+                                             files.files[i].size, 0));
+      json_array_append_new (
+          out,
+          json_pack ("{s:s, s:s}", "name", files.files[i].name, "hash", hash));
+    }
+  fake_respond_json (r, 200,
+                     json_pack ("{s:I, s:o}", "revision", (json_int_t)revision,
+                                "files", out));
+}
+
+static void
+read_value (struct bb_http_request *r, const char *name)
+{
+  struct bb_bytes body;
+
+  for (size_t i = 0; i < files.count; i++)
+    if (strcmp (files.files[i].name, name) == 0)
+      {
+        body.ptr = files.files[i].data;
+        body.size = (uint32_t)files.files[i].size;
+        bb_http_respond (r, 200, NULL, 0, body);
+        return;
+      }
+  fake_respond_text (r, 404, "no such value\n");
+}
+
+static void
+control (struct bb_http_request *r, const char *path)
+{
+  if (g_str_has_suffix (path, "mode=up"))
+    mode = UP;
+  else if (g_str_has_suffix (path, "mode=down"))
+    mode = DOWN;
+  else if (g_str_has_suffix (path, "mode=stale"))
+    mode = STALE;
+  fake_respond_json (
+      r, 200,
+      json_pack ("{s:I, s:I, s:I, s:i}", "revision", (json_int_t)revision,
+                 "calls", (json_int_t)calls, "calls_most_in_a_second",
+                 (json_int_t)calls_most, "waiting", (int)watches->len));
+}
+
+static void
+on_request (struct bb_http_request *r, void *arg)
+{
+  char *path = g_strndup (r->path.ptr, r->path.size);
+
+  (void)arg;
+  if (g_str_has_prefix (path, "/control"))
+    control (r, path);
+  else
+    {
+      count_call ();
+      if (mode == DOWN)
+        fake_respond_text (r, 503, "down\n");
+      else if (strcmp (path, "/v1/list") == 0)
+        list (r);
+      else if (g_str_has_prefix (path, "/v1/read?name="))
+        read_value (r, path + strlen ("/v1/read?name="));
+      else if (g_str_has_prefix (path, "/v1/watch?after="))
+        watch (r, path + strlen ("/v1/watch?after="));
+      else
+        fake_respond_text (r, 404, "not known\n");
+    }
+  g_free (path);
+}
+
+int
+main (int argc, char **argv)
+{
+  static uv_timer_t reread;
+
+  if (argc < 3 || strcmp (argv[1], "--dir") != 0)
+    {
+      fprintf (stderr, "Usage: %s --dir DIR --address ADDRESS:PORT\n",
+               argv[0]);
+      return 2;
+    }
+  dir = argv[2];
+  argv[2] = argv[0];
+  watches = g_ptr_array_new ();
+  uv_timer_init (uv_default_loop (), &reread);
+  uv_timer_start (&reread, on_reread, 0, REREAD_MS);
+  return fake_main (argc - 2, argv + 2, options, on_request, NULL);
+}
--- a/include/bilberry/daemon.h
+++ b/include/bilberry/daemon.h
@@ -11,12 +11,14 @@
 #include <jansson.h>
 
 struct bb_daemon;
+struct bb_members;
 
 /* What a program does with the shared parts.  */
 struct bb_daemon_ops
 {
   const char *program; /* such as "bilberry-entry" */
   const char *part;    /* prefix of its log lines */
+  enum bb_role role;
   /* Finds its own addresses in the first settings; false with a log line
      when they are not there.  OPERATOR may be left empty.  */
   bool (*start) (struct bb_daemon *d, const char **operator_address);
@@ -39,10 +41,13 @@
   const char *config_dir;
   struct bb_settings *settings;
   uint64_t settings_hash; /* of the files in force */
-  uint64_t revision;      /* rises with each accepted change */
+  uint64_t revision;      /* in force; 0: only the folder of the start */
+  bool numbered_here;     /* the revision means nothing to other processes */
   uint64_t rejected;      /* changes refused since the start */
   char rejected_why[512]; /* first fault of the last refused change */
   uint64_t incarnation;   /* drawn at start */
+  bool started;               /* the program has its first settings */
+  struct bb_members *members; /* NULL where no key is configured */
   bool draining;
   uint32_t drain_ms; /* longest graceful shutdown */
   void *user;
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -18,6 +18,12 @@
   BB_UPSTREAM_STATE_LEAVING,
 };
 
+enum bb_peer_key_state
+{
+  BB_PEER_KEY_STATE_ACCEPTED,
+  BB_PEER_KEY_STATE_SIGNS,
+};
+
 /* Failure domains and whether operators have taken them out.  */
 struct bb_failure_domain_settings
 {
@@ -69,6 +75,25 @@
   char *address;
   char *operator;
   char *failure_domain;
+  char *peer;
+};
+
+/* Keys by which entries and agents prove that they belong. To replace one, add
+ * the new key, then let it sign, then remove the old one.  */
+struct bb_peer_key_settings
+{
+  char *name;
+  char *secret;
+  uint32_t state;
+};
+
+/* Services of the platform. The item 'configuration' names the configuration
+ * service; with it the folder is used only until a first revision is in force.
+ * The item 'vms' names the list of live VMs.  */
+struct bb_platform_settings
+{
+  char *name;
+  char *address;
 };
 
 /* All settings, bound and checked.  */
@@ -84,6 +109,10 @@
   uint32_t routes_count;
   struct bb_entry_settings *entries;
   uint32_t entries_count;
+  struct bb_peer_key_settings *peer_keys;
+  uint32_t peer_keys_count;
+  struct bb_platform_settings *platform;
+  uint32_t platform_count;
 };
 
 #endif
--- a/libdaemon/daemon.c
+++ b/libdaemon/daemon.c
@@ -69,6 +69,7 @@
   d->draining = true;
   bb_log (BB_LOG_INFO, d->ops->part, "Draining %u requests in flight.",
           d->ops->in_flight (d));
+  gossip_leave (d);
   d->ops->on_drain (d);
   drain_start = (bb_ms)uv_now (d->loop);
   uv_timer_start (&drain_timer, on_drain_check, DRAIN_CHECK_MS,
@@ -105,11 +106,11 @@
   d.config_dir = o.config_dir;
   d.drain_ms = o.drain_ms;
   d.incarnation = bb_random_id ();
-  if (!config_load_first (&d) || !ops->start (&d, &operator_address))
+  if (!config_open (&d) || !ops->start (&d, &operator_address))
     return 1;
+  d.started = true;
   if (operator_address && !operator_open (&d, operator_address))
     return 1;
-  config_watch (&d);
   watch_signals (&d);
   bb_log (BB_LOG_INFO, ops->part, "Ready as %s.", d.name);
   printf ("ready %s\n", d.name);
--- /dev/null
+++ b/libdaemon/fileset.c
@@ -0,0 +1,86 @@
+/* A set of files as one run of bytes: for each file the sizes of name and
+   content, big-endian, then both.  Equal sets give equal bytes.  */
+
+#include "internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HEAD_BYTES = 8,
+  FILES_MAX = 4096
+};
+
+static void
+put_u32 (char *at, uint32_t v)
+{
+  for (uint32_t i = 0; i < 4; i++)
+    at[i] = (char)(v >> (8 * (3 - i)));
+}
+
+static uint32_t
+get_u32 (const char *at)
+{
+  const uint8_t *p = (const uint8_t *)at;
+
+  return (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 | (uint32_t)p[2] << 8
+         | (uint32_t)p[3];
+}
+
+char *
+fileset_pack (const struct bb_files *files, size_t *size)
+{
+  char *out;
+  size_t at = 0;
+
+  *size = 0;
+  for (size_t i = 0; i < files->count; i++)
+    *size += HEAD_BYTES + strlen (files->files[i].name) + files->files[i].size;
+  out = malloc (*size ? *size : 1);
+  for (size_t i = 0; i < files->count; i++)
+    {
+      const struct bb_file *f = &files->files[i];
+      size_t name = strlen (f->name);
+      put_u32 (out + at, (uint32_t)name);
+      put_u32 (out + at + 4, (uint32_t)f->size);
+      memcpy (out + at + HEAD_BYTES, f->name, name);
+      memcpy (out + at + HEAD_BYTES + name, f->data, f->size);
+      at += HEAD_BYTES + name + f->size;
+    }
+  return out;
+}
+
+static char *
+copy_text (const char *at, size_t size)
+{
+  char *text = malloc (size + 1);
+
+  memcpy (text, at, size);
+  text[size] = '\0';
+  return text;
+}
+
+bool
+fileset_unpack (const char *data, size_t size, struct bb_files *files)
+{
+  size_t at = 0;
+
+  files->files = calloc (FILES_MAX, sizeof *files->files);
+  files->count = 0;
+  while (size - at >= HEAD_BYTES && files->count < FILES_MAX)
+    {
+      size_t name = get_u32 (data + at);
+      size_t body = get_u32 (data + at + 4);
+      struct bb_file *f = &files->files[files->count];
+      at += HEAD_BYTES;
+      if (name > size - at || body > size - at - name)
+        return false;
+      f->name = copy_text (data + at, name);
+      f->data = copy_text (data + at + name, body);
+      f->size = body;
+      files->count++;
+      at += name + body;
+    }
+  return at == size && files->count > 0;
+}
--- /dev/null
+++ b/libdaemon/gossip.c
@@ -0,0 +1,331 @@
+/* Carries the datagrams of the membership machine over UDP.  */
+
+#include "internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  SEND_BUFFER_BYTES = 1 << 20,
+  EXPORT_EVERY = 10 /* ticks */
+};
+
+struct gossip
+{
+  struct bb_daemon *d;
+  uv_udp_t udp;
+  uv_timer_t timer;
+  struct bb_directory directory;
+  struct sockaddr_storage *addresses; /* by index of the directory */
+  GRand *rand;
+  const struct sockaddr *source; /* of the datagram in hand */
+  uint64_t self;
+  uint32_t ticks;
+  struct bb_member_stats exported;
+};
+
+static struct gossip gossip;
+
+/* A peer before it is sorted into the directory.  */
+struct found
+{
+  struct bb_peer peer;
+  const char *address;
+};
+
+static uint32_t
+domain_number (const char *name)
+{
+  return XXH32 (name, strlen (name), 0);
+}
+
+static void
+add (struct found *f, uint32_t *count, enum bb_role role, const char *name,
+     const char *address, const char *domain)
+{
+  if (!address)
+    return;
+  f[*count].peer.id = bb_peer_id (role, name);
+  f[*count].peer.failure_domain = domain_number (domain);
+  f[*count].address = address;
+  (*count)++;
+}
+
+static uint32_t
+find_all (const struct bb_settings *s, struct found *f)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < s->entries_count; i++)
+    add (f, &count, BB_ROLE_ENTRY, s->entries[i].name, s->entries[i].peer,
+         s->entries[i].failure_domain);
+  for (uint32_t i = 0; i < s->upstreams_count; i++)
+    add (f, &count, BB_ROLE_AGENT, s->upstreams[i].name, s->upstreams[i].agent,
+         s->upstreams[i].failure_domain);
+  return count;
+}
+
+/* Makes the directory of S.  A process that S no longer names keeps its place
+   in its own directory.  */
+static void
+make_directory (struct gossip *g, const struct bb_settings *s,
+                struct bb_directory *d, struct sockaddr_storage **addresses)
+{
+  uint32_t most = s->entries_count + s->upstreams_count + 1;
+  struct found *f = g_new0 (struct found, most);
+  uint32_t count = find_all (s, f);
+
+  d->peers = g_new0 (struct bb_peer, most);
+  d->count = count;
+  for (uint32_t i = 0; i < count; i++)
+    d->peers[i] = f[i].peer;
+  bb_directory_sort (d);
+  if (g->directory.peers && bb_directory_find (d, g->self) == BB_MEMBER_NONE)
+    {
+      d->peers[d->count++]
+          = g->directory.peers[bb_directory_find (&g->directory, g->self)];
+      bb_directory_sort (d);
+    }
+  *addresses = g_new0 (struct sockaddr_storage, most);
+  for (uint32_t i = 0; i < count; i++)
+    bb_address_parse (f[i].address,
+                      &(*addresses)[bb_directory_find (d, f[i].peer.id)]);
+  g_free (f);
+}
+
+static void
+add_key (struct bb_peer_keys *keys, const struct bb_peer_key_settings *k)
+{
+  struct bb_peer_key *key = &keys->keys[keys->count];
+
+  if (keys->count == BB_PEER_KEYS_MAX)
+    return;
+  key->id = XXH32 (k->name, strlen (k->name), 0);
+  for (uint32_t i = 0; i < BB_PEER_KEY_BYTES; i++)
+    {
+      char hex[3] = { k->secret[2 * i], k->secret[2 * i + 1], '\0' };
+      key->secret[i] = (uint8_t)strtoul (hex, NULL, 16);
+    }
+  keys->count++;
+}
+
+/* Keys that sign come first.  */
+static struct bb_peer_keys
+make_keys (const struct bb_settings *s)
+{
+  static const uint32_t order[]
+      = { BB_PEER_KEY_STATE_SIGNS, BB_PEER_KEY_STATE_ACCEPTED };
+  struct bb_peer_keys keys = { 0 };
+
+  for (uint32_t o = 0; o < 2; o++)
+    for (uint32_t i = 0; i < s->peer_keys_count; i++)
+      if (s->peer_keys[i].state == order[o])
+        add_key (&keys, &s->peer_keys[i]);
+  return keys;
+}
+
+static void
+on_send (void *user, uint32_t to, const void *data, size_t size)
+{
+  struct gossip *g = user;
+  const struct sockaddr *addr
+      = to == BB_MEMBER_NONE ? g->source
+                             : (const struct sockaddr *)&g->addresses[to];
+  uv_buf_t buf = uv_buf_init ((char *)data, (unsigned)size);
+
+  if (!addr || addr->sa_family == AF_UNSPEC)
+    return;
+  if (uv_udp_try_send (&g->udp, &buf, 1, addr) < 0)
+    bb_counter ("bilberry_gossip_unsent_total", "")->value++;
+}
+
+/* Judges a revision by its files alone.  */
+static bool
+on_accept (void *user, const struct bb_blob *b)
+{
+  struct gossip *g = user;
+  struct bb_files files = { 0 };
+  struct bb_faults faults = { 0 };
+  struct bb_settings *s = NULL;
+  char malformed[] = "the files are malformed";
+  char *lines[] = { malformed };
+  struct bb_faults whole = { .lines = lines, .count = 1 };
+
+  if (fileset_unpack (b->data, b->size, &files))
+    s = bb_settings_make (&files, &faults);
+  if (s)
+    force_settings (g->d, s, bb_files_hash (&files), b->revision);
+  else
+    force_refused (g->d, faults.count > 0 ? &faults : &whole);
+  bb_faults_free (&faults);
+  bb_files_free (&files);
+  return s != NULL;
+}
+
+static const struct bb_member_ops member_ops
+    = { .send = on_send, .accept = on_accept };
+
+static void
+on_alloc (uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+  static char room[BB_DATAGRAM_MAX_BYTES + 1];
+
+  (void)h;
+  (void)size;
+  *buf = uv_buf_init (room, sizeof room);
+}
+
+static void
+on_datagram (uv_udp_t *udp, ssize_t size, const uv_buf_t *buf,
+             const struct sockaddr *from, unsigned flags)
+{
+  struct gossip *g = udp->data;
+
+  if (size <= 0 || !from || (flags & UV_UDP_PARTIAL) != 0)
+    return;
+  g->source = from;
+  bb_members_receive (g->d->members, bb_clock_now (), buf->base, (size_t)size);
+  g->source = NULL;
+}
+
+static void
+count_up (const char *name, const char *labels, uint64_t now, uint64_t *before)
+{
+  bb_counter (name, labels)->value += now - *before;
+  *before = now;
+}
+
+/* Copies the counts of the machine into counters.  */
+static void export(struct gossip *g)
+{
+  const struct bb_member_stats *s = bb_members_stats (g->d->members);
+  struct bb_member_stats *e = &g->exported;
+  char labels[64];
+
+  count_up ("bilberry_gossip_sent_total", "", s->sent, &e->sent);
+  count_up ("bilberry_gossip_sent_bytes_total", "", s->sent_bytes,
+            &e->sent_bytes);
+  count_up ("bilberry_gossip_received_total", "", s->received, &e->received);
+  count_up ("bilberry_gossip_received_bytes_total", "", s->received_bytes,
+            &e->received_bytes);
+  count_up ("bilberry_gossip_suspected_total", "", s->suspected,
+            &e->suspected);
+  count_up ("bilberry_gossip_declared_dead_total", "", s->declared,
+            &e->declared);
+  count_up ("bilberry_gossip_pauses_total", "", s->woken, &e->woken);
+  for (uint32_t r = 1; r < BB_MEMBER_REFUSALS; r++)
+    {
+      g_snprintf (labels, sizeof labels, "reason=\"%s\"",
+                  bb_member_refusal_name (r));
+      count_up ("bilberry_gossip_refused_total", labels, s->refused[r],
+                &e->refused[r]);
+    }
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct gossip *g = t->data;
+
+  bb_members_tick (g->d->members, bb_clock_now ());
+  if (g->ticks++ % EXPORT_EVERY == 0)
+    export(g);
+}
+
+static bool
+listen_on (struct gossip *g, const struct sockaddr *addr)
+{
+  int size = SEND_BUFFER_BYTES;
+  int rc;
+
+  uv_udp_init (g->d->loop, &g->udp);
+  g->udp.data = g;
+  rc = uv_udp_bind (&g->udp, addr, 0);
+  if (rc == 0)
+    rc = uv_udp_recv_start (&g->udp, on_alloc, on_datagram);
+  if (rc < 0)
+    {
+      bb_log (BB_LOG_ERROR, g->d->ops->part, "Cannot gossip: %s.",
+              uv_strerror (rc));
+      return false;
+    }
+  uv_recv_buffer_size ((uv_handle_t *)&g->udp, &size);
+  return true;
+}
+
+bool
+gossip_open (struct bb_daemon *d)
+{
+  struct gossip *g = &gossip;
+  struct bb_member_options o
+      = { .incarnation = d->incarnation, .ops = &member_ops, .user = g };
+  uint32_t self;
+
+  g->d = d;
+  g->self = bb_peer_id (d->ops->role, d->name);
+  o.self = g->self;
+  o.keys = make_keys (d->settings);
+  make_directory (g, d->settings, &g->directory, &g->addresses);
+  self = bb_directory_find (&g->directory, g->self);
+  if (o.keys.count == 0 || self == BB_MEMBER_NONE)
+    return true;
+  g->rand = g_rand_new_with_seed ((guint32)d->incarnation);
+  o.directory = &g->directory;
+  o.rand = g->rand;
+  if (!listen_on (g, (const struct sockaddr *)&g->addresses[self]))
+    return false;
+  d->members = bb_members_new (&o);
+  uv_timer_init (d->loop, &g->timer);
+  g->timer.data = g;
+  uv_timer_start (&g->timer, on_tick, 0, BB_MEMBER_TICK_MS);
+  return true;
+}
+
+void
+gossip_update (struct bb_daemon *d)
+{
+  struct gossip *g = &gossip;
+  struct bb_directory directory;
+  struct sockaddr_storage *addresses;
+  struct bb_peer_keys keys;
+
+  if (!d->members)
+    return;
+  keys = make_keys (d->settings);
+  make_directory (g, d->settings, &directory, &addresses);
+  bb_members_set_directory (d->members, &directory);
+  if (keys.count > 0)
+    bb_members_set_keys (d->members, &keys);
+  g_free (g->directory.peers);
+  g_free (g->addresses);
+  g->directory = directory;
+  g->addresses = addresses;
+  bb_members_set_directory (d->members, &g->directory);
+}
+
+void
+gossip_leave (struct bb_daemon *d)
+{
+  if (d->members)
+    bb_members_leave (d->members, bb_clock_now ());
+}
+
+void
+gossip_status (struct bb_daemon *d, json_t *out)
+{
+  const struct bb_member_stats *s;
+  bb_ms since;
+
+  if (!d->members)
+    return;
+  s = bb_members_stats (d->members);
+  since = s->confirmed_at ? bb_clock_now () - s->confirmed_at : -1;
+  json_object_set_new (out, "members_live",
+                       json_integer (bb_members_live (d->members)));
+  json_object_set_new (out, "reader", json_boolean (s->reader));
+  json_object_set_new (out, "revision_confirmed_ms_ago", json_integer (since));
+  json_object_set_new (out, "revision_rejected",
+                       json_integer ((json_int_t)s->rejected_revision));
+}
--- a/libdaemon/internal.h
+++ b/libdaemon/internal.h
@@ -2,6 +2,7 @@
 #define DAEMON_INTERNAL_H
 
 #include "bilberry/daemon.h"
+#include "bilberry/member.h"
 
 /* What the command line gave.  */
 struct options
@@ -15,11 +16,52 @@
 int options_parse (int argc, char **argv, const char *program,
                    struct options *o);
 
-/* Reads the folder for the first time; false with log lines on faults.  */
-bool config_load_first (struct bb_daemon *d);
+/* Where settings come from.  */
+struct source_ops
+{
+  const char *name;
+  /* Starts to watch; false with a log line on a fault.  */
+  bool (*open) (struct bb_daemon *d);
+};
+
+extern const struct source_ops folder_source;
+extern const struct source_ops service_source;
+
+/* config.c */
+
+/* Reads the folder, starts gossip and the source, and waits until a revision
+   is in force; false with log lines on faults.  */
+bool config_open (struct bb_daemon *d);
+const char *config_source_name (void);
+
+/* folder.c */
+bool folder_load_first (struct bb_daemon *d);
+
+/* service.c */
+bool service_is_configured (const struct bb_daemon *d);
+
+/* force.c */
+void force_settings (struct bb_daemon *d, struct bb_settings *s, uint64_t hash,
+                     uint64_t revision);
+void force_refused (struct bb_daemon *d, const struct bb_faults *faults);
+void force_log_faults (const struct bb_daemon *d,
+                       const struct bb_faults *faults);
+
+/* fileset.c */
+
+/* Makes one run of bytes of FILES; the caller frees it.  */
+char *fileset_pack (const struct bb_files *files, size_t *size);
+
+/* The reverse; the caller frees FILES also when the bytes are malformed.  */
+bool fileset_unpack (const char *data, size_t size, struct bb_files *files);
+
+/* gossip.c */
+bool gossip_open (struct bb_daemon *d);
 
-/* Watches the folder and puts accepted changes in force.  */
-void config_watch (struct bb_daemon *d);
+/* Makes peers and keys fit the settings in force.  */
+void gossip_update (struct bb_daemon *d);
+void gossip_leave (struct bb_daemon *d);
+void gossip_status (struct bb_daemon *d, json_t *out);
 
 /* Opens the operator listener at ADDRESS.  */
 bool operator_open (struct bb_daemon *d, const char *address);
--- a/libdaemon/operator.c
+++ b/libdaemon/operator.c
@@ -37,6 +37,8 @@
   json_object_set_new (out, "draining", json_boolean (d->draining));
   json_object_set_new (out, "revision",
                        json_integer ((json_int_t)d->revision));
+  json_object_set_new (out, "settings_source",
+                       json_string (config_source_name ()));
   json_object_set_new (
       out, "settings_hash",
       json_sprintf ("%016llx", (unsigned long long)d->settings_hash));
@@ -45,6 +47,7 @@
   if (*d->rejected_why)
     json_object_set_new (out, "settings_fault", json_string (d->rejected_why));
   json_object_set_new (out, "in_flight", json_integer (d->ops->in_flight (d)));
+  gossip_status (d, out);
   d->ops->status (d, out);
   bb_http_respond_json (r, 200, "application/json", out);
 }
--- a/libmember/member.c
+++ b/libmember/member.c
@@ -194,9 +194,11 @@
       if (p->counter == 0 && s->counter == 0)
         set_status (m, now, i, BB_MEMBER_STATUS_ALIVE);
     }
-#ifndef BB_MUTANT_member_replay
   if (!note_sequence (p, s->sequence))
+#ifndef BB_MUTANT_member_replay
     return BB_MEMBER_REPLAY;
+#else
+    p->top = s->sequence;
 #endif
   note_alive (m, now, i, s->counter);
   m->recent[m->recent_count++ % RECENT_MAX] = i;
@@ -355,8 +357,10 @@
     }
 #ifndef BB_MUTANT_member_wake
   else if (gap > PAUSED_MS)
-    wake (m, now, gap);
+#else
+  else if (gap < 0)
 #endif
+    wake (m, now, gap);
   m->last_tick = now ? now : 1;
   probe_tick (m, now);
   spread_tick (m, now);
--- a/libsettings/tables.c
+++ b/libsettings/tables.c
@@ -131,6 +131,32 @@
     .offset = offsetof (struct bb_entry_settings, failure_domain),
     .required = true,
     .ref = "failure_domains" },
+  { .name = "peer",
+    .type = BB_FIELD_ADDRESS,
+    .offset = offsetof (struct bb_entry_settings, peer) },
+  { .name = NULL },
+};
+
+static const char *const peer_key_state_words[]
+    = { "accepted", "signs", NULL };
+static const struct bb_field peer_key_fields[] = {
+  { .name = "secret",
+    .type = BB_FIELD_SHA256,
+    .offset = offsetof (struct bb_peer_key_settings, secret),
+    .required = true },
+  { .name = "state",
+    .type = BB_FIELD_ENUM,
+    .offset = offsetof (struct bb_peer_key_settings, state),
+    .fallback = "accepted",
+    .words = peer_key_state_words },
+  { .name = NULL },
+};
+
+static const struct bb_field platform_fields[] = {
+  { .name = "address",
+    .type = BB_FIELD_ADDRESS,
+    .offset = offsetof (struct bb_platform_settings, address),
+    .required = true },
   { .name = NULL },
 };
 
@@ -160,5 +186,15 @@
     .item_size = sizeof (struct bb_entry_settings),
     .items_offset = offsetof (struct bb_settings, entries),
     .count_offset = offsetof (struct bb_settings, entries_count) },
+  { .name = "peer_keys",
+    .fields = peer_key_fields,
+    .item_size = sizeof (struct bb_peer_key_settings),
+    .items_offset = offsetof (struct bb_settings, peer_keys),
+    .count_offset = offsetof (struct bb_settings, peer_keys_count) },
+  { .name = "platform",
+    .fields = platform_fields,
+    .item_size = sizeof (struct bb_platform_settings),
+    .items_offset = offsetof (struct bb_settings, platform),
+    .count_offset = offsetof (struct bb_settings, platform_count) },
   { .name = NULL },
 };
--- a/test/harness/fleet.c
+++ b/test/harness/fleet.c
@@ -53,9 +53,9 @@
   for (uint32_t i = 0; i < f->entries_count; i++)
     fprintf (out,
              "  %s: {address: '127.0.0.1:%u', operator: '127.0.0.1:%u', "
-             "failure_domain: %s}\n",
+             "peer: '127.0.0.1:%u', failure_domain: %s}\n",
              f->entries[i].name, f->entries[i].port,
-             f->entries[i].operator_port,
+             f->entries[i].operator_port, f->entries[i].operator_port,
              failure_domains[i % FAILURE_DOMAINS]);
   fclose (out);
   harness_write (f->h, "20-fleet.yaml", "%s", text);
@@ -132,6 +132,12 @@
                                  address, (char *)NULL);
 }
 
+static const char *
+start_dir (const struct fleet *f)
+{
+  return *f->start_dir ? f->start_dir : harness_config_dir (f->h);
+}
+
 void
 fleet_start_agent (struct fleet *f, struct fleet_upstream *u)
 {
@@ -139,8 +145,7 @@
 
   snprintf (log, sizeof log, "agent-%s", u->name);
   u->agent = harness_start (f->h, log, "bilberry-agent", "--config",
-                            harness_config_dir (f->h), "--name", u->name,
-                            (char *)NULL);
+                            start_dir (f), "--name", u->name, (char *)NULL);
 }
 
 void
@@ -149,8 +154,7 @@
   char ready[64];
 
   e->pid = harness_start (f->h, e->name, "bilberry-entry", "--config",
-                          harness_config_dir (f->h), "--name", e->name,
-                          (char *)NULL);
+                          start_dir (f), "--name", e->name, (char *)NULL);
   /* An entry is of use once no agent is unconnected.  */
   snprintf (ready, sizeof ready, "\"connected\": false");
   for (int spent = 0; spent < CONNECT_MS; spent += 20)
@@ -204,3 +208,46 @@
     }
   return !strstr (at, "\"content\":\"") && strstr (at, "data: [DONE]");
 }
+
+static void
+copy_settings (struct fleet *f)
+{
+  char command[512];
+
+  snprintf (command, sizeof command, "mkdir -p '%s' && cp '%s'/*.yaml '%s'",
+            f->start_dir, harness_config_dir (f->h), f->start_dir);
+  if (system (command) != 0)
+    abort ();
+}
+
+void
+fleet_use_service (struct fleet *f)
+{
+  char path[256];
+  FILE *out;
+
+  f->service_port = harness_port (f->h);
+  snprintf (f->start_dir, sizeof f->start_dir, "%s/../start",
+            harness_config_dir (f->h));
+  harness_write (f->h, "05-peer-keys.yaml",
+                 "peer_keys:\n  key-1: {secret: '%064d', state: signs}\n", 1);
+  copy_settings (f);
+  snprintf (path, sizeof path, "%s/06-platform.yaml", f->start_dir);
+  out = fopen (path, "w");
+  fprintf (out, "platform:\n  configuration: {address: '127.0.0.1:%u'}\n",
+           f->service_port);
+  fclose (out);
+}
+
+void
+fleet_start_service (struct fleet *f, uint32_t revision)
+{
+  char address[32];
+  char number[16];
+
+  snprintf (address, sizeof address, "127.0.0.1:%u", f->service_port);
+  snprintf (number, sizeof number, "%u", revision);
+  f->service = harness_start (f->h, "confsvc", "fake-confsvc", "--dir",
+                              harness_config_dir (f->h), "--address", address,
+                              "--revision", number, (char *)NULL);
+}
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -39,6 +39,9 @@
   struct fleet_entry entries[FLEET_MAX];
   uint32_t entries_count;
   const char *engine_options[8]; /* further options of each engine */
+  char start_dir[128];   /* folder that processes start with; "": settings */
+  uint16_t service_port; /* of the configuration service */
+  pid_t service;
 };
 
 /* The bearer header line of the customer "customer-1".  */
@@ -53,6 +56,13 @@
 /* Writes the file that says which failure domain is out; "" for none.  */
 void fleet_set_out (struct fleet *f, const char *failure_domain);
 
+/* Makes the processes take their settings from a configuration service, which
+   publishes the settings folder; the folder that they start with names it.  */
+void fleet_use_service (struct fleet *f);
+
+/* Starts the configuration service, which numbers from REVISION on.  */
+void fleet_start_service (struct fleet *f, uint32_t revision);
+
 /* Starts one upstream, one agent or one entry again.  */
 void fleet_start_upstream (struct fleet *f, struct fleet_upstream *u);
 void fleet_start_agent (struct fleet *f, struct fleet_upstream *u);
--- /dev/null
+++ b/test/test_config.c
@@ -0,0 +1,227 @@
+/* Tests of the spread of configuration with real processes: agents, entries
+   and a stand-in for the configuration service.  */
+
+#include "harness/fleet.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+enum
+{
+  IN_FORCE_MS = 20000, /* longest wait, not a bound on the time taken */
+  STAYS_MS = 2500
+};
+
+static const char *
+build_dir (void)
+{
+  const char *dir = g_getenv ("BILBERRY_BUILD");
+
+  return dir ? dir : "build";
+}
+
+static void
+fleet_up (struct fleet *f)
+{
+  fleet_init (f, build_dir (), 3, 1, 2);
+  fleet_use_service (f);
+  fleet_start_service (f, 1);
+  for (uint32_t i = 0; i < f->upstreams_count; i++)
+    fleet_start_agent (f, &f->upstreams[i]);
+  for (uint32_t i = 0; i < f->entries_count; i++)
+    fleet_start_entry (f, &f->entries[i]);
+}
+
+static uint32_t
+ports (const struct fleet *f, uint16_t *out)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < f->upstreams_count; i++)
+    out[count++] = f->upstreams[i].operator_port;
+  for (uint32_t i = 0; i < f->entries_count; i++)
+    out[count++] = f->entries[i].operator_port;
+  return count;
+}
+
+static void
+assert_all (const struct fleet *f, const char *text)
+{
+  uint16_t port[2 * FLEET_MAX];
+  uint32_t count = ports (f, port);
+
+  for (uint32_t i = 0; i < count; i++)
+    g_assert_true (harness_await (port[i], "/status", text, IN_FORCE_MS));
+}
+
+/* All keep REVISION for a while.  */
+static void
+assert_stays (const struct fleet *f, const char *text)
+{
+  for (int spent = 0; spent < STAYS_MS; spent += STAYS_MS / 5)
+    {
+      uint16_t port[2 * FLEET_MAX];
+      uint32_t count = ports (f, port);
+      for (uint32_t i = 0; i < count; i++)
+        {
+          struct answer a = harness_http (port[i], "GET", "/status", "", "");
+          g_assert_nonnull (a.body);
+          g_assert_nonnull (strstr (a.body, text));
+          answer_free (&a);
+        }
+      harness_sleep_ms (STAYS_MS / 5);
+    }
+}
+
+static uint64_t
+sum_counter (const struct fleet *f, const char *name, const char *labels)
+{
+  uint16_t port[2 * FLEET_MAX];
+  uint32_t count = ports (f, port);
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    sum += harness_counter (port[i], name, labels);
+  return sum;
+}
+
+static void
+stop_service (struct fleet *f)
+{
+  harness_signal (f->h, f->service, SIGKILL);
+  harness_wait (f->h, f->service);
+}
+
+/* An edit of the folder is in force everywhere; a fault in it is not, and is
+   shown.  */
+static void
+test_edit_and_reject (void)
+{
+  struct fleet f;
+
+  fleet_up (&f);
+  assert_all (&f, "\"revision\": 1,");
+  fleet_set_out (&f, "fd-b");
+  assert_all (&f, "\"revision\": 2,");
+  harness_write (f.h, "50-bad.yaml", "upstreams:\n  x: {adress: y}\n");
+  assert_all (&f, "\"revision_rejected\": 3");
+  assert_stays (&f, "\"revision\": 2,");
+  g_assert_cmpuint (sum_counter (&f, "bilberry_settings_rejected_total", ""),
+                    >, 0);
+  harness_write (f.h, "50-bad.yaml", "failure_domains: {}\n");
+  assert_all (&f, "\"revision\": 4,");
+  fleet_free (&f);
+}
+
+/* The service is gone: what is in force stays, and a process that starts
+   takes it from its peers.  */
+static void
+test_service_gone (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+
+  fleet_up (&f);
+  fleet_set_out (&f, "fd-b");
+  assert_all (&f, "\"revision\": 2,");
+  stop_service (&f);
+  fleet_set_out (&f, "fd-c");
+  u = &f.upstreams[0];
+  harness_signal (f.h, u->agent, SIGKILL);
+  harness_wait (f.h, u->agent);
+  fleet_start_agent (&f, u);
+  assert_stays (&f, "\"revision\": 2,");
+  fleet_start_service (&f, 3);
+  assert_all (&f, "\"revision\": 3,");
+  fleet_free (&f);
+}
+
+/* The service comes back with what it had long ago: nobody goes back, not even
+   a process that starts then.  */
+static void
+test_stale_service (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+
+  fleet_up (&f);
+  fleet_set_out (&f, "fd-b");
+  assert_all (&f, "\"revision\": 2,");
+  fleet_set_out (&f, "fd-c");
+  assert_all (&f, "\"revision\": 3,");
+  stop_service (&f);
+  fleet_set_out (&f, "");
+  fleet_start_service (&f, 1);
+  u = &f.upstreams[1];
+  harness_signal (f.h, u->agent, SIGKILL);
+  harness_wait (f.h, u->agent);
+  fleet_start_agent (&f, u);
+  assert_stays (&f, "\"revision\": 3,");
+  stop_service (&f);
+  fleet_start_service (&f, 4);
+  assert_all (&f, "\"revision\": 4,");
+  fleet_free (&f);
+}
+
+/* Processes that were frozen over a change take it when they wake.  */
+static void
+test_frozen (void)
+{
+  struct fleet f;
+
+  fleet_up (&f);
+  assert_all (&f, "\"revision\": 1,");
+  harness_signal (f.h, f.upstreams[0].agent, SIGSTOP);
+  harness_signal (f.h, f.entries[0].pid, SIGSTOP);
+  fleet_set_out (&f, "fd-b");
+  g_assert_true (harness_await (f.entries[1].operator_port, "/status",
+                                "\"revision\": 2,", IN_FORCE_MS));
+  harness_sleep_ms (STAYS_MS);
+  harness_signal (f.h, f.upstreams[0].agent, SIGCONT);
+  harness_signal (f.h, f.entries[0].pid, SIGCONT);
+  assert_all (&f, "\"revision\": 2,");
+  g_assert_true (harness_await (f.entries[0].operator_port, "/metrics",
+                                "bilberry_gossip_pauses_total 1",
+                                IN_FORCE_MS));
+  fleet_free (&f);
+}
+
+/* The key is replaced by edits of the folder; all stay together.  */
+static void
+test_key_rotation (void)
+{
+  struct fleet f;
+
+  fleet_up (&f);
+  harness_write (f.h, "05-peer-keys.yaml",
+                 "peer_keys:\n"
+                 "  key-1: {secret: '%064d', state: signs}\n"
+                 "  key-2: {secret: '%064d'}\n",
+                 1, 2);
+  assert_all (&f, "\"revision\": 2,");
+  harness_write (f.h, "05-peer-keys.yaml",
+                 "peer_keys:\n"
+                 "  key-1: {secret: '%064d'}\n"
+                 "  key-2: {secret: '%064d', state: signs}\n",
+                 1, 2);
+  assert_all (&f, "\"revision\": 3,");
+  harness_write (f.h, "05-peer-keys.yaml",
+                 "peer_keys:\n  key-2: {secret: '%064d', state: signs}\n", 2);
+  assert_all (&f, "\"revision\": 4,");
+  fleet_set_out (&f, "fd-b");
+  assert_all (&f, "\"revision\": 5,");
+  fleet_free (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/config/edit-and-reject", test_edit_and_reject);
+  g_test_add_func ("/config/service-gone", test_service_gone);
+  g_test_add_func ("/config/stale-service", test_stale_service);
+  g_test_add_func ("/config/frozen", test_frozen);
+  g_test_add_func ("/config/key-rotation", test_key_rotation);
+  return g_test_run ();
+}
