--- /dev/null
+++ b/bench/report.h
@@ -0,0 +1,48 @@
+#ifndef REPORT_H
+#define REPORT_H
+
+/* What experiments share: files of the report and a fit.  */
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Opens file NAME of the report for writing.  */
+static inline FILE *
+report_open (const char *name)
+{
+  const char *dir = getenv ("BILBERRY_REPORT");
+  char path[4096];
+  FILE *out;
+
+  snprintf (path, sizeof path, "%s/%s", dir ? dir : ".", name);
+  out = fopen (path, "w");
+  if (!out)
+    {
+      perror (path);
+      exit (1);
+    }
+  return out;
+}
+
+/* Least squares of Y over X: Y = *BASE + *SLOPE * X.  */
+static inline void
+report_fit (const double *x, const double *y, int count, double *base,
+            double *slope)
+{
+  double sx = 0;
+  double sy = 0;
+  double sxx = 0;
+  double sxy = 0;
+
+  for (int i = 0; i < count; i++)
+    {
+      sx += x[i];
+      sy += y[i];
+      sxx += x[i] * x[i];
+      sxy += x[i] * y[i];
+    }
+  *slope = (count * sxy - sx * sy) / (count * sxx - sx * sx);
+  *base = (sy - *slope * sx) / count;
+}
+
+#endif
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -78,7 +78,7 @@
   char *peer;
 };
 
-/* Keys by which entries and agents prove that they belong. To replace one, add
+/* Keys by which entries and agents prove that they belong; to replace one, add
  * the new key, then let it sign, then remove the old one.  */
 struct bb_peer_key_settings
 {
@@ -87,9 +87,9 @@
   uint32_t state;
 };
 
-/* Services of the platform. The item 'configuration' names the configuration
- * service; with it the folder is used only until a first revision is in force.
- * The item 'vms' names the list of live VMs.  */
+/* Services of the platform; the item 'configuration' names the configuration
+ * service, and with it the folder is used only until a first revision is in
+ * force.  */
 struct bb_platform_settings
 {
   char *name;
--- a/libdaemon/force.c
+++ b/libdaemon/force.c
@@ -4,6 +4,15 @@
 
 #include <stdio.h>
 
+static int64_t
+unix_ms (void)
+{
+  uv_timeval64_t tv = { 0 };
+
+  uv_gettimeofday (&tv);
+  return tv.tv_sec * 1000 + tv.tv_usec / 1000;
+}
+
 void
 force_settings (struct bb_daemon *d, struct bb_settings *s, uint64_t hash,
                 uint64_t revision)
@@ -13,6 +22,7 @@
   d->settings = s;
   d->settings_hash = hash;
   d->revision = revision;
+  d->in_force_unix_ms = unix_ms ();
   d->rejected_why[0] = '\0';
   bb_log (BB_LOG_INFO, d->ops->part, "Settings revision %llu is in force.",
           (unsigned long long)revision);
--- a/libdaemon/gossip.c
+++ b/libdaemon/gossip.c
@@ -105,7 +105,8 @@
   key->id = XXH32 (k->name, strlen (k->name), 0);
   for (uint32_t i = 0; i < BB_PEER_KEY_BYTES; i++)
     {
-      char hex[3] = { k->secret[2 * i], k->secret[2 * i + 1], '\0' };
+      const char *at = k->secret + (size_t)2 * i;
+      char hex[3] = { at[0], at[1], '\0' };
       key->secret[i] = (uint8_t)strtoul (hex, NULL, 16);
     }
   keys->count++;
--- a/libmember/internal.h
+++ b/libmember/internal.h
@@ -154,7 +154,7 @@
 void probe_tick (struct bb_members *m, bb_ms now);
 void probe_acked (struct bb_members *m, bb_ms now, uint64_t nonce);
 void probe_relay (struct bb_members *m, bb_ms now, uint32_t requester,
-                  const struct bb_ping_request *r);
+                  const struct bb_ping_request *q);
 
 /* Picks a random live member other than self.  With KNOWN, one whose
    incarnation is known.  BB_MEMBER_NONE where it finds none.  */
--- a/libmember/spread.c
+++ b/libmember/spread.c
@@ -146,8 +146,8 @@
 put_in_force (struct bb_members *m, bb_ms now, struct bb_blob *b)
 {
   blob_unref (m->history[HISTORY - 1]);
-  memmove (&m->history[1], &m->history[0],
-           (HISTORY - 1) * sizeof m->history[0]);
+  for (uint32_t i = HISTORY - 1; i > 0; i--)
+    m->history[i] = m->history[i - 1];
   m->history[0] = b;
   if (m->history[1])
     blob_compare (m->history[1], b, &m->delta_prefix, &m->delta_suffix);
--- a/test/harness/member_run.c
+++ b/test/harness/member_run.c
@@ -336,8 +336,7 @@
       return;
     }
   for (uint32_t i = 0; i < r->o.members; i++)
-    if (must_hold (&r->nodes[i], first)
-        && r->nodes[i].in_force < c->revision)
+    if (must_hold (&r->nodes[i], first) && r->nodes[i].in_force < c->revision)
       r->late++;
   if (r->check_within && r->connected_since + IN_FORCE_MS <= first)
     g_assert_cmpuint (r->late, ==, 0);
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -136,7 +136,8 @@
         struct probe *from = &q->p[i];
         GBytes *out[DATAGRAMS_MAX];
         uint32_t n = from->out_count;
-        memcpy (out, from->out, n * sizeof out[0]);
+        for (uint32_t k = 0; k < n; k++)
+          out[k] = from->out[k];
         from->out_count = 0;
         for (uint32_t k = 0; k < n; k++)
           {
@@ -373,7 +374,7 @@
   for (uint32_t k = 0; k < G_N_ELEMENTS (sizes); k++)
     {
       struct pair q;
-      char *text = g_malloc (sizes[k] + 1);
+      char *text = g_malloc0 (sizes[k] + 1);
       bb_ms now = 4000;
       for (uint32_t i = 0; i < sizes[k]; i++)
         text[i] = (char)(i * 7 + i / 251);
