Let members that do not know an incarnation tell of a death

Ruled out: the number of transmissions and the order of updates. Change: such an update counts by its status; a member still contradicts it by its counter. A first try told members the unknown incarnation too and made all of them contradict; the counters rose without end and deaths flipped back, seen by /member-runs/rack-lost, which was red before and is green now.

--- a/libmember/member.c
+++ b/libmember/member.c
@@ -191,8 +191,6 @@
       p->incarnation = s->incarnation;
       p->top = 0;
       p->window = 0;
-      if (p->counter == 0 && s->counter == 0)
-        set_status (m, now, i, BB_MEMBER_STATUS_ALIVE);
     }
   if (!note_sequence (p, s->sequence))
 #ifndef BB_MUTANT_member_replay
--- a/libmember/send.c
+++ b/libmember/send.c
@@ -9,8 +9,6 @@
   const struct member *p = &m->members[i];
   struct bb_member_update *u = &g->updates[g->updates_count];
 
-  if (p->incarnation == 0)
-    return;
   u->id = m->directory->peers[i].id;
   u->incarnation = p->incarnation;
   u->counter = p->counter;
@@ -25,7 +23,8 @@
   const struct member *p = &m->members[i];
 
   return p->status != BB_MEMBER_STATUS_ALIVE
-         || (i == m->handling && p->incarnation != m->handling_incarnation);
+         || (i == m->handling && p->incarnation != 0
+             && p->incarnation != m->handling_incarnation);
 }
 
 void
--- a/libmember/update.c
+++ b/libmember/update.c
@@ -88,11 +88,15 @@
   p->failures = 0;
 }
 
+/* An update by somebody who does not know the incarnation, or to somebody who
+   does not, counts by its status alone.  */
 static bool
 wins (const struct member *p, const struct bb_member_update *u)
 {
   if (u->counter != p->counter)
     return u->counter > p->counter;
+  if (u->incarnation == 0 || p->incarnation == 0)
+    return u->status > p->status;
   if (u->incarnation != p->incarnation)
     return u->incarnation > p->incarnation;
   return u->status > p->status;
@@ -102,7 +106,7 @@
 static void
 take_own (struct bb_members *m, const struct bb_member_update *u)
 {
-  bool right = u->incarnation == m->incarnation
+  bool right = (u->incarnation == 0 || u->incarnation == m->incarnation)
                && u->status == m->members[m->self].status;
 
   if (u->counter < m->counter || right)
@@ -118,8 +122,7 @@
   struct member *p;
   uint8_t before;
 
-  if (i == BB_MEMBER_NONE || u->status >= BB_MEMBER_STATUS_COUNT
-      || u->incarnation == 0)
+  if (i == BB_MEMBER_NONE || u->status >= BB_MEMBER_STATUS_COUNT)
     return;
   if (i == m->self)
     {
@@ -127,10 +130,12 @@
       return;
     }
   p = &m->members[i];
+  if (p->incarnation == 0 && u->counter == p->counter)
+    p->incarnation = u->incarnation;
   if (!wins (p, u))
     return;
   before = p->status;
-  if (p->incarnation != u->incarnation)
+  if (u->incarnation != 0 && p->incarnation != u->incarnation)
     {
       p->incarnation = u->incarnation;
       p->top = 0;
--- a/test/harness/member_run.c
+++ b/test/harness/member_run.c
@@ -207,6 +207,21 @@
                   on_tick, n);
 }
 
+static void
+add_stats (struct bb_member_stats *sum, const struct bb_member_stats *s)
+{
+  sum->sent += s->sent;
+  sum->sent_bytes += s->sent_bytes;
+  sum->received += s->received;
+  sum->received_bytes += s->received_bytes;
+  sum->suspected += s->suspected;
+  sum->declared += s->declared;
+  sum->woken += s->woken;
+  sum->fetches += s->fetches;
+  for (uint32_t k = 0; k < BB_MEMBER_REFUSALS; k++)
+    sum->refused[k] += s->refused[k];
+}
+
 void
 member_run_stop (struct member_run *r, uint32_t i)
 {
@@ -215,6 +230,7 @@
   if (!n->members)
     return;
   bb_sim_crash (r->sim, i);
+  add_stats (&r->ended, bb_members_stats (n->members));
   bb_members_free (n->members);
   n->members = NULL;
 }
@@ -415,24 +431,10 @@
 struct bb_member_stats
 member_run_stats (const struct member_run *r)
 {
-  struct bb_member_stats sum = { 0 };
+  struct bb_member_stats sum = r->ended;
 
   for (uint32_t i = 0; i < r->o.members; i++)
-    {
-      const struct bb_member_stats *s;
-      if (!r->nodes[i].members)
-        continue;
-      s = bb_members_stats (r->nodes[i].members);
-      sum.sent += s->sent;
-      sum.sent_bytes += s->sent_bytes;
-      sum.received += s->received;
-      sum.received_bytes += s->received_bytes;
-      sum.suspected += s->suspected;
-      sum.declared += s->declared;
-      sum.woken += s->woken;
-      sum.fetches += s->fetches;
-      for (uint32_t k = 0; k < BB_MEMBER_REFUSALS; k++)
-        sum.refused[k] += s->refused[k];
-    }
+    if (r->nodes[i].members)
+      add_stats (&sum, bb_members_stats (r->nodes[i].members));
   return sum;
 }
--- a/test/harness/member_run.h
+++ b/test/harness/member_run.h
@@ -51,9 +51,9 @@
   uint64_t service_calls;
   uint64_t service_calls_second; /* in the present second */
   uint64_t service_calls_most;   /* in any second */
-  uint64_t declared_wrongly;
-  uint64_t late;          /* members that were not in force in time */
-  uint64_t bad_revisions; /* bit N: revision N + 1 has a fault */
+  struct bb_member_stats ended;  /* of processes that are gone */
+  uint64_t late;                 /* members that were not in force in time */
+  uint64_t bad_revisions;        /* bit N: revision N + 1 has a fault */
 };
 
 enum
--- a/test/test_member_runs.c
+++ b/test/test_member_runs.c
@@ -289,6 +289,34 @@
   member_run_free (r);
 }
 
+/* A rack of members is lost soon after the start, when few know each other's
+   incarnation: all hear of it in bounded time.  */
+static void
+test_rack_lost (void)
+{
+  enum
+  {
+    MEMBERS = 300,
+    RACK = 16,
+    KNOWN_MS = 45000
+  };
+  struct member_run_options o = lossy (9, MEMBERS);
+  struct member_run *r = member_run_new (&o);
+
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, 10000);
+  for (uint32_t i = 0; i < RACK; i++)
+    member_run_stop (r, i);
+  member_run_advance (r, KNOWN_MS);
+  g_assert_true (member_run_all_agree (r, true));
+  for (uint32_t i = 0; i < RACK; i++)
+    member_run_start (r, i);
+  member_run_advance (r, KNOWN_MS);
+  g_assert_true (member_run_all_agree (r, true));
+  member_run_free (r);
+}
+
 /* A process that was frozen over several revisions wakes.  */
 static void
 test_frozen (void)
@@ -381,6 +409,7 @@
   g_test_add_func ("/member-runs/fresh-with-stale-service",
                    test_fresh_with_stale_service);
   g_test_add_func ("/member-runs/region-cut-hour", test_region_cut_hour);
+  g_test_add_func ("/member-runs/rack-lost", test_rack_lost);
   g_test_add_func ("/member-runs/frozen", test_frozen);
   g_test_add_func ("/member-runs/rejected", test_rejected);
   g_test_add_func ("/member-runs/against-naive", test_against_naive);
