Give one verdict on settings in all versions that know their schema

Files declare their schema; a field or section that came later is refused in files that do not declare it, by new and old programs alike, so that a rolling upgrade cannot split acceptance.

--- a/include/bilberry/settings.h
+++ b/include/bilberry/settings.h
@@ -44,6 +44,12 @@
    when there are faults.  */
 struct bb_settings *bb_settings_make (const struct bb_files *files,
                                       struct bb_faults *faults);
+
+/* The same for a program that knows the schemas up to KNOWN.  All programs
+   that know the schema which FILES declare give one verdict.  */
+struct bb_settings *bb_settings_make_for (const struct bb_files *files,
+                                          uint32_t known,
+                                          struct bb_faults *faults);
 void bb_settings_free (struct bb_settings *s);
 
 /* Prints the merged settings as YAML, each value followed by a comment that
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -6,6 +6,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* The newest schema of settings that this program knows.  */
+enum
+{
+  BB_SCHEMA_VERSION = 2
+};
+
 enum bb_failure_domain_state
 {
   BB_FAILURE_DOMAIN_STATE_IN,
--- a/libdaemon/operator.c
+++ b/libdaemon/operator.c
@@ -39,6 +39,8 @@
                        json_integer ((json_int_t)d->revision));
   json_object_set_new (out, "in_force_unix_ms",
                        json_integer (d->in_force_unix_ms));
+  json_object_set_new (out, "settings_schema",
+                       json_integer (BB_SCHEMA_VERSION));
   json_object_set_new (out, "settings_source",
                        json_string (config_source_name ()));
   json_object_set_new (
--- a/libsettings/bind.c
+++ b/libsettings/bind.c
@@ -12,6 +12,7 @@
 {
   const struct bb_node *root;
   struct bb_faults *faults;
+  uint32_t schema; /* that the files declare */
 };
 
 static const char *
@@ -204,6 +205,42 @@
   return NULL;
 }
 
+/* Whether the declared schema has what schema SINCE brought.  */
+static bool
+check_since (struct bind *b, const struct bb_node *n, uint32_t since)
+{
+#ifndef BB_MUTANT_settings_since
+  if (since > b->schema)
+    {
+      bb_fault (b->faults, n->file, n->line,
+                "%s: not in schema %u; write 'schema: %u' once all processes "
+                "know it",
+                n->key, b->schema, since);
+      return false;
+    }
+#endif
+  return true;
+}
+
+/* Finds the schema that the files declare; 0 and a fault when this program
+   does not know it.  */
+static uint32_t
+declared_schema (struct bind *b, uint32_t known)
+{
+  const struct bb_node *n = bb_node_child (b->root, "schema");
+  struct bb_field f = { .name = "schema", .min = 1, .max = known };
+  uint32_t schema = 1;
+
+  if (!n)
+    return schema;
+  if (n->kind != BB_NODE_SCALAR)
+    bb_fault (b->faults, n->file, n->line,
+              "schema: wrong type; write a number from 1 to %u", known);
+  else if (parse_u32 (b, n, &f, &schema))
+    return schema;
+  return 0;
+}
+
 static void
 bind_item (struct bind *b, const struct bb_section *s,
            const struct bb_node *map, char *item)
@@ -218,9 +255,9 @@
   for (const struct bb_node *n = map->children; n; n = n->next)
     {
       const struct bb_field *f = find_field (s, n->key);
-      if (f)
+      if (f && check_since (b, n, f->since))
         bind_value (b, n, f, item);
-      else
+      else if (!f)
         report_unknown (b, n, "field",
                         bb_nearest (n->key, field_name_at, s->fields));
     }
@@ -286,6 +323,13 @@
 
 struct bb_settings *
 bb_settings_make (const struct bb_files *files, struct bb_faults *faults)
+{
+  return bb_settings_make_for (files, BB_SCHEMA_VERSION, faults);
+}
+
+struct bb_settings *
+bb_settings_make_for (const struct bb_files *files, uint32_t known,
+                      struct bb_faults *faults)
 {
   size_t first = faults->count;
   struct bb_node *root = bb_files_merge (files, faults);
@@ -295,12 +339,15 @@
   if (!root)
     return NULL;
   out = calloc (1, sizeof *out);
-  for (const struct bb_node *n = root->children; n; n = n->next)
+  b.schema = declared_schema (&b, known);
+  for (const struct bb_node *n = root->children; n && b.schema; n = n->next)
     {
       const struct bb_section *s = find_section (n->key);
-      if (s)
+      if (strcmp (n->key, "schema") == 0)
+        continue;
+      if (s && check_since (&b, n, s->since))
         bind_section (&b, s, n, out);
-      else
+      else if (!s)
         report_unknown (&b, n, "section",
                         bb_nearest (n->key, section_name_at, NULL));
     }
--- a/libsettings/table.h
+++ b/libsettings/table.h
@@ -27,6 +27,7 @@
   uint32_t max;
   const char *const *words; /* of an enum */
   const char *ref;          /* section that a reference names */
+  uint32_t since;           /* schema that brought it; 0: the first */
 };
 
 struct bb_section
@@ -36,6 +37,7 @@
   size_t item_size;
   size_t items_offset;
   size_t count_offset;
+  uint32_t since; /* schema that brought it */
 };
 
 extern const struct bb_section bb_sections[];
--- a/test/harness/fleet.c
+++ b/test/harness/fleet.c
@@ -38,7 +38,7 @@
   size_t size = 0;
   FILE *out = open_memstream (&text, &size);
 
-  fputs ("upstreams:\n", out);
+  fputs ("schema: 2\nupstreams:\n", out);
   for (uint32_t i = 0; i < f->upstreams_count; i++)
     {
       const struct fleet_upstream *u = &f->upstreams[i];
--- /dev/null
+++ b/test/test_acceptance.c
@@ -0,0 +1,149 @@
+/* Tests that a set of files is accepted or refused alike by programs of
+   different versions.  */
+
+#include "bilberry/settings.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  FILES = 3,
+  TRIES = 2000,
+  NEWEST = 4
+};
+
+static const char *const base[FILES] = {
+  "failure_domains:\n  fd-a: {state: in}\n  fd-b: {state: out}\n",
+  "upstreams:\n"
+  "  u-1: {address: '127.0.0.1:1', agent: '127.0.0.1:2', "
+  "failure_domain: fd-a, pool: p}\n"
+  "entries:\n"
+  "  e-1: {address: '127.0.0.1:3', operator: '127.0.0.1:4', "
+  "failure_domain: fd-b}\n",
+  "routes:\n  r: {path: /x, pool: p}\n",
+};
+
+static const char *const extra[] = {
+  "routes:\n  s: {path: /y, pool: p}\n",
+  "schema: 1\n",
+  "schema: 2\n",
+  "schema: 3\n",
+  "schema: 0\n",
+  "schema: x\n",
+  "peer_keys:\n  k: {secret: "
+  "'0000000000000000000000000000000000000000000000000000000000000001'}\n",
+  "schema: 2\npeer_keys:\n  k: {secret: "
+  "'0000000000000000000000000000000000000000000000000000000000000001'}\n",
+  "entries:\n  e-1: {peer: '127.0.0.1:5'}\n",
+  "schema: 2\nentries:\n  e-1: {peer: '127.0.0.1:5'}\n",
+  "schema: 3\nentries:\n  e-1: {peer: '127.0.0.1:5'}\n",
+  "entries:\n  e-1: {peers: '127.0.0.1:5'}\n",
+};
+
+static void
+make_files (struct bb_files *files, const char *last)
+{
+  char name[32];
+
+  files->count = FILES + 1;
+  files->files = g_new0 (struct bb_file, files->count);
+  for (uint32_t i = 0; i <= FILES; i++)
+    {
+      struct bb_file *f = &files->files[i];
+      g_snprintf (name, sizeof name, "%u.yaml", i);
+      f->name = strdup (name);
+      f->data = strdup (i < FILES ? base[i] : last);
+      f->size = strlen (f->data);
+    }
+}
+
+static void
+free_files (struct bb_files *files)
+{
+  for (size_t i = 0; i < files->count; i++)
+    {
+      free (files->files[i].name);
+      free (files->files[i].data);
+    }
+  g_free (files->files);
+}
+
+static bool
+accepts (const struct bb_files *files, uint32_t known)
+{
+  struct bb_faults faults = { 0 };
+  struct bb_settings *s = bb_settings_make_for (files, known, &faults);
+  bool good = s != NULL;
+
+  g_assert_true (good == (faults.count == 0));
+  bb_settings_free (s);
+  bb_faults_free (&faults);
+  return good;
+}
+
+static uint32_t
+declared (const char *last)
+{
+  return last[0] == 's' && last[8] >= '1' && last[8] <= '9'
+             ? (uint32_t)(last[8] - '0')
+             : 1;
+}
+
+static void
+assert_alike (const struct bb_files *files, uint32_t schema)
+{
+  bool first = accepts (files, schema);
+
+  for (uint32_t known = schema; known <= NEWEST; known++)
+    g_assert_true (accepts (files, known) == first);
+  for (uint32_t known = 1; known < schema; known++)
+    g_assert_false (accepts (files, known));
+}
+
+static void
+test_versions (void)
+{
+  static const bool want[] = { true,  true, true,  true, false, false,
+                               false, true, false, true, true,  false };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (extra); i++)
+    {
+      struct bb_files files;
+      make_files (&files, extra[i]);
+      g_assert_true (accepts (&files, NEWEST) == want[i]);
+      assert_alike (&files, declared (extra[i]));
+      free_files (&files);
+    }
+}
+
+/* Files with random damage: still one verdict of all who know the schema.  */
+static void
+test_damaged (void)
+{
+  GRand *rand = g_rand_new_with_seed (20);
+
+  for (uint32_t n = 0; n < TRIES; n++)
+    {
+      const char *last = extra[g_rand_int_range (
+          rand, 0, (gint32)G_N_ELEMENTS (extra) - 1)];
+      struct bb_files files;
+      struct bb_file *f;
+      make_files (&files, last);
+      f = &files.files[g_rand_int_range (rand, 0, FILES)];
+      f->data[g_rand_int_range (rand, 0, (gint32)f->size)]
+          = (char)g_rand_int_range (rand, ' ', '~');
+      assert_alike (&files, declared (last));
+      free_files (&files);
+    }
+  g_rand_free (rand);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/acceptance/versions", test_versions);
+  g_test_add_func ("/acceptance/damaged", test_damaged);
+  return g_test_run ();
+}
