--- a/bench/spread_processes.c
+++ b/bench/spread_processes.c
@@ -148,7 +148,7 @@
 static void
 measure_idle (void)
 {
-  double before[ALL_MAX];
+  double before[ALL_MAX] = { 0 };
   double memory = 0;
   double cpu[2] = { 0, 0 };
   double most[2] = { 0, 0 };
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -110,6 +110,7 @@
   uint64_t value;
   uint64_t origin;
   uint32_t age_ms;
+  uint64_t sequence;
 };
 
 /* What every message between members carries.  */
--- a/libmember/push.c
+++ b/libmember/push.c
@@ -59,8 +59,18 @@
   if (p->kind >= BB_PUSHED_KINDS || is_stale (&fresh, now))
     return;
   s = find (m, p);
+#ifndef BB_MUTANT_member_push_order
+  if (s && p->sequence <= s->fact.sequence)
+    {
+      /* The time on the way is not in the age: the older birth is nearer.  */
+      if (p->sequence == s->fact.sequence)
+        s->born = MIN (s->born, fresh.born);
+      return;
+    }
+#else
   if (s && s->born >= fresh.born)
     return;
+#endif
   if (!s)
     s = make_room (m);
   fresh.left = transmissions (m);
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -206,7 +206,7 @@
 static void
 put_pushed (msgpack_packer *pk, const struct bb_pushed *v)
 {
-  msgpack_pack_map (pk, 5);
+  msgpack_pack_map (pk, 6);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->kind);
   msgpack_pack_uint8 (pk, 2);
@@ -217,6 +217,8 @@
   msgpack_pack_uint64 (pk, v->origin);
   msgpack_pack_uint8 (pk, 5);
   msgpack_pack_uint64 (pk, v->age_ms);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->sequence);
 }
 
 static bool
@@ -263,6 +265,12 @@
           v->age_ms = (uint32_t)n;
           seen |= UINT64_C (1) << 5;
           break;
+        case 6:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "sequence", e))
+            return false;
+          v->sequence = (uint64_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
         default:
           break;
         }
@@ -277,6 +285,8 @@
     return bb_wire_missing ("pushed", "origin", e);
   if (!(seen & (UINT64_C (1) << 5)))
     return bb_wire_missing ("pushed", "age_ms", e);
+  if (!(seen & (UINT64_C (1) << 6)))
+    return bb_wire_missing ("pushed", "sequence", e);
   return true;
 }
 
--- a/test/test_member_runs.c
+++ b/test/test_member_runs.c
@@ -397,6 +397,43 @@
   member_run_free (b);
 }
 
+/* A pushed fact reaches all members and ends everywhere at its bound.  */
+static void
+test_pushed (void)
+{
+  enum
+  {
+    MEMBERS = 200,
+    REACHED_MS = 8000
+  };
+  struct member_run_options o = lossy (10, MEMBERS);
+  struct member_run *r = member_run_new (&o);
+  bb_ms bound = bb_pushed_max_age_ms (BB_PUSHED_DEMAND);
+  bb_ms pushed;
+  uint32_t count;
+
+  member_run_publish (r);
+  start_all (r);
+  member_run_advance (r, 20000);
+  pushed = bb_sim_now (r->sim);
+  bb_members_push (r->nodes[0].members, pushed, BB_PUSHED_DEMAND, 42, 7);
+  member_run_advance (r, REACHED_MS);
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    g_assert_cmpuint (bb_members_pushed (r->nodes[i].members,
+                                         bb_sim_now (r->sim), BB_PUSHED_DEMAND,
+                                         42, &count),
+                      ==, 7);
+  /* The age that travels does not count the time on the way.  */
+  member_run_advance (r, pushed + bound + 1000 - bb_sim_now (r->sim));
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    {
+      bb_members_pushed (r->nodes[i].members, bb_sim_now (r->sim),
+                         BB_PUSHED_DEMAND, 42, &count);
+      g_assert_cmpuint (count, ==, 0);
+    }
+  member_run_free (r);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -412,6 +449,7 @@
   g_test_add_func ("/member-runs/rack-lost", test_rack_lost);
   g_test_add_func ("/member-runs/frozen", test_frozen);
   g_test_add_func ("/member-runs/rejected", test_rejected);
+  g_test_add_func ("/member-runs/pushed", test_pushed);
   g_test_add_func ("/member-runs/against-naive", test_against_naive);
   return g_test_run ();
 }
