--- a/libmember/internal.h
+++ b/libmember/internal.h
@@ -124,6 +124,7 @@
   struct pushed_slot pushed[BB_PUSHED_MAX];
   uint32_t pushed_count;
   uint32_t pushed_next;
+  uint64_t push_sequence;
   struct bb_member_stats stats;
   msgpack_sbuffer body;
   msgpack_sbuffer out;
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -482,6 +482,10 @@
                          &count);
       g_assert_cmpuint (count, ==, 0);
     }
+  bb_members_push (q.p[0].m, now, BB_PUSHED_DEMAND, 42, 20);
+  bb_members_push (q.p[0].m, now, BB_PUSHED_DEMAND, 42, 30);
+  g_assert_cmpuint (
+      bb_members_pushed (q.p[0].m, now, BB_PUSHED_DEMAND, 42, &count), ==, 35);
   for (uint64_t key = 0; key < 1000; key++)
     bb_members_push (q.p[0].m, now + (bb_ms)key, BB_PUSHED_QUARANTINE, key, 1);
   bb_members_pushed (q.p[0].m, now, BB_PUSHED_QUARANTINE, 0, &count);
