--- a/libmember/push.c
+++ b/libmember/push.c
@@ -96,9 +96,11 @@
 bb_members_push (struct bb_members *m, bb_ms now, enum bb_pushed_kind kind,
                  uint64_t key, uint64_t value)
 {
-  struct bb_pushed p = {
-    .kind = (uint8_t)kind, .key = key, .value = value, .origin = m->self_id
-  };
+  struct bb_pushed p = { .kind = (uint8_t)kind,
+                         .key = key,
+                         .value = value,
+                         .origin = m->incarnation,
+                         .sequence = ++m->push_sequence };
 
   take_pushed (m, now, &p);
 }
