--- a/libsettings/bind.c
+++ b/libsettings/bind.c
@@ -209,17 +209,16 @@
 static bool
 check_since (struct bind *b, const struct bb_node *n, uint32_t since)
 {
-#ifndef BB_MUTANT_settings_since
-  if (since > b->schema)
-    {
-      bb_fault (b->faults, n->file, n->line,
-                "%s: not in schema %u; write 'schema: %u' once all processes "
-                "know it",
-                n->key, b->schema, since);
-      return false;
-    }
+#ifdef BB_MUTANT_settings_since
+  since = 0;
 #endif
-  return true;
+  if (since <= b->schema)
+    return true;
+  bb_fault (b->faults, n->file, n->line,
+            "%s: not in schema %u; write 'schema: %u' once all processes "
+            "know it",
+            n->key, b->schema, since);
+  return false;
 }
 
 /* Finds the schema that the files declare; 0 and a fault when this program
