--- a/bench/incidents.c
+++ b/bench/incidents.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 enum
 {
@@ -173,12 +174,81 @@
   member_run_free (r);
 }
 
+static double
+cpu_s (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+/* A configuration of the whole size: what one change costs each process, and
+   what a process that starts fetches.  */
+static void
+whole_size (void)
+{
+  enum
+  {
+    MEMBERS = 21,
+    CONFIG_BYTES = 1407326, /* as bench/capacity makes it */
+    CHANGES = 20,
+    CHANGE_MS = 2000,
+    FETCH_MS = 20000,
+    POLL_MS = 10
+  };
+  struct member_run_options o = { .seed = 1,
+                                  .members = MEMBERS,
+                                  .domains = DOMAINS,
+                                  .config_bytes = CONFIG_BYTES };
+  struct member_run *r;
+  const struct bb_member_stats *s;
+  uint64_t last = 0;
+  bb_ms spent = 0;
+  double cpu;
+
+  o.net.delay_min_ms = 1;
+  o.net.delay_max_ms = 2;
+  r = member_run_new (&o);
+  member_run_publish (r);
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    member_run_start (r, i);
+  member_run_advance (r, WARM_MS);
+  cpu = cpu_s ();
+  for (uint32_t i = 0; i < CHANGES; i++)
+    {
+      last = member_run_publish (r);
+      member_run_advance (r, CHANGE_MS);
+    }
+  cpu = (cpu_s () - cpu) / CHANGES / MEMBERS;
+  printf ("configuration of %d bytes: %.1f ms of a core for each change a "
+          "member, without parsing\n",
+          CONFIG_BYTES, cpu * 1000);
+  r->service_down = true;
+  member_run_stop (r, 0);
+  member_run_start (r, 0);
+  while (spent < FETCH_MS && r->nodes[0].in_force < last)
+    {
+      member_run_advance (r, POLL_MS);
+      spent += POLL_MS;
+    }
+  s = bb_members_stats (r->nodes[0].members);
+  printf ("fresh process: in force after %lld ms, %.0f bytes sent and %.0f "
+          "received in %llu messages\n",
+          (long long)spent,
+          (double)s->sent_bytes + HEAD_BYTES * (double)s->sent,
+          (double)s->received_bytes + HEAD_BYTES * (double)s->received,
+          (unsigned long long)(s->sent + s->received));
+  member_run_free (r);
+}
+
 int
 main (int argc, char **argv)
 {
   uint32_t members = argc > 1 ? (uint32_t)strtoul (argv[1], NULL, 10) : 1000;
   FILE *csv = report_open ("incidents.csv");
 
+  whole_size ();
   ordinary (members);
   lose (members, "a rack lost", RACK, false, csv);
   lose (members, "a failure domain lost", members, true, csv);
