--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -6,6 +6,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* The newest schema of settings that this program knows.  */
+enum
+{
+  BB_SCHEMA_VERSION = 2
+};
+
 enum bb_failure_domain_state
 {
   BB_FAILURE_DOMAIN_STATE_IN,
@@ -18,6 +24,12 @@
   BB_UPSTREAM_STATE_LEAVING,
 };
 
+enum bb_peer_key_state
+{
+  BB_PEER_KEY_STATE_ACCEPTED,
+  BB_PEER_KEY_STATE_SIGNS,
+};
+
 /* Failure domains and whether operators have taken them out.  */
 struct bb_failure_domain_settings
 {
@@ -69,6 +81,25 @@
   char *address;
   char *operator;
   char *failure_domain;
+  char *peer;
+};
+
+/* Keys by which entries and agents prove that they belong; to replace one, add
+ * the new key, then let it sign, then remove the old one.  */
+struct bb_peer_key_settings
+{
+  char *name;
+  char *secret;
+  uint32_t state;
+};
+
+/* Services of the platform; the item 'configuration' names the configuration
+ * service, and with it the folder is used only until a first revision is in
+ * force.  */
+struct bb_platform_settings
+{
+  char *name;
+  char *address;
 };
 
 struct bb_settings_index;
@@ -87,6 +118,10 @@
   uint32_t routes_count;
   struct bb_entry_settings *entries;
   uint32_t entries_count;
+  struct bb_peer_key_settings *peer_keys;
+  uint32_t peer_keys_count;
+  struct bb_platform_settings *platform;
+  uint32_t platform_count;
 };
 
 #endif
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -42,7 +42,10 @@
   struct fleet_entry entries[FLEET_MAX];
   uint32_t entries_count;
   const char *engine_options[8]; /* further options of each engine */
-  char *entry_config; /* settings folder of entries, where it is another */
+  char *entry_config;    /* settings folder of entries, where it is another */
+  char start_dir[128];   /* folder that processes start with; "": settings */
+  uint16_t service_port; /* of the configuration service */
+  pid_t service;
 };
 
 /* The bearer header line of the customer "customer-1".  */
@@ -64,6 +67,12 @@
 
 /* The same, for the folder of the agents alone.  */
 void fleet_set_out_at_agents (struct fleet *f, const char *failure_domain);
+/* Makes the processes take their settings from a configuration service, which
+   publishes the settings folder; the folder that they start with names it.  */
+void fleet_use_service (struct fleet *f);
+
+/* Starts the configuration service, which numbers from REVISION on.  */
+void fleet_start_service (struct fleet *f, uint32_t revision);
 
 /* Starts one upstream, one agent or one entry again.  */
 void fleet_start_upstream (struct fleet *f, struct fleet_upstream *u);
