--- a/cmd/agent/peer.c
+++ b/cmd/agent/peer.c
@@ -21,6 +21,18 @@
   bb_put_hello (bb_conn_out (c), &hello);
 }
 
+static void
+send_report (struct peer *p, const struct bb_probe *probe)
+{
+  const struct agent *a = p->agent;
+  struct bb_report m = { .nonce = probe->nonce,
+                         .incarnation = a->daemon->incarnation,
+                         .load = agent_load (a),
+                         .revision = a->daemon->revision };
+
+  bb_put_report (bb_conn_out (p->conn), &m);
+}
+
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
@@ -34,6 +46,9 @@
     case BB_MSG_CANCEL:
       call_cancel (p, m->u.cancel.id);
       break;
+    case BB_MSG_PROBE:
+      send_report (p, &m->u.probe);
+      break;
     default:
       break;
     }
@@ -70,12 +85,13 @@
 }
 
 void
-peer_send_heartbeats (struct agent *a)
+peer_send_heartbeats (struct agent *a, bool idle_too)
 {
   struct bb_heartbeat h = { .incarnation = a->daemon->incarnation,
                             .load = agent_load (a),
                             .revision = a->daemon->revision };
 
   for (struct peer *p = a->peers; p; p = p->next)
-    bb_put_heartbeat (bb_conn_out (p->conn), &h);
+    if (idle_too || p->calls)
+      bb_put_heartbeat (bb_conn_out (p->conn), &h);
 }
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -143,6 +143,21 @@
   uint32_t wait_ms;
 };
 
+/* Asks an agent for a fresh report; sent by an entry that was paused.  */
+struct bb_probe
+{
+  uint64_t nonce;
+};
+
+/* Answers a probe with the present load and revision of the agent.  */
+struct bb_report
+{
+  uint64_t nonce;
+  uint64_t incarnation;
+  struct bb_load load;
+  uint64_t revision;
+};
+
 /* A message between members with the proof of its sender.  */
 struct bb_sealed
 {
@@ -288,6 +303,8 @@
 
 enum bb_message_type
 {
+  BB_MSG_PROBE = 20,
+  BB_MSG_REPORT = 21,
   BB_MSG_SEALED = 30,
   BB_MSG_PING = 31,
   BB_MSG_PING_ACK = 32,
@@ -312,6 +329,8 @@
   msgpack_zone zone;
   union
   {
+    struct bb_probe probe;
+    struct bb_report report;
     struct bb_sealed sealed;
     struct bb_ping ping;
     struct bb_ping_ack ping_ack;
@@ -330,6 +349,10 @@
   } u;
 };
 
+/* Appends a frame that holds V to BUF.  */
+void bb_put_probe (msgpack_sbuffer *buf, const struct bb_probe *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_report (msgpack_sbuffer *buf, const struct bb_report *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_sealed (msgpack_sbuffer *buf, const struct bb_sealed *v);
 /* Appends a frame that holds V to BUF.  */
--- a/libdaemon/internal.h
+++ b/libdaemon/internal.h
@@ -22,6 +22,8 @@
   const char *name;
   /* Starts to watch; false with a log line on a fault.  */
   bool (*open) (struct bb_daemon *d);
+  /* Looks again at once; NULL where peers and the watch tell in time.  */
+  void (*refresh) (struct bb_daemon *d);
 };
 
 extern const struct source_ops folder_source;
