--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -14,6 +14,39 @@
   uint32_t size;
 };
 
+/* What an agent says to one that wants to run a key.  */
+enum bb_once_word
+{
+  BB_ONCE_WORD_GRANTED,   /* the key is yours to run */
+  BB_ONCE_WORD_HELD,      /* another agent may have run the key */
+  BB_ONCE_WORD_BUSY,      /* another agent is running the key */
+  BB_ONCE_WORD_REUSED,    /* the key was used for another request */
+  BB_ONCE_WORD_UNSURE,    /* records of the key may have been lost */
+  BB_ONCE_WORD_OTHER_SET, /* the pool has other replicas in my settings */
+  BB_ONCE_WORD_FULL,      /* the table is full */
+  BB_ONCE_WORD_COUNT
+};
+
+/* Returns the name of VALUE, or "unknown".  */
+const char *bb_once_word_name (uint32_t value);
+/* Returns the text that belongs to VALUE.  */
+const char *bb_once_word_text (uint32_t value);
+
+/* What an agent knows of a key.  */
+enum bb_once_state
+{
+  BB_ONCE_STATE_ASKING,  /* this agent asks whether it may run it */
+  BB_ONCE_STATE_RUNNING, /* this agent runs it */
+  BB_ONCE_STATE_HELD,    /* another agent may run it or have run it */
+  BB_ONCE_STATE_DONE,    /* the outcome is known */
+  BB_ONCE_STATE_COUNT
+};
+
+/* Returns the name of VALUE, or "unknown".  */
+const char *bb_once_state_name (uint32_t value);
+/* Returns the text that belongs to VALUE.  */
+const char *bb_once_state_text (uint32_t value);
+
 /* Whether a request may have run at an upstream.  */
 enum bb_run
 {
@@ -59,6 +92,7 @@
                           */
   BB_REASON_CANCELLED,   /* the caller went away */
   BB_REASON_INTERNAL,    /* an internal fault */
+  BB_REASON_OTHER_SETTINGS, /* the agent has other settings */
   BB_REASON_COUNT
 };
 
@@ -80,6 +114,13 @@
 /* Returns the name of VALUE, or "unknown".  */
 const char *bb_role_name (uint32_t value);
 
+/* Replicas of the pool that were configured at one time.  */
+struct bb_once_set
+{
+  uint64_t hash;
+  uint32_t age_ms;
+};
+
 /* One HTTP header field.  */
 struct bb_header
 {
@@ -98,6 +139,79 @@
   uint32_t wait_ms;
 };
 
+/* Asks for the grant to run a key, or where the top bit of id is set for its
+ * outcome.  */
+struct bb_once_ask
+{
+  uint64_t id;
+  struct bb_once_set sets[8];
+  uint32_t sets_count;
+  uint64_t runner;
+  struct bb_bytes member;
+  struct bb_bytes customer;
+  struct bb_bytes key;
+  uint64_t print;
+  uint32_t age_ms;
+};
+
+/* Answers once_ask.  */
+struct bb_once_say
+{
+  uint64_t id;
+  uint8_t word;
+  struct bb_bytes member;
+  struct bb_once_set sets[8];
+  uint32_t sets_count;
+};
+
+/* A record of a key; a known outcome carries the answer.  */
+struct bb_once_note
+{
+  struct bb_bytes customer;
+  struct bb_bytes key;
+  uint64_t print;
+  uint8_t state;
+  uint64_t runner;
+  uint64_t id;
+  uint32_t age_ms;
+  uint16_t status;
+  struct bb_header headers[64];
+  uint32_t headers_count;
+  struct bb_bytes body;
+  bool cut;
+};
+
+/* Gives a grant back; the request did not run.  */
+struct bb_once_release
+{
+  uint64_t id;
+  uint64_t runner;
+  struct bb_bytes customer;
+  struct bb_bytes key;
+};
+
+/* Asks for all records of the asker's keys.  */
+struct bb_once_sync
+{
+  uint64_t id;
+  struct bb_once_set sets[8];
+  uint32_t sets_count;
+  struct bb_bytes member;
+};
+
+/* Answers once_sync; notes holds frames of once_note.  */
+struct bb_once_synced
+{
+  uint64_t id;
+  struct bb_once_set sets[8];
+  uint32_t sets_count;
+  struct bb_bytes member;
+  bool whole;
+  bool settled;
+  struct bb_bytes notes;
+  uint32_t lost_ms;
+};
+
 /* First message on a connection, sent by both sides.  */
 struct bb_hello
 {
@@ -106,6 +220,7 @@
   struct bb_bytes name;
   uint64_t revision;
   struct bb_load load;
+  uint64_t knew;
 };
 
 /* Asks an agent to run one request at its upstream.  */
@@ -127,6 +242,7 @@
   uint8_t priority;
   uint64_t fingerprint;
   uint64_t revision;
+  bool minted;
 };
 
 /* Withdraws a call; the agent ends the work upstream.  */
@@ -178,6 +294,12 @@
 
 enum bb_message_type
 {
+  BB_MSG_ONCE_ASK = 10,
+  BB_MSG_ONCE_SAY = 11,
+  BB_MSG_ONCE_NOTE = 12,
+  BB_MSG_ONCE_RELEASE = 13,
+  BB_MSG_ONCE_SYNC = 14,
+  BB_MSG_ONCE_SYNCED = 15,
   BB_MSG_HELLO = 1,
   BB_MSG_CALL = 2,
   BB_MSG_CANCEL = 3,
@@ -195,6 +317,12 @@
   msgpack_zone zone;
   union
   {
+    struct bb_once_ask once_ask;
+    struct bb_once_say once_say;
+    struct bb_once_note once_note;
+    struct bb_once_release once_release;
+    struct bb_once_sync once_sync;
+    struct bb_once_synced once_synced;
     struct bb_hello hello;
     struct bb_call call;
     struct bb_cancel cancel;
@@ -206,6 +334,19 @@
   } u;
 };
 
+/* Appends a frame that holds V to BUF.  */
+void bb_put_once_ask (msgpack_sbuffer *buf, const struct bb_once_ask *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_once_say (msgpack_sbuffer *buf, const struct bb_once_say *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_once_note (msgpack_sbuffer *buf, const struct bb_once_note *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_once_release (msgpack_sbuffer *buf,
+                          const struct bb_once_release *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_once_sync (msgpack_sbuffer *buf, const struct bb_once_sync *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_once_synced (msgpack_sbuffer *buf, const struct bb_once_synced *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v);
 /* Appends a frame that holds V to BUF.  */
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -38,6 +38,10 @@
   uint32_t limit;
   uint32_t cold_limit;
   uint32_t queue;
+  uint32_t keys_max;
+  uint32_t keys_max_bytes;
+  uint32_t key_retention_ms;
+  uint32_t key_skew_ms;
   uint32_t state;
 };
 
--- /dev/null
+++ b/libonce/once.c
@@ -0,0 +1,707 @@
+/* Decides whether a key may run here, and answers repeats.  */
+
+#include "internal.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+enum
+{
+  RETRY_AFTER_MS = 1000,
+  ASK_AGAIN_MS = 200,
+  WAITERS_MAX = 16
+};
+
+/* Marks the id of a message that asks for the outcome, not for a grant.  */
+static const uint64_t query_bit = UINT64_C (1) << 63;
+
+struct bb_once *
+bb_once_new (const char *name, uint64_t incarnation,
+             const struct bb_once_ops *ops, void *user, bb_ms now)
+{
+  struct bb_once *o = calloc (1, sizeof *o);
+
+  if (!o)
+    abort ();
+  strncpy (o->name, name, sizeof o->name - 1);
+  o->incarnation = incarnation;
+  o->ops = ops;
+  o->user = user;
+  o->started = now;
+  o->changed = now;
+  o->sync_id = incarnation;
+  o->last_id = incarnation >> 1;
+  return o;
+}
+
+void
+bb_once_set_limits (struct bb_once *o, const struct bb_once_limits *l)
+{
+  o->limits = *l;
+}
+
+static void
+list (struct bb_once *o, struct record *r, bool listed)
+{
+  if (r->listed != listed)
+    record_busy (o, r, listed);
+  r->listed = listed;
+}
+
+static void
+free_waiters (struct record *r)
+{
+  while (r->waiters)
+    {
+      struct waiter *w = r->waiters;
+      r->waiters = w->next;
+      free (w);
+    }
+  r->waiters_count = 0;
+}
+
+static void
+forget (struct bb_once *o, struct record *r)
+{
+  list (o, r, false);
+  free_waiters (r);
+  record_delete (o, r);
+}
+
+void
+bb_once_free (struct bb_once *o)
+{
+  while (o->oldest)
+    forget (o, o->oldest);
+  sync_free (o);
+  set_free_all (o);
+  free (o);
+}
+
+static void
+refuse (struct bb_once *o, uint64_t call, enum bb_run run,
+        enum bb_reason reason)
+{
+  struct bb_verdict v = { .run = (uint8_t)run,
+                          .reason = (uint8_t)reason,
+                          .retry_after_ms = RETRY_AFTER_MS };
+
+  if (reason == BB_REASON_KEY_REUSED)
+    v.retry_after_ms = 0;
+  if (call != 0)
+    o->ops->refuse (o->user, call, &v);
+}
+
+static void
+refuse_waiters (struct bb_once *o, struct record *r, enum bb_run run,
+                enum bb_reason reason)
+{
+  struct waiter *w;
+
+  LL_FOREACH (r->waiters, w) refuse (o, w->call, run, reason);
+  free_waiters (r);
+}
+
+/* Answers CALL from a record whose outcome is known.  */
+static void
+replay (struct bb_once *o, const struct record *r, uint64_t call, bb_ms now)
+{
+  struct bb_once_note n;
+  struct bb_message frame;
+
+  if (call == 0)
+    return;
+  if (!record_note (r, now, &n, &frame))
+    {
+      refuse (o, call, BB_RUN_RAN, BB_REASON_IN_DOUBT);
+      return;
+    }
+  if (n.cut)
+    refuse (o, call, BB_RUN_RAN, BB_REASON_IN_DOUBT);
+  else
+    o->ops->answer (o->user, call, &n);
+  bb_message_free (&frame);
+}
+
+static void
+replay_waiters (struct bb_once *o, struct record *r, bb_ms now)
+{
+  struct waiter *w;
+
+  LL_FOREACH (r->waiters, w) replay (o, r, w->call, now);
+  free_waiters (r);
+}
+
+/* Sends a message to the other candidates of R; ONLY_MISSING: those that have
+   not granted.  */
+static void
+send_others (struct bb_once *o, const struct record *r,
+             enum bb_message_type type, const void *m, bool only_missing)
+{
+  uint32_t c[BB_ONCE_CANDIDATES];
+  uint32_t count;
+
+  set_candidates (o, record_customer (r), record_key (r), c, &count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const char *name = set_now (o)->names[c[i]];
+      if (strcmp (name, o->name) == 0 || (only_missing && r->granted[i]))
+        continue;
+      o->ops->send (o->user, name, type, m);
+    }
+}
+
+/* Returns the age of the key; 0 where it is unknown.  */
+static bb_ms
+record_age (const struct record *r, bb_ms now)
+{
+  return r->born_known ? now - r->born + 1 : 0;
+}
+
+static void
+send_ask (struct bb_once *o, struct record *r, uint64_t id, bb_ms now)
+{
+  struct bb_once_ask m = { .id = id,
+                           .runner = o->incarnation,
+                           .member = bb_bytes_of (o->name),
+                           .customer = record_customer (r),
+                           .key = record_key (r),
+                           .print = r->print,
+                           .age_ms = (uint32_t)record_age (r, now) };
+
+  m.sets_count = set_list (o, now, m.sets);
+  send_others (o, r, BB_MSG_ONCE_ASK, &m, true);
+}
+
+static void
+send_release (struct bb_once *o, const struct record *r)
+{
+  struct bb_once_release m = { .id = r->id,
+                               .runner = o->incarnation,
+                               .customer = record_customer (r),
+                               .key = record_key (r) };
+
+  send_others (o, r, BB_MSG_ONCE_RELEASE, &m, false);
+}
+
+static void
+send_note (struct bb_once *o, const struct record *r, bb_ms now)
+{
+  struct bb_once_note n;
+  struct bb_message frame;
+
+  if (!record_note (r, now, &n, &frame))
+    return;
+  send_others (o, r, BB_MSG_ONCE_NOTE, &n, false);
+  bb_message_free (&frame);
+}
+
+/* Ends the request for grants: the key did not run here.  */
+static void
+give_up (struct bb_once *o, struct record *r, enum bb_run run,
+         enum bb_reason reason)
+{
+  send_release (o, r);
+  refuse (o, r->call, run, reason);
+  refuse_waiters (o, r, run, reason);
+  forget (o, r);
+}
+
+static uint32_t
+count_grants (const struct bb_once *o, const struct record *r, bb_ms now,
+              uint32_t *quorum)
+{
+  uint32_t c[BB_ONCE_CANDIDATES];
+  uint32_t count;
+  uint32_t grants = 0;
+
+  *quorum = BB_ONCE_CANDIDATES + 1;
+  if (!set_candidates (o, record_customer (r), record_key (r), c, &count))
+    return 0;
+  *quorum = set_quorum (count);
+#ifdef BB_MUTANT_ONCE_QUORUM
+  *quorum = 1;
+#endif
+  if (!r->contested
+      && set_is_sure (o, record_customer (r), record_key (r),
+                      record_age (r, now), now))
+    grants++;
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (set_now (o)->names[c[i]], o->name) != 0 && r->granted[i])
+      grants++;
+  return grants;
+}
+
+static bool
+has_said (const struct record *r, enum bb_once_word word)
+{
+  for (uint32_t i = 0; i < BB_ONCE_CANDIDATES; i++)
+    if (r->heard[i] && r->said[i] == word)
+      return true;
+  return false;
+}
+
+/* Decides about a key that this agent asks for.  */
+static void
+evaluate (struct bb_once *o, struct record *r, bb_ms now)
+{
+  uint32_t quorum;
+  uint32_t grants = count_grants (o, r, now, &quorum);
+
+  if (has_said (r, BB_ONCE_WORD_REUSED))
+    give_up (o, r, BB_RUN_NOT_RUN, BB_REASON_KEY_REUSED);
+#ifndef BB_MUTANT_ONCE_DEADLINE
+  else if (now >= r->deadline)
+    give_up (o, r, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
+#endif
+  else if (r->contested || has_said (r, BB_ONCE_WORD_HELD))
+    give_up (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_DOUBT);
+  else if (grants >= quorum)
+    {
+      r->state = BB_ONCE_STATE_RUNNING;
+      o->ops->run (o->user, r->call);
+    }
+  else if (has_said (r, BB_ONCE_WORD_BUSY))
+    give_up (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_PROGRESS);
+  else if (now - r->asked >= o->limits.ask_ms)
+    give_up (o, r, BB_RUN_NOT_RUN,
+             has_said (r, BB_ONCE_WORD_OTHER_SET) ? BB_REASON_OTHER_SETTINGS
+                                                  : BB_REASON_IN_DOUBT);
+}
+
+void
+evaluate_all (struct bb_once *o, bb_ms now)
+{
+  struct record *r;
+  struct record *next;
+
+  for (r = o->busy; r; r = next)
+    {
+      next = r->busy_next;
+      if (r->state == BB_ONCE_STATE_ASKING)
+        evaluate (o, r, now);
+    }
+}
+
+static void
+add_waiter (struct bb_once *o, struct record *r, const struct bb_once_call *c,
+            bb_ms deadline)
+{
+  struct waiter *w;
+
+  if (r->waiters_count >= WAITERS_MAX)
+    {
+      refuse (o, c->id, BB_RUN_MAYBE_RUN, BB_REASON_IN_PROGRESS);
+      return;
+    }
+  w = calloc (1, sizeof *w);
+  w->call = c->id;
+  w->deadline = deadline < c->deadline ? deadline : c->deadline;
+  LL_APPEND (r->waiters, w);
+  r->waiters_count++;
+  list (o, r, true);
+}
+
+/* A repeat of a key that is known here.  */
+static void
+begin_known (struct bb_once *o, struct record *r, const struct bb_once_call *c,
+             bb_ms now)
+{
+  if (r->print != c->print)
+    refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_KEY_REUSED);
+  else if (r->state == BB_ONCE_STATE_DONE)
+    replay (o, r, c->id, now);
+  else if (r->state == BB_ONCE_STATE_HELD)
+    {
+      /* The others may know the outcome by now.  */
+      r->query_id = query_bit | ++o->last_id;
+      add_waiter (o, r, c, now + o->limits.ask_ms);
+      send_ask (o, r, r->query_id, now);
+    }
+  else
+    add_waiter (o, r, c, c->deadline);
+}
+
+void
+bb_once_begin (struct bb_once *o, const struct bb_once_call *c, bb_ms now)
+{
+  uint32_t candidates[BB_ONCE_CANDIDATES];
+  uint32_t count;
+  bb_ms longest = o->limits.retention_ms / 2;
+  struct record *r = record_find (o, c->customer, c->key);
+
+  if (r)
+    {
+      begin_known (o, r, c, now);
+      return;
+    }
+  if (!set_candidates (o, c->customer, c->key, candidates, &count))
+    {
+      refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_OTHER_SETTINGS);
+      return;
+    }
+  r = record_add (o, c->customer, c->key, c->print, now);
+  if (!r)
+    {
+      o->full++;
+      refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
+      return;
+    }
+  r->state = BB_ONCE_STATE_ASKING;
+  r->runner = o->incarnation;
+  r->id = ++o->last_id;
+  r->call = c->id;
+  r->asked = now;
+  r->born_known = c->age_ms > 0;
+  r->born = now - c->age_ms;
+  r->deadline = c->deadline < now + longest ? c->deadline : now + longest;
+  list (o, r, true);
+  send_ask (o, r, r->id, now);
+  evaluate (o, r, now);
+}
+
+static struct record *
+find_call (struct bb_once *o, uint64_t call)
+{
+  struct record *r;
+
+  for (r = o->busy; r; r = r->busy_next)
+    if (r->call == call)
+      return r;
+  return NULL;
+}
+
+static void
+drop_waiter (struct bb_once *o, uint64_t call)
+{
+  for (struct record *r = o->busy; r; r = r->busy_next)
+    {
+      struct waiter *w;
+      LL_SEARCH_SCALAR (r->waiters, w, call, call);
+      if (!w)
+        continue;
+      LL_DELETE (r->waiters, w);
+      r->waiters_count--;
+      free (w);
+      return;
+    }
+}
+
+void
+bb_once_drop (struct bb_once *o, uint64_t call)
+{
+  struct record *r = find_call (o, call);
+  struct waiter *w;
+
+  if (!r)
+    {
+      drop_waiter (o, call);
+      return;
+    }
+  if (r->state != BB_ONCE_STATE_ASKING)
+    return;
+  w = r->waiters;
+  if (!w)
+    {
+      send_release (o, r);
+      forget (o, r);
+      return;
+    }
+  r->call = w->call;
+  r->deadline = w->deadline;
+  LL_DELETE (r->waiters, w);
+  r->waiters_count--;
+  free (w);
+}
+
+void
+bb_once_ended (struct bb_once *o, uint64_t call,
+               const struct bb_once_note *outcome, enum bb_run run, bb_ms now)
+{
+  struct record *r = find_call (o, call);
+
+  if (!r || r->state != BB_ONCE_STATE_RUNNING)
+    return;
+  r->call = 0;
+  if (outcome)
+    {
+      record_keep (o, r, outcome);
+      send_note (o, r, now);
+      replay_waiters (o, r, now);
+      list (o, r, false);
+    }
+  else if (run == BB_RUN_NOT_RUN)
+    give_up (o, r, BB_RUN_NOT_RUN, BB_REASON_UPSTREAM_REFUSED);
+  else
+    {
+      r->state = BB_ONCE_STATE_HELD;
+      refuse_waiters (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_DOUBT);
+      list (o, r, false);
+    }
+}
+
+/* Says what is known of a key that has a record.  */
+static enum bb_once_word
+say_known (struct bb_once *o, struct record *r, const struct bb_once_ask *m,
+           bb_ms now)
+{
+  if (r->print != m->print)
+    return BB_ONCE_WORD_REUSED;
+  if (r->state != BB_ONCE_STATE_HELD)
+    return BB_ONCE_WORD_BUSY;
+#ifndef BB_MUTANT_ONCE_GRANT_TWICE
+  if (r->runner != m->runner || r->runner == o->incarnation)
+    return BB_ONCE_WORD_HELD;
+#endif
+  if (m->id < r->id || m->id & query_bit)
+    return BB_ONCE_WORD_HELD;
+#ifndef BB_MUTANT_ONCE_LEARNED
+  if (!r->own_grant && !set_is_sure (o, m->customer, m->key, m->age_ms, now))
+    return BB_ONCE_WORD_UNSURE;
+#endif
+  r->own_grant = true;
+  r->id = m->id;
+  return BB_ONCE_WORD_GRANTED;
+}
+
+static enum bb_once_word
+say_unknown (struct bb_once *o, const struct bb_once_ask *m, bb_ms now)
+{
+  struct record *r;
+
+  if (m->id & query_bit)
+    return BB_ONCE_WORD_UNSURE;
+  if (!set_has_candidate (o, set_now (o), o->name, m->customer, m->key))
+    return BB_ONCE_WORD_OTHER_SET;
+  if (!set_is_sure (o, m->customer, m->key, m->age_ms, now))
+    return BB_ONCE_WORD_UNSURE;
+  r = record_add (o, m->customer, m->key, m->print, now);
+  if (!r)
+    {
+      o->full++;
+      return BB_ONCE_WORD_FULL;
+    }
+  r->state = BB_ONCE_STATE_HELD;
+  r->own_grant = true;
+  r->runner = m->runner;
+  r->id = m->id;
+  return BB_ONCE_WORD_GRANTED;
+}
+
+void
+bb_once_on_ask (struct bb_once *o, const struct bb_once_ask *m, bb_ms now)
+{
+  struct bb_once_say a = { .id = m->id, .member = bb_bytes_of (o->name) };
+  struct record *r = record_find (o, m->customer, m->key);
+  struct bb_once_note n;
+  struct bb_message frame;
+  char member[NAME_MAX_BYTES + 1] = { 0 };
+
+  memcpy (member, m->member.ptr,
+          m->member.size < NAME_MAX_BYTES ? m->member.size : NAME_MAX_BYTES);
+  if (r && r->state == BB_ONCE_STATE_DONE && r->print == m->print)
+    {
+      if (record_note (r, now, &n, &frame))
+        {
+          o->ops->send (o->user, member, BB_MSG_ONCE_NOTE, &n);
+          bb_message_free (&frame);
+        }
+      return;
+    }
+  if (set_learn (o, m->sets, m->sets_count, now))
+    a.word = BB_ONCE_WORD_UNSURE;
+  else if (!set_agrees (o, m->sets, m->sets_count, now))
+    a.word = BB_ONCE_WORD_OTHER_SET;
+  else
+    a.word = (uint8_t)(r ? say_known (o, r, m, now) : say_unknown (o, m, now));
+  a.sets_count = set_list (o, now, a.sets);
+  o->ops->send (o->user, member, BB_MSG_ONCE_SAY, &a);
+}
+
+/* Notes what candidate MEMBER said about R.  */
+static void
+hear (struct bb_once *o, struct record *r, const struct bb_once_say *m)
+{
+  uint32_t c[BB_ONCE_CANDIDATES];
+  uint32_t count;
+
+  set_candidates (o, record_customer (r), record_key (r), c, &count);
+  for (uint32_t i = 0; i < count; i++)
+    if (bb_bytes_equal (m->member, set_now (o)->names[c[i]]))
+      {
+        r->heard[i] = true;
+        r->said[i] = m->word;
+        r->granted[i] |= m->word == BB_ONCE_WORD_GRANTED;
+      }
+}
+
+/* Another agent is running the key whose outcome was asked for.  */
+static void
+hear_query (struct bb_once *o, const struct bb_once_say *m)
+{
+  struct record *r;
+
+  if (m->word != BB_ONCE_WORD_BUSY)
+    return;
+  for (r = o->busy; r; r = r->busy_next)
+    if (r->query_id == m->id)
+      break;
+  if (!r || r->state != BB_ONCE_STATE_HELD)
+    return;
+  refuse_waiters (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_PROGRESS);
+  list (o, r, false);
+}
+
+void
+bb_once_on_say (struct bb_once *o, const struct bb_once_say *m, bb_ms now)
+{
+  struct record *r;
+
+  set_learn (o, m->sets, m->sets_count, now);
+  if (m->id & query_bit)
+    {
+      hear_query (o, m);
+      return;
+    }
+  for (r = o->busy; r; r = r->busy_next)
+    if (r->state == BB_ONCE_STATE_ASKING && r->id == m->id)
+      break;
+  if (!r)
+    return;
+  hear (o, r, m);
+  evaluate (o, r, now);
+}
+
+/* The outcome came from another agent.  */
+static void
+adopt (struct bb_once *o, struct record *r, const struct bb_once_note *m,
+       bb_ms now)
+{
+  uint64_t call = r->call;
+  bool asked = r->state == BB_ONCE_STATE_ASKING;
+
+  r->call = 0;
+  r->runner = m->runner;
+  record_keep (o, r, m);
+  if (asked)
+    send_note (o, r, now);
+  replay (o, r, call, now);
+  replay_waiters (o, r, now);
+  list (o, r, false);
+}
+
+bool
+record_merge (struct bb_once *o, const struct bb_once_note *m, bb_ms now)
+{
+  struct record *r = record_find (o, m->customer, m->key);
+
+  if (m->age_ms >= (uint64_t)o->limits.retention_ms)
+    return true;
+  if (!r)
+    {
+      r = record_add (o, m->customer, m->key, m->print, now - m->age_ms);
+      if (!r)
+        return false;
+      r->state = BB_ONCE_STATE_HELD;
+      r->runner = m->runner;
+      r->id = m->id;
+    }
+  if (r->state == BB_ONCE_STATE_DONE)
+    return true;
+  if (m->state == BB_ONCE_STATE_DONE)
+    {
+      if (r->state == BB_ONCE_STATE_RUNNING)
+        o->conflicts++;
+      else
+        adopt (o, r, m, now);
+    }
+  else if (r->state == BB_ONCE_STATE_ASKING && m->runner != o->incarnation)
+    r->contested = true;
+  return true;
+}
+
+void
+bb_once_on_note (struct bb_once *o, const struct bb_once_note *m, bb_ms now)
+{
+  record_merge (o, m, now);
+}
+
+void
+bb_once_on_release (struct bb_once *o, const struct bb_once_release *m)
+{
+  struct record *r = record_find (o, m->customer, m->key);
+
+  if (r && r->state == BB_ONCE_STATE_HELD && r->runner == m->runner
+      && r->runner != o->incarnation && r->id == m->id)
+    {
+      refuse_waiters (o, r, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
+      forget (o, r);
+    }
+}
+
+/* Refuses the waiters of R whose time is over.  */
+static void
+expire_waiters (struct bb_once *o, struct record *r, bb_ms now)
+{
+  struct waiter **at = &r->waiters;
+  enum bb_reason reason = r->state == BB_ONCE_STATE_HELD
+                              ? BB_REASON_IN_DOUBT
+                              : BB_REASON_IN_PROGRESS;
+
+  while (*at)
+    {
+      struct waiter *w = *at;
+      if (now < w->deadline)
+        {
+          at = &w->next;
+          continue;
+        }
+      refuse (o, w->call, BB_RUN_MAYBE_RUN, reason);
+      *at = w->next;
+      r->waiters_count--;
+      free (w);
+    }
+  if (r->state == BB_ONCE_STATE_HELD && !r->waiters)
+    list (o, r, false);
+}
+
+static void
+tick_record (struct bb_once *o, struct record *r, bb_ms now)
+{
+  expire_waiters (o, r, now);
+  if (r->state != BB_ONCE_STATE_ASKING)
+    return;
+  if (now - r->asked >= ASK_AGAIN_MS)
+    send_ask (o, r, r->id, now);
+  evaluate (o, r, now);
+}
+
+void
+bb_once_tick (struct bb_once *o, bb_ms now)
+{
+  struct record *r;
+  struct record *next;
+
+  sync_tick (o, now);
+  for (r = o->busy; r; r = next)
+    {
+      next = r->busy_next;
+      tick_record (o, r, now);
+    }
+  table_expire (o, now);
+}
+
+struct bb_once_stats
+bb_once_stats (const struct bb_once *o)
+{
+  struct bb_once_stats s = { .keys = HASH_COUNT (o->records),
+                             .bytes = o->bytes,
+                             .conflicts = o->conflicts,
+                             .full = o->full,
+                             .whole = o->whole,
+                             .settled = set_is_settled (o) };
+
+  return s;
+}
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -9,6 +9,62 @@
 #define U32_MAX UINT32_MAX
 #define U64_MAX UINT64_MAX
 
+const char *
+bb_once_word_name (uint32_t value)
+{
+  static const char *const table[] = {
+    "granted", "held", "busy", "reused", "unsure", "other_set", "full",
+  };
+  if (value >= BB_ONCE_WORD_COUNT)
+    return "unknown";
+  return table[value];
+}
+
+const char *
+bb_once_word_text (uint32_t value)
+{
+  static const char *const table[] = {
+    "the key is yours to run",
+    "another agent may have run the key",
+    "another agent is running the key",
+    "the key was used for another request",
+    "records of the key may have been lost",
+    "the pool has other replicas in my settings",
+    "the table is full",
+  };
+  if (value >= BB_ONCE_WORD_COUNT)
+    return "unknown";
+  return table[value];
+}
+
+const char *
+bb_once_state_name (uint32_t value)
+{
+  static const char *const table[] = {
+    "asking",
+    "running",
+    "held",
+    "done",
+  };
+  if (value >= BB_ONCE_STATE_COUNT)
+    return "unknown";
+  return table[value];
+}
+
+const char *
+bb_once_state_text (uint32_t value)
+{
+  static const char *const table[] = {
+    "this agent asks whether it may run it",
+    "this agent runs it",
+    "another agent may run it or have run it",
+    "the outcome is known",
+  };
+  if (value >= BB_ONCE_STATE_COUNT)
+    return "unknown";
+  return table[value];
+}
+
 const char *
 bb_run_name (uint32_t value)
 {
@@ -52,12 +108,31 @@
 bb_reason_name (uint32_t value)
 {
   static const char *const table[] = {
-    "none",       "bad_request",       "no_key",           "unknown_key",
-    "no_route",   "bad_method",        "body_too_large",   "customer_limit",
-    "queue_full", "cold_start",        "overload",         "no_upstream",
-    "draining",   "stale_incarnation", "upstream_refused", "upstream_failed",
-    "agent_lost", "deadline",          "in_doubt",         "in_progress",
-    "key_reused", "quarantined",       "cancelled",        "internal",
+    "none",
+    "bad_request",
+    "no_key",
+    "unknown_key",
+    "no_route",
+    "bad_method",
+    "body_too_large",
+    "customer_limit",
+    "queue_full",
+    "cold_start",
+    "overload",
+    "no_upstream",
+    "draining",
+    "stale_incarnation",
+    "upstream_refused",
+    "upstream_failed",
+    "agent_lost",
+    "deadline",
+    "in_doubt",
+    "in_progress",
+    "key_reused",
+    "quarantined",
+    "cancelled",
+    "internal",
+    "other_settings",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -92,6 +167,7 @@
     "the request is quarantined after crashing upstreams",
     "the caller went away",
     "an internal fault",
+    "the agent has other settings",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -102,8 +178,8 @@
 bb_reason_status (uint32_t value)
 {
   static uint16_t const table[] = {
-    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503,
-    503, 503, 503, 502, 502, 504, 409, 409, 422, 422, 499, 500,
+    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503, 503,
+    503, 503, 502, 502, 504, 409, 409, 422, 422, 499, 500, 503,
   };
   if (value >= BB_REASON_COUNT)
     return 500;
@@ -122,6 +198,51 @@
   return table[value];
 }
 
+static void
+put_once_set (msgpack_packer *pk, const struct bb_once_set *v)
+{
+  msgpack_pack_map (pk, 2);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->hash);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->age_ms);
+}
+
+static bool
+get_once_set (const msgpack_object *obj, struct bb_once_set *v,
+              struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "once_set", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "hash", e))
+            return false;
+          v->hash = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "age_ms", e))
+            return false;
+          v->age_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("once_set", "hash", e);
+  return true;
+}
+
 static void
 put_header (msgpack_packer *pk, const struct bb_header *v)
 {
@@ -243,10 +364,534 @@
   return true;
 }
 
+static void
+put_once_ask (msgpack_packer *pk, const struct bb_once_ask *v)
+{
+  msgpack_pack_map (pk, 8);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_count (pk, v->sets_count, 8);
+  for (uint32_t i = 0; i < v->sets_count; i++)
+    put_once_set (pk, &v->sets[i]);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->runner);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_str (pk, v->member);
+  msgpack_pack_uint8 (pk, 5);
+  bb_wire_put_str (pk, v->customer);
+  msgpack_pack_uint8 (pk, 6);
+  bb_wire_put_str (pk, v->key);
+  msgpack_pack_uint8 (pk, 7);
+  msgpack_pack_uint64 (pk, v->print);
+  msgpack_pack_uint8 (pk, 8);
+  msgpack_pack_uint64 (pk, v->age_ms);
+}
+
+static bool
+get_once_ask (const msgpack_object *obj, struct bb_once_ask *v,
+              struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "once_ask", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_is_list (o, 8, "sets", e))
+            return false;
+          v->sets_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->sets_count; i++)
+            {
+              if (!get_once_set (&o->via.array.ptr[i], &v->sets[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "runner", e))
+            return false;
+          v->runner = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_str (o, 128, &v->member, "member", e))
+            return false;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_str (o, 128, &v->customer, "customer", e))
+            return false;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_str (o, 256, &v->key, "key", e))
+            return false;
+          seen |= UINT64_C (1) << 6;
+          break;
+        case 7:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "print", e))
+            return false;
+          v->print = (uint64_t)n;
+          seen |= UINT64_C (1) << 7;
+          break;
+        case 8:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "age_ms", e))
+            return false;
+          v->age_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 8;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("once_ask", "id", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("once_ask", "runner", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("once_ask", "member", e);
+  if (!(seen & (UINT64_C (1) << 5)))
+    return bb_wire_missing ("once_ask", "customer", e);
+  if (!(seen & (UINT64_C (1) << 6)))
+    return bb_wire_missing ("once_ask", "key", e);
+  if (!(seen & (UINT64_C (1) << 7)))
+    return bb_wire_missing ("once_ask", "print", e);
+  return true;
+}
+
+static void
+put_once_say (msgpack_packer *pk, const struct bb_once_say *v)
+{
+  msgpack_pack_map (pk, 4);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->word);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_str (pk, v->member);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_count (pk, v->sets_count, 8);
+  for (uint32_t i = 0; i < v->sets_count; i++)
+    put_once_set (pk, &v->sets[i]);
+}
+
+static bool
+get_once_say (const msgpack_object *obj, struct bb_once_say *v,
+              struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "once_say", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U8_MAX, &n, "word", e))
+            return false;
+          v->word = (uint8_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_str (o, 128, &v->member, "member", e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_is_list (o, 8, "sets", e))
+            return false;
+          v->sets_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->sets_count; i++)
+            {
+              if (!get_once_set (&o->via.array.ptr[i], &v->sets[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 4;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("once_say", "id", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("once_say", "word", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("once_say", "member", e);
+  return true;
+}
+
+static void
+put_once_note (msgpack_packer *pk, const struct bb_once_note *v)
+{
+  msgpack_pack_map (pk, 11);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->customer);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_str (pk, v->key);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->print);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->state);
+  msgpack_pack_uint8 (pk, 5);
+  msgpack_pack_uint64 (pk, v->runner);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 7);
+  msgpack_pack_uint64 (pk, v->age_ms);
+  msgpack_pack_uint8 (pk, 8);
+  msgpack_pack_uint64 (pk, v->status);
+  msgpack_pack_uint8 (pk, 9);
+  bb_wire_put_count (pk, v->headers_count, 64);
+  for (uint32_t i = 0; i < v->headers_count; i++)
+    put_header (pk, &v->headers[i]);
+  msgpack_pack_uint8 (pk, 10);
+  bb_wire_put_bin (pk, v->body);
+  msgpack_pack_uint8 (pk, 11);
+  bb_wire_put_bool (pk, v->cut);
+}
+
+static bool
+get_once_note (const msgpack_object *obj, struct bb_once_note *v,
+               struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "once_note", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 128, &v->customer, "customer", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_str (o, 256, &v->key, "key", e))
+            return false;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "print", e))
+            return false;
+          v->print = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U8_MAX, &n, "state", e))
+            return false;
+          v->state = (uint8_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "runner", e))
+            return false;
+          v->runner = (uint64_t)n;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
+        case 7:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "age_ms", e))
+            return false;
+          v->age_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 7;
+          break;
+        case 8:
+          if (!bb_wire_get_uint (o, U16_MAX, &n, "status", e))
+            return false;
+          v->status = (uint16_t)n;
+          seen |= UINT64_C (1) << 8;
+          break;
+        case 9:
+          if (!bb_wire_is_list (o, 64, "headers", e))
+            return false;
+          v->headers_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->headers_count; i++)
+            {
+              if (!get_header (&o->via.array.ptr[i], &v->headers[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 9;
+          break;
+        case 10:
+          if (!bb_wire_get_bin (o, 1048576, &v->body, "body", e))
+            return false;
+          seen |= UINT64_C (1) << 10;
+          break;
+        case 11:
+          if (!bb_wire_get_bool (o, &v->cut, "cut", e))
+            return false;
+          seen |= UINT64_C (1) << 11;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("once_note", "customer", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("once_note", "key", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("once_note", "print", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("once_note", "state", e);
+  if (!(seen & (UINT64_C (1) << 5)))
+    return bb_wire_missing ("once_note", "runner", e);
+  if (!(seen & (UINT64_C (1) << 6)))
+    return bb_wire_missing ("once_note", "id", e);
+  return true;
+}
+
+static void
+put_once_release (msgpack_packer *pk, const struct bb_once_release *v)
+{
+  msgpack_pack_map (pk, 4);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->runner);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_str (pk, v->customer);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_str (pk, v->key);
+}
+
+static bool
+get_once_release (const msgpack_object *obj, struct bb_once_release *v,
+                  struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "once_release", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "runner", e))
+            return false;
+          v->runner = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_str (o, 128, &v->customer, "customer", e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_str (o, 256, &v->key, "key", e))
+            return false;
+          seen |= UINT64_C (1) << 4;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("once_release", "id", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("once_release", "runner", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("once_release", "customer", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("once_release", "key", e);
+  return true;
+}
+
+static void
+put_once_sync (msgpack_packer *pk, const struct bb_once_sync *v)
+{
+  msgpack_pack_map (pk, 3);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_count (pk, v->sets_count, 8);
+  for (uint32_t i = 0; i < v->sets_count; i++)
+    put_once_set (pk, &v->sets[i]);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_str (pk, v->member);
+}
+
+static bool
+get_once_sync (const msgpack_object *obj, struct bb_once_sync *v,
+               struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "once_sync", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_is_list (o, 8, "sets", e))
+            return false;
+          v->sets_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->sets_count; i++)
+            {
+              if (!get_once_set (&o->via.array.ptr[i], &v->sets[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_str (o, 128, &v->member, "member", e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("once_sync", "id", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("once_sync", "member", e);
+  return true;
+}
+
+static void
+put_once_synced (msgpack_packer *pk, const struct bb_once_synced *v)
+{
+  msgpack_pack_map (pk, 7);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_count (pk, v->sets_count, 8);
+  for (uint32_t i = 0; i < v->sets_count; i++)
+    put_once_set (pk, &v->sets[i]);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_str (pk, v->member);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_bool (pk, v->whole);
+  msgpack_pack_uint8 (pk, 5);
+  bb_wire_put_bool (pk, v->settled);
+  msgpack_pack_uint8 (pk, 6);
+  bb_wire_put_bin (pk, v->notes);
+  msgpack_pack_uint8 (pk, 7);
+  msgpack_pack_uint64 (pk, v->lost_ms);
+}
+
+static bool
+get_once_synced (const msgpack_object *obj, struct bb_once_synced *v,
+                 struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "once_synced", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_is_list (o, 8, "sets", e))
+            return false;
+          v->sets_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->sets_count; i++)
+            {
+              if (!get_once_set (&o->via.array.ptr[i], &v->sets[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_str (o, 128, &v->member, "member", e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_bool (o, &v->whole, "whole", e))
+            return false;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_bool (o, &v->settled, "settled", e))
+            return false;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_bin (o, 16777216, &v->notes, "notes", e))
+            return false;
+          seen |= UINT64_C (1) << 6;
+          break;
+        case 7:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "lost_ms", e))
+            return false;
+          v->lost_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 7;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("once_synced", "id", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("once_synced", "member", e);
+  return true;
+}
+
 static void
 put_hello (msgpack_packer *pk, const struct bb_hello *v)
 {
-  msgpack_pack_map (pk, 5);
+  msgpack_pack_map (pk, 6);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->role);
   msgpack_pack_uint8 (pk, 2);
@@ -257,6 +902,8 @@
   msgpack_pack_uint64 (pk, v->revision);
   msgpack_pack_uint8 (pk, 5);
   put_load (pk, &v->load);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->knew);
 }
 
 static bool
@@ -301,6 +948,12 @@
             return false;
           seen |= UINT64_C (1) << 5;
           break;
+        case 6:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "knew", e))
+            return false;
+          v->knew = (uint64_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
         default:
           break;
         }
@@ -317,7 +970,7 @@
 static void
 put_call (msgpack_packer *pk, const struct bb_call *v)
 {
-  msgpack_pack_map (pk, 15);
+  msgpack_pack_map (pk, 16);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->id);
   msgpack_pack_uint8 (pk, 2);
@@ -350,6 +1003,8 @@
   msgpack_pack_uint64 (pk, v->fingerprint);
   msgpack_pack_uint8 (pk, 15);
   msgpack_pack_uint64 (pk, v->revision);
+  msgpack_pack_uint8 (pk, 16);
+  bb_wire_put_bool (pk, v->minted);
 }
 
 static bool
@@ -455,6 +1110,11 @@
           v->revision = (uint64_t)n;
           seen |= UINT64_C (1) << 15;
           break;
+        case 16:
+          if (!bb_wire_get_bool (o, &v->minted, "minted", e))
+            return false;
+          seen |= UINT64_C (1) << 16;
+          break;
         default:
           break;
         }
@@ -789,6 +1449,60 @@
   return true;
 }
 
+void
+bb_put_once_ask (msgpack_sbuffer *buf, const struct bb_once_ask *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_ONCE_ASK);
+  put_once_ask (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_once_say (msgpack_sbuffer *buf, const struct bb_once_say *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_ONCE_SAY);
+  put_once_say (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_once_note (msgpack_sbuffer *buf, const struct bb_once_note *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_ONCE_NOTE);
+  put_once_note (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_once_release (msgpack_sbuffer *buf, const struct bb_once_release *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_ONCE_RELEASE);
+  put_once_release (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_once_sync (msgpack_sbuffer *buf, const struct bb_once_sync *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_ONCE_SYNC);
+  put_once_sync (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_once_synced (msgpack_sbuffer *buf, const struct bb_once_synced *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_ONCE_SYNCED);
+  put_once_synced (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v)
 {
@@ -868,6 +1582,18 @@
   m->type = (enum bb_message_type)type;
   switch (type)
     {
+    case BB_MSG_ONCE_ASK:
+      return get_once_ask (obj, &m->u.once_ask, e);
+    case BB_MSG_ONCE_SAY:
+      return get_once_say (obj, &m->u.once_say, e);
+    case BB_MSG_ONCE_NOTE:
+      return get_once_note (obj, &m->u.once_note, e);
+    case BB_MSG_ONCE_RELEASE:
+      return get_once_release (obj, &m->u.once_release, e);
+    case BB_MSG_ONCE_SYNC:
+      return get_once_sync (obj, &m->u.once_sync, e);
+    case BB_MSG_ONCE_SYNCED:
+      return get_once_synced (obj, &m->u.once_synced, e);
     case BB_MSG_HELLO:
       return get_hello (obj, &m->u.hello, e);
     case BB_MSG_CALL:
--- /dev/null
+++ b/test/harness/once_world.c
@@ -0,0 +1,917 @@
+#include "once_world.h"
+
+#include "bilberry/wire.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  AGENTS_MAX = 6,
+  ENTRIES_MAX = 4,
+  NODES_MAX = AGENTS_MAX + ENTRIES_MAX,
+  TRIES_MAX = 5, /* of a caller */
+  SENDS_MAX = 3, /* of an entry */
+  HELLO_MS = 200,
+  CALL_MS = 1500,
+  LOST_MS = 2000, /* a caller gives a try up */
+  FIRST_KEY_MS = 2000,
+  RETENTION_MS = 600000,
+  REVISIONS_MAX = 64
+};
+
+enum kind
+{
+  KIND_CALL,
+  KIND_REPLY,
+  KIND_HELLO,
+  KIND_HELLO_REPLY,
+  KIND_FRAME
+};
+
+struct packet
+{
+  uint32_t kind;
+  uint64_t id; /* of the call, or the number of a hello */
+  uint32_t key;
+  bb_ms deadline;
+  uint64_t incarnation; /* knew, or own */
+  bool answered;
+  uint8_t run;
+  uint8_t reason;
+  uint32_t value;
+};
+
+/* One revision of the settings.  */
+struct revision
+{
+  bool member[AGENTS_MAX];
+  bool out[AGENTS_MAX];
+};
+
+struct world;
+
+struct node
+{
+  struct world *w;
+  uint32_t index;
+  uint64_t incarnation;
+  uint32_t revision;
+  bool down;
+  uint64_t knew[AGENTS_MAX];
+  uint64_t hello_id;
+  uint64_t hello_seen[AGENTS_MAX];
+  bb_ms heard_at[AGENTS_MAX];
+  char name[16];
+  struct bb_once *once; /* of an agent */
+};
+
+struct call_state
+{
+  uint32_t key;
+  uint32_t entry;
+  uint64_t entry_incarnation;
+  uint32_t sends;
+  uint64_t first; /* id of the first send of the request */
+  uint32_t attempt;
+  bool closed; /* at the entry */
+  bool began;  /* at an agent */
+  bool ran;
+  bool not_run; /* refused so */
+};
+
+struct key_state
+{
+  char name[40];
+  bb_ms born;
+  uint32_t tries;
+  uint32_t runs;
+  uint32_t value; /* of the first answer */
+  uint32_t attempt;
+  bool answered;
+  bool maybe; /* some try may have run */
+  bool last_not_run;
+};
+
+struct world
+{
+  const struct once_world_options *o;
+  struct bb_sim *sim;
+  struct node nodes[NODES_MAX];
+  struct revision revisions[REVISIONS_MAX];
+  uint32_t revisions_count;
+  GArray *calls; /* struct call_state; ids start at 1 */
+  struct key_state *keys;
+  uint32_t values;
+  bb_ms end;
+  struct once_world_result result;
+};
+
+/* An event that belongs to a node or a key.  */
+struct timer
+{
+  struct world *w;
+  struct node *n;
+  uint64_t a;
+  uint64_t b;
+  uint64_t incarnation;
+};
+
+static struct call_state *
+call_of (struct world *w, uint64_t id)
+{
+  return &g_array_index (w->calls, struct call_state, id - 1);
+}
+
+static bb_ms
+now_of (const struct world *w)
+{
+  return bb_sim_now (w->sim);
+}
+
+static int
+pick (struct world *w, int from, int to)
+{
+  return g_rand_int_range (bb_sim_rand (w->sim), from, to);
+}
+
+static struct timer *
+timer_new (struct world *w, struct node *n, uint64_t a, uint64_t b)
+{
+  struct timer *t = g_new0 (struct timer, 1);
+
+  t->w = w;
+  t->n = n;
+  t->a = a;
+  t->b = b;
+  t->incarnation = n ? n->incarnation : 0;
+  return t;
+}
+
+static void
+send_packet (struct world *w, uint32_t from, uint32_t to,
+             const struct packet *p)
+{
+  if (!w->nodes[from].down)
+    bb_sim_send (w->sim, from, to, p, sizeof *p);
+}
+
+/* Actions of an agent.  */
+
+static bool
+agent_send (void *user, const char *member, enum bb_message_type type,
+            const void *m)
+{
+  struct node *n = user;
+  struct packet p = { .kind = KIND_FRAME };
+  msgpack_sbuffer buf;
+  GByteArray *bytes;
+  uint32_t to = (uint32_t)strtoul (member + strlen ("order-"), NULL, 10);
+
+  msgpack_sbuffer_init (&buf);
+  switch (type)
+    {
+    case BB_MSG_ONCE_ASK:
+      bb_put_once_ask (&buf, m);
+      break;
+    case BB_MSG_ONCE_SAY:
+      bb_put_once_say (&buf, m);
+      break;
+    case BB_MSG_ONCE_NOTE:
+      bb_put_once_note (&buf, m);
+      break;
+    case BB_MSG_ONCE_RELEASE:
+      bb_put_once_release (&buf, m);
+      break;
+    case BB_MSG_ONCE_SYNC:
+      bb_put_once_sync (&buf, m);
+      break;
+    default:
+      bb_put_once_synced (&buf, m);
+      break;
+    }
+  bytes = g_byte_array_new ();
+  g_byte_array_append (bytes, (const guint8 *)&p, sizeof p);
+  g_byte_array_append (bytes, (const guint8 *)buf.data, (guint)buf.size);
+  bb_sim_send (n->w->sim, n->index, to, bytes->data, bytes->len);
+  g_byte_array_free (bytes, TRUE);
+  msgpack_sbuffer_destroy (&buf);
+  return true;
+}
+
+static void
+reply (struct node *n, uint64_t id, const struct packet *p)
+{
+  send_packet (n->w, n->index, call_of (n->w, id)->entry, p);
+}
+
+static void
+agent_answer (void *user, uint64_t call, const struct bb_once_note *note)
+{
+  struct packet p = { .kind = KIND_REPLY, .id = call, .answered = true };
+
+  memcpy (&p.value, note->body.ptr, sizeof p.value);
+  reply (user, call, &p);
+}
+
+static void
+agent_refuse (void *user, uint64_t call, const struct bb_verdict *v)
+{
+  struct node *n = user;
+  struct packet p
+      = { .kind = KIND_REPLY, .id = call, .run = v->run, .reason = v->reason };
+
+  if (v->run == BB_RUN_NOT_RUN)
+    call_of (n->w, call)->not_run = true;
+  if (v->run == BB_RUN_NOT_RUN && call_of (n->w, call)->ran)
+    n->w->result.false_not_run++;
+  reply (n, call, &p);
+}
+
+/* The upstream is through with a call; B: whether it answers.  */
+static void
+on_upstream_end (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+  struct world *w = t->w;
+  uint32_t value = (uint32_t)t->b;
+  struct bb_once_note n = { .state = BB_ONCE_STATE_DONE, .status = 201 };
+  struct packet p = { .kind = KIND_REPLY, .id = t->a };
+
+  if (t->incarnation != t->n->incarnation)
+    {
+      g_free (t);
+      return;
+    }
+  n.customer = bb_bytes_of ("customer-1");
+  n.key = bb_bytes_of (w->keys[call_of (w, t->a)->key].name);
+  n.body.ptr = (const char *)&value;
+  n.body.size = sizeof value;
+  p.answered = value != 0;
+  p.value = value;
+  p.run = BB_RUN_MAYBE_RUN;
+  p.reason = BB_REASON_UPSTREAM_FAILED;
+  bb_once_ended (t->n->once, t->a, value ? &n : NULL, BB_RUN_MAYBE_RUN,
+                 bb_sim_now (sim));
+  reply (t->n, t->a, &p);
+  g_free (t);
+}
+
+static void
+on_upstream_refused (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+  struct packet p = { .kind = KIND_REPLY,
+                      .id = t->a,
+                      .run = BB_RUN_NOT_RUN,
+                      .reason = BB_REASON_UPSTREAM_REFUSED };
+
+  if (t->incarnation == t->n->incarnation)
+    {
+      bb_once_ended (t->n->once, t->a, NULL, BB_RUN_NOT_RUN, bb_sim_now (sim));
+      reply (t->n, t->a, &p);
+    }
+  g_free (t);
+}
+
+static void
+agent_run (void *user, uint64_t call)
+{
+  struct node *n = user;
+  struct world *w = n->w;
+  struct call_state *c = call_of (w, call);
+  bool faulty = (w->o->faults & ONCE_FAULT_UPSTREAM) != 0;
+  int luck = pick (w, 0, 100);
+
+  if (faulty && luck < 7)
+    {
+      bb_sim_at_node (w->sim, n->index, pick (w, 1, 20), on_upstream_refused,
+                      timer_new (w, n, call, 0));
+      return;
+    }
+  c->ran = true;
+  w->keys[c->key].runs++;
+  if (c->not_run)
+    w->result.false_not_run++;
+  bb_sim_at_node (
+      w->sim, n->index, pick (w, 5, 200), on_upstream_end,
+      timer_new (w, n, call, faulty && luck > 92 ? 0 : ++w->values));
+}
+
+static const struct bb_once_ops agent_ops = { .send = agent_send,
+                                              .run = agent_run,
+                                              .answer = agent_answer,
+                                              .refuse = agent_refuse };
+
+static void
+agent_adopt (struct node *n)
+{
+  struct world *w = n->w;
+  const struct revision *r = &w->revisions[n->revision];
+  const char *names[AGENTS_MAX];
+  const char *witnesses[ENTRIES_MAX];
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < AGENTS_MAX; i++)
+    if (r->member[i])
+      names[count++] = w->nodes[i].name;
+  for (uint32_t i = 0; i < w->o->entries; i++)
+    witnesses[i] = w->nodes[AGENTS_MAX + i].name;
+  bb_once_set_members (n->once, names, count, witnesses, w->o->entries,
+                       now_of (w));
+}
+
+static void
+on_tick (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+
+  if (t->incarnation != t->n->incarnation)
+    {
+      g_free (t);
+      return;
+    }
+  bb_once_tick (t->n->once, bb_sim_now (sim));
+  bb_sim_at_node (sim, t->n->index, BB_ONCE_TICK_MS, on_tick, t);
+}
+
+static void
+on_hello_time (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+  struct node *n = t->n;
+  struct packet p = { .kind = KIND_HELLO };
+
+  if (t->incarnation != n->incarnation)
+    {
+      g_free (t);
+      return;
+    }
+  p.id = ++n->hello_id;
+  for (uint32_t i = 0; i < AGENTS_MAX; i++)
+    {
+      if (i == n->index)
+        continue;
+      p.incarnation = n->knew[i];
+      send_packet (t->w, n->index, i, &p);
+    }
+  bb_sim_at_node (sim, n->index, HELLO_MS, on_hello_time, t);
+}
+
+/* Starts the process of a node anew.  */
+static void
+node_start (struct node *n)
+{
+  struct world *w = n->w;
+  struct bb_once_limits limits = { .candidates = w->o->candidates,
+                                   .keys_max = 100000,
+                                   .bytes_max = 12 * 1024 * 1024,
+                                   .retention_ms = RETENTION_MS,
+                                   .skew_ms = w->o->skew_ms,
+                                   .ask_ms = 500 };
+
+  n->down = false;
+  n->incarnation = g_rand_int (bb_sim_rand (w->sim)) + UINT64_C (1);
+  n->revision = w->revisions_count - 1;
+  memset (n->knew, 0, sizeof n->knew);
+  memset (n->hello_seen, 0, sizeof n->hello_seen);
+  n->hello_id = 0;
+  bb_sim_at_node (w->sim, n->index, 0, on_hello_time, timer_new (w, n, 0, 0));
+  if (n->index >= AGENTS_MAX)
+    return;
+  if (n->once)
+    {
+      w->result.conflicts += bb_once_stats (n->once).conflicts;
+      bb_once_free (n->once);
+    }
+  n->once = bb_once_new (n->name, n->incarnation, &agent_ops, n, now_of (w));
+  bb_once_set_limits (n->once, &limits);
+  agent_adopt (n);
+  bb_sim_at_node (w->sim, n->index, 0, on_tick, timer_new (w, n, 0, 0));
+}
+
+/* Entries.  */
+
+static void caller_try (struct world *w, uint32_t key);
+static void entry_send (struct world *w, struct node *n, uint32_t key,
+                        uint32_t attempt, uint32_t sends);
+
+static void
+on_caller_again (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+
+  (void)sim;
+  caller_try (t->w, (uint32_t)t->a);
+  g_free (t);
+}
+
+static void
+caller_repeat (struct world *w, uint32_t key)
+{
+  if (w->keys[key].tries < TRIES_MAX)
+    bb_sim_at (w->sim, pick (w, 20, 2000), on_caller_again,
+               timer_new (w, NULL, key, 0));
+}
+
+/* The caller has the final answer of one try.  */
+static void
+caller_got (struct world *w, uint32_t key, uint32_t attempt,
+            const struct packet *p)
+{
+  struct key_state *k = &w->keys[key];
+
+  if (p->answered)
+    {
+      if (k->value != 0 && k->value != p->value)
+        w->result.changed++;
+      k->value = p->value;
+      k->answered = true;
+    }
+  if (attempt != k->attempt)
+    return;
+  k->attempt = 0;
+  k->last_not_run = !p->answered && p->run == BB_RUN_NOT_RUN
+                    && p->reason != BB_REASON_IN_DOUBT
+                    && p->reason != BB_REASON_OTHER_SETTINGS;
+  if (k->last_not_run && !k->maybe && k->runs > 0)
+    w->result.false_not_run++;
+  if (!p->answered && !k->last_not_run)
+    k->maybe = true;
+  /* Some callers repeat what was answered.  */
+  if (!p->answered || pick (w, 0, 10) == 0)
+    caller_repeat (w, key);
+}
+
+static void
+on_entry_reply (struct world *w, struct node *n, const struct packet *p)
+{
+  struct call_state c = *call_of (w, p->id);
+
+  if (c.closed || c.entry_incarnation != n->incarnation)
+    return;
+  call_of (w, p->id)->closed = true;
+  if (!p->answered && p->run == BB_RUN_NOT_RUN && c.sends < SENDS_MAX)
+    entry_send (w, n, c.key, c.attempt, c.sends);
+  else
+    caller_got (w, c.key, c.attempt, p);
+}
+
+/* Chooses an agent for a key: by the candidates, the reachable first.  */
+static uint32_t
+choose (struct world *w, struct node *n, uint32_t key, uint32_t sends)
+{
+  const struct revision *r = &w->revisions[n->revision];
+  const char *names[AGENTS_MAX];
+  uint32_t indexes[AGENTS_MAX];
+  uint32_t c[BB_ONCE_CANDIDATES];
+  uint32_t count = 0;
+  uint32_t skip = sends;
+
+  for (uint32_t i = 0; i < AGENTS_MAX; i++)
+    if (r->member[i])
+      {
+        indexes[count] = i;
+        names[count++] = w->nodes[i].name;
+      }
+  count = bb_once_candidates (names, count, bb_bytes_of ("customer-1"),
+                              bb_bytes_of (w->keys[key].name),
+                              w->o->candidates, c);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t a = indexes[c[i]];
+      if (r->out[a] || now_of (w) - n->heard_at[a] > (bb_ms)3 * HELLO_MS)
+        continue;
+      if (skip-- == 0)
+        return a;
+    }
+  return indexes[c[pick (w, 0, (int)count)]];
+}
+
+static void
+entry_send (struct world *w, struct node *n, uint32_t key, uint32_t attempt,
+            uint32_t sends)
+{
+  struct call_state c = { .key = key,
+                          .entry = n->index,
+                          .entry_incarnation = n->incarnation,
+                          .sends = sends + 1,
+                          .attempt = attempt };
+  struct packet p = { .kind = KIND_CALL, .key = key };
+
+  g_array_append_val (w->calls, c);
+  p.id = w->calls->len;
+  p.deadline = now_of (w) + CALL_MS;
+  send_packet (w, n->index, choose (w, n, key, sends), &p);
+}
+
+static void
+on_caller_lost (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+  struct key_state *k = &t->w->keys[t->a];
+
+  (void)sim;
+  if (k->attempt == t->b)
+    {
+      k->attempt = 0;
+      k->maybe = true;
+      k->last_not_run = false;
+      caller_repeat (t->w, (uint32_t)t->a);
+    }
+  g_free (t);
+}
+
+static void
+caller_try (struct world *w, uint32_t key)
+{
+  static uint32_t attempts;
+  struct key_state *k = &w->keys[key];
+  struct node *n
+      = &w->nodes[AGENTS_MAX + (uint32_t)pick (w, 0, (int)w->o->entries)];
+
+  k->tries++;
+  k->attempt = ++attempts;
+  bb_sim_at (w->sim, LOST_MS, on_caller_lost,
+             timer_new (w, NULL, key, k->attempt));
+  if (!n->down)
+    entry_send (w, n, key, k->attempt, 0);
+}
+
+static void
+on_first_try (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+  struct key_state *k = &t->w->keys[t->a];
+
+  k->born = bb_sim_now (sim);
+  caller_try (t->w, (uint32_t)t->a);
+  g_free (t);
+}
+
+/* Messages.  */
+
+static void
+on_call (struct world *w, struct node *n, const struct packet *p)
+{
+  struct call_state *c = call_of (w, p->id);
+  const struct key_state *k = &w->keys[p->key];
+  struct bb_once_call call = { .id = p->id,
+                               .customer = bb_bytes_of ("customer-1"),
+                               .key = bb_bytes_of (k->name),
+                               .print = p->key,
+                               .deadline = p->deadline };
+
+  /* A connection does not double what it carries.  */
+  if (c->began)
+    return;
+  c->began = true;
+  if (w->o->births)
+    call.age_ms = now_of (w) - k->born + 1;
+  bb_once_begin (n->once, &call, now_of (w));
+}
+
+static void
+on_hello (struct world *w, struct node *n, uint32_t from,
+          const struct packet *p)
+{
+  struct packet a = { .kind = KIND_HELLO_REPLY,
+                      .id = p->id,
+                      .incarnation = n->incarnation };
+
+  bb_once_testify (n->once, w->nodes[from].name, p->incarnation);
+  send_packet (w, n->index, from, &a);
+}
+
+static void
+on_hello_reply (struct world *w, struct node *n, uint32_t from,
+                const struct packet *p)
+{
+  if (p->id <= n->hello_seen[from])
+    return;
+  n->hello_seen[from] = p->id;
+  n->knew[from] = p->incarnation;
+  n->heard_at[from] = now_of (w);
+}
+
+static void
+on_frame (struct world *w, struct node *n, const char *data, size_t size)
+{
+  struct bb_message m;
+  struct bb_decode_error e;
+  bb_ms now = now_of (w);
+
+  g_assert_true (bb_message_decode (data + BB_FRAME_HEAD_BYTES,
+                                    size - BB_FRAME_HEAD_BYTES, &m, &e));
+  switch (m.type)
+    {
+    case BB_MSG_ONCE_ASK:
+      bb_once_on_ask (n->once, &m.u.once_ask, now);
+      break;
+    case BB_MSG_ONCE_SAY:
+      bb_once_on_say (n->once, &m.u.once_say, now);
+      break;
+    case BB_MSG_ONCE_NOTE:
+      bb_once_on_note (n->once, &m.u.once_note, now);
+      break;
+    case BB_MSG_ONCE_RELEASE:
+      bb_once_on_release (n->once, &m.u.once_release);
+      break;
+    case BB_MSG_ONCE_SYNC:
+      bb_once_on_sync (n->once, &m.u.once_sync, now);
+      break;
+    case BB_MSG_ONCE_SYNCED:
+      bb_once_on_synced (n->once, &m.u.once_synced, now);
+      break;
+    default:
+      break;
+    }
+  bb_message_free (&m);
+}
+
+static void
+on_deliver (struct bb_sim *sim, uint32_t from, uint32_t to, const void *data,
+            size_t size, void *arg)
+{
+  struct world *w = arg;
+  struct node *n = &w->nodes[to];
+  struct packet p;
+
+  (void)sim;
+  if (n->down)
+    return;
+  memcpy (&p, data, sizeof p);
+  switch (p.kind)
+    {
+    case KIND_CALL:
+      on_call (w, n, &p);
+      break;
+    case KIND_REPLY:
+      on_entry_reply (w, n, &p);
+      break;
+    case KIND_HELLO:
+      on_hello (w, n, from, &p);
+      break;
+    case KIND_HELLO_REPLY:
+      on_hello_reply (w, n, from, &p);
+      break;
+    default:
+      on_frame (w, n, (const char *)data + sizeof p, size - sizeof p);
+      break;
+    }
+}
+
+/* Faults.  */
+
+static void
+on_up (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+
+  (void)sim;
+  if (t->n->down && t->incarnation == t->n->incarnation)
+    node_start (t->n);
+  g_free (t);
+}
+
+static void
+kill_node (struct node *n, bb_ms down_ms)
+{
+  struct world *w = n->w;
+
+  if (n->down)
+    return;
+  bb_sim_crash (w->sim, n->index);
+  n->down = true;
+  n->incarnation++;
+  bb_sim_at (w->sim, down_ms, on_up, timer_new (w, n, 0, 0));
+}
+
+static void
+on_heal (struct bb_sim *sim, void *arg)
+{
+  (void)arg;
+  for (uint32_t i = 0; i < NODES_MAX; i++)
+    bb_sim_set_side (sim, i, 0);
+}
+
+static void
+partition (struct world *w)
+{
+  for (uint32_t i = 0; i < NODES_MAX; i++)
+    bb_sim_set_side (w->sim, i, (uint32_t)pick (w, 0, 2));
+  bb_sim_at (w->sim, pick (w, 500, 8000), on_heal, NULL);
+}
+
+static void
+on_adopt (struct bb_sim *sim, void *arg)
+{
+  struct timer *t = arg;
+
+  (void)sim;
+  if (t->incarnation == t->n->incarnation && t->n->revision < t->a)
+    {
+      t->n->revision = (uint32_t)t->a;
+      if (t->n->once)
+        agent_adopt (t->n);
+    }
+  g_free (t);
+}
+
+static void
+publish (struct world *w, const struct revision *r)
+{
+  uint32_t number = w->revisions_count;
+
+  if (number == REVISIONS_MAX)
+    return;
+  w->revisions[w->revisions_count++] = *r;
+  for (uint32_t i = 0; i < AGENTS_MAX + w->o->entries; i++)
+    bb_sim_at_node (w->sim, i, pick (w, 0, pick (w, 0, 4) ? 500 : 5000),
+                    on_adopt, timer_new (w, &w->nodes[i], number, 0));
+}
+
+static void
+change_members (struct world *w)
+{
+  struct revision r = w->revisions[w->revisions_count - 1];
+  uint32_t i = (uint32_t)pick (w, 0, AGENTS_MAX);
+  uint32_t count = 0;
+
+  for (uint32_t j = 0; j < AGENTS_MAX; j++)
+    count += r.member[j];
+  if (r.member[i] && count <= 2)
+    return;
+  r.member[i] = !r.member[i];
+  publish (w, &r);
+}
+
+static void
+change_out (struct world *w)
+{
+  struct revision r = w->revisions[w->revisions_count - 1];
+  uint32_t i = (uint32_t)pick (w, 0, AGENTS_MAX);
+
+  r.out[i] = !r.out[i];
+  publish (w, &r);
+}
+
+static struct node *
+pick_agent (struct world *w)
+{
+  const struct revision *r = &w->revisions[w->revisions_count - 1];
+  uint32_t i;
+
+  do
+    i = (uint32_t)pick (w, 0, AGENTS_MAX);
+  while (!r->member[i]);
+  return &w->nodes[i];
+}
+
+static void
+cause_fault (struct world *w, uint32_t fault)
+{
+  switch (fault)
+    {
+    case ONCE_FAULT_KILL:
+      kill_node (pick_agent (w), 50);
+      break;
+    case ONCE_FAULT_REPLACE:
+      kill_node (pick_agent (w), pick (w, 500, 6000));
+      break;
+    case ONCE_FAULT_PARTITION:
+      partition (w);
+      break;
+    case ONCE_FAULT_PAUSE:
+      bb_sim_pause (w->sim,
+                    (uint32_t)pick (w, 0, (int)(AGENTS_MAX + w->o->entries)),
+                    pick (w, 500, 12000));
+      break;
+    case ONCE_FAULT_MEMBERS:
+      change_members (w);
+      break;
+    case ONCE_FAULT_OUT:
+      change_out (w);
+      break;
+    case ONCE_FAULT_KILL_ALL:
+      for (uint32_t i = 0; i < AGENTS_MAX; i++)
+        kill_node (&w->nodes[i], pick (w, 10, 1000));
+      break;
+    case ONCE_FAULT_ENTRY:
+      /* The first entry lives on: what it knew of agents is not lost.  */
+      kill_node (
+          &w->nodes[AGENTS_MAX + (uint32_t)pick (w, 1, (int)w->o->entries)],
+          200);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_fault_time (struct bb_sim *sim, void *arg)
+{
+  struct world *w = arg;
+  uint32_t fault = 1U << pick (w, 0, 10);
+
+  if (bb_sim_now (sim) > w->end)
+    return;
+  if (w->o->faults & fault)
+    {
+      cause_fault (w, fault);
+      bb_sim_at (sim, pick (w, 1, (int)(2 * w->o->fault_every_ms)),
+                 on_fault_time, w);
+    }
+  else
+    bb_sim_at (sim, 1, on_fault_time, w);
+}
+
+static void
+set_up (struct world *w)
+{
+  const struct once_world_options *o = w->o;
+  struct bb_sim_net net = { .delay_min_ms = 1, .delay_max_ms = 5 };
+
+  if (o->faults & ONCE_FAULT_NETWORK)
+    {
+      net.delay_max_ms = 300;
+      net.loss_permille = 50;
+      net.double_permille = 100;
+    }
+  bb_sim_set_net (w->sim, &net);
+  bb_sim_on_deliver (w->sim, on_deliver, w);
+  w->revisions_count = 1;
+  for (uint32_t i = 0; i < o->replicas; i++)
+    w->revisions[0].member[i] = true;
+  for (uint32_t i = 0; i < AGENTS_MAX + o->entries; i++)
+    {
+      struct node *n = &w->nodes[i];
+      n->w = w;
+      n->index = i;
+      snprintf (n->name, sizeof n->name, "%s-%u",
+                i < AGENTS_MAX ? "order" : "entry", i);
+    }
+  for (uint32_t i = 0; i < AGENTS_MAX + o->entries; i++)
+    node_start (&w->nodes[i]);
+  for (uint32_t i = 0; i < o->keys; i++)
+    {
+      bb_ms at = FIRST_KEY_MS + pick (w, 0, (int)(w->end - FIRST_KEY_MS));
+      snprintf (w->keys[i].name, sizeof w->keys[i].name, "key-%u", i);
+      bb_sim_at (w->sim, at, on_first_try, timer_new (w, NULL, i, 0));
+    }
+  if (o->faults & ~(uint32_t)ONCE_FAULT_NETWORK)
+    bb_sim_at (w->sim, FIRST_KEY_MS, on_fault_time, w);
+}
+
+static void
+sum_up (struct world *w)
+{
+  struct once_world_result *r = &w->result;
+
+  r->keys = w->o->keys;
+  for (uint32_t i = 0; i < w->o->keys; i++)
+    {
+      const struct key_state *k = &w->keys[i];
+      r->ran += k->runs > 0;
+      r->doubled += k->runs > 1;
+      if (k->answered)
+        r->answered++;
+      else if (k->last_not_run && !k->maybe)
+        r->refused++;
+      else
+        r->in_doubt++;
+    }
+  r->messages = bb_sim_counts (w->sim).sent;
+  for (uint32_t i = 0; i < AGENTS_MAX; i++)
+    {
+      r->conflicts += bb_once_stats (w->nodes[i].once).conflicts;
+      bb_once_free (w->nodes[i].once);
+    }
+}
+
+struct once_world_result
+once_world_run (const struct once_world_options *o)
+{
+  enum
+  {
+    KEY_EVERY_MS = 100,
+    SETTLE_MS = 60000
+  };
+  struct world *w = g_new0 (struct world, 1);
+  struct once_world_result result;
+
+  w->o = o;
+  w->sim = bb_sim_new (o->seed, NODES_MAX);
+  w->calls = g_array_new (FALSE, TRUE, sizeof (struct call_state));
+  w->keys = g_new0 (struct key_state, o->keys);
+  w->end = FIRST_KEY_MS + (bb_ms)o->keys * KEY_EVERY_MS;
+  set_up (w);
+  bb_sim_run (w->sim, w->end + SETTLE_MS);
+  sum_up (w);
+  result = w->result;
+  bb_sim_free (w->sim);
+  g_array_free (w->calls, TRUE);
+  g_free (w->keys);
+  g_free (w);
+  return result;
+}
--- /dev/null
+++ b/test/test_once_runs.c
@@ -0,0 +1,126 @@
+/* Randomised runs of libonce in virtual time: no key runs twice, no repeat
+   gets another outcome, and what was refused as not run did not run.
+
+   BILBERRY_SOAK_SECONDS=n goes on with fresh seeds for n seconds.  */
+
+#include "harness/once_world.h"
+
+#include <stdlib.h>
+
+enum
+{
+  SEEDS = 240,
+  MEMBER_SEEDS = 120,
+  KEYS = 60
+};
+
+static struct once_world_options
+options_of (uint64_t seed)
+{
+  struct once_world_options o = { .seed = seed,
+                                  .faults = ONCE_FAULTS_ALL,
+                                  .fault_every_ms = 300,
+                                  .replicas = 3 + (uint32_t)(seed % 2),
+                                  .entries = 3,
+                                  .keys = KEYS,
+                                  .candidates = BB_ONCE_CANDIDATES };
+
+  /* A third of the seeds meets each fault rarely, a third only some.  */
+  if (seed % 3 == 1)
+    o.fault_every_ms = 3000;
+  if (seed % 3 == 2)
+    o.faults = (uint32_t)(seed * 2654435761U) & ONCE_FAULTS_ALL;
+  if (seed % 5 == 0)
+    {
+      o.births = true;
+      o.skew_ms = 100;
+    }
+  return o;
+}
+
+static void
+run_options (const struct once_world_options *o)
+{
+  struct once_world_result r = once_world_run (o);
+
+  if (r.doubled + r.false_not_run + r.changed + r.conflicts == 0)
+    return;
+  g_test_message ("seed %" G_GUINT64_FORMAT
+                  ": %u doubled, %u wrongly not run, %u changed, %u conflicts",
+                  (guint64)o->seed, r.doubled, r.false_not_run, r.changed,
+                  r.conflicts);
+  g_test_fail ();
+}
+
+static void
+run_seed (uint64_t seed)
+{
+  struct once_world_options o = options_of (seed);
+
+  run_options (&o);
+}
+
+static void
+test_faults (void)
+{
+  const char *soak = g_getenv ("BILBERRY_SOAK_SECONDS");
+  gint64 end
+      = soak ? g_get_monotonic_time () + atoi (soak) * (gint64)G_USEC_PER_SEC
+             : 0;
+  uint64_t seed;
+
+  for (seed = 1; seed <= SEEDS && !g_test_failed (); seed++)
+    run_seed (seed);
+  while (g_get_monotonic_time () < end && !g_test_failed ())
+    run_seed (seed++);
+  g_test_message ("%u seeds", (unsigned)(seed - 1));
+}
+
+/* Replicas come and go while nodes are cut off from each other.  */
+static void
+test_members (void)
+{
+  struct once_world_options o
+      = { .faults = ONCE_FAULT_MEMBERS | ONCE_FAULT_PARTITION
+                    | ONCE_FAULT_NETWORK | ONCE_FAULT_PAUSE,
+          .fault_every_ms = 250,
+          .replicas = 4,
+          .entries = 3,
+          .keys = 100,
+          .candidates = BB_ONCE_CANDIDATES };
+
+  for (o.seed = 1; o.seed <= MEMBER_SEEDS && !g_test_failed (); o.seed++)
+    run_options (&o);
+}
+
+/* Without faults every key is answered, and with one agent lost at a time
+   nothing stays in doubt but what ran when it died.  */
+static void
+test_no_faults (void)
+{
+  struct once_world_options o = { .seed = 1,
+                                  .replicas = 3,
+                                  .entries = 3,
+                                  .keys = 400,
+                                  .candidates = BB_ONCE_CANDIDATES };
+  struct once_world_result r = once_world_run (&o);
+
+  g_assert_cmpuint (r.answered, ==, o.keys);
+  g_assert_cmpuint (r.ran, ==, o.keys);
+  o.faults = ONCE_FAULT_KILL;
+  o.fault_every_ms = 5000;
+  r = once_world_run (&o);
+  g_assert_cmpuint (r.doubled, ==, 0);
+  g_assert_cmpuint (r.answered + r.in_doubt, ==, o.keys);
+  g_assert_cmpuint (r.in_doubt, <, o.keys / 10);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/once-runs/no-faults", test_no_faults);
+  g_test_add_func ("/once-runs/faults", test_faults);
+  g_test_add_func ("/once-runs/members", test_members);
+  return g_test_run ();
+}
