Read all connections into one shared buffer

Cause: each end of a connection kept 64 kB to read into, so an entry with 5,000 links held 372 MB against a limit of 256 MB. Ruled out: the buffer of frames to send (8 kB). A loop reads one connection at a time, so all share one buffer; a connection keeps bytes of its own only while it holds a part of a frame.

--- a/libnet/conn.c
+++ b/libnet/conn.c
@@ -144,9 +144,14 @@
   return c->writing_bytes + c->out.size;
 }
 
-/* Hands the whole frames in the buffer to the owner.  */
-static void
-take_frames (struct bb_conn *c)
+/* Where connections read while they hold no part of a frame.  All share it,
+   since one loop on one thread reads one connection at a time.  */
+static char shared_in[READ_BYTES];
+
+/* Hands the whole frames in the SIZE bytes at DATA to the owner.  Returns how
+   many bytes they take.  */
+static size_t
+take_frames (struct bb_conn *c, const char *data, size_t size)
 {
   size_t at = 0;
   size_t body;
@@ -155,13 +160,12 @@
 
   while (!c->why)
     {
-      enum bb_frame_state state
-          = bb_frame_peek (c->in + at, c->in_size - at, &body);
+      enum bb_frame_state state = bb_frame_peek (data + at, size - at, &body);
       if (state == BB_FRAME_TOO_LARGE)
         bb_conn_close (c, "a frame is too large");
       if (state != BB_FRAME_WHOLE)
         break;
-      if (!bb_message_decode (c->in + at + BB_FRAME_HEAD_BYTES, body, &m, &e))
+      if (!bb_message_decode (data + at + BB_FRAME_HEAD_BYTES, body, &m, &e))
         {
           bb_counter ("bilberry_bad_frames_total", "")->value++;
           bb_log (BB_LOG_WARN, "net", "Refused a frame: %s %s: %s.", e.message,
@@ -173,10 +177,37 @@
       bb_message_free (&m);
       at += BB_FRAME_HEAD_BYTES + body;
     }
-  if (at == 0)
+  return at;
+}
+
+/* Makes the connection's own buffer hold at least ROOM bytes.  */
+static void
+reserve (struct bb_conn *c, size_t room)
+{
+  if (c->in_room >= room)
     return;
-  memmove (c->in, c->in + at, c->in_size - at);
-  c->in_size -= at;
+  c->in = realloc (c->in, room);
+  if (!c->in)
+    abort ();
+  c->in_room = room;
+}
+
+/* Keeps the SIZE bytes at DATA, the begin of a frame, until more come.  */
+static void
+keep_rest (struct bb_conn *c, const char *data, size_t size)
+{
+  if (size == 0)
+    {
+      free (c->in);
+      c->in = NULL;
+      c->in_room = 0;
+    }
+  else
+    {
+      reserve (c, size);
+      memmove (c->in, data, size);
+    }
+  c->in_size = size;
 }
 
 static void
@@ -185,13 +216,13 @@
   struct bb_conn *c = h->data;
 
   (void)size;
-  if (c->in_room - c->in_size < READ_BYTES)
+  if (c->in_size == 0)
     {
-      c->in_room = c->in_room * 2 + READ_BYTES;
-      c->in = realloc (c->in, c->in_room);
-      if (!c->in)
-        abort ();
+      *buf = uv_buf_init (shared_in, READ_BYTES);
+      return;
     }
+  if (c->in_room - c->in_size < READ_BYTES)
+    reserve (c, c->in_room * 2 + READ_BYTES);
   *buf = uv_buf_init (c->in + c->in_size, (unsigned)(c->in_room - c->in_size));
 }
 
@@ -199,16 +230,19 @@
 on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
   struct bb_conn *c = s->data;
+  const char *data = c->in_size > 0 ? c->in : buf->base;
+  size_t size = c->in_size;
+  size_t taken;
 
-  (void)buf;
   if (n < 0)
     {
       bb_conn_close (c, n == UV_EOF ? "the peer closed the connection"
                                     : uv_strerror ((int)n));
       return;
     }
-  c->in_size += (size_t)n;
-  take_frames (c);
+  size += (size_t)n;
+  taken = take_frames (c, data, size);
+  keep_rest (c, data + taken, size - taken);
 }
 
 static void
