--- a/libnet/http_client.c
+++ b/libnet/http_client.c
@@ -180,7 +180,8 @@
   if (body.size > 0 || !bb_bytes_equal (method, "GET"))
     fprintf (out, "content-length: %u\r\n", body.size);
   fputs ("\r\n", out);
-  fwrite (body.ptr, 1, body.size, out);
+  if (body.size > 0)
+    fwrite (body.ptr, 1, body.size, out);
   fclose (out);
 }
 
--- a/test/harness/member_run.c
+++ b/test/harness/member_run.c
@@ -103,7 +103,6 @@
         n->call_again_at = bb_sim_now (sim) + RETRY_MS
                            + g_rand_int_range (n->rand, 0, RETRY_MS);
     }
-  g_free (p);
 }
 
 static void
@@ -119,6 +118,7 @@
 {
   struct reply *p = g_new0 (struct reply, 1);
 
+  g_ptr_array_add (r->notes, p);
   p->node = n;
   p->life = n->life;
   p->revision = revision;
@@ -283,6 +283,7 @@
   bb_sim_on_deliver (r->sim, on_deliver, r);
   r->keys.count = 1;
   memset (r->keys.keys[0].secret, 7, BB_PEER_KEY_BYTES);
+  r->notes = g_ptr_array_new_with_free_func (g_free);
   r->published
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   r->first_accepted = g_array_new (FALSE, FALSE, sizeof (bb_ms));
@@ -310,6 +311,7 @@
       g_rand_free (r->nodes[i].rand);
     }
   bb_sim_free (r->sim);
+  g_ptr_array_free (r->notes, TRUE);
   g_ptr_array_free (r->published, TRUE);
   g_array_free (r->first_accepted, TRUE);
   g_array_free (r->spread_ms, TRUE);
@@ -356,7 +358,6 @@
       r->late++;
   if (r->check_within && r->connected_since + IN_FORCE_MS <= first)
     g_assert_cmpuint (r->late, ==, 0);
-  g_free (c);
 }
 
 static GBytes *
@@ -396,7 +397,10 @@
   if (r->bad_revisions >> (c->revision - 1) & 1)
     g_free (c);
   else
-    bb_sim_at (r->sim, IN_FORCE_MS, on_check, c);
+    {
+      g_ptr_array_add (r->notes, c);
+      bb_sim_at (r->sim, IN_FORCE_MS, on_check, c);
+    }
   if (!r->service_down)
     for (uint32_t i = 0; i < r->o.members; i++)
       if (r->nodes[i].members && r->nodes[i].watching)
--- a/test/harness/member_run.h
+++ b/test/harness/member_run.h
@@ -41,6 +41,7 @@
   struct bb_directory directory;
   struct run_node *nodes;
   struct bb_peer_keys keys;
+  GPtrArray *notes;       /* arguments of events, freed with the run */
   GPtrArray *published;   /* GBytes by revision - 1 */
   GArray *first_accepted; /* bb_ms by revision - 1; -1: not yet */
   GArray *spread_ms;      /* uint32_t: time to in force of each member */
