--- a/bench/incidents.c
+++ b/bench/incidents.c
@@ -238,7 +238,7 @@
           (long long)spent,
           (double)s->sent_bytes + HEAD_BYTES * (double)s->sent,
           (double)s->received_bytes + HEAD_BYTES * (double)s->received,
-          (unsigned long long)(s->sent + s->received));
+          (unsigned long long)s->sent + s->received);
   member_run_free (r);
 }
 
--- a/test/test_acceptance.c
+++ b/test/test_acceptance.c
@@ -13,10 +13,6 @@
   NEWEST = 4
 };
 
-#define KEYS                                                                  \
-  "peer_keys:\n  k: {secret: "                                                \
-  "'0000000000000000000000000000000000000000000000000000000000000001'}\n"
-
 static const char *const base[FILES] = {
   "failure_domains:\n  fd-a: {state: in}\n  fd-b: {state: out}\n",
   "upstreams:\n"
@@ -35,8 +31,8 @@
   "schema: 3\n",
   "schema: 0\n",
   "schema: x\n",
-  KEYS,
-  "schema: 2\n" KEYS,
+  "platform: {vms: {address: '127.0.0.1:9'}}\n",
+  "schema: 2\nplatform: {vms: {address: '127.0.0.1:9'}}\n",
   "entries:\n  e-1: {peer: '127.0.0.1:5'}\n",
   "schema: 2\nentries:\n  e-1: {peer: '127.0.0.1:5'}\n",
   "schema: 3\nentries:\n  e-1: {peer: '127.0.0.1:5'}\n",
