--- /dev/null
+++ b/fake/vmlist/vmlist.c
@@ -0,0 +1,106 @@
+/* fake-vmlist - a stand-in for the platform's list of live and leaving VMs.
+
+   GET /v1/vms lists the VMs that are known, each live or leaving, as they were
+   --lag-ms ago.  POST /control?live=NAME, ?leaving=NAME and ?gone=NAME change
+   the list; a VM bears the name of its process in the settings.  GET /control
+   tells how many calls came.  */
+
+#include "../lib/fake.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LAG_MS,
+  OPTIONS
+};
+
+static struct fake_option options[OPTIONS + 1] = {
+  [LAG_MS] = { "lag-ms", "age of what is listed", 0 },
+};
+
+/* A change that the list does not show yet.  */
+struct change
+{
+  uv_timer_t timer;
+  char *name;
+  const char *state; /* NULL: the VM has gone */
+};
+
+static json_t *vms;
+static uint64_t calls;
+
+static void
+on_closed (uv_handle_t *h)
+{
+  struct change *c = h->data;
+
+  free (c->name);
+  free (c);
+}
+
+static void
+on_due (uv_timer_t *t)
+{
+  struct change *c = t->data;
+
+  if (c->state)
+    json_object_set_new (vms, c->name, json_string (c->state));
+  else
+    json_object_del (vms, c->name);
+  uv_close ((uv_handle_t *)t, on_closed);
+}
+
+static void
+change (const char *name, const char *state)
+{
+  struct change *c = calloc (1, sizeof *c);
+
+  c->name = strdup (name);
+  c->state = state;
+  uv_timer_init (uv_default_loop (), &c->timer);
+  c->timer.data = c;
+  uv_timer_start (&c->timer, on_due, (uint64_t)options[LAG_MS].value, 0);
+}
+
+static void
+control (struct bb_http_request *r, const char *path)
+{
+  static const char live[] = "/control?live=";
+  static const char leaving[] = "/control?leaving=";
+  static const char gone[] = "/control?gone=";
+
+  if (strncmp (path, live, strlen (live)) == 0)
+    change (path + strlen (live), "live");
+  else if (strncmp (path, leaving, strlen (leaving)) == 0)
+    change (path + strlen (leaving), "leaving");
+  else if (strncmp (path, gone, strlen (gone)) == 0)
+    change (path + strlen (gone), NULL);
+  fake_respond_json (r, 200, json_pack ("{s:I}", "calls", (json_int_t)calls));
+}
+
+static void
+on_request (struct bb_http_request *r, void *arg)
+{
+  char *path = strndup (r->path.ptr, r->path.size);
+
+  (void)arg;
+  if (strncmp (path, "/control", strlen ("/control")) == 0)
+    control (r, path);
+  else if (strcmp (path, "/v1/vms") == 0)
+    {
+      calls++;
+      fake_respond_json (r, 200, json_pack ("{s:O}", "vms", vms));
+    }
+  else
+    fake_respond_text (r, 404, "not known\n");
+  free (path);
+}
+
+int
+main (int argc, char **argv)
+{
+  vms = json_object ();
+  return fake_main (argc, argv, options, on_request, NULL);
+}
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -95,7 +95,7 @@
 
 /* Services of the platform; the item 'configuration' names the configuration
  * service, and with it the folder is used only until a first revision is in
- * force.  */
+ * force; the item 'vms' names the list of live VMs.  */
 struct bb_platform_settings
 {
   char *name;
--- a/libdaemon/config.c
+++ b/libdaemon/config.c
@@ -2,15 +2,26 @@
 
 #include "internal.h"
 
+#include <string.h>
+
 static const struct source_ops *source;
 
+const char *
+config_platform (const struct bb_settings *s, const char *name)
+{
+  for (uint32_t i = 0; i < s->platform_count; i++)
+    if (strcmp (s->platform[i].name, name) == 0)
+      return s->platform[i].address;
+  return NULL;
+}
+
 bool
 config_open (struct bb_daemon *d)
 {
   if (!folder_load_first (d) || !gossip_open (d))
     return false;
   source = service_is_configured (d) ? &service_source : &folder_source;
-  if (!source->open (d))
+  if (!source->open (d) || !vms_open (d))
     return false;
   if (d->revision == 0)
     bb_log (BB_LOG_INFO, d->ops->part,
--- a/libdaemon/gossip.c
+++ b/libdaemon/gossip.c
@@ -306,6 +306,23 @@
   bb_members_set_directory (d->members, &g->directory);
 }
 
+void
+gossip_compare (struct bb_daemon *d, enum bb_role role, const char *name,
+                bool listed)
+{
+  uint64_t id = bb_peer_id (role, name);
+  uint32_t i = bb_directory_find (&gossip.directory, id);
+  enum bb_member_status s;
+
+  if (i == BB_MEMBER_NONE)
+    return;
+  s = bb_members_status (d->members, i);
+  if (listed == (s == BB_MEMBER_STATUS_ALIVE || s == BB_MEMBER_STATUS_SUSPECT))
+    return;
+  bb_counter ("bilberry_vms_hints_total", "")->value++;
+  bb_members_hint (d->members, id);
+}
+
 void
 gossip_leave (struct bb_daemon *d)
 {
--- a/libdaemon/internal.h
+++ b/libdaemon/internal.h
@@ -34,6 +34,12 @@
 bool config_open (struct bb_daemon *d);
 const char *config_source_name (void);
 
+/* Finds the address of the platform's service NAME; NULL for none.  */
+const char *config_platform (const struct bb_settings *s, const char *name);
+
+/* vms.c */
+bool vms_open (struct bb_daemon *d);
+
 /* folder.c */
 bool folder_load_first (struct bb_daemon *d);
 
@@ -60,6 +66,10 @@
 
 /* Makes peers and keys fit the settings in force.  */
 void gossip_update (struct bb_daemon *d);
+/* Compares what the VM list says of a member with what gossip says; where they
+   differ the member is probed next.  */
+void gossip_compare (struct bb_daemon *d, enum bb_role role, const char *name,
+                     bool listed);
 void gossip_leave (struct bb_daemon *d);
 void gossip_status (struct bb_daemon *d, json_t *out);
 
--- a/libdaemon/service.c
+++ b/libdaemon/service.c
@@ -320,25 +320,16 @@
   call (s, WATCH, path);
 }
 
-static const char *
-service_address (const struct bb_settings *settings)
-{
-  for (uint32_t i = 0; i < settings->platform_count; i++)
-    if (strcmp (settings->platform[i].name, "configuration") == 0)
-      return settings->platform[i].address;
-  return NULL;
-}
-
 bool
 service_is_configured (const struct bb_daemon *d)
 {
-  return service_address (d->settings) != NULL;
+  return config_platform (d->settings, "configuration") != NULL;
 }
 
 static bool
 service_open (struct bb_daemon *d)
 {
-  const char *address = service_address (d->settings);
+  const char *address = config_platform (d->settings, "configuration");
   struct sockaddr_storage addr;
   struct service *s = &service;
 
--- a/libmember/internal.h
+++ b/libmember/internal.h
@@ -5,7 +5,7 @@
 
 enum
 {
-  UPDATES_MAX = 256,
+  UPDATES_MAX = 1024,
   UPDATES_PER_MESSAGE = 8,
   RELAYS_MAX = 16,
   HISTORY = 4,
--- a/test/harness/fleet.c
+++ b/test/harness/fleet.c
@@ -234,8 +234,11 @@
   copy_settings (f);
   snprintf (path, sizeof path, "%s/06-platform.yaml", f->start_dir);
   out = fopen (path, "w");
-  fprintf (out, "platform:\n  configuration: {address: '127.0.0.1:%u'}\n",
-           f->service_port);
+  f->vms_port = harness_port (f->h);
+  fprintf (out,
+           "platform:\n  configuration: {address: '127.0.0.1:%u'}\n"
+           "  vms: {address: '127.0.0.1:%u'}\n",
+           f->service_port, f->vms_port);
   fclose (out);
 }
 
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -42,6 +42,7 @@
   char start_dir[128];   /* folder that processes start with; "": settings */
   uint16_t service_port; /* of the configuration service */
   pid_t service;
+  uint16_t vms_port; /* of the VM list */
 };
 
 /* The bearer header line of the customer "customer-1".  */
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -214,6 +214,57 @@
   fleet_free (&f);
 }
 
+static void
+list_vm (const struct fleet *f, const char *change, const char *name)
+{
+  char *path = g_strdup_printf ("/control?%s=%s", change, name);
+  struct answer a = harness_http (f->vms_port, "POST", path, "", "");
+
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  g_free (path);
+}
+
+/* The VM list lags: it says that a live VM has gone.  The member is probed,
+   answers and stays.  */
+static void
+test_vm_list (void)
+{
+  struct fleet f;
+  char address[32];
+  char live[64];
+
+  fleet_up (&f);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", f.vms_port);
+  harness_start (f.h, "vmlist", "fake-vmlist", "--address", address,
+                 "--lag-ms", "50", (char *)NULL);
+  for (uint32_t i = 1; i < f.upstreams_count; i++)
+    list_vm (&f, "live", f.upstreams[i].name);
+  for (uint32_t i = 0; i < f.entries_count; i++)
+    list_vm (&f, "leaving", f.entries[i].name);
+  for (int spent = 0; spent < IN_FORCE_MS; spent += 100)
+    {
+      if (sum_counter (&f, "bilberry_vms_hints_total", "") > 0)
+        break;
+      harness_sleep_ms (100);
+    }
+  g_assert_cmpuint (sum_counter (&f, "bilberry_vms_hints_total", ""), >, 0);
+  g_snprintf (live, sizeof live, "\"members_live\": %u",
+              f.upstreams_count + f.entries_count);
+  assert_stays (&f, live);
+  harness_signal (f.h, f.upstreams[0].agent, SIGKILL);
+  harness_wait (f.h, f.upstreams[0].agent);
+  g_snprintf (live, sizeof live, "\"members_live\": %u",
+              f.upstreams_count + f.entries_count - 1);
+  g_assert_true (harness_await (f.entries[0].operator_port, "/status", live,
+                                IN_FORCE_MS));
+  fleet_start_agent (&f, &f.upstreams[0]);
+  g_snprintf (live, sizeof live, "\"members_live\": %u",
+              f.upstreams_count + f.entries_count);
+  assert_all (&f, live);
+  fleet_free (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -223,5 +274,6 @@
   g_test_add_func ("/config/stale-service", test_stale_service);
   g_test_add_func ("/config/frozen", test_frozen);
   g_test_add_func ("/config/key-rotation", test_key_rotation);
+  g_test_add_func ("/config/vm-list", test_vm_list);
   return g_test_run ();
 }
