--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,16 @@
 	-fno-sanitize-recover=undefined
 endif
 
+# `make fuzz` builds the targets of fuzz/ with libFuzzer and runs each.
+FUZZ_S = 20
+ifdef FUZZ
+B = build-fuzz
+CC = clang
+OPT = -O1
+SANFLAGS = -fsanitize=address,undefined,fuzzer-no-link \
+	-fno-omit-frame-pointer -fno-sanitize-recover=undefined
+endif
+
 # `make MUTANT=name` removes one guard, so that its test can be seen to fail.
 MUTANT_FLAGS =
 ifdef MUTANT
@@ -44,6 +54,7 @@
 PROGRAMS := $(foreach c,$(CMDS),$(call program,$(c))) \
 	$(FAKES:%=$(B)/fake-%)
 TEST_PROGRAMS := $(TESTS:%=$(B)/test/%)
+FUZZERS := $(patsubst fuzz/%.c,%,$(wildcard fuzz/*.c))
 BENCH_PROGRAMS := $(BENCHES:%=$(B)/bench/%)
 HARNESS := $(call objects,test/harness)
 
@@ -89,6 +100,17 @@
 $(B)/demo: $(B)/obj/test/demo.o $(HARNESS) $(B)/libbilberry.a
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(B)/fuzz/%: $(B)/obj/fuzz/%.o $(B)/libbilberry.a
+	@mkdir -p $(dir $@)
+	$(Q)$(CC) $(CFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
+
+fuzz: need-deps
+	$(MAKE) FUZZ=1 fuzz-built
+
+fuzz-built: $(FUZZERS:%=$(B)/fuzz/%)
+	set -e; for f in $^; do $$f -seed=1 -max_total_time=$(FUZZ_S) \
+		-verbosity=0 -print_final_stats=1; done
+
 # Every test program, one after the other; the last line sums up.
 check: need-deps
 	$(MAKE) check-built
@@ -137,7 +159,7 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all deps need-deps check check-built demo run bench lint proof \
+.PHONY: all deps need-deps check check-built fuzz fuzz-built demo run bench lint proof \
 	generate generated-check clean
 .SECONDARY:
 
--- /dev/null
+++ b/fuzz/member.c
@@ -0,0 +1,111 @@
+/* Fuzz target: what a member that holds a revision makes of any message from a
+   peer with a key, and of any datagram.  The first byte chooses.  */
+
+#include "bilberry/member.h"
+
+#include <string.h>
+
+enum
+{
+  PEERS = 3,
+  BODY_MAX_BYTES = 1400
+};
+
+/* libFuzzer fixes the name.  */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size); // NOLINT
+
+static struct bb_peer peers[PEERS];
+static struct bb_directory directory = { .peers = peers, .count = PEERS };
+static struct bb_peer_keys keys = { .count = 1 };
+static struct bb_members *member;
+static GRand *source;
+static uint64_t in_force;
+static uint64_t sequence;
+
+static void
+on_send (void *user, uint32_t to, const void *data, size_t size)
+{
+  (void)user;
+  (void)to;
+  (void)data;
+  g_assert_cmpuint (size, <=, BB_DATAGRAM_MAX_BYTES);
+}
+
+static bool
+on_accept (void *user, const struct bb_blob *b)
+{
+  (void)user;
+  g_assert_cmpuint (b->revision, >, in_force);
+  in_force = b->revision;
+  return true;
+}
+
+static void
+start (void)
+{
+  static const struct bb_member_ops ops
+      = { .send = on_send, .accept = on_accept };
+  struct bb_member_options o
+      = { .incarnation = 7, .directory = &directory, .ops = &ops };
+
+  for (uint32_t i = 0; i < PEERS; i++)
+    peers[i].id = i + 1;
+  source = g_sourcenew_with_seed (1);
+  o.self = peers[0].id;
+  o.keys = keys;
+  o.rand = source;
+  member = bb_members_new (&o);
+  bb_members_tick (member, 1);
+  bb_members_offer (member, 5000, 5, "five", 4);
+}
+
+/* Seals BODY as peer 2 would.  */
+static void
+give_sealed (const uint8_t *body, size_t size)
+{
+  struct bb_signer *g = bb_signer_new (&keys);
+  struct bb_sealed s = { .from = peers[1].id,
+                         .incarnation = 9,
+                         .to_incarnation = 7,
+                         .sequence = ++sequence };
+  msgpack_sbuffer out;
+
+  s.body.ptr = (const char *)body;
+  s.body.size = (uint32_t)MIN (size, (size_t)BODY_MAX_BYTES);
+  msgpack_sbuffer_init (&out);
+  bb_seal (&out, &s, g);
+  bb_members_receive (member, 6000, out.data, out.size);
+  msgpack_sbuffer_destroy (&out);
+  bb_signer_free (g);
+}
+
+/* Frames DATA, so that the fuzzer need not find the length.  */
+static void
+give_framed (const uint8_t *data, size_t size)
+{
+  uint8_t body[BODY_MAX_BYTES];
+  size_t n = MIN (size, sizeof body - BB_FRAME_HEAD_BYTES);
+
+  for (uint32_t i = 0; i < BB_FRAME_HEAD_BYTES; i++)
+    body[i] = (uint8_t)(n >> (8 * (BB_FRAME_HEAD_BYTES - 1 - i)));
+  memcpy (body + BB_FRAME_HEAD_BYTES, data, n);
+  give_sealed (body, n + BB_FRAME_HEAD_BYTES);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size) // NOLINT
+{
+  if (size < 2)
+    return 0;
+  start ();
+  if (data[0] & 1)
+    give_framed (data + 1, size - 1);
+  else
+    bb_members_receive (member, 6000, data + 1, size - 1);
+  bb_members_tick (member, 6100);
+  g_assert_cmpuint (bb_members_in_force (member)->revision, >=, 5);
+  bb_members_free (member);
+  g_sourcefree (source);
+  in_force = 0;
+  return 0;
+}
