--- a/fuzz/member.c
+++ b/fuzz/member.c
@@ -50,7 +50,7 @@
 
   for (uint32_t i = 0; i < PEERS; i++)
     peers[i].id = i + 1;
-  source = g_sourcenew_with_seed (1);
+  source = g_rand_new_with_seed (1);
   o.self = peers[0].id;
   o.keys = keys;
   o.rand = source;
@@ -105,7 +105,7 @@
   bb_members_tick (member, 6100);
   g_assert_cmpuint (bb_members_in_force (member)->revision, >=, 5);
   bb_members_free (member);
-  g_sourcefree (source);
+  g_rand_free (source);
   in_force = 0;
   return 0;
 }
