--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -18,6 +18,13 @@
   BB_FAILURE_DOMAIN_STATE_OUT,
 };
 
+enum bb_upstream_resume
+{
+  BB_UPSTREAM_RESUME_NONE,
+  BB_UPSTREAM_RESUME_RESTART,
+  BB_UPSTREAM_RESUME_CONTINUE,
+};
+
 enum bb_upstream_state
 {
   BB_UPSTREAM_STATE_IN,
@@ -50,6 +57,11 @@
   uint32_t limit;
   uint32_t cold_limit;
   uint32_t queue;
+  uint32_t resume;
+  uint32_t keys_max;
+  uint32_t keys_max_bytes;
+  uint32_t key_retention_ms;
+  uint32_t key_skew_ms;
   uint32_t state;
 };
 
@@ -102,9 +114,12 @@
   char *address;
 };
 
+struct bb_settings_index;
+
 /* All settings, bound and checked.  */
 struct bb_settings
 {
+  struct bb_settings_index *index;
   struct bb_failure_domain_settings *failure_domains;
   uint32_t failure_domains_count;
   struct bb_upstream_settings *upstreams;
--- a/libdaemon/config.c
+++ b/libdaemon/config.c
@@ -36,3 +36,10 @@
 {
   return source ? source->name : "none";
 }
+
+void
+bb_daemon_refresh (struct bb_daemon *d)
+{
+  if (source->refresh)
+    source->refresh (d);
+}
--- a/libdaemon/folder.c
+++ b/libdaemon/folder.c
@@ -99,4 +99,4 @@
 }
 
 const struct source_ops folder_source
-    = { .name = "folder", .open = folder_open };
+    = { .name = "folder", .open = folder_open, .refresh = read_again };
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -40,11 +40,34 @@
   abort ();
 }
 
+/* The harness of this process, for the case that a test aborts.  */
+static struct harness *current;
+
+static void
+kill_processes (const struct harness *h)
+{
+  for (uint32_t i = 0; i < h->processes_count; i++)
+    if (h->processes[i] > 0)
+      kill (h->processes[i], SIGKILL);
+}
+
+static void
+on_abort (int number)
+{
+  if (current)
+    kill_processes (current);
+  signal (number, SIG_DFL);
+  raise (number);
+}
+
 struct harness *
 harness_new (const char *build)
 {
   struct harness *h = calloc (1, sizeof *h);
 
+  current = h;
+  signal (SIGABRT, on_abort);
+
   signal (SIGPIPE, SIG_IGN);
   snprintf (h->build, sizeof h->build, "%s", build);
   snprintf (h->dir, sizeof h->dir, "/tmp/bilberry-XXXXXX");
@@ -69,12 +92,12 @@
 void
 harness_free (struct harness *h)
 {
+  current = NULL;
+  kill_processes (h);
   for (uint32_t i = 0; i < h->processes_count; i++)
     {
       if (h->processes[i] == 0)
         continue;
-      kill (h->processes[i], SIGCONT);
-      kill (h->processes[i], SIGKILL);
       waitpid (h->processes[i], NULL, 0);
     }
   for (uint32_t i = 0; i < h->ports_count; i++)
@@ -107,27 +130,49 @@
   return ntohs (addr.sin_port);
 }
 
+char *
+harness_make_dir (struct harness *h, const char *name)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "%s/%s", h->dir, name);
+  if (mkdir (path, 0755) < 0)
+    fail (path);
+  return strdup (path);
+}
+
 void
-harness_write (struct harness *h, const char *name, const char *format, ...)
+harness_write_in (const char *dir, const char *name, const char *text)
 {
   char path[256];
   char next[256];
   FILE *out;
-  va_list ap;
 
-  snprintf (path, sizeof path, "%s/%s", h->config, name);
-  snprintf (next, sizeof next, "%s/.%s.next", h->config, name);
+  snprintf (path, sizeof path, "%s/%s", dir, name);
+  snprintf (next, sizeof next, "%s/.%s.next", dir, name);
   out = fopen (next, "w");
   if (!out)
     fail (next);
-  va_start (ap, format);
-  vfprintf (out, format, ap);
-  va_end (ap);
+  fputs (text, out);
   fclose (out);
   if (rename (next, path) < 0)
     fail (path);
 }
 
+void
+harness_write (struct harness *h, const char *name, const char *format, ...)
+{
+  char *text = NULL;
+  va_list ap;
+
+  va_start (ap, format);
+  if (vasprintf (&text, format, ap) < 0)
+    fail ("vasprintf");
+  va_end (ap);
+  harness_write_in (h->config, name, text);
+  free (text);
+}
+
 static void
 exec_child (const struct harness *h, const char *log, const char *program,
             char **argv, int out)
