Tell one random member's state where a message has room

Cause: a member that misses all transmissions of an update finds out only by a probe of its own, once in as many seconds as there are members.

--- a/libmember/update.c
+++ b/libmember/update.c
@@ -46,6 +46,29 @@
   u->status = p->status;
 }
 
+/* Adds what is believed of a random member that is not as all were at the
+   start.  So a member that missed an update hears of it later.  */
+static void
+fill_known (struct bb_members *m, struct bb_gossip *g)
+{
+  enum
+  {
+    TRIES = 8
+  };
+
+  for (uint32_t n = 0; n < TRIES; n++)
+    {
+      uint32_t i = (uint32_t)g_rand_int_range (m->rand, 0,
+                                               (gint32)m->directory->count);
+      const struct member *p = &m->members[i];
+      if (i == m->self
+          || (p->status == BB_MEMBER_STATUS_ALIVE && p->counter == 0))
+        continue;
+      describe (m, i, &g->updates[g->updates_count++]);
+      return;
+    }
+}
+
 /* Moves the slot at the end of the newest to the back once it is told.  */
 void
 fill_updates (struct bb_members *m, struct bb_gossip *g)
@@ -68,6 +91,8 @@
       if (n + 1 >= m->updates_count)
         break;
     }
+  if (g->updates_count < UPDATES_PER_MESSAGE)
+    fill_known (m, g);
 }
 
 void
