--- /dev/null
+++ b/bench/map_switch.c
@@ -0,0 +1,160 @@
+/* map_switch - messages, bytes and processor time of one switch of maps
+   against the number of ranks, without faults.  */
+
+#include "bilberry/map.h"
+#include "bilberry/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RANKS_MAX = 256,
+  LAYERS = 60,
+  SLOTS = 2,
+  ROUNDS_MAX = 10000,
+  SWITCHES = 10
+};
+
+/* A group whose messages are delivered in the order in which they are sent. */
+struct group
+{
+  uint32_t ranks;
+  struct bb_switch agents[RANKS_MAX];
+  GQueue queue;
+  uint64_t messages;
+  uint64_t bytes;       /* without maps */
+  uint64_t coordinator; /* of those, sent by rank 0 */
+  uint64_t prepares;
+  bb_ms now;
+};
+
+static void
+send_out (struct group *g, uint32_t from, struct bb_switch_out *out)
+{
+  msgpack_sbuffer buf;
+
+  for (uint32_t i = 0; i < out->count; i++)
+    {
+      struct bb_map_switch *m = &out->messages[i];
+      msgpack_sbuffer_init (&buf);
+      m->group = bb_bytes_of ("group-1");
+      bb_put_map_switch (&buf, m);
+      g->messages++;
+      g->bytes += buf.size;
+      g->coordinator += from == 0 ? buf.size : 0;
+      g->prepares += m->type == BB_SWITCH_PREPARE;
+      msgpack_sbuffer_destroy (&buf);
+      g_queue_push_tail (&g->queue, g_memdup2 (m, sizeof *m));
+    }
+  if (out->load_hash != 0)
+    {
+      struct bb_switch_out more = { 0 };
+      bb_switch_loaded (&g->agents[from], out->load_hash, g->now, &more);
+      send_out (g, from, &more);
+    }
+  bb_switch_out_clear (out);
+}
+
+static void
+deliver (struct group *g)
+{
+  struct bb_map_switch *m;
+
+  while ((m = g_queue_pop_head (&g->queue)))
+    {
+      struct bb_switch_out out = { 0 };
+      uint32_t to = m->to;
+      bb_switch_receive (&g->agents[to], m, g->now, &out);
+      g_free (m);
+      send_out (g, to, &out);
+    }
+}
+
+static bool
+is_settled (const struct group *g)
+{
+  for (uint32_t i = 0; i < g->ranks; i++)
+    if (!bb_switch_is_settled (&g->agents[i]))
+      return false;
+  return true;
+}
+
+static void
+settle (struct group *g)
+{
+  for (uint32_t round = 0; round < ROUNDS_MAX && !is_settled (g); round++)
+    {
+      g->now += BB_SWITCH_TICK_MS;
+      for (uint32_t i = 0; i < g->ranks; i++)
+        {
+          struct bb_switch_out out = { 0 };
+          bb_switch_tick (&g->agents[i], g->now, &out);
+          send_out (g, i, &out);
+        }
+      deliver (g);
+    }
+  for (uint32_t i = 0; i < g->ranks; i++)
+    g->agents[i].memory.started = g->agents[i].memory.accepted.from_step;
+}
+
+static void
+measure (uint32_t ranks, FILE *csv)
+{
+  struct group *g = g_new0 (struct group, 1);
+  struct bb_map_size size
+      = { .layers = LAYERS, .experts = ranks, .ranks = ranks, .slots = SLOTS };
+  struct bb_map *map = bb_map_new (&size);
+  size_t map_bytes = 0;
+  gint64 spent;
+
+  g_free (bb_map_pack (map, &map_bytes));
+  g->ranks = ranks;
+  for (uint32_t i = 0; i < ranks; i++)
+    bb_switch_init (&g->agents[i], ranks, i, i + 1, 7);
+  settle (g);
+  g->messages = g->bytes = g->coordinator = g->prepares = 0;
+  spent = g_get_monotonic_time ();
+  for (uint32_t n = 0; n < SWITCHES; n++)
+    {
+      struct bb_switch_out out = { 0 };
+      bb_switch_propose (&g->agents[0], 100 + n, g->now, &out);
+      send_out (g, 0, &out);
+      deliver (g);
+      settle (g);
+    }
+  spent = g_get_monotonic_time () - spent;
+  printf ("%6u %9.0f %9.1f %12.1f %9.1f %14.1f %9.1f\n", ranks,
+          (double)g->messages / SWITCHES, (double)g->bytes / SWITCHES / 1e3,
+          (double)g->coordinator / SWITCHES / 1e3, (double)map_bytes / 1e3,
+          (double)map_bytes * (double)g->prepares / SWITCHES / 1e3,
+          (double)spent / SWITCHES / 1e3);
+  fprintf (csv, "%u,%.0f,%.0f,%.0f,%zu,%.3f\n", ranks,
+           (double)g->messages / SWITCHES, (double)g->bytes / SWITCHES,
+           (double)g->coordinator / SWITCHES, map_bytes,
+           (double)spent / SWITCHES / 1e3);
+  for (uint32_t i = 0; i < ranks; i++)
+    bb_switch_free (&g->agents[i]);
+  bb_map_free (map);
+  g_free (g);
+}
+
+int
+main (void)
+{
+  static const uint32_t ranks[] = { 8, 16, 32, 64, 128, 256 };
+  const char *dir = g_getenv ("BILBERRY_REPORT");
+  char *path = g_build_filename (dir ? dir : ".", "map-switch.csv", NULL);
+  FILE *csv = fopen (path, "w");
+
+  if (!csv)
+    g_error ("cannot write %s", path);
+  fprintf (csv, "ranks,messages,bytes,coordinator_bytes,map_bytes,cpu_ms\n");
+  printf ("%6s %9s %9s %12s %9s %14s %9s\n", "ranks", "messages", "KB",
+          "lead-sent-KB", "map-KB", "maps-sent-KB", "cpu-ms");
+  for (size_t i = 0; i < sizeof ranks / sizeof *ranks; i++)
+    measure (ranks[i], csv);
+  fclose (csv);
+  g_free (path);
+  return 0;
+}
--- a/libmap/switch.c
+++ b/libmap/switch.c
@@ -202,14 +202,16 @@
            struct bb_switch_out *out)
 {
   struct bb_switch_peer *p = &s->peers[m->from];
+  bool ends = false;
 
   if (p->incarnation == m->from_incarnation)
     return;
   p->incarnation = m->from_incarnation;
 #ifndef BB_MUTANT_switch_incarnation
-  if (s->phase != BB_SWITCH_IDLE)
-    lead_start (s, now, out);
+  ends = s->phase != BB_SWITCH_IDLE;
 #endif
+  if (ends)
+    lead_start (s, now, out);
 }
 
 /* Whether M is of the ballot that this incarnation has promised.  */
