--- a/cmd/agent/rank_engine.c
+++ b/cmd/agent/rank_engine.c
@@ -121,7 +121,7 @@
   q->hash = hash;
   q->body = g_string_new ("");
   bb_http_client_send (r->engine, bb_bytes_of (method), bb_bytes_of (path),
-                       NULL, 0, bb_bytes_of (body), &ops, q);
+                       NULL, 0, bb_bytes_of (body ? body : ""), &ops, q);
 }
 
 void
--- a/fake/rank/rank.c
+++ b/fake/rank/rank.c
@@ -205,7 +205,7 @@
         continue;
       p->polling = true;
       bb_http_client_send (p->client, bb_bytes_of ("GET"),
-                           bb_bytes_of ("/step"), NULL, 0, bb_bytes_of (NULL),
+                           bb_bytes_of ("/step"), NULL, 0, bb_bytes_of (""),
                            &ops, p);
     }
 }
