--- a/cmd/agent/rank.c
+++ b/cmd/agent/rank.c
@@ -322,10 +322,12 @@
 
   json_object_set_new (
       out, "map",
-      json_pack ("{s:s, s:i, s:I, s:b, s:I, s:I, s:s, s:I}", "group", r->group,
-                 "rank", (int)r->self, "id", (json_int_t)m->accepted.id,
-                 "decided", m->decided, "from_step",
-                 (json_int_t)m->accepted.from_step, "started",
+      json_pack ("{s:s, s:i, s:I, s:b, s:I, s:I, s:s, s:I, s:f, s:f, s:f}",
+                 "group", r->group, "rank", (int)r->self, "id",
+                 (json_int_t)m->accepted.id, "decided", m->decided,
+                 "from_step", (json_int_t)m->accepted.from_step, "started",
                  (json_int_t)m->started, "phase", phases[r->sw.phase],
-                 "refused_orders", (json_int_t)r->refused_orders));
+                 "refused_orders", (json_int_t)r->refused_orders, "skew",
+                 r->planned.skew_before, "skew_planned", r->planned.skew_after,
+                 "skew_bound", r->planned.skew_bound));
 }
--- a/cmd/agent/rank.h
+++ b/cmd/agent/rank.h
@@ -57,6 +57,7 @@
   struct bb_planning *planning; /* NULL: no plan is under way */
   double *planning_load;
   struct bb_map *planning_present;
+  struct bb_plan planned;  /* the last plan that ended here */
   uint64_t refused_orders; /* the engine's fence held */
   /* rank_link.c */
   struct bb_listener *listener;
--- a/cmd/agent/rank_link.c
+++ b/cmd/agent/rank_link.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+enum
+{
+  BACKLOG_MAX_BYTES = 1024 * 1024 /* the switch sends again what is dropped */
+};
+
 static void
 on_link_open (struct bb_conn *c)
 {
@@ -67,7 +72,7 @@
   void *data = NULL;
   size_t size = 0;
 
-  if (!link->open)
+  if (!link->open || bb_conn_backlog_bytes (link->conn) > BACKLOG_MAX_BYTES)
     return;
   m->group = bb_bytes_of (r->group);
   if (m->type == BB_SWITCH_LEAD)
--- a/cmd/agent/rank_plan.c
+++ b/cmd/agent/rank_plan.c
@@ -88,6 +88,7 @@
     return;
   next = bb_map_copy (r->planning_present);
   p = bb_planning_end (r->planning, next);
+  r->planned = p;
   if (p.worthwhile && plan_is_fresh (r))
     propose (r, &p, next);
   else
--- a/test/test_map_group.c
+++ b/test/test_map_group.c
@@ -302,6 +302,7 @@
   start_group (&g, "0");
   assert_goes_on (&g);
   await_changes (&g, 2);
+  g_assert_true (phase_is (&g, 0, "\"skew\": 1."));
   for (size_t i = 0; i < G_N_ELEMENTS (phases); i++)
     kill_in_phase (&g, &phases[i]);
   await_changes (&g, 1);
