--- a/cmd/agent/rank.h
+++ b/cmd/agent/rank.h
@@ -98,6 +98,12 @@
 void engine_load (struct rank *r, uint64_t hash);
 void engine_count (struct rank *r);
 
+/* rank_turn.c */
+
+/* Whether the group may move weights at the time of day WALL_MS: the groups
+   of a pool take turns.  */
+bool rank_has_turn (const struct rank *r, bb_ms wall_ms);
+
 /* rank_plan.c */
 void rank_counted (struct rank *r, const char *text);
 /* Goes on with a plan that is under way.  */
--- a/cmd/agent/rank_plan.c
+++ b/cmd/agent/rank_plan.c
@@ -7,7 +7,8 @@
   HORIZON_MS = 600000,
   REFRESH_MS = 60000,
   PAUSE_MS = 50,
-  BUDGET = 400
+  BUDGET = 400,
+  US_PER_MS = 1000
 };
 
 static const double move_ms = 4.4;
@@ -43,12 +44,14 @@
       = { .size = r->size,
           .split = g->split == BB_GROUP_SPLIT_EVEN ? BB_SPLIT_EVEN
                                                    : BB_SPLIT_WEIGHTED };
-  struct bb_plan_cost cost = { .horizon_ms = HORIZON_MS,
-                               .refresh_ms = REFRESH_MS,
-                               .pause_ms = PAUSE_MS,
-                               .move_ms = move_ms,
-                               .moves_max = g->moves_max,
-                               .budget = BUDGET };
+  struct bb_plan_cost cost
+      = { .horizon_ms = HORIZON_MS,
+          .refresh_ms = REFRESH_MS,
+          .pause_ms = PAUSE_MS,
+          .move_ms = move_ms,
+          .moves_max = g->moves_max,
+          .shares_only = !rank_has_turn (r, g_get_real_time () / US_PER_MS),
+          .budget = BUDGET };
 
   r->planning_load = g_new (double, (size_t)r->size.layers * r->size.experts);
   bb_load_estimate_at (r->estimate, bb_clock_now (), r->planning_load);
--- a/include/bilberry/map.h
+++ b/include/bilberry/map.h
@@ -132,6 +132,7 @@
   bb_ms pause_ms;     /* time lost by a switch */
   double move_ms;     /* time lost for each weight moved */
   uint32_t moves_max; /* weights of one switch; 0: no limit */
+  bool shares_only;   /* no weight may move */
   uint32_t budget;    /* candidates for each layer */
 };
 
--- a/libmap/plan.c
+++ b/libmap/plan.c
@@ -74,7 +74,7 @@
 try_fresh (struct trial *t, const struct bb_planner *planner,
            struct bb_map_layer *fresh)
 {
-  if (t->in->speed || t->in->moves_max > 0)
+  if (t->cost->shares_only || t->in->speed || t->in->moves_max > 0)
     return;
   planner->plan (t->in, t->present, 0, fresh);
   relabel (&t->in->size, t->present, fresh, t->tried);
@@ -92,6 +92,8 @@
   copy_layer (&t->in->size, t->next, t->present);
   for (size_t i = 0; i < sizeof budgets / sizeof *budgets; i++)
     {
+      if (t->cost->shares_only && budgets[i] > 0)
+        break;
       bb_planner_local.plan (t->in, t->present, budgets[i], t->tried);
       keep_better (t);
     }
--- a/test/test_map_plan.c
+++ b/test/test_map_plan.c
@@ -207,6 +207,10 @@
   hash = bb_map_hash (next);
   bb_plan (&in, load, &cost, present, next);
   g_assert_cmpuint (bb_map_hash (next), ==, hash);
+  cost.shares_only = true;
+  p = bb_plan (&in, load, &cost, present, next);
+  g_assert_cmpuint (p.moves, ==, 0);
+  cost.shares_only = false;
   cost.moves_max = 40;
   p = bb_plan (&in, load, &cost, present, next);
   g_assert_true (p.worthwhile);
