--- a/cmd/agent/rank.h
+++ b/cmd/agent/rank.h
@@ -35,6 +35,8 @@
   struct bb_conn *conn; /* NULL: to be opened again */
   bool open;
   uint64_t lead_hash; /* of the map that it held when it led last */
+  uint64_t sent_hash; /* of the map that it was sent last */
+  bb_ms sent_at;
 };
 
 struct rank
--- a/cmd/agent/rank_link.c
+++ b/cmd/agent/rank_link.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  BACKLOG_MAX_BYTES = 1024 * 1024 /* the switch sends again what is dropped */
+  BACKLOG_MAX_BYTES = 1024 * 1024, /* the switch sends again what is dropped */
+  MAP_RESEND_MS = 5000
 };
 
 static void
@@ -13,6 +14,7 @@
   struct rank_link *link = bb_conn_user (c);
 
   link->open = true;
+  link->sent_hash = 0;
 }
 
 static void
@@ -64,11 +66,32 @@
              && r->links[m->to].lead_hash != m->value.hash);
 }
 
+/* Returns the map to send with M; NULL for none.  A message that is sent again
+   goes without the map that the peer has just been sent.  */
+static const struct bb_map *
+map_for (struct rank *r, struct rank_link *link, const struct bb_map_switch *m)
+{
+  bb_ms now = bb_clock_now ();
+  const struct bb_map *map;
+
+  if (!carries_map (r, m)
+      || (link->sent_hash == m->value.hash
+          && now < link->sent_at + MAP_RESEND_MS))
+    return NULL;
+  map = rank_map (r, m->value.hash);
+  if (map)
+    {
+      link->sent_hash = m->value.hash;
+      link->sent_at = now;
+    }
+  return map;
+}
+
 void
 rank_send (struct rank *r, struct bb_map_switch *m)
 {
   struct rank_link *link = &r->links[m->to];
-  const struct bb_map *map = NULL;
+  const struct bb_map *map;
   void *data = NULL;
   size_t size = 0;
 
@@ -77,8 +100,7 @@
   m->group = bb_bytes_of (r->group);
   if (m->type == BB_SWITCH_LEAD)
     m->value.hash = r->sw.memory.accepted.hash;
-  if (carries_map (r, m))
-    map = rank_map (r, m->value.hash);
+  map = map_for (r, link, m);
   if (map)
     data = bb_map_pack (map, &size);
   m->map.ptr = data;
