Refuse bad input at the entry with a problem body and a counter

Cause, each seen red first by test_input against the programs of: a header of 20,000 bytes, a long path, method or idempotency key did not fit the message to the agent, which took the frame for malformed and closed the link; the caller saw 502 and every other request on that link was lost with it. Bad JSON went on to the engine. Answers that h2o gives by itself (broken chunk, body over the hard limit) were plain text and counted nowhere, and answers carried two Date headers. A slow sender's connection closed without a word, and a stream to a caller that does not read grew without bound.

Change: the entry refuses heads that a message does not hold (limits now come from the schema) and completions that are not JSON with a prompt. A filter gives h2o's own answers the problem body. A head that h2o cannot parse, or with over 100 headers, is still answered by its fixed text with status 400; it is counted, but its body cannot be replaced.

A first try read the socket of h2o in the close callback; the address sanitizer showed a use after free there; it is read in on_close now.

All seven tests of test_input pass, also with SAN=1.

--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -81,7 +81,7 @@
 /* input.c */
 
 /* Finds the customer that the bearer key names; NULL and a verdict where
-   there is none.  */
+   there is none, or where the head is larger than an agent takes.  */
 const struct bb_customer_settings *
 input_customer (const struct bb_settings *s, const struct bb_http_request *r,
                 struct bb_verdict *v);
@@ -106,6 +106,10 @@
 /* Refuses a request for good: status, problem body, counter.  */
 void problem_respond (struct bb_http_request *r, const struct bb_verdict *v);
 
+/* Counts a request that the server refuses with STATUS before it is read
+   whole, and returns its problem body.  */
+char *problem_of_fault (uint16_t status, void *arg);
+
 /* Ends an event stream that cannot be made whole by an error event.  */
 void problem_end_stream (struct bb_http_request *r,
                          const struct bb_verdict *v);
--- a/cmd/entry/input.c
+++ b/cmd/entry/input.c
@@ -3,18 +3,70 @@
 #include "entry.h"
 
 #include <openssl/sha.h>
-#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
 static void
-hex_sha256 (struct bb_bytes key, char hex[65])
+hex_sha256 (struct bb_bytes key, char *hex)
 {
+  static const char digits[] = "0123456789abcdef";
   unsigned char sum[SHA256_DIGEST_LENGTH];
 
   SHA256 ((const unsigned char *)key.ptr, key.size, sum);
   for (uint32_t i = 0; i < sizeof sum; i++)
-    snprintf (hex + 2 * (size_t)i, 3, "%02x", sum[i]);
+    {
+      hex[2 * (size_t)i] = digits[sum[i] >> 4];
+      hex[2 * (size_t)i + 1] = digits[sum[i] & 15];
+    }
+  hex[2 * sizeof sum] = '\0';
+}
+
+/* Whether a message to an agent holds the head of R.  */
+static bool
+head_fits (const struct bb_http_request *r)
+{
+  if (r->headers_overflow || r->path.size > BB_CALL_PATH_MAX_BYTES
+      || r->method.size > BB_CALL_METHOD_MAX_BYTES)
+    return false;
+  for (uint32_t i = 0; i < r->headers_count; i++)
+    if (r->headers[i].name.size > BB_HEADER_NAME_MAX_BYTES
+        || r->headers[i].value.size > BB_HEADER_VALUE_MAX_BYTES)
+      return false;
+  return true;
+}
+
+/* Whether the body of a completion is a JSON object with a prompt.  */
+static bool
+is_completion (struct bb_bytes body)
+{
+  json_t *json = json_loadb (body.ptr, body.size, 0, NULL);
+  bool good = json_is_array (json_object_get (json, "messages"))
+              || json_is_string (json_object_get (json, "prompt"))
+              || json_is_array (json_object_get (json, "prompt"));
+
+  json_decref (json);
+  return good;
+}
+
+static bool
+takes_completion (const struct bb_http_request *r)
+{
+  return bb_bytes_equal (r->method, "POST")
+         && (bb_bytes_equal (r->path, "/v1/chat/completions")
+             || bb_bytes_equal (r->path, "/v1/completions"));
+}
+
+static bool
+is_sound (const struct bb_http_request *r, struct bb_verdict *v)
+{
+  struct bb_bytes key
+      = bb_header_find (r->headers, r->headers_count, "idempotency-key");
+
+  v->reason = BB_REASON_HEAD_TOO_LARGE;
+  if (!head_fits (r))
+    return false;
+  v->reason = BB_REASON_BAD_REQUEST;
+  return key.size <= BB_CALL_KEY_MAX_BYTES;
 }
 
 const struct bb_customer_settings *
@@ -23,10 +75,12 @@
 {
   static const char scheme[] = "Bearer ";
   const struct bb_customer_settings *c;
-  char hex[65];
+  char hex[2 * SHA256_DIGEST_LENGTH + 1];
   struct bb_bytes key
       = bb_header_find (r->headers, r->headers_count, "authorization");
 
+  if (!is_sound (r, v))
+    return NULL;
   v->reason = BB_REASON_NO_KEY;
   if (key.size < sizeof scheme
       || strncasecmp (key.ptr, scheme, sizeof scheme - 1) != 0)
@@ -55,5 +109,10 @@
       v->reason = BB_REASON_BODY_TOO_LARGE;
       return NULL;
     }
+  if (route && takes_completion (r) && !is_completion (r->body))
+    {
+      v->reason = BB_REASON_BAD_REQUEST;
+      return NULL;
+    }
   return route;
 }
--- a/cmd/entry/main.c
+++ b/cmd/entry/main.c
@@ -5,7 +5,8 @@
 enum
 {
   BODY_MAX_BYTES = 16 * 1024 * 1024,
-  READ_TIMEOUT_MS = 10000
+  READ_TIMEOUT_MS = 10000,
+  WRITE_TIMEOUT_MS = 20000
 };
 
 static bool
@@ -14,7 +15,9 @@
   struct entry *e = d->user;
   const struct bb_entry_settings *s = bb_settings_entry (d->settings, d->name);
   struct bb_http_options o = { .body_max_bytes = BODY_MAX_BYTES,
-                               .read_timeout_ms = READ_TIMEOUT_MS };
+                               .read_timeout_ms = READ_TIMEOUT_MS,
+                               .write_timeout_ms = WRITE_TIMEOUT_MS,
+                               .on_fault = problem_of_fault };
   struct sockaddr_storage addr;
   int error = 0;
 
--- a/cmd/entry/problem.c
+++ b/cmd/entry/problem.c
@@ -52,6 +52,21 @@
   free (text);
 }
 
+char *
+problem_of_fault (uint16_t status, void *arg)
+{
+  struct bb_verdict v
+      = { .run = BB_RUN_NOT_RUN, .reason = BB_REASON_BAD_REQUEST };
+
+  (void)arg;
+  if (status == bb_reason_status (BB_REASON_BODY_TOO_LARGE))
+    v.reason = BB_REASON_BODY_TOO_LARGE;
+  else if (status == bb_reason_status (BB_REASON_SLOW_CLIENT))
+    v.reason = BB_REASON_SLOW_CLIENT;
+  bb_count_refusal (v.reason);
+  return print_problem (&v);
+}
+
 void
 problem_end_stream (struct bb_http_request *r, const struct bb_verdict *v)
 {
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  RETRY_AFTER_MS = 1000
+  RETRY_AFTER_MS = 1000,
+  BACKLOG_MAX_BYTES = 256 * 1024 /* of a stream that its caller reads slowly */
 };
 
 static void
@@ -273,6 +274,26 @@
     }
 }
 
+/* Breaks a stream off whose caller does not keep up with it.  */
+static void
+end_slow_client (struct request *q)
+{
+  send_cancel (q);
+  bb_count_refusal (BB_REASON_SLOW_CLIENT);
+  bb_http_abort (q->http);
+  request_end (q);
+}
+
+static void
+write_piece (struct request *q, struct bb_bytes piece)
+{
+  bb_http_write (q->http, piece);
+#ifndef BB_MUTANT_stream_backlog
+  if (bb_http_backlog_bytes (q->http) > BACKLOG_MAX_BYTES)
+    end_slow_client (q);
+#endif
+}
+
 void
 request_on_data (struct entry *e, const struct bb_data *m)
 {
@@ -281,7 +302,7 @@
   if (!q)
     return;
   if (q->streaming)
-    bb_http_write (q->http, m->body);
+    write_piece (q, m->body);
   else
     keep (q, m->body.ptr, m->body.size);
 }
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -59,6 +59,9 @@
                           */
   BB_REASON_CANCELLED,   /* the caller went away */
   BB_REASON_INTERNAL,    /* an internal fault */
+  BB_REASON_HEAD_TOO_LARGE, /* the path or the headers of the request are too
+                               large */
+  BB_REASON_SLOW_CLIENT,    /* the caller is too slow */
   BB_REASON_COUNT
 };
 
@@ -176,6 +179,22 @@
   uint64_t revision;
 };
 
+/* Largest sizes of fields, in bytes, and of lists.  */
+enum
+{
+  BB_HEADER_NAME_MAX_BYTES = 256,
+  BB_HEADER_VALUE_MAX_BYTES = 16384,
+  BB_HELLO_NAME_MAX_BYTES = 128,
+  BB_CALL_CUSTOMER_MAX_BYTES = 128,
+  BB_CALL_METHOD_MAX_BYTES = 32,
+  BB_CALL_PATH_MAX_BYTES = 8192,
+  BB_CALL_HEADERS_MAX = 64,
+  BB_CALL_BODY_MAX_BYTES = 16777216,
+  BB_CALL_KEY_MAX_BYTES = 256,
+  BB_HEAD_HEADERS_MAX = 64,
+  BB_DATA_BODY_MAX_BYTES = 16777216,
+};
+
 enum bb_message_type
 {
   BB_MSG_HELLO = 1,
--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -78,7 +78,12 @@
 struct bb_http_options
 {
   size_t body_max_bytes;
-  bb_ms read_timeout_ms; /* for a request to arrive whole */
+  bb_ms read_timeout_ms;  /* for a request to arrive whole */
+  bb_ms write_timeout_ms; /* for the caller to take a piece; 0: no limit */
+  /* Returns the problem body of an answer with STATUS that the server gives
+     before the handler sees the request: 400 malformed, 408 too slow, 413
+     body too large.  The server frees it.  NULL where nobody asks.  */
+  char *(*on_fault) (uint16_t status, void *arg);
 };
 
 struct bb_http_server *
--- a/libnet/http_server.c
+++ b/libnet/http_server.c
@@ -1,18 +1,12 @@
-#include "bilberry/net.h"
+#include "http_server.h"
 
-#include <h2o.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
-struct bb_http_server
+enum
 {
-  h2o_globalconf_t conf;
-  h2o_context_t ctx;
-  h2o_accept_ctx_t accept;
-  uv_tcp_t tcp;
-  bb_http_handler *handler;
-  void *arg;
-  bool drained;
+  READ_TIMEOUT_BACKSTOP_MS = 5000 /* where http_conn.c does not end it */
 };
 
 /* The answer side of one request.  Lives in the pool of the h2o request.  */
@@ -21,7 +15,8 @@
   h2o_generator_t generator;
   h2o_req_t *req;
   struct bb_http_request *request;
-  char *queued; /* taken from the owner, not yet given to h2o */
+  struct http_conn *conn; /* NULL once it is closed */
+  char *queued;           /* taken from the owner, not yet given to h2o */
   size_t queued_size;
   size_t queued_room;
   char *sending; /* given to h2o */
@@ -47,6 +42,8 @@
 
   if (r->on_gone)
     r->on_gone (r);
+  if (x->conn)
+    http_conn_answered (x->conn);
   free (x->queued);
   free (x->sending);
   free (x);
@@ -76,6 +73,8 @@
   x->queued_size = 0;
   x->queued_room = 0;
   x->busy = true;
+  if (x->conn)
+    x->conn->writing_since = (bb_ms)uv_now (x->conn->tcp.loop);
   if (x->ended)
     {
       state = H2O_SEND_STATE_FINAL;
@@ -93,6 +92,8 @@
   (void)req;
   x->busy = false;
   x->sending_size = 0;
+  if (x->conn)
+    x->conn->writing_since = 0;
   send_queued (x);
 }
 
@@ -127,6 +128,12 @@
     }
 }
 
+bool
+http_is_own_answer (const h2o_req_t *req)
+{
+  return req->_generator && req->_generator->proceed == on_proceed;
+}
+
 static int
 on_request (h2o_handler_t *self, h2o_req_t *req)
 {
@@ -146,21 +153,39 @@
   r->path = bytes_of (req->path);
   r->body = bytes_of (req->entity);
   copy_headers (r, &req->headers);
+  x->conn = http_conn_of (req);
+  if (x->conn)
+    {
+      x->conn->open++;
+      x->conn->requests++;
+    }
   slot = h2o_mem_alloc_shared (&req->pool, sizeof *slot, on_dispose);
   *slot = x;
   s->handler (r, s->arg);
   return 0;
 }
 
+/* Whether h2o adds a header of this name to every answer.  */
+static bool
+is_added_by_h2o (struct bb_bytes name)
+{
+  return (name.size == 4 && strncasecmp (name.ptr, "date", 4) == 0)
+         || (name.size == 6 && strncasecmp (name.ptr, "server", 6) == 0);
+}
+
 static void
 add_headers (h2o_req_t *req, const struct bb_header *headers, uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
     {
-      h2o_iovec_t name
+      h2o_iovec_t name;
+      h2o_iovec_t value;
+      if (is_added_by_h2o (headers[i].name))
+        continue;
+      name
           = h2o_strdup (&req->pool, headers[i].name.ptr, headers[i].name.size);
-      h2o_iovec_t value = h2o_strdup (&req->pool, headers[i].value.ptr,
-                                      headers[i].value.size);
+      value = h2o_strdup (&req->pool, headers[i].value.ptr,
+                          headers[i].value.size);
       h2o_strtolower (name.base, name.len);
       h2o_add_header_by_str (&req->pool, &req->res.headers, name.base,
                              name.len, 0, NULL, value.base, value.len);
@@ -220,8 +245,16 @@
 void
 bb_http_abort (struct bb_http_request *r)
 {
-  r->exchange->aborted = true;
-  send_queued (r->exchange);
+  struct bb_http_exchange *x = r->exchange;
+
+  x->aborted = true;
+  free (x->queued);
+  x->queued = NULL;
+  x->queued_size = 0;
+  x->queued_room = 0;
+  if (x->busy && x->conn)
+    http_conn_shut (x->conn);
+  send_queued (x);
 }
 
 size_t
@@ -230,32 +263,6 @@
   return r->exchange->queued_size + r->exchange->sending_size;
 }
 
-static void
-on_socket_closed (uv_handle_t *h)
-{
-  free (h);
-}
-
-static void
-on_connection (uv_stream_t *server, int status)
-{
-  struct bb_http_server *s = server->data;
-  uv_tcp_t *tcp;
-
-  if (status < 0)
-    return;
-  tcp = calloc (1, sizeof *tcp);
-  uv_tcp_init (server->loop, tcp);
-  if (uv_accept (server, (uv_stream_t *)tcp) < 0)
-    {
-      uv_close ((uv_handle_t *)tcp, on_socket_closed);
-      return;
-    }
-  uv_tcp_nodelay (tcp, 1);
-  h2o_accept (&s->accept,
-              h2o_uv_socket_create ((uv_stream_t *)tcp, on_socket_closed));
-}
-
 static void
 set_up (struct bb_http_server *s, uv_loop_t *loop,
         const struct bb_http_options *o)
@@ -266,11 +273,14 @@
 
   h2o_config_init (&s->conf);
   s->conf.max_request_entity_size = o->body_max_bytes;
-  s->conf.http1.req_timeout = (uint64_t)o->read_timeout_ms;
+  s->conf.http1.req_timeout
+      = (uint64_t)(o->read_timeout_ms + READ_TIMEOUT_BACKSTOP_MS);
   s->conf.server_name = h2o_iovec_init (H2O_STRLIT ("bilberryhook"));
   host = h2o_config_register_host (
       &s->conf, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
   path = h2o_config_register_path (host, "/", 0);
+  http_fault_filter (s, path);
+  http_fault_filter (s, &host->fallback_path);
   h = (struct handler *)h2o_create_handler (path, sizeof *h);
   h->super.on_req = on_request;
   h->server = s;
@@ -292,14 +302,19 @@
 
   s->handler = handler;
   s->arg = arg;
+  s->options = *o;
   set_up (s, loop, o);
   uv_tcp_init (loop, &s->tcp);
   s->tcp.data = s;
   *error = uv_tcp_bind (&s->tcp, (const struct sockaddr *)addr, 0);
   if (*error == 0)
-    *error = uv_listen ((uv_stream_t *)&s->tcp, ACCEPT_QUEUE, on_connection);
+    *error
+        = uv_listen ((uv_stream_t *)&s->tcp, ACCEPT_QUEUE, http_on_connection);
   if (*error == 0)
-    return s;
+    {
+      http_watch_slow (s, loop);
+      return s;
+    }
   uv_close ((uv_handle_t *)&s->tcp, NULL);
   return NULL;
 }
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -52,12 +52,32 @@
 bb_reason_name (uint32_t value)
 {
   static const char *const table[] = {
-    "none",       "bad_request",       "no_key",           "unknown_key",
-    "no_route",   "bad_method",        "body_too_large",   "customer_limit",
-    "queue_full", "cold_start",        "overload",         "no_upstream",
-    "draining",   "stale_incarnation", "upstream_refused", "upstream_failed",
-    "agent_lost", "deadline",          "in_doubt",         "in_progress",
-    "key_reused", "quarantined",       "cancelled",        "internal",
+    "none",
+    "bad_request",
+    "no_key",
+    "unknown_key",
+    "no_route",
+    "bad_method",
+    "body_too_large",
+    "customer_limit",
+    "queue_full",
+    "cold_start",
+    "overload",
+    "no_upstream",
+    "draining",
+    "stale_incarnation",
+    "upstream_refused",
+    "upstream_failed",
+    "agent_lost",
+    "deadline",
+    "in_doubt",
+    "in_progress",
+    "key_reused",
+    "quarantined",
+    "cancelled",
+    "internal",
+    "head_too_large",
+    "slow_client",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -92,6 +112,8 @@
     "the request is quarantined after crashing upstreams",
     "the caller went away",
     "an internal fault",
+    "the path or the headers of the request are too large",
+    "the caller is too slow",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -102,8 +124,8 @@
 bb_reason_status (uint32_t value)
 {
   static uint16_t const table[] = {
-    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503,
-    503, 503, 503, 502, 502, 504, 409, 409, 422, 422, 499, 500,
+    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503, 503,
+    503, 503, 502, 502, 504, 409, 409, 422, 422, 499, 500, 431, 408,
   };
   if (value >= BB_REASON_COUNT)
     return 500;
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -72,6 +72,10 @@
 char *harness_raw (uint16_t port, const char *data, size_t size,
                    int timeout_ms);
 
+/* Sends raw bytes on a new connection that takes few bytes unread, and reads
+   nothing.  Returns the socket.  */
+int harness_send_unread (uint16_t port, const char *data, size_t size);
+
 /* Connects to 127.0.0.1:PORT.  Returns the socket or -1.  */
 int harness_connect (uint16_t port);
 
--- a/test/harness/http.c
+++ b/test/harness/http.c
@@ -72,6 +72,22 @@
   return text;
 }
 
+int
+harness_send_unread (uint16_t port, const char *data, size_t size)
+{
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int room = 4096;
+
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+  if (connect (fd, (struct sockaddr *)&addr, sizeof addr) < 0
+      || !send_all (fd, data, size))
+    abort ();
+  return fd;
+}
+
 /* Decodes chunks in place; false when the last chunk is missing.  */
 static bool
 decode_chunks (char *body, size_t *size)
