Fuzz the decoders and settings in make check; make show read back

Also seen red first: a second document in a file was passed over, a null character cut a name or value short, two customers could share a key, a route could name a pool that no upstream is in, a name longer than a hello holds was taken, and neither the size of a file nor the work that its anchors and aliases cause was bounded.

Nearest names are no longer searched after a hundred faults, each search being as long as the section.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 CMDS := $(patsubst cmd/%/,%,$(wildcard cmd/*/))
 FAKES := $(filter-out lib,$(patsubst fake/%/,%,$(wildcard fake/*/)))
 BENCHES := $(patsubst bench/%.c,%,$(wildcard bench/*.c))
+FUZZ := $(patsubst fuzz/%.c,%,$(wildcard fuzz/*.c))
 TESTS := $(patsubst test/%.c,%,$(wildcard test/test_*.c))
 
 objects = $(patsubst %.c,$(B)/obj/%.o,$(wildcard $(1)/*.c))
@@ -86,6 +87,20 @@
 	@mkdir -p $(dir $@)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+# Fuzz targets and the libraries below them are compiled by clang.
+FUZZ_FLAGS = -std=gnu11 -g -O1 $(WARN) -fsanitize=address
+FUZZ_LIBS := $(patsubst %.c,$(B)/obj-fuzz/%.o,\
+	$(wildcard libbase/*.c libproto/*.c libsettings/*.c))
+
+$(B)/obj-fuzz/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(Q)clang $(CPPFLAGS) $(FUZZ_FLAGS) -fsanitize=fuzzer-no-link -MMD -MP \
+		-c $< -o $@
+
+$(B)/fuzz/%: $(B)/obj-fuzz/fuzz/%.o $(FUZZ_LIBS)
+	@mkdir -p $(dir $@)
+	$(Q)clang $(FUZZ_FLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
+
 $(B)/demo: $(B)/obj/test/demo.o $(HARNESS) $(B)/libbilberry.a
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -93,7 +108,7 @@
 check: need-deps
 	$(MAKE) check-built
 
-check-built: all $(TEST_PROGRAMS)
+check-built: all $(TEST_PROGRAMS) $(FUZZ:%=$(B)/fuzz/%)
 	test/run $(B) $(TEST_PROGRAMS)
 
 demo: need-deps
@@ -134,11 +149,16 @@
 generate:
 	schema/generate .
 
+# Makes the seeds of the fuzz targets again, after a change of the schema.
+seeds:
+	rm -rf fuzz/seeds
+	fuzz/corpus fuzz/seeds
+
 clean:
 	rm -rf build build-*
 
 .PHONY: all deps need-deps check check-built demo run bench lint proof \
-	generate generated-check clean
+	generate generated-check seeds clean
 .SECONDARY:
 
--include $(shell find $(B)/obj -name '*.d' 2>/dev/null)
+-include $(shell find $(B)/obj $(B)/obj-fuzz -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/fuzz/fuzz_message.c
@@ -0,0 +1,67 @@
+/* Feeds any bytes to the frame reader and the decoder of every message.  The
+   first byte chooses whether the rest is a stream of frames, or the fields of
+   the message whose number it is.  */
+
+#include "bilberry/base.h"
+#include "bilberry/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The name that libFuzzer calls.
+   NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+decode (const char *body, size_t size)
+{
+  struct bb_decode_error e = { 0 };
+  struct bb_message m;
+
+  if (bb_message_decode (body, size, &m, &e))
+    bb_message_free (&m);
+  else if (!e.what)
+    abort ();
+}
+
+static void
+take_frames (const char *data, size_t size)
+{
+  size_t body;
+
+  while (bb_frame_peek (data, size, &body) == BB_FRAME_WHOLE)
+    {
+      if (body > size - BB_FRAME_HEAD_BYTES)
+        abort ();
+      decode (data + BB_FRAME_HEAD_BYTES, body);
+      data += BB_FRAME_HEAD_BYTES + body;
+      size -= BB_FRAME_HEAD_BYTES + body;
+    }
+}
+
+/* Decodes DATA as the fields of message TYPE.  */
+static void
+take_fields (uint8_t type, const char *data, size_t size)
+{
+  char *body = malloc (size + 2);
+
+  if (!body)
+    return;
+  body[0] = (char)0x92; /* an array of two */
+  body[1] = (char)type;
+  memcpy (body + 2, data, size);
+  decode (body, size + 2);
+  free (body);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size == 0)
+    return 0;
+  if (data[0] == 0)
+    take_frames ((const char *)data + 1, size - 1);
+  else if (data[0] < 0x80)
+    take_fields (data[0], (const char *)data + 1, size - 1);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_settings.c
@@ -0,0 +1,56 @@
+/* Feeds any bytes to the reader of settings, as one file or, split at the
+   first zero byte, as two.  What is accepted must show as a file that is
+   accepted, too.  */
+
+#include "bilberry/settings.h"
+
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The name that libFuzzer calls.
+   NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+show_again (const struct bb_files *files)
+{
+  struct bb_faults faults = { 0 };
+  char *shown = bb_settings_show (files, &faults);
+  struct bb_file file = { .name = "shown.yaml", .data = shown };
+  struct bb_files again = { .files = &file, .count = 1 };
+  struct bb_settings *s;
+
+  if (!shown && faults.count == 0)
+    abort ();
+  if (shown)
+    {
+      file.size = strlen (shown);
+      s = bb_settings_make (&again, &faults);
+      if (!s)
+        abort ();
+      bb_settings_free (s);
+    }
+  free (shown);
+  bb_faults_free (&faults);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  const uint8_t *zero = size > 0 ? memchr (data, 0, size) : NULL;
+  size_t first = zero ? (size_t)(zero - data) : size;
+  struct bb_file list[2] = {
+    { .name = "1.yaml", .data = (char *)data, .size = first },
+    { .name = "2.yaml" },
+  };
+  struct bb_files files = { .files = list, .count = zero ? 2 : 1 };
+
+  if (zero)
+    {
+      list[1].data = (char *)zero + 1;
+      list[1].size = size - first - 1;
+    }
+  show_again (&files);
+  return 0;
+}
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -241,5 +241,19 @@
 void bb_put_refusal (msgpack_sbuffer *buf, const struct bb_refusal *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_heartbeat (msgpack_sbuffer *buf, const struct bb_heartbeat *v);
+/* Appends a frame that holds M to BUF.  */
+void bb_put_message (msgpack_sbuffer *buf, const struct bb_message *m);
+
+/* A field of a message.  */
+struct bb_message_field
+{
+  enum bb_message_type message;
+  uint32_t number;
+  bool required;
+  const char *name;
+};
+
+/* The fields of all messages; the last has no name.  */
+extern const struct bb_message_field bb_message_fields[];
 
 #endif
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -910,3 +910,75 @@
       return bb_wire_unknown (type, e);
     }
 }
+
+void
+bb_put_message (msgpack_sbuffer *buf, const struct bb_message *m)
+{
+  switch (m->type)
+    {
+    case BB_MSG_HELLO:
+      bb_put_hello (buf, &m->u.hello);
+      break;
+    case BB_MSG_CALL:
+      bb_put_call (buf, &m->u.call);
+      break;
+    case BB_MSG_CANCEL:
+      bb_put_cancel (buf, &m->u.cancel);
+      break;
+    case BB_MSG_HEAD:
+      bb_put_head (buf, &m->u.head);
+      break;
+    case BB_MSG_DATA:
+      bb_put_data (buf, &m->u.data);
+      break;
+    case BB_MSG_END:
+      bb_put_end (buf, &m->u.end);
+      break;
+    case BB_MSG_REFUSAL:
+      bb_put_refusal (buf, &m->u.refusal);
+      break;
+    case BB_MSG_HEARTBEAT:
+      bb_put_heartbeat (buf, &m->u.heartbeat);
+      break;
+    }
+}
+
+const struct bb_message_field bb_message_fields[] = {
+  { BB_MSG_HELLO, 1, true, "role" },
+  { BB_MSG_HELLO, 2, true, "incarnation" },
+  { BB_MSG_HELLO, 3, true, "name" },
+  { BB_MSG_HELLO, 4, false, "revision" },
+  { BB_MSG_HELLO, 5, false, "load" },
+  { BB_MSG_CALL, 1, true, "id" },
+  { BB_MSG_CALL, 2, true, "agent_incarnation" },
+  { BB_MSG_CALL, 3, true, "customer" },
+  { BB_MSG_CALL, 4, true, "method" },
+  { BB_MSG_CALL, 5, true, "path" },
+  { BB_MSG_CALL, 6, false, "headers" },
+  { BB_MSG_CALL, 7, false, "body" },
+  { BB_MSG_CALL, 8, false, "idempotent" },
+  { BB_MSG_CALL, 9, false, "key" },
+  { BB_MSG_CALL, 10, true, "deadline_ms" },
+  { BB_MSG_CALL, 11, false, "tokens" },
+  { BB_MSG_CALL, 12, false, "attempt" },
+  { BB_MSG_CALL, 13, false, "priority" },
+  { BB_MSG_CALL, 14, false, "fingerprint" },
+  { BB_MSG_CALL, 15, false, "revision" },
+  { BB_MSG_CANCEL, 1, true, "id" },
+  { BB_MSG_HEAD, 1, true, "id" },
+  { BB_MSG_HEAD, 2, true, "status" },
+  { BB_MSG_HEAD, 3, false, "headers" },
+  { BB_MSG_DATA, 1, true, "id" },
+  { BB_MSG_DATA, 2, true, "body" },
+  { BB_MSG_END, 1, true, "id" },
+  { BB_MSG_END, 2, false, "load" },
+  { BB_MSG_REFUSAL, 1, true, "id" },
+  { BB_MSG_REFUSAL, 2, true, "run" },
+  { BB_MSG_REFUSAL, 3, true, "reason" },
+  { BB_MSG_REFUSAL, 4, false, "retry_after_ms" },
+  { BB_MSG_REFUSAL, 5, false, "load" },
+  { BB_MSG_HEARTBEAT, 1, true, "incarnation" },
+  { BB_MSG_HEARTBEAT, 2, true, "load" },
+  { BB_MSG_HEARTBEAT, 3, false, "revision" },
+  { 0 },
+};
--- a/libsettings/bind.c
+++ b/libsettings/bind.c
@@ -2,12 +2,19 @@
 
 #include "table.h"
 
+#include "bilberry/messages.h"
+
 #include <arpa/inet.h>
 #include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  NEAR_FAULTS_MAX = 100
+};
+
 struct bind
 {
   const struct bb_node *root;
@@ -33,14 +40,31 @@
   return ((const char *const *)arg)[i];
 }
 
+/* ARG is a cursor that starts at the first item and goes on by itself.  */
 static const char *
 item_name_at (const void *arg, size_t i)
 {
-  const struct bb_node *c = ((const struct bb_node *)arg)->children;
+  const struct bb_node **at = (const struct bb_node **)arg;
+  const struct bb_node *c = *at;
+
+  (void)i;
+  if (!c)
+    return NULL;
+  *at = c->next;
+  return c->key;
+}
+
+/* Returns the item of SECTION nearest to WORD.  Nothing is near once there
+   are many faults, since each search takes as long as the section.  */
+static const char *
+nearest_item (const struct bind *b, const struct bb_node *section,
+              const char *word)
+{
+  const struct bb_node *first = section ? section->children : NULL;
 
-  for (; c && i > 0; i--)
-    c = c->next;
-  return c ? c->key : NULL;
+  if (b->faults->count > NEAR_FAULTS_MAX)
+    return NULL;
+  return bb_nearest (word, item_name_at, &first);
 }
 
 /* Reports that KEY is not known, with the nearest known name.  */
@@ -150,7 +174,7 @@
       section = bb_node_child (b->root, f->ref);
       if (section && bb_node_child (section, n->value))
         return true;
-      near = section ? bb_nearest (n->value, item_name_at, section) : NULL;
+      near = nearest_item (b, section, n->value);
       bb_fault (b->faults, n->file, n->line,
                 "%s: '%s' is not one of %s; %s%s%s", f->name, n->value, f->ref,
                 near ? "did you mean '" : "add it there", near ? near : "",
@@ -209,6 +233,10 @@
            const struct bb_node *map, char *item)
 {
   *(char **)item = strdup (map->key);
+  if (strlen (map->key) > BB_HELLO_NAME_MAX_BYTES || !*map->key)
+    bb_fault (b->faults, map->file, map->line,
+              "a name is empty or too long; write 1 to %d bytes",
+              BB_HELLO_NAME_MAX_BYTES);
   if (map->kind != BB_NODE_MAP)
     {
       bb_fault (b->faults, map->file, map->line,
@@ -265,6 +293,61 @@
     }
 }
 
+/* Reports customers that share a key; the later one is at fault.  */
+static void
+check_keys (struct bind *b)
+{
+  const struct bb_node *customers = bb_node_child (b->root, "customers");
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (const struct bb_node *c = customers ? customers->children : NULL; c;
+       c = c->next)
+    {
+      const struct bb_node *key = bb_node_child (c, "key_sha256");
+      const char *other;
+      if (!key || key->kind != BB_NODE_SCALAR)
+        continue;
+      other = g_hash_table_lookup (seen, key->value);
+      if (other)
+        bb_fault (b->faults, key->file, key->line,
+                  "key_sha256: '%s' has the same key; give each customer a "
+                  "key of its own",
+                  other);
+      else if (c->key)
+        g_hash_table_insert (seen, key->value, c->key);
+    }
+  g_hash_table_destroy (seen);
+}
+
+/* Reports routes to a pool that no upstream is in.  */
+static void
+check_pools (struct bind *b)
+{
+  const struct bb_node *upstreams = bb_node_child (b->root, "upstreams");
+  const struct bb_node *routes = bb_node_child (b->root, "routes");
+  GHashTable *pools = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (const struct bb_node *u = upstreams ? upstreams->children : NULL; u;
+       u = u->next)
+    {
+      const struct bb_node *pool = bb_node_child (u, "pool");
+      if (pool && pool->kind == BB_NODE_SCALAR)
+        g_hash_table_add (pools, pool->value);
+    }
+  for (const struct bb_node *r = routes ? routes->children : NULL; r;
+       r = r->next)
+    {
+      const struct bb_node *pool = bb_node_child (r, "pool");
+      if (pool && pool->kind == BB_NODE_SCALAR && *pool->value
+          && !g_hash_table_contains (pools, pool->value))
+        bb_fault (
+            b->faults, pool->file, pool->line,
+            "pool: no upstream is in '%s'; write the pool of an upstream",
+            pool->value);
+    }
+  g_hash_table_destroy (pools);
+}
+
 static const struct bb_section *
 find_section (const char *name)
 {
@@ -294,6 +377,8 @@
         report_unknown (&b, n, "section",
                         bb_nearest (n->key, section_name_at, NULL));
     }
+  check_keys (&b);
+  check_pools (&b);
   bb_node_free (root);
   if (faults->count == first)
     {
--- a/libsettings/parse.c
+++ b/libsettings/parse.c
@@ -9,7 +9,10 @@
 
 enum
 {
-  DEPTH_MAX = 16
+  FILE_MAX_BYTES = 1024 * 1024,
+  DEPTH_MAX = 16,
+  ALIASES_MAX = 100, /* each is looked up among all before it */
+  NODES_MAX = 200000 /* that one file gives, aliases written out */
 };
 
 struct parse
@@ -17,10 +20,18 @@
   yaml_document_t doc;
   const char *file;
   struct bb_faults *faults;
+  uint32_t nodes;
 };
 
 static struct bb_node *convert (struct parse *p, int id, uint32_t depth);
 
+static bool
+holds_null (const yaml_node_t *scalar)
+{
+  return strlen ((const char *)scalar->data.scalar.value)
+         != scalar->data.scalar.length;
+}
+
 static bool
 convert_pair (struct parse *p, struct bb_node *map,
               const yaml_node_pair_t *pair, uint32_t depth)
@@ -34,6 +45,12 @@
                 "a key must be a plain word");
       return false;
     }
+  if (holds_null (key))
+    {
+      bb_fault (p->faults, p->file, key->start_mark.line + 1,
+                "a key holds a null character; write it without");
+      return false;
+    }
   if (bb_node_child (map, (const char *)key->data.scalar.value))
     {
       bb_fault (p->faults, p->file, key->start_mark.line + 1,
@@ -88,6 +105,21 @@
                 "values are nested too deep");
       return NULL;
     }
+  if (++p->nodes > NODES_MAX)
+    {
+      if (p->nodes == NODES_MAX + 1)
+        bb_fault (p->faults, p->file, y->start_mark.line + 1,
+                  "the file gives more than %d values; split it or use fewer "
+                  "aliases",
+                  NODES_MAX);
+      return NULL;
+    }
+  if (y->type == YAML_SCALAR_NODE && holds_null (y))
+    {
+      bb_fault (p->faults, p->file, y->start_mark.line + 1,
+                "a value holds a null character; write it without");
+      return NULL;
+    }
   n = calloc (1, sizeof *n);
   n->file = p->file;
   n->line = y->start_mark.line + 1;
@@ -105,6 +137,34 @@
   return NULL;
 }
 
+/* Counts anchors and aliases without resolving them; stops early.  */
+static uint32_t
+count_aliases (const struct bb_file *file)
+{
+  yaml_parser_t y;
+  yaml_event_t event;
+  uint32_t count = 0;
+  bool done = false;
+
+  if (!yaml_parser_initialize (&y))
+    abort ();
+  yaml_parser_set_input_string (&y, (const unsigned char *)file->data,
+                                file->size);
+  while (!done && count <= ALIASES_MAX && yaml_parser_parse (&y, &event))
+    {
+      count += event.type == YAML_ALIAS_EVENT
+               || (event.type == YAML_SCALAR_EVENT && event.data.scalar.anchor)
+               || (event.type == YAML_MAPPING_START_EVENT
+                   && event.data.mapping_start.anchor)
+               || (event.type == YAML_SEQUENCE_START_EVENT
+                   && event.data.sequence_start.anchor);
+      done = event.type == YAML_STREAM_END_EVENT;
+      yaml_event_delete (&event);
+    }
+  yaml_parser_delete (&y);
+  return count;
+}
+
 static void
 report_syntax (const struct bb_file *file, const yaml_parser_t *y,
                struct bb_faults *faults)
@@ -117,6 +177,50 @@
               y->problem ? y->problem : "unknown fault");
 }
 
+/* Refuses a file that would take long to read.  */
+static bool
+is_bounded (const struct bb_file *file, struct bb_faults *faults)
+{
+  size_t signs = 0;
+
+  if (file->size > FILE_MAX_BYTES)
+    {
+      bb_fault (faults, file->name, 0,
+                "the file is larger than a megabyte; split it");
+      return false;
+    }
+  for (size_t i = 0; i < file->size; i++)
+    signs += file->data[i] == '&' || file->data[i] == '*';
+  if (signs <= ALIASES_MAX || count_aliases (file) <= ALIASES_MAX)
+    return true;
+  bb_fault (faults, file->name, 0,
+            "the file holds more than %d anchors and aliases; write the "
+            "values out",
+            ALIASES_MAX);
+  return false;
+}
+
+/* Whether nothing but the end of the stream follows the first document.  */
+static bool
+is_last_document (yaml_parser_t *y, const struct bb_file *file,
+                  struct bb_faults *faults)
+{
+  yaml_document_t next;
+  bool last;
+
+  if (!yaml_parser_load (y, &next))
+    {
+      report_syntax (file, y, faults);
+      return false;
+    }
+  last = !yaml_document_get_root_node (&next);
+  if (!last)
+    bb_fault (faults, file->name, next.start_mark.line + 1,
+              "a second document; write one mapping in a file");
+  yaml_document_delete (&next);
+  return last;
+}
+
 struct bb_node *
 bb_node_parse (const struct bb_file *file, struct bb_faults *faults)
 {
@@ -125,6 +229,8 @@
   yaml_parser_t y;
   const yaml_node_t *top;
 
+  if (!is_bounded (file, faults))
+    return NULL;
   if (!yaml_parser_initialize (&y))
     abort ();
   yaml_parser_set_input_string (&y, (const unsigned char *)file->data,
@@ -137,7 +243,7 @@
   top = yaml_document_get_root_node (&p.doc);
   if (!top || top->type != YAML_MAPPING_NODE)
     bb_fault (faults, file->name, 1, "the file must hold a mapping");
-  else
+  else if (is_last_document (&y, file, faults))
     root = convert (&p, 1, 0);
   yaml_document_delete (&p.doc);
 out:
--- a/libsettings/show.c
+++ b/libsettings/show.c
@@ -1,18 +1,39 @@
+/* Prints merged settings as YAML that reads back to the same settings.  */
+
 #include "table.h"
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+
+/* Whether YAML reads TEXT, written without quotes, as TEXT.  */
+static bool
+is_plain (const char *text)
+{
+  static const char inner[] = "_/.*+-:";
+
+  if (!g_ascii_isalnum (*text) && *text != '_' && *text != '/')
+    return false;
+  for (const char *p = text; *p; p++)
+    if (!g_ascii_isalnum (*p) && !strchr (inner, *p))
+      return false;
+  return text[strlen (text) - 1] != ':';
+}
+
+static bool
+is_printable (const char *text)
+{
+  for (const char *p = text; *p; p++)
+    if (!g_ascii_isprint (*p))
+      return false;
+  return true;
+}
 
 static void
-show_scalar (FILE *out, const struct bb_node *n)
+show_single_quoted (FILE *out, const char *text)
 {
-  if (!n->quoted)
-    {
-      fputs (n->value, out);
-      return;
-    }
   fputc ('\'', out);
-  for (const char *p = n->value; *p; p++)
+  for (const char *p = text; *p; p++)
     {
       if (*p == '\'')
         fputc ('\'', out);
@@ -21,21 +42,55 @@
   fputc ('\'', out);
 }
 
+/* Writes every character outside printable ASCII by its number.  */
+static void
+show_double_quoted (FILE *out, const char *text)
+{
+  fputc ('"', out);
+  for (const char *p = text; *p; p = g_utf8_next_char (p))
+    {
+      gunichar c = g_utf8_get_char (p);
+      if (c == '"' || c == '\\')
+        fprintf (out, "\\%c", (char)c);
+      else if (c >= ' ' && c <= '~')
+        fputc ((int)c, out);
+      else
+        fprintf (out, "\\U%08X", c);
+    }
+  fputc ('"', out);
+}
+
+static void
+show_text (FILE *out, const char *text, bool quoted)
+{
+  if (!quoted && is_plain (text))
+    fputs (text, out);
+  else if (is_printable (text))
+    show_single_quoted (out, text);
+  else
+    show_double_quoted (out, text);
+}
+
 static void
 show_node (FILE *out, const struct bb_node *n, int indent)
 {
   fprintf (out, "%*s", indent, "");
   if (n->key)
-    fprintf (out, "%s:", n->key);
+    {
+      show_text (out, n->key, false);
+      fputc (':', out);
+    }
   else
     fputc ('-', out);
   if (n->kind == BB_NODE_SCALAR)
     {
       fputc (' ', out);
-      show_scalar (out, n);
+      show_text (out, n->value, n->quoted);
       fprintf (out, " # %s\n", n->file);
       return;
     }
+  if (!n->children)
+    fprintf (out, " %s # %s", n->kind == BB_NODE_MAP ? "{}" : "[]", n->file);
   fputc ('\n', out);
   for (const struct bb_node *c = n->children; c; c = c->next)
     show_node (out, c, indent + 2);
@@ -57,6 +112,8 @@
   out = open_memstream (&text, &size);
   for (const struct bb_node *c = root->children; c; c = c->next)
     show_node (out, c, 0);
+  if (!root->children)
+    fputs ("{}\n", out);
   fclose (out);
   bb_node_free (root);
   return text;
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -86,6 +86,126 @@
   g_free (base);
 }
 
+static const char *
+random_text (GRand *r, char *out)
+{
+  static const char *const pieces[]
+      = { "a",        "B",       "7",     " ", "'", "\\\"", "\\n",
+          "#",        ": ",      "-",     "*", "&", "\\\\", "{",
+          "\xc3\xa9", "\\u2028", "\\x85", "%", "~", "null" };
+  char *at = g_stpcpy (out, "x");
+
+  for (int n = g_rand_int_range (r, 0, 8); n > 0; n--)
+    at = g_stpcpy (at, pieces[g_rand_int_range (r, 0, G_N_ELEMENTS (pieces))]);
+  return out;
+}
+
+/* Settings with random names and values, all in double quotes.  */
+static char *
+random_settings (GRand *r)
+{
+  GString *out = g_string_new ("failure_domains: {fd: {}}\nupstreams:\n");
+  char a[128];
+  char b[128];
+  char c[128];
+
+  for (int i = 0; i < 5; i++)
+    g_string_append_printf (
+        out,
+        "  \"%s%d\": {address: '127.0.0.1:1', agent: '[::1]:2', "
+        "failure_domain: fd, pool: \"%s\", model: \"%s\", limit: %d}\n",
+        random_text (r, a), i, random_text (r, b), random_text (r, c),
+        g_rand_int_range (r, 1, 100));
+  return g_string_free (out, FALSE);
+}
+
+static struct bb_settings *
+make (char *text, struct bb_file *file)
+{
+  struct bb_files files = { .files = file, .count = 1 };
+  struct bb_faults faults = { 0 };
+  struct bb_settings *s;
+
+  file->name = (char *)"1.yaml";
+  file->data = text;
+  file->size = strlen (text);
+  s = bb_settings_make (&files, &faults);
+  for (size_t i = 0; i < faults.count; i++)
+    g_test_message ("%s\n%s", faults.lines[i], text);
+  g_assert_nonnull (s);
+  return s;
+}
+
+/* What is shown reads back to the same settings.  */
+static void
+test_round_trip (void)
+{
+  GRand *r = g_rand_new_with_seed (7);
+
+  for (int n = 0; n < 500; n++)
+    {
+      struct bb_file file[2];
+      struct bb_files files = { .files = file, .count = 1 };
+      struct bb_faults faults = { 0 };
+      char *text = random_settings (r);
+      struct bb_settings *a = make (text, &file[0]);
+      char *shown = bb_settings_show (&files, &faults);
+      struct bb_settings *b = make (shown, &file[1]);
+      g_assert_cmpuint (a->upstreams_count, ==, b->upstreams_count);
+      for (uint32_t i = 0; i < a->upstreams_count; i++)
+        {
+          const struct bb_upstream_settings *u = &a->upstreams[i];
+          const struct bb_upstream_settings *v = &b->upstreams[i];
+          g_assert_cmpstr (u->name, ==, v->name);
+          g_assert_cmpstr (u->address, ==, v->address);
+          g_assert_cmpstr (u->agent, ==, v->agent);
+          g_assert_cmpstr (u->pool, ==, v->pool);
+          g_assert_cmpstr (u->model, ==, v->model);
+          g_assert_cmpuint (u->limit, ==, v->limit);
+        }
+      bb_settings_free (a);
+      bb_settings_free (b);
+      free (shown);
+      g_free (text);
+    }
+  g_rand_free (r);
+}
+
+/* Faults in one file of TEXT; the first must hold WHAT.  */
+static void
+assert_fault (char *text, const char *what)
+{
+  struct bb_file file
+      = { .name = (char *)"1.yaml", .data = text, .size = strlen (text) };
+  struct bb_files files = { .files = &file, .count = 1 };
+  struct bb_faults faults = { 0 };
+
+  g_assert_null (bb_settings_make (&files, &faults));
+  g_assert_nonnull (strstr (faults.lines[0], what));
+  bb_faults_free (&faults);
+}
+
+static void
+test_large (void)
+{
+  char *spaces = g_strnfill (1024 * 1024 + 1, '\n');
+  GString *anchors = g_string_new ("a:\n");
+  GString *bomb = g_string_new ("a: &a0 [x,x,x,x,x,x,x,x,x,x]\n");
+
+  assert_fault (spaces, "larger than a megabyte");
+  for (int i = 0; i < 50000; i++)
+    g_string_append_printf (anchors, "- &a%d x\n", i);
+  assert_fault (anchors->str, "more than 100 anchors");
+  for (int i = 1; i < 9; i++)
+    g_string_append_printf (
+        bomb, "b%d: &a%d [*a%d,*a%d,*a%d,*a%d,*a%d,*a%d,*a%d,*a%d]\n", i, i,
+        i - 1, i - 1, i - 1, i - 1, i - 1, i - 1, i - 1, i - 1);
+  assert_fault (bomb->str, "values; split it");
+  g_free (spaces);
+  g_string_free (anchors, TRUE);
+  g_string_free (bomb, TRUE);
+}
+
 static void
 add_scripts (const char *folder)
 {
@@ -111,5 +231,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   add_scripts ("test/settings");
+  g_test_add_func ("/settings/round-trip", test_round_trip);
+  g_test_add_func ("/settings/large", test_large);
   return g_test_run ();
 }
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -112,6 +112,72 @@
   bb_message_free (&m);
 }
 
+/* Packs the fields of a decoded frame but number LEFT_OUT.  */
+static void
+pack_without (msgpack_sbuffer *out, const msgpack_object *frame,
+              uint32_t left_out)
+{
+  const msgpack_object_map *map = &frame->via.array.ptr[1].via.map;
+  msgpack_packer pk;
+
+  msgpack_packer_init (&pk, out, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, 2);
+  msgpack_pack_object (&pk, frame->via.array.ptr[0]);
+  msgpack_pack_map (&pk, map->size - 1);
+  for (uint32_t i = 0; i < map->size; i++)
+    if (map->ptr[i].key.via.u64 != left_out)
+      {
+        msgpack_pack_object (&pk, map->ptr[i].key);
+        msgpack_pack_object (&pk, map->ptr[i].val);
+      }
+}
+
+static void
+check_without (const msgpack_object *frame, const struct bb_message_field *f)
+{
+  msgpack_sbuffer out;
+  struct bb_decode_error e = { 0 };
+  struct bb_message m;
+
+  msgpack_sbuffer_init (&out);
+  pack_without (&out, frame, f->number);
+  if (f->required)
+    {
+      g_assert_false (bb_message_decode (out.data, out.size, &m, &e));
+      g_assert_cmpstr (e.field, ==, f->name);
+      g_assert_cmpstr (e.what, ==, "required field is missing");
+    }
+  else
+    {
+      g_assert_true (bb_message_decode (out.data, out.size, &m, &e));
+      bb_message_free (&m);
+    }
+  msgpack_sbuffer_destroy (&out);
+}
+
+/* Each field of each message is left out in turn.  */
+static void
+test_each_field (void)
+{
+  for (const struct bb_message_field *f = bb_message_fields; f->name; f++)
+    {
+      struct bb_message m = { .type = f->message };
+      msgpack_sbuffer buf;
+      msgpack_unpacked frame;
+
+      msgpack_sbuffer_init (&buf);
+      msgpack_unpacked_init (&frame);
+      bb_put_message (&buf, &m);
+      g_assert_cmpint (
+          msgpack_unpack_next (&frame, buf.data + BB_FRAME_HEAD_BYTES,
+                               buf.size - BB_FRAME_HEAD_BYTES, NULL),
+          ==, MSGPACK_UNPACK_SUCCESS);
+      check_without (&frame.data, f);
+      msgpack_unpacked_destroy (&frame);
+      msgpack_sbuffer_destroy (&buf);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -120,5 +186,6 @@
   g_test_add_func ("/wire/partial", test_partial);
   g_test_add_func ("/wire/refused", test_refused);
   g_test_add_func ("/wire/unknown-field", test_unknown_field);
+  g_test_add_func ("/wire/each-field", test_each_field);
   return g_test_run ();
 }
