--- a/cmd/bilberry/commands.h
+++ b/cmd/bilberry/commands.h
@@ -17,5 +17,6 @@
    usage.  argv[0] is the name of the command.  */
 int command_check (int argc, char **argv);
 int command_show (int argc, char **argv);
+int command_stat (int argc, char **argv);
 
 #endif
--- a/cmd/bilberry/main.c
+++ b/cmd/bilberry/main.c
@@ -1,4 +1,4 @@
-/* bilberry - checks and shows settings from an operator's shell.  */
+/* bilberry - checks and shows settings, and status, in a shell.  */
 
 #include "commands.h"
 
@@ -8,6 +8,8 @@
 static const struct command commands[] = {
   { "check", "check DIR", "check a folder of settings", command_check },
   { "show", "show DIR", "print the merged settings", command_show },
+  { "stat", "stat ADDRESS:PORT", "print the status of a process",
+    command_stat },
 };
 
 static void
--- /dev/null
+++ b/cmd/bilberry/stat.c
@@ -0,0 +1,155 @@
+/* bilberry stat - prints the status of a running process as plain text.  */
+
+#include "commands.h"
+
+#include "bilberry/daemon.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  TIMEOUT_MS = 5000
+};
+
+/* What came of the one request.  */
+struct fetch
+{
+  uint16_t status;
+  char *body;
+  size_t size;
+  char error[128];
+};
+
+static void
+on_head (struct bb_http_call *c, uint16_t status,
+         const struct bb_header *headers, uint32_t headers_count)
+{
+  struct fetch *f = bb_http_call_user (c);
+
+  (void)headers;
+  (void)headers_count;
+  f->status = status;
+}
+
+static void
+on_data (struct bb_http_call *c, struct bb_bytes piece)
+{
+  struct fetch *f = bb_http_call_user (c);
+
+  f->body = realloc (f->body, f->size + piece.size + 1);
+  if (!f->body)
+    abort ();
+  memcpy (f->body + f->size, piece.ptr, piece.size);
+  f->size += piece.size;
+}
+
+static void
+on_end (struct bb_http_call *c, const char *error, enum bb_run run)
+{
+  struct fetch *f = bb_http_call_user (c);
+
+  (void)run;
+  if (error)
+    snprintf (f->error, sizeof f->error, "%s", error);
+  uv_stop (uv_default_loop ());
+}
+
+static const struct bb_http_call_ops ops
+    = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
+
+static bool
+fetch_status (const char *address, struct fetch *f)
+{
+  struct sockaddr_storage addr;
+  struct bb_http_client *client;
+
+  if (!bb_address_parse (address, &addr))
+    {
+      fprintf (stderr,
+               "bilberry: bad address '%s'; write an IP number and a port\n",
+               address);
+      return false;
+    }
+  client = bb_http_client_new (uv_default_loop (), &addr, address, TIMEOUT_MS);
+  bb_http_client_send (client, bb_bytes_of ("GET"), bb_bytes_of ("/status"),
+                       NULL, 0, bb_bytes_of (NULL), &ops, f);
+  uv_run (uv_default_loop (), UV_RUN_DEFAULT);
+  if (f->status == 200 && !*f->error)
+    return true;
+  fprintf (stderr, "bilberry: no status from %s: %s\n", address,
+           *f->error ? f->error : "the answer is not 200");
+  return false;
+}
+
+static void
+print_value (const json_t *value)
+{
+  if (json_is_string (value))
+    printf ("%s", json_string_value (value));
+  else
+    json_dumpf (value, stdout, JSON_ENCODE_ANY | JSON_COMPACT);
+}
+
+/* Prints the items of a list, a line each.  */
+static void
+print_list (const char *name, const json_t *list)
+{
+  size_t i;
+  json_t *item;
+  const char *key;
+  json_t *value;
+
+  printf ("%s:\n", name);
+  json_array_foreach (list, i, item)
+  {
+    putchar (' ');
+    json_object_foreach (item, key, value)
+    {
+      printf (" %s=", key);
+      print_value (value);
+    }
+    putchar ('\n');
+  }
+}
+
+int
+command_stat (int argc, char **argv)
+{
+  struct fetch f = { 0 };
+  json_t *status = NULL;
+  const char *key;
+  json_t *value;
+  int rc = 1;
+
+  if (argc != 2)
+    {
+      fputs ("Usage: bilberry stat ADDRESS:PORT\n", stderr);
+      return 2;
+    }
+  if (!fetch_status (argv[1], &f))
+    goto out;
+  status = json_loadb (f.body, f.size, 0, NULL);
+  if (!json_is_object (status))
+    {
+      fprintf (stderr, "bilberry: the status of %s is not JSON\n", argv[1]);
+      goto out;
+    }
+  json_object_foreach (status, key, value)
+  {
+    if (json_is_array (value))
+      {
+        print_list (key, value);
+        continue;
+      }
+    printf ("%s: ", key);
+    print_value (value);
+    putchar ('\n');
+  }
+  rc = 0;
+out:
+  json_decref (status);
+  free (f.body);
+  return rc;
+}
--- /dev/null
+++ b/test/test_shell.c
@@ -0,0 +1,214 @@
+/* Tests of the command line: examples, usage, and what logs tell.  */
+
+#include "harness/fleet.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+static const char *
+build_dir (void)
+{
+  const char *dir = g_getenv ("BILBERRY_BUILD");
+
+  return dir ? dir : "build";
+}
+
+/* Runs a program of the build; returns its exit status and what it wrote.  */
+static int
+run (const char *program, const char *a, const char *b, char **out, char **err)
+{
+  char *path = g_build_filename (build_dir (), program, NULL);
+  char *argv[] = { path, (char *)a, (char *)b, NULL };
+  int status = 0;
+
+  g_assert_true (g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+                               out, err, &status, NULL));
+  g_free (path);
+  return WIFEXITED (status) ? WEXITSTATUS (status) : 128;
+}
+
+static void
+test_examples (void)
+{
+  static const char *const folders[] = { "examples/qila", "examples/maison" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (folders); i++)
+    {
+      char *out = NULL;
+      char *err = NULL;
+      g_assert_cmpint (run ("bilberry", "check", folders[i], &out, &err), ==,
+                       0);
+      g_free (out);
+      g_free (err);
+      g_assert_cmpint (run ("bilberry", "show", folders[i], &out, &err), ==,
+                       0);
+      g_assert_nonnull (strstr (out, "draft-12:"));
+      g_free (out);
+      g_free (err);
+    }
+}
+
+static void
+test_usage (void)
+{
+  static const char *const programs[]
+      = { "bilberry", "bilberry-entry", "bilberry-agent" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (programs); i++)
+    {
+      char *out = NULL;
+      char *err = NULL;
+      g_assert_cmpint (run (programs[i], "--help", NULL, &out, &err), ==, 0);
+      g_assert_nonnull (strstr (out, "Usage"));
+      g_free (out);
+      g_free (err);
+      g_assert_cmpint (run (programs[i], "--version", NULL, &out, &err), ==,
+                       0);
+      g_assert_nonnull (strstr (out, programs[i]));
+      g_free (out);
+      g_free (err);
+      g_assert_cmpint (run (programs[i], "--no-such", NULL, &out, &err), ==,
+                       2);
+      g_assert_nonnull (strstr (err, "Usage"));
+      g_free (out);
+      g_free (err);
+    }
+}
+
+/* Each line of a log is a JSON object with the fixed fields.  */
+static void
+check_json_lines (const char *text)
+{
+  char **lines = g_strsplit (text, "\n", -1);
+  guint count = 0;
+
+  for (guint i = 0; lines[i] && *lines[i]; i++, count++)
+    {
+      json_t *line = json_loads (lines[i], 0, NULL);
+      g_assert_true (json_is_string (json_object_get (line, "time")));
+      g_assert_true (json_is_string (json_object_get (line, "level")));
+      g_assert_cmpstr (json_string_value (json_object_get (line, "part")), ==,
+                       "entry");
+      g_assert_true (json_is_string (json_object_get (line, "text")));
+      json_decref (line);
+    }
+  g_assert_cmpuint (count, >, 0);
+  g_strfreev (lines);
+}
+
+static char *
+read_log (const struct fleet *f, const char *name)
+{
+  char *path
+      = g_strdup_printf ("%s/../%s.log", harness_config_dir (f->h), name);
+  char *text = NULL;
+
+  g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  g_free (path);
+  return text;
+}
+
+/* Serves, refuses and fails requests that carry secrets.  */
+static void
+cause_logs (struct fleet *f)
+{
+  static const char *const headers[]
+      = { "Authorization: Bearer key-1\r\n",
+          "Authorization: Bearer secret-unknown\r\n" };
+  uint16_t port = f->entries[0].port;
+  struct answer a;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (headers); i++)
+    {
+      a = harness_http (port, "POST", "/orders", headers[i], "secret-body");
+      answer_free (&a);
+      a = harness_http (port, "POST", "/v1/completions", headers[i],
+                        "{\"secret-body\":");
+      answer_free (&a);
+    }
+  harness_signal (f->h, f->upstreams[1].upstream, SIGKILL);
+  harness_wait (f->h, f->upstreams[1].upstream);
+  a = harness_http (port, "POST", "/orders", fleet_key, "secret-body");
+  answer_free (&a);
+}
+
+/* No key and no body is in a log, whatever became of the request.  */
+static void
+test_logs (void)
+{
+  static const char *const secrets[]
+      = { "key-1", "secret-unknown", "secret-body" };
+  const char *logs[] = { "json", "agent-draft-1", "agent-order-1" };
+  struct fleet f;
+
+  fleet_init (&f, build_dir (), 1, 1, 1);
+  for (uint32_t i = 0; i < f.upstreams_count; i++)
+    {
+      fleet_start_upstream (&f, &f.upstreams[i]);
+      fleet_start_agent (&f, &f.upstreams[i]);
+    }
+  f.entries[0].pid = harness_start (f.h, "json", "bilberry-entry", "--config",
+                                    harness_config_dir (f.h), "--name",
+                                    f.entries[0].name, "--log-format", "json",
+                                    "--log-level", "debug", (char *)NULL);
+  while (harness_await (f.entries[0].operator_port, "/status",
+                        "\"connected\": false", 20))
+    ;
+  cause_logs (&f);
+  harness_signal (f.h, f.entries[0].pid, SIGTERM);
+  g_assert_cmpint (harness_wait (f.h, f.entries[0].pid), ==, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (logs); i++)
+    {
+      char *text = read_log (&f, logs[i]);
+      for (size_t j = 0; j < G_N_ELEMENTS (secrets); j++)
+        g_assert_null (strstr (text, secrets[j]));
+      if (i == 0)
+        check_json_lines (text);
+      g_free (text);
+    }
+  fleet_free (&f);
+}
+
+static void
+test_stat (void)
+{
+  struct fleet f;
+  char address[32];
+  char *out = NULL;
+  char *err = NULL;
+
+  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_start (&f);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u",
+              f.entries[0].operator_port);
+  g_assert_cmpint (run ("bilberry", "stat", address, &out, &err), ==, 0);
+  g_assert_nonnull (strstr (out, "program: bilberry-entry\n"));
+  g_assert_nonnull (strstr (out, "revision: 1\n"));
+  g_assert_nonnull (strstr (out, "  name=draft-1 "));
+  g_free (out);
+  g_free (err);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", harness_port (f.h));
+  g_assert_cmpint (run ("bilberry", "stat", address, &out, &err), ==, 1);
+  g_assert_nonnull (strstr (err, "no status from"));
+  g_free (out);
+  g_free (err);
+  g_assert_cmpint (run ("bilberry", "stat", "nowhere", &out, &err), ==, 1);
+  g_assert_nonnull (strstr (err, "bad address"));
+  g_free (out);
+  g_free (err);
+  fleet_free (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/shell/examples", test_examples);
+  g_test_add_func ("/shell/usage", test_usage);
+  g_test_add_func ("/shell/logs", test_logs);
+  g_test_add_func ("/shell/stat", test_stat);
+  return g_test_run ();
+}
