Measure latency by class of call; show failure domains in /status

The entry counted answers in one counter and kept no latency. It now keeps histograms of the time to the first byte and to the whole answer, and a counter of answers, for streams, idempotent and at-most-once calls. Histograms are printed as Prometheus histograms with their filled buckets. /status of every process names the failure domains and their states.

The engine stand-in answers /health and puts a sequence before waiting ones of a lower priority; test_engine tries both, and resuming.

--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -101,6 +101,17 @@
 /* The connection of LINK is lost; its requests end or are tried again.  */
 void request_on_link_lost (struct link *l);
 
+/* measure.c */
+
+/* Makes the counters and histograms; called once.  */
+void measure_init (void);
+
+/* The first byte of Q's answer, or its first piece, has come.  */
+void measure_first_byte (const struct request *q);
+
+/* The answer of Q is whole.  */
+void measure_answer (const struct request *q);
+
 /* problem.c */
 
 /* Refuses a request for good: status, problem body, counter.  */
--- a/cmd/entry/main.c
+++ b/cmd/entry/main.c
@@ -29,6 +29,7 @@
     }
   e->daemon = d;
   e->rand = g_rand_new_with_seed ((guint32)d->incarnation);
+  measure_init ();
   links_update (e);
   e->server
       = bb_http_server_open (d->loop, &addr, &o, request_begin, e, &error);
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -260,9 +260,11 @@
   if (is_event_stream (m))
     {
       q->streaming = true;
+      measure_first_byte (q);
       bb_http_start (q->http, m->status, m->headers, m->headers_count);
       return;
     }
+  measure_first_byte (q);
   /* The answer is sent once it is whole; until then its headers are kept
      as sizes, since their bytes may still move.  */
   q->headers_count = m->headers_count;
@@ -287,11 +289,15 @@
 static void
 write_piece (struct request *q, struct bb_bytes piece)
 {
+  bool behind;
+
   bb_http_write (q->http, piece);
-#ifndef BB_MUTANT_stream_backlog
-  if (bb_http_backlog_bytes (q->http) > BACKLOG_MAX_BYTES)
-    end_slow_client (q);
+  behind = bb_http_backlog_bytes (q->http) > BACKLOG_MAX_BYTES;
+#ifdef BB_MUTANT_stream_backlog
+  behind = false;
 #endif
+  if (behind)
+    end_slow_client (q);
 }
 
 void
@@ -341,7 +347,7 @@
       body = restore_headers (q);
       bb_http_respond (q->http, q->status, q->headers, q->headers_count, body);
     }
-  bb_counter ("bilberry_answers_total", "")->value++;
+  measure_answer (q);
   request_end (q);
 }
 
--- a/fake/engine/engine.c
+++ b/fake/engine/engine.c
@@ -4,7 +4,10 @@
    token.  A sequence waits while the batch is full, then spends its prefill
    time.  The tokens follow from the prompt alone, so that a test can tell
    whether an answer is whole.  A cold engine dies when it is given more than
-   it bears; a prompt that holds the word "crash-engine" kills it.  */
+   it bears; "priority" puts a sequence before waiting ones of a lower one,
+   "resume_tokens" starts an answer after as many tokens, and a caller that
+   goes away cancels its sequence.  A prompt that holds the word "crash-engine"
+   kills it.  */
 
 #include "../lib/fake.h"
 
@@ -38,6 +41,7 @@
   uint32_t id;               /* hash of the prompt */
   uint32_t next_token;
   uint32_t tokens;
+  uint32_t priority; /* higher goes first */
   bool stream;
   bool running;
   bb_ms ready_at; /* end of prefill */
@@ -192,6 +196,21 @@
   return json_is_integer (v) ? (uint32_t)json_integer_value (v) : fallback;
 }
 
+/* Puts S before the first one that waits with a lower priority.  */
+static void
+enqueue (struct sequence *s)
+{
+  struct sequence *at;
+
+  DL_FOREACH (sequences, at)
+  {
+    if (!at->running && at->priority < s->priority)
+      break;
+  }
+  DL_PREPEND_ELEM (sequences, at, s);
+  sequences_count++;
+}
+
 static void
 sequence_start (struct bb_http_request *r, json_t *body, const char *prompt)
 {
@@ -206,8 +225,8 @@
   s->stream = json_is_true (json_object_get (body, "stream"));
   r->user = s;
   r->on_gone = on_gone;
-  DL_APPEND (sequences, s);
-  sequences_count++;
+  s->priority = number_of (body, "priority", 0);
+  enqueue (s);
   if (s->stream)
     bb_http_start (r, 200, &h, 1);
 }
@@ -254,6 +273,9 @@
   if (bb_bytes_equal (r->method, "GET")
       && bb_bytes_equal (r->path, "/metrics"))
     respond_metrics (r);
+  else if (bb_bytes_equal (r->method, "GET")
+           && bb_bytes_equal (r->path, "/health"))
+    fake_respond_text (r, 200, "ok\n");
   else if (bb_bytes_equal (r->method, "POST")
            && (bb_bytes_equal (r->path, "/v1/chat/completions")
                || bb_bytes_equal (r->path, "/v1/completions")))
--- a/include/bilberry/base.h
+++ b/include/bilberry/base.h
@@ -63,14 +63,18 @@
 struct bb_histogram
 {
   const char *name;
+  const char *labels;
   uint64_t counts[BB_HISTOGRAM_BUCKETS];
   uint64_t total;
   uint64_t sum;
   struct bb_histogram *next;
 };
 
-/* Registers H under NAME for bb_metrics_print.  */
-void bb_histogram_register (struct bb_histogram *h, const char *name);
+/* Registers H under NAME and LABELS, as of a counter, for bb_metrics_print.
+   Both must outlive the program.  Histograms of one NAME are registered one
+   after the other.  */
+void bb_histogram_register (struct bb_histogram *h, const char *name,
+                            const char *labels);
 
 /* Adds VALUE to H.  */
 void bb_histogram_add (struct bb_histogram *h, uint64_t value);
--- a/libbase/counter.c
+++ b/libbase/counter.c
@@ -58,9 +58,11 @@
 }
 
 void
-bb_histogram_register (struct bb_histogram *h, const char *name)
+bb_histogram_register (struct bb_histogram *h, const char *name,
+                       const char *labels)
 {
   h->name = name;
+  h->labels = labels;
   h->next = histograms;
   histograms = h;
 }
@@ -112,17 +114,42 @@
   return 0;
 }
 
+/* Prints the filled buckets of H, each with all below it.  */
 static void
 print_histogram (FILE *out, const struct bb_histogram *h)
 {
-  static const double quantiles[] = { 0.5, 0.95, 0.99 };
-
-  fprintf (out, "# TYPE %s summary\n", h->name);
-  for (uint32_t i = 0; i < sizeof quantiles / sizeof *quantiles; i++)
-    fprintf (out, "%s{quantile=\"%g\"} %llu\n", h->name, quantiles[i],
-             (unsigned long long)bb_histogram_quantile (h, quantiles[i]));
-  fprintf (out, "%s_sum %llu\n", h->name, (unsigned long long)h->sum);
-  fprintf (out, "%s_count %llu\n", h->name, (unsigned long long)h->total);
+  const char *comma = *h->labels ? "," : "";
+  uint64_t seen = 0;
+
+  for (uint32_t i = 0; i < BB_HISTOGRAM_BUCKETS; i++)
+    {
+      if (h->counts[i] == 0)
+        continue;
+      seen += h->counts[i];
+      fprintf (out, "%s_bucket{%s%sle=\"%llu\"} %llu\n", h->name, h->labels,
+               comma, (unsigned long long)bucket_bound (i),
+               (unsigned long long)seen);
+    }
+  fprintf (out, "%s_bucket{%s%sle=\"+Inf\"} %llu\n", h->name, h->labels, comma,
+           (unsigned long long)h->total);
+  fprintf (out, "%s_sum{%s} %llu\n", h->name, h->labels,
+           (unsigned long long)h->sum);
+  fprintf (out, "%s_count{%s} %llu\n", h->name, h->labels,
+           (unsigned long long)h->total);
+}
+
+static void
+print_histograms (FILE *out)
+{
+  const char *last = "";
+
+  for (const struct bb_histogram *h = histograms; h; h = h->next)
+    {
+      if (strcmp (h->name, last) != 0)
+        fprintf (out, "# TYPE %s histogram\n", h->name);
+      last = h->name;
+      print_histogram (out, h);
+    }
 }
 
 /* Prints the counters of C's name; the names before C were printed before. */
@@ -156,8 +183,7 @@
     abort ();
   for (const struct bb_counter *c = counters; c; c = c->next)
     print_family (out, c);
-  for (const struct bb_histogram *h = histograms; h; h = h->next)
-    print_histogram (out, h);
+  print_histograms (out);
   fclose (out);
   return text;
 }
--- a/libdaemon/operator.c
+++ b/libdaemon/operator.c
@@ -24,6 +24,21 @@
   json_decref (json);
 }
 
+static json_t *
+print_failure_domains (const struct bb_settings *s)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < s->failure_domains_count; i++)
+    {
+      const struct bb_failure_domain_settings *d = &s->failure_domains[i];
+      bool in = d->state == BB_FAILURE_DOMAIN_STATE_IN;
+      json_array_append_new (list, json_pack ("{s:s, s:s}", "name", d->name,
+                                              "state", in ? "in" : "out"));
+    }
+  return list;
+}
+
 static void
 respond_status (struct bb_daemon *d, struct bb_http_request *r)
 {
@@ -45,6 +60,8 @@
   if (*d->rejected_why)
     json_object_set_new (out, "settings_fault", json_string (d->rejected_why));
   json_object_set_new (out, "in_flight", json_integer (d->ops->in_flight (d)));
+  json_object_set_new (out, "failure_domains",
+                       print_failure_domains (d->settings));
   d->ops->status (d, out);
   bb_http_respond_json (r, 200, "application/json", out);
 }
--- /dev/null
+++ b/test/test_engine.c
@@ -0,0 +1,117 @@
+/* Tests of the stand-in of a model engine.  */
+
+#include "harness/harness.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+
+struct engine
+{
+  struct harness *h;
+  uint16_t port;
+};
+
+static struct engine
+start (void)
+{
+  const char *build = g_getenv ("BILBERRY_BUILD");
+  struct engine e = { .h = harness_new (build ? build : "build") };
+  char address[32];
+
+  e.port = harness_port (e.h);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", e.port);
+  harness_start (e.h, "engine", "fake-engine", "--address", address, "--batch",
+                 "1", "--step-ms", "2", "--prefill-ms", "0", (char *)NULL);
+  return e;
+}
+
+static void
+test_health (void)
+{
+  struct engine e = start ();
+  struct answer a = harness_http (e.port, "GET", "/health", "", "");
+
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  harness_free (e.h);
+}
+
+/* An answer that resumes is the rest of the whole one.  */
+static void
+test_resume (void)
+{
+  static const char *const path = "/v1/completions";
+  struct engine e = start ();
+  struct answer whole
+      = harness_http (e.port, "POST", path, "",
+                      "{\"stream\":true,\"prompt\":\"a\",\"max_tokens\":6}");
+  struct answer rest
+      = harness_http (e.port, "POST", path, "",
+                      "{\"stream\":true,\"prompt\":\"a\",\"max_tokens\":6,"
+                      "\"resume_tokens\":4}");
+
+  g_assert_cmpuint (rest.body_size, <, whole.body_size);
+  g_assert_true (g_str_has_suffix (whole.body, rest.body));
+  g_assert_nonnull (strstr (rest.body, "-4 "));
+  answer_free (&whole);
+  answer_free (&rest);
+  harness_free (e.h);
+}
+
+struct sender
+{
+  struct engine *e;
+  const char *body;
+  gint64 ended;
+};
+
+static void *
+send_body (void *arg)
+{
+  struct sender *s = arg;
+  struct answer a
+      = harness_http (s->e->port, "POST", "/v1/completions", "", s->body);
+
+  s->ended = g_get_monotonic_time ();
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  return NULL;
+}
+
+/* Of two that wait, the later one with the higher priority runs first.  */
+static void
+test_priority (void)
+{
+  static const char *const waits[]
+      = { "engine_sequences 1", "engine_sequences 2", "engine_sequences 3" };
+  struct engine e = start ();
+  struct sender s[] = {
+    { .e = &e, .body = "{\"prompt\":\"first\",\"max_tokens\":1000}" },
+    { .e = &e, .body = "{\"prompt\":\"low\",\"max_tokens\":50}" },
+    { .e = &e,
+      .body = "{\"prompt\":\"high\",\"max_tokens\":50,\"priority\":5}" },
+  };
+  pthread_t threads[G_N_ELEMENTS (s)];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (s); i++)
+    {
+      pthread_create (&threads[i], NULL, send_body, &s[i]);
+      g_assert_true (harness_await (e.port, "/metrics", waits[i], 10000));
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (s); i++)
+    pthread_join (threads[i], NULL);
+  g_assert_cmpint (s[0].ended, <, s[2].ended);
+  g_assert_cmpint (s[2].ended, <, s[1].ended);
+  harness_free (e.h);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/engine/health", test_health);
+  g_test_add_func ("/engine/resume", test_resume);
+  g_test_add_func ("/engine/priority", test_priority);
+  return g_test_run ();
+}
--- a/test/test_input.c
+++ b/test/test_input.c
@@ -270,6 +270,8 @@
   g_assert_true (harness_await (f.upstreams[0].port, "/metrics",
                                 "engine_cancelled_total 1", WAIT_MS));
   await_refusals (&f, "slow_client", 2);
+  /* The entry broke the stream off; it did not wait for the caller.  */
+  g_assert_cmpuint (refusals (&f, "cancelled"), ==, 0);
   g_assert_true (harness_await (f.entries[0].operator_port, "/status",
                                 "\"in_flight\": 0", WAIT_MS));
   assert_up (&f);
--- a/test/test_shell.c
+++ b/test/test_shell.c
@@ -202,6 +202,43 @@
   fleet_free (&f);
 }
 
+static void
+test_metrics (void)
+{
+  struct fleet f;
+  struct answer a;
+  uint16_t port;
+
+  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_start (&f);
+  port = f.entries[0].operator_port;
+  a = harness_http (f.entries[0].port, "POST", "/v1/completions", fleet_key,
+                    "{\"stream\":true,\"prompt\":\"a\",\"max_tokens\":3}");
+  answer_free (&a);
+  a = harness_http (f.entries[0].port, "POST", "/orders", fleet_key, "a");
+  answer_free (&a);
+  a = harness_http (f.entries[0].port, "GET", "/stock/1", fleet_key, "");
+  answer_free (&a);
+  a = harness_http (port, "GET", "/metrics", "", "");
+  g_assert_nonnull (
+      strstr (a.body, "# TYPE bilberry_first_byte_ms histogram\n"));
+  g_assert_nonnull (strstr (a.body, "# TYPE bilberry_answer_ms histogram\n"));
+  g_assert_nonnull (strstr (
+      a.body, "bilberry_answer_ms_bucket{class=\"stream\",le=\"+Inf\"} 1\n"));
+  g_assert_nonnull (strstr (
+      a.body, "bilberry_first_byte_ms_count{class=\"at_most_once\"} 1\n"));
+  g_assert_nonnull (
+      strstr (a.body, "bilberry_answers_total{class=\"idempotent\"} 1\n"));
+  answer_free (&a);
+  a = harness_http (port, "GET", "/status", "", "");
+  g_assert_nonnull (strstr (a.body, "\"name\": \"fd-c\""));
+  g_assert_nonnull (strstr (a.body, "\"state\": \"in\""));
+  g_assert_nonnull (strstr (a.body, "\"limit\": "));
+  g_assert_nonnull (strstr (a.body, "\"revision\": 1"));
+  answer_free (&a);
+  fleet_free (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -210,5 +247,6 @@
   g_test_add_func ("/shell/usage", test_usage);
   g_test_add_func ("/shell/logs", test_logs);
   g_test_add_func ("/shell/stat", test_stat);
+  g_test_add_func ("/shell/metrics", test_metrics);
   return g_test_run ();
 }
