--- a/cmd/bilberry/commands.h
+++ b/cmd/bilberry/commands.h
@@ -19,5 +19,6 @@
 int command_show (int argc, char **argv);
 int command_plan (int argc, char **argv);
 int command_trace (int argc, char **argv);
+int command_stat (int argc, char **argv);
 
 #endif
--- a/cmd/bilberry/main.c
+++ b/cmd/bilberry/main.c
@@ -1,4 +1,4 @@
-/* bilberry - an operator's shell: settings, expert maps.  */
+/* bilberry - an operator's shell: settings, status, expert maps.  */
 
 #include "commands.h"
 
@@ -11,6 +11,8 @@
   { "plan", "plan [OPTION...] TRACE", "plan an expert map", command_plan },
   { "trace", "trace [OPTION...] KIND", "make a popularity trace",
     command_trace },
+  { "stat", "stat ADDRESS:PORT", "print the status of a process",
+    command_stat },
 };
 
 static void
--- a/cmd/entry/answer.c
+++ b/cmd/entry/answer.c
@@ -6,6 +6,11 @@
 #include <string.h>
 #include <strings.h>
 
+enum
+{
+  BACKLOG_MAX_BYTES = 256 * 1024 /* of a stream that its caller reads slowly */
+};
+
 /* Finds the request whose present try is ID at the agent of L.  Messages for
    earlier tries, or for tries at another agent, are counted and dropped.  */
 static struct request *
@@ -72,6 +77,7 @@
         headers[n++] = m->headers[i];
     }
   q->streaming = true;
+  measure_first_byte (q);
   bb_http_start (q->http, m->status, headers, n);
 }
 
@@ -107,7 +113,10 @@
   if (is_event_stream (m))
     start_stream (q, m);
   else
-    keep_head (q, m);
+    {
+      measure_first_byte (q);
+      keep_head (q, m);
+    }
 }
 
 static void
@@ -118,6 +127,25 @@
   bb_http_write (q->http, event);
 }
 
+/* Whether the caller reads its stream so slowly that too much waits.  */
+static bool
+is_slow_client (const struct request *q)
+{
+#ifdef BB_MUTANT_stream_backlog
+  return false;
+#endif
+  return bb_http_backlog_bytes (q->http) > BACKLOG_MAX_BYTES;
+}
+
+static void
+end_slow_client (struct request *q)
+{
+  try_cancel (q);
+  bb_count_refusal (BB_REASON_SLOW_CLIENT);
+  bb_http_abort (q->http);
+  request_end (q);
+}
+
 void
 answer_on_data (struct link *l, const struct bb_data *m)
 {
@@ -131,7 +159,9 @@
       return;
     }
   bb_stream_feed (&q->stream, m->body, write_event, q);
-  if (q->stream.broken)
+  if (is_slow_client (q))
+    end_slow_client (q);
+  else if (q->stream.broken)
     fail_try (q);
 }
 
@@ -172,7 +202,7 @@
       body = restore_headers (q);
       bb_http_respond (q->http, q->status, q->headers, q->headers_count, body);
     }
-  bb_counter ("bilberry_answers_total", "")->value++;
+  measure_answer (q);
   request_end (q);
 }
 
--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -173,7 +173,7 @@
 /* input.c */
 
 /* Finds the customer that the bearer key names; NULL and a verdict where
-   there is none.  */
+   there is none, or where the head is larger than an agent takes.  */
 const struct bb_customer_settings *
 input_customer (const struct bb_settings *s, const struct bb_http_request *r,
                 struct bb_verdict *v);
@@ -244,11 +244,26 @@
 void answer_on_end (struct link *l, const struct bb_end *m);
 void answer_on_refusal (struct link *l, const struct bb_refusal *m);
 
+/* measure.c */
+
+/* Makes the counters and histograms; called once.  */
+void measure_init (void);
+
+/* The first byte of Q's answer, or its first piece, has come.  */
+void measure_first_byte (const struct request *q);
+
+/* The answer of Q is whole.  */
+void measure_answer (const struct request *q);
+
 /* problem.c */
 
 /* Refuses a request for good: status, problem body, counter.  */
 void problem_respond (struct bb_http_request *r, const struct bb_verdict *v);
 
+/* Counts a request that the server refuses with STATUS before it is read
+   whole, and returns its problem body.  */
+char *problem_of_fault (uint16_t status, void *arg);
+
 /* Ends an event stream that cannot be made whole by an error event.  */
 void problem_end_stream (struct bb_http_request *r,
                          const struct bb_verdict *v);
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -106,6 +106,9 @@
   BB_REASON_CANCELLED,   /* the caller went away */
   BB_REASON_INTERNAL,    /* an internal fault */
   BB_REASON_OTHER_SETTINGS, /* the agent has other settings */
+  BB_REASON_HEAD_TOO_LARGE, /* the path or the headers of the request are too
+                               large */
+  BB_REASON_SLOW_CLIENT,    /* the caller is too slow */
   BB_REASON_COUNT
 };
 
@@ -445,6 +448,46 @@
   uint64_t revision;
 };
 
+/* Largest sizes of fields, in bytes, and of lists.  */
+enum
+{
+  BB_GOSSIP_UPDATES_MAX = 8,
+  BB_GOSSIP_PUSHED_MAX = 4,
+  BB_HEADER_NAME_MAX_BYTES = 256,
+  BB_HEADER_VALUE_MAX_BYTES = 16384,
+  BB_MAP_SWITCH_GROUP_MAX_BYTES = 128,
+  BB_MAP_SWITCH_MAP_MAX_BYTES = 16777216,
+  BB_SEALED_BODY_MAX_BYTES = 1400,
+  BB_SEALED_TAG_MAX_BYTES = 16,
+  BB_CHUNK_BYTES_MAX_BYTES = 1100,
+  BB_ONCE_ASK_SETS_MAX = 8,
+  BB_ONCE_ASK_MEMBER_MAX_BYTES = 128,
+  BB_ONCE_ASK_CUSTOMER_MAX_BYTES = 128,
+  BB_ONCE_ASK_KEY_MAX_BYTES = 256,
+  BB_ONCE_SAY_MEMBER_MAX_BYTES = 128,
+  BB_ONCE_SAY_SETS_MAX = 8,
+  BB_ONCE_NOTE_CUSTOMER_MAX_BYTES = 128,
+  BB_ONCE_NOTE_KEY_MAX_BYTES = 256,
+  BB_ONCE_NOTE_HEADERS_MAX = 64,
+  BB_ONCE_NOTE_BODY_MAX_BYTES = 1048576,
+  BB_ONCE_RELEASE_CUSTOMER_MAX_BYTES = 128,
+  BB_ONCE_RELEASE_KEY_MAX_BYTES = 256,
+  BB_ONCE_SYNC_SETS_MAX = 8,
+  BB_ONCE_SYNC_MEMBER_MAX_BYTES = 128,
+  BB_ONCE_SYNCED_SETS_MAX = 8,
+  BB_ONCE_SYNCED_MEMBER_MAX_BYTES = 128,
+  BB_ONCE_SYNCED_NOTES_MAX_BYTES = 16777216,
+  BB_HELLO_NAME_MAX_BYTES = 128,
+  BB_CALL_CUSTOMER_MAX_BYTES = 128,
+  BB_CALL_METHOD_MAX_BYTES = 32,
+  BB_CALL_PATH_MAX_BYTES = 8192,
+  BB_CALL_HEADERS_MAX = 64,
+  BB_CALL_BODY_MAX_BYTES = 16777216,
+  BB_CALL_KEY_MAX_BYTES = 256,
+  BB_HEAD_HEADERS_MAX = 64,
+  BB_DATA_BODY_MAX_BYTES = 16777216,
+};
+
 enum bb_message_type
 {
   BB_MSG_PROBE = 20,
@@ -557,5 +600,19 @@
 void bb_put_refusal (msgpack_sbuffer *buf, const struct bb_refusal *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_heartbeat (msgpack_sbuffer *buf, const struct bb_heartbeat *v);
+/* Appends a frame that holds M to BUF.  */
+void bb_put_message (msgpack_sbuffer *buf, const struct bb_message *m);
+
+/* A field of a message.  */
+struct bb_message_field
+{
+  enum bb_message_type message;
+  uint32_t number;
+  bool required;
+  const char *name;
+};
+
+/* The fields of all messages; the last has no name.  */
+extern const struct bb_message_field bb_message_fields[];
 
 #endif
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -147,6 +147,8 @@
     "cancelled",
     "internal",
     "other_settings",
+    "head_too_large",
+    "slow_client",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -182,6 +184,8 @@
     "the caller went away",
     "an internal fault",
     "the agent has other settings",
+    "the path or the headers of the request are too large",
+    "the caller is too slow",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -192,8 +196,8 @@
 bb_reason_status (uint32_t value)
 {
   static uint16_t const table[] = {
-    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503, 503,
-    503, 503, 502, 502, 504, 409, 409, 422, 422, 499, 500, 503,
+    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503, 503, 503,
+    503, 502, 502, 504, 409, 409, 422, 422, 499, 500, 503, 431, 408,
   };
   if (value >= BB_REASON_COUNT)
     return 500;
@@ -2751,3 +2755,209 @@
       return bb_wire_unknown (type, e);
     }
 }
+
+void
+bb_put_message (msgpack_sbuffer *buf, const struct bb_message *m)
+{
+  switch (m->type)
+    {
+    case BB_MSG_PROBE:
+      bb_put_probe (buf, &m->u.probe);
+      break;
+    case BB_MSG_REPORT:
+      bb_put_report (buf, &m->u.report);
+      break;
+    case BB_MSG_MAP_SWITCH:
+      bb_put_map_switch (buf, &m->u.map_switch);
+      break;
+    case BB_MSG_SEALED:
+      bb_put_sealed (buf, &m->u.sealed);
+      break;
+    case BB_MSG_PING:
+      bb_put_ping (buf, &m->u.ping);
+      break;
+    case BB_MSG_PING_ACK:
+      bb_put_ping_ack (buf, &m->u.ping_ack);
+      break;
+    case BB_MSG_PING_REQUEST:
+      bb_put_ping_request (buf, &m->u.ping_request);
+      break;
+    case BB_MSG_NOTICE:
+      bb_put_notice (buf, &m->u.notice);
+      break;
+    case BB_MSG_FETCH:
+      bb_put_fetch (buf, &m->u.fetch);
+      break;
+    case BB_MSG_CHUNK:
+      bb_put_chunk (buf, &m->u.chunk);
+      break;
+    case BB_MSG_ONCE_ASK:
+      bb_put_once_ask (buf, &m->u.once_ask);
+      break;
+    case BB_MSG_ONCE_SAY:
+      bb_put_once_say (buf, &m->u.once_say);
+      break;
+    case BB_MSG_ONCE_NOTE:
+      bb_put_once_note (buf, &m->u.once_note);
+      break;
+    case BB_MSG_ONCE_RELEASE:
+      bb_put_once_release (buf, &m->u.once_release);
+      break;
+    case BB_MSG_ONCE_SYNC:
+      bb_put_once_sync (buf, &m->u.once_sync);
+      break;
+    case BB_MSG_ONCE_SYNCED:
+      bb_put_once_synced (buf, &m->u.once_synced);
+      break;
+    case BB_MSG_HELLO:
+      bb_put_hello (buf, &m->u.hello);
+      break;
+    case BB_MSG_CALL:
+      bb_put_call (buf, &m->u.call);
+      break;
+    case BB_MSG_CANCEL:
+      bb_put_cancel (buf, &m->u.cancel);
+      break;
+    case BB_MSG_HEAD:
+      bb_put_head (buf, &m->u.head);
+      break;
+    case BB_MSG_DATA:
+      bb_put_data (buf, &m->u.data);
+      break;
+    case BB_MSG_END:
+      bb_put_end (buf, &m->u.end);
+      break;
+    case BB_MSG_REFUSAL:
+      bb_put_refusal (buf, &m->u.refusal);
+      break;
+    case BB_MSG_HEARTBEAT:
+      bb_put_heartbeat (buf, &m->u.heartbeat);
+      break;
+    }
+}
+
+const struct bb_message_field bb_message_fields[] = {
+  { BB_MSG_PROBE, 1, true, "nonce" },
+  { BB_MSG_REPORT, 1, true, "nonce" },
+  { BB_MSG_REPORT, 2, true, "incarnation" },
+  { BB_MSG_REPORT, 3, true, "load" },
+  { BB_MSG_REPORT, 4, false, "revision" },
+  { BB_MSG_MAP_SWITCH, 1, true, "type" },
+  { BB_MSG_MAP_SWITCH, 2, true, "from" },
+  { BB_MSG_MAP_SWITCH, 3, true, "to" },
+  { BB_MSG_MAP_SWITCH, 4, true, "from_incarnation" },
+  { BB_MSG_MAP_SWITCH, 5, false, "to_incarnation" },
+  { BB_MSG_MAP_SWITCH, 6, false, "ballot" },
+  { BB_MSG_MAP_SWITCH, 7, false, "value" },
+  { BB_MSG_MAP_SWITCH, 8, false, "in_force" },
+  { BB_MSG_MAP_SWITCH, 9, false, "accepted_ballot" },
+  { BB_MSG_MAP_SWITCH, 10, false, "started" },
+  { BB_MSG_MAP_SWITCH, 11, false, "decided" },
+  { BB_MSG_MAP_SWITCH, 12, false, "group" },
+  { BB_MSG_MAP_SWITCH, 13, false, "map" },
+  { BB_MSG_SEALED, 1, true, "key" },
+  { BB_MSG_SEALED, 2, true, "from" },
+  { BB_MSG_SEALED, 3, true, "incarnation" },
+  { BB_MSG_SEALED, 4, true, "to_incarnation" },
+  { BB_MSG_SEALED, 5, true, "sequence" },
+  { BB_MSG_SEALED, 6, true, "counter" },
+  { BB_MSG_SEALED, 7, true, "body" },
+  { BB_MSG_SEALED, 8, true, "tag" },
+  { BB_MSG_PING, 1, true, "nonce" },
+  { BB_MSG_PING, 2, true, "gossip" },
+  { BB_MSG_PING_ACK, 1, true, "nonce" },
+  { BB_MSG_PING_ACK, 2, true, "gossip" },
+  { BB_MSG_PING_REQUEST, 1, true, "nonce" },
+  { BB_MSG_PING_REQUEST, 2, true, "target" },
+  { BB_MSG_PING_REQUEST, 3, true, "gossip" },
+  { BB_MSG_NOTICE, 1, true, "gossip" },
+  { BB_MSG_FETCH, 1, true, "revision" },
+  { BB_MSG_FETCH, 2, true, "hash" },
+  { BB_MSG_FETCH, 3, true, "base_revision" },
+  { BB_MSG_FETCH, 4, true, "base_hash" },
+  { BB_MSG_FETCH, 5, true, "offset" },
+  { BB_MSG_CHUNK, 1, true, "revision" },
+  { BB_MSG_CHUNK, 2, true, "hash" },
+  { BB_MSG_CHUNK, 3, true, "base_revision" },
+  { BB_MSG_CHUNK, 4, true, "prefix" },
+  { BB_MSG_CHUNK, 5, true, "suffix" },
+  { BB_MSG_CHUNK, 6, true, "size" },
+  { BB_MSG_CHUNK, 7, true, "offset" },
+  { BB_MSG_CHUNK, 8, true, "bytes" },
+  { BB_MSG_ONCE_ASK, 1, true, "id" },
+  { BB_MSG_ONCE_ASK, 2, false, "sets" },
+  { BB_MSG_ONCE_ASK, 3, true, "runner" },
+  { BB_MSG_ONCE_ASK, 4, true, "member" },
+  { BB_MSG_ONCE_ASK, 5, true, "customer" },
+  { BB_MSG_ONCE_ASK, 6, true, "key" },
+  { BB_MSG_ONCE_ASK, 7, true, "print" },
+  { BB_MSG_ONCE_ASK, 8, false, "age_ms" },
+  { BB_MSG_ONCE_SAY, 1, true, "id" },
+  { BB_MSG_ONCE_SAY, 2, true, "word" },
+  { BB_MSG_ONCE_SAY, 3, true, "member" },
+  { BB_MSG_ONCE_SAY, 4, false, "sets" },
+  { BB_MSG_ONCE_NOTE, 1, true, "customer" },
+  { BB_MSG_ONCE_NOTE, 2, true, "key" },
+  { BB_MSG_ONCE_NOTE, 3, true, "print" },
+  { BB_MSG_ONCE_NOTE, 4, true, "state" },
+  { BB_MSG_ONCE_NOTE, 5, true, "runner" },
+  { BB_MSG_ONCE_NOTE, 6, true, "id" },
+  { BB_MSG_ONCE_NOTE, 7, false, "age_ms" },
+  { BB_MSG_ONCE_NOTE, 8, false, "status" },
+  { BB_MSG_ONCE_NOTE, 9, false, "headers" },
+  { BB_MSG_ONCE_NOTE, 10, false, "body" },
+  { BB_MSG_ONCE_NOTE, 11, false, "cut" },
+  { BB_MSG_ONCE_RELEASE, 1, true, "id" },
+  { BB_MSG_ONCE_RELEASE, 2, true, "runner" },
+  { BB_MSG_ONCE_RELEASE, 3, true, "customer" },
+  { BB_MSG_ONCE_RELEASE, 4, true, "key" },
+  { BB_MSG_ONCE_SYNC, 1, true, "id" },
+  { BB_MSG_ONCE_SYNC, 2, false, "sets" },
+  { BB_MSG_ONCE_SYNC, 3, true, "member" },
+  { BB_MSG_ONCE_SYNCED, 1, true, "id" },
+  { BB_MSG_ONCE_SYNCED, 2, false, "sets" },
+  { BB_MSG_ONCE_SYNCED, 3, true, "member" },
+  { BB_MSG_ONCE_SYNCED, 4, false, "whole" },
+  { BB_MSG_ONCE_SYNCED, 5, false, "settled" },
+  { BB_MSG_ONCE_SYNCED, 6, false, "notes" },
+  { BB_MSG_ONCE_SYNCED, 7, false, "lost_ms" },
+  { BB_MSG_HELLO, 1, true, "role" },
+  { BB_MSG_HELLO, 2, true, "incarnation" },
+  { BB_MSG_HELLO, 3, true, "name" },
+  { BB_MSG_HELLO, 4, false, "revision" },
+  { BB_MSG_HELLO, 5, false, "load" },
+  { BB_MSG_HELLO, 6, false, "knew" },
+  { BB_MSG_CALL, 1, true, "id" },
+  { BB_MSG_CALL, 2, true, "agent_incarnation" },
+  { BB_MSG_CALL, 3, true, "customer" },
+  { BB_MSG_CALL, 4, true, "method" },
+  { BB_MSG_CALL, 5, true, "path" },
+  { BB_MSG_CALL, 6, false, "headers" },
+  { BB_MSG_CALL, 7, false, "body" },
+  { BB_MSG_CALL, 8, false, "idempotent" },
+  { BB_MSG_CALL, 9, false, "key" },
+  { BB_MSG_CALL, 10, true, "deadline_ms" },
+  { BB_MSG_CALL, 11, false, "tokens" },
+  { BB_MSG_CALL, 12, false, "attempt" },
+  { BB_MSG_CALL, 13, false, "priority" },
+  { BB_MSG_CALL, 14, false, "fingerprint" },
+  { BB_MSG_CALL, 15, false, "revision" },
+  { BB_MSG_CALL, 16, false, "minted" },
+  { BB_MSG_CANCEL, 1, true, "id" },
+  { BB_MSG_HEAD, 1, true, "id" },
+  { BB_MSG_HEAD, 2, true, "status" },
+  { BB_MSG_HEAD, 3, false, "headers" },
+  { BB_MSG_DATA, 1, true, "id" },
+  { BB_MSG_DATA, 2, true, "body" },
+  { BB_MSG_END, 1, true, "id" },
+  { BB_MSG_END, 2, false, "load" },
+  { BB_MSG_REFUSAL, 1, true, "id" },
+  { BB_MSG_REFUSAL, 2, true, "run" },
+  { BB_MSG_REFUSAL, 3, true, "reason" },
+  { BB_MSG_REFUSAL, 4, false, "retry_after_ms" },
+  { BB_MSG_REFUSAL, 5, false, "load" },
+  { BB_MSG_HEARTBEAT, 1, true, "incarnation" },
+  { BB_MSG_HEARTBEAT, 2, true, "load" },
+  { BB_MSG_HEARTBEAT, 3, false, "revision" },
+  { 0 },
+};
