Agent: keys run at most once; repeats get the first outcome

Cause: an agent ran every call that reached it, and an entry sent a key to one agent only, whose loss stopped its orders. The agent now asks the other candidates of a key over connections of its own before it runs it, keeps the outcome and answers repeats; the entry tries the candidates in their order. A call past its deadline or without an entry goes on when it is non-idempotent, so that its outcome is kept. An agent that finds that it was paused reads its settings before it decides. An upstream that returns starts slowly.

--- /dev/null
+++ b/bench/once.c
@@ -0,0 +1,145 @@
+/* once - what callers of non-idempotent calls meet under failures, for each
+   way to keep a key at most once.  */
+
+#include "harness/once_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  SEEDS = 20,
+  KEYS = 200,
+  FAULT_EVERY_MS = 4000
+};
+
+struct way
+{
+  const char *name;
+  uint32_t candidates;
+  bool births;
+};
+
+struct trouble
+{
+  const char *name;
+  uint32_t faults;
+};
+
+static const struct way ways[] = {
+  { "home", 1, false },      { "home+births", 1, true },
+  { "home+copy", 2, false }, { "home+copy+births", 2, true },
+  { "majority", 3, false },  { "majority+births", 3, true },
+};
+
+static const struct trouble troubles[] = {
+  { "none", 0 },
+  { "kill", ONCE_FAULT_KILL },
+  { "replace", ONCE_FAULT_REPLACE },
+  { "partition", ONCE_FAULT_PARTITION },
+  { "pause", ONCE_FAULT_PAUSE },
+  { "domain-out", ONCE_FAULT_OUT },
+  { "members", ONCE_FAULT_MEMBERS },
+  { "network", ONCE_FAULT_NETWORK },
+  { "upstream", ONCE_FAULT_UPSTREAM },
+  { "kill-all", ONCE_FAULT_KILL_ALL },
+};
+
+static struct once_world_result
+run_case (const struct way *w, const struct trouble *t)
+{
+  struct once_world_result sum = { 0 };
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct once_world_options o = { .seed = seed,
+                                      .faults = t->faults,
+                                      .fault_every_ms = FAULT_EVERY_MS,
+                                      .replicas = 3,
+                                      .entries = 3,
+                                      .keys = KEYS,
+                                      .candidates = w->candidates,
+                                      .births = w->births,
+                                      .skew_ms = w->births ? 100 : 0 };
+      struct once_world_result r = once_world_run (&o);
+      sum.keys += r.keys;
+      sum.answered += r.answered;
+      sum.in_doubt += r.in_doubt;
+      sum.refused += r.refused;
+      sum.doubled += r.doubled;
+      sum.false_not_run += r.false_not_run;
+      sum.messages += r.messages;
+    }
+  return sum;
+}
+
+static double
+percent (uint32_t part, uint32_t whole)
+{
+  return whole ? 100.0 * part / whole : 0;
+}
+
+static FILE *
+open_report (const char *name)
+{
+  const char *dir = getenv ("BILBERRY_REPORT");
+  char path[512];
+
+  snprintf (path, sizeof path, "%s/%s", dir ? dir : ".", name);
+  return fopen (path, "w");
+}
+
+static void
+write_plot (void)
+{
+  FILE *f = open_report ("once.gnuplot");
+
+  if (!f)
+    return;
+  fputs ("set datafile separator ','\nset terminal png size 900,500\n"
+         "set output 'once.png'\nset style data histogram\n"
+         "set style fill solid\nset ylabel 'keys in doubt, percent'\n"
+         "set xtics rotate by -30\nset yrange [0:]\n"
+         "plot for [i=2:7] 'once.csv' using i:xtic(1) title "
+         "columnheader(i)\n",
+         f);
+  fclose (f);
+}
+
+int
+main (void)
+{
+  FILE *csv = open_report ("once.csv");
+
+  printf ("%-11s %-17s %9s %9s %9s %8s %8s\n", "trouble", "way", "answered",
+          "not run", "in doubt", "doubled", "untrue");
+  if (csv)
+    {
+      fputs ("trouble", csv);
+      for (size_t i = 0; i < G_N_ELEMENTS (ways); i++)
+        fprintf (csv, ",%s", ways[i].name);
+    }
+  for (size_t t = 0; t < G_N_ELEMENTS (troubles); t++)
+    {
+      if (csv)
+        fprintf (csv, "\n%s", troubles[t].name);
+      for (size_t i = 0; i < G_N_ELEMENTS (ways); i++)
+        {
+          struct once_world_result r = run_case (&ways[i], &troubles[t]);
+          printf ("%-11s %-17s %8.2f%% %8.2f%% %8.2f%% %8u %8u\n",
+                  troubles[t].name, ways[i].name, percent (r.answered, r.keys),
+                  percent (r.refused, r.keys), percent (r.in_doubt, r.keys),
+                  r.doubled, r.false_not_run);
+          fflush (stdout);
+          if (csv)
+            fprintf (csv, ",%.3f", percent (r.in_doubt, r.keys));
+        }
+    }
+  if (csv)
+    {
+      fputs ("\n", csv);
+      fclose (csv);
+    }
+  write_plot ();
+  return 0;
+}
--- a/cmd/agent/agent.h
+++ b/cmd/agent/agent.h
@@ -3,10 +3,11 @@
 
 #include "bilberry/admit.h"
 #include "bilberry/daemon.h"
+#include "bilberry/once.h"
 
 #include <uthash.h>
 
-/* A connection from an entry.  */
+/* A connection from an entry or another agent.  */
 struct peer
 {
   struct agent *agent;
@@ -16,16 +17,56 @@
   struct peer *next;
 };
 
+/* The way to another agent of the pool.  */
+struct member
+{
+  struct agent *agent;
+  char *name;
+  char *address;
+  struct bb_conn *conn;
+  bool ready;
+  bool gone;            /* no longer in the settings */
+  uint64_t incarnation; /* of the agent that was last met there */
+  uv_timer_t again;
+  struct member *next;
+};
+
+enum call_state
+{
+  CALL_ASKING, /* whether its key may run */
+  CALL_READY,  /* may run; see agent_run_ready */
+  CALL_RUNNING /* at the upstream */
+};
+
+/* The bytes of an answer, kept for repeats of its key.  */
+struct outcome
+{
+  uint16_t status;
+  struct bb_header headers[64]; /* sizes count; bytes lie in DATA */
+  uint32_t headers_count;
+  char *data;
+  size_t size;
+  bool cut; /* larger than is kept */
+};
+
 /* A request that an entry asked for and that has not ended.  */
 struct call
 {
   uint64_t id;
-  struct peer *peer; /* NULL once the entry is gone */
+  struct peer *peer; /* NULL once the entry is gone or refused */
   struct agent *agent;
+  enum call_state state;
   struct bb_http_call *http;
   uv_timer_t deadline;
   bool idempotent;
-  UT_hash_handle hh;
+  bool keyed; /* goes through the table of keys */
+  uint64_t once_id;
+  struct bb_call request; /* its bytes lie in COPY */
+  char *copy;
+  struct outcome outcome;
+  struct call *ready_next;
+  UT_hash_handle hh;      /* of the calls of its peer */
+  UT_hash_handle hh_once; /* of all keyed calls, by once_id */
 };
 
 struct agent
@@ -34,7 +75,16 @@
   struct bb_http_client *client;
   struct bb_listener *listener;
   struct bb_admit admit;
+  struct bb_once *once;
   struct peer *peers;
+  struct member *members;
+  struct call *keyed; /* by once_id */
+  struct call *ready; /* told to run by the table of keys */
+  uint64_t last_once_id;
+  char *pool;
+  bb_ms skew_ms;
+  bb_ms last_tick;
+  uv_timer_t tick;
   bool out; /* the upstream or its failure domain is taken out */
 };
 
@@ -42,13 +92,40 @@
 bool peer_listen (struct agent *a, const char *address);
 void peer_send_heartbeats (struct agent *a);
 
+/* Hands a message between agents to the table of keys.  */
+void peer_on_once (struct agent *a, const struct bb_message *m);
+
+/* member.c */
+
+/* Makes the ways to the other agents fit the settings in force.  */
+void members_update (struct agent *a);
+bool member_send (void *agent, const char *member, enum bb_message_type type,
+                  const void *m);
+size_t members_backlog_bytes (const struct agent *a);
+
 /* call.c */
 void call_start (struct peer *p, const struct bb_call *m);
 void call_cancel (struct peer *p, uint64_t id);
 /* The entry of P is gone.  */
 void call_orphan_all (struct peer *p);
+/* Runs what the table of keys has allowed since the last call.  */
+void call_run_ready (struct agent *a);
+uint32_t call_count_keyed (const struct agent *a);
+extern const struct bb_once_ops call_once_ops;
 
-/* agent.c */
+/* outcome.c */
+void outcome_head (struct outcome *o, uint16_t status,
+                   const struct bb_header *headers, uint32_t count);
+void outcome_data (struct outcome *o, struct bb_bytes piece);
+/* Fills N; its bytes live as long as O.  */
+void outcome_note (struct outcome *o, struct bb_once_note *n);
+void outcome_free (struct outcome *o);
+
+/* main.c */
 struct bb_load agent_load (const struct agent *a);
 
+/* Returns the time; after a pause of the process, reads the settings first.
+ *PAUSED_MS is how long it was.  */
+bb_ms agent_now (struct agent *a, bb_ms *paused_ms);
+
 #endif
--- a/cmd/agent/call.c
+++ b/cmd/agent/call.c
@@ -1,6 +1,18 @@
+/* The life of a call: asked for, allowed by the table of keys, admitted, run
+   at the upstream, answered.  */
+
 #include "agent.h"
 
 #include <stdlib.h>
+#include <string.h>
+#include <sys/time.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+enum
+{
+  RETRY_AFTER_MS = 1000
+};
 
 static void
 send_refusal (struct peer *p, uint64_t id, const struct bb_verdict *v)
@@ -18,21 +30,61 @@
 static void
 on_timer_closed (uv_handle_t *h)
 {
-  free (h->data);
+  struct call *c = h->data;
+
+  outcome_free (&c->outcome);
+  free (c->copy);
+  free (c);
 }
 
-/* Ends a call on this side; its answer has been sent or nobody waits.  */
+/* Nobody waits for the call any more.  */
 static void
-call_end (struct call *c, bool well)
+leave_peer (struct call *c)
 {
-  struct agent *a = c->agent;
-
   if (c->peer)
     HASH_DEL (c->peer->calls, c);
-  bb_admit_end (&a->admit, well);
+  c->peer = NULL;
+}
+
+/* Forgets a call.  */
+static void
+call_free (struct call *c)
+{
+  struct agent *a = c->agent;
+
+  leave_peer (c);
+  if (c->keyed)
+    HASH_DELETE (hh_once, a->keyed, c);
+  if (c->state == CALL_READY)
+    LL_DELETE2 (a->ready, c, ready_next);
   uv_close ((uv_handle_t *)&c->deadline, on_timer_closed);
 }
 
+static void
+refuse (struct call *c, const struct bb_verdict *v)
+{
+  if (c->peer)
+    send_refusal (c->peer, c->id, v);
+}
+
+/* Tells the table of keys how a call that it allowed has ended.  */
+static void
+tell_once (struct call *c, bool whole, enum bb_run run)
+{
+  struct bb_once_note n = { 0 };
+
+  if (!c->keyed)
+    return;
+  if (whole)
+    {
+      n.customer = c->request.customer;
+      n.key = c->request.key;
+      outcome_note (&c->outcome, &n);
+    }
+  bb_once_ended (c->agent->once, c->once_id, whole ? &n : NULL, run,
+                 bb_clock_now ());
+}
+
 static void
 on_head (struct bb_http_call *h, uint16_t status,
          const struct bb_header *headers, uint32_t headers_count)
@@ -40,6 +92,8 @@
   struct call *c = bb_http_call_user (h);
   struct bb_head m = { .id = c->id, .status = status };
 
+  if (c->keyed)
+    outcome_head (&c->outcome, status, headers, headers_count);
   if (!c->peer)
     return;
   for (uint32_t i = 0; i < headers_count; i++)
@@ -54,6 +108,8 @@
   struct call *c = bb_http_call_user (h);
   struct bb_data m = { .id = c->id, .body = piece };
 
+  if (c->keyed)
+    outcome_data (&c->outcome, piece);
   if (c->peer)
     bb_put_data (bb_conn_out (c->peer->conn), &m);
 }
@@ -64,59 +120,286 @@
   struct call *c = bb_http_call_user (h);
   struct bb_verdict v = { .run = (uint8_t)run };
   struct bb_end m = { .id = c->id };
-  struct peer *p = c->peer;
   struct agent *a = c->agent;
 
   if (error)
     {
       v.reason = run == BB_RUN_NOT_RUN ? BB_REASON_UPSTREAM_REFUSED
                                        : BB_REASON_UPSTREAM_FAILED;
+      v.retry_after_ms = RETRY_AFTER_MS;
       bb_log (BB_LOG_WARN, "agent", "The upstream failed: %s.", error);
       bb_admit_restarted (&a->admit);
     }
-  call_end (c, !error);
-  if (!p)
-    return;
-  m.load = agent_load (a);
+  bb_admit_end (&a->admit, !error);
+  tell_once (c, !error, run);
   if (error)
-    send_refusal (p, m.id, &v);
-  else
-    bb_put_end (bb_conn_out (p->conn), &m);
+    refuse (c, &v);
+  else if (c->peer)
+    {
+      m.load = agent_load (a);
+      bb_put_end (bb_conn_out (c->peer->conn), &m);
+    }
+  call_free (c);
+  call_run_ready (a);
 }
 
 static const struct bb_http_call_ops http_ops
     = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
 
+/* Ends a call whose time is over.  One that is non-idempotent and runs goes
+   on without a listener, so that its outcome is known to repeats.  */
 static void
 on_deadline (uv_timer_t *t)
 {
   struct call *c = t->data;
+  struct agent *a = c->agent;
   struct bb_verdict v
       = { .run = BB_RUN_MAYBE_RUN, .reason = BB_REASON_DEADLINE };
 
-  bb_http_call_cancel (c->http);
+  if (c->state == CALL_ASKING)
+    {
+      bb_once_drop (a->once, c->once_id);
+      refuse (c, &v);
+      call_free (c);
+      return;
+    }
+  refuse (c, &v);
+  if (c->idempotent)
+    {
+      bb_http_call_cancel (c->http);
+      bb_admit_end (&a->admit, false);
+      call_free (c);
+      return;
+    }
+  leave_peer (c);
+}
+
+/* Sends an allowed call to the upstream, or refuses it.  */
+static void
+run (struct call *c)
+{
+  struct agent *a = c->agent;
+  const struct bb_call *m = &c->request;
+  struct bb_verdict v
+      = { .run = BB_RUN_NOT_RUN, .retry_after_ms = RETRY_AFTER_MS };
+  bool admitted = false;
+
+#ifndef BB_MUTANT_AGENT_OUT
+  if (a->daemon->draining || a->out)
+    v.reason = BB_REASON_DRAINING;
+  else
+#endif
+    admitted = bb_admit_start (&a->admit, &v);
+  if (!admitted)
+    {
+      tell_once (c, false, BB_RUN_NOT_RUN);
+      refuse (c, &v);
+      call_free (c);
+      return;
+    }
+  c->state = CALL_RUNNING;
+  c->http = bb_http_client_send (a->client, m->method, m->path, m->headers,
+                                 m->headers_count, m->body, &http_ops, c);
+}
+
+void
+call_run_ready (struct agent *a)
+{
+  while (a->ready)
+    {
+      struct call *c = a->ready;
+      LL_DELETE2 (a->ready, c, ready_next);
+      c->state = CALL_RUNNING;
+      run (c);
+    }
+}
+
+static struct call *
+find_keyed (struct agent *a, uint64_t once_id)
+{
+  struct call *c;
+
+  HASH_FIND (hh_once, a->keyed, &once_id, sizeof once_id, c);
+  return c;
+}
+
+static void
+once_run (void *user, uint64_t once_id)
+{
+  struct agent *a = user;
+  struct call *c = find_keyed (a, once_id);
+
+  c->state = CALL_READY;
+  LL_APPEND2 (a->ready, c, ready_next);
+}
+
+static void
+once_answer (void *user, uint64_t once_id, const struct bb_once_note *n)
+{
+  struct agent *a = user;
+  struct call *c = find_keyed (a, once_id);
+  struct bb_head head = { .id = c->id,
+                          .status = n->status,
+                          .headers_count = n->headers_count };
+  struct bb_data data = { .id = c->id, .body = n->body };
+  struct bb_end end = { .id = c->id };
+
+  bb_counter ("bilberry_once_replays_total", "")->value++;
   if (c->peer)
-    send_refusal (c->peer, c->id, &v);
-  call_end (c, false);
+    {
+      memcpy (head.headers, n->headers, sizeof head.headers);
+      bb_put_head (bb_conn_out (c->peer->conn), &head);
+      bb_put_data (bb_conn_out (c->peer->conn), &data);
+      end.load = agent_load (a);
+      bb_put_end (bb_conn_out (c->peer->conn), &end);
+    }
+  call_free (c);
+}
+
+static void
+once_refuse (void *user, uint64_t once_id, const struct bb_verdict *v)
+{
+  struct call *c = find_keyed (user, once_id);
+
+  refuse (c, v);
+  call_free (c);
+}
+
+const struct bb_once_ops call_once_ops = { .send = member_send,
+                                           .run = once_run,
+                                           .answer = once_answer,
+                                           .refuse = once_refuse };
+
+static struct bb_bytes
+move (char **at, struct bb_bytes b)
+{
+  struct bb_bytes to = { .ptr = *at, .size = b.size };
+
+  if (b.size > 0)
+    memcpy (*at, b.ptr, b.size);
+  *at += b.size;
+  return to;
+}
+
+/* Copies the bytes of a message, which last only as long as its frame.  */
+static void
+copy_request (struct call *c, const struct bb_call *m)
+{
+  size_t size = m->customer.size + m->method.size + m->path.size + m->body.size
+                + m->key.size + 1;
+  struct bb_call *r = &c->request;
+  char *at;
+
+  for (uint32_t i = 0; i < m->headers_count; i++)
+    size += m->headers[i].name.size + m->headers[i].value.size;
+  c->copy = malloc (size);
+  if (!c->copy)
+    abort ();
+  at = c->copy;
+  *r = *m;
+  r->customer = move (&at, m->customer);
+  r->method = move (&at, m->method);
+  r->path = move (&at, m->path);
+  r->body = move (&at, m->body);
+  r->key = move (&at, m->key);
+  for (uint32_t i = 0; i < m->headers_count; i++)
+    {
+      r->headers[i].name = move (&at, m->headers[i].name);
+      r->headers[i].value = move (&at, m->headers[i].value);
+    }
+}
+
+static uint64_t
+print_of (const struct bb_call *m)
+{
+  uint64_t h = XXH64 (m->method.ptr, m->method.size, 0);
+
+  h = XXH64 (m->path.ptr, m->path.size, h);
+  return XXH64 (m->body.ptr, m->body.size, h);
+}
+
+/* Returns the age that the key tells; 0 where it tells none that can be.  */
+static bb_ms
+age_of (const struct agent *a, struct bb_bytes key)
+{
+  int64_t birth_ms = bb_once_birth_ms (key);
+  struct timeval t;
+  int64_t age_ms;
+
+  if (birth_ms == 0)
+    return 0;
+  gettimeofday (&t, NULL);
+  age_ms = (int64_t)t.tv_sec * 1000 + t.tv_usec / 1000 - birth_ms;
+  if (age_ms < -a->skew_ms)
+    return 0;
+  return age_ms > 0 ? age_ms : 1;
+}
+
+static struct call *
+call_new (struct peer *p, const struct bb_call *m)
+{
+  struct call *c = calloc (1, sizeof *c);
+
+  c->id = m->id;
+  c->peer = p;
+  c->agent = p->agent;
+  c->idempotent = m->idempotent;
+  copy_request (c, m);
+  HASH_ADD (hh, p->calls, id, sizeof c->id, c);
+  uv_timer_init (p->agent->daemon->loop, &c->deadline);
+  c->deadline.data = c;
+  uv_timer_start (&c->deadline, on_deadline, m->deadline_ms, 0);
+  return c;
+}
+
+static void
+start_keyed (struct call *c, bb_ms now)
+{
+  struct agent *a = c->agent;
+  const struct bb_call *m = &c->request;
+  struct bb_once_call once = { .customer = m->customer,
+                               .key = m->key,
+                               .print = print_of (m),
+                               .age_ms = age_of (a, m->key),
+                               .deadline = now + m->deadline_ms };
+
+  c->keyed = true;
+  c->once_id = ++a->last_once_id;
+  once.id = c->once_id;
+  HASH_ADD (hh_once, a->keyed, once_id, sizeof c->once_id, c);
+  bb_once_begin (a->once, &once, now);
+  call_run_ready (a);
 }
 
-/* Whether the call may start now.  */
 static bool
-admit (struct agent *a, const struct bb_call *m, struct bb_verdict *v)
+is_keyed (const struct bb_call *m)
 {
-  enum
-  {
-    RETRY_AFTER_MS = 1000
-  };
+  return !m->idempotent && !m->minted && m->key.size > 0;
+}
 
+/* Whether the call may go on; a repeat of a known key may at all times.  */
+static bool
+is_welcome (struct agent *a, const struct bb_call *m, bb_ms paused_ms,
+            struct bb_verdict *v)
+{
   v->run = BB_RUN_NOT_RUN;
   v->retry_after_ms = RETRY_AFTER_MS;
+#ifndef BB_MUTANT_AGENT_STALE
   if (m->agent_incarnation != a->daemon->incarnation)
-    v->reason = BB_REASON_STALE_INCARNATION;
-  else if (a->daemon->draining || a->out)
+    {
+      v->reason = BB_REASON_STALE_INCARNATION;
+      return false;
+    }
+#endif
+  if (m->deadline_ms <= (uint64_t)paused_ms)
+    v->reason = BB_REASON_DEADLINE;
+#ifndef BB_MUTANT_AGENT_OUT
+  else if ((a->daemon->draining || a->out)
+           && !(is_keyed (m) && bb_once_knows (a->once, m->customer, m->key)))
     v->reason = BB_REASON_DRAINING;
+#endif
   else
-    return bb_admit_start (&a->admit, v);
+    return true;
   return false;
 }
 
@@ -126,23 +409,44 @@
   struct agent *a = p->agent;
   struct bb_verdict v = { 0 };
   struct call *c;
+  bb_ms paused;
+  bb_ms now = agent_now (a, &paused);
 
-  if (!admit (a, m, &v))
+  if (!is_welcome (a, m, paused, &v))
     {
       send_refusal (p, m->id, &v);
       return;
     }
-  c = calloc (1, sizeof *c);
-  c->id = m->id;
-  c->peer = p;
-  c->agent = a;
-  c->idempotent = m->idempotent;
-  HASH_ADD (hh, p->calls, id, sizeof c->id, c);
-  uv_timer_init (a->daemon->loop, &c->deadline);
-  c->deadline.data = c;
-  uv_timer_start (&c->deadline, on_deadline, m->deadline_ms, 0);
-  c->http = bb_http_client_send (a->client, m->method, m->path, m->headers,
-                                 m->headers_count, m->body, &http_ops, c);
+  HASH_FIND (hh, p->calls, &m->id, sizeof m->id, c);
+  if (c)
+    return;
+  c = call_new (p, m);
+  if (is_keyed (m))
+    start_keyed (c, now);
+  else
+    run (c);
+}
+
+/* Gives a call up whose entry no longer waits.  One that is non-idempotent
+   and runs goes on to its end.  */
+static void
+abandon (struct call *c)
+{
+  struct agent *a = c->agent;
+
+  if (c->state == CALL_ASKING && c->keyed)
+    bb_once_drop (a->once, c->once_id);
+  else if (c->idempotent)
+    {
+      bb_http_call_cancel (c->http);
+      bb_admit_end (&a->admit, false);
+    }
+  else
+    {
+      leave_peer (c);
+      return;
+    }
+  call_free (c);
 }
 
 void
@@ -151,10 +455,8 @@
   struct call *c;
 
   HASH_FIND (hh, p->calls, &id, sizeof id, c);
-  if (!c || !c->idempotent)
-    return;
-  bb_http_call_cancel (c->http);
-  call_end (c, false);
+  if (c)
+    abandon (c);
 }
 
 void
@@ -163,15 +465,11 @@
   struct call *c;
   struct call *next;
 
-  HASH_ITER (hh, p->calls, c, next)
-  {
-    if (c->idempotent)
-      {
-        bb_http_call_cancel (c->http);
-        call_end (c, false);
-        continue;
-      }
-    HASH_DEL (p->calls, c);
-    c->peer = NULL;
-  }
+  HASH_ITER (hh, p->calls, c, next) { abandon (c); }
+}
+
+uint32_t
+call_count_keyed (const struct agent *a)
+{
+  return HASH_CNT (hh_once, a->keyed);
 }
--- a/cmd/agent/main.c
+++ b/cmd/agent/main.c
@@ -2,8 +2,13 @@
 
 #include "agent.h"
 
+#include <string.h>
+
 enum
 {
+  CANDIDATES = BB_ONCE_CANDIDATES,
+  ASK_MS = 500,
+  PAUSE_MS = 2000, /* a longer gap between ticks is a pause */
   HEARTBEAT_MS = 500,
   UPSTREAM_IO_TIMEOUT_MS = 600000 /* the deadline of a call comes first */
 };
@@ -27,6 +32,66 @@
   peer_send_heartbeats (t->data);
 }
 
+bb_ms
+agent_now (struct agent *a, bb_ms *paused_ms)
+{
+  bb_ms now = bb_clock_now ();
+  bb_ms gap = now - a->last_tick;
+
+  *paused_ms = 0;
+  if (gap < PAUSE_MS)
+    return now;
+  a->last_tick = now;
+  *paused_ms = gap;
+  bb_counter ("bilberry_pauses_total", "")->value++;
+  bb_log (BB_LOG_WARN, "agent", "The process was paused for %lld ms.",
+          (long long)gap);
+  bb_daemon_refresh (a->daemon);
+  return now;
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct agent *a = t->data;
+  bb_ms paused;
+  bb_ms now = agent_now (a, &paused);
+
+  a->last_tick = now;
+  bb_once_tick (a->once, now);
+  call_run_ready (a);
+}
+
+static void
+set_once_limits (struct agent *a, const struct bb_upstream_settings *u)
+{
+  struct bb_once_limits l = { .candidates = CANDIDATES,
+                              .keys_max = u->keys_max,
+                              .bytes_max = u->keys_max_bytes,
+                              .retention_ms = u->key_retention_ms,
+                              .skew_ms = u->key_skew_ms,
+                              .ask_ms = ASK_MS };
+
+  a->skew_ms = u->key_skew_ms;
+  bb_once_set_limits (a->once, &l);
+}
+
+static void
+start_once (struct agent *a, const struct bb_upstream_settings *u)
+{
+  struct bb_daemon *d = a->daemon;
+
+  a->last_tick = bb_clock_now ();
+  a->once
+      = bb_once_new (d->name, d->incarnation, &call_once_ops, a, a->last_tick);
+  a->pool = strdup (u->pool);
+  set_once_limits (a, u);
+  members_update (a);
+  uv_timer_init (d->loop, &a->tick);
+  a->tick.data = a;
+  uv_timer_start (&a->tick, on_tick, BB_ONCE_TICK_MS, BB_ONCE_TICK_MS);
+}
+
 static struct bb_admit_limits
 limits_of (const struct bb_upstream_settings *u)
 {
@@ -60,6 +125,7 @@
   uv_timer_init (d->loop, &heartbeat);
   heartbeat.data = a;
   uv_timer_start (&heartbeat, on_heartbeat, HEARTBEAT_MS, HEARTBEAT_MS);
+  start_once (a, u);
   *operator_address = u->operator;
   return peer_listen (a, u->agent);
 }
@@ -71,14 +137,20 @@
   const struct bb_upstream_settings *u
       = bb_settings_upstream (d->settings, d->name);
   struct bb_admit_limits limits;
+  bool was_out = a->out;
 
   (void)old;
   a->out = !u || !bb_settings_upstream_in (d->settings, u);
+  /* An upstream that returns starts slowly.  */
+  if (was_out && !a->out)
+    bb_admit_restarted (&a->admit);
   if (u)
     {
+      set_once_limits (a, u);
       limits = limits_of (u);
       bb_admit_set_limits (&a->admit, &limits);
     }
+  members_update (a);
   peer_send_heartbeats (a);
 }
 
@@ -95,8 +167,10 @@
 in_flight (struct bb_daemon *d)
 {
   const struct agent *a = d->user;
-  uint32_t count = a->admit.in_flight;
+  uint32_t count = a->admit.in_flight + call_count_keyed (a);
 
+  if (members_backlog_bytes (a) > 0)
+    count++;
   for (const struct peer *p = a->peers; p; p = p->next)
     if (bb_conn_backlog_bytes (p->conn) > 0)
       count++;
@@ -107,9 +181,18 @@
 status (struct bb_daemon *d, json_t *out)
 {
   const struct agent *a = d->user;
+  struct bb_once_stats keys = bb_once_stats (a->once);
 
   json_object_set_new (out, "limit", json_integer (a->admit.limit));
   json_object_set_new (out, "out", json_boolean (a->out));
+  json_object_set_new (out, "cold",
+                       json_boolean (a->admit.limit < a->admit.limits.limit));
+  json_object_set_new (
+      out, "keys",
+      json_pack ("{s:i, s:i, s:b, s:b, s:i, s:i}", "count", (int)keys.keys,
+                 "bytes", (int)keys.bytes, "whole", (int)keys.whole, "settled",
+                 (int)keys.settled, "refused_full", (int)keys.full,
+                 "conflicts", (int)keys.conflicts));
 }
 
 int
--- a/cmd/agent/peer.c
+++ b/cmd/agent/peer.c
@@ -1,5 +1,6 @@
 #include "agent.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <utlist.h>
 
@@ -21,6 +22,47 @@
   bb_put_hello (bb_conn_out (c), &hello);
 }
 
+static void
+on_hello (struct agent *a, const struct bb_hello *m)
+{
+  char name[129];
+
+  snprintf (name, sizeof name, "%.*s", (int)m->name.size, m->name.ptr);
+  bb_once_testify (a->once, name, m->knew);
+}
+
+void
+peer_on_once (struct agent *a, const struct bb_message *m)
+{
+  bb_ms paused;
+  bb_ms now = agent_now (a, &paused);
+
+  switch (m->type)
+    {
+    case BB_MSG_ONCE_ASK:
+      bb_once_on_ask (a->once, &m->u.once_ask, now);
+      break;
+    case BB_MSG_ONCE_SAY:
+      bb_once_on_say (a->once, &m->u.once_say, now);
+      break;
+    case BB_MSG_ONCE_NOTE:
+      bb_once_on_note (a->once, &m->u.once_note, now);
+      break;
+    case BB_MSG_ONCE_RELEASE:
+      bb_once_on_release (a->once, &m->u.once_release);
+      break;
+    case BB_MSG_ONCE_SYNC:
+      bb_once_on_sync (a->once, &m->u.once_sync, now);
+      break;
+    case BB_MSG_ONCE_SYNCED:
+      bb_once_on_synced (a->once, &m->u.once_synced, now);
+      break;
+    default:
+      break;
+    }
+  call_run_ready (a);
+}
+
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
@@ -28,6 +70,9 @@
 
   switch (m->type)
     {
+    case BB_MSG_HELLO:
+      on_hello (p->agent, &m->u.hello);
+      break;
     case BB_MSG_CALL:
       call_start (p, &m->u.call);
       break;
@@ -35,6 +80,7 @@
       call_cancel (p, m->u.cancel.id);
       break;
     default:
+      peer_on_once (p->agent, m);
       break;
     }
 }
--- a/cmd/entry/home.c
+++ b/cmd/entry/home.c
@@ -1,29 +1,59 @@
-/* Chooses the upstream of a non-idempotent call.  One key always goes to the
-   same agent, its home, which remembers what ran.  */
+/* Chooses the upstream of a non-idempotent call: the candidates of its key in
+   their order, so that repeats meet the agents that know the key.  */
 
+#include "bilberry/once.h"
 #include "entry.h"
 
+#include <stdio.h>
 #include <string.h>
-#include <xxhash.h>
 
-struct link *
-home_link (struct request *q)
+static bool
+is_usable (const struct link *l)
 {
-  struct link *home = NULL;
-  uint64_t best = 0;
+  return l->in && l->ready && !l->load.draining;
+}
 
-  for (struct link *l = q->entry->links; l; l = l->next)
+/* Collects the replicas of the pool.  */
+static uint32_t
+list_pool (struct request *q, struct link *links[BB_ONCE_MEMBERS_MAX],
+           const char *names[BB_ONCE_MEMBERS_MAX])
+{
+  uint32_t count = 0;
+
+  for (struct link *l = q->entry->links; l && count < BB_ONCE_MEMBERS_MAX;
+       l = l->next)
     {
-      uint64_t score;
       if (l->gone || strcmp (l->pool, q->pool) != 0)
         continue;
-      score = XXH64 (l->name, strlen (l->name), q->key_hash);
-      if (home && score <= best)
-        continue;
-      home = l;
-      best = score;
+      links[count] = l;
+      names[count++] = l->name;
+    }
+  return count;
+}
+
+struct link *
+home_link (struct request *q)
+{
+  struct link *links[BB_ONCE_MEMBERS_MAX];
+  const char *names[BB_ONCE_MEMBERS_MAX];
+  uint32_t count = list_pool (q, links, names);
+  uint32_t c[BB_ONCE_CANDIDATES];
+  struct link *usable[BB_ONCE_CANDIDATES];
+  uint32_t usable_count = 0;
+  char minted[32];
+  struct bb_bytes key = bb_header_find (
+      q->http->headers, q->http->headers_count, "idempotency-key");
+
+  if (key.size == 0)
+    {
+      snprintf (minted, sizeof minted, "%016llx",
+                (unsigned long long)q->key_hash);
+      key = bb_bytes_of (minted);
     }
-  if (!home || !home->in || !home->ready || home->load.draining)
-    return NULL;
-  return home;
+  count = bb_once_candidates (names, count, bb_bytes_of (q->customer), key,
+                              BB_ONCE_CANDIDATES, c);
+  for (uint32_t i = 0; i < count; i++)
+    if (is_usable (links[c[i]]))
+      usable[usable_count++] = links[c[i]];
+  return usable_count == 0 ? NULL : usable[q->attempts % usable_count];
 }
--- a/cmd/entry/link.c
+++ b/cmd/entry/link.c
@@ -52,7 +52,8 @@
   struct bb_hello hello = { .role = BB_ROLE_ENTRY,
                             .incarnation = d->incarnation,
                             .name = bb_bytes_of (d->name),
-                            .revision = d->revision };
+                            .revision = d->revision,
+                            .knew = l->agent_incarnation };
 
   bb_put_hello (bb_conn_out (c), &hello);
 }
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -40,10 +40,15 @@
 static void
 refuse (struct request *q, const struct bb_verdict *v)
 {
+  struct bb_verdict told = *v;
+
+  /* The last try did not run, but an earlier request of its key may have. */
+  if (v->reason == BB_REASON_IN_DOUBT || v->reason == BB_REASON_OTHER_SETTINGS)
+    told.run = v->run == BB_RUN_RAN ? BB_RUN_RAN : BB_RUN_MAYBE_RUN;
   if (q->streaming)
-    problem_end_stream (q->http, v);
+    problem_end_stream (q->http, &told);
   else
-    problem_respond (q->http, v);
+    problem_respond (q->http, &told);
   request_end (q);
 }
 
@@ -109,6 +114,7 @@
 
   m.deadline_ms = (uint32_t)(q->deadline - (bb_ms)uv_now (q->timer.loop));
   m.key = bb_header_find (r->headers, r->headers_count, "idempotency-key");
+  m.minted = m.key.size == 0;
   for (uint32_t i = 0; i < r->headers_count; i++)
     if (is_passed_on (r->headers[i].name))
       m.headers[m.headers_count++] = r->headers[i];
--- a/include/bilberry/daemon.h
+++ b/include/bilberry/daemon.h
@@ -53,6 +53,9 @@
 int bb_daemon_main (int argc, char **argv, const struct bb_daemon_ops *ops,
                     void *user);
 
+/* Reads the settings again at once; for a process that was paused.  */
+void bb_daemon_refresh (struct bb_daemon *d);
+
 /* Draws a random 64-bit number that is not 0.  */
 uint64_t bb_random_id (void);
 
--- a/include/bilberry/once.h
+++ b/include/bilberry/once.h
@@ -92,6 +92,10 @@
 void bb_once_begin (struct bb_once *o, const struct bb_once_call *c,
                     bb_ms now);
 
+/* Whether there is a record of the key.  */
+bool bb_once_knows (struct bb_once *o, struct bb_bytes customer,
+                    struct bb_bytes key);
+
 /* The caller of CALL no longer waits; no action follows for it.  A call that
    was told to run still ends by bb_once_ended.  */
 void bb_once_drop (struct bb_once *o, uint64_t call);
--- a/libdaemon/config.c
+++ b/libdaemon/config.c
@@ -94,6 +94,12 @@
   bb_settings_free (old);
 }
 
+void
+bb_daemon_refresh (struct bb_daemon *d)
+{
+  read_again (d);
+}
+
 static void
 on_settled (uv_timer_t *t)
 {
--- a/libonce/once.c
+++ b/libonce/once.c
@@ -362,6 +362,13 @@
   evaluate (o, r, now);
 }
 
+bool
+bb_once_knows (struct bb_once *o, struct bb_bytes customer,
+               struct bb_bytes key)
+{
+  return record_find (o, customer, key) != NULL;
+}
+
 static struct record *
 find_call (struct bb_once *o, uint64_t call)
 {
--- a/test/harness/fleet.c
+++ b/test/harness/fleet.c
@@ -129,7 +129,9 @@
                                  o[6], o[7], (char *)NULL);
   else
     u->upstream = harness_start (f->h, u->name, "fake-plain", "--address",
-                                 address, (char *)NULL);
+                                 address, f->plain_options[0],
+                                 f->plain_options[1], f->plain_options[2],
+                                 f->plain_options[3], (char *)NULL);
 }
 
 void
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -39,6 +39,7 @@
   struct fleet_entry entries[FLEET_MAX];
   uint32_t entries_count;
   const char *engine_options[8]; /* further options of each engine */
+  const char *plain_options[4];  /* and of each plain service */
 };
 
 /* The bearer header line of the customer "customer-1".  */
--- /dev/null
+++ b/test/test_agent.c
@@ -0,0 +1,406 @@
+/* Tests of agents as real processes: repeats of a key, kills, pauses and
+   graceful shutdown.  */
+
+#include "bilberry/wire.h"
+#include "harness/fleet.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static const char *
+build_dir (void)
+{
+  const char *dir = g_getenv ("BILBERRY_BUILD");
+
+  return dir ? dir : "build";
+}
+
+static struct answer
+send_order (struct fleet *f, uint32_t entry, const char *key, const char *body)
+{
+  char *headers
+      = g_strdup_printf ("%sIdempotency-Key: %s\r\n", fleet_key, key);
+  struct answer a = harness_http (f->entries[entry].port, "POST", "/orders",
+                                  headers, body);
+
+  g_free (headers);
+  return a;
+}
+
+/* Returns how often KEY ran at all upstreams together.  */
+static uint32_t
+count_runs (struct fleet *f, const char *key)
+{
+  char *name = g_strdup_printf ("\"%s\":", key);
+  uint32_t runs = 0;
+
+  for (uint32_t i = 0; i < f->upstreams_count; i++)
+    {
+      struct answer a
+          = harness_http (f->upstreams[i].port, "GET", "/ran", "", "");
+      const char *at = a.body ? strstr (a.body, name) : NULL;
+      if (at)
+        runs += (uint32_t)strtoul (at + strlen (name), NULL, 10);
+      answer_free (&a);
+    }
+  g_free (name);
+  return runs;
+}
+
+/* Finds the upstream that ran KEY.  */
+static struct fleet_upstream *
+find_runner (struct fleet *f, const char *key)
+{
+  char *name = g_strdup_printf ("\"%s\":", key);
+  struct fleet_upstream *found = NULL;
+
+  for (uint32_t i = 0; i < f->upstreams_count && !found; i++)
+    {
+      struct answer a
+          = harness_http (f->upstreams[i].port, "GET", "/ran", "", "");
+      if (a.body && strstr (a.body, name))
+        found = &f->upstreams[i];
+      answer_free (&a);
+    }
+  g_free (name);
+  return found;
+}
+
+static void
+await_settled (struct fleet *f)
+{
+  for (uint32_t i = 0; i < f->upstreams_count; i++)
+    g_assert_true (harness_await (f->upstreams[i].operator_port, "/status",
+                                  "\"settled\": true", 10000));
+}
+
+static void
+start_orders (struct fleet *f, uint32_t entries)
+{
+  fleet_init (f, build_dir (), 0, 3, entries);
+  fleet_start (f);
+  await_settled (f);
+}
+
+static void
+kill_agent (struct fleet *f, struct fleet_upstream *u)
+{
+  harness_signal (f->h, u->agent, SIGKILL);
+  harness_wait (f->h, u->agent);
+}
+
+static void
+expect (struct answer a, int status, const char *text)
+{
+  g_assert_cmpint (a.status, ==, status);
+  g_assert_nonnull (strstr (a.body, text));
+  answer_free (&a);
+}
+
+static void
+test_repeats (void)
+{
+  struct fleet f;
+
+  start_orders (&f, 2);
+  expect (send_order (&f, 0, "k1", "crate"), 201,
+          "{\"order\":\"k1\",\"ran\":1}");
+  expect (send_order (&f, 1, "k1", "crate"), 201,
+          "{\"order\":\"k1\",\"ran\":1}");
+  expect (send_order (&f, 1, "k1", "another"), 422, "key_reused");
+  g_assert_cmpuint (count_runs (&f, "k1"), ==, 1);
+  fleet_free (&f);
+}
+
+/* The agent that ran an order dies; a repeat gets the outcome elsewhere, and
+   again from the agent once it is back.  */
+static void
+test_kill_after (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+
+  start_orders (&f, 2);
+  expect (send_order (&f, 0, "k2", "crate"), 201, "\"ran\":1");
+  u = find_runner (&f, "k2");
+  kill_agent (&f, u);
+  expect (send_order (&f, 1, "k2", "crate"), 201, "\"ran\":1");
+  fleet_start_agent (&f, u);
+  await_settled (&f);
+  for (int i = 0; i < 6; i++)
+    expect (send_order (&f, (uint32_t)i % 2, "k2", "crate"), 201, "\"ran\":1");
+  g_assert_cmpuint (count_runs (&f, "k2"), ==, 1);
+  fleet_free (&f);
+}
+
+struct order_thread
+{
+  struct fleet *f;
+  uint32_t entry;
+  const char *key;
+  struct answer answer;
+};
+
+static void *
+send_order_thread (void *arg)
+{
+  struct order_thread *t = arg;
+
+  t->answer = send_order (t->f, t->entry, t->key, "crate");
+  return NULL;
+}
+
+static void
+await_run (struct fleet *f, const char *key)
+{
+  while (count_runs (f, key) == 0)
+    harness_sleep_ms (10);
+}
+
+/* The upstream ran the order, but its agent died before the answer.  */
+static void
+test_kill_during (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+  struct order_thread t = { .f = &f, .key = "k3" };
+  pthread_t thread;
+
+  fleet_init (&f, build_dir (), 0, 3, 2);
+  f.plain_options[0] = "--delay-ms";
+  f.plain_options[1] = "1500";
+  fleet_start (&f);
+  await_settled (&f);
+  pthread_create (&thread, NULL, send_order_thread, &t);
+  await_run (&f, "k3");
+  u = find_runner (&f, "k3");
+  kill_agent (&f, u);
+  pthread_join (thread, NULL);
+  expect (t.answer, 502, "\"run\":\"maybe\"");
+  for (int i = 0; i < 3; i++)
+    {
+      struct answer a = send_order (&f, 1, "k3", "crate");
+      g_assert_cmpint (a.status, ==, 409);
+      g_assert_nonnull (strstr (a.headers, "bilberry-run: maybe"));
+      answer_free (&a);
+    }
+  fleet_start_agent (&f, u);
+  await_settled (&f);
+  expect (send_order (&f, 0, "k3", "crate"), 409, "in_doubt");
+  g_assert_cmpuint (count_runs (&f, "k3"), ==, 1);
+  fleet_free (&f);
+}
+
+/* A repeat waits for the order that is running and gets its answer.  */
+static void
+test_repeat_waits (void)
+{
+  struct fleet f;
+  struct order_thread t = { .f = &f, .key = "k4" };
+  pthread_t thread;
+
+  fleet_init (&f, build_dir (), 0, 3, 2);
+  f.plain_options[0] = "--delay-ms";
+  f.plain_options[1] = "700";
+  fleet_start (&f);
+  await_settled (&f);
+  pthread_create (&thread, NULL, send_order_thread, &t);
+  await_run (&f, "k4");
+  expect (send_order (&f, 1, "k4", "crate"), 201, "\"ran\":1");
+  pthread_join (thread, NULL);
+  expect (t.answer, 201, "\"ran\":1");
+  g_assert_cmpuint (count_runs (&f, "k4"), ==, 1);
+  fleet_free (&f);
+}
+
+/* All agents die at once: what they knew is lost, and they say so.  */
+static void
+test_kill_all (void)
+{
+  struct fleet f;
+  struct answer a;
+
+  start_orders (&f, 2);
+  expect (send_order (&f, 0, "k5", "crate"), 201, "\"ran\":1");
+  for (uint32_t i = 0; i < f.upstreams_count; i++)
+    kill_agent (&f, &f.upstreams[i]);
+  for (uint32_t i = 0; i < f.upstreams_count; i++)
+    fleet_start_agent (&f, &f.upstreams[i]);
+  for (uint32_t i = 0; i < f.entries_count; i++)
+    while (harness_await (f.entries[i].operator_port, "/status",
+                          "\"connected\": false", 1))
+      harness_sleep_ms (10);
+  a = send_order (&f, 1, "k5", "crate");
+  g_assert_cmpint (a.status, ==, 409);
+  g_assert_nonnull (strstr (a.headers, "bilberry-run: maybe"));
+  answer_free (&a);
+  g_assert_cmpuint (count_runs (&f, "k5"), ==, 1);
+  fleet_free (&f);
+}
+
+/* Graceful shutdown cuts no order, and its outcome stays known.  */
+static void
+test_term (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+  struct order_thread t = { .f = &f, .key = "k6" };
+  pthread_t thread;
+
+  fleet_init (&f, build_dir (), 0, 3, 2);
+  f.plain_options[0] = "--delay-ms";
+  f.plain_options[1] = "700";
+  fleet_start (&f);
+  await_settled (&f);
+  pthread_create (&thread, NULL, send_order_thread, &t);
+  await_run (&f, "k6");
+  u = find_runner (&f, "k6");
+  harness_signal (f.h, u->agent, SIGTERM);
+  g_assert_cmpint (harness_wait (f.h, u->agent), ==, 0);
+  pthread_join (thread, NULL);
+  expect (t.answer, 201, "\"ran\":1");
+  expect (send_order (&f, 1, "k6", "crate"), 201, "\"ran\":1");
+  g_assert_cmpuint (count_runs (&f, "k6"), ==, 1);
+  fleet_free (&f);
+}
+
+/* The agent that ran an order is frozen: the others refuse the repeat or know
+   the outcome, but do not run it; when it wakes nothing runs twice.  */
+static void
+test_pause (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+  struct order_thread t = { .f = &f, .key = "k7" };
+  pthread_t thread;
+
+  fleet_init (&f, build_dir (), 0, 3, 2);
+  f.plain_options[0] = "--delay-ms";
+  f.plain_options[1] = "500";
+  fleet_start (&f);
+  await_settled (&f);
+  pthread_create (&thread, NULL, send_order_thread, &t);
+  await_run (&f, "k7");
+  u = find_runner (&f, "k7");
+  harness_signal (f.h, u->agent, SIGSTOP);
+  harness_sleep_ms (3000);
+  harness_signal (f.h, u->agent, SIGCONT);
+  pthread_join (thread, NULL);
+  expect (t.answer, 201, "\"ran\":1");
+  expect (send_order (&f, 1, "k7", "crate"), 201, "\"ran\":1");
+  g_assert_cmpuint (count_runs (&f, "k7"), ==, 1);
+  g_assert_cmpuint (
+      harness_counter (u->operator_port, "bilberry_pauses_total", ""), ==, 1);
+  fleet_free (&f);
+}
+
+/* Sends one call straight to an agent, as an entry would that believes what
+   is no longer so.  Returns the connection.  */
+static int
+send_call (const struct fleet_upstream *u, uint64_t incarnation)
+{
+  struct bb_hello hello
+      = { .name = { "entry-9", 7 }, .incarnation = 1, .role = BB_ROLE_ENTRY };
+  struct bb_call call = { .id = 1,
+                          .agent_incarnation = incarnation,
+                          .customer = { "customer-1", 10 },
+                          .method = { "POST", 4 },
+                          .path = { "/orders", 7 },
+                          .body = { "stale", 5 },
+                          .deadline_ms = 5000 };
+  msgpack_sbuffer out;
+  int fd;
+
+  msgpack_sbuffer_init (&out);
+  bb_put_hello (&out, &hello);
+  bb_put_call (&out, &call);
+  fd = harness_connect (u->agent_port);
+  g_assert_cmpint (write (fd, out.data, out.size), ==, (gssize)out.size);
+  msgpack_sbuffer_destroy (&out);
+  return fd;
+}
+
+/* Waits until an agent has refused a call or its upstream has run it; returns
+   how often the upstream ran it.  */
+static uint32_t
+await_end (struct fleet *f, const struct fleet_upstream *u, const char *reason)
+{
+  char *labels = g_strdup_printf ("reason=\"%s\"", reason);
+  uint32_t runs = 0;
+
+  while (
+      runs == 0
+      && harness_counter (u->operator_port, "bilberry_refusals_total", labels)
+             == 0)
+    {
+      harness_sleep_ms (20);
+      runs = count_runs (f, "stale");
+    }
+  g_free (labels);
+  return runs;
+}
+
+static uint64_t
+read_incarnation (const struct fleet_upstream *u)
+{
+  static const char name[] = "\"incarnation\": \"";
+  struct answer a = harness_http (u->operator_port, "GET", "/status", "", "");
+  uint64_t incarnation
+      = strtoull (strstr (a.body, name) + strlen (name), NULL, 16);
+
+  answer_free (&a);
+  return incarnation;
+}
+
+/* The agent is the fence: a call for an earlier process is not run.  */
+static void
+test_stale (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+
+  start_orders (&f, 1);
+  u = &f.upstreams[0];
+  close (send_call (u, read_incarnation (u) + 1));
+  g_assert_cmpuint (await_end (&f, u, "stale_incarnation"), ==, 0);
+  close (send_call (u, read_incarnation (u)));
+  g_assert_cmpuint (await_end (&f, u, "none"), ==, 1);
+  fleet_free (&f);
+}
+
+/* A call that an entry sends to an upstream that is out is not run.  */
+static void
+test_out (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+
+  start_orders (&f, 1);
+  u = &f.upstreams[0];
+  fleet_set_out (&f, u->failure_domain);
+  g_assert_true (
+      harness_await (u->operator_port, "/status", "\"out\": true", 10000));
+  close (send_call (u, read_incarnation (u)));
+  g_assert_cmpuint (await_end (&f, u, "draining"), ==, 0);
+  fleet_free (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/agent/repeats", test_repeats);
+  g_test_add_func ("/agent/kill-after", test_kill_after);
+  g_test_add_func ("/agent/kill-during", test_kill_during);
+  g_test_add_func ("/agent/repeat-waits", test_repeat_waits);
+  g_test_add_func ("/agent/kill-all", test_kill_all);
+  g_test_add_func ("/agent/term", test_term);
+  g_test_add_func ("/agent/pause", test_pause);
+  g_test_add_func ("/agent/stale", test_stale);
+  g_test_add_func ("/agent/out", test_out);
+  return g_test_run ();
+}
