--- a/cmd/agent/agent.h
+++ b/cmd/agent/agent.h
@@ -34,7 +34,8 @@
 enum call_state
 {
   CALL_ASKING, /* whether its key may run */
-  CALL_READY,  /* may run; see agent_run_ready */
+  CALL_READY,  /* may run; see call_run_ready */
+  CALL_QUEUED, /* waits before the upstream */
   CALL_RUNNING /* at the upstream */
 };
 
@@ -65,8 +66,12 @@
   char *copy;
   struct outcome outcome;
   struct call *ready_next;
-  UT_hash_handle hh;      /* of the calls of its peer */
-  UT_hash_handle hh_once; /* of all keyed calls, by once_id */
+  uint64_t queue_id;
+  bb_ms arrived;
+  bb_ms started;            /* at the upstream */
+  UT_hash_handle hh_queued; /* of all queued calls, by queue_id */
+  UT_hash_handle hh;        /* of the calls of its peer */
+  UT_hash_handle hh_once;   /* of all keyed calls, by once_id */
 };
 
 struct agent
@@ -74,13 +79,15 @@
   struct bb_daemon *daemon;
   struct bb_http_client *client;
   struct bb_listener *listener;
-  struct bb_admit admit;
+  struct bb_admit *admit;
   struct bb_once *once;
   struct peer *peers;
   struct member *members;
-  struct call *keyed; /* by once_id */
-  struct call *ready; /* told to run by the table of keys */
+  struct call *keyed;  /* by once_id */
+  struct call *ready;  /* told to run by the table of keys */
+  struct call *queued; /* by queue_id */
   uint64_t last_once_id;
+  uint64_t last_queue_id;
   char *pool;
   bb_ms skew_ms;
   bb_ms last_tick;
@@ -110,6 +117,8 @@
 void call_orphan_all (struct peer *p);
 /* Runs what the table of keys has allowed since the last call.  */
 void call_run_ready (struct agent *a);
+/* Refuses all calls that wait; the upstream is out.  */
+void call_refuse_queued (struct agent *a);
 uint32_t call_count_keyed (const struct agent *a);
 extern const struct bb_once_ops call_once_ops;
 
--- a/cmd/agent/call.c
+++ b/cmd/agent/call.c
@@ -3,6 +3,7 @@
 
 #include "agent.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/time.h>
@@ -57,6 +58,11 @@
     HASH_DELETE (hh_once, a->keyed, c);
   if (c->state == CALL_READY)
     LL_DELETE2 (a->ready, c, ready_next);
+  if (c->state == CALL_QUEUED)
+    {
+      HASH_DELETE (hh_queued, a->queued, c);
+      bb_admit_withdraw (a->admit, c->queue_id);
+    }
   uv_close ((uv_handle_t *)&c->deadline, on_timer_closed);
 }
 
@@ -128,9 +134,9 @@
                                        : BB_REASON_UPSTREAM_FAILED;
       v.retry_after_ms = RETRY_AFTER_MS;
       bb_log (BB_LOG_WARN, "agent", "The upstream failed: %s.", error);
-      bb_admit_restarted (&a->admit);
+      bb_admit_restarted (a->admit);
     }
-  bb_admit_end (&a->admit, !error);
+  bb_admit_end (a->admit, !error, bb_clock_now () - c->started);
   tell_once (c, !error, run);
   if (error)
     refuse (c, &v);
@@ -146,6 +152,15 @@
 static const struct bb_http_call_ops http_ops
     = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
 
+/* Refuses a call that has not run and will not.  */
+static void
+give_up (struct call *c, const struct bb_verdict *v)
+{
+  tell_once (c, false, BB_RUN_NOT_RUN);
+  refuse (c, v);
+  call_free (c);
+}
+
 /* Ends a call whose time is over.  One that is non-idempotent and runs goes
    on without a listener, so that its outcome is known to repeats.  */
 static void
@@ -163,55 +178,140 @@
       call_free (c);
       return;
     }
+  if (c->state == CALL_QUEUED)
+    {
+      v.run = BB_RUN_NOT_RUN;
+      v.retry_after_ms = RETRY_AFTER_MS;
+      give_up (c, &v);
+      call_run_ready (a);
+      return;
+    }
   refuse (c, &v);
   if (c->idempotent)
     {
       bb_http_call_cancel (c->http);
-      bb_admit_end (&a->admit, false);
+      bb_admit_end (a->admit, false, 0);
       call_free (c);
       return;
     }
   leave_peer (c);
 }
 
-/* Sends an allowed call to the upstream, or refuses it.  */
 static void
-run (struct call *c)
+start_next (struct call *c)
 {
   struct agent *a = c->agent;
   const struct bb_call *m = &c->request;
+
+  HASH_DELETE (hh_queued, a->queued, c);
+  c->state = CALL_RUNNING;
+  c->started = bb_clock_now ();
+  c->http = bb_http_client_send (a->client, m->method, m->path, m->headers,
+                                 m->headers_count, m->body, &http_ops, c);
+}
+
+static uint32_t
+weight_of (const struct agent *a, struct bb_bytes customer)
+{
+  const struct bb_settings *s = a->daemon->settings;
+
+  for (uint32_t i = 0; i < s->customers_count; i++)
+    if (bb_bytes_equal (customer, s->customers[i].name))
+      return s->customers[i].weight;
+  return 1;
+}
+
+/* Estimates tokens from the body where the entry gave none.  */
+static uint32_t
+tokens_of (const struct bb_call *m)
+{
+  enum
+  {
+    BYTES_PER_TOKEN = 4
+  };
+
+  return m->tokens > 0 ? m->tokens : 1 + m->body.size / BYTES_PER_TOKEN;
+}
+
+static bool
+offer (struct call *c, struct bb_verdict *v)
+{
+  struct agent *a = c->agent;
+  bb_ms now = bb_clock_now ();
+  struct bb_offer o = { .id = c->queue_id,
+                        .customer = c->request.customer,
+                        .weight = weight_of (a, c->request.customer),
+                        .tokens = tokens_of (&c->request),
+                        .priority = c->request.priority,
+                        .deadline = c->arrived + c->request.deadline_ms };
+  uint64_t evicted_id;
+  struct call *evicted;
+
+  if (!bb_admit_offer (a->admit, &o, now, &evicted_id, v))
+    return false;
+  HASH_FIND (hh_queued, a->queued, &evicted_id, sizeof evicted_id, evicted);
+  if (evicted)
+    give_up (evicted, v);
+  return true;
+}
+
+/* Queues an allowed call, or refuses it at once.  */
+static void
+enqueue (struct call *c)
+{
+  struct agent *a = c->agent;
   struct bb_verdict v
       = { .run = BB_RUN_NOT_RUN, .retry_after_ms = RETRY_AFTER_MS };
-  bool admitted = false;
 
 #ifndef BB_MUTANT_AGENT_OUT
   if (a->daemon->draining || a->out)
-    v.reason = BB_REASON_DRAINING;
-  else
+    {
+      v.reason = BB_REASON_DRAINING;
+      give_up (c, &v);
+      return;
+    }
 #endif
-    admitted = bb_admit_start (&a->admit, &v);
-  if (!admitted)
+  c->queue_id = ++a->last_queue_id;
+  if (!offer (c, &v))
     {
-      tell_once (c, false, BB_RUN_NOT_RUN);
-      refuse (c, &v);
-      call_free (c);
+      give_up (c, &v);
       return;
     }
-  c->state = CALL_RUNNING;
-  c->http = bb_http_client_send (a->client, m->method, m->path, m->headers,
-                                 m->headers_count, m->body, &http_ops, c);
+  c->state = CALL_QUEUED;
+  HASH_ADD (hh_queued, a->queued, queue_id, sizeof c->queue_id, c);
 }
 
 void
 call_run_ready (struct agent *a)
 {
+  uint64_t id;
+  struct call *c;
+
   while (a->ready)
     {
-      struct call *c = a->ready;
+      c = a->ready;
       LL_DELETE2 (a->ready, c, ready_next);
       c->state = CALL_RUNNING;
-      run (c);
+      enqueue (c);
     }
+  while ((id = bb_admit_next (a->admit)) != 0)
+    {
+      HASH_FIND (hh_queued, a->queued, &id, sizeof id, c);
+      assert (c);
+      start_next (c);
+    }
+}
+
+void
+call_refuse_queued (struct agent *a)
+{
+  struct bb_verdict v = { .run = BB_RUN_NOT_RUN,
+                          .reason = BB_REASON_DRAINING,
+                          .retry_after_ms = RETRY_AFTER_MS };
+  struct call *c;
+  struct call *next;
+
+  HASH_ITER (hh_queued, a->queued, c, next) { give_up (c, &v); }
 }
 
 static struct call *
@@ -344,6 +444,7 @@
   c->peer = p;
   c->agent = p->agent;
   c->idempotent = m->idempotent;
+  c->arrived = bb_clock_now ();
   copy_request (c, m);
   HASH_ADD (hh, p->calls, id, sizeof c->id, c);
   uv_timer_init (p->agent->daemon->loop, &c->deadline);
@@ -424,7 +525,10 @@
   if (is_keyed (m))
     start_keyed (c, now);
   else
-    run (c);
+    {
+      enqueue (c);
+      call_run_ready (a);
+    }
 }
 
 /* Gives a call up whose entry no longer waits.  One that is non-idempotent
@@ -436,10 +540,12 @@
 
   if (c->state == CALL_ASKING && c->keyed)
     bb_once_drop (a->once, c->once_id);
+  else if (c->state == CALL_QUEUED)
+    tell_once (c, false, BB_RUN_NOT_RUN);
   else if (c->idempotent)
     {
       bb_http_call_cancel (c->http);
-      bb_admit_end (&a->admit, false);
+      bb_admit_end (a->admit, false, 0);
     }
   else
     {
@@ -457,6 +563,7 @@
   HASH_FIND (hh, p->calls, &id, sizeof id, c);
   if (c)
     abandon (c);
+  call_run_ready (p->agent);
 }
 
 void
@@ -466,6 +573,7 @@
   struct call *next;
 
   HASH_ITER (hh, p->calls, c, next) { abandon (c); }
+  call_run_ready (p->agent);
 }
 
 uint32_t
--- a/cmd/agent/main.c
+++ b/cmd/agent/main.c
@@ -18,10 +18,13 @@
 struct bb_load
 agent_load (const struct agent *a)
 {
-  struct bb_load l = { .in_flight = a->admit.in_flight,
-                       .limit = a->admit.limit,
-                       .cold = a->admit.limit < a->admit.limits.limit,
-                       .draining = a->daemon->draining || a->out };
+  struct bb_admit_stats s = bb_admit_stats (a->admit);
+  struct bb_load l = { .in_flight = s.in_flight,
+                       .queued = s.queued,
+                       .limit = s.limit,
+                       .cold = s.cold,
+                       .draining = a->daemon->draining || a->out,
+                       .wait_ms = s.wait_ms };
 
   return l;
 }
@@ -96,7 +99,7 @@
 limits_of (const struct bb_upstream_settings *u)
 {
   struct bb_admit_limits l
-      = { .limit = u->limit, .cold_limit = u->cold_limit };
+      = { .limit = u->limit, .cold_limit = u->cold_limit, .queue = u->queue };
 
   return l;
 }
@@ -119,7 +122,7 @@
   a->daemon = d;
   a->out = !bb_settings_upstream_in (d->settings, u);
   limits = limits_of (u);
-  bb_admit_init (&a->admit, &limits);
+  a->admit = bb_admit_new (&limits);
   a->client = bb_http_client_new (d->loop, &addr, u->address,
                                   UPSTREAM_IO_TIMEOUT_MS);
   uv_timer_init (d->loop, &heartbeat);
@@ -141,14 +144,16 @@
 
   (void)old;
   a->out = !u || !bb_settings_upstream_in (d->settings, u);
+  if (a->out)
+    call_refuse_queued (a);
   /* An upstream that returns starts slowly.  */
   if (was_out && !a->out)
-    bb_admit_restarted (&a->admit);
+    bb_admit_restarted (a->admit);
   if (u)
     {
       set_once_limits (a, u);
       limits = limits_of (u);
-      bb_admit_set_limits (&a->admit, &limits);
+      bb_admit_set_limits (a->admit, &limits);
     }
   members_update (a);
   peer_send_heartbeats (a);
@@ -167,7 +172,8 @@
 in_flight (struct bb_daemon *d)
 {
   const struct agent *a = d->user;
-  uint32_t count = a->admit.in_flight + call_count_keyed (a);
+  struct bb_admit_stats s = bb_admit_stats (a->admit);
+  uint32_t count = s.in_flight + s.queued + call_count_keyed (a);
 
   if (members_backlog_bytes (a) > 0)
     count++;
@@ -181,12 +187,14 @@
 status (struct bb_daemon *d, json_t *out)
 {
   const struct agent *a = d->user;
+  struct bb_admit_stats admit = bb_admit_stats (a->admit);
   struct bb_once_stats keys = bb_once_stats (a->once);
 
-  json_object_set_new (out, "limit", json_integer (a->admit.limit));
+  json_object_set_new (out, "limit", json_integer (admit.limit));
   json_object_set_new (out, "out", json_boolean (a->out));
-  json_object_set_new (out, "cold",
-                       json_boolean (a->admit.limit < a->admit.limits.limit));
+  json_object_set_new (out, "cold", json_boolean (admit.cold));
+  json_object_set_new (out, "queued", json_integer (admit.queued));
+  json_object_set_new (out, "wait_ms", json_integer (admit.wait_ms));
   json_object_set_new (
       out, "keys",
       json_pack ("{s:i, s:i, s:b, s:b, s:i, s:i}", "count", (int)keys.keys,
--- a/libonce/sync.c
+++ b/libonce/sync.c
@@ -60,7 +60,8 @@
 has_all (const struct bb_once *o)
 {
   const struct set *set = set_now (o);
-  uint32_t others = 0;
+  uint32_t candidates
+      = set->count < o->limits.candidates ? set->count : o->limits.candidates;
   bool member = false;
 
   for (uint32_t i = 0; i < set->count; i++)
@@ -74,9 +75,9 @@
       HASH_FIND_STR (o->synced, set->names[i], s);
       if (!is_good (o, s))
         return false;
-      others++;
     }
-  return member && (o->whole || others > 0);
+  /* Where one grant is enough, the others hold no copies of it.  */
+  return member && (o->whole || set_quorum (candidates) > 1);
 }
 
 static void
