Scripted tests of libonce; three guards shown red

The guards of a deadline that passed during a pause, of replicas that left together and of a missed change of the replicas had no test that failed without them. Each has one now: without the guard the key runs twice, or late.

--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,13 @@
 check-built: all $(TEST_PROGRAMS)
 	test/run $(B) $(TEST_PROGRAMS)
 
+# Goes on with the randomised runs for SECONDS.
+SECONDS = 600
+soak: need-deps
+	$(MAKE) all $(B)/test/test_once_runs
+	BILBERRY_SOAK_SECONDS=$(SECONDS) $(B)/test/test_once_runs \
+		-p /once-runs/faults
+
 demo: need-deps
 	$(MAKE) all
 	$(B)/demo
@@ -137,7 +144,7 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all deps need-deps check check-built demo run bench lint proof \
+.PHONY: all deps need-deps check check-built soak demo run bench lint proof \
 	generate generated-check clean
 .SECONDARY:
 
--- a/libonce/set.c
+++ b/libonce/set.c
@@ -207,6 +207,9 @@
 {
   bb_ms until = o->lost_until;
 
+#ifdef BB_MUTANT_ONCE_LEFT
+  return 0;
+#endif
   for (uint32_t i = 1; i < o->sets_count; i++)
     {
       const struct set *s = &o->sets[i];
@@ -281,6 +284,9 @@
 {
   bool learned = false;
 
+#ifdef BB_MUTANT_ONCE_OTHER_SET
+  return false;
+#endif
   if (count == 0 || sets[0].hash != set_now (o)->hash)
     return false;
   for (uint32_t i = 1; i < count; i++)
--- /dev/null
+++ b/test/test_once.c
@@ -0,0 +1,398 @@
+/* Scripted tests of libonce: a few agents that hand each other messages at
+   once, unless a test cuts them off.  */
+
+#include "bilberry/once.h"
+#include "bilberry/wire.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  AGENTS = 6,
+  RETENTION_MS = 100000
+};
+
+struct cluster;
+
+struct agent
+{
+  struct cluster *cluster;
+  struct bb_once *once;
+  char name[4];
+  bool cut; /* neither sends nor receives */
+  uint32_t ran;
+  uint32_t answered;
+  struct bb_verdict refused;
+  uint64_t last_run;
+};
+
+struct cluster
+{
+  struct agent agents[AGENTS];
+  GQueue *queue; /* GBytes, each behind the index of its addressee */
+  bb_ms now;
+};
+
+static bool
+on_send (void *user, const char *member, enum bb_message_type type,
+         const void *m)
+{
+  struct agent *from = user;
+  uint32_t to = (uint32_t)(member[0] - 'a');
+  msgpack_sbuffer buf;
+
+  if (from->cut || from->cluster->agents[to].cut)
+    return false;
+  msgpack_sbuffer_init (&buf);
+  msgpack_sbuffer_write (&buf, (const char *)&to, sizeof to);
+  if (type == BB_MSG_ONCE_ASK)
+    bb_put_once_ask (&buf, m);
+  else if (type == BB_MSG_ONCE_SAY)
+    bb_put_once_say (&buf, m);
+  else if (type == BB_MSG_ONCE_NOTE)
+    bb_put_once_note (&buf, m);
+  else if (type == BB_MSG_ONCE_RELEASE)
+    bb_put_once_release (&buf, m);
+  else if (type == BB_MSG_ONCE_SYNC)
+    bb_put_once_sync (&buf, m);
+  else
+    bb_put_once_synced (&buf, m);
+  g_queue_push_tail (from->cluster->queue, g_bytes_new (buf.data, buf.size));
+  msgpack_sbuffer_destroy (&buf);
+  return true;
+}
+
+static void
+on_run (void *user, uint64_t call)
+{
+  struct agent *a = user;
+
+  a->ran++;
+  a->last_run = call;
+}
+
+static void
+on_answer (void *user, uint64_t call, const struct bb_once_note *n)
+{
+  (void)call;
+  (void)n;
+  ((struct agent *)user)->answered++;
+}
+
+static void
+on_refuse (void *user, uint64_t call, const struct bb_verdict *v)
+{
+  (void)call;
+  ((struct agent *)user)->refused = *v;
+}
+
+static const struct bb_once_ops ops = {
+  .send = on_send, .run = on_run, .answer = on_answer, .refuse = on_refuse
+};
+
+static void
+deliver (struct cluster *k, GBytes *bytes)
+{
+  gsize size;
+  const char *data = g_bytes_get_data (bytes, &size);
+  uint32_t to;
+  struct bb_message m;
+  struct bb_decode_error e;
+  struct bb_once *o;
+
+  memcpy (&to, data, sizeof to);
+  if (k->agents[to].cut)
+    return;
+  o = k->agents[to].once;
+  g_assert_true (bb_message_decode (data + sizeof to + BB_FRAME_HEAD_BYTES,
+                                    size - sizeof to - BB_FRAME_HEAD_BYTES, &m,
+                                    &e));
+  if (m.type == BB_MSG_ONCE_ASK)
+    bb_once_on_ask (o, &m.u.once_ask, k->now);
+  else if (m.type == BB_MSG_ONCE_SAY)
+    bb_once_on_say (o, &m.u.once_say, k->now);
+  else if (m.type == BB_MSG_ONCE_NOTE)
+    bb_once_on_note (o, &m.u.once_note, k->now);
+  else if (m.type == BB_MSG_ONCE_RELEASE)
+    bb_once_on_release (o, &m.u.once_release);
+  else if (m.type == BB_MSG_ONCE_SYNC)
+    bb_once_on_sync (o, &m.u.once_sync, k->now);
+  else
+    bb_once_on_synced (o, &m.u.once_synced, k->now);
+  bb_message_free (&m);
+}
+
+/* Delivers the oldest message; false where there is none.  */
+static bool
+deliver_next (struct cluster *k)
+{
+  GBytes *b = g_queue_pop_head (k->queue);
+
+  if (!b)
+    return false;
+  deliver (k, b);
+  g_bytes_unref (b);
+  return true;
+}
+
+/* Lets MS pass, with all messages and ticks.  */
+static void
+pass (struct cluster *k, bb_ms ms)
+{
+  for (bb_ms end = k->now + ms; k->now < end; k->now += BB_ONCE_TICK_MS)
+    {
+      for (int i = 0; i < AGENTS; i++)
+        if (!k->agents[i].cut)
+          bb_once_tick (k->agents[i].once, k->now);
+      while (deliver_next (k))
+        ;
+    }
+}
+
+/* Puts the replicas that MEMBERS names, a letter each, in force at agent I. */
+static void
+adopt (struct cluster *k, int i, const char *members)
+{
+  const char *names[AGENTS];
+  const char *witnesses[] = { "entry" };
+  uint32_t count = 0;
+
+  for (; *members; members++)
+    names[count++] = k->agents[*members - 'a'].name;
+  bb_once_set_members (k->agents[i].once, names, count, witnesses, 1, k->now);
+}
+
+static void
+start_agent (struct cluster *k, int i, const char *members, uint64_t knew)
+{
+  struct bb_once_limits limits = { .candidates = BB_ONCE_CANDIDATES,
+                                   .keys_max = 100,
+                                   .bytes_max = 65536,
+                                   .retention_ms = RETENTION_MS,
+                                   .ask_ms = 500 };
+  struct agent *a = &k->agents[i];
+  uint64_t incarnation = 100 + (uint64_t)i + (uint64_t)k->now * 1000;
+
+  if (a->once)
+    bb_once_free (a->once);
+  memset (a, 0, sizeof *a);
+  a->cluster = k;
+  a->name[0] = (char)('a' + i);
+  a->once = bb_once_new (a->name, incarnation, &ops, a, k->now);
+  bb_once_set_limits (a->once, &limits);
+  adopt (k, i, members);
+  bb_once_testify (a->once, "entry", knew);
+  for (int j = 0; j < AGENTS; j++)
+    if (j != i)
+      bb_once_testify (a->once, k->agents[j].name, knew);
+}
+
+static struct cluster *
+cluster_new (const char *members)
+{
+  struct cluster *k = g_new0 (struct cluster, 1);
+
+  k->queue = g_queue_new ();
+  k->now = 1000;
+  for (int i = 0; i < AGENTS; i++)
+    k->agents[i].name[0] = (char)('a' + i);
+  for (int i = 0; i < AGENTS; i++)
+    start_agent (k, i, members, 0);
+  pass (k, 1500);
+  return k;
+}
+
+static void
+cluster_free (struct cluster *k)
+{
+  for (int i = 0; i < AGENTS; i++)
+    bb_once_free (k->agents[i].once);
+  g_queue_free_full (k->queue, (GDestroyNotify)g_bytes_unref);
+  g_free (k);
+}
+
+static void
+begin (struct cluster *k, int i, const char *key, uint64_t print)
+{
+  static uint64_t calls;
+  struct bb_once_call c = { .id = ++calls,
+                            .customer = bb_bytes_of ("customer-1"),
+                            .key = bb_bytes_of (key),
+                            .print = print,
+                            .deadline = k->now + 2000 };
+
+  bb_once_begin (k->agents[i].once, &c, k->now);
+}
+
+static uint32_t
+count_runs (const struct cluster *k)
+{
+  uint32_t runs = 0;
+
+  for (int i = 0; i < AGENTS; i++)
+    runs += k->agents[i].ran;
+  return runs;
+}
+
+static void
+test_births (void)
+{
+  g_assert_cmpint (
+      bb_once_birth_ms (bb_bytes_of ("018f2c5a-7c00-7abc-8def-0123456789ab")),
+      ==, 0x018f2c5a7c00);
+  g_assert_cmpint (
+      bb_once_birth_ms (bb_bytes_of ("018f2c5a-7c00-4abc-8def-0123456789ab")),
+      ==, 0);
+  g_assert_cmpint (
+      bb_once_birth_ms (bb_bytes_of ("01ARZ3NDEKTSV4RRFFQ69G5FAV")), ==,
+      1469922850259);
+  g_assert_cmpint (bb_once_birth_ms (bb_bytes_of ("order-17")), ==, 0);
+}
+
+static void
+test_repeat (void)
+{
+  struct cluster *k = cluster_new ("abc");
+  struct bb_once_note n = { .status = 201 };
+
+  begin (k, 0, "key", 1);
+  pass (k, 300);
+  g_assert_cmpuint (count_runs (k), ==, 1);
+  begin (k, 1, "key", 1);
+  pass (k, 700);
+  g_assert_cmpuint (count_runs (k), ==, 1);
+  g_assert_cmpint (k->agents[1].refused.reason, ==, BB_REASON_IN_PROGRESS);
+  n.customer = bb_bytes_of ("customer-1");
+  n.key = bb_bytes_of ("key");
+  bb_once_ended (k->agents[0].once, k->agents[0].last_run, &n, BB_RUN_RAN,
+                 k->now);
+  pass (k, 300);
+  begin (k, 2, "key", 1);
+  begin (k, 2, "key", 2);
+  g_assert_cmpuint (k->agents[2].answered, ==, 1);
+  g_assert_cmpint (k->agents[2].refused.reason, ==, BB_REASON_KEY_REUSED);
+  cluster_free (k);
+}
+
+/* Grants that come after the deadline do not run the call.  */
+static void
+test_deadline (void)
+{
+  struct cluster *k = cluster_new ("abc");
+
+  begin (k, 0, "key", 1);
+  deliver_next (k);
+  deliver_next (k);
+  k->now += 3000; /* paused */
+  deliver_next (k);
+  deliver_next (k);
+  g_assert_cmpuint (count_runs (k), ==, 0);
+  g_assert_cmpint (k->agents[0].refused.run, ==, BB_RUN_NOT_RUN);
+  cluster_free (k);
+}
+
+/* All that granted a key have left the pool: it is not run again.  */
+static void
+test_left (void)
+{
+  struct cluster *k = cluster_new ("abc");
+
+  k->agents[2].cut = true;
+  begin (k, 0, "key", 1);
+  pass (k, 300);
+  g_assert_cmpuint (count_runs (k), ==, 1);
+  k->agents[0].cut = true;
+  k->agents[1].cut = true;
+  k->agents[2].cut = false;
+  for (int i = 2; i < 5; i++)
+    adopt (k, i, "cde");
+  pass (k, 2000);
+  for (int i = 2; i < 5; i++)
+    {
+      begin (k, i, "key", 1);
+      pass (k, 1000);
+      g_assert_cmpint (k->agents[i].refused.reason, ==, BB_REASON_IN_DOUBT);
+    }
+  g_assert_cmpuint (count_runs (k), ==, 1);
+  cluster_free (k);
+}
+
+/* Agents with older settings run a key; the others have newer ones.  */
+static void
+test_other_set (void)
+{
+  struct cluster *k = cluster_new ("abc");
+
+  adopt (k, 2, "bcd");
+  adopt (k, 3, "bcd");
+  k->agents[1].cut = true;
+  begin (k, 2, "key", 1);
+  pass (k, 300);
+  k->agents[1].cut = false;
+  k->agents[2].cut = true;
+  begin (k, 0, "key", 1);
+  pass (k, 1000);
+  g_assert_cmpuint (count_runs (k), <=, 1);
+  cluster_free (k);
+}
+
+/* An agent that missed a change of the replicas, there and back, learns of it
+   before it counts.  */
+static void
+test_missed_set (void)
+{
+  struct cluster *k = cluster_new ("abc");
+
+  k->agents[0].cut = true;
+  for (int i = 1; i < 4; i++)
+    adopt (k, i, "bcd");
+  pass (k, 2000);
+  k->agents[2].cut = true;
+  begin (k, 1, "key", 1);
+  pass (k, 300);
+  g_assert_cmpuint (count_runs (k), ==, 1);
+  k->agents[1].cut = true;
+  k->agents[2].cut = false;
+  for (int i = 1; i < 4; i++)
+    adopt (k, i, "abc");
+  k->agents[0].cut = false;
+  begin (k, 0, "key", 1);
+  pass (k, 1000);
+  g_assert_cmpuint (count_runs (k), ==, 1);
+  cluster_free (k);
+}
+
+/* A full table refuses new keys and keeps the old ones.  */
+static void
+test_full (void)
+{
+  struct cluster *k = cluster_new ("abc");
+  char key[16];
+
+  for (int i = 0; i < 101; i++)
+    {
+      g_snprintf (key, sizeof key, "key-%d", i);
+      begin (k, 0, key, 1);
+      pass (k, 100);
+    }
+  g_assert_cmpuint (count_runs (k), ==, 100);
+  g_assert_cmpuint (bb_once_stats (k->agents[0].once).keys, ==, 100);
+  g_assert_cmpint (k->agents[0].refused.run, ==, BB_RUN_NOT_RUN);
+  g_assert_cmpuint (bb_once_stats (k->agents[0].once).full, >, 0);
+  cluster_free (k);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/once/births", test_births);
+  g_test_add_func ("/once/repeat", test_repeat);
+  g_test_add_func ("/once/deadline", test_deadline);
+  g_test_add_func ("/once/left", test_left);
+  g_test_add_func ("/once/other-set", test_other_set);
+  g_test_add_func ("/once/missed-set", test_missed_set);
+  g_test_add_func ("/once/full", test_full);
+  return g_test_run ();
+}
