Agent learns of a restart of its upstream from its metrics

Cause: an upstream that restarted while nothing ran was met with the warm limit. The agent now reads the start time from the metrics that the settings name (probe, probe_start), five times a second, and starts at the cold limit when it changes.

test_agent /agent/cold: an engine that dies of more than 9 requests while cold restarts and meets a burst of 24; it lives.

--- a/cmd/agent/agent.h
+++ b/cmd/agent/agent.h
@@ -122,6 +122,11 @@
 uint32_t call_count_keyed (const struct agent *a);
 extern const struct bb_once_ops call_once_ops;
 
+/* probe.c */
+
+/* Starts to watch the upstream for restarts.  */
+void probe_start (struct agent *a);
+
 /* outcome.c */
 void outcome_head (struct outcome *o, uint16_t status,
                    const struct bb_header *headers, uint32_t count);
--- a/cmd/agent/main.c
+++ b/cmd/agent/main.c
@@ -129,6 +129,7 @@
   heartbeat.data = a;
   uv_timer_start (&heartbeat, on_heartbeat, HEARTBEAT_MS, HEARTBEAT_MS);
   start_once (a, u);
+  probe_start (a);
   *operator_address = u->operator;
   return peer_listen (a, u->agent);
 }
--- /dev/null
+++ b/cmd/agent/probe.c
@@ -0,0 +1,139 @@
+/* Reads from the metrics of the upstream when it started, so that a restart is
+   known before a request meets it.  */
+
+#include "agent.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PROBE_MS = 200,
+  TEXT_MAX_BYTES = 1024 * 1024,
+  VALUE_MAX_BYTES = 63
+};
+
+struct probe
+{
+  struct agent *agent;
+  uv_timer_t timer;
+  bool running;
+  char *text;
+  size_t size;
+  char started[VALUE_MAX_BYTES + 1]; /* as last read; empty: unknown */
+};
+
+static struct probe probe;
+
+static void
+on_head (struct bb_http_call *c, uint16_t status,
+         const struct bb_header *headers, uint32_t headers_count)
+{
+  (void)c;
+  (void)status;
+  (void)headers;
+  (void)headers_count;
+}
+
+static void
+on_data (struct bb_http_call *c, struct bb_bytes piece)
+{
+  struct probe *p = bb_http_call_user (c);
+
+  if (p->size + piece.size > TEXT_MAX_BYTES)
+    return;
+  p->text = realloc (p->text, p->size + piece.size + 1);
+  if (!p->text)
+    abort ();
+  memcpy (p->text + p->size, piece.ptr, piece.size);
+  p->size += piece.size;
+  p->text[p->size] = '\0';
+}
+
+/* Finds the value of metric NAME at the start of a line; NULL where there is
+   none.  */
+static const char *
+find_value (const char *text, const char *name)
+{
+  size_t size = strlen (name);
+
+  for (const char *line = text; line; line = strchr (line, '\n'))
+    {
+      if (*line == '\n')
+        line++;
+      if (strncmp (line, name, size) != 0)
+        continue;
+      if (line[size] == ' ')
+        return line + size + 1;
+      if (line[size] == '{' && strchr (line, '}'))
+        return strchr (line, '}') + 2;
+    }
+  return NULL;
+}
+
+static void
+set_started (struct probe *p, const char *value)
+{
+  size_t size = strcspn (value, " \n");
+
+  if (size > VALUE_MAX_BYTES)
+    size = VALUE_MAX_BYTES;
+  if (strlen (p->started) == size && strncmp (p->started, value, size) == 0)
+    return;
+#ifndef BB_MUTANT_AGENT_PROBE
+  bb_admit_restarted (p->agent->admit);
+#endif
+  bb_counter ("bilberry_upstream_starts_total", "")->value++;
+  bb_log (BB_LOG_INFO, "agent", "The upstream has started anew.");
+  memcpy (p->started, value, size);
+  p->started[size] = '\0';
+}
+
+static void
+on_end (struct bb_http_call *c, const char *error, enum bb_run run)
+{
+  struct probe *p = bb_http_call_user (c);
+  const struct bb_daemon *d = p->agent->daemon;
+  const struct bb_upstream_settings *u
+      = bb_settings_upstream (d->settings, d->name);
+  const char *value = NULL;
+
+  p->running = false;
+  if (!error && p->text && u)
+    value = find_value (p->text, u->probe_start);
+  if (value)
+    set_started (p, value);
+  else if (error && run == BB_RUN_NOT_RUN)
+    bb_admit_restarted (p->agent->admit);
+  free (p->text);
+  p->text = NULL;
+  p->size = 0;
+}
+
+static const struct bb_http_call_ops probe_ops
+    = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
+
+static void
+on_time (uv_timer_t *t)
+{
+  struct probe *p = t->data;
+  const struct bb_daemon *d = p->agent->daemon;
+  const struct bb_upstream_settings *u
+      = bb_settings_upstream (d->settings, d->name);
+
+  if (p->running || !u || !u->probe || !*u->probe)
+    return;
+  p->running = true;
+  bb_http_client_send (p->agent->client, bb_bytes_of ("GET"),
+                       bb_bytes_of (u->probe), NULL, 0, bb_bytes_of (NULL),
+                       &probe_ops, p);
+}
+
+void
+probe_start (struct agent *a)
+{
+  probe.agent = a;
+  uv_timer_init (a->daemon->loop, &probe.timer);
+  probe.timer.data = &probe;
+  uv_timer_start (&probe.timer, on_time, 0, PROBE_MS);
+}
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -38,6 +38,8 @@
   uint32_t limit;
   uint32_t cold_limit;
   uint32_t queue;
+  char *probe;
+  char *probe_start;
   uint32_t keys_max;
   uint32_t keys_max_bytes;
   uint32_t key_retention_ms;
--- a/test/harness/fleet.c
+++ b/test/harness/fleet.c
@@ -31,6 +31,9 @@
     }
 }
 
+static const char engine_probe[]
+    = ", probe: /metrics, probe_start: engine_start_time_ms";
+
 static void
 write_upstreams (struct fleet *f)
 {
@@ -45,9 +48,10 @@
       fprintf (out,
                "  %s: {address: '127.0.0.1:%u', agent: '127.0.0.1:%u', "
                "operator: '127.0.0.1:%u', failure_domain: %s, pool: %s, "
-               "limit: 32, cold_limit: 8}\n",
+               "limit: 32, cold_limit: 8%s}\n",
                u->name, u->port, u->agent_port, u->operator_port,
-               u->failure_domain, u->pool);
+               u->failure_domain, u->pool,
+               strcmp (u->pool, "draft") == 0 ? engine_probe : "");
     }
   fputs ("entries:\n", out);
   for (uint32_t i = 0; i < f->entries_count; i++)
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -389,6 +389,77 @@
   fleet_free (&f);
 }
 
+enum
+{
+  BURST = 24,
+  LONG_TOKENS = 600 /* lasts longer than the engine is cold */
+};
+
+struct drafts
+{
+  struct fleet *f;
+  uint32_t tokens;
+};
+
+static void *
+send_draft_thread (void *arg)
+{
+  const struct drafts *d = arg;
+  char body[128];
+  struct answer a;
+
+  g_snprintf (body, sizeof body,
+              "{\"max_tokens\":%u,\"messages\":[{\"content\":\"hello\"}]}",
+              d->tokens);
+  a = harness_http (d->f->entries[0].port, "POST", "/v1/chat/completions",
+                    fleet_key, body);
+  answer_free (&a);
+  return NULL;
+}
+
+static void
+send_drafts (struct fleet *f, uint32_t tokens)
+{
+  struct drafts d = { .f = f, .tokens = tokens };
+  pthread_t threads[BURST];
+
+  for (int i = 0; i < BURST; i++)
+    pthread_create (&threads[i], NULL, send_draft_thread, &d);
+  for (int i = 0; i < BURST; i++)
+    pthread_join (threads[i], NULL);
+}
+
+/* An engine restarts while nothing runs: the burst that follows does not
+   overload it.  It would die of more than its cold batch.  */
+static void
+test_cold (void)
+{
+  struct fleet f;
+  struct fleet_upstream *u;
+
+  fleet_init (&f, build_dir (), 1, 0, 1);
+  f.engine_options[0] = "--cold-ms";
+  f.engine_options[1] = "0";
+  f.engine_options[2] = "--cold-batch";
+  f.engine_options[3] = "9";
+  u = &f.upstreams[0];
+  fleet_start (&f);
+  while (!harness_await (u->operator_port, "/status", "\"cold\": false", 1))
+    send_drafts (&f, 1);
+  f.engine_options[1] = "2000";
+  harness_signal (f.h, u->upstream, SIGKILL);
+  harness_wait (f.h, u->upstream);
+  fleet_start_upstream (&f, u);
+  while (
+      harness_counter (u->operator_port, "bilberry_upstream_starts_total", "")
+      < 2)
+    harness_sleep_ms (20);
+  send_drafts (&f, LONG_TOKENS);
+  g_assert_true (
+      harness_await (u->port, "/metrics", "engine_sequences 0", 10000));
+  fleet_free (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -402,5 +473,6 @@
   g_test_add_func ("/agent/pause", test_pause);
   g_test_add_func ("/agent/stale", test_stale);
   g_test_add_func ("/agent/out", test_out);
+  g_test_add_func ("/agent/cold", test_cold);
   return g_test_run ();
 }
