--- a/bench/once.c
+++ b/bench/once.c
@@ -3,6 +3,7 @@
 
 #include "../test/harness/once_world.h"
 
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -106,6 +107,83 @@
   fclose (f);
 }
 
+static bool
+no_send (void *user, const char *member, enum bb_message_type type,
+         const void *m)
+{
+  (void)user;
+  (void)member;
+  (void)type;
+  (void)m;
+  return true;
+}
+
+static uint64_t allowed;
+
+static void
+note_run (void *user, uint64_t call)
+{
+  (void)user;
+  allowed = call;
+}
+
+static void
+no_answer (void *user, uint64_t call, const struct bb_once_note *n)
+{
+  (void)user;
+  (void)call;
+  (void)n;
+}
+
+static void
+no_refusal (void *user, uint64_t call, const struct bb_verdict *v)
+{
+  (void)user;
+  (void)call;
+  (void)v;
+}
+
+/* Prints memory and time of one remembered key, alone in its pool.  */
+static void
+measure_cost (uint32_t keys)
+{
+  static const struct bb_once_ops ops = {
+    .send = no_send, .run = note_run, .answer = no_answer, .refuse = no_refusal
+  };
+  static const char *const names[] = { "order-1" };
+  struct bb_once_limits limits = { .candidates = BB_ONCE_CANDIDATES,
+                                   .keys_max = keys,
+                                   .bytes_max = UINT32_MAX,
+                                   .retention_ms = INT64_MAX / 4,
+                                   .ask_ms = 500 };
+  struct bb_once *o = bb_once_new ("order-1", 1, &ops, NULL, 0);
+  struct bb_once_note n = { .status = 201,
+                            .customer = bb_bytes_of ("customer-1"),
+                            .body = bb_bytes_of ("{\"order\":\"booked\"}") };
+  size_t before = mallinfo2 ().uordblks;
+  gint64 began;
+  char key[40];
+
+  bb_once_set_limits (o, &limits);
+  bb_once_set_members (o, names, 1, NULL, 0, 0);
+  bb_once_tick (o, 0);
+  began = g_get_monotonic_time ();
+  for (uint32_t i = 1; i <= keys; i++)
+    {
+      struct bb_once_call c
+          = { .id = i, .customer = n.customer, .print = i, .deadline = 1000 };
+      snprintf (key, sizeof key, "018f2c5a-7c00-7abc-8def-%012u", i);
+      c.key = bb_bytes_of (key);
+      n.key = c.key;
+      bb_once_begin (o, &c, 1);
+      bb_once_ended (o, allowed, &n, BB_RUN_RAN, 1);
+    }
+  printf ("%u keys: %.0f bytes and %.2f us for each\n", bb_once_stats (o).keys,
+          (double)(mallinfo2 ().uordblks - before) / keys,
+          (double)(g_get_monotonic_time () - began) / keys);
+  bb_once_free (o);
+}
+
 int
 main (void)
 {
@@ -141,5 +219,8 @@
       fclose (csv);
     }
   write_plot ();
+  measure_cost (1000);
+  measure_cost (10000);
+  measure_cost (100000);
   return 0;
 }
