--- a/Makefile
+++ b/Makefile
@@ -133,6 +133,13 @@
 check-built: all $(TEST_PROGRAMS) $(FUZZ:%=$(B)/fuzz/%)
 	test/run $(B) $(TEST_PROGRAMS)
 
+# Goes on with the randomised runs for SECONDS.
+SECONDS = 600
+soak: need-deps
+	$(MAKE) all $(B)/test/test_once_runs
+	BILBERRY_SOAK_SECONDS=$(SECONDS) $(B)/test/test_once_runs \
+		-p /once-runs/faults
+
 demo: need-deps
 	$(MAKE) all
 	$(B)/demo
@@ -179,8 +186,8 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all deps need-deps check check-built fuzz fuzz-built demo run bench \
-	lint proof generate generated-check seeds clean
+.PHONY: all deps need-deps check check-built soak fuzz fuzz-built demo run \
+	bench lint proof generate generated-check seeds clean
 .SECONDARY:
 
 -include $(shell find $(B)/obj $(B)/obj-fuzz -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/bench/once.c
@@ -0,0 +1,226 @@
+/* once - what callers of non-idempotent calls meet under failures, for each
+   way to keep a key at most once.  */
+
+#include "../test/harness/once_world.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  SEEDS = 20,
+  KEYS = 200,
+  FAULT_EVERY_MS = 12000
+};
+
+struct way
+{
+  const char *name;
+  uint32_t candidates;
+  bool births;
+};
+
+struct trouble
+{
+  const char *name;
+  uint32_t faults;
+};
+
+static const struct way ways[] = {
+  { "home", 1, false },      { "home+births", 1, true },
+  { "home+copy", 2, false }, { "home+copy+births", 2, true },
+  { "majority", 3, false },  { "majority+births", 3, true },
+};
+
+static const struct trouble troubles[] = {
+  { "none", 0 },
+  { "kill", ONCE_FAULT_KILL },
+  { "replace", ONCE_FAULT_REPLACE },
+  { "partition", ONCE_FAULT_PARTITION },
+  { "pause", ONCE_FAULT_PAUSE },
+  { "domain-out", ONCE_FAULT_OUT },
+  { "members", ONCE_FAULT_MEMBERS },
+  { "network", ONCE_FAULT_NETWORK },
+  { "upstream", ONCE_FAULT_UPSTREAM },
+  { "kill-all", ONCE_FAULT_KILL_ALL },
+};
+
+static struct once_world_result
+run_case (const struct way *w, const struct trouble *t)
+{
+  struct once_world_result sum = { 0 };
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct once_world_options o = { .seed = seed,
+                                      .faults = t->faults,
+                                      .fault_every_ms = FAULT_EVERY_MS,
+                                      .replicas = 3,
+                                      .entries = 3,
+                                      .keys = KEYS,
+                                      .candidates = w->candidates,
+                                      .births = w->births,
+                                      .skew_ms = w->births ? 100 : 0 };
+      struct once_world_result r = once_world_run (&o);
+      sum.keys += r.keys;
+      sum.answered += r.answered;
+      sum.in_doubt += r.in_doubt;
+      sum.refused += r.refused;
+      sum.doubled += r.doubled;
+      sum.false_not_run += r.false_not_run;
+      sum.messages += r.messages;
+    }
+  return sum;
+}
+
+static double
+percent (uint32_t part, uint32_t whole)
+{
+  return whole ? 100.0 * part / whole : 0;
+}
+
+static FILE *
+open_report (const char *name)
+{
+  const char *dir = getenv ("BILBERRY_REPORT");
+  char path[512];
+
+  snprintf (path, sizeof path, "%s/%s", dir ? dir : ".", name);
+  return fopen (path, "w");
+}
+
+static void
+write_plot (void)
+{
+  FILE *f = open_report ("once.gnuplot");
+
+  if (!f)
+    return;
+  fputs ("set datafile separator ','\nset terminal png size 900,500\n"
+         "set output 'once.png'\nset style data histogram\n"
+         "set style fill solid\nset ylabel 'keys in doubt, percent'\n"
+         "set xtics rotate by -30\nset yrange [0:]\n"
+         "plot for [i=2:7] 'once.csv' using i:xtic(1) title "
+         "columnheader(i)\n",
+         f);
+  fclose (f);
+}
+
+static bool
+no_send (void *user, const char *member, enum bb_message_type type,
+         const void *m)
+{
+  (void)user;
+  (void)member;
+  (void)type;
+  (void)m;
+  return true;
+}
+
+static uint64_t allowed;
+
+static void
+note_run (void *user, uint64_t call)
+{
+  (void)user;
+  allowed = call;
+}
+
+static void
+no_answer (void *user, uint64_t call, const struct bb_once_note *n)
+{
+  (void)user;
+  (void)call;
+  (void)n;
+}
+
+static void
+no_refusal (void *user, uint64_t call, const struct bb_verdict *v)
+{
+  (void)user;
+  (void)call;
+  (void)v;
+}
+
+/* Prints memory and time of one remembered key, alone in its pool.  */
+static void
+measure_cost (uint32_t keys)
+{
+  static const struct bb_once_ops ops = {
+    .send = no_send, .run = note_run, .answer = no_answer, .refuse = no_refusal
+  };
+  static const char *const names[] = { "order-1" };
+  struct bb_once_limits limits = { .candidates = BB_ONCE_CANDIDATES,
+                                   .keys_max = keys,
+                                   .bytes_max = UINT32_MAX,
+                                   .retention_ms = INT64_MAX / 4,
+                                   .ask_ms = 500 };
+  struct bb_once *o = bb_once_new ("order-1", 1, &ops, NULL, 0);
+  struct bb_once_note n = { .status = 201,
+                            .customer = bb_bytes_of ("customer-1"),
+                            .body = bb_bytes_of ("{\"order\":\"booked\"}") };
+  size_t before = mallinfo2 ().uordblks;
+  gint64 began;
+  char key[40];
+
+  bb_once_set_limits (o, &limits);
+  bb_once_set_members (o, names, 1, NULL, 0, 0);
+  bb_once_tick (o, 0);
+  began = g_get_monotonic_time ();
+  for (uint32_t i = 1; i <= keys; i++)
+    {
+      struct bb_once_call c
+          = { .id = i, .customer = n.customer, .print = i, .deadline = 1000 };
+      snprintf (key, sizeof key, "018f2c5a-7c00-7abc-8def-%012u", i);
+      c.key = bb_bytes_of (key);
+      n.key = c.key;
+      bb_once_begin (o, &c, 1);
+      bb_once_ended (o, allowed, &n, BB_RUN_RAN, 1);
+    }
+  printf ("%u keys: %.0f bytes and %.2f us for each\n", bb_once_stats (o).keys,
+          (double)(mallinfo2 ().uordblks - before) / keys,
+          (double)(g_get_monotonic_time () - began) / keys);
+  bb_once_free (o);
+}
+
+int
+main (void)
+{
+  FILE *csv = open_report ("once.csv");
+
+  printf ("%-11s %-17s %9s %9s %9s %8s %8s\n", "trouble", "way", "answered",
+          "not run", "in doubt", "doubled", "untrue");
+  if (csv)
+    {
+      fputs ("trouble", csv);
+      for (size_t i = 0; i < G_N_ELEMENTS (ways); i++)
+        fprintf (csv, ",%s", ways[i].name);
+    }
+  for (size_t t = 0; t < G_N_ELEMENTS (troubles); t++)
+    {
+      if (csv)
+        fprintf (csv, "\n%s", troubles[t].name);
+      for (size_t i = 0; i < G_N_ELEMENTS (ways); i++)
+        {
+          struct once_world_result r = run_case (&ways[i], &troubles[t]);
+          printf ("%-11s %-17s %8.2f%% %8.2f%% %8.2f%% %8u %8u\n",
+                  troubles[t].name, ways[i].name, percent (r.answered, r.keys),
+                  percent (r.refused, r.keys), percent (r.in_doubt, r.keys),
+                  r.doubled, r.false_not_run);
+          fflush (stdout);
+          if (csv)
+            fprintf (csv, ",%.3f", percent (r.in_doubt, r.keys));
+        }
+    }
+  if (csv)
+    {
+      fputs ("\n", csv);
+      fclose (csv);
+    }
+  write_plot ();
+  measure_cost (1000);
+  measure_cost (10000);
+  measure_cost (100000);
+  return 0;
+}
--- a/cmd/agent/main.c
+++ b/cmd/agent/main.c
@@ -3,8 +3,13 @@
 #include "agent.h"
 #include "rank.h"
 
+#include <string.h>
+
 enum
 {
+  CANDIDATES = BB_ONCE_CANDIDATES,
+  ASK_MS = 500,
+  PAUSE_MS = 2000,                /* a longer gap between ticks is a pause */
   HEARTBEAT_MS = 500,             /* to entries with calls here */
   IDLE_HEARTBEAT_COUNT = 5,       /* other entries hear each of so many */
   UPSTREAM_IO_TIMEOUT_MS = 600000 /* the deadline of a call comes first */
@@ -16,10 +21,13 @@
 struct bb_load
 agent_load (const struct agent *a)
 {
-  struct bb_load l = { .in_flight = a->admit.in_flight,
-                       .limit = a->admit.limit,
-                       .cold = a->admit.limit < a->admit.limits.limit,
-                       .draining = a->daemon->draining || a->out };
+  struct bb_admit_stats s = bb_admit_stats (a->admit);
+  struct bb_load l = { .in_flight = s.in_flight,
+                       .queued = s.queued,
+                       .limit = s.limit,
+                       .cold = s.cold,
+                       .draining = a->daemon->draining || a->out,
+                       .wait_ms = s.wait_ms };
 
   return l;
 }
@@ -31,11 +39,71 @@
   peer_send_heartbeats (t->data, heartbeat_count % IDLE_HEARTBEAT_COUNT == 0);
 }
 
+bb_ms
+agent_now (struct agent *a, bb_ms *paused_ms)
+{
+  bb_ms now = bb_clock_now ();
+  bb_ms gap = now - a->last_tick;
+
+  *paused_ms = 0;
+  if (gap < PAUSE_MS)
+    return now;
+  a->last_tick = now;
+  *paused_ms = gap;
+  bb_counter ("bilberry_pauses_total", "")->value++;
+  bb_log (BB_LOG_WARN, "agent", "The process was paused for %lld ms.",
+          (long long)gap);
+  bb_daemon_refresh (a->daemon);
+  return now;
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct agent *a = t->data;
+  bb_ms paused;
+  bb_ms now = agent_now (a, &paused);
+
+  a->last_tick = now;
+  bb_once_tick (a->once, now);
+  call_run_ready (a);
+}
+
+static void
+set_once_limits (struct agent *a, const struct bb_upstream_settings *u)
+{
+  struct bb_once_limits l = { .candidates = CANDIDATES,
+                              .keys_max = u->keys_max,
+                              .bytes_max = u->keys_max_bytes,
+                              .retention_ms = u->key_retention_ms,
+                              .skew_ms = u->key_skew_ms,
+                              .ask_ms = ASK_MS };
+
+  a->skew_ms = u->key_skew_ms;
+  bb_once_set_limits (a->once, &l);
+}
+
+static void
+start_once (struct agent *a, const struct bb_upstream_settings *u)
+{
+  struct bb_daemon *d = a->daemon;
+
+  a->last_tick = bb_clock_now ();
+  a->once
+      = bb_once_new (d->name, d->incarnation, &call_once_ops, a, a->last_tick);
+  a->pool = strdup (u->pool);
+  set_once_limits (a, u);
+  members_update (a);
+  uv_timer_init (d->loop, &a->tick);
+  a->tick.data = a;
+  uv_timer_start (&a->tick, on_tick, BB_ONCE_TICK_MS, BB_ONCE_TICK_MS);
+}
+
 static struct bb_admit_limits
 limits_of (const struct bb_upstream_settings *u)
 {
   struct bb_admit_limits l
-      = { .limit = u->limit, .cold_limit = u->cold_limit };
+      = { .limit = u->limit, .cold_limit = u->cold_limit, .queue = u->queue };
 
   return l;
 }
@@ -58,12 +126,14 @@
   a->daemon = d;
   a->out = !bb_settings_upstream_in (d->settings, u);
   limits = limits_of (u);
-  bb_admit_init (&a->admit, &limits);
+  a->admit = bb_admit_new (&limits);
   a->client = bb_http_client_new (d->loop, &addr, u->address,
                                   UPSTREAM_IO_TIMEOUT_MS);
   uv_timer_init (d->loop, &heartbeat);
   heartbeat.data = a;
   uv_timer_start (&heartbeat, on_heartbeat, HEARTBEAT_MS, HEARTBEAT_MS);
+  start_once (a, u);
+  probe_start (a);
   *operator_address = u->operator;
   return rank_start (d, &a->rank) && peer_listen (a, u->agent);
 }
@@ -75,14 +145,22 @@
   const struct bb_upstream_settings *u
       = bb_settings_upstream (d->settings, d->name);
   struct bb_admit_limits limits;
+  bool was_out = a->out;
 
   (void)old;
   a->out = !u || !bb_settings_upstream_in (d->settings, u);
+  if (a->out)
+    call_refuse_queued (a);
+  /* An upstream that returns starts slowly.  */
+  if (was_out && !a->out)
+    bb_admit_restarted (a->admit);
   if (u)
     {
+      set_once_limits (a, u);
       limits = limits_of (u);
-      bb_admit_set_limits (&a->admit, &limits);
+      bb_admit_set_limits (a->admit, &limits);
     }
+  members_update (a);
   peer_send_heartbeats (a, true);
 }
 
@@ -99,8 +177,11 @@
 in_flight (struct bb_daemon *d)
 {
   const struct agent *a = d->user;
-  uint32_t count = a->admit.in_flight;
+  struct bb_admit_stats s = bb_admit_stats (a->admit);
+  uint32_t count = s.in_flight + s.queued + call_count_keyed (a);
 
+  if (members_backlog_bytes (a) > 0)
+    count++;
   for (const struct peer *p = a->peers; p; p = p->next)
     if (bb_conn_backlog_bytes (p->conn) > 0)
       count++;
@@ -111,11 +192,22 @@
 status (struct bb_daemon *d, json_t *out)
 {
   const struct agent *a = d->user;
+  struct bb_admit_stats admit = bb_admit_stats (a->admit);
+  struct bb_once_stats keys = bb_once_stats (a->once);
 
-  json_object_set_new (out, "limit", json_integer (a->admit.limit));
+  json_object_set_new (out, "limit", json_integer (admit.limit));
   json_object_set_new (out, "out", json_boolean (a->out));
   if (a->rank)
     rank_status (a->rank, out);
+  json_object_set_new (out, "cold", json_boolean (admit.cold));
+  json_object_set_new (out, "queued", json_integer (admit.queued));
+  json_object_set_new (out, "wait_ms", json_integer (admit.wait_ms));
+  json_object_set_new (
+      out, "keys",
+      json_pack ("{s:i, s:i, s:b, s:b, s:i, s:i}", "count", (int)keys.keys,
+                 "bytes", (int)keys.bytes, "whole", (int)keys.whole, "settled",
+                 (int)keys.settled, "refused_full", (int)keys.full,
+                 "conflicts", (int)keys.conflicts));
 }
 
 int
--- a/cmd/agent/peer.c
+++ b/cmd/agent/peer.c
@@ -1,5 +1,6 @@
 #include "agent.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <utlist.h>
 
@@ -33,6 +34,47 @@
   bb_put_report (bb_conn_out (p->conn), &m);
 }
 
+static void
+on_hello (struct agent *a, const struct bb_hello *m)
+{
+  char name[129];
+
+  snprintf (name, sizeof name, "%.*s", (int)m->name.size, m->name.ptr);
+  bb_once_testify (a->once, name, m->knew);
+}
+
+void
+peer_on_once (struct agent *a, const struct bb_message *m)
+{
+  bb_ms paused;
+  bb_ms now = agent_now (a, &paused);
+
+  switch (m->type)
+    {
+    case BB_MSG_ONCE_ASK:
+      bb_once_on_ask (a->once, &m->u.once_ask, now);
+      break;
+    case BB_MSG_ONCE_SAY:
+      bb_once_on_say (a->once, &m->u.once_say, now);
+      break;
+    case BB_MSG_ONCE_NOTE:
+      bb_once_on_note (a->once, &m->u.once_note, now);
+      break;
+    case BB_MSG_ONCE_RELEASE:
+      bb_once_on_release (a->once, &m->u.once_release);
+      break;
+    case BB_MSG_ONCE_SYNC:
+      bb_once_on_sync (a->once, &m->u.once_sync, now);
+      break;
+    case BB_MSG_ONCE_SYNCED:
+      bb_once_on_synced (a->once, &m->u.once_synced, now);
+      break;
+    default:
+      break;
+    }
+  call_run_ready (a);
+}
+
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
@@ -40,6 +82,9 @@
 
   switch (m->type)
     {
+    case BB_MSG_HELLO:
+      on_hello (p->agent, &m->u.hello);
+      break;
     case BB_MSG_CALL:
       call_start (p, &m->u.call);
       break;
@@ -50,6 +95,7 @@
       send_report (p, &m->u.probe);
       break;
     default:
+      peer_on_once (p->agent, m);
       break;
     }
 }
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -41,10 +41,15 @@
 void
 request_refuse (struct request *q, const struct bb_verdict *v)
 {
+  struct bb_verdict told = *v;
+
+  /* The last try did not run, but an earlier request of its key may have. */
+  if (v->reason == BB_REASON_IN_DOUBT || v->reason == BB_REASON_OTHER_SETTINGS)
+    told.run = v->run == BB_RUN_RAN ? BB_RUN_RAN : BB_RUN_MAYBE_RUN;
   if (q->streaming)
-    problem_end_stream (q->http, v);
+    problem_end_stream (q->http, &told);
   else
-    problem_respond (q->http, v);
+    problem_respond (q->http, &told);
   request_end (q);
 }
 
--- a/include/bilberry/settings_types.h
+++ b/include/bilberry/settings_types.h
@@ -64,6 +64,8 @@
   uint32_t cold_limit;
   uint32_t queue;
   uint32_t resume;
+  char *probe;
+  char *probe_start;
   uint32_t keys_max;
   uint32_t keys_max_bytes;
   uint32_t key_retention_ms;
--- a/libmodel/admit.c
+++ b/libmodel/admit.c
@@ -1,29 +1,61 @@
-/* Admission by bb_admit, as a table.  */
+/* Admission by bb_admit, as a table.  Agents of the model have no queue: a
+   request that cannot start at once is refused.  */
 
 #include "bilberry/admit.h"
 #include "bilberry/model.h"
 
+enum
+{
+  RETRY_AFTER_MS = 1000,
+  OFFER_ID = 1
+};
+
+/* Engines of the model are warm at first, so the cold limit comes second.  */
 static void *
 make (uint32_t limit, uint32_t cold_limit)
 {
-  struct bb_admit_limits limits = { .limit = limit, .cold_limit = cold_limit };
-  struct bb_admit *a = g_new0 (struct bb_admit, 1);
+  struct bb_admit_limits limits
+      = { .limit = limit, .cold_limit = limit, .queue = 1 };
+  struct bb_admit *a = bb_admit_new (&limits);
 
-  bb_admit_init (a, &limits);
-  a->limit = limit; /* engines of the model are warm at first */
+  limits.cold_limit = cold_limit;
+  bb_admit_set_limits (a, &limits);
   return a;
 }
 
+static void
+free_admit (void *a)
+{
+  bb_admit_free (a);
+}
+
 static bool
 start (void *a, struct bb_verdict *v)
 {
-  return bb_admit_start (a, v);
+  struct bb_offer o = { .id = OFFER_ID,
+                        .customer = bb_bytes_of ("model"),
+                        .weight = 1,
+                        .tokens = 1,
+                        .deadline = INT64_MAX };
+  uint64_t evicted;
+
+  if (bb_admit_offer (a, &o, 0, &evicted, v))
+    {
+      if (bb_admit_next (a) == OFFER_ID)
+        return true;
+      bb_admit_withdraw (a, OFFER_ID);
+    }
+  v->run = BB_RUN_NOT_RUN;
+  v->reason
+      = bb_admit_stats (a).cold ? BB_REASON_COLD_START : BB_REASON_OVERLOAD;
+  v->retry_after_ms = RETRY_AFTER_MS;
+  return false;
 }
 
 static void
 end (void *a, bool well)
 {
-  bb_admit_end (a, well);
+  bb_admit_end (a, well, 0);
 }
 
 static void
@@ -35,8 +67,8 @@
 static uint32_t
 limit_of (const void *a)
 {
-  return ((const struct bb_admit *)a)->limit;
+  return bb_admit_stats (a).limit;
 }
 
 const struct bb_model_admit bb_model_admit_limit
-    = { make, g_free, start, end, restarted, limit_of };
+    = { make, free_admit, start, end, restarted, limit_of };
--- a/test/harness/fleet.c
+++ b/test/harness/fleet.c
@@ -31,6 +31,9 @@
     }
 }
 
+static const char engine_probe[]
+    = ", probe: /metrics, probe_start: engine_start_time_ms";
+
 /* Writes a file for the agents, and for the entries where their folder is
    another one.  */
 static void
@@ -55,9 +58,10 @@
       fprintf (out,
                "  %s: {address: '127.0.0.1:%u', agent: '127.0.0.1:%u', "
                "operator: '127.0.0.1:%u', failure_domain: %s, pool: %s, "
-               "limit: 32, cold_limit: 8}\n",
+               "limit: 32, cold_limit: 8%s}\n",
                u->name, u->port, relayed ? u->relay_port : u->agent_port,
-               u->operator_port, u->failure_domain, u->pool);
+               u->operator_port, u->failure_domain, u->pool,
+               strcmp (u->pool, "draft") == 0 ? engine_probe : "");
     }
   fclose (out);
   return text;
@@ -224,7 +228,9 @@
                                  o[6], o[7], (char *)NULL);
   else
     u->upstream = harness_start (f->h, u->name, "fake-plain", "--address",
-                                 address, (char *)NULL);
+                                 address, f->plain_options[0],
+                                 f->plain_options[1], f->plain_options[2],
+                                 f->plain_options[3], (char *)NULL);
 }
 
 static const char *
