--- a/Makefile
+++ b/Makefile
@@ -18,16 +18,6 @@
 	-fno-sanitize-recover=undefined
 endif
 
-# `make fuzz` builds the targets of fuzz/ with libFuzzer and runs each.
-FUZZ_S = 20
-ifdef FUZZ
-B = build-fuzz
-CC = clang
-OPT = -O1
-SANFLAGS = -fsanitize=address,undefined,fuzzer-no-link \
-	-fno-omit-frame-pointer -fno-sanitize-recover=undefined
-endif
-
 # `make MUTANT=name` removes one guard, so that its test can be seen to fail.
 MUTANT_FLAGS =
 ifdef MUTANT
@@ -55,7 +45,6 @@
 PROGRAMS := $(foreach c,$(CMDS),$(call program,$(c))) \
 	$(FAKES:%=$(B)/fake-%)
 TEST_PROGRAMS := $(TESTS:%=$(B)/test/%)
-FUZZERS := $(patsubst fuzz/%.c,%,$(wildcard fuzz/*.c))
 BENCH_PROGRAMS := $(BENCHES:%=$(B)/bench/%)
 HARNESS := $(call objects,test/harness)
 
@@ -101,7 +90,7 @@
 # Fuzz targets and the libraries below them are compiled by clang.
 FUZZ_FLAGS = -std=gnu11 -g -O1 $(WARN) -fsanitize=address
 FUZZ_LIBS := $(patsubst %.c,$(B)/obj-fuzz/%.o,\
-	$(wildcard libbase/*.c libproto/*.c libsettings/*.c))
+	$(wildcard libbase/*.c libmember/*.c libproto/*.c libsettings/*.c))
 
 $(B)/obj-fuzz/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -115,16 +104,12 @@
 $(B)/demo: $(B)/obj/test/demo.o $(HARNESS) $(B)/libbilberry.a
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/fuzz/%: $(B)/obj/fuzz/%.o $(B)/libbilberry.a
-	@mkdir -p $(dir $@)
-	$(Q)$(CC) $(CFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
-
+# Goes on with each fuzz target for FUZZ_S seconds.
+FUZZ_S = 20
 fuzz: need-deps
-	$(MAKE) FUZZ=1 fuzz-built
-
-fuzz-built: $(FUZZERS:%=$(B)/fuzz/%)
-	set -e; for f in $^; do $$f -seed=1 -max_total_time=$(FUZZ_S) \
-		-verbosity=0 -print_final_stats=1; done
+	$(MAKE) $(FUZZ:%=$(B)/fuzz/%)
+	set -e; for f in $(FUZZ:%=$(B)/fuzz/%); do $$f -seed=1 \
+		-max_total_time=$(FUZZ_S) -verbosity=0 -print_final_stats=1; done
 
 # Every test program, one after the other; the last line sums up.
 check: need-deps
@@ -186,7 +171,7 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all deps need-deps check check-built soak fuzz fuzz-built demo run \
+.PHONY: all deps need-deps check check-built soak fuzz demo run \
 	bench lint proof generate generated-check seeds clean
 .SECONDARY:
 
