--- a/bench/entry.c
+++ b/bench/entry.c
@@ -218,7 +218,8 @@
 main (void)
 {
   const char *dir = getenv ("BILBERRY_REPORT");
-  char *path = g_build_filename (dir ? dir : ".", "entry.csv", NULL);
+  char *path
+      = g_build_filename (dir ? dir : g_get_tmp_dir (), "entry.csv", NULL);
 
   csv = fopen (path, "w");
   if (!csv)
--- a/bench/route.c
+++ b/bench/route.c
@@ -298,7 +298,7 @@
 open_report (const char *name)
 {
   const char *dir = g_getenv ("BILBERRY_REPORT");
-  char *path = g_build_filename (dir ? dir : ".", name, NULL);
+  char *path = g_build_filename (dir ? dir : g_get_tmp_dir (), name, NULL);
   FILE *out = fopen (path, "w");
 
   if (!out)
