--- a/test/harness/once_world.c
+++ b/test/harness/once_world.c
@@ -62,7 +62,7 @@
   uint64_t hello_id;
   uint64_t hello_seen[AGENTS_MAX];
   bb_ms heard_at[AGENTS_MAX];
-  char name[16];
+  char name[32];
   struct bb_once *once; /* of an agent */
 };
 
@@ -100,6 +100,7 @@
   struct node nodes[NODES_MAX];
   struct revision revisions[REVISIONS_MAX];
   uint32_t revisions_count;
+  GPtrArray *timers;
   GArray *calls; /* struct call_state; ids start at 1 */
   struct key_state *keys;
   uint32_t values;
@@ -140,6 +141,8 @@
 {
   struct timer *t = g_new0 (struct timer, 1);
 
+  g_ptr_array_add (w->timers, t);
+
   t->w = w;
   t->n = n;
   t->a = a;
@@ -239,10 +242,7 @@
   struct packet p = { .kind = KIND_REPLY, .id = t->a };
 
   if (t->incarnation != t->n->incarnation)
-    {
-      g_free (t);
-      return;
-    }
+    return;
   n.customer = bb_bytes_of ("customer-1");
   n.key = bb_bytes_of (w->keys[call_of (w, t->a)->key].name);
   n.body.ptr = (const char *)&value;
@@ -254,7 +254,6 @@
   bb_once_ended (t->n->once, t->a, value ? &n : NULL, BB_RUN_MAYBE_RUN,
                  bb_sim_now (sim));
   reply (t->n, t->a, &p);
-  g_free (t);
 }
 
 static void
@@ -271,7 +270,6 @@
       bb_once_ended (t->n->once, t->a, NULL, BB_RUN_NOT_RUN, bb_sim_now (sim));
       reply (t->n, t->a, &p);
     }
-  g_free (t);
 }
 
 static void
@@ -327,10 +325,7 @@
   struct timer *t = arg;
 
   if (t->incarnation != t->n->incarnation)
-    {
-      g_free (t);
-      return;
-    }
+    return;
   bb_once_tick (t->n->once, bb_sim_now (sim));
   bb_sim_at_node (sim, t->n->index, BB_ONCE_TICK_MS, on_tick, t);
 }
@@ -343,10 +338,7 @@
   struct packet p = { .kind = KIND_HELLO };
 
   if (t->incarnation != n->incarnation)
-    {
-      g_free (t);
-      return;
-    }
+    return;
   p.id = ++n->hello_id;
   for (uint32_t i = 0; i < AGENTS_MAX; i++)
     {
@@ -403,7 +395,6 @@
 
   (void)sim;
   caller_try (t->w, (uint32_t)t->a);
-  g_free (t);
 }
 
 static void
@@ -519,7 +510,6 @@
       k->last_not_run = false;
       caller_repeat (t->w, (uint32_t)t->a);
     }
-  g_free (t);
 }
 
 static void
@@ -546,7 +536,6 @@
 
   k->born = bb_sim_now (sim);
   caller_try (t->w, (uint32_t)t->a);
-  g_free (t);
 }
 
 /* Messages.  */
@@ -671,7 +660,6 @@
   (void)sim;
   if (t->n->down && t->incarnation == t->n->incarnation)
     node_start (t->n);
-  g_free (t);
 }
 
 static void
@@ -715,7 +703,6 @@
       if (t->n->once)
         agent_adopt (t->n);
     }
-  g_free (t);
 }
 
 static void
@@ -902,6 +889,7 @@
 
   w->o = o;
   w->sim = bb_sim_new (o->seed, NODES_MAX);
+  w->timers = g_ptr_array_new_with_free_func (g_free);
   w->calls = g_array_new (FALSE, TRUE, sizeof (struct call_state));
   w->keys = g_new0 (struct key_state, o->keys);
   w->end = FIRST_KEY_MS + (bb_ms)o->keys * KEY_EVERY_MS;
@@ -910,6 +898,7 @@
   sum_up (w);
   result = w->result;
   bb_sim_free (w->sim);
+  g_ptr_array_free (w->timers, TRUE);
   g_array_free (w->calls, TRUE);
   g_free (w->keys);
   g_free (w);
