Quarantine requests that crash upstreams

A request with one fingerprint is suspect once it was in flight at a crash of its upstream, and is quarantined at the second crash: refused at once by entries and agents, with the time after which it may be asked again. A suspect runs alone, so that others are not blamed with it; an answer clears it. Agents blame and tell their entries; what is new is passed on, and a peer that connects is told what is held. The fingerprint holds customer, path, body and, for a non-idempotent call, its key.

keep_rest of libnet no longer looks as if it read freed memory: a part of a frame is moved within its buffer, which is then not made larger.

--- a/cmd/agent/agent.h
+++ b/cmd/agent/agent.h
@@ -92,6 +92,9 @@
   bb_ms skew_ms;
   bb_ms last_tick;
   uv_timer_t tick;
+  struct bb_poison *poison;
+  uint64_t crash; /* event number of the last crash of the upstream */
+  bb_ms crashed;
   bool out;          /* the upstream or its failure domain is taken out */
   struct rank *rank; /* NULL: this VM holds no rank of a group */
 };
@@ -104,6 +107,15 @@
 /* Hands a message between agents to the table of keys.  */
 void peer_on_once (struct agent *a, const struct bb_message *m);
 
+/* suspect.c */
+
+/* The upstream failed while C ran: its request is suspect.  */
+void suspect_blame (const struct call *c);
+void suspect_learn (struct agent *a, const struct bb_suspect *m);
+
+/* Tells a new peer what is held.  */
+void suspect_greet (struct peer *p);
+
 /* member.c */
 
 /* Makes the ways to the other agents fit the settings in force.  */
--- a/cmd/agent/call.c
+++ b/cmd/agent/call.c
@@ -135,7 +135,11 @@
       v.retry_after_ms = RETRY_AFTER_MS;
       bb_log (BB_LOG_WARN, "agent", "The upstream failed: %s.", error);
       bb_admit_restarted (a->admit);
+      if (run != BB_RUN_NOT_RUN)
+        suspect_blame (c);
     }
+  else
+    bb_poison_clear (a->poison, c->request.fingerprint, bb_clock_now ());
   bb_admit_end (a->admit, !error, bb_clock_now () - c->started);
   tell_once (c, !error, run);
   if (error)
@@ -233,6 +237,15 @@
   return m->tokens > 0 ? m->tokens : 1 + m->body.size / BYTES_PER_TOKEN;
 }
 
+static bool
+is_suspect (const struct call *c)
+{
+  return c->request.suspect
+         || bb_poison_state (c->agent->poison, c->request.fingerprint,
+                             bb_clock_now ())
+                != BB_POISON_CLEAN;
+}
+
 static bool
 offer (struct call *c, struct bb_verdict *v)
 {
@@ -243,6 +256,7 @@
                         .weight = weight_of (a, c->request.customer),
                         .tokens = tokens_of (&c->request),
                         .priority = c->request.priority,
+                        .alone = is_suspect (c),
                         .deadline = c->arrived + c->request.deadline_ms };
   uint64_t evicted_id;
   struct call *evicted;
@@ -494,6 +508,13 @@
 #endif
   if (m->deadline_ms <= (uint64_t)paused_ms)
     v->reason = BB_REASON_DEADLINE;
+  else if (bb_poison_state (a->poison, m->fingerprint, bb_clock_now ())
+           == BB_POISON_QUARANTINED)
+    {
+      v->reason = BB_REASON_QUARANTINED;
+      v->retry_after_ms = (uint32_t)bb_poison_left_ms (
+          a->poison, m->fingerprint, bb_clock_now ());
+    }
 #ifndef BB_MUTANT_AGENT_OUT
   else if ((a->daemon->draining || a->out)
            && !(is_keyed (m) && bb_once_knows (a->once, m->customer, m->key)))
--- a/cmd/agent/main.c
+++ b/cmd/agent/main.c
@@ -124,6 +124,7 @@
       return false;
     }
   a->daemon = d;
+  a->poison = bb_poison_new ();
   a->out = !bb_settings_upstream_in (d->settings, u);
   limits = limits_of (u);
   a->admit = bb_admit_new (&limits);
@@ -200,6 +201,9 @@
   if (a->rank)
     rank_status (a->rank, out);
   json_object_set_new (out, "cold", json_boolean (admit.cold));
+  json_object_set_new (
+      out, "quarantined",
+      json_integer (bb_poison_quarantined (a->poison, bb_clock_now ())));
   json_object_set_new (out, "queued", json_integer (admit.queued));
   json_object_set_new (out, "wait_ms", json_integer (admit.wait_ms));
   json_object_set_new (
--- a/cmd/agent/peer.c
+++ b/cmd/agent/peer.c
@@ -20,6 +20,7 @@
   DL_APPEND (a->peers, p);
   bb_conn_set_user (c, p);
   bb_put_hello (bb_conn_out (c), &hello);
+  suspect_greet (p);
 }
 
 static void
@@ -91,6 +92,9 @@
     case BB_MSG_CANCEL:
       call_cancel (p, m->u.cancel.id);
       break;
+    case BB_MSG_SUSPECT:
+      suspect_learn (p->agent, &m->u.suspect);
+      break;
     case BB_MSG_PROBE:
       send_report (p, &m->u.probe);
       break;
--- /dev/null
+++ b/cmd/agent/suspect.c
@@ -0,0 +1,58 @@
+/* Requests that may crash the upstream: blamed here, told to entries, learnt
+   from them.  */
+
+#include "agent.h"
+
+#include <utlist.h>
+
+static void
+tell_all (struct agent *a, const struct bb_suspect *m)
+{
+  struct peer *p;
+
+  DL_FOREACH (a->peers, p) { bb_put_suspect (bb_conn_out (p->conn), m); }
+}
+
+void
+suspect_blame (const struct call *c)
+{
+  struct agent *a = c->agent;
+  bb_ms now = bb_clock_now ();
+  struct bb_suspect m = { .fingerprint = c->request.fingerprint };
+
+  /* What ran when the upstream crashed fails at about one time; what was
+     started later and fails tells of another crash.  */
+  if (a->crash == 0 || c->started > a->crashed)
+    {
+      a->crash = bb_random_id ();
+      a->crashed = now;
+    }
+  m.event = a->crash;
+  if (bb_poison_blame (a->poison, m.fingerprint, m.event, 0, now))
+    tell_all (a, &m);
+}
+
+void
+suspect_learn (struct agent *a, const struct bb_suspect *m)
+{
+  if (bb_poison_blame (a->poison, m->fingerprint, m->event, m->age_ms,
+                       bb_clock_now ()))
+    tell_all (a, m);
+}
+
+static void
+tell_one (void *arg, uint64_t fingerprint, uint64_t event, bb_ms age_ms)
+{
+  struct peer *p = arg;
+  struct bb_suspect m = { .fingerprint = fingerprint,
+                          .event = event,
+                          .age_ms = (uint32_t)age_ms };
+
+  bb_put_suspect (bb_conn_out (p->conn), &m);
+}
+
+void
+suspect_greet (struct peer *p)
+{
+  bb_poison_each (p->agent->poison, bb_clock_now (), tell_one, p);
+}
--- a/cmd/entry/answer.c
+++ b/cmd/entry/answer.c
@@ -203,6 +203,7 @@
       bb_http_respond (q->http, q->status, q->headers, q->headers_count, body);
     }
   measure_answer (q);
+  bb_poison_clear (q->entry->poison, q->fingerprint, entry_now ());
   request_end (q);
 }
 
--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_H
 #define ENTRY_H
 
+#include "bilberry/admit.h"
 #include "bilberry/daemon.h"
 #include "bilberry/route.h"
 
@@ -76,6 +77,7 @@
   bool idempotent;
   struct bb_prefix prefix;
   uint64_t key_hash; /* of the customer and the idempotency key */
+  uint64_t fingerprint;
   struct link *link; /* where the present try runs */
   uint64_t tried[TRIES_MAX];
   uint64_t tried_domains[TRIES_MAX];
@@ -110,6 +112,7 @@
   GRand *rand;
   struct bb_retry_budget budget;
   struct bb_prefix_table prefixes;
+  struct bb_poison *poison;
   struct bb_pause pause;
   bb_ms woke_ms; /* when the last pause was found; 0: never paused */
   uv_timer_t tick;
@@ -255,6 +258,22 @@
 /* The answer of Q is whole.  */
 void measure_answer (const struct request *q);
 
+/* suspect.c */
+
+/* Returns what tells a request from others when an upstream crashes.  */
+uint64_t suspect_fingerprint (const char *customer,
+                              const struct bb_route_settings *route,
+                              const struct bb_http_request *r);
+
+/* Whether FINGERPRINT is quarantined; if so *V is its refusal.  */
+bool suspect_is_quarantined (struct entry *e, uint64_t fingerprint,
+                             struct bb_verdict *v);
+bool suspect_is_suspect (struct entry *e, uint64_t fingerprint);
+void suspect_learn (struct link *l, const struct bb_suspect *m);
+
+/* Tells an agent that has just connected what is held.  */
+void suspect_greet (struct link *l);
+
 /* problem.c */
 
 /* Refuses a request for good: status, problem body, counter.  */
--- a/cmd/entry/link.c
+++ b/cmd/entry/link.c
@@ -75,6 +75,7 @@
   l->known = true;
   link_report (l, &m->load, l->in_flight);
   try_waiting (l->entry);
+  suspect_greet (l);
 }
 
 /* A report counts as fresh when it answers the last probe.  */
@@ -113,6 +114,9 @@
     case BB_MSG_REPORT:
       on_report (l, &m->u.report);
       break;
+    case BB_MSG_SUSPECT:
+      suspect_learn (l, &m->u.suspect);
+      break;
     case BB_MSG_HEAD:
       answer_on_head (l, &m->u.head);
       break;
--- a/cmd/entry/main.c
+++ b/cmd/entry/main.c
@@ -30,6 +30,7 @@
   e->daemon = d;
   e->rand = g_rand_new_with_seed ((guint32)d->incarnation);
   bb_retry_budget_init (&e->budget, entry_now ());
+  e->poison = bb_poison_new ();
   watch_start (e);
   measure_init ();
   links_update (e);
@@ -79,6 +80,9 @@
                    l->load.cold, "limit", (int)l->load.limit,
                    "reported_in_flight", (int)l->load.in_flight,
                    "own_in_flight", (int)l->in_flight));
+  json_object_set_new (
+      out, "quarantined",
+      json_integer (bb_poison_quarantined (e->poison, entry_now ())));
   json_object_set_new (out, "upstreams", upstreams);
 }
 
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -120,7 +120,8 @@
 
 static struct request *
 request_new (struct entry *e, struct bb_http_request *r,
-             struct customer *customer, const struct bb_route_settings *route)
+             struct customer *customer, const struct bb_route_settings *route,
+             uint64_t fingerprint)
 {
   struct request *q = calloc (1, sizeof *q);
 
@@ -133,6 +134,7 @@
   q->pool_links = pool_find (e, route->pool);
   q->idempotent = route->idempotent;
   q->key_hash = hash_key (q->customer, r);
+  q->fingerprint = fingerprint;
   if (q->idempotent && r->body.size > 0)
     hash_prompt (q);
   q->started = entry_now ();
@@ -152,19 +154,22 @@
   const struct bb_customer_settings *settings;
   const struct bb_route_settings *route = NULL;
   struct customer *customer = NULL;
+  uint64_t fingerprint = 0;
 
   watch_look (e);
   settings = input_customer (e->daemon->settings, r, &v);
   if (settings)
     route = input_route (e->daemon->settings, r, &v);
   if (route)
+    fingerprint = suspect_fingerprint (settings->name, route, r);
+  if (route && !suspect_is_quarantined (e, fingerprint, &v))
     customer = customer_enter (e, settings, &v);
   if (!customer)
     {
       problem_respond (r, &v);
       return;
     }
-  r->user = request_new (e, r, customer, route);
+  r->user = request_new (e, r, customer, route, fingerprint);
   r->owner = e;
   r->on_gone = on_gone;
   e->open_answers++;
--- /dev/null
+++ b/cmd/entry/suspect.c
@@ -0,0 +1,74 @@
+/* Requests that may crash upstreams: learnt from agents and passed on.  */
+
+#include "entry.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint64_t
+suspect_fingerprint (const char *customer,
+                     const struct bb_route_settings *route,
+                     const struct bb_http_request *r)
+{
+  uint64_t h = XXH64 (customer, strlen (customer), 0);
+  struct bb_bytes key;
+
+  h = XXH64 (r->path.ptr, r->path.size, h);
+  if (r->body.size > 0)
+    h = XXH64 (r->body.ptr, r->body.size, h);
+  if (route->idempotent)
+    return h;
+  key = bb_header_find (r->headers, r->headers_count, "idempotency-key");
+  return key.size > 0 ? XXH64 (key.ptr, key.size, h) : h ^ bb_random_id ();
+}
+
+bool
+suspect_is_quarantined (struct entry *e, uint64_t fingerprint,
+                        struct bb_verdict *v)
+{
+  if (bb_poison_state (e->poison, fingerprint, entry_now ())
+      != BB_POISON_QUARANTINED)
+    return false;
+  v->run = BB_RUN_NOT_RUN;
+  v->reason = BB_REASON_QUARANTINED;
+  v->retry_after_ms
+      = (uint32_t)bb_poison_left_ms (e->poison, fingerprint, entry_now ());
+  return true;
+}
+
+bool
+suspect_is_suspect (struct entry *e, uint64_t fingerprint)
+{
+  return bb_poison_state (e->poison, fingerprint, entry_now ())
+         != BB_POISON_CLEAN;
+}
+
+void
+suspect_learn (struct link *l, const struct bb_suspect *m)
+{
+  struct entry *e = l->entry;
+
+  if (!bb_poison_blame (e->poison, m->fingerprint, m->event, m->age_ms,
+                        entry_now ()))
+    return;
+  for (struct link *o = e->links; o; o = o->next)
+    if (o != l && o->ready)
+      bb_put_suspect (bb_conn_out (o->conn), m);
+}
+
+static void
+tell_one (void *arg, uint64_t fingerprint, uint64_t event, bb_ms age_ms)
+{
+  struct link *l = arg;
+  struct bb_suspect m = { .fingerprint = fingerprint,
+                          .event = event,
+                          .age_ms = (uint32_t)age_ms };
+
+  bb_put_suspect (bb_conn_out (l->conn), &m);
+}
+
+void
+suspect_greet (struct link *l)
+{
+  bb_poison_each (l->entry->poison, entry_now (), tell_one, l);
+}
--- a/cmd/entry/try.c
+++ b/cmd/entry/try.c
@@ -48,6 +48,8 @@
   m.deadline_ms = left > 0 ? (uint32_t)left : 1;
   m.key = bb_header_find (r->headers, r->headers_count, "idempotency-key");
   m.minted = m.key.size == 0;
+  m.fingerprint = q->fingerprint;
+  m.suspect = suspect_is_suspect (q->entry, q->fingerprint);
   for (uint32_t i = 0; i < r->headers_count; i++)
     if (is_passed_on (r->headers[i].name))
       m.headers[m.headers_count++] = r->headers[i];
@@ -164,6 +166,7 @@
                       .idempotent = q->idempotent,
                       .answer_started = q->streaming,
                       .attempts = q->attempts };
+  struct bb_verdict quarantine;
   enum bb_retry_action action;
   struct link *next;
 
@@ -175,6 +178,12 @@
   leave_link (q);
   drop_kept (q);
   bb_verdict_join (&q->verdict, v);
+  if (suspect_is_quarantined (q->entry, q->fingerprint, &quarantine))
+    {
+      quarantine.run = q->verdict.run;
+      request_refuse (q, &quarantine);
+      return;
+    }
   q->crashes += v->reason == BB_REASON_UPSTREAM_FAILED ? 1 : 0;
   t.crashes = q->crashes;
   next = pick (q);
--- a/include/bilberry/admit.h
+++ b/include/bilberry/admit.h
@@ -31,6 +31,7 @@
   uint32_t weight;  /* share against other customers, at least 1 */
   uint32_t tokens;  /* estimated, at least 1 */
   uint8_t priority; /* a higher one goes first */
+  bool alone;       /* runs beside no other request */
   bb_ms deadline;
 };
 
@@ -69,4 +70,45 @@
 
 struct bb_admit_stats bb_admit_stats (const struct bb_admit *a);
 
+/* Which requests may be the ones that crash upstreams.  A request is known by
+   its fingerprint; a crash by an event number drawn by the agent that saw it.
+   One event makes a fingerprint suspect, two quarantine it.  Bounded; old
+   entries are forgotten.  */
+struct bb_poison;
+
+enum bb_poison_state
+{
+  BB_POISON_CLEAN,
+  BB_POISON_SUSPECT,    /* runs alone */
+  BB_POISON_QUARANTINED /* is refused */
+};
+
+struct bb_poison *bb_poison_new (void);
+void bb_poison_free (struct bb_poison *p);
+
+/* Notes that FINGERPRINT was in flight at the crash EVENT, AGE_MS ago.
+   Returns false where that is known or too old.  */
+bool bb_poison_blame (struct bb_poison *p, uint64_t fingerprint,
+                      uint64_t event, bb_ms age_ms, bb_ms now);
+
+/* A request with FINGERPRINT ended well: a suspicion ends, a quarantine does
+   not.  */
+void bb_poison_clear (struct bb_poison *p, uint64_t fingerprint, bb_ms now);
+
+enum bb_poison_state bb_poison_state (struct bb_poison *p,
+                                      uint64_t fingerprint, bb_ms now);
+
+/* Returns the time until FINGERPRINT is forgotten; 0 where it is clean.  */
+bb_ms bb_poison_left_ms (struct bb_poison *p, uint64_t fingerprint, bb_ms now);
+
+/* Calls FN with each event that is still held, for a peer that has just
+   connected.  */
+typedef void bb_poison_fn (void *arg, uint64_t fingerprint, uint64_t event,
+                           bb_ms age_ms);
+void bb_poison_each (struct bb_poison *p, bb_ms now, bb_poison_fn *fn,
+                     void *arg);
+
+/* Returns how many fingerprints are quarantined.  */
+uint32_t bb_poison_quarantined (struct bb_poison *p, bb_ms now);
+
 #endif
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -368,6 +368,15 @@
   uint32_t lost_ms;
 };
 
+/* A request was in flight when an upstream crashed; entries and agents pass on
+ * what is new to them.  */
+struct bb_suspect
+{
+  uint64_t fingerprint;
+  uint64_t event;
+  uint32_t age_ms;
+};
+
 /* First message on a connection, sent by both sides.  */
 struct bb_hello
 {
@@ -399,6 +408,7 @@
   uint64_t fingerprint;
   uint64_t revision;
   bool minted;
+  bool suspect;
 };
 
 /* Withdraws a call; the agent ends the work upstream.  */
@@ -506,6 +516,7 @@
   BB_MSG_ONCE_RELEASE = 13,
   BB_MSG_ONCE_SYNC = 14,
   BB_MSG_ONCE_SYNCED = 15,
+  BB_MSG_SUSPECT = 17,
   BB_MSG_HELLO = 1,
   BB_MSG_CALL = 2,
   BB_MSG_CANCEL = 3,
@@ -539,6 +550,7 @@
     struct bb_once_release once_release;
     struct bb_once_sync once_sync;
     struct bb_once_synced once_synced;
+    struct bb_suspect suspect;
     struct bb_hello hello;
     struct bb_call call;
     struct bb_cancel cancel;
@@ -585,6 +597,8 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_once_synced (msgpack_sbuffer *buf, const struct bb_once_synced *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_suspect (msgpack_sbuffer *buf, const struct bb_suspect *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_call (msgpack_sbuffer *buf, const struct bb_call *v);
--- a/libadmit/admit.c
+++ b/libadmit/admit.c
@@ -24,6 +24,7 @@
   uint64_t id;
   uint32_t tokens;
   uint8_t priority;
+  bool alone;
   struct customer *customer;
   struct item *prev;
   struct item *next;
@@ -55,6 +56,7 @@
   struct customer *customers;
   struct customer *round; /* the customer whose turn it is comes first */
   bool granted;           /* the first has had its quantum */
+  bool alone;             /* the request in flight runs beside no other */
 };
 
 static uint32_t
@@ -205,6 +207,7 @@
   i->id = o->id;
   i->tokens = o->tokens;
   i->priority = priority;
+  i->alone = o->alone;
   i->customer = c;
   DL_APPEND (c->items[priority], i);
   HASH_ADD (hh, a->items, id, sizeof i->id, i);
@@ -279,7 +282,7 @@
 {
   int priority = highest_priority (a);
 
-  if (a->queued == 0 || a->in_flight >= a->limit)
+  if (a->queued == 0 || a->in_flight >= a->limit || a->alone)
     return 0;
   for (;;)
     {
@@ -299,6 +302,11 @@
           end_turn (a);
           continue;
         }
+#ifndef BB_MUTANT_poison_alone
+      if (i->alone && a->in_flight > 0)
+        return 0;
+      a->alone = i->alone;
+#endif
       c->deficit -= i->tokens;
       id = i->id;
       item_remove (a, i);
@@ -323,6 +331,7 @@
 {
   assert (a->in_flight > 0);
   a->in_flight--;
+  a->alone = false;
   if (!well)
     return;
   a->spent_mean_ms += (spent_ms - a->spent_mean_ms) / SPENT_WEIGHT;
--- a/libnet/conn.c
+++ b/libnet/conn.c
@@ -204,7 +204,8 @@
     }
   else
     {
-      reserve (c, size);
+      if (c->in_size == 0)
+        reserve (c, size);
       memmove (c->in, data, size);
     }
   c->in_size = size;
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -1919,6 +1919,61 @@
   return true;
 }
 
+static void
+put_suspect (msgpack_packer *pk, const struct bb_suspect *v)
+{
+  msgpack_pack_map (pk, 3);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->fingerprint);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->event);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->age_ms);
+}
+
+static bool
+get_suspect (const msgpack_object *obj, struct bb_suspect *v,
+             struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "suspect", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "fingerprint", e))
+            return false;
+          v->fingerprint = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "event", e))
+            return false;
+          v->event = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "age_ms", e))
+            return false;
+          v->age_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("suspect", "fingerprint", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("suspect", "event", e);
+  return true;
+}
+
 static void
 put_hello (msgpack_packer *pk, const struct bb_hello *v)
 {
@@ -2001,7 +2056,7 @@
 static void
 put_call (msgpack_packer *pk, const struct bb_call *v)
 {
-  msgpack_pack_map (pk, 16);
+  msgpack_pack_map (pk, 17);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->id);
   msgpack_pack_uint8 (pk, 2);
@@ -2036,6 +2091,8 @@
   msgpack_pack_uint64 (pk, v->revision);
   msgpack_pack_uint8 (pk, 16);
   bb_wire_put_bool (pk, v->minted);
+  msgpack_pack_uint8 (pk, 17);
+  bb_wire_put_bool (pk, v->suspect);
 }
 
 static bool
@@ -2146,6 +2203,11 @@
             return false;
           seen |= UINT64_C (1) << 16;
           break;
+        case 17:
+          if (!bb_wire_get_bool (o, &v->suspect, "suspect", e))
+            return false;
+          seen |= UINT64_C (1) << 17;
+          break;
         default:
           break;
         }
@@ -2624,6 +2686,15 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_suspect (msgpack_sbuffer *buf, const struct bb_suspect *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_SUSPECT);
+  put_suspect (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v)
 {
@@ -2735,6 +2806,8 @@
       return get_once_sync (obj, &m->u.once_sync, e);
     case BB_MSG_ONCE_SYNCED:
       return get_once_synced (obj, &m->u.once_synced, e);
+    case BB_MSG_SUSPECT:
+      return get_suspect (obj, &m->u.suspect, e);
     case BB_MSG_HELLO:
       return get_hello (obj, &m->u.hello, e);
     case BB_MSG_CALL:
@@ -2809,6 +2882,9 @@
     case BB_MSG_ONCE_SYNCED:
       bb_put_once_synced (buf, &m->u.once_synced);
       break;
+    case BB_MSG_SUSPECT:
+      bb_put_suspect (buf, &m->u.suspect);
+      break;
     case BB_MSG_HELLO:
       bb_put_hello (buf, &m->u.hello);
       break;
@@ -2921,6 +2997,9 @@
   { BB_MSG_ONCE_SYNCED, 5, false, "settled" },
   { BB_MSG_ONCE_SYNCED, 6, false, "notes" },
   { BB_MSG_ONCE_SYNCED, 7, false, "lost_ms" },
+  { BB_MSG_SUSPECT, 1, true, "fingerprint" },
+  { BB_MSG_SUSPECT, 2, true, "event" },
+  { BB_MSG_SUSPECT, 3, false, "age_ms" },
   { BB_MSG_HELLO, 1, true, "role" },
   { BB_MSG_HELLO, 2, true, "incarnation" },
   { BB_MSG_HELLO, 3, true, "name" },
@@ -2943,6 +3022,7 @@
   { BB_MSG_CALL, 14, false, "fingerprint" },
   { BB_MSG_CALL, 15, false, "revision" },
   { BB_MSG_CALL, 16, false, "minted" },
+  { BB_MSG_CALL, 17, false, "suspect" },
   { BB_MSG_CANCEL, 1, true, "id" },
   { BB_MSG_HEAD, 1, true, "id" },
   { BB_MSG_HEAD, 2, true, "status" },
--- /dev/null
+++ b/test/test_poison.c
@@ -0,0 +1,239 @@
+/* Tests of requests that crash each upstream that runs them: the decisions,
+   and real processes.  */
+
+#include "bilberry/admit.h"
+#include "harness/fleet.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+
+enum
+{
+  WAIT_MS = 15000,
+  MINUTE_MS = 60 * 1000,
+  INNOCENTS = 6,
+  TOKENS = 150
+};
+
+static const char *
+build_dir (void)
+{
+  const char *dir = g_getenv ("BILBERRY_BUILD");
+
+  return dir ? dir : "build";
+}
+
+static void
+test_states (void)
+{
+  struct bb_poison *p = bb_poison_new ();
+
+  g_assert_cmpint (bb_poison_state (p, 7, 0), ==, BB_POISON_CLEAN);
+  g_assert_true (bb_poison_blame (p, 7, 100, 0, 0));
+  g_assert_cmpint (bb_poison_state (p, 7, 0), ==, BB_POISON_SUSPECT);
+  /* The same crash told again does not count.  */
+  g_assert_false (bb_poison_blame (p, 7, 100, 0, 5));
+  g_assert_cmpint (bb_poison_state (p, 7, 5), ==, BB_POISON_SUSPECT);
+  g_assert_true (bb_poison_blame (p, 7, 101, 0, 10));
+  g_assert_cmpint (bb_poison_state (p, 7, 10), ==, BB_POISON_QUARANTINED);
+  /* A quarantine is not ended by an answer, only by time.  */
+  bb_poison_clear (p, 7, 20);
+  g_assert_cmpint (bb_poison_state (p, 7, 20), ==, BB_POISON_QUARANTINED);
+  g_assert_cmpint (bb_poison_left_ms (p, 7, 10), ==, 60 * MINUTE_MS);
+  g_assert_cmpint (bb_poison_state (p, 7, 10 + 60 * MINUTE_MS), ==,
+                   BB_POISON_CLEAN);
+  bb_poison_free (p);
+}
+
+static void
+test_cleared (void)
+{
+  struct bb_poison *p = bb_poison_new ();
+
+  bb_poison_blame (p, 7, 100, 0, 0);
+  bb_poison_clear (p, 7, 1);
+  g_assert_cmpint (bb_poison_state (p, 7, 1), ==, BB_POISON_CLEAN);
+  bb_poison_blame (p, 7, 101, 0, 2);
+  g_assert_cmpint (bb_poison_state (p, 7, 2), ==, BB_POISON_SUSPECT);
+  g_assert_cmpint (bb_poison_state (p, 7, 2 + 10 * MINUTE_MS), ==,
+                   BB_POISON_CLEAN);
+  bb_poison_free (p);
+}
+
+/* What is held is bounded; the oldest is forgotten first.  */
+static void
+test_bounded (void)
+{
+  struct bb_poison *p = bb_poison_new ();
+
+  for (uint64_t i = 1; i <= 5000; i++)
+    bb_poison_blame (p, i, 100, 0, (bb_ms)i);
+  g_assert_cmpint (bb_poison_state (p, 1, 5000), ==, BB_POISON_CLEAN);
+  g_assert_cmpint (bb_poison_state (p, 5000, 5000), ==, BB_POISON_SUSPECT);
+  bb_poison_free (p);
+}
+
+static void
+offer (struct bb_admit *a, uint64_t id, bool alone)
+{
+  struct bb_offer o = { .id = id,
+                        .customer = bb_bytes_of ("c"),
+                        .weight = 1,
+                        .tokens = 1,
+                        .alone = alone,
+                        .deadline = MINUTE_MS };
+  struct bb_verdict v;
+  uint64_t evicted;
+
+  g_assert_true (bb_admit_offer (a, &o, 0, &evicted, &v));
+}
+
+/* A suspect waits until nothing else runs, and nothing starts beside it.  */
+static void
+test_alone (void)
+{
+  struct bb_admit_limits limits = { .limit = 4, .cold_limit = 4, .queue = 8 };
+  struct bb_admit *a = bb_admit_new (&limits);
+
+  offer (a, 1, false);
+  offer (a, 2, true);
+  offer (a, 3, false);
+  g_assert_cmpuint (bb_admit_next (a), ==, 1);
+  g_assert_cmpuint (bb_admit_next (a), ==, 0);
+  bb_admit_end (a, true, 1);
+  g_assert_cmpuint (bb_admit_next (a), ==, 2);
+  g_assert_cmpuint (bb_admit_next (a), ==, 0);
+  bb_admit_end (a, true, 1);
+  g_assert_cmpuint (bb_admit_next (a), ==, 3);
+  bb_admit_end (a, true, 1);
+  bb_admit_free (a);
+}
+
+static struct answer
+send_prompt (uint16_t port, const char *prompt, bool stream)
+{
+  char *body
+      = g_strdup_printf ("{\"stream\":%s,\"max_tokens\":%d,\"prompt\":\"%s\"}",
+                         stream ? "true" : "false", TOKENS, prompt);
+  struct answer a
+      = harness_http (port, "POST", "/v1/completions", fleet_key, body);
+
+  g_free (body);
+  return a;
+}
+
+static uint32_t
+count_alive (const struct fleet *f)
+{
+  uint32_t alive = 0;
+
+  for (uint32_t i = 0; i < f->upstreams_count; i++)
+    {
+      struct answer a
+          = harness_http (f->upstreams[i].port, "GET", "/metrics", "", "");
+      alive += a.status == 200 ? 1 : 0;
+      answer_free (&a);
+    }
+  return alive;
+}
+
+/* One fingerprint costs at most two upstreams, also when its caller asks
+   again through another entry.  */
+static void
+test_spread (void)
+{
+  struct fleet f;
+  struct answer a;
+
+  fleet_init (&f, build_dir (), 4, 0, 2);
+  fleet_start (&f);
+  a = send_prompt (f.entries[0].port, "crash-engine", false);
+  g_assert_cmpint (a.status, ==, 422);
+  g_assert_nonnull (strstr (a.body, "quarantined"));
+  g_assert_nonnull (strstr (a.headers, "bilberry-run: maybe"));
+  answer_free (&a);
+  g_assert_cmpuint (count_alive (&f), ==, 2);
+  g_assert_true (harness_await (f.entries[1].operator_port, "/status",
+                                "\"quarantined\": 1", WAIT_MS));
+  a = send_prompt (f.entries[1].port, "crash-engine", false);
+  g_assert_cmpint (a.status, ==, 422);
+  g_assert_nonnull (strstr (a.headers, "bilberry-run: no"));
+  g_assert_nonnull (strstr (a.headers, "retry-after: "));
+  answer_free (&a);
+  g_assert_cmpuint (count_alive (&f), ==, 2);
+  a = send_prompt (f.entries[1].port, "harmless", false);
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  fleet_free (&f);
+}
+
+struct innocent
+{
+  pthread_t thread;
+  struct fleet *f;
+  char prompt[32];
+  struct answer answer;
+};
+
+static void *
+send_innocent (void *arg)
+{
+  struct innocent *i = arg;
+
+  i->answer = send_prompt (i->f->entries[0].port, i->prompt, true);
+  return NULL;
+}
+
+/* Requests that were in flight at the crash are answered whole, and again
+   when they are repeated.  */
+static void
+test_innocents (void)
+{
+  struct innocent all[INNOCENTS];
+  struct fleet f;
+  struct answer a;
+
+  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_start (&f);
+  for (uint32_t i = 0; i < INNOCENTS; i++)
+    {
+      all[i].f = &f;
+      g_snprintf (all[i].prompt, sizeof all[i].prompt, "innocent %u", i);
+      pthread_create (&all[i].thread, NULL, send_innocent, &all[i]);
+    }
+  for (uint32_t i = 0; i < f.upstreams_count; i++)
+    harness_await (f.upstreams[i].port, "/metrics", "engine_sequences",
+                   WAIT_MS);
+  a = send_prompt (f.entries[0].port, "crash-engine", false);
+  g_assert_cmpint (a.status, ==, 422);
+  answer_free (&a);
+  for (uint32_t i = 0; i < INNOCENTS; i++)
+    {
+      pthread_join (all[i].thread, NULL);
+      g_assert_true (all[i].answer.whole);
+      g_assert_true (
+          fleet_stream_is_whole (all[i].answer.body, all[i].prompt, TOKENS));
+      answer_free (&all[i].answer);
+    }
+  for (uint32_t i = 0; i < INNOCENTS; i++)
+    {
+      a = send_prompt (f.entries[0].port, all[i].prompt, true);
+      g_assert_true (fleet_stream_is_whole (a.body, all[i].prompt, TOKENS));
+      answer_free (&a);
+    }
+  fleet_free (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/poison/states", test_states);
+  g_test_add_func ("/poison/cleared", test_cleared);
+  g_test_add_func ("/poison/bounded", test_bounded);
+  g_test_add_func ("/poison/alone", test_alone);
+  g_test_add_func ("/poison/spread", test_spread);
+  g_test_add_func ("/poison/innocents", test_innocents);
+  return g_test_run ();
+}
