--- a/Makefile
+++ b/Makefile
@@ -18,15 +18,8 @@
 	-fno-sanitize-recover=undefined
 endif
 
-# `make fuzz` builds the targets of fuzz/ with libFuzzer and runs each.
+# How long `make fuzz` runs each target, in seconds.
 FUZZ_S = 20
-ifdef FUZZ
-B = build-fuzz
-CC = clang
-OPT = -O1
-SANFLAGS = -fsanitize=address,undefined,fuzzer-no-link \
-	-fno-omit-frame-pointer -fno-sanitize-recover=undefined
-endif
 
 # `make MUTANT=name` removes one guard, so that its test can be seen to fail.
 MUTANT_FLAGS =
@@ -55,7 +48,6 @@
 PROGRAMS := $(foreach c,$(CMDS),$(call program,$(c))) \
 	$(FAKES:%=$(B)/fake-%)
 TEST_PROGRAMS := $(TESTS:%=$(B)/test/%)
-FUZZERS := $(patsubst fuzz/%.c,%,$(wildcard fuzz/*.c))
 BENCH_PROGRAMS := $(BENCHES:%=$(B)/bench/%)
 HARNESS := $(call objects,test/harness)
 
@@ -99,9 +91,10 @@
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 # Fuzz targets and the libraries below them are compiled by clang.
-FUZZ_FLAGS = -std=gnu11 -g -O1 $(WARN) -fsanitize=address
+FUZZ_FLAGS = -std=gnu11 -g -O1 $(WARN) -fsanitize=address,undefined \
+	-fno-sanitize-recover=undefined
 FUZZ_LIBS := $(patsubst %.c,$(B)/obj-fuzz/%.o,\
-	$(wildcard libbase/*.c libproto/*.c libsettings/*.c))
+	$(wildcard libbase/*.c libmember/*.c libproto/*.c libsettings/*.c))
 
 $(B)/obj-fuzz/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -115,14 +108,11 @@
 $(B)/demo: $(B)/obj/test/demo.o $(HARNESS) $(B)/libbilberry.a
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/fuzz/%: $(B)/obj/fuzz/%.o $(B)/libbilberry.a
-	@mkdir -p $(dir $@)
-	$(Q)$(CC) $(CFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
-
+# A longer run of each fuzz target; `make check` runs a fixed count.
 fuzz: need-deps
-	$(MAKE) FUZZ=1 fuzz-built
+	$(MAKE) fuzz-built
 
-fuzz-built: $(FUZZERS:%=$(B)/fuzz/%)
+fuzz-built: $(FUZZ:%=$(B)/fuzz/%)
 	set -e; for f in $^; do $$f -seed=1 -max_total_time=$(FUZZ_S) \
 		-verbosity=0 -print_final_stats=1; done
 
@@ -133,6 +123,13 @@
 check-built: all $(TEST_PROGRAMS) $(FUZZ:%=$(B)/fuzz/%)
 	test/run $(B) $(TEST_PROGRAMS)
 
+# Goes on with the randomised runs for SECONDS.
+SECONDS = 600
+soak: need-deps
+	$(MAKE) all $(B)/test/test_once_runs
+	BILBERRY_SOAK_SECONDS=$(SECONDS) $(B)/test/test_once_runs \
+		-p /once-runs/faults
+
 demo: need-deps
 	$(MAKE) all
 	$(B)/demo
@@ -179,8 +176,8 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all deps need-deps check check-built fuzz fuzz-built demo run bench \
-	lint proof generate generated-check seeds clean
+.PHONY: all deps need-deps check check-built soak fuzz fuzz-built demo run \
+	bench lint proof generate generated-check seeds clean
 .SECONDARY:
 
 -include $(shell find $(B)/obj $(B)/obj-fuzz -name '*.d' 2>/dev/null)
--- a/cmd/entry/try.c
+++ b/cmd/entry/try.c
@@ -47,6 +47,7 @@
 
   m.deadline_ms = left > 0 ? (uint32_t)left : 1;
   m.key = bb_header_find (r->headers, r->headers_count, "idempotency-key");
+  m.minted = m.key.size == 0;
   for (uint32_t i = 0; i < r->headers_count; i++)
     if (is_passed_on (r->headers[i].name))
       m.headers[m.headers_count++] = r->headers[i];
--- a/libnet/conn.c
+++ b/libnet/conn.c
@@ -204,7 +204,11 @@
     }
   else
     {
-      reserve (c, size);
+      /* Otherwise DATA lies in the buffer of C, which has room for it.  */
+      if (c->in_size == 0)
+        /* Otherwise DATA lies in the buffer of C, which has room for it.  */
+        if (c->in_size == 0)
+          reserve (c, size);
       memmove (c->in, data, size);
     }
   c->in_size = size;
