--- a/Makefile
+++ b/Makefile
@@ -88,7 +88,8 @@
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 # Fuzz targets and the libraries below them are compiled by clang.
-FUZZ_FLAGS = -std=gnu11 -g -O1 $(WARN) -fsanitize=address
+FUZZ_FLAGS = -std=gnu11 -g -O1 $(WARN) -fsanitize=address,undefined \
+	-fno-sanitize-recover=undefined
 FUZZ_LIBS := $(patsubst %.c,$(B)/obj-fuzz/%.o,\
 	$(wildcard libbase/*.c libmember/*.c libproto/*.c libsettings/*.c))
 
--- a/libnet/conn.c
+++ b/libnet/conn.c
@@ -204,6 +204,7 @@
     }
   else
     {
+      /* Otherwise DATA lies in the buffer of C, which has room for it.  */
       if (c->in_size == 0)
         reserve (c, size);
       memmove (c->in, data, size);
