Look customers up by name at the agent; refuse answers with too large headers

The agent searched 5,200 customers for the weight of one at each call; it now asks a hash table. An upstream's answer with a header larger than an entry takes ended the connection, and every call on it: the answer is now refused as run, and the others go on (/always/large-answer-header, red without headers_fit).

--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,14 @@
 MUTANT_FLAGS =
 ifdef MUTANT
 B = build-mutant-$(MUTANT)
-MUTANT_FLAGS = -DBB_MUTANT_$(MUTANT)
+MUTANT_FLAGS = -DBB_MUTANT_$(MUTANT) -Wno-unused-function \
+	-Wno-unused-variable -Wno-unused-parameter
 endif
 
 WARN = -Wall -Wextra -Werror -Wstrict-prototypes -Wmissing-prototypes -Wshadow
 GLIB_CFLAGS := $(shell pkg-config --cflags glib-2.0 2>/dev/null)
-CPPFLAGS = -D_GNU_SOURCE -DBB_VERSION='"0.1.0"' -Iinclude $(GLIB_CFLAGS) $(MUTANT_FLAGS)
-CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS)
+CPPFLAGS = -D_GNU_SOURCE -DBB_VERSION='"0.1.0"' -Iinclude $(GLIB_CFLAGS)
+CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(MUTANT_FLAGS)
 LDLIBS = -lh2o -luv -lssl -lcrypto -lmsgpackc -lyaml -largtable2 -lglib-2.0 \
 	-lxxhash -ljansson -lm
 
--- a/cmd/agent/agent.h
+++ b/cmd/agent/agent.h
@@ -61,6 +61,7 @@
   uv_timer_t deadline;
   bool idempotent;
   bool keyed; /* goes through the table of keys */
+  bool unfit; /* the answer's headers are too large to pass on */
   uint64_t once_id;
   struct bb_call request; /* its bytes lie in COPY */
   char *copy;
--- a/cmd/agent/call.c
+++ b/cmd/agent/call.c
@@ -91,6 +91,18 @@
                  bb_clock_now ());
 }
 
+/* Whether an entry takes the headers; one that is too large would end its
+   connection, and all calls on it.  */
+static bool
+headers_fit (const struct bb_header *headers, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (headers[i].name.size > BB_HEADER_NAME_MAX_BYTES
+        || headers[i].value.size > BB_HEADER_VALUE_MAX_BYTES)
+      return false;
+  return true;
+}
+
 static void
 on_head (struct bb_http_call *h, uint16_t status,
          const struct bb_header *headers, uint32_t headers_count)
@@ -98,6 +110,11 @@
   struct call *c = bb_http_call_user (h);
   struct bb_head m = { .id = c->id, .status = status };
 
+#ifndef BB_MUTANT_headers_fit
+  c->unfit = !headers_fit (headers, headers_count);
+#endif
+  if (c->unfit)
+    return;
   if (c->keyed)
     outcome_head (&c->outcome, status, headers, headers_count);
   if (!c->peer)
@@ -114,12 +131,30 @@
   struct call *c = bb_http_call_user (h);
   struct bb_data m = { .id = c->id, .body = piece };
 
+  if (c->unfit)
+    return;
   if (c->keyed)
     outcome_data (&c->outcome, piece);
   if (c->peer)
     bb_put_data (bb_conn_out (c->peer->conn), &m);
 }
 
+/* Ends a call whose answer cannot be passed on.  */
+static void
+end_unfit (struct call *c)
+{
+  struct agent *a = c->agent;
+  struct bb_verdict v
+      = { .run = BB_RUN_RAN, .reason = BB_REASON_UPSTREAM_FAILED };
+
+  bb_log (BB_LOG_WARN, "agent", "The headers of an answer are too large.");
+  bb_admit_end (a->admit, true, bb_clock_now () - c->started);
+  tell_once (c, false, BB_RUN_RAN);
+  refuse (c, &v);
+  call_free (c);
+  call_run_ready (a);
+}
+
 static void
 on_end (struct bb_http_call *h, const char *error, enum bb_run run)
 {
@@ -128,6 +163,11 @@
   struct bb_end m = { .id = c->id };
   struct agent *a = c->agent;
 
+  if (c->unfit && !error)
+    {
+      end_unfit (c);
+      return;
+    }
   if (error)
     {
       v.reason = run == BB_RUN_NOT_RUN ? BB_REASON_UPSTREAM_REFUSED
@@ -217,12 +257,12 @@
 static uint32_t
 weight_of (const struct agent *a, struct bb_bytes customer)
 {
-  const struct bb_settings *s = a->daemon->settings;
+  const struct bb_customer_settings *c;
+  char name[BB_CALL_CUSTOMER_MAX_BYTES + 1];
 
-  for (uint32_t i = 0; i < s->customers_count; i++)
-    if (bb_bytes_equal (customer, s->customers[i].name))
-      return s->customers[i].weight;
-  return 1;
+  snprintf (name, sizeof name, "%.*s", (int)customer.size, customer.ptr);
+  c = bb_settings_customer_named (a->daemon->settings, name);
+  return c ? c->weight : 1;
 }
 
 /* Estimates tokens from the body where the entry gave none.  */
@@ -277,7 +317,7 @@
   struct bb_verdict v
       = { .run = BB_RUN_NOT_RUN, .retry_after_ms = RETRY_AFTER_MS };
 
-#ifndef BB_MUTANT_AGENT_OUT
+#ifndef BB_MUTANT_agent_out
   if (a->daemon->draining || a->out)
     {
       v.reason = BB_REASON_DRAINING;
@@ -499,7 +539,7 @@
 {
   v->run = BB_RUN_NOT_RUN;
   v->retry_after_ms = RETRY_AFTER_MS;
-#ifndef BB_MUTANT_AGENT_STALE
+#ifndef BB_MUTANT_agent_stale
   if (m->agent_incarnation != a->daemon->incarnation)
     {
       v->reason = BB_REASON_STALE_INCARNATION;
@@ -515,7 +555,7 @@
       v->retry_after_ms = (uint32_t)bb_poison_left_ms (
           a->poison, m->fingerprint, bb_clock_now ());
     }
-#ifndef BB_MUTANT_AGENT_OUT
+#ifndef BB_MUTANT_agent_out
   else if ((a->daemon->draining || a->out)
            && !(is_keyed (m) && bb_once_knows (a->once, m->customer, m->key)))
     v->reason = BB_REASON_DRAINING;
--- a/cmd/agent/probe.c
+++ b/cmd/agent/probe.c
@@ -80,7 +80,7 @@
     size = VALUE_MAX_BYTES;
   if (strlen (p->started) == size && strncmp (p->started, value, size) == 0)
     return;
-#ifndef BB_MUTANT_AGENT_PROBE
+#ifndef BB_MUTANT_agent_probe
   bb_admit_restarted (p->agent->admit);
 #endif
   bb_counter ("bilberry_upstream_starts_total", "")->value++;
--- a/fake/plain/plain.c
+++ b/fake/plain/plain.c
@@ -1,7 +1,8 @@
 /* fake-plain - a stand-in for a plain service beside the engines.
 
    POST on any path runs an order: the idempotency key names it, or the body
-   where there is none.  GET /ran tells how often each order ran.  GET on any
+   where there is none.  GET /ran tells how often each order ran;
+   GET /stock/large-header has an answer with a large header.  GET on any
    other path is a check that changes nothing.  */
 
 #include "../lib/fake.h"
@@ -83,12 +84,26 @@
   uv_timer_start (&o->timer, answer, (uint64_t)options[DELAY_MS].value, 0);
 }
 
+/* Answers with a header of 20,000 bytes.  */
+static void
+respond_large_header (struct bb_http_request *r)
+{
+  static char value[20001];
+  struct bb_header h = { .name = bb_bytes_of ("x-large") };
+
+  memset (value, 'x', sizeof value - 1);
+  h.value = bb_bytes_of (value);
+  bb_http_respond (r, 200, &h, 1, bb_bytes_of ("large"));
+}
+
 static void
 on_request (struct bb_http_request *r, void *arg)
 {
   (void)arg;
   if (bb_bytes_equal (r->method, "POST"))
     run_order (r);
+  else if (bb_bytes_equal (r->path, "/stock/large-header"))
+    respond_large_header (r);
   else if (bb_bytes_equal (r->path, "/ran"))
     fake_respond_json (r, 200, json_incref (ran));
   else
--- a/include/bilberry/settings.h
+++ b/include/bilberry/settings.h
@@ -71,6 +71,9 @@
 bool bb_settings_upstream_in (const struct bb_settings *s,
                               const struct bb_upstream_settings *u);
 
+const struct bb_customer_settings *
+bb_settings_customer_named (const struct bb_settings *s, const char *name);
+
 /* Finds the customer whose key has the SHA-256 KEY_HEX.  */
 const struct bb_customer_settings *
 bb_settings_customer (const struct bb_settings *s, const char *key_hex);
--- a/libadmit/admit.c
+++ b/libadmit/admit.c
@@ -231,7 +231,7 @@
   v->run = BB_RUN_NOT_RUN;
   v->reason = cold ? BB_REASON_COLD_START : BB_REASON_OVERLOAD;
   v->retry_after_ms = retry_ms (a);
-#ifndef BB_MUTANT_ADMIT_DEADLINE
+#ifndef BB_MUTANT_admit_deadline
   /* With its own queue empty, a customer waits for its turn alone.  */
   HASH_FIND (hh, a->customers, o->customer.ptr, o->customer.size, largest);
   if (!largest && ahead > HASH_COUNT (a->customers))
@@ -335,7 +335,7 @@
   if (!well)
     return;
   a->spent_mean_ms += (spent_ms - a->spent_mean_ms) / SPENT_WEIGHT;
-#ifndef BB_MUTANT_ADMIT_COLD
+#ifndef BB_MUTANT_admit_cold
   if (a->limit < a->limits.limit)
     a->limit++;
 #else
--- a/libdaemon/daemon.c
+++ b/libdaemon/daemon.c
@@ -67,6 +67,9 @@
       return;
     }
   d->draining = true;
+#ifdef BB_MUTANT_shutdown_drain
+  uv_stop (d->loop);
+#endif
   bb_log (BB_LOG_INFO, d->ops->part, "Draining %u requests in flight.",
           d->ops->in_flight (d));
   gossip_leave (d);
--- a/libonce/once.c
+++ b/libonce/once.c
@@ -221,7 +221,7 @@
   if (!set_candidates (o, record_customer (r), record_key (r), c, &count))
     return 0;
   *quorum = set_quorum (count);
-#ifdef BB_MUTANT_ONCE_QUORUM
+#ifdef BB_MUTANT_once_quorum
   *quorum = 1;
 #endif
   if (!r->contested
@@ -252,7 +252,7 @@
 
   if (has_said (r, BB_ONCE_WORD_REUSED))
     give_up (o, r, BB_RUN_NOT_RUN, BB_REASON_KEY_REUSED);
-#ifndef BB_MUTANT_ONCE_DEADLINE
+#ifndef BB_MUTANT_once_deadline
   else if (now >= r->deadline)
     give_up (o, r, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
 #endif
@@ -458,13 +458,13 @@
     return BB_ONCE_WORD_REUSED;
   if (r->state != BB_ONCE_STATE_HELD)
     return BB_ONCE_WORD_BUSY;
-#ifndef BB_MUTANT_ONCE_GRANT_TWICE
+#ifndef BB_MUTANT_once_grant_twice
   if (r->runner != m->runner || r->runner == o->incarnation)
     return BB_ONCE_WORD_HELD;
 #endif
   if (m->id < r->id || m->id & query_bit)
     return BB_ONCE_WORD_HELD;
-#ifndef BB_MUTANT_ONCE_LEARNED
+#ifndef BB_MUTANT_once_learned
   if (!r->own_grant && !set_is_sure (o, m->customer, m->key, m->age_ms, now))
     return BB_ONCE_WORD_UNSURE;
 #endif
--- a/libonce/set.c
+++ b/libonce/set.c
@@ -129,7 +129,7 @@
 {
   if (!o->ever_settled || o->unsettled_sets >= o->sets_count)
     return false;
-#ifdef BB_MUTANT_ONCE_ACQUIRED
+#ifdef BB_MUTANT_once_acquired
   return true;
 #endif
   for (uint32_t i = 1; i <= o->unsettled_sets; i++)
@@ -180,12 +180,12 @@
 {
   enum others others;
 
-#ifdef BB_MUTANT_ONCE_UNSURE
+#ifdef BB_MUTANT_once_unsure
   return true;
 #endif
   if (now < o->lost_until)
     return false;
-#ifndef BB_MUTANT_ONCE_LEFT
+#ifndef BB_MUTANT_once_left
   if (has_lost_candidates (o, customer, key, now))
     return false;
 #endif
@@ -207,7 +207,7 @@
 {
   bb_ms until = o->lost_until;
 
-#ifdef BB_MUTANT_ONCE_LEFT
+#ifdef BB_MUTANT_once_left
   return 0;
 #endif
   for (uint32_t i = 1; i < o->sets_count; i++)
@@ -284,7 +284,7 @@
 {
   bool learned = false;
 
-#ifdef BB_MUTANT_ONCE_OTHER_SET
+#ifdef BB_MUTANT_once_other_set
   return false;
 #endif
   if (count == 0 || sets[0].hash != set_now (o)->hash)
@@ -315,7 +315,7 @@
   struct bb_once_set own[SETS_MAX] = { 0 };
   uint32_t own_count = set_list (o, now, own);
 
-#ifdef BB_MUTANT_ONCE_OTHER_SET
+#ifdef BB_MUTANT_once_other_set
   return true;
 #endif
   if (count == 0 || sets[0].hash != own[0].hash)
--- a/libonce/sync.c
+++ b/libonce/sync.c
@@ -155,7 +155,7 @@
       snprintf (w->name, sizeof w->name, "%s", name);
       HASH_ADD_STR (o->testified, name, w);
     }
-#ifdef BB_MUTANT_ONCE_FOUND
+#ifdef BB_MUTANT_once_found
   o->knew_earlier = false;
 #endif
   sync_found (o);
--- a/libsettings/find.c
+++ b/libsettings/find.c
@@ -34,6 +34,12 @@
          && d->state == BB_FAILURE_DOMAIN_STATE_IN;
 }
 
+const struct bb_customer_settings *
+bb_settings_customer_named (const struct bb_settings *s, const char *name)
+{
+  return g_hash_table_lookup (s->index->customers, name);
+}
+
 const struct bb_customer_settings *
 bb_settings_customer (const struct bb_settings *s, const char *key_hex)
 {
--- a/libsettings/table.h
+++ b/libsettings/table.h
@@ -89,6 +89,7 @@
   GHashTable *failure_domains;
   GHashTable *upstreams;
   GHashTable *entries;
+  GHashTable *customers;
   GHashTable *customers_by_key;
 };
 
--- a/test/test_always.c
+++ b/test/test_always.c
@@ -148,6 +148,27 @@
   msgpack_sbuffer_destroy (&buf);
 }
 
+/* An upstream's answer with a header that no entry takes is refused, and
+   costs no other call on the connection.  */
+static void
+test_large_answer_header (void)
+{
+  struct fleet f;
+  struct answer a;
+
+  fleet_init (&f, build_dir (), 0, 1, 1);
+  fleet_start (&f);
+  a = harness_http (f.entries[0].port, "GET", "/stock/large-header", fleet_key,
+                    "");
+  g_assert_cmpint (a.status, ==, 502);
+  g_assert_nonnull (strstr (a.headers, "bilberry-run: yes"));
+  answer_free (&a);
+  a = harness_http (f.entries[0].port, "GET", "/stock/7", fleet_key, "");
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  fleet_free (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -155,5 +176,6 @@
   g_test_add_func ("/always/out-at-agent", test_out_at_agent);
   g_test_add_func ("/always/cut-order", test_cut_order);
   g_test_add_func ("/always/earlier-incarnation", test_earlier_incarnation);
+  g_test_add_func ("/always/large-answer-header", test_large_answer_header);
   return g_test_run ();
 }
