--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -27,6 +27,9 @@
 /* Ends all processes that it started, by their ids, and removes its folder. */
 void harness_free (struct harness *h);
 
+/* Returns the folder of built programs, which the test runner names.  */
+const char *harness_build_dir (void);
+
 const char *harness_config_dir (const struct harness *h);
 
 /* Reserves a port of 127.0.0.1 for the life of the harness.  */
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -106,6 +106,14 @@
   free (h);
 }
 
+const char *
+harness_build_dir (void)
+{
+  const char *dir = getenv ("BILBERRY_BUILD");
+
+  return dir ? dir : "build";
+}
+
 const char *
 harness_config_dir (const struct harness *h)
 {
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -11,14 +11,6 @@
 #include <string.h>
 #include <unistd.h>
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 static struct answer
 send_order (struct fleet *f, uint32_t entry, const char *key, const char *body)
 {
@@ -81,7 +73,7 @@
 static void
 start_orders (struct fleet *f, uint32_t entries)
 {
-  fleet_init (f, build_dir (), 0, 3, entries);
+  fleet_init (f, harness_build_dir (), 0, 3, entries);
   fleet_start (f);
   await_settled (f);
 }
@@ -170,7 +162,7 @@
   struct order_thread t = { .f = &f, .key = "k3" };
   pthread_t thread;
 
-  fleet_init (&f, build_dir (), 0, 3, 2);
+  fleet_init (&f, harness_build_dir (), 0, 3, 2);
   f.plain_options[0] = "--delay-ms";
   f.plain_options[1] = "1500";
   fleet_start (&f);
@@ -203,7 +195,7 @@
   struct order_thread t = { .f = &f, .key = "k4" };
   pthread_t thread;
 
-  fleet_init (&f, build_dir (), 0, 3, 2);
+  fleet_init (&f, harness_build_dir (), 0, 3, 2);
   f.plain_options[0] = "--delay-ms";
   f.plain_options[1] = "700";
   fleet_start (&f);
@@ -251,7 +243,7 @@
   struct order_thread t = { .f = &f, .key = "k6" };
   pthread_t thread;
 
-  fleet_init (&f, build_dir (), 0, 3, 2);
+  fleet_init (&f, harness_build_dir (), 0, 3, 2);
   f.plain_options[0] = "--delay-ms";
   f.plain_options[1] = "700";
   fleet_start (&f);
@@ -278,7 +270,7 @@
   struct order_thread t = { .f = &f, .key = "k7" };
   pthread_t thread;
 
-  fleet_init (&f, build_dir (), 0, 3, 2);
+  fleet_init (&f, harness_build_dir (), 0, 3, 2);
   f.plain_options[0] = "--delay-ms";
   f.plain_options[1] = "500";
   fleet_start (&f);
@@ -437,7 +429,7 @@
   struct fleet f;
   struct fleet_upstream *u;
 
-  fleet_init (&f, build_dir (), 1, 0, 1);
+  fleet_init (&f, harness_build_dir (), 1, 0, 1);
   f.engine_options[0] = "--cold-ms";
   f.engine_options[1] = "0";
   f.engine_options[2] = "--cold-batch";
--- a/test/test_always.c
+++ b/test/test_always.c
@@ -16,14 +16,6 @@
   WAIT_MS = 15000
 };
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 static struct answer
 send_order (struct fleet *f, const char *key)
 {
@@ -58,7 +50,7 @@
   struct fleet f;
   struct answer a;
 
-  fleet_init_relayed (&f, build_dir (), 0, 1, 1);
+  fleet_init_relayed (&f, harness_build_dir (), 0, 1, 1);
   fleet_start (&f);
   fleet_set_out_at_agents (&f, f.upstreams[0].failure_domain);
   g_assert_true (harness_await (f.upstreams[0].operator_port, "/status",
@@ -97,7 +89,7 @@
   struct order_thread t = { .f = &f, .key = "cut" };
   pthread_t thread;
 
-  fleet_init_relayed (&f, build_dir (), 0, 1, 1);
+  fleet_init_relayed (&f, harness_build_dir (), 0, 1, 1);
   fleet_start (&f);
   relay_hold (f.upstreams[0].relay);
   pthread_create (&thread, NULL, run_order, &t);
@@ -129,7 +121,7 @@
                           .deadline_ms = WAIT_MS };
 
   msgpack_sbuffer_init (&buf);
-  fleet_init (&f, build_dir (), 0, 1, 1);
+  fleet_init (&f, harness_build_dir (), 0, 1, 1);
   fleet_start (&f);
   p = frame_connect (f.upstreams[0].agent_port);
   g_assert_true (frame_await (p, BB_MSG_HELLO, &m, WAIT_MS));
@@ -156,7 +148,7 @@
   struct fleet f;
   struct answer a;
 
-  fleet_init (&f, build_dir (), 0, 1, 1);
+  fleet_init (&f, harness_build_dir (), 0, 1, 1);
   fleet_start (&f);
   a = harness_http (f.entries[0].port, "GET", "/stock/large-header", fleet_key,
                     "");
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -13,18 +13,10 @@
   STAYS_MS = 2500
 };
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 static void
 fleet_up (struct fleet *f)
 {
-  fleet_init (f, build_dir (), 3, 1, 2);
+  fleet_init (f, harness_build_dir (), 3, 1, 2);
   fleet_use_service (f);
   fleet_start_service (f, 1);
   for (uint32_t i = 0; i < f->upstreams_count; i++)
--- a/test/test_crossed.c
+++ b/test/test_crossed.c
@@ -15,14 +15,6 @@
   WAIT_MS = 15000
 };
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 /* An entry before two agents that the test plays.  */
 struct stage
 {
@@ -35,7 +27,7 @@
 static void
 stage_init (struct stage *s)
 {
-  fleet_init (&s->f, build_dir (), 2, 0, 1);
+  fleet_init (&s->f, harness_build_dir (), 2, 0, 1);
   msgpack_sbuffer_init (&s->buf);
   for (uint32_t i = 0; i < 2; i++)
     s->listeners[i] = frame_listen (s->f.upstreams[i].agent_port);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -15,14 +15,6 @@
   AWAIT_MS = 20000
 };
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 /* A streamed draft on a thread of its own.  */
 struct draft
 {
@@ -109,7 +101,7 @@
   struct draft d;
   struct fleet_upstream *u;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   start_draft (&d, &f, 1, TOKENS);
   u = await_running (&f, NULL);
@@ -127,7 +119,7 @@
   struct draft d;
   struct fleet_upstream *u;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   start_draft (&d, &f, 1, TOKENS);
   u = await_running (&f, NULL);
@@ -147,7 +139,7 @@
   struct fleet_upstream *first;
   struct fleet_upstream *second;
 
-  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_init (&f, harness_build_dir (), 3, 0, 1);
   fleet_start (&f);
   /* Earlier requests fill the retry budget.  */
   for (uint32_t i = 0; i < 10; i++)
@@ -175,7 +167,7 @@
   struct draft d;
   struct fleet_upstream *u;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   harness_write (f.h, "50-resume.yaml",
                  "upstreams:\n  draft-1: {resume: restart}\n"
                  "  draft-2: {resume: restart}\n");
@@ -198,7 +190,7 @@
   struct draft d;
   uint64_t retries;
 
-  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_init (&f, harness_build_dir (), 3, 0, 1);
   fleet_start (&f);
   harness_signal (f.h, f.upstreams[0].upstream, SIGKILL);
   harness_wait (f.h, f.upstreams[0].upstream);
@@ -238,7 +230,7 @@
   struct draft d;
   struct fleet_upstream *u;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   start_draft (&d, &f, 1, 3000);
   u = await_running (&f, NULL);
@@ -257,7 +249,7 @@
   struct draft d[3];
   struct answer a;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   harness_write (f.h, "50-limit.yaml",
                  "customers:\n  customer-1: {limit: 2}\n");
   fleet_start (&f);
@@ -286,7 +278,7 @@
   struct draft d[2];
   struct answer a;
 
-  fleet_init (&f, build_dir (), 1, 1, 2);
+  fleet_init (&f, harness_build_dir (), 1, 1, 2);
   harness_write (f.h, "50-limit.yaml",
                  "customers:\n  customer-1: {fleet_limit: 4}\n");
   fleet_start (&f);
@@ -314,7 +306,7 @@
   struct draft d;
   struct draft late;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   start_draft (&d, &f, 1, 1000);
   await_running (&f, NULL);
@@ -342,7 +334,7 @@
   struct fleet f;
   struct draft d[6];
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   for (uint32_t i = 0; i < G_N_ELEMENTS (d); i++)
     start_draft (&d[i], &f, i, TOKENS);
@@ -364,7 +356,7 @@
   struct draft d[6];
   struct draft after;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   for (uint32_t i = 0; i < G_N_ELEMENTS (d); i++)
     start_draft (&d[i], &f, i, TOKENS);
@@ -407,7 +399,7 @@
   struct fleet f;
   struct draft d;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   start_draft (&d, &f, 1, TOKENS);
   remove_upstream (&f, await_running (&f, NULL));
@@ -424,7 +416,7 @@
   struct draft d;
   struct fleet_upstream *u;
 
-  fleet_init (&f, build_dir (), 2, 0, 1);
+  fleet_init (&f, harness_build_dir (), 2, 0, 1);
   fleet_start (&f);
   start_draft (&d, &f, 1, 3 * TOKENS);
   u = await_running (&f, NULL);
@@ -443,7 +435,7 @@
   char *start = g_strnfill (600, 'x');
   uint32_t idle = 0;
 
-  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_init (&f, harness_build_dir (), 3, 0, 1);
   fleet_start (&f);
   for (uint32_t i = 0; i < 20; i++)
     {
--- a/test/test_input.c
+++ b/test/test_input.c
@@ -17,18 +17,10 @@
 #define KEY "Authorization: Bearer key-1\r\n"
 #define HOST "Host: 127.0.0.1\r\n"
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 static void
 start (struct fleet *f)
 {
-  fleet_init (f, build_dir (), 1, 1, 1);
+  fleet_init (f, harness_build_dir (), 1, 1, 1);
   f->engine_options[0] = "--step-ms";
   f->engine_options[1] = "1";
   fleet_start (f);
--- a/test/test_path.c
+++ b/test/test_path.c
@@ -8,14 +8,6 @@
 #include <signal.h>
 #include <string.h>
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 static struct answer
 send_draft (struct fleet *f, const char *prompt, uint32_t tokens)
 {
@@ -36,7 +28,7 @@
   struct fleet f;
   struct answer a;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   fleet_start (&f);
   a = send_draft (&f, "hello", 8);
   g_assert_cmpint (a.status, ==, 200);
@@ -79,7 +71,7 @@
   };
   struct fleet f;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   fleet_start (&f);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
@@ -119,7 +111,7 @@
   struct answer a;
   pthread_t thread;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   fleet_start (&f);
   pthread_create (&thread, NULL, kill_engine_mid_stream, &f);
   a = send_draft (&f, "long", 100000);
@@ -138,7 +130,7 @@
   struct fleet f;
   struct answer a;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   fleet_start (&f);
   fleet_set_out (&f, "fd-b");
   g_assert_true (harness_await (f.entries[0].operator_port, "/status",
--- a/test/test_poison.c
+++ b/test/test_poison.c
@@ -16,14 +16,6 @@
   TOKENS = 150
 };
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 static void
 test_states (void)
 {
@@ -146,7 +138,7 @@
   struct fleet f;
   struct answer a;
 
-  fleet_init (&f, build_dir (), 4, 0, 2);
+  fleet_init (&f, harness_build_dir (), 4, 0, 2);
   fleet_start (&f);
   a = send_prompt (f.entries[0].port, "crash-engine", false);
   g_assert_cmpint (a.status, ==, 422);
@@ -194,7 +186,7 @@
   struct fleet f;
   struct answer a;
 
-  fleet_init (&f, build_dir (), 3, 0, 1);
+  fleet_init (&f, harness_build_dir (), 3, 0, 1);
   fleet_start (&f);
   for (uint32_t i = 0; i < INNOCENTS; i++)
     {
--- a/test/test_shell.c
+++ b/test/test_shell.c
@@ -8,19 +8,11 @@
 #include <string.h>
 #include <sys/wait.h>
 
-static const char *
-build_dir (void)
-{
-  const char *dir = g_getenv ("BILBERRY_BUILD");
-
-  return dir ? dir : "build";
-}
-
 /* Runs a program of the build; returns its exit status and what it wrote.  */
 static int
 run (const char *program, const char *a, const char *b, char **out, char **err)
 {
-  char *path = g_build_filename (build_dir (), program, NULL);
+  char *path = g_build_filename (harness_build_dir (), program, NULL);
   char *argv[] = { path, (char *)a, (char *)b, NULL };
   int status = 0;
 
@@ -144,7 +136,7 @@
   const char *logs[] = { "json", "agent-draft-1", "agent-order-1" };
   struct fleet f;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   for (uint32_t i = 0; i < f.upstreams_count; i++)
     {
       fleet_start_upstream (&f, &f.upstreams[i]);
@@ -180,7 +172,7 @@
   char *out = NULL;
   char *err = NULL;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   fleet_start (&f);
   g_snprintf (address, sizeof address, "127.0.0.1:%u",
               f.entries[0].operator_port);
@@ -209,7 +201,7 @@
   struct answer a;
   uint16_t port;
 
-  fleet_init (&f, build_dir (), 1, 1, 1);
+  fleet_init (&f, harness_build_dir (), 1, 1, 1);
   fleet_start (&f);
   port = f.entries[0].operator_port;
   a = harness_http (f.entries[0].port, "POST", "/v1/completions", fleet_key,
