Let the test of a removed upstream remove it again

Cause: make proof showed /entry/removed-upstream green without link_release. The test wrote 20-fleet.yaml, but the harness had come to keep upstreams in 20-upstreams.yaml, so nothing was removed and the revision rose all the same. It now replaces that file: green with the guard, red without it (a stream was continued elsewhere, 1 where 0 is expected).

--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -380,13 +380,11 @@
 {
   const struct fleet_upstream *other = &f->upstreams[u == f->upstreams];
 
-  harness_write (f->h, "20-fleet.yaml",
-                 "entries:\n  entry-1: {address: '127.0.0.1:%u', operator: "
-                 "'127.0.0.1:%u', failure_domain: fd-a}\n"
-                 "upstreams:\n  %s: {address: '127.0.0.1:%u', agent: "
-                 "'127.0.0.1:%u', failure_domain: %s, pool: draft}\n",
-                 f->entries[0].port, f->entries[0].operator_port, other->name,
-                 other->port, other->agent_port, other->failure_domain);
+  harness_write (
+      f->h, "20-upstreams.yaml",
+      "schema: 2\nupstreams:\n  %s: {address: '127.0.0.1:%u', agent: "
+      "'127.0.0.1:%u', failure_domain: %s, pool: draft}\n",
+      other->name, other->port, other->agent_port, other->failure_domain);
   g_assert_true (harness_await (f->entries[0].operator_port, "/status",
                                 "\"revision\": 2", AWAIT_MS));
 }
