--- a/bench/entry.c
+++ b/bench/entry.c
@@ -2,6 +2,7 @@
    link; memory for a link and a customer.  */
 
 #include "../test/harness/fleet.h"
+#include "report.h"
 
 #include "bilberry/route.h"
 
@@ -217,13 +218,7 @@
 int
 main (void)
 {
-  const char *dir = getenv ("BILBERRY_REPORT");
-  char *path
-      = g_build_filename (dir ? dir : g_get_tmp_dir (), "entry.csv", NULL);
-
-  csv = fopen (path, "w");
-  if (!csv)
-    return 1;
+  csv = report_open ("entry.csv");
   setvbuf (stdout, NULL, _IOLBF, 0);
   measure_choice (12);
   measure_choice (48);
@@ -234,6 +229,5 @@
   measure_idle (AGENTS);
   measure_idle (40);
   fclose (csv);
-  g_free (path);
   return 0;
 }
--- a/bench/fair.c
+++ b/bench/fair.c
@@ -3,6 +3,7 @@
    served.  In virtual time.  */
 
 #include "bilberry/admit.h"
+#include "report.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -184,9 +185,7 @@
 int
 main (void)
 {
-  const char *dir = g_getenv ("BILBERRY_REPORT");
-  char *path = g_build_filename (dir ? dir : ".", "fair.csv", NULL);
-  FILE *csv = fopen (path, "w");
+  FILE *csv = report_open ("fair.csv");
   bb_ms alone;
   bb_ms beside;
 
@@ -205,6 +204,5 @@
   measure_cost (5200);
   if (csv)
     fclose (csv);
-  g_free (path);
   return 0;
 }
--- a/bench/map.c
+++ b/bench/map.c
@@ -4,6 +4,7 @@
    Usage: map [LAYERS [INTERVALS]]  */
 
 #include "bilberry/map.h"
+#include "report.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -255,19 +256,6 @@
   return x < y ? -1 : x > y;
 }
 
-static FILE *
-report (const char *name)
-{
-  const char *dir = g_getenv ("BILBERRY_REPORT");
-  char *path = g_build_filename (dir ? dir : ".", name, NULL);
-  FILE *out = fopen (path, "w");
-
-  if (!out)
-    g_error ("cannot write %s", path);
-  g_free (path);
-  return out;
-}
-
 static void
 print_run (const struct run *r, const char *kind, double exponent, FILE *csv)
 {
@@ -304,7 +292,7 @@
 {
   char *name = g_strdup_printf ("map-%s-%.1f.csv", kind, exponent);
   char *script = g_strdup_printf ("map-%s-%.1f.gnuplot", kind, exponent);
-  FILE *out = report (name);
+  FILE *out = report_open (name);
 
   fprintf (out, "minutes");
   for (uint32_t w = 0; w < WAYS; w++)
@@ -319,7 +307,7 @@
       fprintf (out, "\n");
     }
   fclose (out);
-  out = report (script);
+  out = report_open (script);
   fprintf (out,
            "set terminal svg size 900,420\nset output 'map-%s-%.1f.svg'\n"
            "set datafile separator ','\nset key outside\n"
@@ -338,7 +326,7 @@
 {
   struct bb_map_size size
       = { .layers = layers, .experts = 128, .ranks = 128, .slots = 2 };
-  FILE *csv = report ("map.csv");
+  FILE *csv = report_open ("map.csv");
 
   printf ("%-8s %4s %-12s %7s %7s %7s %9s %9s %7s %9s %7s %8s\n", "trace",
           "zipf", "way", "mean", "p99", "bound", "over", "moved-GB", "changes",
@@ -419,7 +407,7 @@
 time_planners (void)
 {
   static const uint32_t ranks[] = { 32, 64, 128 };
-  FILE *csv = report ("map-planner.csv");
+  FILE *csv = report_open ("map-planner.csv");
 
   printf ("\n%-8s %-8s %4s %6s %8s %5s %9s %9s %9s %8s\n", "planner", "split",
           "zipf", "ranks", "experts", "slots", "mean-ms", "worst-ms", "over",
--- a/bench/map_switch.c
+++ b/bench/map_switch.c
@@ -3,6 +3,7 @@
 
 #include "bilberry/map.h"
 #include "bilberry/wire.h"
+#include "report.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -143,18 +144,13 @@
 main (void)
 {
   static const uint32_t ranks[] = { 8, 16, 32, 64, 128, 256 };
-  const char *dir = g_getenv ("BILBERRY_REPORT");
-  char *path = g_build_filename (dir ? dir : ".", "map-switch.csv", NULL);
-  FILE *csv = fopen (path, "w");
+  FILE *csv = report_open ("map-switch.csv");
 
-  if (!csv)
-    g_error ("cannot write %s", path);
   fprintf (csv, "ranks,messages,bytes,coordinator_bytes,map_bytes,cpu_ms\n");
   printf ("%6s %9s %9s %12s %9s %14s %9s\n", "ranks", "messages", "KB",
           "lead-sent-KB", "map-KB", "maps-sent-KB", "cpu-ms");
   for (size_t i = 0; i < sizeof ranks / sizeof *ranks; i++)
     measure (ranks[i], csv);
   fclose (csv);
-  g_free (path);
   return 0;
 }
--- a/bench/once.c
+++ b/bench/once.c
@@ -2,6 +2,7 @@
    way to keep a key at most once.  */
 
 #include "../test/harness/once_world.h"
+#include "report.h"
 
 #include <malloc.h>
 #include <stdio.h>
@@ -80,20 +81,10 @@
   return whole ? 100.0 * part / whole : 0;
 }
 
-static FILE *
-open_report (const char *name)
-{
-  const char *dir = getenv ("BILBERRY_REPORT");
-  char path[512];
-
-  snprintf (path, sizeof path, "%s/%s", dir ? dir : ".", name);
-  return fopen (path, "w");
-}
-
 static void
 write_plot (void)
 {
-  FILE *f = open_report ("once.gnuplot");
+  FILE *f = report_open ("once.gnuplot");
 
   if (!f)
     return;
@@ -187,7 +178,7 @@
 int
 main (void)
 {
-  FILE *csv = open_report ("once.csv");
+  FILE *csv = report_open ("once.csv");
 
   printf ("%-11s %-17s %9s %9s %9s %8s %8s\n", "trouble", "way", "answered",
           "not run", "in doubt", "doubled", "untrue");
--- a/bench/report.h
+++ b/bench/report.h
@@ -6,7 +6,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* Opens file NAME of the report for writing.  */
+/* Opens file NAME of the report for writing; without a report it lies among
+   temporary files.  */
 static inline FILE *
 report_open (const char *name)
 {
@@ -14,7 +15,7 @@
   char path[4096];
   FILE *out;
 
-  snprintf (path, sizeof path, "%s/%s", dir ? dir : ".", name);
+  snprintf (path, sizeof path, "%s/%s", dir ? dir : "/tmp", name);
   out = fopen (path, "w");
   if (!out)
     {
--- a/bench/route.c
+++ b/bench/route.c
@@ -7,6 +7,7 @@
  */
 
 #include "bilberry/model.h"
+#include "report.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -294,22 +295,6 @@
           (double)away / steady, back, (double)back / steady);
 }
 
-static FILE *
-open_report (const char *name)
-{
-  const char *dir = g_getenv ("BILBERRY_REPORT");
-  char *path = g_build_filename (dir ? dir : g_get_tmp_dir (), name, NULL);
-  FILE *out = fopen (path, "w");
-
-  if (!out)
-    {
-      fprintf (stderr, "route: cannot write %s\n", path);
-      exit (1);
-    }
-  g_free (path);
-  return out;
-}
-
 static void
 write_seconds (FILE *out, const char *name, const struct bb_model_stats *s)
 {
@@ -320,7 +305,7 @@
 static void
 write_plot (void)
 {
-  FILE *out = open_report ("route.gnuplot");
+  FILE *out = report_open ("route.gnuplot");
 
   fputs ("set terminal pngcairo size 900,500\n"
          "set output 'route-domain.png'\n"
@@ -364,8 +349,8 @@
 int
 main (int argc, char **argv)
 {
-  FILE *csv = open_report ("route.csv");
-  FILE *seconds = open_report ("route-domain.csv");
+  FILE *csv = report_open ("route.csv");
+  FILE *seconds = report_open ("route-domain.csv");
 
   setvbuf (stdout, NULL, _IOLBF, 0);
   fputs ("scenario,cold_bears,choice,sent,whole,refused,retries,resumed,"
