--- /dev/null
+++ b/cmd/edge/after.c
@@ -0,0 +1,127 @@
+/* What follows a try that did not end with an answer.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+enum
+{
+  ROOM_BACK_MS = 400 /* when an upstream that was full is expected to have
+                        room */
+};
+
+void
+after_fill (const struct request *r, struct bb_after *a)
+{
+  enum bb_call_kind kind = r->route->kind;
+
+  *a = (struct bb_after){
+    .outcome = r->outcome,
+    .repeatable = kind == BB_CALL_IDEMPOTENT
+                  || (kind == BB_CALL_STREAM && r->route->resumable),
+    .may_have_run = r->runs > 0,
+    .answer_started = r->started,
+    .resumable = r->route->resumable && !r->out_of_order,
+    .runs = r->runs,
+    .tries = r->tries,
+    .attempts = r->route->attempts,
+    .left_ms = r->deadline_ms - edge_now (r->edge),
+  };
+}
+
+static bool
+may_have_run (enum bb_outcome o)
+{
+  return o == BB_OUTCOME_FAILED || o == BB_OUTCOME_LOST
+         || o == BB_OUTCOME_SILENT;
+}
+
+/* Learns of the target from how the try ended.  */
+static void
+note_target (struct request *r)
+{
+  struct edge *e = r->edge;
+  struct target *t = r->at;
+  struct line *l = r->line;
+  bb_ms now = edge_now (e);
+  bool group_fault
+      = l->grouped
+        && (r->outcome == BB_OUTCOME_LOST || r->outcome == BB_OUTCOME_SILENT
+            || (r->outcome == BB_OUTCOME_NOT_RUN
+                && r->reply.at_fault.size > 0));
+
+  if (r->outcome == BB_OUTCOME_NOT_RUN && r->reply.at_fault.size > 0
+      && l->grouped)
+    bb_group_broke (&l->group, now);
+  else if (group_fault && l->group.state == BB_GROUP_OPEN
+           && now - l->group.progress_ms > 200)
+    l->group.state = BB_GROUP_DOUBTFUL;
+  if (r->outcome == BB_OUTCOME_ELSEWHERE)
+    t->eject.failures = 99;
+  if (r->outcome != BB_OUTCOME_NOT_RUN && r->outcome != BB_OUTCOME_FAILED
+      && !(group_fault && l->group.state != BB_GROUP_OPEN)
+      && bb_eject_failed (&t->eject, now))
+    bb_event ("eject", "{s:s, s:s, s:I}", "upstream", t->told->id, "outcome",
+              bb_outcome_name (r->outcome), "for_ms",
+              (json_int_t)(t->eject.until_ms - now));
+}
+
+/* The upstream's own failure is the answer.  Codes that promise that nothing
+   ran are not the upstream's to give without saying so.  */
+static void
+pass_on (struct request *r)
+{
+  struct bb_bytes body = { (const char *)r->body->data, r->body->len };
+
+  if (r->status == 503 || r->status == 429 || r->status == 408
+      || r->status == 421)
+    {
+      refuse_failed (r, BB_REASON_UPSTREAM_FAILED);
+      return;
+    }
+  bb_h1_respond (r->x, r->status, r->headers, r->headers_count, body);
+  request_free (r);
+}
+
+void
+after_try (struct request *r, enum bb_outcome outcome, const char *how)
+{
+  struct edge *e = r->edge;
+  bb_ms back_ms = ROOM_BACK_MS;
+  struct bb_after a;
+  enum bb_next next;
+
+  r->outcome = outcome;
+  if (may_have_run (outcome))
+    r->runs++;
+  after_fill (r, &a);
+  next = bb_after_decide (&a);
+  bb_event ("try_failed", "{s:s%, s:s, s:s, s:s, s:i, s:i, s:i, s:I}", "id",
+            r->ask.id.ptr, (size_t)r->ask.id.size, "upstream", r->at->told->id,
+            "outcome", bb_outcome_name (outcome), "how", how, "status",
+            (int)r->status, "next", (int)next, "runs", (int)r->runs, "left_ms",
+            (json_int_t)a.left_ms);
+  note_target (r);
+  if (r->line->grouped && r->line->group.state == BB_GROUP_BROKEN)
+    back_ms = bb_group_back_in (&r->line->group, edge_now (e));
+  request_release (r);
+  switch (next)
+    {
+    case BB_NEXT_RETRY:
+      e->again (r);
+      break;
+    case BB_NEXT_PASS_ON:
+      pass_on (r);
+      break;
+    case BB_NEXT_REFUSE:
+      refuse_not_run (r, BB_REASON_UPSTREAM_REFUSED, back_ms);
+      break;
+    case BB_NEXT_FAIL:
+      refuse_failed (r, a.left_ms < 50 ? BB_REASON_DEADLINE
+                                       : BB_REASON_UPSTREAM_FAILED);
+      break;
+    case BB_NEXT_ABORT:
+      refuse_abort (r, BB_REASON_UPSTREAM_FAILED);
+      break;
+    }
+}
--- /dev/null
+++ b/cmd/edge/answer.c
@@ -0,0 +1,259 @@
+/* Passes an answer on.  An event stream goes event by event, so that another
+   upstream can continue it; any other answer goes once it is whole.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+#include "bilberry/net.h"
+
+#include <string.h>
+#include <strings.h>
+
+enum
+{
+  BODY_MAX_BYTES = 32 * 1024 * 1024,
+  BACKLOG_MAX_BYTES = 1024 * 1024 /* a slower caller is cut off */
+};
+
+/* Weight of one answer in smoothed times.  */
+static const double weight = 0.1;
+
+static void
+smooth (double *value, double sample)
+{
+  *value = *value == 0 ? sample : *value + (sample - *value) * weight;
+}
+
+static void
+keep_headers (struct request *r, const struct bb_h1_message *head)
+{
+  if (!r->text)
+    r->text = g_string_chunk_new (1024);
+  r->headers_count = head->headers_count;
+  for (uint32_t i = 0; i < head->headers_count; i++)
+    {
+      const struct bb_header *h = &head->headers[i];
+      r->headers[i].name.ptr
+          = g_string_chunk_insert_len (r->text, h->name.ptr, h->name.size);
+      r->headers[i].name.size = h->name.size;
+      r->headers[i].value.ptr
+          = g_string_chunk_insert_len (r->text, h->value.ptr, h->value.size);
+      r->headers[i].value.size = h->value.size;
+    }
+}
+
+static bool
+is_success (uint16_t status)
+{
+  return status >= 200 && status < 300;
+}
+
+/* Gives the try up before its answer is whole.  */
+static void
+drop (struct request *r, enum bb_outcome outcome, const char *how)
+{
+  bb_h1_cancel (r->call);
+  r->call = NULL;
+  after_try (r, outcome, how);
+}
+
+static void
+on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
+{
+  struct request *r = user;
+  struct bb_bytes type
+      = bb_header_find (head->headers, head->headers_count, "Content-Type");
+
+  (void)c;
+  bb_reply_decode (head, r->ask.id, &r->reply);
+  r->status = head->status;
+  r->streams = false;
+  if (!r->reply.same)
+    {
+      drop (r, BB_OUTCOME_LOST, "the answer to another request");
+      return;
+    }
+  if (!is_success (head->status))
+    {
+      keep_headers (r, head);
+      return;
+    }
+  if (!r->reply.proven || r->reply.encoded)
+    {
+      drop (r, BB_OUTCOME_LOST, "an answer without proof");
+      return;
+    }
+  r->streams = r->route->kind == BB_CALL_STREAM;
+  (void)type;
+  if (!r->started)
+    keep_headers (r, head);
+}
+
+/* Passes EVENT on where it is the next one.  */
+static void
+pass_event (struct request *r, struct bb_bytes event)
+{
+  uint64_t id = 0;
+  bool has_id = bb_event_id (event, &id);
+
+  if (has_id && r->any_event && id <= r->last_event)
+    return;
+  if (has_id && r->any_event && id > r->last_event + 1)
+    r->out_of_order = true;
+  if (r->out_of_order)
+    return;
+  if (!r->started)
+    {
+      bb_h1_start (r->x, r->status, r->headers, r->headers_count);
+      r->started = true;
+    }
+  bb_h1_write (r->x, event);
+  if (has_id)
+    {
+      r->last_event = id;
+      r->any_event = true;
+    }
+}
+
+static void
+note_event (struct request *r)
+{
+  bb_ms now = edge_now (r->edge);
+
+  bb_group_progress (&r->line->group, now);
+  if (r->first_event_seen)
+    bb_window_gap (&r->line->window, now - r->heard_ms);
+  else
+    {
+      request_prompt_read (r);
+      smooth (&r->line->first_ms, (double)(now - r->sent_ms));
+    }
+  r->first_event_seen = true;
+  r->heard_ms = now;
+}
+
+/* Returns the size of the first whole event of DATA; 0: none.  */
+static size_t
+event_size (const char *data, size_t size)
+{
+  const char *end = memmem (data, size, "\n\n", 2);
+  const char *crlf = memmem (data, size, "\r\n\r\n", 4);
+
+  if (crlf && (!end || crlf < end))
+    return (size_t)(crlf - data) + 4;
+  return end ? (size_t)(end - data) + 2 : 0;
+}
+
+static void
+pass_events (struct request *r)
+{
+  size_t at = 0;
+  size_t n;
+
+  while ((n = event_size ((char *)r->body->data + at, r->body->len - at)) > 0)
+    {
+      struct bb_bytes event = { (char *)r->body->data + at, (uint32_t)n };
+      note_event (r);
+      pass_event (r, event);
+      at += n;
+    }
+  g_byte_array_remove_range (r->body, 0, (guint)at);
+}
+
+static void
+on_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
+{
+  struct request *r = user;
+
+  (void)c;
+  g_byte_array_append (r->body, (const guint8 *)piece.ptr, piece.size);
+  if (r->body->len > BODY_MAX_BYTES)
+    {
+      drop (r, BB_OUTCOME_LOST, "the answer is too large");
+      return;
+    }
+  if (!r->streams)
+    return;
+  pass_events (r);
+  if (r->out_of_order)
+    drop (r, BB_OUTCOME_LOST, "events out of order");
+  else if (r->started && bb_h1_backlog_bytes (r->x) > BACKLOG_MAX_BYTES)
+    drop (r, BB_OUTCOME_LOST, "the caller reads too slowly");
+}
+
+static void
+log_answer (const struct request *r)
+{
+  bb_ms now = edge_now (r->edge);
+
+  bb_event ("answer", "{s:s%, s:i, s:I, s:i, s:I}", "id", r->ask.id.ptr,
+            (size_t)r->ask.id.size, "status", (int)r->status, "ms",
+            (json_int_t)(now - r->read_ms), "tries", (int)r->tries,
+            "last_event", (json_int_t)r->last_event);
+}
+
+static void
+note_success (struct request *r)
+{
+  bb_ms now = edge_now (r->edge);
+
+  bb_eject_ok (&r->at->eject);
+  if (!r->streams)
+    {
+      smooth (&r->at->latency_ms, (double)(now - r->sent_ms));
+      smooth (&r->line->first_ms, (double)(now - r->sent_ms));
+    }
+}
+
+/* The answer is whole and is passed on.  */
+static void
+finish (struct request *r)
+{
+  struct line *l = r->line;
+  struct bb_bytes rest = { (const char *)r->body->data, r->body->len };
+
+  note_success (r);
+  log_answer (r);
+  bb_counter ("bilberry_answers_total", "")->value++;
+  if (r->streams && r->started)
+    {
+      bb_h1_write (r->x, rest);
+      bb_h1_end (r->x);
+    }
+  else
+    bb_h1_respond (r->x, r->status, r->headers, r->headers_count, rest);
+  request_release (r);
+  request_free (r);
+  line_run (l);
+}
+
+static enum bb_outcome
+outcome_of (const struct request *r, enum bb_h1_end how)
+{
+  if (how == BB_H1_UNSENT)
+    return BB_OUTCOME_UNSENT;
+  if (how != BB_H1_WHOLE)
+    return BB_OUTCOME_LOST;
+  if (r->reply.elsewhere)
+    return BB_OUTCOME_ELSEWHERE;
+  if (r->reply.not_run)
+    return BB_OUTCOME_NOT_RUN;
+  return is_success (r->status) ? BB_OUTCOME_ANSWERED : BB_OUTCOME_FAILED;
+}
+
+static void
+on_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
+{
+  struct request *r = user;
+  enum bb_outcome outcome = outcome_of (r, how);
+
+  (void)c;
+  r->call = NULL;
+  if (outcome == BB_OUTCOME_ANSWERED)
+    finish (r);
+  else
+    after_try (r, outcome, bb_h1_end_name (how));
+}
+
+const struct bb_h1_call_ops answer_ops = { on_head, on_data, on_end };
--- /dev/null
+++ b/cmd/edge/edge.h
@@ -0,0 +1,203 @@
+#ifndef EDGE_H
+#define EDGE_H
+
+/* bilberry-edge - takes requests of callers and sends them straight to
+   upstreams.
+
+   A request walks one way: input.c reads it and finds its route and customer,
+   line.c lets it wait and chooses, send.c sends it, answer.c passes the answer
+   on, after.c decides what follows a try and refuse.c ends a request without
+   an answer.  Each file calls only those after it in that row and fleet.c; a
+   request that is tried again joins the line anew by edge->again.  */
+
+#include "bilberry/load.h"
+#include "bilberry/peer.h"
+#include "bilberry/platform.h"
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 350,
+  UPSTREAMS_MAX = 1024
+};
+
+struct edge;
+
+/* An upstream and what this entry has under way there.  */
+struct target
+{
+  struct bb_upstream *told; /* as it registered */
+  uint64_t hash;            /* of its id */
+  struct bb_h1_pool *channels;
+  uint32_t in_flight; /* sent by this entry */
+  uint32_t others;    /* by the other entries, as they last told */
+  double prompt;      /* tokens sent that are still to be read */
+  double latency_ms;  /* smoothed; 0: not known */
+  struct bb_meter meter;
+  struct bb_eject eject;
+  bool gone;     /* no longer registered */
+  bb_ms gone_ms; /* when it is to be left alone; 0: it is registered */
+};
+
+/* Work for one pool.  */
+struct line
+{
+  struct edge *edge;
+  char *pool;
+  GQueue waiting; /* struct request */
+  uint32_t in_flight;
+  struct bb_budget budget;
+  struct bb_group_watch group;
+  bool grouped; /* its upstreams step together */
+  struct bb_window window;
+  bool asking; /* for the report of a doubtful group */
+  bb_ms asked_ms;
+  double first_ms; /* smoothed time to a first event or an answer */
+};
+
+enum request_state
+{
+  REQUEST_WAITING,
+  REQUEST_SENT
+};
+
+struct request
+{
+  struct edge *edge;
+  struct bb_h1_exchange *x;
+  struct bb_ask ask;
+  struct bb_config *config;
+  const struct bb_route *route; /* of that configuration */
+  char *pool;
+  char *customer; /* NULL: an open route */
+  int32_t priority;
+  uint64_t number; /* of this process, for the log */
+  enum request_state state;
+  enum bb_outcome outcome; /* of the last try */
+  bb_ms read_ms;
+  bb_ms deadline_ms; /* point in time */
+  bb_ms aim_ms;      /* point in time */
+  bb_ms joined_ms;   /* when it began to wait */
+  bb_ms sent_ms;
+  bb_ms heard_ms; /* last event, or the start of the present try */
+  double draw;    /* picks the pool of a split route */
+  struct line *line;
+  struct target *at; /* of the present try */
+  struct bb_h1_call *call;
+  uint32_t tries;
+  uint32_t runs;     /* tries that may have run */
+  uint64_t tried[8]; /* hashes of upstreams */
+  uint32_t tried_count;
+  uv_timer_t *timer;
+  /* Of the answer.  */
+  bool started; /* the head was passed on */
+  bool streams; /* an event stream */
+  uint16_t status;
+  struct bb_reply reply;
+  struct bb_header headers[BB_H1_HEADERS_MAX]; /* of the answer */
+  uint32_t headers_count;
+  GStringChunk *text;  /* holds the headers */
+  GByteArray *body;    /* an answer, or an event that is not whole */
+  uint64_t last_event; /* passed on */
+  bool any_event;      /* an event was passed on */
+  bool out_of_order;   /* the rest does not fit what was passed on */
+  bool first_event_seen;
+  double prompt; /* tokens counted at the target */
+};
+
+struct edge
+{
+  uv_loop_t *loop;
+  struct bb_start *start;
+  char *settings_text; /* as last read */
+  struct bb_view *view;
+  struct bb_config *config;
+  GHashTable *targets;      /* by id */
+  GPtrArray *target_list;   /* the same */
+  GHashTable *evacuated;    /* failure domains */
+  GHashTable *lines;        /* by pool */
+  GHashTable *in_flight_of; /* requests of each customer */
+  GHashTable *peer_loads;   /* by peer: table of loads by upstream hash */
+  struct bb_peers *peers;
+  struct bb_store *store;
+  bool store_ok; /* answered last time */
+  bb_ms store_back_ms;
+  struct bb_h1_server *front;
+  struct bb_h1_server *ready;
+  struct bb_h1_server *metrics;
+  bool draining;
+  uint64_t numbers;
+  uint32_t members_seen; /* most entries known lately, itself included */
+  GRand *rand;
+  bb_ms boot_skew_ms;                /* boot clock less steady clock */
+  void (*again) (struct request *r); /* a request is to wait once more */
+};
+
+/* fleet.c: beliefs.  */
+struct line *fleet_line (struct edge *e, const char *pool);
+void fleet_item (struct edge *e, const char *key, GBytes *value,
+                 uint64_t revision, const char *source);
+void fleet_init (struct edge *e);
+uint32_t fleet_members (const struct edge *e);
+void fleet_peer_state (struct edge *e, const char *name,
+                       const struct bb_peer_state *m);
+void fleet_peer_change (struct edge *e, const char *name, bool here);
+void fleet_fill_state (struct edge *e, struct bb_peer_state *m);
+/* Whether new work may go to T.  */
+bool fleet_may_send (const struct edge *e, const struct target *t, bb_ms now);
+bb_ms edge_now (const struct edge *e);
+
+/* reader.c: keeps the view up to date from the store.  */
+void reader_start (struct edge *e);
+void reader_look_again (struct edge *e);
+
+/* peers.c */
+bool peers_start (struct edge *e);
+
+/* input.c */
+void input_request (struct bb_h1_exchange *x, void *arg);
+void input_fault (uint16_t status, void *arg);
+/* Finds route, customer and pool of R in the configuration in force.  Where
+   there are none, it is refused and false.  */
+bool input_route (struct request *r);
+
+/* line.c */
+void line_join (struct request *r);
+void line_run (struct line *l);
+void line_run_all (struct edge *e);
+/* Called often: looks at groups and lets waiting requests on.  */
+void line_tick (struct edge *e);
+
+/* send.c */
+void send_request (struct request *r, struct target *t);
+/* The time set for R has come.  */
+void send_timer (struct request *r);
+
+/* answer.c */
+extern const struct bb_h1_call_ops answer_ops;
+
+/* after.c: the try of R has ended.  */
+void after_try (struct request *r, enum bb_outcome outcome, const char *how);
+/* What is known of R for a decision.  */
+void after_fill (const struct request *r, struct bb_after *a);
+
+/* refuse.c: each ends the request.  */
+void refuse_not_run (struct request *r, enum bb_reason why, bb_ms back_in_ms);
+void refuse_failed (struct request *r, enum bb_reason why);
+void refuse_abort (struct request *r, enum bb_reason why);
+/* Refuses as truth has it: not run, may have run, or broken off.  */
+void refuse (struct request *r, enum bb_reason why, bb_ms back_in_ms);
+
+/* request.c */
+struct request *request_new (struct edge *e, struct bb_h1_exchange *x);
+void request_free (struct request *r);
+void request_set_timer (struct request *r, bb_ms at);
+/* Counts a try at T, its prompt until that is read, and takes it back.  */
+void request_take (struct request *r, struct target *t);
+void request_prompt_read (struct request *r);
+void request_release (struct request *r);
+
+/* status.c */
+bool status_start (struct edge *e);
+bool status_is_ready (const struct edge *e);
+
+#endif
--- /dev/null
+++ b/cmd/edge/input.c
@@ -0,0 +1,121 @@
+/* Reads a request and finds its route and customer.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+#include "bilberry/net.h"
+
+enum
+{
+  NO_CONFIG_BACK_MS = 300, /* when a configuration is expected */
+  TIMEOUT_DEFAULT_MS = 30000
+};
+
+static void
+on_gone (struct bb_h1_exchange *x)
+{
+  struct request *r = x->user;
+
+  bb_count_refusal (BB_REASON_CANCELLED);
+  bb_event ("caller_gone", "{s:s%, s:I, s:b}", "id", r->ask.id.ptr,
+            (size_t)r->ask.id.size, "waited_ms",
+            (json_int_t)(edge_now (r->edge) - r->read_ms), "started",
+            r->started);
+  if (r->state == REQUEST_WAITING && r->line)
+    g_queue_remove (&r->line->waiting, r);
+  if (r->call)
+    bb_h1_cancel (r->call);
+  request_release (r);
+  request_free (r);
+}
+
+/* Finds the customer of R.  Returns the reason of a refusal, or none.  */
+static enum bb_reason
+find_customer (struct request *r)
+{
+  const struct bb_fleet_customer *c
+      = r->ask.key.size > 0 ? bb_config_customer (r->config, r->ask.key)
+                            : NULL;
+
+  g_free (r->customer);
+  r->customer = c ? g_strdup (c->name) : NULL;
+  r->priority
+      = c && c->priority >= 0 ? c->priority : (int32_t)r->route->priority;
+  if (c || r->route->open || !r->config->has_customers)
+    return BB_REASON_NONE;
+  return r->ask.has_key ? BB_REASON_UNKNOWN_KEY : BB_REASON_NO_KEY;
+}
+
+bool
+input_route (struct request *r)
+{
+  struct edge *e = r->edge;
+  enum bb_reason why;
+
+  bb_config_unref (r->config);
+  r->config = bb_config_ref (e->config);
+  r->route = bb_config_route (r->config, r->ask.host, r->x->request.target);
+  if (!r->route)
+    {
+      refuse (r, BB_REASON_NO_ROUTE, 0);
+      return false;
+    }
+  why = find_customer (r);
+  if (why != BB_REASON_NONE)
+    {
+      refuse (r, why, 0);
+      return false;
+    }
+  g_free (r->pool);
+  r->pool = g_strdup (bb_route_pick (r->route, r->draw));
+  r->line = fleet_line (e, r->pool);
+  return true;
+}
+
+static void
+set_times (struct request *r)
+{
+  bb_ms timeout
+      = r->route->timeout_ms > 0 ? r->route->timeout_ms : TIMEOUT_DEFAULT_MS;
+  bb_ms left = r->ask.deadline_ms > 0 ? (bb_ms)r->ask.deadline_ms : timeout;
+
+  r->deadline_ms = r->read_ms + (left < timeout ? left : timeout);
+  r->aim_ms = r->read_ms + r->route->aim_ms;
+}
+
+void
+input_request (struct bb_h1_exchange *x, void *arg)
+{
+  struct edge *e = arg;
+  struct request *r = request_new (e, x);
+
+  x->on_gone = on_gone;
+  bb_ask_decode (&x->request, &r->ask);
+  r->last_event = r->ask.last_event;
+  bb_counter ("bilberry_requests_total", "")->value++;
+  if (!e->config)
+    {
+      r->deadline_ms
+          = r->read_ms
+            + (r->ask.deadline_ms > 0 ? (bb_ms)r->ask.deadline_ms : 1000);
+      refuse_not_run (r, BB_REASON_NO_UPSTREAM, NO_CONFIG_BACK_MS);
+      return;
+    }
+  if (!input_route (r))
+    return;
+  set_times (r);
+  bb_budget_request (&r->line->budget, edge_now (e));
+  e->again (r);
+}
+
+void
+input_fault (uint16_t status, void *arg)
+{
+  (void)arg;
+  bb_count_refusal (status == 413   ? BB_REASON_BODY_TOO_LARGE
+                    : status == 431 ? BB_REASON_HEAD_TOO_LARGE
+                    : status == 408 ? BB_REASON_SLOW_CLIENT
+                                    : BB_REASON_BAD_REQUEST);
+  bb_event ("unreadable_request", "{s:i}", "status", (int)status);
+}
--- /dev/null
+++ b/cmd/edge/line.c
@@ -0,0 +1,352 @@
+/* Lets requests wait for a pool and chooses who is sent where next.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+#include <string.h>
+
+enum
+{
+  HOLD_AIMS = 3, /* a request waits for so many times its aim */
+  FIRST_DEFAULT_MS = 100,
+  ASK_EVERY_MS = 120,
+  ASK_TIMEOUT_MS = 400,
+  BUSY_BACK_MS = 500 /* when room is expected where all is taken */
+};
+
+/* Part of one new value in a smoothed time.  */
+
+struct ask
+{
+  struct edge *edge;
+  char *pool;
+  GByteArray *body;
+  uint16_t status;
+};
+
+static bool
+was_tried (const struct request *r, const struct target *t)
+{
+  for (uint32_t i = 0; i < r->tried_count; i++)
+    if (r->tried[i] == t->hash)
+      return true;
+  return false;
+}
+
+/* Returns how many requests one upstream may have under way.  */
+static uint32_t
+limit_of (struct line *l, const struct bb_pool *pool, const struct target *t)
+{
+  bb_ms pause = 0;
+
+  if (!pool || !pool->has_engine)
+    return t->told->slots;
+  for (guint i = 0; i < l->edge->config->routes->len; i++)
+    {
+      const struct bb_route *r
+          = g_ptr_array_index (l->edge->config->routes, i);
+      if (r->kind == BB_CALL_STREAM && strcmp (r->split[0].pool, l->pool) == 0
+          && r->pause_ms > 0)
+        {
+          pause = r->pause_ms;
+          break;
+        }
+    }
+  return bb_window_limit (&l->window, pause, t->told->slots,
+                          l->waiting.length > 0, edge_now (l->edge));
+}
+
+static void
+fill_place (struct bb_place *p, struct line *l, const struct request *r,
+            const struct target *t, uint32_t limit, uint32_t cold_share)
+{
+  bb_ms now = edge_now (l->edge);
+
+  p->usable = fleet_may_send (l->edge, t, now)
+              && bb_meter_has_room (&t->meter, now, cold_share);
+  p->tried = was_tried (r, t);
+  p->near
+      = strcmp (t->told->failure_domain, l->edge->start->failure_domain) == 0;
+  p->in_flight = t->in_flight + t->others;
+  p->limit = limit;
+  p->prompt = t->prompt;
+  p->slow = 1;
+}
+
+/* Relative slowness matters where upstreams do not step together.  */
+static void
+fill_slow (struct bb_place *places, struct target **targets, uint32_t n)
+{
+  double least = 0;
+
+  for (uint32_t i = 0; i < n; i++)
+    if (targets[i]->latency_ms > 0
+        && (least == 0 || targets[i]->latency_ms < least))
+      least = targets[i]->latency_ms;
+  for (uint32_t i = 0; i < n && least > 0; i++)
+    if (targets[i]->latency_ms > 2 * least)
+      places[i].slow = targets[i]->latency_ms / least;
+}
+
+static struct target *
+choose (struct line *l, const struct request *r, bool *any_usable)
+{
+  struct edge *e = l->edge;
+  const struct bb_pool *pool = bb_config_pool (e->config, l->pool);
+  uint32_t cold
+      = bb_cold_share (pool ? pool->cold_per_s : 0, fleet_members (e));
+  struct bb_place places[UPSTREAMS_MAX] = { 0 };
+  struct target *targets[UPSTREAMS_MAX];
+  struct bb_place_cost cost = { .writer = 1, .token = 0 };
+  uint32_t n = 0;
+  uint32_t i;
+
+  *any_usable = false;
+  for (guint k = 0; k < e->target_list->len && n < UPSTREAMS_MAX; k++)
+    {
+      struct target *t = g_ptr_array_index (e->target_list, k);
+      if (strcmp (t->told->pool, l->pool) != 0)
+        continue;
+      fill_place (&places[n], l, r, t, limit_of (l, pool, t), cold);
+      *any_usable |= places[n].usable;
+      targets[n++] = t;
+    }
+  if (pool && pool->has_engine)
+    cost.token = 1.0 / 700;
+  else
+    fill_slow (places, targets, n);
+  i = bb_place_choose (places, n, &cost, g_rand_double (e->rand));
+  /* All that are left were tried: better one of them than none.  */
+  if (i == BB_PLACE_NONE && r->tried_count > 0)
+    {
+      for (uint32_t k = 0; k < n; k++)
+        places[k].tried = false;
+      i = bb_place_choose (places, n, &cost, g_rand_double (e->rand));
+    }
+  return i == BB_PLACE_NONE ? NULL : targets[i];
+}
+
+static void
+fill_waiter (const struct request *r, struct bb_waiter *w)
+{
+  w->arrived_ms = r->read_ms;
+  w->aim_ms = r->aim_ms;
+  w->priority = (uint32_t)r->priority;
+  w->customer = r->customer ? (uint32_t)GPOINTER_TO_INT (
+                    g_hash_table_lookup (r->edge->in_flight_of, r->customer))
+                            : 0;
+}
+
+static struct request *
+pick (struct line *l)
+{
+  bb_ms now = edge_now (l->edge);
+  struct bb_waiter best = { 0 };
+  struct request *chosen = NULL;
+
+  for (GList *i = l->waiting.head; i; i = i->next)
+    {
+      struct bb_waiter w = { 0 };
+      fill_waiter (i->data, &w);
+      if (chosen && !bb_waiter_before (&w, &best, now, (bb_ms)l->first_ms))
+        continue;
+      chosen = i->data;
+      best = w;
+    }
+  return chosen;
+}
+
+/* A repeat is paid from the budget.  Returns whether R is still there.  */
+static bool
+pay (struct request *r)
+{
+  struct edge *e = r->edge;
+  struct bb_after a;
+
+  if (r->tries == 0
+      || bb_budget_repeat (&r->line->budget, edge_now (e),
+                           e->start->retry_ratio, e->start->retry_extra,
+                           fleet_members (e)))
+    return true;
+  after_fill (r, &a);
+  g_queue_remove (&r->line->waiting, r);
+  refuse (r, BB_REASON_OVERLOAD, BUSY_BACK_MS);
+  return false;
+}
+
+/* Sends the next waiting request.  Returns whether it got away, or ended, so
+   that another may be looked at.  */
+static bool
+send_next (struct line *l)
+{
+  struct request *r = pick (l);
+  struct target *t;
+  bool any_usable;
+
+  if (!r)
+    return false;
+  if (r->config != l->edge->config)
+    {
+      g_queue_remove (&l->waiting, r);
+      if (input_route (r))
+        g_queue_push_tail (&r->line->waiting, r);
+      return true;
+    }
+  t = choose (l, r, &any_usable);
+  if (!t)
+    return false;
+  if (!pay (r))
+    return true;
+  g_queue_remove (&l->waiting, r);
+  send_request (r, t);
+  return true;
+}
+
+void
+line_run (struct line *l)
+{
+  bb_ms now = edge_now (l->edge);
+
+  if (l->grouped
+      && bb_group_look (&l->group, l->in_flight, now) != BB_GROUP_OPEN)
+    return;
+  while (l->waiting.length > 0 && send_next (l))
+    ;
+}
+
+void
+line_run_all (struct edge *e)
+{
+  GHashTableIter it;
+  void *l;
+
+  g_hash_table_iter_init (&it, e->lines);
+  while (g_hash_table_iter_next (&it, NULL, &l))
+    line_run (l);
+}
+
+void
+line_join (struct request *r)
+{
+  struct edge *e = r->edge;
+  struct line *l = r->line;
+  bb_ms now = edge_now (e);
+  bb_ms hold = r->route->aim_ms * HOLD_AIMS;
+  bb_ms give_up = now + hold;
+
+  r->state = REQUEST_WAITING;
+  r->joined_ms = now;
+  if (l->grouped && l->group.state == BB_GROUP_BROKEN && !r->started
+      && bb_group_back_in (&l->group, now) > hold)
+    {
+      refuse (r, BB_REASON_NO_UPSTREAM, bb_group_back_in (&l->group, now));
+      return;
+    }
+  request_set_timer (r, give_up < r->deadline_ms ? give_up : r->deadline_ms);
+  g_queue_push_tail (&l->waiting, r);
+  line_run (l);
+}
+
+/* Asking a doubtful group.  */
+
+static void
+on_ask_head (struct bb_h1_call *c, const struct bb_h1_message *head,
+             void *user)
+{
+  struct ask *a = user;
+
+  (void)c;
+  a->status = head->status;
+}
+
+static void
+on_ask_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
+{
+  struct ask *a = user;
+
+  (void)c;
+  g_byte_array_append (a->body, (const guint8 *)piece.ptr, piece.size);
+}
+
+static void
+on_ask_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
+{
+  struct ask *a = user;
+  struct line *l = fleet_line (a->edge, a->pool);
+  struct bb_bytes body
+      = { .ptr = (const char *)a->body->data, .size = a->body->len };
+  struct bb_rank_report report;
+
+  (void)c;
+  l->asking = false;
+  if (how == BB_H1_WHOLE && a->status == 200
+      && bb_rank_report_decode (body, &report) && report.grouped)
+    {
+      enum bb_group_state was = l->group.state;
+      bb_group_reported (&l->group, report.open, edge_now (a->edge));
+      if (was != l->group.state)
+        bb_event ("group", "{s:s, s:s, s:I, s:b}", "pool", l->pool, "group",
+                  report.group, "epoch", (json_int_t)report.epoch, "open",
+                  report.open);
+      line_run (l);
+    }
+  g_byte_array_unref (a->body);
+  g_free (a->pool);
+  g_free (a);
+}
+
+static const struct bb_h1_call_ops ask_ops
+    = { on_ask_head, on_ask_data, on_ask_end };
+
+static void
+ask (struct line *l)
+{
+  struct edge *e = l->edge;
+  bb_ms now = edge_now (e);
+  struct target *chosen = NULL;
+  uint32_t seen = 0;
+  struct bb_h1_out out = { .method = bb_bytes_of ("GET"),
+                           .target = bb_bytes_of (bb_report_target),
+                           .idle_max_ms = ASK_TIMEOUT_MS * 4 };
+  struct ask *a;
+
+  if ((l->asking && now - l->asked_ms < ASK_TIMEOUT_MS * 2)
+      || now - l->asked_ms < ASK_EVERY_MS)
+    return;
+  for (guint k = 0; k < e->target_list->len; k++)
+    {
+      struct target *t = g_ptr_array_index (e->target_list, k);
+      if (strcmp (t->told->pool, l->pool) == 0 && t->gone_ms == 0
+          && g_rand_int_range (e->rand, 0, (int)++seen) == 0)
+        chosen = t;
+    }
+  if (!chosen)
+    return;
+  l->asking = true;
+  l->asked_ms = now;
+  a = g_new0 (struct ask, 1);
+  a->edge = e;
+  a->pool = g_strdup (l->pool);
+  a->body = g_byte_array_new ();
+  out.host = bb_bytes_of (chosen->told->address);
+  bb_h1_call (chosen->channels, &out, &ask_ops, a);
+}
+
+void
+line_tick (struct edge *e)
+{
+  GHashTableIter it;
+  void *value;
+
+  g_hash_table_iter_init (&it, e->lines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct line *l = value;
+      if (l->grouped
+          && bb_group_look (&l->group, l->in_flight, edge_now (e))
+                 != BB_GROUP_OPEN)
+        ask (l);
+      line_run (l);
+    }
+}
--- /dev/null
+++ b/cmd/edge/main.c
@@ -0,0 +1,245 @@
+/* bilberry-edge: starts, stops, and wakes after a pause.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+#include "bilberry/settings.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  TICK_MS = 50,
+  SETTINGS_EVERY_MS = 2000, /* how often the settings file is looked at */
+  PAUSED_MS = 700,          /* a longer jump of the boot clock is a pause */
+  CLOSE_AFTER_MS = 2600,    /* from SIGTERM, until callers go elsewhere */
+  GRACE_MARGIN_MS = 400,
+  HEAD_TIMEOUT_MS = 3000,
+  IDLE_TIMEOUT_MS = 15000,
+  HEAD_MAX_BYTES = 16384,
+  BODY_MAX_BYTES = 4194304
+};
+
+static struct edge edge;
+static uv_timer_t tick;
+static uv_timer_t drain_timer;
+static uv_signal_t signals[3];
+static bb_ms drain_since_ms;
+static bb_ms settings_looked_ms;
+
+static bb_ms
+boot_clock_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_BOOTTIME, &ts);
+  return (bb_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+/* After a pause beliefs are old and channels may be dead: look again.  */
+static void
+check_pause (struct edge *e)
+{
+  bb_ms skew = boot_clock_ms () - bb_clock_now ();
+
+  if (skew - e->boot_skew_ms > PAUSED_MS)
+    {
+      bb_event ("woke", "{s:I}", "paused_ms",
+                (json_int_t)(skew - e->boot_skew_ms));
+      for (guint i = 0; i < e->target_list->len; i++)
+        {
+          struct target *t = g_ptr_array_index (e->target_list, i);
+          bb_h1_pool_drop_idle (t->channels);
+        }
+      if (e->store)
+        reader_look_again (e);
+    }
+  e->boot_skew_ms = skew;
+}
+
+/* Takes changed settings over.  Addresses of a running process stay.  */
+static void
+look_at_settings (struct edge *e, bool asked)
+{
+  struct bb_start *s;
+  char *text;
+  char *why = NULL;
+
+  if (!g_file_get_contents (bb_start_path (), &text, NULL, NULL))
+    return;
+  if (g_strcmp0 (text, e->settings_text) == 0)
+    {
+      g_free (text);
+      if (asked)
+        bb_event ("reload", "{s:b}", "changed", 0);
+      return;
+    }
+  s = bb_start_parse (text, strlen (text), &why);
+  if (s)
+    {
+      bb_event ("reload", "{s:b}", "changed", 1);
+      bb_start_free (e->start);
+      e->start = s;
+      g_free (e->settings_text);
+      e->settings_text = text;
+      return;
+    }
+  bb_event ("reload_refused", "{s:s}", "why", why);
+  g_free (why);
+  g_free (text);
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct edge *e = t->data;
+  bb_ms now = edge_now (e);
+
+  check_pause (e);
+  line_tick (e);
+  if (now - settings_looked_ms < SETTINGS_EVERY_MS)
+    return;
+  settings_looked_ms = now;
+  look_at_settings (e, false);
+}
+
+static void
+stop (struct edge *e, const char *why)
+{
+  bb_event ("stop", "{s:s, s:i}", "why", why, "busy",
+            (int)bb_h1_server_busy (e->front));
+  exit (EXIT_SUCCESS);
+}
+
+static void
+on_drain_timer (uv_timer_t *t)
+{
+  struct edge *e = t->data;
+  bb_ms since = edge_now (e) - drain_since_ms;
+
+  if (since >= CLOSE_AFTER_MS)
+    bb_h1_server_close (e->front);
+  if (since >= CLOSE_AFTER_MS && bb_h1_server_busy (e->front) == 0)
+    stop (e, "drained");
+  if (since >= e->start->grace_ms - GRACE_MARGIN_MS)
+    stop (e, "grace is over");
+}
+
+static void
+on_term (uv_signal_t *s, int number)
+{
+  struct edge *e = s->data;
+
+  (void)number;
+  if (e->draining)
+    return;
+  e->draining = true;
+  drain_since_ms = edge_now (e);
+  bb_event ("drain", "{s:i}", "busy", (int)bb_h1_server_busy (e->front));
+  bb_h1_server_drain (e->front);
+  uv_timer_init (e->loop, &drain_timer);
+  drain_timer.data = e;
+  uv_timer_start (&drain_timer, on_drain_timer, TICK_MS, TICK_MS);
+}
+
+static void
+on_hup (uv_signal_t *s, int number)
+{
+  (void)number;
+  look_at_settings (s->data, true);
+}
+
+static void
+watch_signals (struct edge *e)
+{
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+
+  signal (SIGPIPE, SIG_IGN);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      uv_signal_init (e->loop, &signals[i]);
+      signals[i].data = e;
+      uv_signal_start (&signals[i], numbers[i] == SIGHUP ? on_hup : on_term,
+                       numbers[i]);
+    }
+}
+
+static bool
+open_front (struct edge *e)
+{
+  struct bb_h1_limits limits
+      = { .head_max_bytes = HEAD_MAX_BYTES,
+          .body_max_bytes = BODY_MAX_BYTES,
+          .head_timeout_ms = HEAD_TIMEOUT_MS,
+          .idle_timeout_ms = IDLE_TIMEOUT_MS,
+          .channels_max = e->start->descriptors_max * 6 / 10 };
+  struct sockaddr_storage addr;
+  int error = UV_EINVAL;
+
+  if (bb_address_parse (e->start->front, &addr))
+    e->front = bb_h1_server_open (e->loop, &addr, &limits, input_request,
+                                  input_fault, e, &error);
+  if (!e->front)
+    bb_event ("cannot_listen", "{s:s, s:s}", "address", e->start->front, "why",
+              uv_strerror (error));
+  return e->front != NULL;
+}
+
+static bool
+read_settings (struct edge *e)
+{
+  const char *path = bb_start_path ();
+  char *why = NULL;
+
+  if (!path)
+    {
+      fprintf (stderr, "bilberry-edge: the environment names no settings\n");
+      return false;
+    }
+  e->start = bb_start_read (path, &why);
+  if (e->start && (!e->start->front || !e->start->ready || !e->start->store))
+    why = g_strdup ("front, ready or the platform's address is missing");
+  if (why)
+    {
+      fprintf (stderr, "bilberry-edge: %s: %s\n", path, why);
+      g_free (why);
+      return false;
+    }
+  g_file_get_contents (path, &e->settings_text, NULL, NULL);
+  return true;
+}
+
+int
+main (void)
+{
+  struct edge *e = &edge;
+
+  e->loop = uv_default_loop ();
+  e->again = line_join;
+  e->rand = g_rand_new ();
+  if (!read_settings (e))
+    return EXIT_FAILURE;
+  bb_event ("start", "{s:s, s:s, s:s}", "name", e->start->name, "version",
+            BB_VERSION, "failure_domain", e->start->failure_domain);
+  e->boot_skew_ms = boot_clock_ms () - bb_clock_now ();
+  fleet_init (e);
+  watch_signals (e);
+  if (!open_front (e) || !status_start (e) || !peers_start (e))
+    return EXIT_FAILURE;
+  e->store = bb_store_new (e->loop, e->start->store);
+  if (!e->store)
+    {
+      fprintf (stderr, "bilberry-edge: the store's address is malformed\n");
+      return EXIT_FAILURE;
+    }
+  reader_start (e);
+  uv_timer_init (e->loop, &tick);
+  tick.data = e;
+  uv_timer_start (&tick, on_tick, TICK_MS, TICK_MS);
+  return uv_run (e->loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/cmd/edge/peers.c
@@ -0,0 +1,54 @@
+/* Connects to the other entries, and lets agents connect.  */
+
+#include "edge.h"
+
+static void
+on_item (const char *key, GBytes *value, uint64_t revision, void *user)
+{
+  fleet_item (user, key, value, revision, "peer");
+}
+
+static void
+on_state (const char *name, const struct bb_peer_state *m, void *user)
+{
+  struct edge *e = user;
+
+  fleet_peer_state (e, name, m);
+  line_run_all (e);
+}
+
+static void
+fill_state (struct bb_peer_state *m, void *user)
+{
+  fleet_fill_state (user, m);
+}
+
+static void
+on_change (const char *name, bool here, void *user)
+{
+  fleet_peer_change (user, name, here);
+}
+
+static const struct bb_peers_ops ops
+    = { on_item, on_state, fill_state, on_change };
+
+bool
+peers_start (struct edge *e)
+{
+  struct bb_peers_options o
+      = { .name = e->start->name,
+          .address = e->start->control,
+          .seeds = e->start->seeds,
+          .seeds_count = e->start->seeds_count,
+          .all = true,
+          .incarnation
+          = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1 };
+  int error;
+
+  e->peers = bb_peers_new (e->loop, &o, e->view, &ops, e, &error);
+  if (!e->peers)
+    bb_event ("cannot_listen", "{s:s, s:s}", "address",
+              e->start->control ? e->start->control : "", "why",
+              uv_strerror (error));
+  return e->peers != NULL;
+}
--- /dev/null
+++ b/cmd/edge/send.c
@@ -0,0 +1,117 @@
+/* Sends a request to the upstream that was chosen.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+#include <string.h>
+
+enum
+{
+  SILENT_AIMS = 3,     /* without an answer, where it may run again */
+  PAUSE_MAX_MS = 1600, /* between events: callers leave after two seconds */
+  KEPT_IDLE_MAX_MS = 60000,
+  PRIORITY_MAX = 9
+};
+
+/* Returns when the present try counts as silent; INT64_MAX: never.  */
+static bb_ms
+silent_at (const struct request *r)
+{
+  bool repeatable
+      = r->route->kind == BB_CALL_IDEMPOTENT
+        || (r->route->kind == BB_CALL_STREAM && r->route->resumable);
+
+  if (!repeatable || r->runs >= r->route->attempts)
+    return INT64_MAX;
+  if (r->route->kind == BB_CALL_STREAM && r->first_event_seen)
+    return r->heard_ms + PAUSE_MAX_MS;
+  return r->sent_ms + r->route->aim_ms * SILENT_AIMS;
+}
+
+static void
+set_timer (struct request *r)
+{
+  bb_ms silent = silent_at (r);
+
+  request_set_timer (r, silent < r->deadline_ms ? silent : r->deadline_ms);
+}
+
+void
+send_request (struct request *r, struct target *t)
+{
+  struct edge *e = r->edge;
+  bb_ms now = edge_now (e);
+  struct bb_header headers[BB_SEND_HEADERS_MAX];
+  char text[BB_SEND_TEXT];
+  struct bb_send s
+      = { .upstream_id = t->told->id,
+          .customer = r->customer,
+          .left_ms = r->deadline_ms - now,
+          .last_event = r->any_event ? r->last_event : 0,
+          .priority
+          = r->priority <= PRIORITY_MAX ? r->priority : PRIORITY_MAX };
+  struct bb_h1_out out = { .method = r->x->request.method,
+                           .target = r->x->request.target,
+                           .host = r->ask.host,
+                           .headers = headers,
+                           .body = r->x->request.body,
+                           .idle_max_ms = KEPT_IDLE_MAX_MS };
+
+  /* Whether a request ran on a kept channel that died is not known, so one
+     that may not run twice takes a new channel.  */
+  if (r->route->kind == BB_CALL_AT_MOST_ONCE)
+    out.idle_max_ms = 0;
+  if (s.left_ms < 1)
+    s.left_ms = 1;
+  out.headers_count = bb_send_headers (&r->x->request, &s, headers, text);
+  request_take (r, t);
+  bb_meter_add (&t->meter, now);
+  bb_eject_sent (&t->eject, now);
+  r->state = REQUEST_SENT;
+  r->tries++;
+  if (r->tried_count < G_N_ELEMENTS (r->tried))
+    r->tried[r->tried_count++] = t->hash;
+  r->sent_ms = now;
+  r->heard_ms = now;
+  r->first_event_seen = false;
+  r->headers_count = 0;
+  g_byte_array_set_size (r->body, 0);
+  r->call = bb_h1_call (t->channels, &out, &answer_ops, r);
+  if (r->tries > 1)
+    bb_count_retry (BB_REASON_UPSTREAM_FAILED);
+  bb_event ("send", "{s:s%, s:s, s:s, s:i, s:I, s:I, s:i, s:i, s:i, s:I, s:I}",
+            "id", r->ask.id.ptr, (size_t)r->ask.id.size, "route",
+            r->route->name, "upstream", t->told->id, "try", (int)r->tries,
+            "waited_ms", (json_int_t)(now - r->joined_ms), "left_ms",
+            (json_int_t)s.left_ms, "own", (int)t->in_flight, "others",
+            (int)t->others, "waiting", (int)r->line->waiting.length, "version",
+            (json_int_t)r->config->version, "revision",
+            (json_int_t)t->told->revision);
+  set_timer (r);
+}
+
+void
+send_timer (struct request *r)
+{
+  bb_ms now = edge_now (r->edge);
+
+  if (r->state == REQUEST_WAITING)
+    {
+      bb_ms back = r->line->grouped && r->line->group.state == BB_GROUP_BROKEN
+                       ? bb_group_back_in (&r->line->group, now)
+                       : r->route->aim_ms;
+      g_queue_remove (&r->line->waiting, r);
+      refuse (r, BB_REASON_OVERLOAD, back);
+      return;
+    }
+  if (now < r->deadline_ms && now < silent_at (r))
+    {
+      set_timer (r);
+      return;
+    }
+  bb_h1_cancel (r->call);
+  r->call = NULL;
+  after_try (r, BB_OUTCOME_SILENT,
+             now >= r->deadline_ms ? "deadline" : "silent");
+}
--- /dev/null
+++ b/cmd/edge/status.c
@@ -0,0 +1,75 @@
+/* Answers the platform, which asks whether this entry takes callers, and
+   gives counters out.  */
+
+#include "edge.h"
+
+#include "bilberry/settings.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HEAD_MAX_BYTES = 8192,
+  HEAD_TIMEOUT_MS = 2000,
+  IDLE_TIMEOUT_MS = 10000,
+  CHANNELS_MAX = 64
+};
+
+bool
+status_is_ready (const struct edge *e)
+{
+  return !e->draining && e->config && e->target_list->len > 0;
+}
+
+static void
+on_request (struct bb_h1_exchange *x, void *arg)
+{
+  struct edge *e = arg;
+  struct bb_bytes target = x->request.target;
+  char *text;
+
+  if (bb_bytes_equal (target, "/metrics"))
+    {
+      text = bb_metrics_print ();
+      bb_h1_respond (x, 200, NULL, 0, bb_bytes_of (text));
+      free (text);
+      return;
+    }
+  if (!bb_bytes_equal (target, bb_ready_target))
+    {
+      bb_h1_respond (x, 404, NULL, 0, bb_bytes_of ("no such page\n"));
+      return;
+    }
+  if (status_is_ready (e))
+    bb_h1_respond (x, 200, NULL, 0, bb_bytes_of ("ready\n"));
+  else
+    bb_h1_respond (x, 503, NULL, 0, bb_bytes_of ("not ready\n"));
+}
+
+static void
+on_fault (uint16_t status, void *arg)
+{
+  (void)arg;
+  bb_event ("unreadable_question", "{s:i}", "status", (int)status);
+}
+
+bool
+status_start (struct edge *e)
+{
+  struct bb_h1_limits limits = { .head_max_bytes = HEAD_MAX_BYTES,
+                                 .body_max_bytes = 0,
+                                 .head_timeout_ms = HEAD_TIMEOUT_MS,
+                                 .idle_timeout_ms = IDLE_TIMEOUT_MS,
+                                 .channels_max = CHANNELS_MAX };
+  struct sockaddr_storage addr;
+  int error = UV_EINVAL;
+
+  if (bb_address_parse (e->start->ready, &addr))
+    e->ready = bb_h1_server_open (e->loop, &addr, &limits, on_request,
+                                  on_fault, e, &error);
+  if (!e->ready)
+    bb_event ("cannot_listen", "{s:s, s:s}", "address", e->start->ready, "why",
+              uv_strerror (error));
+  return e->ready != NULL;
+}
--- a/include/bilberry/base.h
+++ b/include/bilberry/base.h
@@ -109,4 +109,10 @@
 void bb_log (enum bb_log_level level, const char *part, const char *format,
              ...) __attribute__ ((format (printf, 3, 4)));
 
+/* Writes one JSON line on standard output: the time, EVENT and the members
+   that FORMAT packs as json_pack(3) does, such as "{s:s, s:I}".  Never blocks:
+   a line that the reader does not take, or that exceeds the rate, is dropped
+   and counted in bilberry_log_dropped_total.  */
+void bb_event (const char *event, const char *format, ...);
+
 #endif
--- /dev/null
+++ b/include/bilberry/load.h
@@ -0,0 +1,211 @@
+#ifndef BILBERRY_LOAD_H
+#define BILBERRY_LOAD_H
+
+/* libload - decisions of an entry under load: where a request goes, who waits
+   and who is served next, what follows a failed try, and when a refused
+   caller should come back.  Pure: no socket, no clock, no global.
+   Link with -lload.  */
+
+#include "bilberry/base.h"
+
+enum
+{
+  BB_PLACE_NONE = UINT32_MAX
+};
+
+/* An upstream that a request could be sent to.  */
+struct bb_place
+{
+  bool usable;
+  bool tried;         /* by this request */
+  bool near;          /* in the entry's own failure domain */
+  uint32_t in_flight; /* of all entries, as far as they have told */
+  uint32_t limit;     /* of all entries */
+  double prompt;      /* tokens sent lately that are still to be read */
+  double slow;        /* against its fellows; 1 is usual */
+};
+
+/* What work costs at the upstreams of a pool.  */
+struct bb_place_cost
+{
+  double writer; /* of a request under way */
+  double token;  /* of a prompt token to be read */
+};
+
+/* Chooses the upstream on which the request delays its fellows least.  All
+   ranks of a group step together, so the most loaded one delays all: load is
+   made even, by writers and by prompt tokens to be read.  One that was tried,
+   or has no room, is not chosen.  Of equals, DRAW (0 to 1) picks.  */
+uint32_t bb_place_choose (const struct bb_place *places, uint32_t count,
+                          const struct bb_place_cost *cost, double draw);
+
+/* Sends to a pool beyond the first of each request, over a sliding window.
+   Answers callers that repeat at once while upstreams fail.  */
+enum
+{
+  BB_BUDGET_SLICES = 20
+};
+
+struct bb_budget
+{
+  bb_ms slice_ms; /* window over the slices */
+  bb_ms at;       /* number of the newest slice */
+  uint32_t requests[BB_BUDGET_SLICES];
+  uint32_t repeats[BB_BUDGET_SLICES];
+};
+
+void bb_budget_init (struct bb_budget *b, bb_ms window_ms);
+void bb_budget_request (struct bb_budget *b, bb_ms now);
+
+/* Whether one more repeat stays below RATIO of the requests and this entry's
+   part of EXTRA, one of MEMBERS entries; counts it where it does.  */
+bool bb_budget_repeat (struct bb_budget *b, bb_ms now, double ratio,
+                       uint32_t extra, uint32_t members);
+
+/* Sends to one upstream in a sliding second, so that one that has just
+   started, or turned cold, is not given more than it bears.  */
+enum
+{
+  BB_METER_MAX = 64
+};
+
+struct bb_meter
+{
+  bb_ms sent[BB_METER_MAX]; /* a ring */
+  uint32_t next;
+};
+
+/* Whether fewer than MAX were sent in the second before NOW.  */
+bool bb_meter_has_room (const struct bb_meter *m, bb_ms now, uint32_t max);
+void bb_meter_add (struct bb_meter *m, bb_ms now);
+
+/* Returns this entry's part of what a cold upstream bears in a second.  */
+uint32_t bb_cold_share (double per_s, uint32_t members);
+
+/* Whether an upstream is left out because it fails.  */
+struct bb_eject
+{
+  uint32_t failures; /* in a row */
+  uint32_t times;    /* ejections in a row */
+  bb_ms until_ms;
+  bool trial; /* one request is under way to see whether it is back */
+};
+
+void bb_eject_ok (struct bb_eject *e);
+/* Returns whether it is left out from now on.  */
+bool bb_eject_failed (struct bb_eject *e, bb_ms now);
+void bb_eject_sent (struct bb_eject *e, bb_ms now);
+bool bb_eject_is_in (const struct bb_eject *e, bb_ms now);
+
+/* The state of upstreams that step together.  */
+enum bb_group_state
+{
+  BB_GROUP_OPEN,
+  BB_GROUP_DOUBTFUL, /* nothing moves though requests are under way */
+  BB_GROUP_BROKEN
+};
+
+struct bb_group_watch
+{
+  enum bb_group_state state;
+  bb_ms progress_ms; /* last event or answer */
+  bb_ms since_ms;    /* of the present state */
+  bb_ms outage_ms;   /* usual length of an outage, learned */
+  bool learned;
+};
+
+/* An answer or an event came.  */
+void bb_group_progress (struct bb_group_watch *g, bb_ms now);
+/* An upstream refused since another one is gone, or broke off.  */
+void bb_group_broke (struct bb_group_watch *g, bb_ms now);
+/* A fresh report says whether the group takes work.  */
+void bb_group_reported (struct bb_group_watch *g, bool open, bb_ms now);
+/* Looks at the time; IN_FLIGHT requests are under way.  Returns the state.  */
+enum bb_group_state bb_group_look (struct bb_group_watch *g,
+                                   uint32_t in_flight, bb_ms now);
+/* Returns when a broken group is expected back, from NOW.  */
+bb_ms bb_group_back_in (const struct bb_group_watch *g, bb_ms now);
+
+/* How a try ended.  */
+enum bb_outcome
+{
+  BB_OUTCOME_ANSWERED, /* with success */
+  BB_OUTCOME_FAILED,   /* the upstream ran it and answered with a failure */
+  BB_OUTCOME_UNSENT,
+  BB_OUTCOME_NOT_RUN,   /* the upstream says that it did not run */
+  BB_OUTCOME_ELSEWHERE, /* another upstream has the address */
+  BB_OUTCOME_LOST,      /* it may have run; no usable answer */
+  BB_OUTCOME_SILENT,    /* it may be running; nothing came for too long */
+  BB_OUTCOMES
+};
+
+const char *bb_outcome_name (enum bb_outcome o);
+
+/* What is known of a request after a try.  */
+struct bb_after
+{
+  enum bb_outcome outcome;
+  bool repeatable;     /* may run more than once */
+  bool may_have_run;   /* by any try so far */
+  bool answer_started; /* the caller has seen a part */
+  bool resumable;      /* and the rest can be had elsewhere */
+  uint32_t runs;       /* tries so far that may have run */
+  uint32_t tries;      /* all tries so far */
+  uint32_t attempts;   /* allowed */
+  bb_ms left_ms;
+};
+
+enum bb_next
+{
+  BB_NEXT_RETRY,   /* wait for room and send once more */
+  BB_NEXT_PASS_ON, /* the upstream's own failure is the answer */
+  BB_NEXT_REFUSE,  /* it did not run: say so, and when to come back */
+  BB_NEXT_FAIL,    /* it may have run: promise nothing */
+  BB_NEXT_ABORT    /* break the answer off */
+};
+
+/* Decides what follows.  A repeat is still to be paid from the budget; where
+   that fails, bb_after_without_retry tells what to do.  */
+enum bb_next bb_after_decide (const struct bb_after *a);
+enum bb_next bb_after_without_retry (const struct bb_after *a);
+
+/* Returns when a refused caller should come back: after EXPECTED_MS, when
+   there is room, spread by DRAW (0 to 1) so that they do not come at once,
+   and within a third of LEFT_MS, past which callers do not return.  */
+bb_ms bb_comeback_ms (bb_ms expected_ms, bb_ms left_ms, double draw);
+
+/* A request that waits.  */
+struct bb_waiter
+{
+  bb_ms arrived_ms;
+  bb_ms aim_ms;      /* point in time up to which an answer is in time */
+  bb_ms give_up_ms;  /* point in time */
+  uint32_t priority; /* 0 first */
+  uint32_t customer; /* requests of its customer under way here */
+  uint32_t size;     /* expected tokens */
+};
+
+/* Returns whether A is served before B: the more urgent kind first, then one
+   that can still be in time, then the customer with least under way, then
+   the one that came first.  */
+bool bb_waiter_before (const struct bb_waiter *a, const struct bb_waiter *b,
+                       bb_ms now, bb_ms first_event_ms);
+
+/* Number of requests that a pool of engines takes at once.  Too many writers
+   stretch each pass until all streams are late; fewer are then let in, and
+   more again while there is slack.  */
+struct bb_window
+{
+  double limit;  /* for each upstream */
+  double gap_ms; /* smoothed pause between events */
+  bb_ms changed_ms;
+};
+
+void bb_window_init (struct bb_window *w, uint32_t slots);
+/* Takes the pause before one event.  */
+void bb_window_gap (struct bb_window *w, bb_ms gap_ms);
+/* Returns the limit; looks at the time to move it between LEAST and SLOTS.  */
+uint32_t bb_window_limit (struct bb_window *w, bb_ms target_ms, uint32_t slots,
+                          bool is_full, bb_ms now);
+
+#endif
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -130,6 +130,20 @@
 /* Returns the name of VALUE, or "unknown".  */
 const char *bb_role_name (uint32_t value);
 
+/* A process that others can connect to.  */
+struct bb_peer_member
+{
+  struct bb_bytes address;
+};
+
+/* What one entry has under way at an upstream.  */
+struct bb_upstream_load
+{
+  uint64_t upstream;
+  uint32_t in_flight;
+  uint32_t tokens;
+};
+
 /* Which map a group uses from a step on, and which before.  */
 struct bb_map_value
 {
@@ -212,6 +226,34 @@
   uint64_t revision;
 };
 
+/* First message on a connection between processes that share a view.  */
+struct bb_peer_hello
+{
+  uint64_t incarnation;
+  struct bb_bytes name;
+  struct bb_bytes address;
+};
+
+/* An item of the view at a revision; one without value is removed.  */
+struct bb_peer_item
+{
+  struct bb_bytes key;
+  uint64_t revision;
+  bool removed;
+  struct bb_bytes value;
+};
+
+/* Sent often; everything up to the revision has been sent before it.  */
+struct bb_peer_state
+{
+  uint64_t revision;
+  struct bb_peer_member members[64];
+  uint32_t members_count;
+  struct bb_upstream_load loads[256];
+  uint32_t loads_count;
+  bool taking;
+};
+
 /* One message of the switch of maps; bilberry/map.h names its types.  */
 struct bb_map_switch
 {
@@ -377,6 +419,50 @@
   uint32_t age_ms;
 };
 
+/* What a rank says of itself, and what its requests chose since the last
+ * state.  */
+struct bb_rank_state
+{
+  struct bb_bytes upstream;
+  struct bb_bytes group;
+  uint64_t epoch;
+  uint32_t rank;
+  uint32_t size;
+  bool open;
+  uint64_t step;
+  uint64_t map;
+  uint64_t prepared;
+  uint64_t armed;
+  uint64_t armed_step;
+  uint64_t held;
+  struct bb_bytes counts;
+  uint32_t queued;
+  uint32_t running;
+  uint32_t pending;
+};
+
+/* Asks an agent to give its rank an order.  */
+struct bb_rank_order
+{
+  uint64_t id;
+  uint8_t op;
+  uint64_t version;
+  uint64_t step;
+  uint64_t epoch;
+  struct bb_bytes map;
+  uint32_t sets;
+  uint32_t ranks;
+  uint32_t places;
+  uint64_t fence;
+};
+
+/* How an order ended; status 0 is an order without answer.  */
+struct bb_rank_result
+{
+  uint64_t id;
+  uint16_t status;
+};
+
 /* First message on a connection, sent by both sides.  */
 struct bb_hello
 {
@@ -461,10 +547,17 @@
 /* Largest sizes of fields, in bytes, and of lists.  */
 enum
 {
+  BB_PEER_MEMBER_ADDRESS_MAX_BYTES = 64,
   BB_GOSSIP_UPDATES_MAX = 8,
   BB_GOSSIP_PUSHED_MAX = 4,
   BB_HEADER_NAME_MAX_BYTES = 256,
   BB_HEADER_VALUE_MAX_BYTES = 16384,
+  BB_PEER_HELLO_NAME_MAX_BYTES = 128,
+  BB_PEER_HELLO_ADDRESS_MAX_BYTES = 64,
+  BB_PEER_ITEM_KEY_MAX_BYTES = 256,
+  BB_PEER_ITEM_VALUE_MAX_BYTES = 2097152,
+  BB_PEER_STATE_MEMBERS_MAX = 64,
+  BB_PEER_STATE_LOADS_MAX = 256,
   BB_MAP_SWITCH_GROUP_MAX_BYTES = 128,
   BB_MAP_SWITCH_MAP_MAX_BYTES = 16777216,
   BB_SEALED_BODY_MAX_BYTES = 1400,
@@ -487,6 +580,10 @@
   BB_ONCE_SYNCED_SETS_MAX = 8,
   BB_ONCE_SYNCED_MEMBER_MAX_BYTES = 128,
   BB_ONCE_SYNCED_NOTES_MAX_BYTES = 16777216,
+  BB_RANK_STATE_UPSTREAM_MAX_BYTES = 128,
+  BB_RANK_STATE_GROUP_MAX_BYTES = 64,
+  BB_RANK_STATE_COUNTS_MAX_BYTES = 65536,
+  BB_RANK_ORDER_MAP_MAX_BYTES = 1048576,
   BB_HELLO_NAME_MAX_BYTES = 128,
   BB_CALL_CUSTOMER_MAX_BYTES = 128,
   BB_CALL_METHOD_MAX_BYTES = 32,
@@ -502,6 +599,9 @@
 {
   BB_MSG_PROBE = 20,
   BB_MSG_REPORT = 21,
+  BB_MSG_PEER_HELLO = 50,
+  BB_MSG_PEER_ITEM = 51,
+  BB_MSG_PEER_STATE = 52,
   BB_MSG_MAP_SWITCH = 40,
   BB_MSG_SEALED = 30,
   BB_MSG_PING = 31,
@@ -517,6 +617,9 @@
   BB_MSG_ONCE_SYNC = 14,
   BB_MSG_ONCE_SYNCED = 15,
   BB_MSG_SUSPECT = 17,
+  BB_MSG_RANK_STATE = 55,
+  BB_MSG_RANK_ORDER = 56,
+  BB_MSG_RANK_RESULT = 57,
   BB_MSG_HELLO = 1,
   BB_MSG_CALL = 2,
   BB_MSG_CANCEL = 3,
@@ -536,6 +639,9 @@
   {
     struct bb_probe probe;
     struct bb_report report;
+    struct bb_peer_hello peer_hello;
+    struct bb_peer_item peer_item;
+    struct bb_peer_state peer_state;
     struct bb_map_switch map_switch;
     struct bb_sealed sealed;
     struct bb_ping ping;
@@ -551,6 +657,9 @@
     struct bb_once_sync once_sync;
     struct bb_once_synced once_synced;
     struct bb_suspect suspect;
+    struct bb_rank_state rank_state;
+    struct bb_rank_order rank_order;
+    struct bb_rank_result rank_result;
     struct bb_hello hello;
     struct bb_call call;
     struct bb_cancel cancel;
@@ -567,6 +676,12 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_report (msgpack_sbuffer *buf, const struct bb_report *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_peer_hello (msgpack_sbuffer *buf, const struct bb_peer_hello *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_peer_item (msgpack_sbuffer *buf, const struct bb_peer_item *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_peer_state (msgpack_sbuffer *buf, const struct bb_peer_state *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_map_switch (msgpack_sbuffer *buf, const struct bb_map_switch *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_sealed (msgpack_sbuffer *buf, const struct bb_sealed *v);
@@ -599,6 +714,12 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_suspect (msgpack_sbuffer *buf, const struct bb_suspect *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_rank_state (msgpack_sbuffer *buf, const struct bb_rank_state *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_rank_order (msgpack_sbuffer *buf, const struct bb_rank_order *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_rank_result (msgpack_sbuffer *buf, const struct bb_rank_result *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_call (msgpack_sbuffer *buf, const struct bb_call *v);
--- /dev/null
+++ b/libfleet/config.c
@@ -0,0 +1,198 @@
+#include "bilberry/fleet.h"
+
+#include <string.h>
+#include <strings.h>
+
+enum
+{
+  HEAD_MAX_BYTES = 16384,
+  BODY_MAX_BYTES = 4194304,
+  HEAD_TIMEOUT_MS = 3000,
+  IDLE_TIMEOUT_MS = 15000
+};
+
+static void
+free_route (void *p)
+{
+  struct bb_route *r = p;
+
+  for (uint32_t i = 0; i < r->split_count; i++)
+    g_free (r->split[i].pool);
+  g_free (r->name);
+  g_free (r->host);
+  g_free (r->prefix);
+  g_free (r);
+}
+
+static void
+free_pool (void *p)
+{
+  struct bb_pool *pool = p;
+
+  g_free (pool->name);
+  g_free (pool->health_path);
+  g_free (pool);
+}
+
+static void
+free_customer (void *p)
+{
+  struct bb_fleet_customer *c = p;
+
+  g_free (c->name);
+  g_free (c);
+}
+
+struct bb_config *
+bb_config_new (void)
+{
+  struct bb_config *c = g_new0 (struct bb_config, 1);
+
+  c->references = 1;
+  c->routes = g_ptr_array_new_with_free_func (free_route);
+  c->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
+  c->customers = g_ptr_array_new_with_free_func (free_customer);
+  c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->head_max_bytes = HEAD_MAX_BYTES;
+  c->body_max_bytes = BODY_MAX_BYTES;
+  c->head_timeout_ms = HEAD_TIMEOUT_MS;
+  c->idle_timeout_ms = IDLE_TIMEOUT_MS;
+  return c;
+}
+
+struct bb_config *
+bb_config_ref (struct bb_config *c)
+{
+  c->references++;
+  return c;
+}
+
+void
+bb_config_unref (struct bb_config *c)
+{
+  if (!c || --c->references > 0)
+    return;
+  g_ptr_array_unref (c->routes);
+  g_hash_table_unref (c->pools);
+  g_hash_table_unref (c->keys);
+  g_ptr_array_unref (c->customers);
+  g_free (c);
+}
+
+void
+bb_config_add_route (struct bb_config *c, struct bb_route *r)
+{
+  g_ptr_array_add (c->routes, r);
+}
+
+void
+bb_config_add_pool (struct bb_config *c, struct bb_pool *p)
+{
+  g_hash_table_replace (c->pools, p->name, p);
+}
+
+void
+bb_config_add_key (struct bb_config *c, const char *key,
+                   struct bb_fleet_customer *owner)
+{
+  g_hash_table_replace (c->keys, g_strdup (key), owner);
+}
+
+struct bb_fleet_customer *
+bb_config_add_customer (struct bb_config *c, const char *name,
+                        int32_t priority)
+{
+  struct bb_fleet_customer *customer = g_new0 (struct bb_fleet_customer, 1);
+
+  customer->name = g_strdup (name);
+  customer->priority = priority;
+  c->has_customers = true;
+  g_ptr_array_add (c->customers, customer);
+  return customer;
+}
+
+static int
+compare_prefixes (const void *a, const void *b)
+{
+  const struct bb_route *x = *(struct bb_route *const *)a;
+  const struct bb_route *y = *(struct bb_route *const *)b;
+  size_t n = strlen (x->prefix);
+  size_t m = strlen (y->prefix);
+
+  return n < m ? 1 : n > m ? -1 : 0;
+}
+
+void
+bb_config_finish (struct bb_config *c)
+{
+  g_ptr_array_sort (c->routes, compare_prefixes);
+}
+
+static bool
+begins (struct bb_bytes target, const char *prefix)
+{
+  size_t n = strlen (prefix);
+
+  return n <= target.size && memcmp (target.ptr, prefix, n) == 0;
+}
+
+/* Returns TEXT up to the first C.  */
+static struct bb_bytes
+up_to (struct bb_bytes text, char c)
+{
+  const char *at = text.size > 0 ? memchr (text.ptr, c, text.size) : NULL;
+
+  if (at)
+    text.size = (uint32_t)(at - text.ptr);
+  return text;
+}
+
+const struct bb_route *
+bb_config_route (const struct bb_config *c, struct bb_bytes host,
+                 struct bb_bytes target)
+{
+  host = up_to (host, ':');
+  target = up_to (target, '?');
+  for (guint i = 0; i < c->routes->len; i++)
+    {
+      const struct bb_route *r = g_ptr_array_index (c->routes, i);
+      if (host.size == strlen (r->host)
+          && strncasecmp (host.ptr, r->host, host.size) == 0
+          && begins (target, r->prefix))
+        return r;
+    }
+  return NULL;
+}
+
+const struct bb_pool *
+bb_config_pool (const struct bb_config *c, const char *name)
+{
+  return g_hash_table_lookup (c->pools, name);
+}
+
+const struct bb_fleet_customer *
+bb_config_customer (const struct bb_config *c, struct bb_bytes key)
+{
+  char *text = g_strndup (key.ptr, key.size);
+  const struct bb_fleet_customer *owner = g_hash_table_lookup (c->keys, text);
+
+  g_free (text);
+  return owner;
+}
+
+const char *
+bb_route_pick (const struct bb_route *r, double draw)
+{
+  double total = 0;
+  double at = 0;
+
+  for (uint32_t i = 0; i < r->split_count; i++)
+    total += r->split[i].weight;
+  for (uint32_t i = 0; i < r->split_count; i++)
+    {
+      at += r->split[i].weight;
+      if (r->split[i].weight > 0 && draw * total < at)
+        return r->split[i].pool;
+    }
+  return r->split_count > 0 ? r->split[r->split_count - 1].pool : "";
+}
--- /dev/null
+++ b/libfleet/view.c
@@ -0,0 +1,79 @@
+#include "bilberry/fleet.h"
+
+void
+bb_upstream_free (struct bb_upstream *u)
+{
+  if (!u)
+    return;
+  g_free (u->id);
+  g_free (u->pool);
+  g_free (u->address);
+  g_free (u->failure_domain);
+  g_free (u);
+}
+
+static void
+free_item (void *p)
+{
+  struct bb_item *i = p;
+
+  if (i->value)
+    g_bytes_unref (i->value);
+  g_free (i->key);
+  g_free (i);
+}
+
+struct bb_view *
+bb_view_new (void)
+{
+  struct bb_view *v = g_new0 (struct bb_view, 1);
+
+  v->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
+  return v;
+}
+
+void
+bb_view_free (struct bb_view *v)
+{
+  g_hash_table_unref (v->items);
+  g_free (v);
+}
+
+bool
+bb_view_put (struct bb_view *v, const char *key, GBytes *value,
+             uint64_t revision)
+{
+  struct bb_item *i = g_hash_table_lookup (v->items, key);
+
+  if (i && i->revision >= revision)
+    return false;
+  if (!i)
+    {
+      i = g_new0 (struct bb_item, 1);
+      i->key = g_strdup (key);
+      g_hash_table_insert (v->items, i->key, i);
+    }
+  if (i->value)
+    g_bytes_unref (i->value);
+  i->value = value ? g_bytes_ref (value) : NULL;
+  i->revision = revision;
+  return true;
+}
+
+GPtrArray *
+bb_view_missing (const struct bb_view *v, GHashTable *keys, uint64_t revision)
+{
+  GPtrArray *missing = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter it;
+  void *value;
+
+  g_hash_table_iter_init (&it, v->items);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct bb_item *i = value;
+      if (i->value && i->revision <= revision
+          && !g_hash_table_contains (keys, i->key))
+        g_ptr_array_add (missing, g_strdup (i->key));
+    }
+  return missing;
+}
--- /dev/null
+++ b/libh1/reader.c
@@ -0,0 +1,231 @@
+#include "h1.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+h1_text_add (struct h1_text *t, const char *data, size_t size)
+{
+  if (t->size + size + 1 > t->room)
+    {
+      t->room = (t->size + size + 1) * 2;
+      t->data = realloc (t->data, t->room);
+      if (!t->data)
+        abort ();
+    }
+  if (size > 0)
+    memcpy (t->data + t->size, data, size);
+  t->size += size;
+  t->data[t->size] = '\0';
+}
+
+void
+h1_text_print (struct h1_text *t, const char *format, ...)
+{
+  char buf[1024];
+  va_list ap;
+  int n;
+
+  va_start (ap, format);
+  n = vsnprintf (buf, sizeof buf, format, ap);
+  va_end (ap);
+  if (n < 0 || (size_t)n >= sizeof buf)
+    abort ();
+  h1_text_add (t, buf, (size_t)n);
+}
+
+void
+h1_text_free (struct h1_text *t)
+{
+  free (t->data);
+  memset (t, 0, sizeof *t);
+}
+
+static int
+on_begin (http_parser *p)
+{
+  struct h1_reader *r = p->data;
+
+  r->started = true;
+  return 0;
+}
+
+static int
+on_url (http_parser *p, const char *at, size_t size)
+{
+  struct h1_reader *r = p->data;
+
+  h1_text_add (&r->head, at, size);
+  r->target_size += (uint32_t)size;
+  return 0;
+}
+
+static int
+on_field (http_parser *p, const char *at, size_t size)
+{
+  struct h1_reader *r = p->data;
+  struct h1_field *f;
+
+  if (r->fields_count == 0 || r->in_value)
+    {
+      r->in_value = false;
+      if (r->fields_count == BB_H1_HEADERS_MAX)
+        {
+          r->overflow = true;
+          return 1;
+        }
+      f = &r->fields[r->fields_count++];
+      memset (f, 0, sizeof *f);
+      f->name_at = (uint32_t)r->head.size;
+    }
+  f = &r->fields[r->fields_count - 1];
+  h1_text_add (&r->head, at, size);
+  f->name_size += (uint32_t)size;
+  return 0;
+}
+
+static int
+on_value (http_parser *p, const char *at, size_t size)
+{
+  struct h1_reader *r = p->data;
+  struct h1_field *f;
+
+  /* Fields after the body are not part of the head.  */
+  if (r->fields_count == 0)
+    return 0;
+  f = &r->fields[r->fields_count - 1];
+  if (!r->in_value)
+    f->value_at = (uint32_t)r->head.size;
+  r->in_value = true;
+  h1_text_add (&r->head, at, size);
+  f->value_size += (uint32_t)size;
+  return 0;
+}
+
+static struct bb_bytes
+part (const struct h1_reader *r, uint32_t at, uint32_t size)
+{
+  struct bb_bytes b = { .ptr = r->head.data + at, .size = size };
+
+  return b;
+}
+
+static void
+make_message (struct h1_reader *r)
+{
+  struct bb_h1_message *m = &r->message;
+
+  memset (m, 0, sizeof *m);
+  m->status = (uint16_t)r->parser.status_code;
+  if (r->parser.type == HTTP_REQUEST)
+    m->method
+        = bb_bytes_of (http_method_str ((enum http_method)r->parser.method));
+  m->target = part (r, 0, r->target_size);
+  m->headers_count = r->fields_count;
+  for (uint32_t i = 0; i < r->fields_count; i++)
+    {
+      const struct h1_field *f = &r->fields[i];
+      m->headers[i].name = part (r, f->name_at, f->name_size);
+      m->headers[i].value = part (r, f->value_at, f->value_size);
+    }
+}
+
+static int
+on_headers (http_parser *p)
+{
+  struct h1_reader *r = p->data;
+
+  h1_text_add (&r->head, "", 0);
+  make_message (r);
+  p->upgrade = 0;
+  return r->ops->on_head (r, r->user) ? 1 : 0;
+}
+
+static int
+on_body (http_parser *p, const char *at, size_t size)
+{
+  struct h1_reader *r = p->data;
+  struct bb_bytes b = { .ptr = at, .size = (uint32_t)size };
+
+  r->ops->on_body (r, b, r->user);
+  return 0;
+}
+
+static int
+on_complete (http_parser *p)
+{
+  struct h1_reader *r = p->data;
+
+  r->whole = true;
+  http_parser_pause (p, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_message_begin = on_begin,
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_headers,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+h1_reader_init (struct h1_reader *r, enum http_parser_type type,
+                const struct h1_reader_ops *ops, void *user)
+{
+  memset (r, 0, sizeof *r);
+  r->ops = ops;
+  r->user = user;
+  http_parser_init (&r->parser, type);
+  r->parser.data = r;
+}
+
+void
+h1_reader_free (struct h1_reader *r)
+{
+  h1_text_free (&r->head);
+}
+
+void
+h1_reader_reset (struct h1_reader *r)
+{
+  enum http_parser_type type = (enum http_parser_type)r->parser.type;
+
+  http_parser_init (&r->parser, type);
+  r->head.size = 0;
+  r->fields_count = 0;
+  r->target_size = 0;
+  r->in_value = false;
+  r->started = false;
+  r->whole = false;
+}
+
+ssize_t
+h1_reader_feed (struct h1_reader *r, const char *data, size_t size)
+{
+  size_t n = http_parser_execute (&r->parser, &callbacks, data, size);
+  enum http_errno e = HTTP_PARSER_ERRNO (&r->parser);
+
+  if (e == HPE_PAUSED && r->whole)
+    {
+      r->ops->on_whole (r, r->user);
+      return (ssize_t)n;
+    }
+  return e == HPE_OK ? (ssize_t)n : -1;
+}
+
+bool
+h1_reader_finish (struct h1_reader *r)
+{
+  if (!r->started || r->whole)
+    return false;
+  http_parser_execute (&r->parser, &callbacks, NULL, 0);
+  if (!r->whole)
+    return false;
+  r->ops->on_whole (r, r->user);
+  return true;
+}
--- /dev/null
+++ b/libload/place.c
@@ -0,0 +1,42 @@
+#include "bilberry/load.h"
+
+static bool
+can_take (const struct bb_place *p)
+{
+  return p->usable && !p->tried && p->in_flight < p->limit;
+}
+
+static double
+score (const struct bb_place *p, const struct bb_place_cost *cost)
+{
+  double load = (p->in_flight + 1) * cost->writer + p->prompt * cost->token;
+
+  return load * (p->slow > 1 ? p->slow : 1);
+}
+
+uint32_t
+bb_place_choose (const struct bb_place *places, uint32_t count,
+                 const struct bb_place_cost *cost, double draw)
+{
+  /* A tie within a hundredth goes to the nearer one.  */
+  static const double tie = 1.01;
+  uint32_t best = BB_PLACE_NONE;
+  uint32_t first = count > 0 ? (uint32_t)(draw * count) % count : 0;
+  double least = 0;
+
+  for (uint32_t k = 0; k < count; k++)
+    {
+      uint32_t i = (first + k) % count;
+      double s;
+      if (!can_take (&places[i]))
+        continue;
+      s = score (&places[i], cost);
+      if (best == BB_PLACE_NONE || s * tie < least
+          || (s < least * tie && places[i].near && !places[best].near))
+        {
+          best = i;
+          least = s;
+        }
+    }
+  return best;
+}
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -216,6 +216,96 @@
   return table[value];
 }
 
+static void
+put_peer_member (msgpack_packer *pk, const struct bb_peer_member *v)
+{
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->address);
+}
+
+static bool
+get_peer_member (const msgpack_object *obj, struct bb_peer_member *v,
+                 struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_member", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 64, &v->address, "address", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_member", "address", e);
+  return true;
+}
+
+static void
+put_upstream_load (msgpack_packer *pk, const struct bb_upstream_load *v)
+{
+  msgpack_pack_map (pk, 3);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->upstream);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->in_flight);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->tokens);
+}
+
+static bool
+get_upstream_load (const msgpack_object *obj, struct bb_upstream_load *v,
+                   struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "upstream_load", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "upstream", e))
+            return false;
+          v->upstream = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "in_flight", e))
+            return false;
+          v->in_flight = (uint32_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "tokens", e))
+            return false;
+          v->tokens = (uint32_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("upstream_load", "upstream", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("upstream_load", "in_flight", e);
+  return true;
+}
+
 static void
 put_map_value (msgpack_packer *pk, const struct bb_map_value *v)
 {
@@ -790,6 +880,193 @@
   return true;
 }
 
+static void
+put_peer_hello (msgpack_packer *pk, const struct bb_peer_hello *v)
+{
+  msgpack_pack_map (pk, 3);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->incarnation);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_str (pk, v->name);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_str (pk, v->address);
+}
+
+static bool
+get_peer_hello (const msgpack_object *obj, struct bb_peer_hello *v,
+                struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_hello", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "incarnation", e))
+            return false;
+          v->incarnation = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_str (o, 128, &v->name, "name", e))
+            return false;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_str (o, 64, &v->address, "address", e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_hello", "incarnation", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("peer_hello", "name", e);
+  return true;
+}
+
+static void
+put_peer_item (msgpack_packer *pk, const struct bb_peer_item *v)
+{
+  msgpack_pack_map (pk, 4);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->key);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->revision);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_bool (pk, v->removed);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_bin (pk, v->value);
+}
+
+static bool
+get_peer_item (const msgpack_object *obj, struct bb_peer_item *v,
+               struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_item", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 256, &v->key, "key", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "revision", e))
+            return false;
+          v->revision = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_bool (o, &v->removed, "removed", e))
+            return false;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_bin (o, 2097152, &v->value, "value", e))
+            return false;
+          seen |= UINT64_C (1) << 4;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_item", "key", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("peer_item", "revision", e);
+  return true;
+}
+
+static void
+put_peer_state (msgpack_packer *pk, const struct bb_peer_state *v)
+{
+  msgpack_pack_map (pk, 4);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->revision);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_count (pk, v->members_count, 64);
+  for (uint32_t i = 0; i < v->members_count; i++)
+    put_peer_member (pk, &v->members[i]);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_count (pk, v->loads_count, 256);
+  for (uint32_t i = 0; i < v->loads_count; i++)
+    put_upstream_load (pk, &v->loads[i]);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_bool (pk, v->taking);
+}
+
+static bool
+get_peer_state (const msgpack_object *obj, struct bb_peer_state *v,
+                struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_state", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "revision", e))
+            return false;
+          v->revision = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_is_list (o, 64, "members", e))
+            return false;
+          v->members_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->members_count; i++)
+            {
+              if (!get_peer_member (&o->via.array.ptr[i], &v->members[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_is_list (o, 256, "loads", e))
+            return false;
+          v->loads_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->loads_count; i++)
+            {
+              if (!get_upstream_load (&o->via.array.ptr[i], &v->loads[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_bool (o, &v->taking, "taking", e))
+            return false;
+          seen |= UINT64_C (1) << 4;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_state", "revision", e);
+  return true;
+}
+
 static void
 put_map_switch (msgpack_packer *pk, const struct bb_map_switch *v)
 {
@@ -1974,6 +2251,322 @@
   return true;
 }
 
+static void
+put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
+{
+  msgpack_pack_map (pk, 16);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->upstream);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_str (pk, v->group);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->epoch);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->rank);
+  msgpack_pack_uint8 (pk, 5);
+  msgpack_pack_uint64 (pk, v->size);
+  msgpack_pack_uint8 (pk, 6);
+  bb_wire_put_bool (pk, v->open);
+  msgpack_pack_uint8 (pk, 7);
+  msgpack_pack_uint64 (pk, v->step);
+  msgpack_pack_uint8 (pk, 8);
+  msgpack_pack_uint64 (pk, v->map);
+  msgpack_pack_uint8 (pk, 9);
+  msgpack_pack_uint64 (pk, v->prepared);
+  msgpack_pack_uint8 (pk, 10);
+  msgpack_pack_uint64 (pk, v->armed);
+  msgpack_pack_uint8 (pk, 11);
+  msgpack_pack_uint64 (pk, v->armed_step);
+  msgpack_pack_uint8 (pk, 12);
+  msgpack_pack_uint64 (pk, v->held);
+  msgpack_pack_uint8 (pk, 13);
+  bb_wire_put_bin (pk, v->counts);
+  msgpack_pack_uint8 (pk, 14);
+  msgpack_pack_uint64 (pk, v->queued);
+  msgpack_pack_uint8 (pk, 15);
+  msgpack_pack_uint64 (pk, v->running);
+  msgpack_pack_uint8 (pk, 16);
+  msgpack_pack_uint64 (pk, v->pending);
+}
+
+static bool
+get_rank_state (const msgpack_object *obj, struct bb_rank_state *v,
+                struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "rank_state", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 128, &v->upstream, "upstream", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_str (o, 64, &v->group, "group", e))
+            return false;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "epoch", e))
+            return false;
+          v->epoch = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "rank", e))
+            return false;
+          v->rank = (uint32_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "size", e))
+            return false;
+          v->size = (uint32_t)n;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_bool (o, &v->open, "open", e))
+            return false;
+          seen |= UINT64_C (1) << 6;
+          break;
+        case 7:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "step", e))
+            return false;
+          v->step = (uint64_t)n;
+          seen |= UINT64_C (1) << 7;
+          break;
+        case 8:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "map", e))
+            return false;
+          v->map = (uint64_t)n;
+          seen |= UINT64_C (1) << 8;
+          break;
+        case 9:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "prepared", e))
+            return false;
+          v->prepared = (uint64_t)n;
+          seen |= UINT64_C (1) << 9;
+          break;
+        case 10:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "armed", e))
+            return false;
+          v->armed = (uint64_t)n;
+          seen |= UINT64_C (1) << 10;
+          break;
+        case 11:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "armed_step", e))
+            return false;
+          v->armed_step = (uint64_t)n;
+          seen |= UINT64_C (1) << 11;
+          break;
+        case 12:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "held", e))
+            return false;
+          v->held = (uint64_t)n;
+          seen |= UINT64_C (1) << 12;
+          break;
+        case 13:
+          if (!bb_wire_get_bin (o, 65536, &v->counts, "counts", e))
+            return false;
+          seen |= UINT64_C (1) << 13;
+          break;
+        case 14:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "queued", e))
+            return false;
+          v->queued = (uint32_t)n;
+          seen |= UINT64_C (1) << 14;
+          break;
+        case 15:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "running", e))
+            return false;
+          v->running = (uint32_t)n;
+          seen |= UINT64_C (1) << 15;
+          break;
+        case 16:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "pending", e))
+            return false;
+          v->pending = (uint32_t)n;
+          seen |= UINT64_C (1) << 16;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("rank_state", "upstream", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("rank_state", "epoch", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("rank_state", "rank", e);
+  if (!(seen & (UINT64_C (1) << 5)))
+    return bb_wire_missing ("rank_state", "size", e);
+  return true;
+}
+
+static void
+put_rank_order (msgpack_packer *pk, const struct bb_rank_order *v)
+{
+  msgpack_pack_map (pk, 10);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->op);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->version);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->step);
+  msgpack_pack_uint8 (pk, 5);
+  msgpack_pack_uint64 (pk, v->epoch);
+  msgpack_pack_uint8 (pk, 6);
+  bb_wire_put_bin (pk, v->map);
+  msgpack_pack_uint8 (pk, 7);
+  msgpack_pack_uint64 (pk, v->sets);
+  msgpack_pack_uint8 (pk, 8);
+  msgpack_pack_uint64 (pk, v->ranks);
+  msgpack_pack_uint8 (pk, 9);
+  msgpack_pack_uint64 (pk, v->places);
+  msgpack_pack_uint8 (pk, 10);
+  msgpack_pack_uint64 (pk, v->fence);
+}
+
+static bool
+get_rank_order (const msgpack_object *obj, struct bb_rank_order *v,
+                struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "rank_order", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U8_MAX, &n, "op", e))
+            return false;
+          v->op = (uint8_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "version", e))
+            return false;
+          v->version = (uint64_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "step", e))
+            return false;
+          v->step = (uint64_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "epoch", e))
+            return false;
+          v->epoch = (uint64_t)n;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_bin (o, 1048576, &v->map, "map", e))
+            return false;
+          seen |= UINT64_C (1) << 6;
+          break;
+        case 7:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "sets", e))
+            return false;
+          v->sets = (uint32_t)n;
+          seen |= UINT64_C (1) << 7;
+          break;
+        case 8:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "ranks", e))
+            return false;
+          v->ranks = (uint32_t)n;
+          seen |= UINT64_C (1) << 8;
+          break;
+        case 9:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "places", e))
+            return false;
+          v->places = (uint32_t)n;
+          seen |= UINT64_C (1) << 9;
+          break;
+        case 10:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "fence", e))
+            return false;
+          v->fence = (uint64_t)n;
+          seen |= UINT64_C (1) << 10;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("rank_order", "id", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("rank_order", "op", e);
+  return true;
+}
+
+static void
+put_rank_result (msgpack_packer *pk, const struct bb_rank_result *v)
+{
+  msgpack_pack_map (pk, 2);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->id);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->status);
+}
+
+static bool
+get_rank_result (const msgpack_object *obj, struct bb_rank_result *v,
+                 struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "rank_result", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "id", e))
+            return false;
+          v->id = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U16_MAX, &n, "status", e))
+            return false;
+          v->status = (uint16_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("rank_result", "id", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("rank_result", "status", e);
+  return true;
+}
+
 static void
 put_hello (msgpack_packer *pk, const struct bb_hello *v)
 {
@@ -2560,6 +3153,33 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_peer_hello (msgpack_sbuffer *buf, const struct bb_peer_hello *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_HELLO);
+  put_peer_hello (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_peer_item (msgpack_sbuffer *buf, const struct bb_peer_item *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_ITEM);
+  put_peer_item (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_peer_state (msgpack_sbuffer *buf, const struct bb_peer_state *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_STATE);
+  put_peer_state (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_map_switch (msgpack_sbuffer *buf, const struct bb_map_switch *v)
 {
@@ -2695,6 +3315,33 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_rank_state (msgpack_sbuffer *buf, const struct bb_rank_state *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_RANK_STATE);
+  put_rank_state (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_rank_order (msgpack_sbuffer *buf, const struct bb_rank_order *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_RANK_ORDER);
+  put_rank_order (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_rank_result (msgpack_sbuffer *buf, const struct bb_rank_result *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_RANK_RESULT);
+  put_rank_result (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v)
 {
@@ -2778,6 +3425,12 @@
       return get_probe (obj, &m->u.probe, e);
     case BB_MSG_REPORT:
       return get_report (obj, &m->u.report, e);
+    case BB_MSG_PEER_HELLO:
+      return get_peer_hello (obj, &m->u.peer_hello, e);
+    case BB_MSG_PEER_ITEM:
+      return get_peer_item (obj, &m->u.peer_item, e);
+    case BB_MSG_PEER_STATE:
+      return get_peer_state (obj, &m->u.peer_state, e);
     case BB_MSG_MAP_SWITCH:
       return get_map_switch (obj, &m->u.map_switch, e);
     case BB_MSG_SEALED:
@@ -2808,6 +3461,12 @@
       return get_once_synced (obj, &m->u.once_synced, e);
     case BB_MSG_SUSPECT:
       return get_suspect (obj, &m->u.suspect, e);
+    case BB_MSG_RANK_STATE:
+      return get_rank_state (obj, &m->u.rank_state, e);
+    case BB_MSG_RANK_ORDER:
+      return get_rank_order (obj, &m->u.rank_order, e);
+    case BB_MSG_RANK_RESULT:
+      return get_rank_result (obj, &m->u.rank_result, e);
     case BB_MSG_HELLO:
       return get_hello (obj, &m->u.hello, e);
     case BB_MSG_CALL:
@@ -2840,6 +3499,15 @@
     case BB_MSG_REPORT:
       bb_put_report (buf, &m->u.report);
       break;
+    case BB_MSG_PEER_HELLO:
+      bb_put_peer_hello (buf, &m->u.peer_hello);
+      break;
+    case BB_MSG_PEER_ITEM:
+      bb_put_peer_item (buf, &m->u.peer_item);
+      break;
+    case BB_MSG_PEER_STATE:
+      bb_put_peer_state (buf, &m->u.peer_state);
+      break;
     case BB_MSG_MAP_SWITCH:
       bb_put_map_switch (buf, &m->u.map_switch);
       break;
@@ -2885,6 +3553,15 @@
     case BB_MSG_SUSPECT:
       bb_put_suspect (buf, &m->u.suspect);
       break;
+    case BB_MSG_RANK_STATE:
+      bb_put_rank_state (buf, &m->u.rank_state);
+      break;
+    case BB_MSG_RANK_ORDER:
+      bb_put_rank_order (buf, &m->u.rank_order);
+      break;
+    case BB_MSG_RANK_RESULT:
+      bb_put_rank_result (buf, &m->u.rank_result);
+      break;
     case BB_MSG_HELLO:
       bb_put_hello (buf, &m->u.hello);
       break;
@@ -2918,6 +3595,17 @@
   { BB_MSG_REPORT, 2, true, "incarnation" },
   { BB_MSG_REPORT, 3, true, "load" },
   { BB_MSG_REPORT, 4, false, "revision" },
+  { BB_MSG_PEER_HELLO, 1, true, "incarnation" },
+  { BB_MSG_PEER_HELLO, 2, true, "name" },
+  { BB_MSG_PEER_HELLO, 3, false, "address" },
+  { BB_MSG_PEER_ITEM, 1, true, "key" },
+  { BB_MSG_PEER_ITEM, 2, true, "revision" },
+  { BB_MSG_PEER_ITEM, 3, false, "removed" },
+  { BB_MSG_PEER_ITEM, 4, false, "value" },
+  { BB_MSG_PEER_STATE, 1, true, "revision" },
+  { BB_MSG_PEER_STATE, 2, false, "members" },
+  { BB_MSG_PEER_STATE, 3, false, "loads" },
+  { BB_MSG_PEER_STATE, 4, false, "taking" },
   { BB_MSG_MAP_SWITCH, 1, true, "type" },
   { BB_MSG_MAP_SWITCH, 2, true, "from" },
   { BB_MSG_MAP_SWITCH, 3, true, "to" },
@@ -3000,6 +3688,34 @@
   { BB_MSG_SUSPECT, 1, true, "fingerprint" },
   { BB_MSG_SUSPECT, 2, true, "event" },
   { BB_MSG_SUSPECT, 3, false, "age_ms" },
+  { BB_MSG_RANK_STATE, 1, true, "upstream" },
+  { BB_MSG_RANK_STATE, 2, false, "group" },
+  { BB_MSG_RANK_STATE, 3, true, "epoch" },
+  { BB_MSG_RANK_STATE, 4, true, "rank" },
+  { BB_MSG_RANK_STATE, 5, true, "size" },
+  { BB_MSG_RANK_STATE, 6, false, "open" },
+  { BB_MSG_RANK_STATE, 7, false, "step" },
+  { BB_MSG_RANK_STATE, 8, false, "map" },
+  { BB_MSG_RANK_STATE, 9, false, "prepared" },
+  { BB_MSG_RANK_STATE, 10, false, "armed" },
+  { BB_MSG_RANK_STATE, 11, false, "armed_step" },
+  { BB_MSG_RANK_STATE, 12, false, "held" },
+  { BB_MSG_RANK_STATE, 13, false, "counts" },
+  { BB_MSG_RANK_STATE, 14, false, "queued" },
+  { BB_MSG_RANK_STATE, 15, false, "running" },
+  { BB_MSG_RANK_STATE, 16, false, "pending" },
+  { BB_MSG_RANK_ORDER, 1, true, "id" },
+  { BB_MSG_RANK_ORDER, 2, true, "op" },
+  { BB_MSG_RANK_ORDER, 3, false, "version" },
+  { BB_MSG_RANK_ORDER, 4, false, "step" },
+  { BB_MSG_RANK_ORDER, 5, false, "epoch" },
+  { BB_MSG_RANK_ORDER, 6, false, "map" },
+  { BB_MSG_RANK_ORDER, 7, false, "sets" },
+  { BB_MSG_RANK_ORDER, 8, false, "ranks" },
+  { BB_MSG_RANK_ORDER, 9, false, "places" },
+  { BB_MSG_RANK_ORDER, 10, false, "fence" },
+  { BB_MSG_RANK_RESULT, 1, true, "id" },
+  { BB_MSG_RANK_RESULT, 2, true, "status" },
   { BB_MSG_HELLO, 1, true, "role" },
   { BB_MSG_HELLO, 2, true, "incarnation" },
   { BB_MSG_HELLO, 3, true, "name" },
