Pass answers without a length on without one; close after an answer begun before a drain

Cause: a replica that crashes closes its channel in order; an answer that ends with its channel was given a Content-Length and so looked whole.

--- a/cmd/edge/answer.c
+++ b/cmd/edge/answer.c
@@ -69,6 +69,7 @@
   bb_reply_decode (head, r->ask.id, &r->reply);
   r->status = head->status;
   r->streams = false;
+  r->framed = head->framed || (r->started && r->framed);
   if (!r->reply.same)
     {
       drop (r, BB_OUTCOME_LOST, "the answer to another request");
@@ -105,7 +106,7 @@
     return;
   if (!r->started)
     {
-      bb_h1_start (r->x, r->status, r->headers, r->headers_count);
+      bb_h1_start (r->x, r->status, r->headers, r->headers_count, r->framed);
       r->started = true;
     }
   bb_h1_write (r->x, event);
@@ -188,7 +189,7 @@
   bb_ms now = edge_now (r->edge);
 
   bb_event ("answer", "{s:s%, s:i, s:I, s:i, s:I}", "id", r->ask.id.ptr,
-            (size_t)r->ask.id.size, "status", (int)r->status, "ms",
+            (size_t)r->ask.id.size, "status", (int)r->status, "took_ms",
             (json_int_t)(now - r->read_ms), "tries", (int)r->tries,
             "last_event", (json_int_t)r->last_event);
 }
@@ -221,8 +222,14 @@
       bb_h1_write (r->x, rest);
       bb_h1_end (r->x);
     }
-  else
+  else if (r->framed)
     bb_h1_respond (r->x, r->status, r->headers, r->headers_count, rest);
+  else
+    {
+      bb_h1_start (r->x, r->status, r->headers, r->headers_count, false);
+      bb_h1_write (r->x, rest);
+      bb_h1_end (r->x);
+    }
   request_release (r);
   request_free (r);
   line_run (l);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -90,6 +90,7 @@
   uv_timer_t *timer;
   /* Of the answer.  */
   bool started; /* the head was passed on */
+  bool framed;  /* the end of the answer is told */
   bool streams; /* an event stream */
   uint16_t status;
   struct bb_reply reply;
--- a/cmd/edge/refuse.c
+++ b/cmd/edge/refuse.c
@@ -19,7 +19,7 @@
   bb_count_refusal (why);
   bb_event ("refuse", "{s:s%, s:i, s:s, s:I, s:I, s:i, s:i}", "id",
             r->ask.id.ptr ? r->ask.id.ptr : "", (size_t)r->ask.id.size,
-            "status", (int)status, "reason", bb_reason_name (why), "ms",
+            "status", (int)status, "reason", bb_reason_name (why), "took_ms",
             (json_int_t)(now - r->read_ms), "back_in_ms",
             (json_int_t)back_in_ms, "tries", (int)r->tries, "runs",
             (int)r->runs);
@@ -55,7 +55,7 @@
 {
   bb_count_refusal (why);
   bb_event ("break_off", "{s:s%, s:s, s:I, s:i, s:I}", "id", r->ask.id.ptr,
-            (size_t)r->ask.id.size, "reason", bb_reason_name (why), "ms",
+            (size_t)r->ask.id.size, "reason", bb_reason_name (why), "took_ms",
             (json_int_t)(edge_now (r->edge) - r->read_ms), "tries",
             (int)r->tries, "last_event", (json_int_t)r->last_event);
   bb_h1_abort (r->x);
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -24,6 +24,7 @@
   struct bb_bytes method; /* of a request */
   struct bb_bytes target; /* of a request: path and query */
   uint16_t status;        /* of an answer */
+  bool framed; /* the body's end is told; else it ends with the channel */
   struct bb_header headers[BB_H1_HEADERS_MAX];
   uint32_t headers_count;
   struct bb_bytes body; /* of a request, whole */
@@ -83,9 +84,12 @@
                     const struct bb_header *headers, uint32_t count,
                     struct bb_bytes body);
 
-/* Starts an answer whose body follows in pieces, sent as chunks.  */
+/* Starts an answer whose body follows in pieces: as chunks where FRAMED, else
+   up to the end of the channel, so that it looks no more whole than its
+   source did.  */
 void bb_h1_start (struct bb_h1_exchange *x, uint16_t status,
-                  const struct bb_header *headers, uint32_t count);
+                  const struct bb_header *headers, uint32_t count,
+                  bool framed);
 void bb_h1_write (struct bb_h1_exchange *x, struct bb_bytes piece);
 
 /* Ends the answer and the exchange.  */
--- a/libh1/reader.c
+++ b/libh1/reader.c
@@ -132,6 +132,15 @@
     }
 }
 
+/* Whether the end of the body is told by the message itself.  */
+static bool
+is_framed (const http_parser *p)
+{
+  return (p->flags & F_CHUNKED) != 0 || p->content_length != UINT64_MAX
+         || p->status_code == HTTP_STATUS_NO_CONTENT
+         || p->status_code == HTTP_STATUS_NOT_MODIFIED;
+}
+
 static int
 on_headers (http_parser *p)
 {
@@ -139,6 +148,7 @@
 
   h1_text_add (&r->head, "", 0);
   make_message (r);
+  r->message.framed = is_framed (p);
   p->upgrade = 0;
   return r->ops->on_head (r, r->user) ? 1 : 0;
 }
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -82,6 +82,17 @@
   uv_close ((uv_handle_t *)&c->tcp, on_closed);
 }
 
+/* Closes the channel so that the caller sees a reset.  */
+static void
+reset_channel (struct channel *c)
+{
+  c->closing = true;
+  DL_DELETE (c->server->channels, c);
+  c->server->count--;
+  if (uv_tcp_close_reset (&c->tcp, on_closed) < 0)
+    uv_close ((uv_handle_t *)&c->tcp, on_closed);
+}
+
 static void
 on_shutdown (uv_shutdown_t *req, int status)
 {
@@ -175,7 +186,8 @@
 {
   c->answering = false;
   c->started = false;
-  if (c->last)
+  /* An answer that was begun before the drain could not say so.  */
+  if (c->last || c->server->draining)
     {
       end_channel (c);
       return;
@@ -205,13 +217,13 @@
 
 void
 bb_h1_start (struct bb_h1_exchange *x, uint16_t status,
-             const struct bb_header *headers, uint32_t count)
+             const struct bb_header *headers, uint32_t count, bool framed)
 {
   struct channel *c = channel_of (x);
   struct h1_text out = { 0 };
 
   /* A caller of HTTP/1.0 reads up to the end of the channel.  */
-  c->chunked = c->reader.parser.http_minor > 0;
+  c->chunked = framed && c->reader.parser.http_minor > 0;
   if (!c->chunked)
     c->last = true;
   print_head (c, &out, status, headers, count);
@@ -255,7 +267,13 @@
   struct channel *c = channel_of (x);
 
   c->answering = false;
-  close_channel (c);
+  if (c->closing)
+    return;
+  /* Without chunks a plain close would look like the end of the body.  */
+  if (c->started && !c->chunked)
+    reset_channel (c);
+  else
+    close_channel (c);
 }
 
 size_t
