--- /dev/null
+++ b/cmd/rank/leader.c
@@ -0,0 +1,453 @@
+/* Takes the states of all ranks, and drives the switch of maps.  */
+
+#include "rank.h"
+
+#include "bilberry/settings.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+enum
+{
+  PLAN_EVERY_MS = 100,
+  SILENT_MS = 700,      /* of a member */
+  REMOTE_AFTER_MS = 600 /* a rank without agent is asked from afar */
+};
+
+/* A member's connection.  */
+struct follower
+{
+  struct bb_conn *conn;
+  char *host;
+  bool named;
+  uint32_t rank;
+  bb_ms heard_ms;
+  struct follower *prev;
+  struct follower *next;
+};
+
+/* An order that waits for its result.  */
+struct order
+{
+  uint64_t id;
+  uint32_t rank;
+  struct bb_lead_order what;
+};
+
+struct leader
+{
+  struct agent *agent;
+  struct bb_listener *listener;
+  struct follower *followers;
+  struct bb_lead lead;
+  bool leading; /* the state of the switch is set up */
+  char group[64];
+  bb_ms planned_ms;
+  uint64_t orders;     /* given */
+  GHashTable *waiting; /* orders by id */
+  uint64_t fence;
+  enum bb_lead_phase told; /* phase last logged */
+  GHashTable *remotes;     /* rank to address of those without agent */
+};
+
+static struct leader leader;
+
+static void
+note_phase (struct leader *l)
+{
+  const struct bb_lead *d = &l->lead;
+
+  if (d->phase == l->told)
+    return;
+  l->told = d->phase;
+  bb_event ("switch", "{s:s, s:I, s:I, s:I, s:i, s:i}", "phase",
+            bb_lead_phase_name (d->phase), "version", (json_int_t)d->version,
+            "step", (json_int_t)d->step, "epoch", (json_int_t)d->epoch,
+            "switches", (int)d->switches, "abandoned", (int)d->abandoned);
+}
+
+static void
+take_result (uint64_t id, uint16_t status)
+{
+  struct leader *l = &leader;
+  struct order *o = g_hash_table_lookup (l->waiting, &id);
+
+  if (!o)
+    return;
+  if (l->leading)
+    {
+      if (status != 200 && status != 202)
+        bb_event ("order_refused", "{s:i, s:i, s:i, s:I, s:I}", "op",
+                  (int)o->what.op, "rank", (int)o->rank, "status", (int)status,
+                  "version", (json_int_t)o->what.version, "step",
+                  (json_int_t)o->what.step);
+      bb_lead_result (&l->lead, o->rank, &o->what, status,
+                      agent_now (l->agent));
+      note_phase (l);
+    }
+  g_hash_table_remove (l->waiting, &id);
+}
+
+static void
+on_direct_result (uint16_t status, void *user)
+{
+  uint64_t *id = user;
+
+  take_result (*id, status);
+  g_free (id);
+}
+
+static struct follower *
+follower_of (uint32_t rank)
+{
+  struct follower *f;
+
+  DL_FOREACH (leader.followers, f)
+  if (f->named && f->rank == rank)
+    return f;
+  return NULL;
+}
+
+static enum bb_order_op
+op_of (enum bb_lead_op op)
+{
+  static const enum bb_order_op ops[]
+      = { BB_ORDER_PREPARE, BB_ORDER_ARM, BB_ORDER_HOLD, BB_ORDER_GO };
+
+  return ops[op];
+}
+
+static void
+order_follower (struct follower *f, const struct order *o)
+{
+  const struct bb_group_size *s = &leader.lead.size;
+  struct bb_rank_order m = { .id = o->id,
+                             .op = (uint8_t)op_of (o->what.op),
+                             .version = o->what.version,
+                             .step = o->what.step,
+                             .epoch = o->what.epoch,
+                             .fence = leader.fence,
+                             .sets = s->sets,
+                             .ranks = s->ranks,
+                             .places = s->places };
+
+  if (o->what.map)
+    {
+      m.map.ptr = (const char *)o->what.map;
+      m.map.size = (uint32_t)(bb_group_places (s) * sizeof (uint16_t));
+    }
+  bb_put_rank_order (bb_conn_out (f->conn), &m);
+}
+
+static void
+order_direct (const char *address, const struct order *o)
+{
+  const struct bb_group_size *s = &leader.lead.size;
+  struct bb_order d = { .op = op_of (o->what.op),
+                        .version = o->what.version,
+                        .step = o->what.step,
+                        .epoch = o->what.epoch,
+                        .fence = leader.fence,
+                        .map = o->what.map,
+                        .sets = s->sets,
+                        .ranks = s->ranks,
+                        .places = s->places };
+
+  remote_order (leader.agent, address, &d, on_direct_result,
+                g_memdup2 (&o->id, sizeof o->id));
+}
+
+static void
+give_order (uint32_t rank, const struct bb_lead_order *what, void *user)
+{
+  struct leader *l = user;
+  struct order *o = g_new0 (struct order, 1);
+  struct follower *f = follower_of (rank);
+  const char *address;
+
+  o->id = ++l->orders;
+  o->rank = rank;
+  o->what = *what;
+  g_hash_table_insert (l->waiting, &o->id, o);
+  if (rank == l->lead.self)
+    order_direct (l->agent->start->upstream, o);
+  else if (f)
+    order_follower (f, o);
+  else if ((address
+            = g_hash_table_lookup (l->remotes, GUINT_TO_POINTER (rank))))
+    order_direct (address, o);
+}
+
+/* Sets the switch up once the sizes are known.  */
+static bool
+set_up (struct leader *l, uint32_t ranks, uint32_t self)
+{
+  const struct bb_pool *p = l->agent->pool;
+  struct bb_group_size size;
+
+  if (l->leading)
+    return true;
+  if (!p || ranks == 0 || ranks > RANKS_MAX
+      || p->engine.sets * p->engine.experts > COUNTS_MAX)
+    return false;
+  size = (struct bb_group_size){ .sets = p->engine.sets,
+                                 .experts = p->engine.experts,
+                                 .ranks = ranks,
+                                 .places = p->engine.places,
+                                 .spare = p->engine.spare };
+  bb_lead_init (&l->lead, &size, self, give_order, l);
+  plan_reset ();
+  l->leading = true;
+  bb_event ("leads", "{s:i, s:i}", "ranks", (int)ranks, "self", (int)self);
+  return true;
+}
+
+static void
+take_state (struct leader *l, const struct bb_rank_state *m, bool attached)
+{
+  struct bb_lead_rank k = { .attached = attached,
+                            .open = m->open,
+                            .epoch = m->epoch,
+                            .step = m->step,
+                            .map = m->map,
+                            .prepared = m->prepared,
+                            .armed = m->armed,
+                            .armed_step = m->armed_step,
+                            .held = m->held,
+                            .lists_version = m->lists_version };
+  const struct bb_group_size *s = &l->lead.size;
+  size_t row = (size_t)s->sets * s->places * sizeof (uint16_t);
+  bb_ms now = agent_now (l->agent);
+
+  if (!l->leading || m->size != s->ranks || m->rank >= s->ranks)
+    return;
+  bb_lead_state (&l->lead, m->rank, &k,
+                 m->lists.size == row ? (const uint16_t *)m->lists.ptr : NULL,
+                 now);
+  if (m->counts.size > 0)
+    {
+      uint32_t *deltas = g_memdup2 (m->counts.ptr, m->counts.size);
+      plan_counts (deltas, m->counts.size / (uint32_t)sizeof *deltas, now);
+      g_free (deltas);
+    }
+  bb_lead_tick (&l->lead, now);
+  note_phase (l);
+}
+
+void
+leader_take_own (struct agent *a, const struct bb_rank_state *m)
+{
+  if (!member_leads ())
+    return;
+  if (set_up (&leader, m->size, m->rank))
+    {
+      leader.lead.self = m->rank;
+      take_state (&leader, m, true);
+    }
+  (void)a;
+}
+
+/* Members.  */
+
+static void
+on_message (struct bb_conn *c, const struct bb_message *m)
+{
+  struct follower *f = bb_conn_user (c);
+  struct bb_rank_result ping = { 0 };
+
+  f->heard_ms = agent_now (leader.agent);
+  if (m->type == BB_MSG_RANK_STATE)
+    {
+      f->named = true;
+      f->rank = m->u.rank_state.rank;
+      g_free (f->host);
+      f->host = g_strndup (m->u.rank_state.upstream.ptr,
+                           m->u.rank_state.upstream.size);
+      take_state (&leader, &m->u.rank_state, true);
+      /* Shows the member that its leader lives.  */
+      bb_put_rank_result (bb_conn_out (c), &ping);
+    }
+  else if (m->type == BB_MSG_RANK_RESULT)
+    take_result (m->u.rank_result.id, m->u.rank_result.status);
+}
+
+static void
+on_open (struct bb_conn *c)
+{
+  struct follower *f = g_new0 (struct follower, 1);
+
+  f->conn = c;
+  f->heard_ms = agent_now (leader.agent);
+  DL_APPEND (leader.followers, f);
+  bb_conn_set_user (c, f);
+}
+
+static void
+on_close (struct bb_conn *c, const char *why)
+{
+  struct follower *f = bb_conn_user (c);
+
+  bb_event ("follower_lost", "{s:i, s:s}", "rank", (int)f->rank, "why", why);
+  if (leader.leading && f->named && f->rank < leader.lead.size.ranks)
+    leader.lead.ranks[f->rank].attached = false;
+  DL_DELETE (leader.followers, f);
+  g_free (f->host);
+  g_free (f);
+}
+
+const struct bb_conn_ops leader_ops = { on_message, on_open, on_close };
+
+/* Ranks without agent.  */
+
+struct far
+{
+  char *address;
+};
+
+static void
+on_far_report (const struct bb_rank_report *r, void *user)
+{
+  struct far *far = user;
+  struct leader *l = &leader;
+  struct bb_rank_state m = { 0 };
+
+  if (r && r->grouped && l->leading)
+    {
+      m.epoch = r->epoch;
+      m.rank = r->rank;
+      m.size = r->size;
+      m.open = r->open;
+      m.step = r->step;
+      m.map = r->map;
+      m.prepared = r->prepared;
+      m.armed = r->armed;
+      m.armed_step = r->armed_step;
+      m.held = r->held;
+      g_hash_table_replace (l->remotes, GUINT_TO_POINTER (r->rank),
+                            g_strdup (far->address));
+      take_state (l, &m, false);
+    }
+  g_free (far->address);
+  g_free (far);
+}
+
+static bool
+has_agent (const struct leader *l, const char *address)
+{
+  size_t n = strlen (l->agent->host);
+  const struct follower *f;
+
+  if (strncmp (address, l->agent->host, n) == 0 && address[n] == ':')
+    return true;
+  DL_FOREACH (l->followers, f)
+  if (f->host && strncmp (address, f->host, strlen (f->host)) == 0
+      && address[strlen (f->host)] == ':')
+    return true;
+  return false;
+}
+
+static void
+ask_far (struct leader *l)
+{
+  static bb_ms asked_ms;
+  bb_ms now = agent_now (l->agent);
+  GHashTableIter it;
+  void *address;
+
+  if (now - asked_ms < REMOTE_AFTER_MS / 2)
+    return;
+  asked_ms = now;
+  g_hash_table_iter_init (&it, l->agent->fellows);
+  while (g_hash_table_iter_next (&it, NULL, &address))
+    {
+      struct far *far;
+      if (has_agent (l, address))
+        continue;
+      far = g_new0 (struct far, 1);
+      far->address = g_strdup (address);
+      remote_ask (l->agent, address, on_far_report, far);
+    }
+}
+
+/* Planning.  */
+
+static void
+plan (struct leader *l)
+{
+  bb_ms now = agent_now (l->agent);
+  struct bb_climb_plan p;
+  uint16_t *next;
+
+  if (!l->agent->pool || now - l->planned_ms < PLAN_EVERY_MS
+      || !bb_lead_is_ready (&l->lead, now))
+    return;
+  l->planned_ms = now;
+  next = g_new (uint16_t, bb_group_places (&l->lead.size));
+  if (plan_next (&l->agent->pool->engine, &l->lead, next, now, &p))
+    {
+      bb_event ("plan", "{s:f, s:f, s:i, s:i}", "before", p.before, "after",
+                p.after, "copies", (int)p.copies, "copies_most",
+                (int)p.copies_most);
+      bb_lead_begin (&l->lead, next, now);
+      note_phase (l);
+    }
+  g_free (next);
+}
+
+void
+leader_tick (struct agent *a)
+{
+  struct leader *l = &leader;
+  bb_ms now = agent_now (a);
+  struct follower *f;
+  struct follower *tmp;
+
+  DL_FOREACH_SAFE (l->followers, f, tmp)
+  if (now - f->heard_ms > SILENT_MS)
+    bb_conn_close (f->conn, "silent");
+  if (!l->leading || !member_leads ())
+    return;
+  ask_far (l);
+  bb_lead_tick (&l->lead, now);
+  note_phase (l);
+  plan (l);
+}
+
+void
+leader_stop (struct agent *a)
+{
+  struct leader *l = &leader;
+
+  (void)a;
+  if (!l->leading)
+    return;
+  bb_event ("leads_no_more", "{s:s}", "phase",
+            bb_lead_phase_name (l->lead.phase));
+  l->leading = false;
+  bb_lead_free (&l->lead);
+  g_hash_table_remove_all (l->waiting);
+}
+
+void
+leader_start (struct agent *a)
+{
+  struct leader *l = &leader;
+  char *address = g_strdup_printf ("%s:%u", a->start->ip,
+                                   (unsigned)a->start->port_first);
+  struct sockaddr_storage addr;
+  int error = UV_EINVAL;
+
+  l->agent = a;
+  l->fence = 1;
+  l->waiting
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  l->remotes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  if (bb_address_parse (address, &addr))
+    l->listener = bb_listener_open (a->loop, &addr, &leader_ops, l, &error);
+  if (!l->listener)
+    bb_event ("cannot_listen", "{s:s, s:s}", "address", address, "why",
+              uv_strerror (error));
+  g_free (address);
+}
--- /dev/null
+++ b/cmd/rank/main.c
@@ -0,0 +1,107 @@
+/* bilberry-rank: starts and stops.  */
+
+#include "rank.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct agent agent;
+static uv_signal_t signals[2];
+static uv_timer_t tick;
+
+enum
+{
+  TICK_MS = 50
+};
+
+bb_ms
+agent_now (const struct agent *a)
+{
+  return (bb_ms)uv_now (a->loop);
+}
+
+static void
+on_ask (uv_timer_t *t)
+{
+  struct agent *a = t->data;
+
+  own_ask (a);
+  uv_timer_start (t, on_ask, a->busy ? BUSY_EVERY_MS : IDLE_EVERY_MS, 0);
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct agent *a = t->data;
+
+  member_tick (a);
+  leader_tick (a);
+}
+
+static void
+on_term (uv_signal_t *s, int number)
+{
+  (void)s;
+  bb_event ("stop", "{s:i}", "signal", number);
+  exit (EXIT_SUCCESS);
+}
+
+static bool
+read_settings (struct agent *a)
+{
+  const char *path = bb_start_path ();
+  char *why = NULL;
+  const char *colon;
+
+  if (!path)
+    {
+      fprintf (stderr, "bilberry-rank: the environment names no settings\n");
+      return false;
+    }
+  a->start = bb_start_read (path, &why);
+  if (a->start && (!a->start->upstream || !a->start->pool))
+    why = g_strdup ("app or service is missing");
+  if (why)
+    {
+      fprintf (stderr, "bilberry-rank: %s: %s\n", path, why);
+      g_free (why);
+      return false;
+    }
+  colon = strrchr (a->start->upstream, ':');
+  a->host = colon ? g_strndup (a->start->upstream,
+                               (gsize)(colon - a->start->upstream))
+                  : g_strdup (a->start->upstream);
+  return true;
+}
+
+int
+main (void)
+{
+  struct agent *a = &agent;
+
+  a->loop = uv_default_loop ();
+  if (!read_settings (a))
+    return EXIT_FAILURE;
+  bb_event ("start", "{s:s, s:s, s:s}", "name", a->start->name, "version",
+            BB_VERSION, "upstream", a->start->upstream);
+  signal (SIGPIPE, SIG_IGN);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      uv_signal_init (a->loop, &signals[i]);
+      uv_signal_start (&signals[i], on_term, i == 0 ? SIGTERM : SIGINT);
+    }
+  if (!view_start (a))
+    return EXIT_FAILURE;
+  own_start (a);
+  member_start (a);
+  uv_timer_init (a->loop, &a->timer);
+  a->timer.data = a;
+  uv_timer_start (&a->timer, on_ask, 0, 0);
+  uv_timer_init (a->loop, &tick);
+  tick.data = a;
+  uv_timer_start (&tick, on_tick, TICK_MS, TICK_MS);
+  return uv_run (a->loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/cmd/rank/member.c
@@ -0,0 +1,233 @@
+/* Finds the agent that leads: the first in the order of hosts that can be
+   reached.  Each agent is the member of one leader at a time and takes orders
+   of no other.  */
+
+#include "rank.h"
+
+#include "bilberry/settings.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RETRY_MS = 500, /* between tries to reach an agent that comes before */
+  DIAL_MAX_MS = 300,
+  SILENT_MS = 700 /* of a leader, which answers each state */
+};
+
+/* The connection to a leader or to one that may be.  */
+struct link
+{
+  struct bb_conn *conn;
+  char *host;
+  bool open;
+  bb_ms since_ms;
+  bb_ms heard_ms;
+};
+
+struct member
+{
+  struct agent *agent;
+  struct link *leader; /* attached to; NULL: this process leads */
+  struct link *dialled;
+  GHashTable *tried; /* host to time of the last try */
+};
+
+static struct member member;
+
+/* An order on its way to the own rank.  */
+struct order
+{
+  struct link *link;
+  uint64_t id;
+};
+
+bool
+member_leads (void)
+{
+  return !member.leader && !member.dialled;
+}
+
+static void
+on_result (uint16_t status, void *user)
+{
+  struct order *o = user;
+  struct bb_rank_result m = { .id = o->id, .status = status };
+
+  if (member.leader == o->link && o->link)
+    bb_put_rank_result (bb_conn_out (o->link->conn), &m);
+  g_free (o);
+}
+
+static void
+take_order (struct link *l, const struct bb_rank_order *m)
+{
+  struct bb_order o = { .op = (enum bb_order_op)m->op,
+                        .version = m->version,
+                        .step = m->step,
+                        .epoch = m->epoch,
+                        .fence = m->fence,
+                        .sets = m->sets,
+                        .ranks = m->ranks,
+                        .places = m->places };
+  size_t places = (size_t)m->sets * m->ranks * m->places;
+  uint16_t *map = NULL;
+  struct order *order;
+
+  if (m->op >= BB_ORDERS
+      || (o.op == BB_ORDER_PREPARE && m->map.size != places * sizeof *map))
+    {
+      bb_event ("order_malformed", "{s:i}", "op", (int)m->op);
+      return;
+    }
+  if (o.op == BB_ORDER_PREPARE)
+    {
+      map = g_memdup2 (m->map.ptr, m->map.size);
+      o.map = map;
+    }
+  order = g_new0 (struct order, 1);
+  order->link = l;
+  order->id = m->id;
+  own_order (member.agent, &o, on_result, order);
+  g_free (map);
+}
+
+static void
+on_message (struct bb_conn *c, const struct bb_message *m)
+{
+  struct link *l = bb_conn_user (c);
+
+  l->heard_ms = agent_now (member.agent);
+  if (m->type == BB_MSG_RANK_ORDER && l == member.leader)
+    take_order (l, &m->u.rank_order);
+}
+
+static void
+on_open (struct bb_conn *c)
+{
+  struct link *l = bb_conn_user (c);
+
+  if (l != member.dialled)
+    return;
+  if (member.leader)
+    bb_conn_close (member.leader->conn, "another leads");
+  else
+    leader_stop (member.agent);
+  member.leader = l;
+  member.dialled = NULL;
+  l->open = true;
+  l->heard_ms = agent_now (member.agent);
+  bb_event ("leader", "{s:s}", "host", l->host);
+  member_tell (member.agent);
+}
+
+static void
+on_close (struct bb_conn *c, const char *why)
+{
+  struct link *l = bb_conn_user (c);
+
+  if (l == member.leader)
+    {
+      member.leader = NULL;
+      bb_event ("leader_lost", "{s:s, s:s}", "host", l->host, "why", why);
+    }
+  if (l == member.dialled)
+    member.dialled = NULL;
+  g_free (l->host);
+  g_free (l);
+}
+
+static const struct bb_conn_ops ops = { on_message, on_open, on_close };
+
+static void
+dial (struct agent *a, const char *host)
+{
+  char *address
+      = g_strdup_printf ("%s:%u", host, (unsigned)a->start->port_first);
+  struct sockaddr_storage addr;
+  struct link *l;
+  int64_t *at = g_new (int64_t, 1);
+
+  *at = agent_now (a);
+  g_hash_table_replace (member.tried, g_strdup (host), at);
+  if (bb_address_parse (address, &addr))
+    {
+      l = g_new0 (struct link, 1);
+      l->host = g_strdup (host);
+      l->since_ms = agent_now (a);
+      member.dialled = l;
+      l->conn = bb_conn_connect (a->loop, &addr, &ops, l);
+    }
+  g_free (address);
+}
+
+static bool
+was_tried_lately (const struct agent *a, const char *host)
+{
+  const int64_t *at = g_hash_table_lookup (member.tried, host);
+
+  return at && agent_now (a) - *at < RETRY_MS;
+}
+
+/* Tries the agents that come before the present leader, or before this
+   one.  */
+static void
+look_for_leader (struct agent *a)
+{
+  GPtrArray *hosts = view_hosts (a);
+
+  for (guint i = 0; i < hosts->len; i++)
+    {
+      const char *host = g_ptr_array_index (hosts, i);
+      if (strcmp (host, a->host) == 0
+          || (member.leader && strcmp (host, member.leader->host) == 0))
+        break;
+      if (was_tried_lately (a, host))
+        continue;
+      dial (a, host);
+      break;
+    }
+  g_ptr_array_unref (hosts);
+}
+
+void
+member_tick (struct agent *a)
+{
+  bb_ms now = agent_now (a);
+
+  if (member.leader && now - member.leader->heard_ms > SILENT_MS)
+    bb_conn_close (member.leader->conn, "silent");
+  if (member.dialled && now - member.dialled->since_ms > DIAL_MAX_MS)
+    bb_conn_close (member.dialled->conn, "not reached");
+  if (!member.dialled)
+    look_for_leader (a);
+}
+
+void
+member_tell (struct agent *a)
+{
+  struct bb_rank_state m;
+
+  if (!a->own.known)
+    return;
+  own_fill (a, &m);
+  if (member.leader)
+    bb_put_rank_state (bb_conn_out (member.leader->conn), &m);
+  else
+    leader_take_own (a, &m);
+  memset (a->own.deltas, 0, sizeof a->own.deltas);
+  a->busy = a->own.report.prepared > a->own.report.map
+            || a->own.report.held > 0 || a->own.report.armed > 0;
+}
+
+bool
+member_start (struct agent *a)
+{
+  member.agent = a;
+  member.tried
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  leader_start (a);
+  return true;
+}
--- /dev/null
+++ b/cmd/rank/own.c
@@ -0,0 +1,243 @@
+/* Asks the own rank for its report, its counts and its part of the map.  */
+
+#include "rank.h"
+
+#include "bilberry/settings.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 250,
+  ASK_TIMEOUT_MS = 300,
+  KEPT_IDLE_MAX_MS = 1500
+};
+
+/* The questions, asked one after the other.  */
+enum question
+{
+  ASK_REPORT,
+  ASK_COUNTS,
+  ASK_LISTS,
+  QUESTIONS
+};
+
+struct asking
+{
+  struct agent *agent;
+  struct bb_h1_pool *pool;
+  struct bb_h1_call *call;
+  uv_timer_t timer;
+  enum question question;
+  GByteArray *body;
+  uint16_t status;
+  bb_ms since_ms;
+};
+
+static struct asking asking;
+
+static void ask (enum question q);
+
+static void
+take_counts (struct own *o, const struct bb_counts *c)
+{
+  bool anew = c->epoch != o->counts_epoch || c->count != o->counts_count;
+
+  if (c->count > COUNTS_MAX)
+    return;
+  for (uint32_t i = 0; i < c->count; i++)
+    {
+      uint32_t before = anew || c->values[i] < o->counts[i] ? 0 : o->counts[i];
+      o->deltas[i] += anew ? 0 : c->values[i] - before;
+      o->counts[i] = c->values[i];
+    }
+  o->counts_count = c->count;
+  o->counts_epoch = c->epoch;
+}
+
+static void
+take_report (struct own *o, struct bb_bytes body, bb_ms now)
+{
+  struct bb_rank_report r;
+
+  if (!bb_rank_report_decode (body, &r))
+    {
+      bb_event ("report_unreadable", "{s:i}", "bytes", (int)body.size);
+      return;
+    }
+  if (r.epoch != o->report.epoch)
+    o->lists_known = false;
+  o->report = r;
+  o->known = r.grouped;
+  o->heard_ms = now;
+}
+
+static void
+take (struct asking *k)
+{
+  struct own *o = &k->agent->own;
+  struct bb_bytes body = { (const char *)k->body->data, k->body->len };
+  struct bb_counts counts;
+
+  if (k->question == ASK_REPORT)
+    take_report (o, body, agent_now (k->agent));
+  else if (k->question == ASK_COUNTS)
+    {
+      if (bb_counts_decode (body, &counts))
+        take_counts (o, &counts);
+      free (counts.values);
+    }
+  else if (bb_lists_decode (body, &o->lists_version, o->lists, COUNTS_MAX,
+                            k->agent->pool ? k->agent->pool->engine.places : 0,
+                            &o->lists_count))
+    {
+      o->lists_known = true;
+      o->lists_epoch = o->report.epoch;
+    }
+}
+
+/* Whether the part of the map has to be asked for.  */
+static bool
+wants_lists (const struct agent *a)
+{
+  const struct own *o = &a->own;
+
+  return o->known && a->pool
+         && (!o->lists_known || o->lists_epoch != o->report.epoch
+             || o->lists_version != o->report.map);
+}
+
+static void
+next (struct asking *k)
+{
+  struct agent *a = k->agent;
+
+  uv_timer_stop (&k->timer);
+  k->call = NULL;
+  if (k->question == ASK_REPORT && !a->busy && a->own.known)
+    ask (ASK_COUNTS);
+  else if (k->question != ASK_LISTS && wants_lists (a))
+    ask (ASK_LISTS);
+  else
+    member_tell (a);
+}
+
+static void
+on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
+{
+  (void)c;
+  (void)user;
+  asking.status = head->status;
+}
+
+static void
+on_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
+{
+  (void)c;
+  (void)user;
+  g_byte_array_append (asking.body, (const guint8 *)piece.ptr, piece.size);
+}
+
+static void
+on_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
+{
+  struct asking *k = &asking;
+
+  (void)c;
+  (void)user;
+  if (how == BB_H1_WHOLE && k->status == 200)
+    take (k);
+  next (k);
+}
+
+static const struct bb_h1_call_ops ops = { on_head, on_data, on_end };
+
+static void
+on_timeout (uv_timer_t *t)
+{
+  struct asking *k = t->data;
+
+  if (k->call)
+    bb_h1_cancel (k->call);
+  k->call = NULL;
+  member_tell (k->agent);
+}
+
+static void
+ask (enum question q)
+{
+  struct asking *k = &asking;
+  struct bb_h1_out out = { .method = bb_bytes_of ("GET"),
+                           .host = bb_bytes_of (k->agent->start->upstream),
+                           .idle_max_ms = KEPT_IDLE_MAX_MS };
+  const char *const targets[QUESTIONS]
+      = { bb_report_target, bb_counts_target, bb_lists_target };
+
+  out.target = bb_bytes_of (targets[q]);
+  k->question = q;
+  k->status = 0;
+  k->since_ms = agent_now (k->agent);
+  g_byte_array_set_size (k->body, 0);
+  uv_timer_start (&k->timer, on_timeout, ASK_TIMEOUT_MS, 0);
+  k->call = bb_h1_call (k->pool, &out, &ops, k);
+}
+
+void
+own_ask (struct agent *a)
+{
+  (void)a;
+  if (!asking.call)
+    ask (ASK_REPORT);
+}
+
+void
+own_order (struct agent *a, const struct bb_order *o, own_fn *fn, void *user)
+{
+  remote_order (a, a->start->upstream, o, fn, user);
+}
+
+void
+own_fill (struct agent *a, struct bb_rank_state *m)
+{
+  struct own *o = &a->own;
+  const struct bb_rank_report *r = &o->report;
+
+  memset (m, 0, sizeof *m);
+  m->upstream = bb_bytes_of (a->host);
+  m->group = bb_bytes_of (r->group);
+  m->epoch = r->epoch;
+  m->rank = r->rank;
+  m->size = r->size;
+  m->open = r->open;
+  m->step = r->step;
+  m->map = r->map;
+  m->prepared = r->prepared;
+  m->armed = r->armed;
+  m->armed_step = r->armed_step;
+  m->held = r->held;
+  m->queued = r->queued;
+  m->running = r->running;
+  m->counts.ptr = (const char *)o->deltas;
+  m->counts.size = o->counts_count * (uint32_t)sizeof *o->deltas;
+  if (o->lists_known && o->lists_epoch == r->epoch)
+    {
+      m->lists.ptr = (const char *)o->lists;
+      m->lists.size = o->lists_count * (uint32_t)sizeof *o->lists;
+      m->lists_version = o->lists_version;
+    }
+}
+
+void
+own_start (struct agent *a)
+{
+  struct sockaddr_storage addr;
+
+  asking.agent = a;
+  asking.body = g_byte_array_new ();
+  if (bb_address_parse (a->start->upstream, &addr))
+    asking.pool = bb_h1_pool_new (a->loop, &addr, CONNECT_TIMEOUT_MS);
+  uv_timer_init (a->loop, &asking.timer);
+  asking.timer.data = &asking;
+}
--- /dev/null
+++ b/cmd/rank/rank.h
@@ -0,0 +1,108 @@
+#ifndef RANK_H
+#define RANK_H
+
+/* bilberry-rank - runs beside an engine that is a rank of a group.  Reads its
+   rank's report and counts, and gives it orders.  One of the agents leads: it
+   plans expert maps and brings all ranks to them.
+
+   main.c starts; view.c learns the fleet from an entry; own.c asks the own
+   rank; member.c keeps the connection to the leader; leader.c takes the
+   members' states and drives the switch; plan.c decides on a map; remote.c
+   reaches ranks that have no agent.  Each calls only those after it.  */
+
+#include "bilberry/group.h"
+#include "bilberry/peer.h"
+#include "bilberry/platform.h"
+
+enum
+{
+  RANKS_MAX = BB_LEAD_RANKS_MAX,
+  COUNTS_MAX = 8192, /* of a rank: sets times experts */
+  IDLE_EVERY_MS = 100,
+  BUSY_EVERY_MS = 20 /* while a switch is under way */
+};
+
+/* What the own rank last said, ready to be told.  */
+struct own
+{
+  struct bb_rank_report report;
+  bool known;
+  bb_ms heard_ms;
+  uint32_t counts[COUNTS_MAX]; /* since the rank started */
+  uint32_t deltas[COUNTS_MAX]; /* since they were last told */
+  uint32_t counts_count;
+  uint64_t counts_epoch;
+  uint16_t lists[COUNTS_MAX];
+  uint32_t lists_count;
+  uint64_t lists_version;
+  uint64_t lists_epoch;
+  bool lists_known;
+};
+
+struct agent
+{
+  uv_loop_t *loop;
+  struct bb_start *start;
+  struct bb_view *view;
+  struct bb_peers *peers;
+  struct bb_config *config;
+  const struct bb_pool *pool; /* of the configuration; NULL: not known */
+  GHashTable *fellows;        /* address of each upstream of the pool, by id */
+  char *host;                 /* of the own upstream */
+  struct own own;
+  uv_timer_t timer;
+  bool busy; /* a switch is under way */
+  bb_ms boot_skew_ms;
+};
+
+bb_ms agent_now (const struct agent *a);
+
+/* view.c */
+bool view_start (struct agent *a);
+/* Returns the hosts of the pool's upstreams, in order; freed by the caller
+   with g_ptr_array_unref.  */
+GPtrArray *view_hosts (const struct agent *a);
+
+/* own.c */
+typedef void own_fn (uint16_t status, void *user);
+void own_start (struct agent *a);
+void own_ask (struct agent *a);
+/* Gives the own rank an order; FN is told the status, 0 without answer.  */
+void own_order (struct agent *a, const struct bb_order *o, own_fn *fn,
+                void *user);
+/* Fills M from what the own rank said, and forgets the told counts.  */
+void own_fill (struct agent *a, struct bb_rank_state *m);
+
+/* member.c */
+bool member_start (struct agent *a);
+void member_tick (struct agent *a);
+/* Sends the own state to the leader, which may be this process.  */
+void member_tell (struct agent *a);
+bool member_leads (void);
+
+/* leader.c */
+void leader_start (struct agent *a);
+bool leader_accepts (struct agent *a);
+void leader_take_own (struct agent *a, const struct bb_rank_state *m);
+void leader_tick (struct agent *a);
+void leader_stop (struct agent *a);
+extern const struct bb_conn_ops leader_ops;
+
+/* plan.c */
+/* Takes the counts of one rank since its last state.  */
+void plan_counts (const uint32_t *deltas, uint32_t count, bb_ms now);
+void plan_reset (void);
+/* Writes the map to switch to; false where none pays.  */
+bool plan_next (const struct bb_engine *e, struct bb_lead *l, uint16_t *next,
+                bb_ms now, struct bb_climb_plan *plan);
+
+/* remote.c */
+/* Asks the upstream at ADDRESS for its report.  */
+typedef void remote_fn (const struct bb_rank_report *r, void *user);
+void remote_ask (struct agent *a, const char *address, remote_fn *fn,
+                 void *user);
+typedef void remote_result_fn (uint16_t status, void *user);
+void remote_order (struct agent *a, const char *address,
+                   const struct bb_order *o, remote_result_fn *fn, void *user);
+
+#endif
--- /dev/null
+++ b/cmd/rank/view.c
@@ -0,0 +1,130 @@
+/* Learns the configuration and the upstreams of the pool from an entry.  */
+
+#include "rank.h"
+
+#include <jansson.h>
+#include <string.h>
+
+static void
+take_config (struct agent *a, GBytes *value, uint64_t revision)
+{
+  const char *why = NULL;
+  struct bb_config *c
+      = value ? bb_config_decode (value, revision, &why) : NULL;
+
+  if (!c)
+    {
+      bb_event ("config_unusable", "{s:I, s:s}", "revision",
+                (json_int_t)revision, "why", why ? why : "it was removed");
+      return;
+    }
+  bb_config_unref (a->config);
+  a->config = c;
+  a->pool = bb_config_pool (c, a->start->pool);
+  if (a->pool && (!a->pool->has_engine || a->pool->engine.sets == 0))
+    a->pool = NULL;
+}
+
+static void
+take_upstream (struct agent *a, const char *id, GBytes *value,
+               uint64_t revision)
+{
+  const char *why = NULL;
+  struct bb_upstream *u
+      = value ? bb_upstream_decode (id, value, revision, &why) : NULL;
+
+  if (u && strcmp (u->pool, a->start->pool) == 0)
+    g_hash_table_replace (a->fellows, g_strdup (id), g_strdup (u->address));
+  else
+    g_hash_table_remove (a->fellows, id);
+  bb_upstream_free (u);
+}
+
+static void
+on_item (const char *key, GBytes *value, uint64_t revision, void *user)
+{
+  struct agent *a = user;
+  const char *name;
+
+  if (!bb_view_put (a->view, key, value, revision))
+    return;
+  switch (bb_item_kind_of (key, &name))
+    {
+    case BB_ITEM_CONFIG:
+      take_config (a, value, revision);
+      break;
+    case BB_ITEM_UPSTREAM:
+      take_upstream (a, name, value, revision);
+      break;
+    case BB_ITEM_EVACUATION:
+    case BB_ITEM_OTHER:
+      break;
+    }
+}
+
+static void
+on_state (const char *name, const struct bb_peer_state *m, void *user)
+{
+  (void)name;
+  (void)m;
+  (void)user;
+}
+
+static void
+fill_state (struct bb_peer_state *m, void *user)
+{
+  (void)m;
+  (void)user;
+}
+
+static void
+on_change (const char *name, bool here, void *user)
+{
+  (void)user;
+  bb_event ("entry", "{s:s, s:b}", "name", name, "here", here);
+}
+
+static const struct bb_peers_ops ops
+    = { on_item, on_state, fill_state, on_change };
+
+static int
+compare (const void *a, const void *b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+GPtrArray *
+view_hosts (const struct agent *a)
+{
+  GPtrArray *hosts = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter it;
+  void *address;
+
+  g_hash_table_iter_init (&it, a->fellows);
+  while (g_hash_table_iter_next (&it, NULL, &address))
+    {
+      const char *colon = strrchr (address, ':');
+      if (colon)
+        g_ptr_array_add (
+            hosts, g_strndup (address, (gsize)(colon - (char *)address)));
+    }
+  g_ptr_array_sort (hosts, compare);
+  return hosts;
+}
+
+bool
+view_start (struct agent *a)
+{
+  struct bb_peers_options o
+      = { .name = a->start->name,
+          .seeds = a->start->seeds,
+          .seeds_count = a->start->seeds_count,
+          .incarnation
+          = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1 };
+  int error;
+
+  a->view = bb_view_new ();
+  a->fellows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  a->peers = bb_peers_new (a->loop, &o, a->view, &ops, a, &error);
+  return a->peers != NULL;
+}
--- /dev/null
+++ b/include/bilberry/group.h
@@ -0,0 +1,175 @@
+#ifndef BILBERRY_GROUP_H
+#define BILBERRY_GROUP_H
+
+/* libgroup - expert maps of a group whose ranks obey orders: which map to use
+   next, and how all ranks come to use it at one pass.  Pure: no socket, no
+   clock, no global.  Link with -lgroup.
+
+   A map has for each set and rank a row of places; a place holds an expert or
+   BB_PLACE_EMPTY.  The ranks that hold an expert share its tokens evenly.  */
+
+#include "bilberry/base.h"
+
+enum
+{
+  BB_PLACE_EMPTY = UINT16_MAX
+};
+
+struct bb_group_size
+{
+  uint32_t sets;
+  uint32_t experts; /* of a set */
+  uint32_t ranks;
+  uint32_t places; /* of a rank and set */
+  uint32_t spare;  /* experts of a set that may be new at a rank */
+};
+
+/* Returns the number of places of a map.  */
+size_t bb_group_places (const struct bb_group_size *s);
+
+/* Returns the load of the most loaded rank over the mean, for one SET of MAP
+   under LOADS, the loads of its experts; 1 where there is no load.  */
+double bb_group_skew (const struct bb_group_size *s, const uint16_t *map,
+                      uint32_t set, const double *loads);
+
+/* What a change of map costs.  */
+struct bb_climb_cost
+{
+  double copy_ms;       /* to copy one expert to a rank */
+  double horizon_ms;    /* how long the loads are expected to last */
+  double slow;          /* part by which passes are longer while copying */
+  double share;         /* of a pass's time that goes to experts */
+  double copy_price_ms; /* worth of one copy, in ms of the group's time */
+};
+
+struct bb_climb_plan
+{
+  bool worthwhile;
+  uint32_t copies;      /* in all */
+  uint32_t copies_most; /* at one rank */
+  double before;        /* mean over sets of most loaded over mean rank */
+  double after;
+};
+
+/* Searches from MAP for one that evens LOADS (set by set) out, by copying
+   experts of the most loaded ranks over ones that others hold too.  Answers
+   demand that shifts within seconds: it weighs each further copy against the
+   time for which it will serve.  NEXT becomes the map to switch to.  */
+struct bb_climb_plan bb_climb (const struct bb_group_size *s,
+                               const uint16_t *map, const double *loads,
+                               const struct bb_climb_cost *cost,
+                               uint16_t *next);
+
+/* The switch.
+
+   Ranks take orders: prepare copies a map, arm makes a rank use it from a pass
+   on, hold keeps the group from beginning a pass until it is told to go.  The
+   leader holds one pass, arms all ranks for it and lets go.  Nothing is ever
+   disarmed: a switch that has armed any rank goes forward, whoever leads, so
+   orders that are lost, doubled or late find the pass begun.  A rank that
+   comes back puts the group in a new epoch, in which nothing of before
+   holds.  */
+
+enum bb_lead_op
+{
+  BB_LEAD_PREPARE,
+  BB_LEAD_ARM,
+  BB_LEAD_HOLD,
+  BB_LEAD_GO
+};
+
+struct bb_lead_order
+{
+  enum bb_lead_op op;
+  uint64_t version;
+  uint64_t step;
+  uint64_t epoch;
+  const uint16_t *map; /* of a prepare */
+};
+
+/* What a rank last said.  */
+struct bb_lead_rank
+{
+  bool known;
+  bool attached; /* its agent takes orders of this leader */
+  bool open;
+  bb_ms heard_ms;
+  uint64_t epoch;
+  uint64_t step;
+  uint64_t map;
+  uint64_t prepared;
+  uint64_t armed;
+  uint64_t armed_step;
+  uint64_t held;
+  uint64_t lists_epoch;   /* of the row in the leader's map */
+  uint64_t lists_version; /* likewise */
+  bool done;              /* has carried the present phase's order out */
+  bb_ms ordered_ms;       /* when the order was last sent; 0: not */
+};
+
+enum bb_lead_phase
+{
+  BB_LEAD_IDLE,
+  BB_LEAD_PREPARING,
+  BB_LEAD_HOLDING,
+  BB_LEAD_ARMING,
+  BB_LEAD_GOING,
+  BB_LEAD_SETTLING /* a switch that this leader did not begin */
+};
+
+const char *bb_lead_phase_name (enum bb_lead_phase p);
+
+enum
+{
+  BB_LEAD_RANKS_MAX = 128
+};
+
+struct bb_lead
+{
+  struct bb_group_size size;
+  struct bb_lead_rank ranks[BB_LEAD_RANKS_MAX];
+  enum bb_lead_phase phase;
+  uint32_t self; /* own rank, which is held */
+  uint64_t epoch;
+  uint64_t version; /* highest seen or used */
+  uint64_t step;    /* of the hold */
+  uint32_t holder;  /* rank that is held */
+  uint16_t *map;    /* in force, row by row */
+  uint16_t *next;   /* being switched to */
+  bb_ms since_ms;   /* of the present phase */
+  uint32_t switches;
+  uint32_t abandoned;
+  void (*order) (uint32_t rank, const struct bb_lead_order *o, void *user);
+  void *user;
+};
+
+void bb_lead_init (struct bb_lead *l, const struct bb_group_size *size,
+                   uint32_t self,
+                   void (*order) (uint32_t rank, const struct bb_lead_order *o,
+                                  void *user),
+                   void *user);
+void bb_lead_free (struct bb_lead *l);
+
+/* A rank told its state.  LISTS is its row of each set in the map in force
+   with LISTS_VERSION, or NULL.  */
+void bb_lead_state (struct bb_lead *l, uint32_t rank,
+                    const struct bb_lead_rank *state, const uint16_t *lists,
+                    bb_ms now);
+
+/* The order of the present phase ended with STATUS, of HTTP; 0 where no
+   answer came.  */
+void bb_lead_result (struct bb_lead *l, uint32_t rank,
+                     const struct bb_lead_order *o, uint16_t status,
+                     bb_ms now);
+
+/* Looks at the time: sends orders again, gives up, or settles.  */
+void bb_lead_tick (struct bb_lead *l, bb_ms now);
+
+/* Whether all ranks are heard of lately, in one epoch, and nothing is under
+   way, so that a switch can begin; and whether the map in force is known.  */
+bool bb_lead_is_ready (const struct bb_lead *l, bb_ms now);
+
+/* Begins a switch to NEXT.  */
+void bb_lead_begin (struct bb_lead *l, const uint16_t *next, bb_ms now);
+
+#endif
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -439,6 +439,8 @@
   uint32_t queued;
   uint32_t running;
   uint32_t pending;
+  struct bb_bytes lists;
+  uint64_t lists_version;
 };
 
 /* Asks an agent to give its rank an order.  */
@@ -583,6 +585,7 @@
   BB_RANK_STATE_UPSTREAM_MAX_BYTES = 128,
   BB_RANK_STATE_GROUP_MAX_BYTES = 64,
   BB_RANK_STATE_COUNTS_MAX_BYTES = 65536,
+  BB_RANK_STATE_LISTS_MAX_BYTES = 65536,
   BB_RANK_ORDER_MAP_MAX_BYTES = 1048576,
   BB_HELLO_NAME_MAX_BYTES = 128,
   BB_CALL_CUSTOMER_MAX_BYTES = 128,
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -201,6 +201,12 @@
 
 bool bb_counts_decode (struct bb_bytes body, struct bb_counts *c);
 
+/* Reads a replica's own part of the map in use: rows of PLACES experts, set by
+   set, BB_PLACE_EMPTY where a place holds none.  *COUNT is how many were
+   written; false where they are malformed or more than MAX.  */
+bool bb_lists_decode (struct bb_bytes body, uint64_t *version, uint16_t *rows,
+                      uint32_t max, uint32_t places, uint32_t *count);
+
 /* Orders to a replica.  */
 enum bb_order_op
 {
@@ -233,6 +239,7 @@
 /* Targets of the calls to a replica.  */
 extern const char bb_report_target[];
 extern const char bb_counts_target[];
+extern const char bb_lists_target[];
 extern const char bb_order_target[];
 
 /* Target by which the platform asks whether a process takes callers.  */
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -2254,7 +2254,7 @@
 static void
 put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
 {
-  msgpack_pack_map (pk, 16);
+  msgpack_pack_map (pk, 18);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->upstream);
   msgpack_pack_uint8 (pk, 2);
@@ -2287,6 +2287,10 @@
   msgpack_pack_uint64 (pk, v->running);
   msgpack_pack_uint8 (pk, 16);
   msgpack_pack_uint64 (pk, v->pending);
+  msgpack_pack_uint8 (pk, 17);
+  bb_wire_put_bin (pk, v->lists);
+  msgpack_pack_uint8 (pk, 18);
+  msgpack_pack_uint64 (pk, v->lists_version);
 }
 
 static bool
@@ -2395,6 +2399,17 @@
           v->pending = (uint32_t)n;
           seen |= UINT64_C (1) << 16;
           break;
+        case 17:
+          if (!bb_wire_get_bin (o, 65536, &v->lists, "lists", e))
+            return false;
+          seen |= UINT64_C (1) << 17;
+          break;
+        case 18:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "lists_version", e))
+            return false;
+          v->lists_version = (uint64_t)n;
+          seen |= UINT64_C (1) << 18;
+          break;
         default:
           break;
         }
@@ -3704,6 +3719,8 @@
   { BB_MSG_RANK_STATE, 14, false, "queued" },
   { BB_MSG_RANK_STATE, 15, false, "running" },
   { BB_MSG_RANK_STATE, 16, false, "pending" },
+  { BB_MSG_RANK_STATE, 17, false, "lists" },
+  { BB_MSG_RANK_STATE, 18, false, "lists_version" },
   { BB_MSG_RANK_ORDER, 1, true, "id" },
   { BB_MSG_RANK_ORDER, 2, true, "op" },
   { BB_MSG_RANK_ORDER, 3, false, "version" },
