--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -260,7 +260,7 @@
   f->heard_ms = agent_now (leader.agent);
   if (m->type == BB_MSG_RANK_STATE)
     {
-      f->named = true;
+      f->named = m->u.rank_state.size > 0;
       f->rank = m->u.rank_state.rank;
       g_free (f->host);
       f->host = g_strndup (m->u.rank_state.upstream.ptr,
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -210,8 +210,7 @@
 {
   struct bb_rank_state m;
 
-  if (!a->own.known)
-    return;
+  /* A rank that is not known yet is told with no group, as a heartbeat.  */
   own_fill (a, &m);
   if (member.leader)
     bb_put_rank_state (bb_conn_out (member.leader->conn), &m);
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -40,6 +40,7 @@
   double slow;          /* part by which passes are longer while copying */
   double share;         /* of a pass's time that goes to experts */
   double copy_price_ms; /* worth of one copy, in ms of the group's time */
+  double skew_least;    /* a mean skew below this is left alone */
 };
 
 struct bb_climb_plan
--- a/libgroup/climb.c
+++ b/libgroup/climb.c
@@ -1,17 +1,20 @@
 #include "bilberry/group.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum
 {
-  STEPS_MAX = 200, /* copies looked at in a set */
-  RANKS_MAX = 128
+  STEPS_MAX = 120, /* changes of one set */
+  RANKS_MAX = BB_LEAD_RANKS_MAX,
+  STAGES = 5
 };
 
-/* Gains below this part of the mean load are noise of the counts.  */
-static const double least_gain = 0.002;
+/* Skews at which a search may stop: an even map costs more copies.  */
+static const double stages[STAGES] = { 1.6, 1.35, 1.2, 1.1, 1.0 };
+
+/* A change must lower the sum of powers by this part.  */
+static const double least_change = 1e-4;
 
 /* One set while it is being searched.  */
 struct search
@@ -21,6 +24,8 @@
   uint16_t *rows;      /* rank by rank */
   const double *loads; /* of the experts */
   uint32_t *holders;   /* ranks that hold each expert */
+  bool *held;          /* by rank and expert */
+  bool *was_held;      /* likewise, before */
   double rank_load[RANKS_MAX];
   uint32_t fresh[RANKS_MAX]; /* experts new at each rank */
   double mean;
@@ -33,125 +38,135 @@
 }
 
 static const uint16_t *
-row_of (const struct bb_group_size *s, const uint16_t *rows, uint32_t rank)
+row_of (const struct search *c, uint32_t rank)
 {
-  return rows + (size_t)rank * s->places;
+  return c->rows + (size_t)rank * c->size->places;
 }
 
 static bool
-holds (const struct bb_group_size *s, const uint16_t *row, uint16_t expert)
+holds (const struct search *c, uint32_t rank, uint16_t expert)
 {
-  for (uint32_t i = 0; i < s->places; i++)
-    if (row[i] == expert)
-      return true;
-  return false;
+  return c->held[(size_t)rank * c->size->experts + expert];
+}
+
+static bool
+is_new (const struct search *c, uint32_t rank, uint16_t expert)
+{
+  return !c->was_held[(size_t)rank * c->size->experts + expert];
+}
+
+static void
+note_holders (const struct search *c, const uint16_t *rows, bool *held)
+{
+  const struct bb_group_size *s = c->size;
+
+  for (uint32_t i = 0; i < s->ranks * s->places; i++)
+    if (rows[i] < s->experts)
+      held[(size_t)(i / s->places) * s->experts + rows[i]] = true;
+}
+
+static void
+add_loads (struct search *c)
+{
+  const struct bb_group_size *s = c->size;
+
+  memset (c->rank_load, 0, sizeof c->rank_load);
+  for (uint32_t i = 0; i < s->ranks * s->places; i++)
+    if (c->rows[i] < s->experts)
+      c->rank_load[i / s->places]
+          += c->loads[c->rows[i]] / c->holders[c->rows[i]];
 }
 
 static void
-count (struct search *c)
+open_search (struct search *c)
 {
   const struct bb_group_size *s = c->size;
   double total = 0;
 
-  memset (c->holders, 0, s->experts * sizeof *c->holders);
+  c->holders = calloc (s->experts, sizeof *c->holders);
+  c->held = calloc ((size_t)s->ranks * s->experts, sizeof *c->held);
+  c->was_held = calloc ((size_t)s->ranks * s->experts, sizeof *c->was_held);
+  if (!c->holders || !c->held || !c->was_held)
+    abort ();
   for (uint32_t i = 0; i < s->ranks * s->places; i++)
     if (c->rows[i] < s->experts)
       c->holders[c->rows[i]]++;
-  for (uint32_t r = 0; r < s->ranks; r++)
-    {
-      const uint16_t *row = row_of (s, c->rows, r);
-      c->rank_load[r] = 0;
-      for (uint32_t i = 0; i < s->places; i++)
-        if (row[i] < s->experts)
-          c->rank_load[r] += c->loads[row[i]] / c->holders[row[i]];
-    }
+  note_holders (c, c->rows, c->held);
+  note_holders (c, c->old, c->was_held);
   for (uint32_t e = 0; e < s->experts; e++)
     total += c->loads[e];
   c->mean = total / s->ranks;
+  add_loads (c);
 }
 
-static double
-largest (const struct search *c)
+static void
+close_search (struct search *c)
 {
-  double most = 0;
+  free (c->holders);
+  free (c->held);
+  free (c->was_held);
+}
 
-  for (uint32_t r = 0; r < c->size->ranks; r++)
-    if (c->rank_load[r] > most)
-      most = c->rank_load[r];
+/* Returns the most loaded rank.  */
+static uint32_t
+most_loaded (const struct search *c)
+{
+  uint32_t most = 0;
+
+  for (uint32_t r = 1; r < c->size->ranks; r++)
+    if (c->rank_load[r] > c->rank_load[most])
+      most = r;
   return most;
 }
 
+static double
+skew_of (const struct search *c)
+{
+  return c->mean > 0 ? c->rank_load[most_loaded (c)] / c->mean : 1;
+}
+
 double
 bb_group_skew (const struct bb_group_size *s, const uint16_t *map,
                uint32_t set, const double *loads)
 {
-  struct search c = { .size = s, .loads = loads };
+  uint16_t *rows = (uint16_t *)map + (size_t)set * s->ranks * s->places;
+  struct search c = { .size = s, .old = rows, .rows = rows, .loads = loads };
   double skew;
 
-  c.rows = (uint16_t *)map + (size_t)set * s->ranks * s->places;
-  c.holders = calloc (s->experts, sizeof *c.holders);
-  if (!c.holders)
-    abort ();
-  count (&c);
-  skew = c.mean > 0 ? largest (&c) / c.mean : 1;
-  free (c.holders);
+  open_search (&c);
+  skew = skew_of (&c);
+  close_search (&c);
   return skew;
 }
 
-/* A copy of expert ADD to RANK in place PLACE.  */
-struct copy
+/* One change: expert ADD comes to place PLACE of RANK.  Where it is an
+   exchange, what stood there goes to FROM_PLACE of the most loaded rank.  */
+struct change
 {
   uint32_t rank;
   uint32_t place;
   uint16_t add;
-  double cost; /* what the loads come to */
+  bool exchanges;
+  uint32_t from_place;
+  double sum; /* of powers, after the change */
 };
 
-/* A sum that falls as loads even out, ruled by the largest.  */
+/* The sum of powers falls as loads even out, ruled by the largest.  */
 static double
-power (double load)
+power (const struct search *c, double load)
 {
-  double x = load * load;
+  double x = load / c->mean;
 
+  x *= x;
   x *= x;
   return x * x;
 }
 
-/* Returns the sum of powers after the copy.  */
 static double
-try_copy (const struct search *c, uint32_t rank, uint16_t drop, uint16_t add,
-          double sum)
+power_change (const struct search *c, uint32_t rank, double change)
 {
-  const struct bb_group_size *s = c->size;
-  double less = c->loads[add] / c->holders[add]
-                - c->loads[add] / (c->holders[add] + 1);
-  double more = 0;
-
-  if (drop < s->experts)
-    more = c->loads[drop] / (c->holders[drop] - 1)
-           - c->loads[drop] / c->holders[drop];
-  for (uint32_t r = 0; r < s->ranks; r++)
-    {
-      const uint16_t *row = row_of (s, c->rows, r);
-      double change = 0;
-      if (r == rank)
-        {
-          change = c->loads[add] / (c->holders[add] + 1);
-          if (drop < s->experts)
-            change -= c->loads[drop] / c->holders[drop];
-        }
-      else
-        {
-          if (holds (s, row, add))
-            change -= less;
-          if (drop < s->experts && holds (s, row, drop))
-            change += more;
-        }
-      if (change != 0)
-        sum += power ((c->rank_load[r] + change) / c->mean)
-               - power (c->rank_load[r] / c->mean);
-    }
-  return sum;
+  return power (c, c->rank_load[rank] + change)
+         - power (c, c->rank_load[rank]);
 }
 
 static double
@@ -160,203 +175,224 @@
   double sum = 0;
 
   for (uint32_t r = 0; r < c->size->ranks; r++)
-    sum += power (c->rank_load[r] / c->mean);
+    sum += power (c, c->rank_load[r]);
   return sum;
 }
 
-static bool
-is_new (const struct search *c, uint32_t rank, uint16_t expert)
-{
-  return !holds (c->size, row_of (c->size, c->old, rank), expert);
-}
-
-/* Looks at each copy of an expert of rank FROM to RANK.  */
-static void
-look_at_rank (const struct search *c, uint32_t from, uint32_t rank, double sum,
-              uint32_t fresh_max, struct copy *best)
+/* Returns the sum after RANK takes ADD in place of DROP.  */
+static double
+sum_after_copy (const struct search *c, uint32_t rank, uint16_t drop,
+                uint16_t add, double sum)
 {
-  const struct bb_group_size *s = c->size;
-  const uint16_t *source = row_of (s, c->rows, from);
-  const uint16_t *row = row_of (s, c->rows, rank);
+  bool drops = drop < c->size->experts;
+  double added = c->loads[add] / (c->holders[add] + 1);
+  double less = c->loads[add] / c->holders[add] - added;
+  double dropped = drops ? c->loads[drop] / c->holders[drop] : 0;
+  double more = drops ? c->loads[drop] / (c->holders[drop] - 1) - dropped : 0;
 
-  for (uint32_t i = 0; i < s->places; i++)
+  for (uint32_t r = 0; r < c->size->ranks; r++)
     {
-      uint16_t add = source[i];
-      if (add >= s->experts || c->loads[add] <= 0 || holds (s, row, add))
-        continue;
-      if (is_new (c, rank, add) && c->fresh[rank] >= fresh_max)
-        continue;
-      for (uint32_t p = 0; p < s->places; p++)
+      double change = 0;
+      if (r == rank)
+        change = added - dropped;
+      else
         {
-          uint16_t drop = row[p];
-          double cost;
-          if (drop < s->experts && c->holders[drop] < 2)
-            continue;
-          cost = try_copy (c, rank, drop, add, sum);
-          if (cost < best->cost)
-            *best = (struct copy){ rank, p, add, cost };
+          if (holds (c, r, add))
+            change -= less;
+          if (drops && holds (c, r, drop))
+            change += more;
         }
+      if (change != 0)
+        sum += power_change (c, r, change);
     }
+  return sum;
 }
 
-/* Returns the most loaded rank.  */
-static uint32_t
-most_loaded (const struct search *c)
-{
-  uint32_t most = 0;
-
-  for (uint32_t r = 1; r < c->size->ranks; r++)
-    if (c->rank_load[r] > c->rank_load[most])
-      most = r;
-  return most;
-}
-
-/* Exchanges experts A of rank FROM and B of rank RANK.  Returns the sum.  */
-static double
-try_exchange (const struct search *c, uint32_t from, uint16_t a, uint32_t rank,
-              uint16_t b, double sum)
+/* Looks at each copy of expert ADD to RANK.  */
+static void
+look_at_copies (const struct search *c, uint32_t rank, uint16_t add,
+                double sum, struct change *best)
 {
-  double la = c->loads[a] / c->holders[a];
-  double lb = c->loads[b] / c->holders[b];
+  const uint16_t *row = row_of (c, rank);
 
-  sum += power ((c->rank_load[from] - la + lb) / c->mean)
-         - power (c->rank_load[from] / c->mean);
-  sum += power ((c->rank_load[rank] + la - lb) / c->mean)
-         - power (c->rank_load[rank] / c->mean);
-  return sum;
+  for (uint32_t p = 0; p < c->size->places; p++)
+    {
+      uint16_t drop = row[p];
+      double after;
+      if (drop < c->size->experts && c->holders[drop] < 2)
+        continue;
+      after = sum_after_copy (c, rank, drop, add, sum);
+      if (after < best->sum)
+        *best = (struct change){
+          .rank = rank, .place = p, .add = add, .sum = after
+        };
+    }
 }
 
-struct exchange
-{
-  uint32_t from_place;
-  uint32_t rank;
-  uint32_t place;
-  double cost;
-};
-
+/* Looks at each exchange of expert ADD, in place I of rank FROM, for one of
+   RANK.  An exchange copies twice, so its gain counts half.  */
 static void
-look_at_exchanges (const struct search *c, uint32_t from, double sum,
-                   uint32_t fresh_max, struct exchange *best)
+look_at_exchanges (const struct search *c, uint32_t from, uint32_t i,
+                   uint32_t rank, double sum, uint32_t fresh_max,
+                   struct change *best)
 {
-  const struct bb_group_size *s = c->size;
-  const uint16_t *source = row_of (s, c->rows, from);
+  uint16_t add = row_of (c, from)[i];
+  double la = c->loads[add] / c->holders[add];
 
-  for (uint32_t i = 0; i < s->places; i++)
-    for (uint32_t r = 0; r < s->ranks; r++)
-      {
-        const uint16_t *row = row_of (s, c->rows, r);
-        uint16_t a = source[i];
-        if (r == from || a >= s->experts || holds (s, row, a)
-            || c->fresh[r] + is_new (c, r, a) > fresh_max)
-          continue;
-        for (uint32_t p = 0; p < s->places; p++)
-          {
-            uint16_t b = row[p];
-            double cost;
-            if (b >= s->experts || holds (s, source, b)
-                || c->fresh[from] + is_new (c, from, b) > fresh_max)
-              continue;
-            cost = try_exchange (c, from, a, r, b, sum);
-            if (cost < best->cost)
-              *best = (struct exchange){ i, r, p, cost };
-          }
-      }
+  for (uint32_t p = 0; p < c->size->places; p++)
+    {
+      uint16_t back = row_of (c, rank)[p];
+      double lb;
+      double gain;
+      if (back >= c->size->experts || holds (c, from, back)
+          || c->fresh[from] + is_new (c, from, back) > fresh_max)
+        continue;
+      lb = c->loads[back] / c->holders[back];
+      gain = -(power_change (c, from, lb - la)
+               + power_change (c, rank, la - lb));
+      if (sum - gain / 2 < best->sum)
+        *best = (struct change){ .rank = rank,
+                                 .place = p,
+                                 .add = add,
+                                 .exchanges = true,
+                                 .from_place = i,
+                                 .sum = sum - gain / 2 };
+    }
 }
 
 static void
 set_place (struct search *c, uint32_t rank, uint32_t place, uint16_t expert)
 {
+  size_t at = (size_t)rank * c->size->experts;
   uint16_t *row = c->rows + (size_t)rank * c->size->places;
   uint16_t before = row[place];
 
-  if (before < c->size->experts && is_new (c, rank, before))
-    c->fresh[rank]--;
-  if (expert < c->size->experts && is_new (c, rank, expert))
-    c->fresh[rank]++;
+  if (before < c->size->experts)
+    {
+      c->held[at + before] = false;
+      c->holders[before]--;
+      if (is_new (c, rank, before))
+        c->fresh[rank]--;
+    }
+  if (expert < c->size->experts)
+    {
+      c->held[at + expert] = true;
+      c->holders[expert]++;
+      if (is_new (c, rank, expert))
+        c->fresh[rank]++;
+    }
   row[place] = expert;
 }
 
+static void
+make_change (struct search *c, uint32_t from, const struct change *x)
+{
+  uint16_t back = row_of (c, x->rank)[x->place];
+
+  if (x->exchanges)
+    set_place (c, from, x->from_place, back);
+  set_place (c, x->rank, x->place, x->add);
+  add_loads (c);
+}
+
 /* Makes the best single change.  Returns false where none helps.  */
 static bool
 improve (struct search *c, uint32_t fresh_max)
 {
+  const struct bb_group_size *s = c->size;
   uint32_t from = most_loaded (c);
   double sum = sum_of (c);
-  double before = largest (c);
-  struct copy copy = { .cost = sum * 0.9999 };
-  struct exchange x = { .cost = sum * 0.9999 };
+  double bound = sum * (1 - least_change);
+  struct change best = { .sum = bound };
 
-  for (uint32_t r = 0; r < c->size->ranks; r++)
-    if (r != from)
-      look_at_rank (c, from, r, sum, fresh_max, &copy);
-  look_at_exchanges (c, from, sum, fresh_max, &x);
-  if (copy.cost >= sum * 0.9999 && x.cost >= sum * 0.9999)
-    return false;
-  /* An exchange copies twice.  */
-  if (copy.cost <= sum * 0.9999 && sum - copy.cost >= (sum - x.cost) / 2)
-    set_place (c, copy.rank, copy.place, copy.add);
-  else
+  for (uint32_t i = 0; i < s->places; i++)
     {
-      uint16_t a = row_of (c->size, c->rows, from)[x.from_place];
-      uint16_t b = row_of (c->size, c->rows, x.rank)[x.place];
-      set_place (c, from, x.from_place, b);
-      set_place (c, x.rank, x.place, a);
+      uint16_t add = row_of (c, from)[i];
+      if (add >= s->experts || c->loads[add] <= 0)
+        continue;
+      for (uint32_t r = 0; r < s->ranks; r++)
+        {
+          if (holds (c, r, add)
+              || c->fresh[r] + is_new (c, r, add) > fresh_max)
+            continue;
+          look_at_copies (c, r, add, sum, &best);
+          look_at_exchanges (c, from, i, r, sum, fresh_max, &best);
+        }
     }
-  count (c);
-  (void)before;
+  if (best.sum >= bound)
+    return false;
+  make_change (c, from, &best);
   return true;
 }
 
-/* Searches one set with at most FRESH_MAX new experts at a rank.  Returns the
-   skew that it comes to.  */
-static double
-climb_set (const struct bb_group_size *s, const uint16_t *old, uint16_t *rows,
-           const double *loads, uint32_t fresh_max, uint32_t *fresh)
+/* A search of all sets, stage by stage.  */
+struct climb
 {
-  struct search c = { .size = s, .old = old, .rows = rows, .loads = loads };
-  double skew;
+  const struct bb_group_size *size;
+  uint32_t fresh_max;
+  struct search *sets;
+  bool *ended;
+};
+
+static void
+open_climb (struct climb *k, const uint16_t *map, const double *loads,
+            uint16_t *rows)
+{
+  const struct bb_group_size *s = k->size;
+  size_t row = (size_t)s->ranks * s->places;
 
-  c.holders = calloc (s->experts, sizeof *c.holders);
-  if (!c.holders)
+  k->sets = calloc (s->sets, sizeof *k->sets);
+  k->ended = calloc (s->sets, sizeof *k->ended);
+  if (!k->sets || !k->ended)
     abort ();
-  memcpy (rows, old, (size_t)s->ranks * s->places * sizeof *rows);
-  count (&c);
-  for (uint32_t i = 0; c.mean > 0 && i < STEPS_MAX; i++)
-    if (!improve (&c, fresh_max))
-      break;
-  memcpy (fresh, c.fresh, s->ranks * sizeof *fresh);
-  skew = c.mean > 0 ? largest (&c) / c.mean : 1;
-  free (c.holders);
-  return skew;
+  memcpy (rows, map, bb_group_places (s) * sizeof *rows);
+  for (uint32_t i = 0; i < s->sets; i++)
+    {
+      k->sets[i] = (struct search){ .size = s,
+                                    .old = map + i * row,
+                                    .rows = rows + i * row,
+                                    .loads = loads + (size_t)i * s->experts };
+      open_search (&k->sets[i]);
+      k->ended[i] = k->sets[i].mean <= 0;
+    }
+}
+
+static void
+close_climb (struct climb *k)
+{
+  for (uint32_t i = 0; i < k->size->sets; i++)
+    close_search (&k->sets[i]);
+  free (k->sets);
+  free (k->ended);
+}
+
+/* Goes on until each set is at SKEW or ends.  */
+static void
+climb_to (struct climb *k, double skew)
+{
+  for (uint32_t i = 0; i < k->size->sets; i++)
+    for (uint32_t n = 0;
+         n < STEPS_MAX && !k->ended[i] && skew_of (&k->sets[i]) > skew; n++)
+      k->ended[i] = !improve (&k->sets[i], k->fresh_max);
 }
 
-/* Searches all sets.  */
 static struct bb_climb_plan
-climb_all (const struct bb_group_size *s, const uint16_t *map,
-           const double *loads, uint32_t fresh_max, uint16_t *next)
+sum_up (const struct climb *k, double before)
 {
-  struct bb_climb_plan plan = { 0 };
-  uint32_t all[RANKS_MAX] = { 0 };
-  uint32_t fresh[RANKS_MAX];
-  size_t rows = (size_t)s->ranks * s->places;
+  struct bb_climb_plan p = { .before = before };
 
-  for (uint32_t i = 0; i < s->sets; i++)
+  for (uint32_t i = 0; i < k->size->sets; i++)
+    p.after += skew_of (&k->sets[i]) / k->size->sets;
+  for (uint32_t r = 0; r < k->size->ranks; r++)
     {
-      const double *of_set = loads + (size_t)i * s->experts;
-      plan.before += bb_group_skew (s, map, i, of_set) / s->sets;
-      plan.after += climb_set (s, map + i * rows, next + i * rows, of_set,
-                               fresh_max, fresh)
-                    / s->sets;
-      for (uint32_t r = 0; r < s->ranks; r++)
-        all[r] += fresh[r];
+      uint32_t fresh = 0;
+      for (uint32_t i = 0; i < k->size->sets; i++)
+        fresh += k->sets[i].fresh[r];
+      p.copies += fresh;
+      if (fresh > p.copies_most)
+        p.copies_most = fresh;
     }
-  for (uint32_t r = 0; r < s->ranks; r++)
-    {
-      plan.copies += all[r];
-      if (all[r] > plan.copies_most)
-        plan.copies_most = all[r];
-    }
-  return plan;
+  return p;
 }
 
 /* Returns what the plan gains over the horizon, in ms of the group.  */
@@ -381,25 +417,41 @@
 {
   struct bb_climb_plan best = { 0 };
   size_t places = bb_group_places (s);
-  uint16_t *tried = calloc (places, sizeof *tried);
+  uint16_t *rows = calloc (places, sizeof *rows);
   double most = 0;
 
-  if (!tried)
+  if (!rows)
     abort ();
   memcpy (next, map, places * sizeof *next);
-  for (uint32_t fresh = 1; fresh <= s->spare; fresh++)
+  for (uint32_t i = 0; i < s->sets; i++)
+    best.before
+        += bb_group_skew (s, map, i, loads + (size_t)i * s->experts) / s->sets;
+  best.after = best.before;
+  if (best.before < cost->skew_least)
     {
-      struct bb_climb_plan p = climb_all (s, map, loads, fresh, tried);
-      double gain = gain_of (&p, cost);
-      if (fresh == 1)
-        best.before = best.after = p.before;
-      if (gain <= most || p.before - p.after < least_gain)
-        continue;
-      most = gain;
-      best = p;
-      best.worthwhile = true;
-      memcpy (next, tried, places * sizeof *next);
+      free (rows);
+      return best;
+    }
+  for (uint32_t fresh = 1; fresh <= s->spare; fresh *= 2)
+    {
+      struct climb k = { .size = s, .fresh_max = fresh };
+      open_climb (&k, map, loads, rows);
+      for (uint32_t i = 0; i < STAGES; i++)
+        {
+          struct bb_climb_plan p;
+          double gain;
+          climb_to (&k, stages[i]);
+          p = sum_up (&k, best.before);
+          gain = gain_of (&p, cost);
+          if (gain <= most)
+            continue;
+          most = gain;
+          best = p;
+          best.worthwhile = true;
+          memcpy (next, rows, places * sizeof *next);
+        }
+      close_climb (&k);
     }
-  free (tried);
+  free (rows);
   return best;
 }
