Switch maps with the hold at another rank, and wait a broken group out

Cause: the leader held its own rank. Now the holder is another rank, the leader's rank is armed last and by the holder, so the next leader knows what a silent leader's rank holds: it goes forward where all are armed and disarms otherwise. A member follows only a leader that answers. An entry opens a group again once its passes go on. Ruled out: asking the frozen VM's rank from afar (it does not answer).

--- a/cmd/edge/line.c
+++ b/cmd/edge/line.c
@@ -237,12 +237,6 @@
 
   r->state = REQUEST_WAITING;
   r->joined_ms = now;
-  if (l->grouped && l->group.state == BB_GROUP_BROKEN && !r->started
-      && bb_group_back_in (&l->group, now) > hold)
-    {
-      refuse (r, BB_REASON_NO_UPSTREAM, bb_group_back_in (&l->group, now));
-      return;
-    }
   request_set_timer (r, give_up < r->deadline_ms ? give_up : r->deadline_ms);
   g_queue_push_tail (&l->waiting, r);
   line_run (l);
@@ -284,7 +278,8 @@
       && bb_rank_report_decode (body, &report) && report.grouped)
     {
       enum bb_group_state was = l->group.state;
-      bb_group_reported (&l->group, report.open, edge_now (a->edge));
+      bb_group_reported (&l->group, report.open, report.step, l->in_flight,
+                         edge_now (a->edge));
       if (was != l->group.state)
         bb_event ("group", "{s:s, s:s, s:I, s:b}", "pool", l->pool, "group",
                   report.group, "epoch", (json_int_t)report.epoch, "open",
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -10,6 +10,7 @@
 {
   SILENT_AIMS = 3,     /* without an answer, where it may run again */
   PAUSE_MAX_MS = 1600, /* between events: callers leave after two seconds */
+  STALLED_AGAIN_MS = 100,
   KEPT_IDLE_MAX_MS = 60000,
   PRIORITY_MAX = 9
 };
@@ -110,6 +111,14 @@
       set_timer (r);
       return;
     }
+  /* Another rank of a group that stalls is no better.  */
+  if (now < r->deadline_ms && r->line->grouped
+      && r->line->group.state != BB_GROUP_OPEN)
+    {
+      bb_ms again = now + STALLED_AGAIN_MS;
+      request_set_timer (r, again < r->deadline_ms ? again : r->deadline_ms);
+      return;
+    }
   bb_h1_cancel (r->call);
   r->call = NULL;
   after_try (r, BB_OUTCOME_SILENT,
--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -12,8 +12,9 @@
 enum
 {
   PLAN_EVERY_MS = 100,
-  SILENT_MS = 700,      /* of a member */
-  REMOTE_AFTER_MS = 600 /* a rank without agent is asked from afar */
+  SILENT_MS = 450,    /* of a member */
+  FAR_EVERY_MS = 500, /* ranks without agent are asked from afar */
+  FAR_SETTLE_MS = 100 /* the same, while a switch is left over */
 };
 
 /* A member's connection.  */
@@ -114,13 +115,16 @@
 op_of (enum bb_lead_op op)
 {
   static const enum bb_order_op ops[]
-      = { BB_ORDER_PREPARE, BB_ORDER_ARM, BB_ORDER_HOLD, BB_ORDER_GO };
+      = { BB_ORDER_PREPARE, BB_ORDER_ARM, BB_ORDER_HOLD, BB_ORDER_GO,
+          BB_ORDER_DISARM };
 
   return ops[op];
 }
 
+/* Asks the agent F to give the order: to its own rank, or to the rank at
+   ADDRESS.  */
 static void
-order_follower (struct follower *f, const struct order *o)
+order_follower (struct follower *f, const struct order *o, const char *address)
 {
   const struct bb_group_size *s = &leader.lead.size;
   struct bb_rank_order m = { .id = o->id,
@@ -129,6 +133,8 @@
                              .step = o->what.step,
                              .epoch = o->what.epoch,
                              .fence = leader.fence,
+                             .target = bb_bytes_of (address),
+                             .target_rank = o->rank,
                              .sets = s->sets,
                              .ranks = s->ranks,
                              .places = s->places };
@@ -159,25 +165,44 @@
                 g_memdup2 (&o->id, sizeof o->id));
 }
 
+/* Returns the address of a rank: by its agent's host, or as it was found.  */
+static char *
+address_of (uint32_t rank)
+{
+  struct follower *f = follower_of (rank);
+  const char *colon = strrchr (leader.agent->start->upstream, ':');
+
+  if (rank == leader.lead.self)
+    return g_strdup (leader.agent->start->upstream);
+  if (f && f->host && colon)
+    return g_strconcat (f->host, colon, NULL);
+  return g_strdup (
+      g_hash_table_lookup (leader.remotes, GUINT_TO_POINTER (rank)));
+}
+
 static void
 give_order (uint32_t rank, const struct bb_lead_order *what, void *user)
 {
   struct leader *l = user;
   struct order *o = g_new0 (struct order, 1);
-  struct follower *f = follower_of (rank);
-  const char *address;
+  struct follower *f = follower_of (what->via);
+  char *address = address_of (rank);
+  bool own = what->via == l->lead.self;
+  /* A leader that was paused may still believe in a switch whose members have
+     left: it must not go on with it by itself.  */
+  bool left_over = l->lead.phase == BB_LEAD_FORWARDING
+                   || l->lead.phase == BB_LEAD_DISARMING
+                   || l->lead.phase == BB_LEAD_GOING;
 
   o->id = ++l->orders;
   o->rank = rank;
   o->what = *what;
   g_hash_table_insert (l->waiting, &o->id, o);
-  if (rank == l->lead.self)
-    order_direct (l->agent->start->upstream, o);
-  else if (f)
-    order_follower (f, o);
-  else if ((address
-            = g_hash_table_lookup (l->remotes, GUINT_TO_POINTER (rank))))
+  if (!own && f)
+    order_follower (f, o, what->via == rank ? NULL : address);
+  else if (address && (own || left_over))
     order_direct (address, o);
+  g_free (address);
 }
 
 /* Sets the switch up once the sizes are known.  */
@@ -216,6 +241,9 @@
                             .armed = m->armed,
                             .armed_step = m->armed_step,
                             .held = m->held,
+                            .gave_epoch = m->gave_epoch,
+                            .gave_version = m->gave_version,
+                            .gave_rank = m->gave_rank,
                             .lists_version = m->lists_version };
   const struct bb_group_size *s = &l->lead.size;
   size_t row = (size_t)s->sets * s->places * sizeof (uint16_t);
@@ -267,7 +295,8 @@
                            m->u.rank_state.upstream.size);
       take_state (&leader, &m->u.rank_state, true);
       /* Shows the member that its leader lives.  */
-      bb_put_rank_result (bb_conn_out (c), &ping);
+      if (member_leads ())
+        bb_put_rank_result (bb_conn_out (c), &ping);
     }
   else if (m->type == BB_MSG_RANK_RESULT)
     take_result (m->u.rank_result.id, m->u.rank_result.status);
@@ -313,6 +342,8 @@
   struct leader *l = &leader;
   struct bb_rank_state m = { 0 };
 
+  if (!r)
+    bb_event ("far_silent", "{s:s}", "address", far->address);
   if (r && r->grouped && l->leading)
     {
       m.epoch = r->epoch;
@@ -356,7 +387,8 @@
   GHashTableIter it;
   void *address;
 
-  if (now - asked_ms < REMOTE_AFTER_MS / 2)
+  if (now - asked_ms
+      < (l->lead.phase == BB_LEAD_IDLE ? FAR_EVERY_MS : FAR_SETTLE_MS))
     return;
   asked_ms = now;
   g_hash_table_iter_init (&it, l->agent->fellows);
--- a/cmd/rank/main.c
+++ b/cmd/rank/main.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 static struct agent agent;
 static uv_signal_t signals[2];
@@ -14,7 +15,8 @@
 
 enum
 {
-  TICK_MS = 50
+  TICK_MS = 50,
+  PAUSED_MS = 400 /* a longer time between ticks is a pause */
 };
 
 bb_ms
@@ -23,6 +25,15 @@
   return (bb_ms)uv_now (a->loop);
 }
 
+static bb_ms
+boot_clock_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_BOOTTIME, &ts);
+  return (bb_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
 static void
 on_ask (uv_timer_t *t)
 {
@@ -36,7 +47,18 @@
 on_tick (uv_timer_t *t)
 {
   struct agent *a = t->data;
+  bb_ms skew = boot_clock_ms () - bb_clock_now ();
+  bb_ms late = agent_now (a) - a->ticked_ms;
 
+  a->ticked_ms = agent_now (a);
+  /* A suspended VM stops the steady clock, a frozen process does not.  */
+  if (skew - a->boot_skew_ms > PAUSED_MS || late > PAUSED_MS)
+    {
+      bb_event ("woke", "{s:I}", "paused_ms",
+                (json_int_t)(skew - a->boot_skew_ms + late));
+      member_woke (a);
+    }
+  a->boot_skew_ms = skew;
   member_tick (a);
   leader_tick (a);
 }
@@ -97,6 +119,8 @@
     return EXIT_FAILURE;
   own_start (a);
   member_start (a);
+  a->boot_skew_ms = boot_clock_ms () - bb_clock_now ();
+  a->ticked_ms = agent_now (a);
   uv_timer_init (a->loop, &a->timer);
   a->timer.data = a;
   uv_timer_start (&a->timer, on_ask, 0, 0);
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -12,9 +12,9 @@
 
 enum
 {
-  RETRY_MS = 500, /* between tries to reach an agent that comes before */
-  DIAL_MAX_MS = 300,
-  SILENT_MS = 700 /* of a leader, which answers each state */
+  RETRY_MS = 1000,   /* between tries to reach an agent that comes before */
+  DIAL_MAX_MS = 150, /* for an answer: a frozen VM accepts connections */
+  SILENT_MS = 350    /* of a leader, which answers each state */
 };
 
 /* The connection to a leader or to one that may be.  */
@@ -30,9 +30,10 @@
 struct member
 {
   struct agent *agent;
-  struct link *leader; /* attached to; NULL: this process leads */
-  struct link *dialled;
-  GHashTable *tried; /* host to time of the last try */
+  struct link *leader;  /* attached to; NULL: none */
+  struct link *dialled; /* has not answered yet */
+  bool leads;           /* no agent that comes before answers */
+  GHashTable *tried;    /* host to time of the last try */
 };
 
 static struct member member;
@@ -47,7 +48,7 @@
 bool
 member_leads (void)
 {
-  return !member.leader && !member.dialled;
+  return member.leads;
 }
 
 static void
@@ -90,37 +91,64 @@
   order = g_new0 (struct order, 1);
   order->link = l;
   order->id = m->id;
-  own_order (member.agent, &o, on_result, order);
+  if (m->target.size > 0)
+    {
+      char *address = g_strndup (m->target.ptr, m->target.size);
+      /* Told before it is given: who leads next must know of it.  */
+      member.agent->own.gave_epoch = m->epoch;
+      member.agent->own.gave_version = m->version;
+      member.agent->own.gave_rank = m->target_rank;
+      remote_order (member.agent, address, &o, on_result, order);
+      g_free (address);
+    }
+  else
+    own_order (member.agent, &o, on_result, order);
   g_free (map);
 }
 
+/* The agent that was dialled answers, so it leads.  */
+static void
+attach (struct link *l)
+{
+  if (member.leader)
+    bb_conn_close (member.leader->conn, "another leads");
+  if (member.leads)
+    leader_stop (member.agent);
+  member.leads = false;
+  member.leader = l;
+  member.dialled = NULL;
+  bb_event ("leader", "{s:s}", "host", l->host);
+}
+
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
   struct link *l = bb_conn_user (c);
 
   l->heard_ms = agent_now (member.agent);
+  if (l == member.dialled)
+    attach (l);
   if (m->type == BB_MSG_RANK_ORDER && l == member.leader)
     take_order (l, &m->u.rank_order);
 }
 
+static void
+tell (struct link *l)
+{
+  struct bb_rank_state m;
+
+  own_fill (member.agent, &m);
+  bb_put_rank_state (bb_conn_out (l->conn), &m);
+}
+
 static void
 on_open (struct bb_conn *c)
 {
   struct link *l = bb_conn_user (c);
 
-  if (l != member.dialled)
-    return;
-  if (member.leader)
-    bb_conn_close (member.leader->conn, "another leads");
-  else
-    leader_stop (member.agent);
-  member.leader = l;
-  member.dialled = NULL;
   l->open = true;
-  l->heard_ms = agent_now (member.agent);
-  bb_event ("leader", "{s:s}", "host", l->host);
-  member_tell (member.agent);
+  if (l == member.dialled)
+    tell (l);
 }
 
 static void
@@ -171,24 +199,29 @@
   return at && agent_now (a) - *at < RETRY_MS;
 }
 
-/* Tries the agents that come before the present leader, or before this
-   one.  */
+/* Tries the agents that come before the present leader, or before this one.
+   Where none of them answers, this one leads.  */
 static void
 look_for_leader (struct agent *a)
 {
   GPtrArray *hosts = view_hosts (a);
+  bool known = false;
 
-  for (guint i = 0; i < hosts->len; i++)
+  for (guint i = 0; i < hosts->len && !member.dialled; i++)
     {
       const char *host = g_ptr_array_index (hosts, i);
-      if (strcmp (host, a->host) == 0
-          || (member.leader && strcmp (host, member.leader->host) == 0))
+      if (member.leader && strcmp (host, member.leader->host) == 0)
         break;
-      if (was_tried_lately (a, host))
-        continue;
-      dial (a, host);
-      break;
+      if (strcmp (host, a->host) == 0)
+        {
+          known = true;
+          break;
+        }
+      if (!was_tried_lately (a, host))
+        dial (a, host);
     }
+  if (known && !member.leader && !member.dialled)
+    member.leads = true;
   g_ptr_array_unref (hosts);
 }
 
@@ -200,22 +233,35 @@
   if (member.leader && now - member.leader->heard_ms > SILENT_MS)
     bb_conn_close (member.leader->conn, "silent");
   if (member.dialled && now - member.dialled->since_ms > DIAL_MAX_MS)
-    bb_conn_close (member.dialled->conn, "not reached");
+    bb_conn_close (member.dialled->conn, "no answer");
   if (!member.dialled)
     look_for_leader (a);
 }
 
+void
+member_woke (struct agent *a)
+{
+  if (member.leads)
+    leader_stop (a);
+  member.leads = false;
+  if (member.leader)
+    bb_conn_close (member.leader->conn, "this process was paused");
+  g_hash_table_remove_all (member.tried);
+}
+
 void
 member_tell (struct agent *a)
 {
   struct bb_rank_state m;
 
   /* A rank that is not known yet is told with no group, as a heartbeat.  */
-  own_fill (a, &m);
   if (member.leader)
-    bb_put_rank_state (bb_conn_out (member.leader->conn), &m);
-  else
-    leader_take_own (a, &m);
+    tell (member.leader);
+  if (member.leads)
+    {
+      own_fill (a, &m);
+      leader_take_own (a, &m);
+    }
   memset (a->own.deltas, 0, sizeof a->own.deltas);
   a->busy = a->own.report.prepared > a->own.report.map
             || a->own.report.held > 0 || a->own.report.armed > 0;
--- a/cmd/rank/own.c
+++ b/cmd/rank/own.c
@@ -217,6 +217,9 @@
   m->armed = r->armed;
   m->armed_step = r->armed_step;
   m->held = r->held;
+  m->gave_epoch = o->gave_epoch;
+  m->gave_version = o->gave_version;
+  m->gave_rank = o->gave_rank;
   m->queued = r->queued;
   m->running = r->running;
   m->counts.ptr = (const char *)o->deltas;
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -37,6 +37,10 @@
   uint64_t lists_version;
   uint64_t lists_epoch;
   bool lists_known;
+  /* The last arm that this agent gave to another rank.  */
+  uint64_t gave_epoch;
+  uint64_t gave_version;
+  uint32_t gave_rank;
 };
 
 struct agent
@@ -51,8 +55,9 @@
   char *host;                 /* of the own upstream */
   struct own own;
   uv_timer_t timer;
-  bool busy; /* a switch is under way */
-  bb_ms boot_skew_ms;
+  bool busy;          /* a switch is under way */
+  bb_ms boot_skew_ms; /* boot clock less steady clock */
+  bb_ms ticked_ms;
 };
 
 bb_ms agent_now (const struct agent *a);
@@ -79,6 +84,8 @@
 /* Sends the own state to the leader, which may be this process.  */
 void member_tell (struct agent *a);
 bool member_leads (void);
+/* The process was paused: its beliefs are old.  */
+void member_woke (struct agent *a);
 
 /* leader.c */
 void leader_start (struct agent *a);
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -65,18 +65,23 @@
 
    Ranks take orders: prepare copies a map, arm makes a rank use it from a pass
    on, hold keeps the group from beginning a pass until it is told to go.  The
-   leader holds one pass, arms all ranks for it and lets go.  Nothing is ever
-   disarmed: a switch that has armed any rank goes forward, whoever leads, so
-   orders that are lost, doubled or late find the pass begun.  A rank that
-   comes back puts the group in a new epoch, in which nothing of before
-   holds.  */
+   leader holds one pass at another rank, the holder; arms all ranks but its
+   own for it; has the holder arm the leader's; and lets the holder go on.
+
+   So while a leader that falls silent cannot be asked for its rank, the others
+   know it is not armed unless the holder says that it armed it.  Whoever leads
+   next goes forward where all ranks are armed or can be, and otherwise disarms
+   those that are and lets go.  Orders that are lost, doubled or late find the
+   pass begun.  A rank that comes back puts the group in a new epoch, in which
+   nothing of before holds.  */
 
 enum bb_lead_op
 {
   BB_LEAD_PREPARE,
   BB_LEAD_ARM,
   BB_LEAD_HOLD,
-  BB_LEAD_GO
+  BB_LEAD_GO,
+  BB_LEAD_DISARM
 };
 
 struct bb_lead_order
@@ -86,6 +91,7 @@
   uint64_t step;
   uint64_t epoch;
   const uint16_t *map; /* of a prepare */
+  uint32_t via;        /* rank whose agent gives the order */
 };
 
 /* What a rank last said.  */
@@ -102,6 +108,9 @@
   uint64_t armed;
   uint64_t armed_step;
   uint64_t held;
+  uint64_t gave_epoch;   /* its agent gave another rank an arm ... */
+  uint64_t gave_version; /* ... of this version */
+  uint32_t gave_rank;
   uint64_t lists_epoch;   /* of the row in the leader's map */
   uint64_t lists_version; /* likewise */
   bool done;              /* has carried the present phase's order out */
@@ -114,8 +123,11 @@
   BB_LEAD_PREPARING,
   BB_LEAD_HOLDING,
   BB_LEAD_ARMING,
+  BB_LEAD_ARMING_OWN, /* the holder arms the leader's rank */
   BB_LEAD_GOING,
-  BB_LEAD_SETTLING /* a switch that this leader did not begin */
+  BB_LEAD_SETTLING,   /* a switch that this leader did not begin */
+  BB_LEAD_FORWARDING, /* arms what is left of it */
+  BB_LEAD_DISARMING   /* gives it up */
 };
 
 const char *bb_lead_phase_name (enum bb_lead_phase p);
@@ -130,10 +142,11 @@
   struct bb_group_size size;
   struct bb_lead_rank ranks[BB_LEAD_RANKS_MAX];
   enum bb_lead_phase phase;
-  uint32_t self; /* own rank, which is held */
+  uint32_t self; /* own rank */
   uint64_t epoch;
   uint64_t version; /* highest seen or used */
   uint64_t step;    /* of the hold */
+  uint32_t missing; /* rank that cannot be asked; the number of ranks: none */
   uint32_t holder;  /* rank that is held */
   uint16_t *map;    /* in force, row by row */
   uint16_t *next;   /* being switched to */
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -110,6 +110,7 @@
   enum bb_group_state state;
   bb_ms progress_ms; /* last event or answer */
   bb_ms since_ms;    /* of the present state */
+  uint64_t step;     /* last reported */
   bb_ms outage_ms;   /* usual length of an outage, learned */
   bool learned;
 };
@@ -118,8 +119,10 @@
 void bb_group_progress (struct bb_group_watch *g, bb_ms now);
 /* An upstream refused since another one is gone, or broke off.  */
 void bb_group_broke (struct bb_group_watch *g, bb_ms now);
-/* A fresh report says whether the group takes work.  */
-void bb_group_reported (struct bb_group_watch *g, bool open, bb_ms now);
+/* A fresh report says whether the group takes work, and the last pass that it
+   began.  A group that stalls says that it is open up to the end.  */
+void bb_group_reported (struct bb_group_watch *g, bool open, uint64_t step,
+                        uint32_t in_flight, bb_ms now);
 /* Looks at the time; IN_FLIGHT requests are under way.  Returns the state.  */
 enum bb_group_state bb_group_look (struct bb_group_watch *g,
                                    uint32_t in_flight, bb_ms now);
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -441,9 +441,12 @@
   uint32_t pending;
   struct bb_bytes lists;
   uint64_t lists_version;
+  uint64_t gave_version;
+  uint32_t gave_rank;
+  uint64_t gave_epoch;
 };
 
-/* Asks an agent to give its rank an order.  */
+/* Asks an agent to give its rank an order, or the rank at the target.  */
 struct bb_rank_order
 {
   uint64_t id;
@@ -456,6 +459,8 @@
   uint32_t ranks;
   uint32_t places;
   uint64_t fence;
+  struct bb_bytes target;
+  uint32_t target_rank;
 };
 
 /* How an order ended; status 0 is an order without answer.  */
@@ -587,6 +592,7 @@
   BB_RANK_STATE_COUNTS_MAX_BYTES = 65536,
   BB_RANK_STATE_LISTS_MAX_BYTES = 65536,
   BB_RANK_ORDER_MAP_MAX_BYTES = 1048576,
+  BB_RANK_ORDER_TARGET_MAX_BYTES = 64,
   BB_HELLO_NAME_MAX_BYTES = 128,
   BB_CALL_CUSTOMER_MAX_BYTES = 128,
   BB_CALL_METHOD_MAX_BYTES = 32,
--- a/libgroup/lead.c
+++ b/libgroup/lead.c
@@ -6,11 +6,13 @@
 enum
 {
   FRESH_MS = 600,        /* an older state says nothing of now */
+  SETTLE_FRESH_MS = 250, /* the same, for a switch that is left over */
   AGAIN_MS = 60,         /* an order without result is sent again */
   PREPARE_MAX_MS = 8000, /* then the switch is given up */
   PREPARE_AGAIN_MS = 250,
-  MARGIN_STEPS = 2,      /* passes from the last one seen to the held one */
-  SETTLE_AFTER_MS = 150, /* leftovers of another leader are waited for */
+  MARGIN_STEPS = 2,       /* passes from the last one seen to the held one */
+  SETTLE_AFTER_MS = 150,  /* for states to show the end of a switch */
+  MISSING_AFTER_MS = 300, /* a rank that cannot be asked for so long */
   STATUS_OK = 200,
   STATUS_BEGUN = 202,
   STATUS_MISFIT = 409,
@@ -21,9 +23,10 @@
 bb_lead_phase_name (enum bb_lead_phase p)
 {
   static const char *const names[]
-      = { "idle", "preparing", "holding", "arming", "going", "settling" };
+      = { "idle",  "preparing", "holding",    "arming",   "arming_own",
+          "going", "settling",  "forwarding", "disarming" };
 
-  return p <= BB_LEAD_SETTLING ? names[p] : "unknown";
+  return p <= BB_LEAD_DISARMING ? names[p] : "unknown";
 }
 
 void
@@ -36,6 +39,7 @@
   memset (l, 0, sizeof *l);
   l->size = *size;
   l->self = self;
+  l->missing = size->ranks;
   l->order = order;
   l->user = user;
   l->map = malloc (bb_group_places (size) * sizeof *l->map);
@@ -67,51 +71,67 @@
     }
 }
 
-/* Whether all ranks are heard of lately, in one epoch of an open group.  */
 static bool
-is_whole (const struct bb_lead *l, bb_ms now)
+is_fresh (const struct bb_lead *l, uint32_t rank, bb_ms age_ms, bb_ms now)
+{
+  const struct bb_lead_rank *k = &l->ranks[rank];
+
+  return k->known && now - k->heard_ms <= age_ms && k->open
+         && k->epoch == l->epoch;
+}
+
+/* Whether all ranks, but for the missing one, are heard of lately in one
+   epoch of an open group.  */
+static bool
+is_whole (const struct bb_lead *l, bb_ms age_ms, bb_ms now)
 {
   for (uint32_t r = 0; r < l->size.ranks; r++)
-    {
-      const struct bb_lead_rank *k = &l->ranks[r];
-      if (!k->known || now - k->heard_ms > FRESH_MS || !k->open
-          || k->epoch != l->epoch)
-        return false;
-    }
+    if (r != l->missing && !is_fresh (l, r, age_ms, now))
+      return false;
   return true;
 }
 
-/* Returns the version that is armed at some rank for a pass that has not
-   begun, or 0.  */
-static uint64_t
-armed_version (const struct bb_lead *l)
+static bool
+is_armed (const struct bb_lead *l, uint32_t rank)
 {
-  for (uint32_t r = 0; r < l->size.ranks; r++)
-    if (l->ranks[r].armed > l->ranks[r].map)
-      return l->ranks[r].armed;
-  return 0;
+  return l->ranks[rank].armed > l->ranks[rank].map;
 }
 
-/* Returns the rank that is held, or none (the number of ranks).  */
+/* Returns a rank that is armed for a pass that has not begun, or the number
+   of ranks.  What the missing rank said before counts for nothing.  */
+static uint32_t
+armed_rank (const struct bb_lead *l)
+{
+  uint32_t r = 0;
+
+  while (r < l->size.ranks && (r == l->missing || !is_armed (l, r)))
+    r++;
+  return r;
+}
+
+/* Returns a rank that is held, or the number of ranks.  */
 static uint32_t
 held_rank (const struct bb_lead *l)
 {
-  for (uint32_t r = 0; r < l->size.ranks; r++)
-    if (l->ranks[r].held > 0)
-      return r;
-  return l->size.ranks;
+  uint32_t r = 0;
+
+  while (r < l->size.ranks && (r == l->missing || l->ranks[r].held == 0))
+    r++;
+  return r;
 }
 
 static bool
 is_clean (const struct bb_lead *l)
 {
-  return armed_version (l) == 0 && held_rank (l) == l->size.ranks;
+  return armed_rank (l) == l->size.ranks && held_rank (l) == l->size.ranks;
 }
 
 bool
 bb_lead_is_ready (const struct bb_lead *l, bb_ms now)
 {
-  if (l->phase != BB_LEAD_IDLE || !is_whole (l, now) || !is_clean (l))
+  if (l->phase != BB_LEAD_IDLE || l->size.ranks < 2
+      || l->missing != l->size.ranks || !is_whole (l, FRESH_MS, now)
+      || !is_clean (l))
     return false;
   for (uint32_t r = 0; r < l->size.ranks; r++)
     {
@@ -124,29 +144,36 @@
 }
 
 static void
-give (struct bb_lead *l, uint32_t rank, enum bb_lead_op op, bb_ms now)
+give (struct bb_lead *l, uint32_t rank, enum bb_lead_op op, uint32_t via,
+      bb_ms now)
 {
   struct bb_lead_order o = { .op = op,
                              .version = l->version,
                              .step = l->step,
                              .epoch = l->epoch,
-                             .map = op == BB_LEAD_PREPARE ? l->next : NULL };
+                             .map = op == BB_LEAD_PREPARE ? l->next : NULL,
+                             .via = via };
 
   l->ranks[rank].ordered_ms = now;
   l->order (rank, &o, l->user);
 }
 
-/* Sends the order to each rank that has not carried it out, again after a
-   while.  */
+static bool
+is_due (const struct bb_lead *l, uint32_t rank, bb_ms again_ms, bb_ms now)
+{
+  const struct bb_lead_rank *k = &l->ranks[rank];
+
+  return !k->done && (k->ordered_ms == 0 || now - k->ordered_ms >= again_ms);
+}
+
+/* Gives the order to each rank that has not carried it out, again after a
+   while, by its own agent.  */
 static void
 give_all (struct bb_lead *l, enum bb_lead_op op, bb_ms again_ms, bb_ms now)
 {
   for (uint32_t r = 0; r < l->size.ranks; r++)
-    {
-      const struct bb_lead_rank *k = &l->ranks[r];
-      if (!k->done && (k->ordered_ms == 0 || now - k->ordered_ms >= again_ms))
-        give (l, r, op, now);
-    }
+    if (is_due (l, r, again_ms, now))
+      give (l, r, op, r, now);
 }
 
 static bool
@@ -162,27 +189,35 @@
 begin_hold (struct bb_lead *l, bb_ms now)
 {
   enter (l, BB_LEAD_HOLDING, now);
-  l->holder = l->self;
+  l->holder = (l->self + 1) % l->size.ranks;
   l->step = 0;
   for (uint32_t r = 0; r < l->size.ranks; r++)
     if (l->ranks[r].step > l->step)
       l->step = l->ranks[r].step;
   l->step += MARGIN_STEPS;
-  give (l, l->holder, BB_LEAD_HOLD, now);
+  give (l, l->holder, BB_LEAD_HOLD, l->self, now);
 }
 
 static void
 begin_arm (struct bb_lead *l, bb_ms now)
 {
   enter (l, BB_LEAD_ARMING, now);
+  l->ranks[l->self].done = true;
   give_all (l, BB_LEAD_ARM, AGAIN_MS, now);
 }
 
+static void
+begin_arm_own (struct bb_lead *l, bb_ms now)
+{
+  enter (l, BB_LEAD_ARMING_OWN, now);
+  give (l, l->self, BB_LEAD_ARM, l->holder, now);
+}
+
 static void
 begin_go (struct bb_lead *l, bb_ms now)
 {
   enter (l, BB_LEAD_GOING, now);
-  give (l, l->holder, BB_LEAD_GO, now);
+  give (l, l->holder, BB_LEAD_GO, l->holder, now);
 }
 
 void
@@ -211,6 +246,30 @@
             row * sizeof *lists);
 }
 
+/* A new epoch: nothing of before holds.  */
+static void
+note_epoch (struct bb_lead *l, uint64_t epoch, bb_ms now)
+{
+  if (epoch <= l->epoch)
+    return;
+  l->epoch = epoch;
+  l->version = 0;
+  l->missing = l->size.ranks;
+  if (l->phase != BB_LEAD_IDLE)
+    abandon (l, now);
+}
+
+static void
+note_versions (struct bb_lead *l, const struct bb_lead_rank *k)
+{
+  if (k->epoch != l->epoch)
+    return;
+  if (k->prepared > l->version)
+    l->version = k->prepared;
+  if (k->map > l->version)
+    l->version = k->map;
+}
+
 void
 bb_lead_state (struct bb_lead *l, uint32_t rank,
                const struct bb_lead_rank *state, const uint16_t *lists,
@@ -236,20 +295,10 @@
       k->lists_epoch = state->epoch;
       k->lists_version = state->lists_version;
     }
-  if (k->epoch > l->epoch)
-    {
-      l->epoch = k->epoch;
-      l->version = 0;
-      if (l->phase != BB_LEAD_IDLE)
-        abandon (l, now);
-    }
-  if (k->epoch == l->epoch)
-    {
-      if (k->prepared > l->version)
-        l->version = k->prepared;
-      if (k->map > l->version)
-        l->version = k->map;
-    }
+  if (l->missing == rank)
+    l->missing = l->size.ranks;
+  note_epoch (l, k->epoch, now);
+  note_versions (l, k);
   if (l->phase == BB_LEAD_PREPARING && k->prepared == l->version)
     k->done = true;
 }
@@ -260,39 +309,65 @@
   return status == STATUS_OK || status == STATUS_BEGUN;
 }
 
+/* Takes the result of the hold or of an arm.  */
+static void
+take_arm_result (struct bb_lead *l, uint32_t rank,
+                 const struct bb_lead_order *o, uint16_t status, bb_ms now)
+{
+  struct bb_lead_rank *k = &l->ranks[rank];
+
+  if (o->step != l->step || o->version != l->version
+      || !(is_ok (status) || k->map == l->version))
+    return;
+  k->done = true;
+  if (l->phase == BB_LEAD_ARMING_OWN)
+    begin_go (l, now);
+  else if (all_done (l) && l->phase == BB_LEAD_ARMING)
+    begin_arm_own (l, now);
+  else if (all_done (l))
+    begin_go (l, now);
+}
+
 void
 bb_lead_result (struct bb_lead *l, uint32_t rank,
                 const struct bb_lead_order *o, uint16_t status, bb_ms now)
 {
-  struct bb_lead_rank *k = &l->ranks[rank];
-  bool hold_ended = status == STATUS_MISFIT || status == STATUS_FENCED;
+  bool misfits = status == STATUS_MISFIT || status == STATUS_FENCED;
 
   if (rank >= l->size.ranks || o->epoch != l->epoch)
     return;
-  if (l->phase == BB_LEAD_PREPARING && o->op == BB_LEAD_PREPARE
-      && o->version == l->version && hold_ended && k->prepared != l->version)
-    abandon (l, now);
-  else if (l->phase == BB_LEAD_HOLDING && o->op == BB_LEAD_HOLD
-           && o->step == l->step)
+  switch (o->op)
     {
+    case BB_LEAD_PREPARE:
+      if (l->phase == BB_LEAD_PREPARING && o->version == l->version && misfits
+          && l->ranks[rank].prepared != l->version)
+        abandon (l, now);
+      break;
+    case BB_LEAD_HOLD:
+      if (l->phase != BB_LEAD_HOLDING || o->step != l->step)
+        break;
       if (is_ok (status))
         begin_arm (l, now);
-      else if (hold_ended)
+      else if (misfits)
         begin_hold (l, now);
-    }
-  else if (l->phase == BB_LEAD_ARMING && o->op == BB_LEAD_ARM
-           && o->step == l->step && o->version == l->version
-           && (is_ok (status) || k->map == l->version))
-    {
-      k->done = true;
-      if (all_done (l))
-        begin_go (l, now);
-    }
-  else if (l->phase == BB_LEAD_GOING && o->op == BB_LEAD_GO
-           && o->step == l->step && (is_ok (status) || hold_ended))
-    {
+      break;
+    case BB_LEAD_ARM:
+      if (l->phase == BB_LEAD_ARMING || l->phase == BB_LEAD_ARMING_OWN
+          || l->phase == BB_LEAD_FORWARDING)
+        take_arm_result (l, rank, o, status, now);
+      break;
+    case BB_LEAD_GO:
+      if (l->phase != BB_LEAD_GOING || o->step != l->step
+          || !(is_ok (status) || misfits))
+        break;
       l->switches++;
       enter (l, BB_LEAD_IDLE, now);
+      break;
+    case BB_LEAD_DISARM:
+      if (l->phase == BB_LEAD_DISARMING && o->version == l->version
+          && is_ok (status))
+        l->ranks[rank].done = true;
+      break;
     }
 }
 
@@ -306,38 +381,124 @@
   return true;
 }
 
-/* Goes on with a switch that another leader left: arms what is not armed and
-   lets go.  Where no rank is armed the pass is only let go.  */
+/* Whether some agent gave the missing rank an arm of VERSION.  */
+static bool
+was_given (const struct bb_lead *l, uint64_t version)
+{
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    {
+      const struct bb_lead_rank *k = &l->ranks[r];
+      if (k->gave_epoch == l->epoch && k->gave_version == version
+          && k->gave_rank == l->missing)
+        return true;
+    }
+  return false;
+}
+
+/* Counts one rank that cannot be asked as missing.  */
+static void
+look_for_missing (struct bb_lead *l, bb_ms now)
+{
+  uint32_t silent = l->size.ranks;
+
+  if (now - l->since_ms < MISSING_AFTER_MS)
+    return;
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    {
+      if (is_fresh (l, r, SETTLE_FRESH_MS, now))
+        continue;
+      if (silent != l->size.ranks)
+        return;
+      silent = r;
+    }
+  l->missing = silent;
+}
+
+static void
+begin_disarm (struct bb_lead *l, bb_ms now)
+{
+  enter (l, BB_LEAD_DISARMING, now);
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    l->ranks[r].done = r == l->missing || !is_armed (l, r);
+  give_all (l, BB_LEAD_DISARM, AGAIN_MS, now);
+}
+
+/* Ends a switch that another leader left.  */
 static void
 settle (struct bb_lead *l, bb_ms now)
 {
-  uint64_t version = armed_version (l);
+  uint32_t armed = armed_rank (l);
   uint32_t held = held_rank (l);
 
-  if (!is_whole (l, now) || now - l->since_ms < SETTLE_AFTER_MS)
+  if (now - l->since_ms < SETTLE_AFTER_MS)
+    return;
+  look_for_missing (l, now);
+  if (!is_whole (l, SETTLE_FRESH_MS, now))
     return;
   if (is_clean (l))
     {
+      l->missing = l->size.ranks;
       enter (l, BB_LEAD_IDLE, now);
       return;
     }
   l->holder = held < l->size.ranks ? held : l->self;
-  l->step = held < l->size.ranks ? l->ranks[held].held : 0;
-  for (uint32_t r = 0; r < l->size.ranks; r++)
-    if (l->ranks[r].armed == version && version > 0)
-      l->step = l->ranks[r].armed_step;
-  if (version == 0)
+  if (armed == l->size.ranks)
     {
+      l->step = l->ranks[held].held;
       begin_go (l, now);
       return;
     }
-  l->version = version;
-  begin_arm (l, now);
+  l->step = l->ranks[armed].armed_step;
+  l->version = l->ranks[armed].armed;
+  if (l->missing < l->size.ranks && !was_given (l, l->version))
+    {
+      begin_disarm (l, now);
+      return;
+    }
+  enter (l, BB_LEAD_FORWARDING, now);
+  if (l->missing < l->size.ranks)
+    l->ranks[l->missing].done = true;
+  give_all (l, BB_LEAD_ARM, AGAIN_MS, now);
+}
+
+static void
+go_on_disarming (struct bb_lead *l, bb_ms now)
+{
+  if (all_done (l))
+    begin_go (l, now);
+  else
+    give_all (l, BB_LEAD_DISARM, AGAIN_MS, now);
+}
+
+static void
+go_on_preparing (struct bb_lead *l, bb_ms now)
+{
+  if (all_done (l))
+    begin_hold (l, now);
+  else if (now - l->since_ms > PREPARE_MAX_MS || !is_whole (l, FRESH_MS, now))
+    abandon (l, now);
+  else
+    give_all (l, BB_LEAD_PREPARE, PREPARE_AGAIN_MS, now);
+}
+
+/* Whether the held pass has begun, so that nothing is left to do for it.  */
+static bool
+has_begun (const struct bb_lead *l)
+{
+  if (l->phase != BB_LEAD_ARMING && l->phase != BB_LEAD_ARMING_OWN
+      && l->phase != BB_LEAD_FORWARDING && l->phase != BB_LEAD_DISARMING)
+    return false;
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    if (l->ranks[r].epoch == l->epoch && l->ranks[r].step >= l->step)
+      return true;
+  return false;
 }
 
 void
 bb_lead_tick (struct bb_lead *l, bb_ms now)
 {
+  if (has_begun (l))
+    enter (l, BB_LEAD_IDLE, now);
   switch (l->phase)
     {
     case BB_LEAD_IDLE:
@@ -345,29 +506,32 @@
         enter (l, BB_LEAD_SETTLING, now);
       break;
     case BB_LEAD_PREPARING:
-      if (all_done (l))
-        begin_hold (l, now);
-      else if (now - l->since_ms > PREPARE_MAX_MS || !is_whole (l, now))
-        abandon (l, now);
-      else
-        give_all (l, BB_LEAD_PREPARE, PREPARE_AGAIN_MS, now);
+      go_on_preparing (l, now);
       break;
     case BB_LEAD_HOLDING:
-      if (now - l->ranks[l->holder].ordered_ms >= AGAIN_MS)
-        give (l, l->holder, BB_LEAD_HOLD, now);
+      if (is_due (l, l->holder, AGAIN_MS, now))
+        give (l, l->holder, BB_LEAD_HOLD, l->self, now);
       break;
     case BB_LEAD_ARMING:
+    case BB_LEAD_FORWARDING:
       if (all_use (l, l->version))
         enter (l, BB_LEAD_IDLE, now);
       else
         give_all (l, BB_LEAD_ARM, AGAIN_MS, now);
       break;
+    case BB_LEAD_ARMING_OWN:
+      if (is_due (l, l->self, AGAIN_MS, now))
+        give (l, l->self, BB_LEAD_ARM, l->holder, now);
+      break;
     case BB_LEAD_GOING:
-      if (now - l->ranks[l->holder].ordered_ms >= AGAIN_MS)
-        give (l, l->holder, BB_LEAD_GO, now);
+      if (is_due (l, l->holder, AGAIN_MS, now))
+        give (l, l->holder, BB_LEAD_GO, l->holder, now);
       break;
     case BB_LEAD_SETTLING:
       settle (l, now);
       break;
+    case BB_LEAD_DISARMING:
+      go_on_disarming (l, now);
+      break;
     }
 }
--- a/libload/group.c
+++ b/libload/group.c
@@ -34,8 +34,12 @@
 }
 
 void
-bb_group_reported (struct bb_group_watch *g, bool open, bb_ms now)
+bb_group_reported (struct bb_group_watch *g, bool open, uint64_t step,
+                   uint32_t in_flight, bb_ms now)
 {
+  bool moves = step != g->step || in_flight == 0;
+
+  g->step = step;
   if (!open)
     {
       bb_group_broke (g, now);
@@ -47,8 +51,10 @@
       g->outage_ms = g->learned ? (g->outage_ms + outage) / 2 : outage;
       g->learned = true;
       enter (g, BB_GROUP_OPEN, now);
+      g->progress_ms = now;
     }
-  g->progress_ms = now;
+  if (moves)
+    bb_group_progress (g, now);
 }
 
 enum bb_group_state
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -2254,7 +2254,7 @@
 static void
 put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
 {
-  msgpack_pack_map (pk, 18);
+  msgpack_pack_map (pk, 21);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->upstream);
   msgpack_pack_uint8 (pk, 2);
@@ -2291,6 +2291,12 @@
   bb_wire_put_bin (pk, v->lists);
   msgpack_pack_uint8 (pk, 18);
   msgpack_pack_uint64 (pk, v->lists_version);
+  msgpack_pack_uint8 (pk, 19);
+  msgpack_pack_uint64 (pk, v->gave_version);
+  msgpack_pack_uint8 (pk, 20);
+  msgpack_pack_uint64 (pk, v->gave_rank);
+  msgpack_pack_uint8 (pk, 21);
+  msgpack_pack_uint64 (pk, v->gave_epoch);
 }
 
 static bool
@@ -2410,6 +2416,24 @@
           v->lists_version = (uint64_t)n;
           seen |= UINT64_C (1) << 18;
           break;
+        case 19:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "gave_version", e))
+            return false;
+          v->gave_version = (uint64_t)n;
+          seen |= UINT64_C (1) << 19;
+          break;
+        case 20:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "gave_rank", e))
+            return false;
+          v->gave_rank = (uint32_t)n;
+          seen |= UINT64_C (1) << 20;
+          break;
+        case 21:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "gave_epoch", e))
+            return false;
+          v->gave_epoch = (uint64_t)n;
+          seen |= UINT64_C (1) << 21;
+          break;
         default:
           break;
         }
@@ -2428,7 +2452,7 @@
 static void
 put_rank_order (msgpack_packer *pk, const struct bb_rank_order *v)
 {
-  msgpack_pack_map (pk, 10);
+  msgpack_pack_map (pk, 12);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->id);
   msgpack_pack_uint8 (pk, 2);
@@ -2449,6 +2473,10 @@
   msgpack_pack_uint64 (pk, v->places);
   msgpack_pack_uint8 (pk, 10);
   msgpack_pack_uint64 (pk, v->fence);
+  msgpack_pack_uint8 (pk, 11);
+  bb_wire_put_str (pk, v->target);
+  msgpack_pack_uint8 (pk, 12);
+  msgpack_pack_uint64 (pk, v->target_rank);
 }
 
 static bool
@@ -2524,6 +2552,17 @@
           v->fence = (uint64_t)n;
           seen |= UINT64_C (1) << 10;
           break;
+        case 11:
+          if (!bb_wire_get_str (o, 64, &v->target, "target", e))
+            return false;
+          seen |= UINT64_C (1) << 11;
+          break;
+        case 12:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "target_rank", e))
+            return false;
+          v->target_rank = (uint32_t)n;
+          seen |= UINT64_C (1) << 12;
+          break;
         default:
           break;
         }
@@ -3721,6 +3760,9 @@
   { BB_MSG_RANK_STATE, 16, false, "pending" },
   { BB_MSG_RANK_STATE, 17, false, "lists" },
   { BB_MSG_RANK_STATE, 18, false, "lists_version" },
+  { BB_MSG_RANK_STATE, 19, false, "gave_version" },
+  { BB_MSG_RANK_STATE, 20, false, "gave_rank" },
+  { BB_MSG_RANK_STATE, 21, false, "gave_epoch" },
   { BB_MSG_RANK_ORDER, 1, true, "id" },
   { BB_MSG_RANK_ORDER, 2, true, "op" },
   { BB_MSG_RANK_ORDER, 3, false, "version" },
@@ -3731,6 +3773,8 @@
   { BB_MSG_RANK_ORDER, 8, false, "ranks" },
   { BB_MSG_RANK_ORDER, 9, false, "places" },
   { BB_MSG_RANK_ORDER, 10, false, "fence" },
+  { BB_MSG_RANK_ORDER, 11, false, "target" },
+  { BB_MSG_RANK_ORDER, 12, false, "target_rank" },
   { BB_MSG_RANK_RESULT, 1, true, "id" },
   { BB_MSG_RANK_RESULT, 2, true, "status" },
   { BB_MSG_HELLO, 1, true, "role" },
