--- a/cmd/rank/main.c
+++ b/cmd/rank/main.c
@@ -10,7 +10,7 @@
 #include <time.h>
 
 static struct agent agent;
-static uv_signal_t signals[2];
+static uv_signal_t signals[3];
 static uv_timer_t tick;
 
 enum
@@ -71,6 +71,24 @@
   exit (EXIT_SUCCESS);
 }
 
+/* The settings changed.  Nothing of a running agent depends on what may
+   change, but a fault in them is told.  */
+static void
+on_hup (uv_signal_t *s, int number)
+{
+  char *why = NULL;
+  struct bb_start *start = bb_start_read (bb_start_path (), &why);
+
+  (void)s;
+  (void)number;
+  if (start)
+    bb_event ("reload", "{s:b}", "changed", 0);
+  else
+    bb_event ("reload_refused", "{s:s}", "why", why);
+  bb_start_free (start);
+  g_free (why);
+}
+
 static bool
 read_settings (struct agent *a)
 {
@@ -102,6 +120,7 @@
 int
 main (void)
 {
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
   struct agent *a = &agent;
 
   a->loop = uv_default_loop ();
@@ -110,10 +129,11 @@
   bb_event ("start", "{s:s, s:s, s:s}", "name", a->start->name, "version",
             BB_VERSION, "upstream", a->start->upstream);
   signal (SIGPIPE, SIG_IGN);
-  for (uint32_t i = 0; i < 2; i++)
+  for (uint32_t i = 0; i < G_N_ELEMENTS (numbers); i++)
     {
       uv_signal_init (a->loop, &signals[i]);
-      uv_signal_start (&signals[i], on_term, i == 0 ? SIGTERM : SIGINT);
+      uv_signal_start (&signals[i], numbers[i] == SIGHUP ? on_hup : on_term,
+                       numbers[i]);
     }
   if (!view_start (a))
     return EXIT_FAILURE;
