Prove the switch of maps: late orders, frozen leaders and members

A randomised run of ranks as the platform describes them found two ways to two maps in one pass, both with a frozen VM and orders that are carried out late: the holder's arm of the leader's rank was taken for done without an answer; and a member that froze after a second leader had gone forward was taken for not armed.

--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -135,6 +135,7 @@
                              .fence = leader.fence,
                              .target = bb_bytes_of (address),
                              .target_rank = o->rank,
+                             .from_rank = leader.lead.self,
                              .sets = s->sets,
                              .ranks = s->ranks,
                              .places = s->places };
@@ -201,7 +202,11 @@
   if (!own && f)
     order_follower (f, o, what->via == rank ? NULL : address);
   else if (address && (own || left_over))
-    order_direct (address, o);
+    {
+      if (rank == l->lead.self && what->op == BB_LEAD_ARM)
+        own_armed_by (l->agent, l->lead.self, what->version);
+      order_direct (address, o);
+    }
   g_free (address);
 }
 
@@ -241,9 +246,12 @@
                             .armed = m->armed,
                             .armed_step = m->armed_step,
                             .held = m->held,
+                            .armed_by = m->armed_by,
+                            .armed_by_version = m->armed_by_version,
                             .gave_epoch = m->gave_epoch,
                             .gave_version = m->gave_version,
                             .gave_rank = m->gave_rank,
+                            .gave_taken = m->gave_taken,
                             .lists_version = m->lists_version };
   const struct bb_group_size *s = &l->lead.size;
   size_t row = (size_t)s->sets * s->places * sizeof (uint16_t);
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -43,6 +43,8 @@
 {
   struct link *link;
   uint64_t id;
+  bool far; /* to another rank */
+  uint64_t version;
 };
 
 bool
@@ -56,6 +58,11 @@
 {
   struct order *o = user;
   struct bb_rank_result m = { .id = o->id, .status = status };
+  struct own *own = &member.agent->own;
+
+  if (o->far && o->version == own->gave_version
+      && (status == 200 || status == 202))
+    own->gave_taken = true;
 
   if (member.leader == o->link && o->link)
     bb_put_rank_result (bb_conn_out (o->link->conn), &m);
@@ -98,11 +105,18 @@
       member.agent->own.gave_epoch = m->epoch;
       member.agent->own.gave_version = m->version;
       member.agent->own.gave_rank = m->target_rank;
+      member.agent->own.gave_taken = false;
+      order->far = true;
+      order->version = m->version;
       remote_order (member.agent, address, &o, on_result, order);
       g_free (address);
     }
   else
-    own_order (member.agent, &o, on_result, order);
+    {
+      if (o.op == BB_ORDER_ARM)
+        own_armed_by (member.agent, m->from_rank, m->version);
+      own_order (member.agent, &o, on_result, order);
+    }
   g_free (map);
 }
 
--- a/cmd/rank/own.c
+++ b/cmd/rank/own.c
@@ -198,6 +198,13 @@
   remote_order (a, a->start->upstream, o, fn, user);
 }
 
+void
+own_armed_by (struct agent *a, uint32_t by, uint64_t version)
+{
+  a->own.armed_by = by;
+  a->own.armed_by_version = version;
+}
+
 void
 own_fill (struct agent *a, struct bb_rank_state *m)
 {
@@ -217,9 +224,12 @@
   m->armed = r->armed;
   m->armed_step = r->armed_step;
   m->held = r->held;
+  m->armed_by = o->armed_by;
+  m->armed_by_version = o->armed_by_version;
   m->gave_epoch = o->gave_epoch;
   m->gave_version = o->gave_version;
   m->gave_rank = o->gave_rank;
+  m->gave_taken = o->gave_taken;
   m->queued = r->queued;
   m->running = r->running;
   m->counts.ptr = (const char *)o->deltas;
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -69,11 +69,13 @@
    own for it; has the holder arm the leader's; and lets the holder go on.
 
    So while a leader that falls silent cannot be asked for its rank, the others
-   know it is not armed unless the holder says that it armed it.  Whoever leads
-   next goes forward where all ranks are armed or can be, and otherwise disarms
-   those that are and lets go.  Orders that are lost, doubled or late find the
-   pass begun.  A rank that comes back puts the group in a new epoch, in which
-   nothing of before holds.  */
+   know it is not armed unless the holder says that it gave it the order.
+   Whoever leads next goes forward where all ranks are armed or can be.  Where
+   a rank is silent, it disarms the others if they were all armed by that
+   rank's agent and it was not given the order, goes on without it if it has
+   said that it is armed, and waits for it otherwise.  Orders that are lost,
+   doubled or late find the pass begun.  A rank that comes back puts the group
+   in a new epoch, in which nothing of before holds.  */
 
 enum bb_lead_op
 {
@@ -108,13 +110,17 @@
   uint64_t armed;
   uint64_t armed_step;
   uint64_t held;
-  uint64_t gave_epoch;   /* its agent gave another rank an arm ... */
-  uint64_t gave_version; /* ... of this version */
+  uint32_t armed_by; /* rank of the leader that last had it armed ... */
+  uint64_t armed_by_version; /* ... for this version */
+  uint64_t gave_epoch;       /* its agent gave another rank an arm ... */
+  uint64_t gave_version;     /* ... of this version */
   uint32_t gave_rank;
+  bool gave_taken;        /* that rank has said that it is armed */
   uint64_t lists_epoch;   /* of the row in the leader's map */
   uint64_t lists_version; /* likewise */
   bool done;              /* has carried the present phase's order out */
   bb_ms ordered_ms;       /* when the order was last sent; 0: not */
+  uint32_t orders;        /* sent in the present phase */
 };
 
 enum bb_lead_phase
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -444,6 +444,9 @@
   uint64_t gave_version;
   uint32_t gave_rank;
   uint64_t gave_epoch;
+  bool gave_taken;
+  uint32_t armed_by;
+  uint64_t armed_by_version;
 };
 
 /* Asks an agent to give its rank an order, or the rank at the target.  */
@@ -461,6 +464,7 @@
   uint64_t fence;
   struct bb_bytes target;
   uint32_t target_rank;
+  uint32_t from_rank;
 };
 
 /* How an order ended; status 0 is an order without answer.  */
--- a/libgroup/lead.c
+++ b/libgroup/lead.c
@@ -9,7 +9,7 @@
   SETTLE_FRESH_MS = 250, /* the same, for a switch that is left over */
   AGAIN_MS = 60,         /* an order without result is sent again */
   PREPARE_MAX_MS = 8000, /* then the switch is given up */
-  PREPARE_AGAIN_MS = 250,
+  PREPARE_AGAIN_MS = 120,
   MARGIN_STEPS = 2,       /* passes from the last one seen to the held one */
   SETTLE_AFTER_MS = 150,  /* for states to show the end of a switch */
   MISSING_AFTER_MS = 300, /* a rank that cannot be asked for so long */
@@ -68,6 +68,7 @@
     {
       l->ranks[r].done = false;
       l->ranks[r].ordered_ms = 0;
+      l->ranks[r].orders = 0;
     }
 }
 
@@ -155,6 +156,7 @@
                              .via = via };
 
   l->ranks[rank].ordered_ms = now;
+  l->ranks[rank].orders++;
   l->order (rank, &o, l->user);
 }
 
@@ -287,6 +289,7 @@
   k->heard_ms = now;
   k->done = before.done;
   k->ordered_ms = before.ordered_ms;
+  k->orders = before.orders;
   k->lists_epoch = before.lists_epoch;
   k->lists_version = before.lists_version;
   if (lists)
@@ -339,8 +342,10 @@
   switch (o->op)
     {
     case BB_LEAD_PREPARE:
+      /* A rank that refuses an order that was sent again may be carrying the
+         first one out.  */
       if (l->phase == BB_LEAD_PREPARING && o->version == l->version && misfits
-          && l->ranks[rank].prepared != l->version)
+          && l->ranks[rank].orders == 1)
         abandon (l, now);
       break;
     case BB_LEAD_HOLD:
@@ -381,8 +386,15 @@
   return true;
 }
 
-/* Whether some agent gave the missing rank an arm of VERSION.  */
-static bool
+/* What is known of an arm that an agent gave the missing rank.  */
+enum given
+{
+  GIVEN_NOT,
+  GIVEN_PERHAPS, /* without answer so far */
+  GIVEN_TAKEN
+};
+
+static enum given
 was_given (const struct bb_lead *l, uint64_t version)
 {
   for (uint32_t r = 0; r < l->size.ranks; r++)
@@ -390,9 +402,24 @@
       const struct bb_lead_rank *k = &l->ranks[r];
       if (k->gave_epoch == l->epoch && k->gave_version == version
           && k->gave_rank == l->missing)
-        return true;
+        return k->gave_taken ? GIVEN_TAKEN : GIVEN_PERHAPS;
     }
-  return false;
+  return GIVEN_NOT;
+}
+
+/* Whether every rank that is armed was armed by the missing one's agent, so
+   that no other leader can have had the missing rank armed.  */
+static bool
+all_armed_by_missing (const struct bb_lead *l)
+{
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    {
+      const struct bb_lead_rank *k = &l->ranks[r];
+      if (r != l->missing && is_armed (l, r)
+          && (k->armed_by != l->missing || k->armed_by_version != k->armed))
+        return false;
+    }
+  return true;
 }
 
 /* Counts one rank that cannot be asked as missing.  */
@@ -414,6 +441,24 @@
   l->missing = silent;
 }
 
+/* Has the armed ranks armed again first, so that they know who does it before
+   any other rank is armed.  */
+static void
+go_on_forwarding (struct bb_lead *l, bb_ms now)
+{
+  bool first = false;
+
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    if (is_armed (l, r) && !l->ranks[r].done)
+      {
+        first = true;
+        if (is_due (l, r, AGAIN_MS, now))
+          give (l, r, BB_LEAD_ARM, r, now);
+      }
+  if (!first)
+    give_all (l, BB_LEAD_ARM, AGAIN_MS, now);
+}
+
 static void
 begin_disarm (struct bb_lead *l, bb_ms now)
 {
@@ -450,15 +495,18 @@
     }
   l->step = l->ranks[armed].armed_step;
   l->version = l->ranks[armed].armed;
-  if (l->missing < l->size.ranks && !was_given (l, l->version))
+  if (l->missing < l->size.ranks)
     {
-      begin_disarm (l, now);
-      return;
+      enum given given = was_given (l, l->version);
+      if (given == GIVEN_NOT && all_armed_by_missing (l))
+        begin_disarm (l, now);
+      if (given != GIVEN_TAKEN)
+        return;
     }
   enter (l, BB_LEAD_FORWARDING, now);
   if (l->missing < l->size.ranks)
     l->ranks[l->missing].done = true;
-  give_all (l, BB_LEAD_ARM, AGAIN_MS, now);
+  go_on_forwarding (l, now);
 }
 
 static void
@@ -512,8 +560,13 @@
       if (is_due (l, l->holder, AGAIN_MS, now))
         give (l, l->holder, BB_LEAD_HOLD, l->self, now);
       break;
-    case BB_LEAD_ARMING:
     case BB_LEAD_FORWARDING:
+      if (all_use (l, l->version))
+        enter (l, BB_LEAD_IDLE, now);
+      else
+        go_on_forwarding (l, now);
+      break;
+    case BB_LEAD_ARMING:
       if (all_use (l, l->version))
         enter (l, BB_LEAD_IDLE, now);
       else
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -2254,7 +2254,7 @@
 static void
 put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
 {
-  msgpack_pack_map (pk, 21);
+  msgpack_pack_map (pk, 24);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->upstream);
   msgpack_pack_uint8 (pk, 2);
@@ -2297,6 +2297,12 @@
   msgpack_pack_uint64 (pk, v->gave_rank);
   msgpack_pack_uint8 (pk, 21);
   msgpack_pack_uint64 (pk, v->gave_epoch);
+  msgpack_pack_uint8 (pk, 22);
+  bb_wire_put_bool (pk, v->gave_taken);
+  msgpack_pack_uint8 (pk, 23);
+  msgpack_pack_uint64 (pk, v->armed_by);
+  msgpack_pack_uint8 (pk, 24);
+  msgpack_pack_uint64 (pk, v->armed_by_version);
 }
 
 static bool
@@ -2434,6 +2440,23 @@
           v->gave_epoch = (uint64_t)n;
           seen |= UINT64_C (1) << 21;
           break;
+        case 22:
+          if (!bb_wire_get_bool (o, &v->gave_taken, "gave_taken", e))
+            return false;
+          seen |= UINT64_C (1) << 22;
+          break;
+        case 23:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "armed_by", e))
+            return false;
+          v->armed_by = (uint32_t)n;
+          seen |= UINT64_C (1) << 23;
+          break;
+        case 24:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "armed_by_version", e))
+            return false;
+          v->armed_by_version = (uint64_t)n;
+          seen |= UINT64_C (1) << 24;
+          break;
         default:
           break;
         }
@@ -2452,7 +2475,7 @@
 static void
 put_rank_order (msgpack_packer *pk, const struct bb_rank_order *v)
 {
-  msgpack_pack_map (pk, 12);
+  msgpack_pack_map (pk, 13);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->id);
   msgpack_pack_uint8 (pk, 2);
@@ -2477,6 +2500,8 @@
   bb_wire_put_str (pk, v->target);
   msgpack_pack_uint8 (pk, 12);
   msgpack_pack_uint64 (pk, v->target_rank);
+  msgpack_pack_uint8 (pk, 13);
+  msgpack_pack_uint64 (pk, v->from_rank);
 }
 
 static bool
@@ -2563,6 +2588,12 @@
           v->target_rank = (uint32_t)n;
           seen |= UINT64_C (1) << 12;
           break;
+        case 13:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "from_rank", e))
+            return false;
+          v->from_rank = (uint32_t)n;
+          seen |= UINT64_C (1) << 13;
+          break;
         default:
           break;
         }
@@ -3763,6 +3794,9 @@
   { BB_MSG_RANK_STATE, 19, false, "gave_version" },
   { BB_MSG_RANK_STATE, 20, false, "gave_rank" },
   { BB_MSG_RANK_STATE, 21, false, "gave_epoch" },
+  { BB_MSG_RANK_STATE, 22, false, "gave_taken" },
+  { BB_MSG_RANK_STATE, 23, false, "armed_by" },
+  { BB_MSG_RANK_STATE, 24, false, "armed_by_version" },
   { BB_MSG_RANK_ORDER, 1, true, "id" },
   { BB_MSG_RANK_ORDER, 2, true, "op" },
   { BB_MSG_RANK_ORDER, 3, false, "version" },
@@ -3775,6 +3809,7 @@
   { BB_MSG_RANK_ORDER, 10, false, "fence" },
   { BB_MSG_RANK_ORDER, 11, false, "target" },
   { BB_MSG_RANK_ORDER, 12, false, "target_rank" },
+  { BB_MSG_RANK_ORDER, 13, false, "from_rank" },
   { BB_MSG_RANK_RESULT, 1, true, "id" },
   { BB_MSG_RANK_RESULT, 2, true, "status" },
   { BB_MSG_HELLO, 1, true, "role" },
