Give a switch up safely: know who led, clear what was prepared, never forward after

Agents tell the leader of their last order and versions that they were told to disarm; a given-up switch is cleared by a newer version.

--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -193,6 +193,7 @@
      left: it must not go on with it by itself.  */
   bool left_over = l->lead.phase == BB_LEAD_FORWARDING
                    || l->lead.phase == BB_LEAD_DISARMING
+                   || l->lead.phase == BB_LEAD_CLEARING
                    || l->lead.phase == BB_LEAD_GOING;
 
   o->id = ++l->orders;
@@ -203,8 +204,9 @@
     order_follower (f, o, what->via == rank ? NULL : address);
   else if (address && (own || left_over))
     {
-      if (rank == l->lead.self && what->op == BB_LEAD_ARM)
-        own_armed_by (l->agent, l->lead.self, what->version);
+      if (rank == l->lead.self)
+        own_led_by (l->agent, l->lead.self, op_of (what->op), what->version,
+                    what->epoch);
       order_direct (address, o);
     }
   g_free (address);
@@ -246,8 +248,9 @@
                             .armed = m->armed,
                             .armed_step = m->armed_step,
                             .held = m->held,
-                            .armed_by = m->armed_by,
-                            .armed_by_version = m->armed_by_version,
+                            .led_by = m->led_by,
+                            .given_up = m->given_up,
+                            .given_up_epoch = m->given_up_epoch,
                             .gave_epoch = m->gave_epoch,
                             .gave_version = m->gave_version,
                             .gave_rank = m->gave_rank,
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -113,8 +113,7 @@
     }
   else
     {
-      if (o.op == BB_ORDER_ARM)
-        own_armed_by (member.agent, m->from_rank, m->version);
+      own_led_by (member.agent, m->from_rank, o.op, m->version, m->epoch);
       own_order (member.agent, &o, on_result, order);
     }
   g_free (map);
--- a/cmd/rank/own.c
+++ b/cmd/rank/own.c
@@ -199,10 +199,14 @@
 }
 
 void
-own_armed_by (struct agent *a, uint32_t by, uint64_t version)
+own_led_by (struct agent *a, uint32_t by, enum bb_order_op op,
+            uint64_t version, uint64_t epoch)
 {
-  a->own.armed_by = by;
-  a->own.armed_by_version = version;
+  a->own.led_by = by;
+  if (op != BB_ORDER_DISARM)
+    return;
+  a->own.given_up = version;
+  a->own.given_up_epoch = epoch;
 }
 
 void
@@ -224,8 +228,9 @@
   m->armed = r->armed;
   m->armed_step = r->armed_step;
   m->held = r->held;
-  m->armed_by = o->armed_by;
-  m->armed_by_version = o->armed_by_version;
+  m->led_by = o->led_by;
+  m->given_up = o->given_up;
+  m->given_up_epoch = o->given_up_epoch;
   m->gave_epoch = o->gave_epoch;
   m->gave_version = o->gave_version;
   m->gave_rank = o->gave_rank;
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -41,9 +41,10 @@
   uint64_t gave_epoch;
   uint64_t gave_version;
   uint32_t gave_rank;
-  bool gave_taken; /* it has said that it is armed */
-  uint32_t armed_by; /* leader that last had the own rank armed */
-  uint64_t armed_by_version;
+  bool gave_taken;   /* it has said that it is armed */
+  uint64_t given_up; /* version that it was told to disarm */
+  uint64_t given_up_epoch;
+  uint32_t led_by; /* leader of the last order to the own rank */
 };
 
 struct agent
@@ -78,8 +79,9 @@
 /* Gives the own rank an order; FN is told the status, 0 without answer.  */
 void own_order (struct agent *a, const struct bb_order *o, own_fn *fn,
                 void *user);
-/* The leader BY has the own rank armed for VERSION.  */
-void own_armed_by (struct agent *a, uint32_t by, uint64_t version);
+/* The leader BY has the own rank given an order.  */
+void own_led_by (struct agent *a, uint32_t by, enum bb_order_op op,
+                 uint64_t version, uint64_t epoch);
 /* Fills M from what the own rank said, and forgets the told counts.  */
 void own_fill (struct agent *a, struct bb_rank_state *m);
 
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -110,10 +110,12 @@
   uint64_t armed;
   uint64_t armed_step;
   uint64_t held;
-  uint32_t armed_by; /* rank of the leader that last had it armed ... */
-  uint64_t armed_by_version; /* ... for this version */
-  uint64_t gave_epoch;       /* its agent gave another rank an arm ... */
-  uint64_t gave_version;     /* ... of this version */
+  uint32_t led_by;   /* rank of the leader of the last order that its
+                        agent gave it */
+  uint64_t given_up; /* version that its agent was told to disarm */
+  uint64_t given_up_epoch;
+  uint64_t gave_epoch;   /* its agent gave another rank an arm ... */
+  uint64_t gave_version; /* ... of this version */
   uint32_t gave_rank;
   bool gave_taken;        /* that rank has said that it is armed */
   uint64_t lists_epoch;   /* of the row in the leader's map */
@@ -133,7 +135,8 @@
   BB_LEAD_GOING,
   BB_LEAD_SETTLING,   /* a switch that this leader did not begin */
   BB_LEAD_FORWARDING, /* arms what is left of it */
-  BB_LEAD_DISARMING   /* gives it up */
+  BB_LEAD_DISARMING,  /* gives it up */
+  BB_LEAD_CLEARING    /* so that a late arm of it finds nothing prepared */
 };
 
 const char *bb_lead_phase_name (enum bb_lead_phase p);
@@ -150,7 +153,8 @@
   enum bb_lead_phase phase;
   uint32_t self; /* own rank */
   uint64_t epoch;
-  uint64_t version; /* highest seen or used */
+  uint64_t version; /* of the present switch */
+  uint64_t highest; /* version seen or used in this epoch */
   uint64_t step;    /* of the hold */
   uint32_t missing; /* rank that cannot be asked; the number of ranks: none */
   uint32_t holder;  /* rank that is held */
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -111,6 +111,7 @@
   bb_ms progress_ms; /* last event or answer */
   bb_ms since_ms;    /* of the present state */
   uint64_t step;     /* last reported */
+  bool reported;     /* since the present state began */
   bb_ms outage_ms;   /* usual length of an outage, learned */
   bool learned;
 };
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -445,8 +445,9 @@
   uint32_t gave_rank;
   uint64_t gave_epoch;
   bool gave_taken;
-  uint32_t armed_by;
-  uint64_t armed_by_version;
+  uint32_t led_by;
+  uint64_t given_up;
+  uint64_t given_up_epoch;
 };
 
 /* Asks an agent to give its rank an order, or the rank at the target.  */
--- a/libgroup/lead.c
+++ b/libgroup/lead.c
@@ -23,10 +23,10 @@
 bb_lead_phase_name (enum bb_lead_phase p)
 {
   static const char *const names[]
-      = { "idle",  "preparing", "holding",    "arming",   "arming_own",
-          "going", "settling",  "forwarding", "disarming" };
+      = { "idle",  "preparing", "holding",    "arming",    "arming_own",
+          "going", "settling",  "forwarding", "disarming", "clearing" };
 
-  return p <= BB_LEAD_DISARMING ? names[p] : "unknown";
+  return p <= BB_LEAD_CLEARING ? names[p] : "unknown";
 }
 
 void
@@ -226,7 +226,7 @@
 bb_lead_begin (struct bb_lead *l, const uint16_t *next, bb_ms now)
 {
   memcpy (l->next, next, bb_group_places (&l->size) * sizeof *l->next);
-  l->version++;
+  l->version = ++l->highest;
   enter (l, BB_LEAD_PREPARING, now);
   give_all (l, BB_LEAD_PREPARE, PREPARE_AGAIN_MS, now);
 }
@@ -256,6 +256,7 @@
     return;
   l->epoch = epoch;
   l->version = 0;
+  l->highest = 0;
   l->missing = l->size.ranks;
   if (l->phase != BB_LEAD_IDLE)
     abandon (l, now);
@@ -266,10 +267,12 @@
 {
   if (k->epoch != l->epoch)
     return;
-  if (k->prepared > l->version)
-    l->version = k->prepared;
-  if (k->map > l->version)
-    l->version = k->map;
+  if (k->prepared > l->highest)
+    l->highest = k->prepared;
+  if (k->map > l->highest)
+    l->highest = k->map;
+  if (k->armed > l->highest)
+    l->highest = k->armed;
 }
 
 void
@@ -302,10 +305,13 @@
     l->missing = l->size.ranks;
   note_epoch (l, k->epoch, now);
   note_versions (l, k);
-  if (l->phase == BB_LEAD_PREPARING && k->prepared == l->version)
+  if ((l->phase == BB_LEAD_PREPARING || l->phase == BB_LEAD_CLEARING)
+      && k->prepared == l->version)
     k->done = true;
 }
 
+static void begin_clear (struct bb_lead *l, bb_ms now);
+
 static bool
 is_ok (uint16_t status)
 {
@@ -344,9 +350,12 @@
     case BB_LEAD_PREPARE:
       /* A rank that refuses an order that was sent again may be carrying the
          first one out.  */
-      if (l->phase == BB_LEAD_PREPARING && o->version == l->version && misfits
-          && l->ranks[rank].orders == 1)
+      if (o->version != l->version || !misfits || l->ranks[rank].orders != 1)
+        break;
+      if (l->phase == BB_LEAD_PREPARING)
         abandon (l, now);
+      else if (l->phase == BB_LEAD_CLEARING && !is_armed (l, rank))
+        begin_clear (l, now);
       break;
     case BB_LEAD_HOLD:
       if (l->phase != BB_LEAD_HOLDING || o->step != l->step)
@@ -407,21 +416,28 @@
   return GIVEN_NOT;
 }
 
-/* Whether every rank that is armed was armed by the missing one's agent, so
-   that no other leader can have had the missing rank armed.  */
+/* Whether no other leader than the missing rank's agent has given any order,
+   so that none can have had the missing rank armed.  */
 static bool
-all_armed_by_missing (const struct bb_lead *l)
+only_missing_led (const struct bb_lead *l)
 {
   for (uint32_t r = 0; r < l->size.ranks; r++)
-    {
-      const struct bb_lead_rank *k = &l->ranks[r];
-      if (r != l->missing && is_armed (l, r)
-          && (k->armed_by != l->missing || k->armed_by_version != k->armed))
-        return false;
-    }
+    if (r != l->missing && l->ranks[r].led_by != l->missing)
+      return false;
   return true;
 }
 
+/* Whether some rank was told to disarm VERSION.  */
+static bool
+is_given_up (const struct bb_lead *l, uint64_t version)
+{
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    if (l->ranks[r].given_up_epoch == l->epoch
+        && l->ranks[r].given_up == version)
+      return true;
+  return false;
+}
+
 /* Counts one rank that cannot be asked as missing.  */
 static void
 look_for_missing (struct bb_lead *l, bb_ms now)
@@ -487,33 +503,98 @@
       return;
     }
   l->holder = held < l->size.ranks ? held : l->self;
-  if (armed == l->size.ranks)
+  l->step = held < l->size.ranks ? l->ranks[held].held : 0;
+  if (armed < l->size.ranks)
     {
-      l->step = l->ranks[held].held;
-      begin_go (l, now);
-      return;
+      l->step = l->ranks[armed].armed_step;
+      l->version = l->ranks[armed].armed;
     }
-  l->step = l->ranks[armed].armed_step;
-  l->version = l->ranks[armed].armed;
   if (l->missing < l->size.ranks)
     {
       enum given given = was_given (l, l->version);
-      if (given == GIVEN_NOT && all_armed_by_missing (l))
+      if (given == GIVEN_NOT && only_missing_led (l))
         begin_disarm (l, now);
-      if (given != GIVEN_TAKEN)
+      if (given != GIVEN_TAKEN || armed == l->size.ranks)
         return;
     }
+  if (armed == l->size.ranks)
+    {
+      begin_go (l, now);
+      return;
+    }
+  if (is_given_up (l, l->version))
+    {
+      begin_disarm (l, now);
+      return;
+    }
   enter (l, BB_LEAD_FORWARDING, now);
   if (l->missing < l->size.ranks)
     l->ranks[l->missing].done = true;
   go_on_forwarding (l, now);
 }
 
+/* Fills the rows of the missing rank with what no other rank holds: the map is
+   only prepared, never armed, but it must be whole.  */
+static void
+fill_missing_rows (const struct bb_lead *l, uint16_t *map)
+{
+  const struct bb_group_size *s = &l->size;
+  bool *held = calloc (s->experts, sizeof *held);
+
+  if (!held)
+    abort ();
+  for (uint32_t set = 0; set < s->sets; set++)
+    {
+      uint16_t *rows = map + (size_t)set * s->ranks * s->places;
+      uint16_t *row = rows + (size_t)l->missing * s->places;
+      uint32_t n = 0;
+      memset (held, 0, s->experts * sizeof *held);
+      for (uint32_t i = 0; i < s->ranks * s->places; i++)
+        if (i / s->places != l->missing && rows[i] < s->experts)
+          held[rows[i]] = true;
+      memset (row, 0xff, s->places * sizeof *row);
+      for (uint32_t e = 0; e < s->experts && n < s->places; e++)
+        if (!held[e])
+          row[n++] = (uint16_t)e;
+    }
+  free (held);
+}
+
+/* Has the ranks prepare the map in force under a newer version.  */
+static void
+begin_clear (struct bb_lead *l, bb_ms now)
+{
+  memcpy (l->next, l->map, bb_group_places (&l->size) * sizeof *l->next);
+  if (l->missing < l->size.ranks)
+    fill_missing_rows (l, l->next);
+  l->version = ++l->highest;
+  enter (l, BB_LEAD_CLEARING, now);
+  if (l->missing < l->size.ranks)
+    l->ranks[l->missing].done = true;
+  give_all (l, BB_LEAD_PREPARE, AGAIN_MS, now);
+}
+
+static void
+go_on_clearing (struct bb_lead *l, bb_ms now)
+{
+  uint32_t armed = armed_rank (l);
+
+  if (armed < l->size.ranks)
+    {
+      l->version = l->ranks[armed].armed;
+      begin_disarm (l, now);
+    }
+  else if (all_done (l))
+    begin_go (l, now);
+  else
+    give_all (l, BB_LEAD_PREPARE, AGAIN_MS, now);
+}
+
 static void
 go_on_disarming (struct bb_lead *l, bb_ms now)
 {
   if (all_done (l))
-    begin_go (l, now);
+    begin_clear (l, now);
   else
     give_all (l, BB_LEAD_DISARM, AGAIN_MS, now);
 }
@@ -534,7 +615,8 @@
 has_begun (const struct bb_lead *l)
 {
   if (l->phase != BB_LEAD_ARMING && l->phase != BB_LEAD_ARMING_OWN
-      && l->phase != BB_LEAD_FORWARDING && l->phase != BB_LEAD_DISARMING)
+      && l->phase != BB_LEAD_FORWARDING && l->phase != BB_LEAD_DISARMING
+      && l->phase != BB_LEAD_CLEARING)
     return false;
   for (uint32_t r = 0; r < l->size.ranks; r++)
     if (l->ranks[r].epoch == l->epoch && l->ranks[r].step >= l->step)
@@ -586,5 +668,8 @@
     case BB_LEAD_DISARMING:
       go_on_disarming (l, now);
       break;
+    case BB_LEAD_CLEARING:
+      go_on_clearing (l, now);
+      break;
     }
 }
--- a/libload/group.c
+++ b/libload/group.c
@@ -17,6 +17,7 @@
     return;
   g->state = state;
   g->since_ms = now;
+  g->reported = false;
 }
 
 void
@@ -37,9 +38,11 @@
 bb_group_reported (struct bb_group_watch *g, bool open, uint64_t step,
                    uint32_t in_flight, bb_ms now)
 {
-  bool moves = step != g->step || in_flight == 0;
+  /* The first report of a doubt is what later ones are held against.  */
+  bool moves = (g->reported && step != g->step) || in_flight == 0;
 
   g->step = step;
+  g->reported = true;
   if (!open)
     {
       bb_group_broke (g, now);
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -2254,7 +2254,7 @@
 static void
 put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
 {
-  msgpack_pack_map (pk, 24);
+  msgpack_pack_map (pk, 25);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->upstream);
   msgpack_pack_uint8 (pk, 2);
@@ -2300,9 +2300,11 @@
   msgpack_pack_uint8 (pk, 22);
   bb_wire_put_bool (pk, v->gave_taken);
   msgpack_pack_uint8 (pk, 23);
-  msgpack_pack_uint64 (pk, v->armed_by);
+  msgpack_pack_uint64 (pk, v->led_by);
   msgpack_pack_uint8 (pk, 24);
-  msgpack_pack_uint64 (pk, v->armed_by_version);
+  msgpack_pack_uint64 (pk, v->given_up);
+  msgpack_pack_uint8 (pk, 25);
+  msgpack_pack_uint64 (pk, v->given_up_epoch);
 }
 
 static bool
@@ -2446,17 +2448,23 @@
           seen |= UINT64_C (1) << 22;
           break;
         case 23:
-          if (!bb_wire_get_uint (o, U32_MAX, &n, "armed_by", e))
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "led_by", e))
             return false;
-          v->armed_by = (uint32_t)n;
+          v->led_by = (uint32_t)n;
           seen |= UINT64_C (1) << 23;
           break;
         case 24:
-          if (!bb_wire_get_uint (o, U64_MAX, &n, "armed_by_version", e))
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "given_up", e))
             return false;
-          v->armed_by_version = (uint64_t)n;
+          v->given_up = (uint64_t)n;
           seen |= UINT64_C (1) << 24;
           break;
+        case 25:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "given_up_epoch", e))
+            return false;
+          v->given_up_epoch = (uint64_t)n;
+          seen |= UINT64_C (1) << 25;
+          break;
         default:
           break;
         }
@@ -3795,8 +3803,9 @@
   { BB_MSG_RANK_STATE, 20, false, "gave_rank" },
   { BB_MSG_RANK_STATE, 21, false, "gave_epoch" },
   { BB_MSG_RANK_STATE, 22, false, "gave_taken" },
-  { BB_MSG_RANK_STATE, 23, false, "armed_by" },
-  { BB_MSG_RANK_STATE, 24, false, "armed_by_version" },
+  { BB_MSG_RANK_STATE, 23, false, "led_by" },
+  { BB_MSG_RANK_STATE, 24, false, "given_up" },
+  { BB_MSG_RANK_STATE, 25, false, "given_up_epoch" },
   { BB_MSG_RANK_ORDER, 1, true, "id" },
   { BB_MSG_RANK_ORDER, 2, true, "op" },
   { BB_MSG_RANK_ORDER, 3, false, "version" },
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -171,8 +171,8 @@
   uint64_t gave_version[RANKS];
   uint32_t gave_rank[RANKS];
   bool gave_taken[RANKS];
-  uint32_t armed_by[RANKS];
-  uint64_t armed_by_version[RANKS];
+  uint32_t led_by[RANKS];
+  uint64_t given_up[RANKS];
   double lost; /* part of orders without answer, carried out late */
   bool idles;  /* the group has no work at times */
   uint32_t switches;
@@ -207,11 +207,10 @@
       w->gave_rank[o->via] = rank;
       w->gave_taken[o->via] = false;
     }
-  if (o->op == BB_LEAD_ARM && o->via == rank)
-    {
-      w->armed_by[rank] = w->leader;
-      w->armed_by_version[rank] = o->version;
-    }
+  if (o->via == rank)
+    w->led_by[rank] = w->leader;
+  if (o->via == rank && o->op == BB_LEAD_DISARM)
+    w->given_up[rank] = o->version;
   late = g_rand_double (w->rand) < w->lost;
   for (uint32_t i = 0; i < ORDERS_MAX; i++)
     if (!w->orders[i].used)
@@ -356,8 +355,9 @@
                             .armed = k->armed > k->map ? k->armed : 0,
                             .armed_step = k->armed_step,
                             .held = k->held,
-                            .armed_by = w->armed_by[r],
-                            .armed_by_version = w->armed_by_version[r],
+                            .led_by = w->led_by[r],
+                            .given_up = w->given_up[r],
+                            .given_up_epoch = w->epoch,
                             .gave_epoch = w->gave_epoch[r],
                             .gave_version = w->gave_version[r],
                             .gave_rank = w->gave_rank[r],
--- /dev/null
+++ b/test/test_load.c
@@ -0,0 +1,336 @@
+/* Tests of decisions on load; each replays the load pattern that a policy
+   answers.  */
+
+#include "bilberry/load.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const struct bb_place_cost engine_cost = { 1, 1.0 / 700 };
+
+/* Prompts of very different size come one after the other: ranks step
+   together, so what counts is the most loaded one.  */
+static void
+test_place_evens_prompts (void)
+{
+  struct bb_place places[4] = { 0 };
+  GRand *rand = g_rand_new_with_seed (3);
+  double most = 0;
+  double total = 0;
+
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      places[i].usable = true;
+      places[i].limit = 100;
+    }
+  for (uint32_t n = 0; n < 80; n++)
+    {
+      double prompt = g_rand_int_range (rand, 50, 2800);
+      uint32_t i
+          = bb_place_choose (places, 4, &engine_cost, g_rand_double (rand));
+      g_assert_cmpuint (i, <, 4);
+      places[i].in_flight++;
+      places[i].prompt += prompt;
+    }
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      double load = places[i].in_flight + places[i].prompt / 700;
+      total += load;
+      most = load > most ? load : most;
+    }
+  g_assert_cmpfloat (most, <, total / 4 * 1.1);
+  g_rand_free (rand);
+}
+
+static void
+test_place_keeps_out (void)
+{
+  struct bb_place p[3] = { { .usable = true, .limit = 2, .in_flight = 2 },
+                           { .usable = true, .limit = 2, .tried = true },
+                           { .usable = false, .limit = 2 } };
+
+  g_assert_cmpuint (bb_place_choose (p, 3, &engine_cost, 0.5), ==,
+                    BB_PLACE_NONE);
+  p[1].tried = false;
+  g_assert_cmpuint (bb_place_choose (p, 3, &engine_cost, 0.5), ==, 1);
+  g_assert_cmpuint (bb_place_choose (p, 0, &engine_cost, 0.5), ==,
+                    BB_PLACE_NONE);
+}
+
+/* Of three services one is ten times as slow: it gets what it can do.  */
+static void
+test_place_slow (void)
+{
+  struct bb_place p[3];
+  uint32_t sent[3] = { 0 };
+
+  for (uint32_t i = 0; i < 3; i++)
+    p[i] = (struct bb_place){ .usable = true, .limit = 50, .slow = 1 };
+  p[2].slow = 10;
+  for (uint32_t n = 0; n < 42; n++)
+    {
+      uint32_t i = bb_place_choose (p, 3, &engine_cost, 0.1 * (n % 10));
+      p[i].in_flight++;
+      sent[i]++;
+    }
+  g_assert_cmpuint (sent[2], <=, 3);
+  g_assert_cmpuint (sent[2], >=, 1);
+}
+
+/* Callers that repeat at once while every upstream fails: over any window the
+   repeats of all entries stay within the ratio and the extra.  */
+static void
+test_budget_holds (void)
+{
+  enum
+  {
+    ENTRIES = 3,
+    WINDOW_MS = 10000,
+    EXTRA = 88,
+    SECONDS = 60
+  };
+  struct bb_budget b[ENTRIES];
+  g_autofree uint32_t *requests = g_new0 (uint32_t, SECONDS * 1000);
+  g_autofree uint32_t *repeats = g_new0 (uint32_t, SECONDS * 1000);
+
+  for (uint32_t i = 0; i < ENTRIES; i++)
+    bb_budget_init (&b[i], WINDOW_MS);
+  for (bb_ms now = 0; now < SECONDS * 1000; now += 5)
+    for (uint32_t i = 0; i < ENTRIES; i++)
+      {
+        if (now % 50 == 0)
+          {
+            bb_budget_request (&b[i], now);
+            requests[now]++;
+          }
+        if (bb_budget_repeat (&b[i], now, 0.2, EXTRA, ENTRIES))
+          repeats[now]++;
+      }
+  for (uint32_t at = WINDOW_MS; at < SECONDS * 1000; at += 100)
+    {
+      uint32_t r = 0;
+      uint32_t q = 0;
+      for (uint32_t t = at - WINDOW_MS; t < at; t++)
+        {
+          r += repeats[t];
+          q += requests[t];
+        }
+      g_assert_cmpfloat (r, <=, 0.2 * q + EXTRA);
+    }
+}
+
+/* An upstream that is back cold bears so many requests in any second, from all
+   entries together.  */
+static void
+test_cold_holds (void)
+{
+  const double per_s = 28;
+  const uint32_t entries = 3;
+  struct bb_meter m[3] = { 0 };
+  uint32_t sent[4000] = { 0 };
+  uint32_t share = bb_cold_share (per_s, entries);
+
+  for (bb_ms now = 1; now < 4000; now++)
+    for (uint32_t i = 0; i < entries; i++)
+      if (bb_meter_has_room (&m[i], now, share))
+        {
+          bb_meter_add (&m[i], now);
+          sent[now]++;
+        }
+  for (uint32_t at = 1000; at < 4000; at++)
+    {
+      uint32_t n = 0;
+      for (uint32_t t = at - 999; t <= at; t++)
+        n += sent[t];
+      g_assert_cmpuint (n, <=, 28);
+    }
+  g_assert_cmpuint (bb_cold_share (0, 3), ==, UINT32_MAX);
+  g_assert_cmpuint (bb_cold_share (2, 3), ==, 1);
+  g_assert_false (bb_meter_has_room (&m[0], 4000, 0));
+}
+
+/* An upstream that fails is left out, comes back by single trials, and each
+   failed trial keeps it out for longer.  */
+static void
+test_eject (void)
+{
+  struct bb_eject e = { 0 };
+  bb_ms first;
+
+  g_assert_false (bb_eject_failed (&e, 100));
+  g_assert_false (bb_eject_failed (&e, 101));
+  g_assert_true (bb_eject_failed (&e, 102));
+  g_assert_false (bb_eject_is_in (&e, 103));
+  first = e.until_ms - 102;
+  g_assert_true (bb_eject_is_in (&e, e.until_ms));
+  bb_eject_sent (&e, 2000);
+  g_assert_false (bb_eject_is_in (&e, 2001));
+  g_assert_true (bb_eject_failed (&e, 2100));
+  g_assert_cmpint (e.until_ms - 2100, >, first);
+  bb_eject_ok (&e);
+  g_assert_true (bb_eject_is_in (&e, 2200));
+  g_assert_false (bb_eject_failed (&e, 2300));
+}
+
+/* One rank is gone: all stall, then all refuse, then the group is back.  */
+static void
+test_group_outage (void)
+{
+  struct bb_group_watch g = { 0 };
+
+  bb_group_progress (&g, 1000);
+  g_assert_cmpint (bb_group_look (&g, 50, 1200), ==, BB_GROUP_OPEN);
+  g_assert_cmpint (bb_group_look (&g, 50, 1600), ==, BB_GROUP_DOUBTFUL);
+  /* It says that it is open while no pass begins.  */
+  bb_group_reported (&g, true, 77, 50, 1700);
+  bb_group_reported (&g, true, 77, 50, 1800);
+  g_assert_cmpint (bb_group_look (&g, 50, 1800), ==, BB_GROUP_DOUBTFUL);
+  bb_group_broke (&g, 2600);
+  g_assert_cmpint (bb_group_look (&g, 0, 2700), ==, BB_GROUP_BROKEN);
+  g_assert_cmpint (bb_group_back_in (&g, 2700), >, 300);
+  bb_group_reported (&g, true, 0, 0, 5600);
+  g_assert_cmpint (bb_group_look (&g, 0, 5600), ==, BB_GROUP_OPEN);
+  /* The next outage is expected to last as long.  */
+  bb_group_broke (&g, 9000);
+  g_assert_cmpint (bb_group_back_in (&g, 9000), ==, 3000);
+}
+
+/* A stall that ends by itself, as when a pass was held: passes go on and the
+   group is open again without an outage.  */
+static void
+test_group_stall (void)
+{
+  struct bb_group_watch g = { 0 };
+
+  bb_group_progress (&g, 1000);
+  g_assert_cmpint (bb_group_look (&g, 50, 1500), ==, BB_GROUP_DOUBTFUL);
+  bb_group_reported (&g, true, 77, 50, 1600);
+  g_assert_cmpint (g.state, ==, BB_GROUP_DOUBTFUL);
+  bb_group_reported (&g, true, 77, 50, 1700);
+  g_assert_cmpint (g.state, ==, BB_GROUP_DOUBTFUL);
+  bb_group_reported (&g, true, 78, 50, 1800);
+  g_assert_cmpint (g.state, ==, BB_GROUP_OPEN);
+  /* One without work makes no passes, and takes some.  */
+  g_assert_cmpint (bb_group_look (&g, 1, 2800), ==, BB_GROUP_DOUBTFUL);
+  bb_group_reported (&g, true, 78, 0, 2900);
+  g_assert_cmpint (g.state, ==, BB_GROUP_OPEN);
+}
+
+struct after_case
+{
+  const char *name;
+  struct bb_after after;
+  enum bb_next next;
+};
+
+static void
+test_after (void)
+{
+  static const struct after_case cases[] = {
+    { "an order that was not sent goes elsewhere",
+      { BB_OUTCOME_UNSENT, false, false, false, false, 0, 1, 1, 700 },
+      BB_NEXT_RETRY },
+    { "an order that a full upstream refused goes elsewhere",
+      { BB_OUTCOME_NOT_RUN, false, false, false, false, 0, 1, 1, 700 },
+      BB_NEXT_RETRY },
+    { "an order whose answer is lost is never sent again",
+      { BB_OUTCOME_LOST, false, true, false, false, 1, 1, 1, 700 },
+      BB_NEXT_FAIL },
+    { "an order without answer in time promises nothing",
+      { BB_OUTCOME_SILENT, false, true, false, false, 1, 1, 1, 0 },
+      BB_NEXT_FAIL },
+    { "an order that its upstream failed gets that answer",
+      { BB_OUTCOME_FAILED, false, true, false, false, 1, 1, 1, 700 },
+      BB_NEXT_PASS_ON },
+    { "an order that was refused too late did not run",
+      { BB_OUTCOME_NOT_RUN, false, false, false, false, 0, 1, 1, 10 },
+      BB_NEXT_REFUSE },
+    { "one refused everywhere did not run",
+      { BB_OUTCOME_NOT_RUN, true, false, false, false, 0, 6, 2, 700 },
+      BB_NEXT_REFUSE },
+    { "a check that failed is sent once more",
+      { BB_OUTCOME_FAILED, true, true, false, false, 1, 1, 2, 700 },
+      BB_NEXT_RETRY },
+    { "a check that failed twice gets the answer",
+      { BB_OUTCOME_FAILED, true, true, false, false, 2, 2, 2, 700 },
+      BB_NEXT_PASS_ON },
+    { "a stream that broke off goes on elsewhere",
+      { BB_OUTCOME_LOST, true, true, true, true, 1, 1, 2, 5000 },
+      BB_NEXT_RETRY },
+    { "a stream that cannot be resumed is broken off",
+      { BB_OUTCOME_LOST, false, true, true, false, 1, 1, 2, 5000 },
+      BB_NEXT_ABORT },
+    { "a stream that broke off too often is broken off",
+      { BB_OUTCOME_LOST, true, true, true, true, 2, 2, 2, 5000 },
+      BB_NEXT_ABORT },
+    { "one that may have run is never said not to have",
+      { BB_OUTCOME_NOT_RUN, true, true, false, false, 2, 3, 2, 700 },
+      BB_NEXT_FAIL },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_test_message ("%s", cases[i].name);
+      g_assert_cmpint (bb_after_decide (&cases[i].after), ==, cases[i].next);
+    }
+}
+
+/* Many are refused at one moment: they come back spread, and each within a
+   third of the time that its caller has left.  */
+static void
+test_comeback (void)
+{
+  bb_ms least = INT64_MAX;
+  bb_ms most = 0;
+
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      bb_ms ms = bb_comeback_ms (1000, 8000, i / 100.0);
+      least = ms < least ? ms : least;
+      most = ms > most ? ms : most;
+      g_assert_cmpint (bb_comeback_ms (9000, 6000, i / 100.0), <=, 2000);
+    }
+  g_assert_cmpint (least, >=, 1000);
+  g_assert_cmpint (most - least, >=, 200);
+  g_assert_cmpint (bb_comeback_ms (0, 0, 0), >, 0);
+}
+
+/* A burst leaves a queue in which some can no longer be in time.  */
+static void
+test_waiters (void)
+{
+  struct bb_waiter lost = { .arrived_ms = 0, .aim_ms = 400, .priority = 1 };
+  struct bb_waiter timely
+      = { .arrived_ms = 500, .aim_ms = 900, .priority = 1 };
+  struct bb_waiter urgent = { .arrived_ms = 600, .aim_ms = 700 };
+  struct bb_waiter busy = timely;
+  struct bb_waiter later = timely;
+
+  busy.customer = 5;
+  busy.arrived_ms = 400;
+  later.arrived_ms = 501;
+  g_assert_true (bb_waiter_before (&timely, &lost, 600, 100));
+  g_assert_false (bb_waiter_before (&lost, &timely, 600, 100));
+  g_assert_true (bb_waiter_before (&urgent, &timely, 650, 100));
+  g_assert_true (bb_waiter_before (&timely, &busy, 600, 100));
+  g_assert_true (bb_waiter_before (&timely, &later, 600, 100));
+  g_assert_false (bb_waiter_before (&later, &timely, 600, 100));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/load/place/prompts", test_place_evens_prompts);
+  g_test_add_func ("/load/place/out", test_place_keeps_out);
+  g_test_add_func ("/load/place/slow", test_place_slow);
+  g_test_add_func ("/load/budget", test_budget_holds);
+  g_test_add_func ("/load/cold", test_cold_holds);
+  g_test_add_func ("/load/eject", test_eject);
+  g_test_add_func ("/load/group/outage", test_group_outage);
+  g_test_add_func ("/load/group/stall", test_group_stall);
+  g_test_add_func ("/load/after", test_after);
+  g_test_add_func ("/load/comeback", test_comeback);
+  g_test_add_func ("/load/waiters", test_waiters);
+  return g_test_run ();
+}
