--- a/cmd/rank/own.c
+++ b/cmd/rank/own.c
@@ -12,7 +12,8 @@
 {
   CONNECT_TIMEOUT_MS = 250,
   ASK_TIMEOUT_MS = 300,
-  KEPT_IDLE_MAX_MS = 1500
+  KEPT_IDLE_MAX_MS = 1500,
+  COUNTS_EVERY_MS = 90 /* less often than reports during a switch */
 };
 
 /* The questions, asked one after the other.  */
@@ -33,7 +34,7 @@
   enum question question;
   GByteArray *body;
   uint16_t status;
-  bb_ms since_ms;
+  bb_ms counted_ms; /* when counts were last asked for */
 };
 
 static struct asking asking;
@@ -116,7 +117,8 @@
 
   uv_timer_stop (&k->timer);
   k->call = NULL;
-  if (k->question == ASK_REPORT && !a->busy && a->own.known)
+  if (k->question == ASK_REPORT && a->own.known
+      && agent_now (a) - k->counted_ms >= COUNTS_EVERY_MS)
     ask (ASK_COUNTS);
   else if (k->question != ASK_LISTS && wants_lists (a))
     ask (ASK_LISTS);
@@ -178,7 +180,8 @@
   out.target = bb_bytes_of (targets[q]);
   k->question = q;
   k->status = 0;
-  k->since_ms = agent_now (k->agent);
+  if (q == ASK_COUNTS)
+    k->counted_ms = agent_now (k->agent);
   g_byte_array_set_size (k->body, 0);
   uv_timer_start (&k->timer, on_timeout, ASK_TIMEOUT_MS, 0);
   k->call = bb_h1_call (k->pool, &out, &ops, k);
