--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -13,6 +13,7 @@
 #include "bilberry/load.h"
 #include "bilberry/peer.h"
 #include "bilberry/platform.h"
+#include "bilberry/start.h"
 
 enum
 {
@@ -48,7 +49,7 @@
   struct bb_budget budget;
   struct bb_group_watch group;
   bool grouped; /* its upstreams step together */
-  bool asking; /* for the report of a doubtful group */
+  bool asking;  /* for the report of a doubtful group */
   bb_ms asked_ms;
   double first_ms; /* smoothed time to a first event or an answer */
 };
@@ -108,6 +109,7 @@
 {
   uv_loop_t *loop;
   struct bb_start *start;
+  char *settings_path;
   char *settings_text; /* as last read */
   struct bb_view *view;
   struct bb_config *config;
@@ -128,7 +130,7 @@
   uint64_t numbers;
   uint32_t members_seen; /* most entries known lately, itself included */
   GRand *rand;
-  bb_ms boot_skew_ms;                /* boot clock less steady clock */
+  struct bb_wake wake;
   void (*again) (struct request *r); /* a request is to wait once more */
 };
 
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -5,12 +5,11 @@
 #include <jansson.h>
 
 #include "bilberry/settings.h"
+#include "bilberry/start.h"
 
 #include <signal.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
@@ -32,34 +31,23 @@
 static bb_ms drain_since_ms;
 static bb_ms settings_looked_ms;
 
-static bb_ms
-boot_clock_ms (void)
-{
-  struct timespec ts;
-
-  clock_gettime (CLOCK_BOOTTIME, &ts);
-  return (bb_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 /* After a pause beliefs are old and channels may be dead: look again.  */
 static void
 check_pause (struct edge *e)
 {
-  bb_ms skew = boot_clock_ms () - bb_clock_now ();
+  bb_ms paused
+      = bb_wake_look (&e->wake, bb_clock_now (), bb_clock_boot (), PAUSED_MS);
 
-  if (skew - e->boot_skew_ms > PAUSED_MS)
+  if (paused == 0)
+    return;
+  bb_event ("woke", "{s:I}", "paused_ms", (json_int_t)paused);
+  for (guint i = 0; i < e->target_list->len; i++)
     {
-      bb_event ("woke", "{s:I}", "paused_ms",
-                (json_int_t)(skew - e->boot_skew_ms));
-      for (guint i = 0; i < e->target_list->len; i++)
-        {
-          struct target *t = g_ptr_array_index (e->target_list, i);
-          bb_h1_pool_drop_idle (t->channels);
-        }
-      if (e->store)
-        reader_look_again (e);
+      struct target *t = g_ptr_array_index (e->target_list, i);
+      bb_h1_pool_drop_idle (t->channels);
     }
-  e->boot_skew_ms = skew;
+  if (e->store)
+    reader_look_again (e);
 }
 
 /* Takes changed settings over.  Addresses of a running process stay.  */
@@ -70,7 +58,7 @@
   char *text;
   char *why = NULL;
 
-  if (!g_file_get_contents (bb_start_path (), &text, NULL, NULL))
+  if (!g_file_get_contents (e->settings_path, &text, NULL, NULL))
     return;
   if (g_strcmp0 (text, e->settings_text) == 0)
     {
@@ -190,53 +178,41 @@
   return e->front != NULL;
 }
 
-static bool
-read_settings (struct edge *e)
+static const char *
+fault_of (const struct bb_start *s)
 {
-  const char *path = bb_start_path ();
-  char *why = NULL;
+  struct sockaddr_storage addr;
 
-  if (!path)
-    {
-      fprintf (stderr, "bilberry-edge: the environment names no settings\n");
-      return false;
-    }
-  e->start = bb_start_read (path, &why);
-  if (e->start && (!e->start->front || !e->start->ready || !e->start->store))
-    why = g_strdup ("front, ready or the platform's address is missing");
-  if (why)
-    {
-      fprintf (stderr, "bilberry-edge: %s: %s\n", path, why);
-      g_free (why);
-      return false;
-    }
-  g_file_get_contents (path, &e->settings_text, NULL, NULL);
-  return true;
+  if (!s->front || !bb_address_parse (s->front, &addr))
+    return "listen.front is missing or malformed";
+  if (!s->ready || !bb_address_parse (s->ready, &addr))
+    return "listen.ready is missing or malformed";
+  if (!s->store || !bb_address_parse (s->store, &addr))
+    return "platform.address is missing or malformed";
+  return NULL;
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
   struct edge *e = &edge;
+  int status;
 
   e->loop = uv_default_loop ();
   e->again = line_join;
   e->rand = g_rand_new ();
-  if (!read_settings (e))
-    return EXIT_FAILURE;
+  e->start = bb_start_command (argc, argv, "bilberry-edge", fault_of,
+                               &e->settings_path, &status);
+  if (!e->start)
+    return status;
+  g_file_get_contents (e->settings_path, &e->settings_text, NULL, NULL);
   bb_event ("start", "{s:s, s:s, s:s}", "name", e->start->name, "version",
             BB_VERSION, "failure_domain", e->start->failure_domain);
-  e->boot_skew_ms = boot_clock_ms () - bb_clock_now ();
   fleet_init (e);
   watch_signals (e);
   if (!open_front (e) || !status_start (e) || !peers_start (e))
     return EXIT_FAILURE;
   e->store = bb_store_new (e->loop, e->start->store);
-  if (!e->store)
-    {
-      fprintf (stderr, "bilberry-edge: the store's address is malformed\n");
-      return EXIT_FAILURE;
-    }
   reader_start (e);
   uv_timer_init (e->loop, &tick);
   tick.data = e;
--- a/cmd/rank/main.c
+++ b/cmd/rank/main.c
@@ -2,12 +2,12 @@
 
 #include "rank.h"
 
+#include "bilberry/settings.h"
+
 #include <jansson.h>
 #include <signal.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 static struct agent agent;
 static uv_signal_t signals[3];
@@ -25,15 +25,6 @@
   return (bb_ms)uv_now (a->loop);
 }
 
-static bb_ms
-boot_clock_ms (void)
-{
-  struct timespec ts;
-
-  clock_gettime (CLOCK_BOOTTIME, &ts);
-  return (bb_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 static void
 on_ask (uv_timer_t *t)
 {
@@ -47,18 +38,14 @@
 on_tick (uv_timer_t *t)
 {
   struct agent *a = t->data;
-  bb_ms skew = boot_clock_ms () - bb_clock_now ();
-  bb_ms late = agent_now (a) - a->ticked_ms;
+  bb_ms paused
+      = bb_wake_look (&a->wake, bb_clock_now (), bb_clock_boot (), PAUSED_MS);
 
-  a->ticked_ms = agent_now (a);
-  /* A suspended VM stops the steady clock, a frozen process does not.  */
-  if (skew - a->boot_skew_ms > PAUSED_MS || late > PAUSED_MS)
+  if (paused > 0)
     {
-      bb_event ("woke", "{s:I}", "paused_ms",
-                (json_int_t)(skew - a->boot_skew_ms + late));
+      bb_event ("woke", "{s:I}", "paused_ms", (json_int_t)paused);
       member_woke (a);
     }
-  a->boot_skew_ms = skew;
   member_tick (a);
   leader_tick (a);
 }
@@ -77,7 +64,7 @@
 on_hup (uv_signal_t *s, int number)
 {
   char *why = NULL;
-  struct bb_start *start = bb_start_read (bb_start_path (), &why);
+  struct bb_start *start = bb_start_read (agent.settings_path, &why);
 
   (void)s;
   (void)number;
@@ -89,43 +76,32 @@
   g_free (why);
 }
 
-static bool
-read_settings (struct agent *a)
+static const char *
+fault_of (const struct bb_start *s)
 {
-  const char *path = bb_start_path ();
-  char *why = NULL;
-  const char *colon;
+  struct sockaddr_storage addr;
 
-  if (!path)
-    {
-      fprintf (stderr, "bilberry-rank: the environment names no settings\n");
-      return false;
-    }
-  a->start = bb_start_read (path, &why);
-  if (a->start && (!a->start->upstream || !a->start->pool))
-    why = g_strdup ("app or service is missing");
-  if (why)
-    {
-      fprintf (stderr, "bilberry-rank: %s: %s\n", path, why);
-      g_free (why);
-      return false;
-    }
-  colon = strrchr (a->start->upstream, ':');
-  a->host = colon ? g_strndup (a->start->upstream,
-                               (gsize)(colon - a->start->upstream))
-                  : g_strdup (a->start->upstream);
-  return true;
+  if (!s->upstream || !bb_address_parse (s->upstream, &addr))
+    return "app is missing or malformed";
+  if (!s->pool)
+    return "service is missing";
+  return NULL;
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
   static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
   struct agent *a = &agent;
+  int status;
 
   a->loop = uv_default_loop ();
-  if (!read_settings (a))
-    return EXIT_FAILURE;
+  a->start = bb_start_command (argc, argv, "bilberry-rank", fault_of,
+                               &a->settings_path, &status);
+  if (!a->start)
+    return status;
+  a->host = g_strndup (a->start->upstream,
+                       strrchr (a->start->upstream, ':') - a->start->upstream);
   bb_event ("start", "{s:s, s:s, s:s}", "name", a->start->name, "version",
             BB_VERSION, "upstream", a->start->upstream);
   signal (SIGPIPE, SIG_IGN);
@@ -139,8 +115,6 @@
     return EXIT_FAILURE;
   own_start (a);
   member_start (a);
-  a->boot_skew_ms = boot_clock_ms () - bb_clock_now ();
-  a->ticked_ms = agent_now (a);
   uv_timer_init (a->loop, &a->timer);
   a->timer.data = a;
   uv_timer_start (&a->timer, on_ask, 0, 0);
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -13,6 +13,7 @@
 #include "bilberry/group.h"
 #include "bilberry/peer.h"
 #include "bilberry/platform.h"
+#include "bilberry/start.h"
 
 enum
 {
@@ -51,6 +52,7 @@
 {
   uv_loop_t *loop;
   struct bb_start *start;
+  char *settings_path;
   struct bb_view *view;
   struct bb_peers *peers;
   struct bb_config *config;
@@ -59,9 +61,8 @@
   char *host;                 /* of the own upstream */
   struct own own;
   uv_timer_t timer;
-  bool busy;          /* a switch is under way */
-  bb_ms boot_skew_ms; /* boot clock less steady clock */
-  bb_ms ticked_ms;
+  bool busy; /* a switch is under way */
+  struct bb_wake wake;
 };
 
 bb_ms agent_now (const struct agent *a);
--- /dev/null
+++ b/fake/store/store.c
@@ -0,0 +1,256 @@
+/* fake-store - a stand-in for the platform's metadata store.
+
+   GET /v1/kv-range and /v1/kv-watch as the platform has them, in pages of PAGE
+   items.  For tests: POST /put?key=K writes the body, POST /remove?key=K
+   removes, POST /forget drops the history, and POST /mode?is=M makes the
+   following reads fail: ok, busy (429), unavailable (503), silent, garbage. */
+
+#include "../lib/fake.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PAGE = 4,
+  WATCH_EVERY_MS = 10
+};
+
+struct item
+{
+  char *key;
+  GBytes *value; /* NULL: removed */
+  uint64_t revision;
+};
+
+/* A watch that waits.  */
+struct watch
+{
+  struct bb_http_request *r;
+  uint64_t after;
+  int64_t until_ms;
+  uv_timer_t timer;
+};
+
+static GPtrArray *items; /* in order of their keys */
+static uint64_t revision = 1;
+static uint64_t forgotten; /* changes up to this one */
+static char mode[16] = "ok";
+
+static int
+compare (const void *a, const void *b)
+{
+  return strcmp ((*(struct item *const *)a)->key,
+                 (*(struct item *const *)b)->key);
+}
+
+static struct item *
+find (const char *key)
+{
+  for (guint i = 0; i < items->len; i++)
+    if (strcmp (((struct item *)g_ptr_array_index (items, i))->key, key) == 0)
+      return g_ptr_array_index (items, i);
+  return NULL;
+}
+
+static void
+set (const char *key, struct bb_bytes *value)
+{
+  struct item *i = find (key);
+
+  if (!i)
+    {
+      i = g_new0 (struct item, 1);
+      i->key = g_strdup (key);
+      g_ptr_array_add (items, i);
+      g_ptr_array_sort (items, compare);
+    }
+  if (i->value)
+    g_bytes_unref (i->value);
+  i->value = value ? g_bytes_new (value->ptr, value->size) : NULL;
+  i->revision = ++revision;
+}
+
+static json_t *
+to_json (const struct item *i)
+{
+  gsize size;
+  const void *data;
+  char *text;
+  json_t *o;
+
+  if (!i->value)
+    return json_pack ("{s:s, s:I, s:b}", "key", i->key, "revision",
+                      (json_int_t)i->revision, "removed", 1);
+  data = g_bytes_get_data (i->value, &size);
+  text = g_base64_encode (data, size);
+  o = json_pack ("{s:s, s:s, s:I, s:I, s:i}", "key", i->key, "value", text,
+                 "revision", (json_int_t)i->revision, "created",
+                 (json_int_t)i->revision, "lease", 0);
+  g_free (text);
+  return o;
+}
+
+/* Returns the value of NAME in the query of TARGET; the caller frees it.  */
+static char *
+query (struct bb_bytes target, const char *name)
+{
+  char *text = g_strndup (target.ptr, target.size);
+  char *at = strchr (text, '?');
+  char **parts = g_strsplit (at ? at + 1 : "", "&", -1);
+  char *value = NULL;
+  size_t n = strlen (name);
+
+  for (uint32_t i = 0; parts[i]; i++)
+    if (strncmp (parts[i], name, n) == 0 && parts[i][n] == '=')
+      value = g_uri_unescape_string (parts[i] + n + 1, NULL);
+  g_strfreev (parts);
+  g_free (text);
+  return value ? value : g_strdup ("");
+}
+
+static void
+on_range (struct bb_http_request *r)
+{
+  char *prefix = query (r->path, "prefix");
+  char *after = query (r->path, "after");
+  json_t *list = json_array ();
+  bool more = false;
+
+  for (guint i = 0; i < items->len; i++)
+    {
+      const struct item *it = g_ptr_array_index (items, i);
+      if (!it->value || !g_str_has_prefix (it->key, prefix)
+          || strcmp (it->key, after) <= 0)
+        continue;
+      more = json_array_size (list) == PAGE;
+      if (more)
+        break;
+      json_array_append_new (list, to_json (it));
+    }
+  fake_respond_json (r, 200,
+                     json_pack ("{s:o, s:I, s:b}", "items", list,
+                                "current-rev", (json_int_t)revision,
+                                "more-pages", more));
+  g_free (prefix);
+  g_free (after);
+}
+
+static void
+on_watch_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+static void
+answer_watch (struct watch *w)
+{
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < items->len; i++)
+    {
+      const struct item *it = g_ptr_array_index (items, i);
+      if (it->revision > w->after)
+        json_array_append_new (list, to_json (it));
+    }
+  w->r->on_gone = NULL;
+  if (w->after < forgotten)
+    {
+      json_decref (list);
+      fake_respond_text (w->r, 410, "gone");
+    }
+  else
+    fake_respond_json (w->r, 200,
+                       json_pack ("{s:o, s:I}", "events", list, "current-rev",
+                                  (json_int_t)revision));
+  uv_close ((uv_handle_t *)&w->timer, on_watch_closed);
+}
+
+static void
+on_watch_timer (uv_timer_t *t)
+{
+  struct watch *w = t->data;
+
+  if (strcmp (mode, "silent") == 0)
+    return;
+  if (revision > w->after || w->after < forgotten
+      || bb_clock_now () >= w->until_ms)
+    answer_watch (w);
+}
+
+static void
+on_watch_gone (struct bb_http_request *r)
+{
+  struct watch *w = r->user;
+
+  uv_close ((uv_handle_t *)&w->timer, on_watch_closed);
+}
+
+static void
+on_watch (struct bb_http_request *r)
+{
+  struct watch *w = g_new0 (struct watch, 1);
+  char *after = query (r->path, "after");
+  char *wait = query (r->path, "wait-ms");
+
+  w->r = r;
+  r->user = w;
+  r->on_gone = on_watch_gone;
+  w->after = strtoull (after, NULL, 10);
+  w->until_ms = bb_clock_now () + strtol (wait, NULL, 10);
+  uv_timer_init (uv_default_loop (), &w->timer);
+  w->timer.data = w;
+  uv_timer_start (&w->timer, on_watch_timer, 0, WATCH_EVERY_MS);
+  g_free (after);
+  g_free (wait);
+}
+
+static void
+on_read (struct bb_http_request *r)
+{
+  if (strcmp (mode, "busy") == 0)
+    fake_respond_text (r, 429, "busy");
+  else if (strcmp (mode, "unavailable") == 0)
+    fake_respond_text (r, 503, "unavailable");
+  else if (strcmp (mode, "garbage") == 0)
+    fake_respond_text (r, 200, "{\"items\":[{\"key\":7}], nonsense");
+  else if (strcmp (mode, "silent") == 0)
+    return;
+  else if (g_str_has_prefix (r->path.ptr, "/v1/kv-watch"))
+    on_watch (r);
+  else
+    on_range (r);
+}
+
+static void
+handle (struct bb_http_request *r, void *arg)
+{
+  char *key = query (r->path, "key");
+  char *is = query (r->path, "is");
+
+  (void)arg;
+  if (bb_bytes_equal (r->method, "GET"))
+    on_read (r);
+  else if (g_str_has_prefix (r->path.ptr, "/put"))
+    set (key, &r->body);
+  else if (g_str_has_prefix (r->path.ptr, "/remove"))
+    set (key, NULL);
+  else if (g_str_has_prefix (r->path.ptr, "/forget"))
+    forgotten = ++revision;
+  else
+    g_strlcpy (mode, is, sizeof mode);
+  if (!bb_bytes_equal (r->method, "GET"))
+    fake_respond_text (r, 200, "done");
+  g_free (key);
+  g_free (is);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct fake_option options[] = { { NULL, NULL, 0 } };
+
+  items = g_ptr_array_new ();
+  return fake_main (argc, argv, options, handle, NULL);
+}
--- a/include/bilberry/base.h
+++ b/include/bilberry/base.h
@@ -18,6 +18,10 @@
 /* Returns the monotonic clock of the machine in ms.  */
 bb_ms bb_clock_now (void);
 
+/* Returns the clock of the machine in ms that also counts while it is
+   suspended.  */
+bb_ms bb_clock_boot (void);
+
 /* How a request ended, and whether it may have run.  A request that is
    refused with BB_RUN_NOT_RUN has not reached any upstream.  */
 struct bb_verdict
--- /dev/null
+++ b/include/bilberry/start.h
@@ -0,0 +1,35 @@
+#ifndef BILBERRY_START_H
+#define BILBERRY_START_H
+
+/* libstart - command line and settings of the programs that run on the
+   platform.  Link with -lstart -lplatform -largtable2.  */
+
+#include "bilberry/platform.h"
+
+/* What a program needs of its settings.  Returns what is missing, a constant
+   sentence, or NULL.  */
+typedef const char *bb_start_fault (const struct bb_start *s);
+
+/* Reads the command line and the settings that it, or the environment, names.
+   Returns the settings, or NULL with the exit status of the program in
+   *STATUS: 0 after --help, --version or a --check that found nothing, 1 after
+   one that did or settings that cannot be used, 2 on bad usage.  *PATH, where
+   the settings are, is the caller's to free.  */
+struct bb_start *bb_start_command (int argc, char **argv, const char *program,
+                                   bb_start_fault *fault, char **path,
+                                   int *status);
+
+/* Tells pauses of the process by two clocks: a suspended VM stops the steady
+   clock, a frozen process neither.  */
+struct bb_wake
+{
+  bb_ms looked_ms; /* steady clock; 0 before the first look */
+  bb_ms skew_ms;   /* boot clock less steady clock */
+};
+
+/* Returns for how long the process was paused since the last look, 0 where it
+   was looked at within LONGEST_MS.  */
+bb_ms bb_wake_look (struct bb_wake *w, bb_ms steady_ms, bb_ms boot_ms,
+                    bb_ms longest_ms);
+
+#endif
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -300,6 +300,27 @@
   end_channel (c);
 }
 
+/* Whether the head is larger than allowed.  Bodies are bounded apart.  */
+static bool
+is_head_too_large (const struct channel *c)
+{
+  return c->reader.overflow
+         || c->reader.head.size > c->server->limits.head_max_bytes;
+}
+
+/* Two hosts would be read one way here and another upstream.  */
+static uint32_t
+count_hosts (const struct bb_h1_message *m)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < m->headers_count; i++)
+    if (m->headers[i].name.size == strlen ("host")
+        && strncasecmp (m->headers[i].name.ptr, "host", strlen ("host")) == 0)
+      n++;
+  return n;
+}
+
 static bool
 on_head (struct h1_reader *r, void *user)
 {
@@ -307,8 +328,12 @@
   struct bb_bytes expect = bb_header_find (r->message.headers,
                                            r->message.headers_count, "expect");
 
-  if (r->parser.content_length != UINT64_MAX
-      && r->parser.content_length > c->server->limits.body_max_bytes)
+  if (is_head_too_large (c))
+    refuse (c, 431);
+  else if (count_hosts (&r->message) > 1)
+    refuse (c, 400);
+  else if (r->parser.content_length != UINT64_MAX
+           && r->parser.content_length > c->server->limits.body_max_bytes)
     refuse (c, 413);
   else if (expect.size == strlen ("100-continue")
            && strncasecmp (expect.ptr, "100-continue", expect.size) == 0)
@@ -350,14 +375,6 @@
 
 static const struct h1_reader_ops reader_ops = { on_head, on_body, on_whole };
 
-/* Whether the head is larger than allowed.  Bodies are bounded apart.  */
-static bool
-is_head_too_large (const struct channel *c)
-{
-  return c->reader.overflow
-         || c->reader.head.size > c->server->limits.head_max_bytes;
-}
-
 /* Takes bytes that arrived, as far as the present request goes.  */
 static size_t
 take (struct channel *c, const char *data, size_t size)
--- /dev/null
+++ b/libstart/command.c
@@ -0,0 +1,72 @@
+#include "bilberry/start.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Reads and checks the settings at PATH.  */
+static struct bb_start *
+read_settings (const char *path, const char *program, bb_start_fault *fault)
+{
+  char *why = NULL;
+  struct bb_start *s = bb_start_read (path, &why);
+  const char *missing = s ? fault (s) : NULL;
+
+  if (s && !missing)
+    return s;
+  fprintf (stderr, "%s: %s: %s\n", program, path, missing ? missing : why);
+  g_free (why);
+  bb_start_free (s);
+  return NULL;
+}
+
+struct bb_start *
+bb_start_command (int argc, char **argv, const char *program,
+                  bb_start_fault *fault, char **path, int *status)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
+  struct arg_lit *version
+      = arg_lit0 ("V", "version", "print the version and exit");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check", "check the settings and exit");
+  struct arg_file *file
+      = arg_file0 ("s", "settings", "FILE",
+                   "settings; by default the environment names them");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, version, check, file, end };
+  int faults = arg_parse (argc, argv, table);
+  const char *name = file->count > 0 ? file->filename[0] : bb_start_path ();
+  struct bb_start *s = NULL;
+
+  *path = g_strdup (name);
+  *status = EXIT_SUCCESS;
+  if (help->count > 0)
+    {
+      printf ("Usage: %s", program);
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-24s %s\n");
+    }
+  else if (version->count > 0)
+    printf ("%s %s\n", program, BB_VERSION);
+  else if (faults > 0 || !name)
+    {
+      arg_print_errors (stderr, end, program);
+      if (!name)
+        fprintf (stderr, "%s: no settings are named\n", program);
+      fprintf (stderr, "Usage: %s", program);
+      arg_print_syntax (stderr, table, "\n");
+      *status = 2;
+    }
+  else
+    {
+      s = read_settings (name, program, fault);
+      *status = s ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
+  if (s && check->count > 0)
+    {
+      bb_start_free (s);
+      s = NULL;
+    }
+  arg_freetable (table, sizeof table / sizeof *table);
+  return s;
+}
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -52,6 +52,14 @@
 pid_t harness_start (struct harness *h, const char *log, const char *program,
                      ...) __attribute__ ((sentinel));
 
+/* Starts PROGRAM likewise, without waiting; its standard output goes to
+   LOG.out in the harness folder.  */
+pid_t harness_spawn (struct harness *h, const char *log, const char *program,
+                     ...) __attribute__ ((sentinel));
+
+/* Returns the path of edge-N.out; the caller frees it.  */
+char *harness_log_path (const struct harness *h, uint32_t n);
+
 /* Sends SIGNAL to a process of the harness.  */
 void harness_signal (struct harness *h, pid_t pid, int signal);
 
--- /dev/null
+++ b/test/harness/plant.c
@@ -0,0 +1,230 @@
+#include "plant.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  AWAIT_MS = 5000,
+  POLL_MS = 25
+};
+
+static const char config_text[]
+    = "{\"version\":%d,\"routes\":["
+      "{\"name\":\"order\",\"host\":\"127.0.0.1\",\"prefix\":\"/order/\","
+      "\"route-kind\":\"non_idempotent\",\"service\":\"app\",\"timeout-ms\":"
+      "700,\"slo-ms\":150,\"max-attempts\":1,\"priority\":2},"
+      "{\"name\":\"check\",\"host\":\"127.0.0.1\",\"prefix\":\"/check/\","
+      "\"route-kind\":\"idempotent\",\"service\":\"app\",\"timeout-ms\":2000,"
+      "\"slo-ms\":150,\"max-attempts\":3,\"priority\":2},"
+      "{\"name\":\"stream\",\"host\":\"127.0.0.1\",\"prefix\":\"/stream/\","
+      "\"route-kind\":\"streaming\",\"service\":\"app\",\"timeout-ms\":3000,"
+      "\"slo-ms\":400,\"max-attempts\":2,\"priority\":1,\"resumable\":true,"
+      "\"itl-target-ms\":120},"
+      "{\"name\":\"other\",\"host\":\"127.0.0.1\",\"prefix\":\"/other/\","
+      "\"route-kind\":\"idempotent\",\"service\":\"other\",\"timeout-ms\":"
+      "2000,\"slo-ms\":150,\"max-attempts\":2,\"priority\":2}%s],"
+      "\"services\":[{\"name\":\"app\",\"health-path\":\"/healthz\","
+      "\"max-conns\":50,\"cold-start-s\":0,\"cold-per-s\":0},"
+      "{\"name\":\"other\",\"health-path\":\"/healthz\",\"max-conns\":50}],"
+      "\"limits\":{\"max-header-bytes\":2048,\"max-body-bytes\":4096,"
+      "\"header-timeout-ms\":500,\"idle-timeout-ms\":5000},"
+      "\"tenants\":[{\"name\":\"maker\",\"api-keys\":[\"key-1\"%s]}]}";
+
+static const char settings_text[]
+    = "node: \"edge-%u\"\nip: \"127.0.0.1\"\nzone: \"z1\"\n"
+      "zones:\n  z1: \"r\"\nlisten:\n  front: \"127.0.0.1:%u\"\n"
+      "  ready: \"127.0.0.1:%u\"\n  control: \"127.0.0.1:%u\"\n"
+      "internal-ports:\n  - 1\n  - 2\nseeds:\n%s"
+      "limits:\n  max-fds: 500\nbounds:\n  budget-extra: 100\nplatform:\n  "
+      "address: \"127.0.0.1:%u\"\n"
+      "later: {unknown: [1, 2]}\n";
+
+void
+plant_put (struct plant *p, const char *key, const char *value)
+{
+  char *path = g_strdup_printf ("/%s?key=%s", value ? "put" : "remove", key);
+  struct answer a
+      = harness_http (p->store, "POST", path, "", value ? value : "");
+
+  g_assert_cmpint (a.status, ==, 200);
+  answer_free (&a);
+  g_free (path);
+}
+
+void
+plant_mode (struct plant *p, const char *mode)
+{
+  char *path = g_strdup_printf ("/mode?is=%s", mode);
+  struct answer a = harness_http (p->store, "POST", path, "", "");
+
+  answer_free (&a);
+  g_free (path);
+}
+
+void
+plant_config (struct plant *p, int version, const char *routes,
+              const char *keys)
+{
+  G_GNUC_BEGIN_IGNORE_DEPRECATIONS
+  char *text = g_strdup_printf (config_text, version, routes, keys);
+  G_GNUC_END_IGNORE_DEPRECATIONS
+
+  plant_put (p, "op/config", text);
+  g_free (text);
+}
+
+void
+plant_init (struct plant *p)
+{
+  char address[32];
+
+  memset (p, 0, sizeof *p);
+  p->h = harness_new (harness_build_dir ());
+  p->store = harness_port (p->h);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", p->store);
+  p->store_pid = harness_start (p->h, "store", "fake-store", "--address",
+                                address, NULL);
+  plant_config (p, 1, "", "");
+}
+
+void
+plant_free (struct plant *p)
+{
+  harness_free (p->h);
+}
+
+uint32_t
+plant_replica (struct plant *p, const char *id, const char *pool,
+               const char *fault)
+{
+  uint16_t port = harness_port (p->h);
+  char *key = g_strdup_printf ("servers/%s", id);
+  char *value = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold-left-ms\":0,"
+      "\"seq\":1}",
+      pool, port);
+  char address[32];
+
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  harness_start (p->h, id, "fake-replica", address, id, fault, NULL);
+  plant_put (p, key, value);
+  p->replicas[p->replicas_count++] = port;
+  g_free (key);
+  g_free (value);
+  return p->replicas_count - 1;
+}
+
+static void
+await_ready (struct plant_edge *e)
+{
+  for (int spent = 0; spent < AWAIT_MS; spent += POLL_MS)
+    {
+      struct answer a = harness_http (e->ready, "GET", "/v1/readyz", "", "");
+      int status = a.status;
+      answer_free (&a);
+      if (status == 200)
+        return;
+      harness_sleep_ms (POLL_MS);
+    }
+  g_error ("an edge does not get ready");
+}
+
+uint32_t
+plant_edge (struct plant *p, uint16_t store)
+{
+  uint32_t n = p->edges_count++;
+  struct plant_edge *e = &p->edges[n];
+  GString *seeds = g_string_new ("");
+  char name[32];
+  char *path;
+  char *text;
+
+  e->front = harness_port (p->h);
+  e->ready = harness_port (p->h);
+  e->control = harness_port (p->h);
+  e->store = store ? store : p->store;
+  for (uint32_t i = 0; i <= n; i++)
+    g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
+                            p->edges[i].control);
+  text = g_strdup_printf (settings_text, n, e->front, e->ready, e->control,
+                          seeds->str, e->store);
+  g_snprintf (name, sizeof name, "edge-%u.yaml", n);
+  harness_write_in (harness_config_dir (p->h), name, text);
+  path = g_strdup_printf ("%s/%s", harness_config_dir (p->h), name);
+  g_snprintf (name, sizeof name, "edge-%u", n);
+  e->pid
+      = harness_spawn (p->h, name, "bilberry-edge", "--settings", path, NULL);
+  await_ready (e);
+  g_string_free (seeds, TRUE);
+  g_free (text);
+  g_free (path);
+  return n;
+}
+
+struct answer
+plant_ask (struct plant *p, uint32_t e, const char *method, const char *path,
+           const char *id, const char *key)
+{
+  char *headers
+      = g_strdup_printf ("X-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\n"
+                         "X-Tenant: forged\r\n%s%s%s",
+                         id, key ? "Authorization: Bearer " : "",
+                         key ? key : "", key ? "\r\n" : "");
+  struct answer a = harness_http (p->edges[e].front, method, path, headers,
+                                  strcmp (method, "GET") == 0 ? "" : "body");
+
+  g_free (headers);
+  return a;
+}
+
+uint32_t
+plant_ran (struct plant *p, const char *id)
+{
+  char *line = g_strdup_printf ("%s by ", id);
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < p->replicas_count; i++)
+    {
+      struct answer a = harness_http (p->replicas[i], "GET", "/ran", "", "");
+      const char *at = a.body ? a.body : "";
+      while ((at = strstr (at, line)))
+        {
+          at += strlen (line);
+          n++;
+        }
+      answer_free (&a);
+    }
+  g_free (line);
+  return n;
+}
+
+bool
+plant_await (struct plant *p, uint32_t e, const char *path, const char *key,
+             int status)
+{
+  for (int spent = 0; spent < AWAIT_MS; spent += POLL_MS)
+    {
+      struct answer a = plant_ask (p, e, "GET", path, "await", key);
+      bool same = a.status == status;
+      answer_free (&a);
+      if (same)
+        return true;
+      harness_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+char *
+plant_log (struct plant *p, uint32_t e)
+{
+  char *path = harness_log_path (p->h, e);
+  char *text = NULL;
+
+  g_file_get_contents (path, &text, NULL, NULL);
+  free (path);
+  return text ? text : g_strdup ("");
+}
--- /dev/null
+++ b/test/harness/plant.h
@@ -0,0 +1,70 @@
+#ifndef PLANT_H
+#define PLANT_H
+
+/* A small platform of real processes: a store, replicas, and edges.  */
+
+#include "harness.h"
+
+enum
+{
+  PLANT_MAX = 16
+};
+
+struct plant_edge
+{
+  uint16_t front;
+  uint16_t ready;
+  uint16_t control;
+  uint16_t store; /* port; may be that of nothing */
+  pid_t pid;
+};
+
+struct plant
+{
+  struct harness *h;
+  uint16_t store;
+  pid_t store_pid;
+  struct plant_edge edges[PLANT_MAX];
+  uint32_t edges_count;
+  uint16_t replicas[PLANT_MAX];
+  uint32_t replicas_count;
+};
+
+/* Starts a store with a configuration: host 127.0.0.1, route /order/ (at
+   most once), /check/ (idempotent) and /stream/ (resumable stream) to pool
+   app, /other/ to pool other; customer maker with key key-1.  */
+void plant_init (struct plant *p);
+void plant_free (struct plant *p);
+
+/* Starts a replica of POOL and registers it.  Returns its index.  */
+uint32_t plant_replica (struct plant *p, const char *id, const char *pool,
+                        const char *fault);
+
+/* Starts an edge and waits until it is ready.  STORE 0: the plant's.  */
+uint32_t plant_edge (struct plant *p, uint16_t store);
+
+/* Writes an item of the store, or removes it (NULL).  */
+void plant_put (struct plant *p, const char *key, const char *value);
+void plant_mode (struct plant *p, const char *mode);
+
+/* Writes the configuration as VERSION with further routes and keys, each a
+   JSON text that begins with a comma, or "".  */
+void plant_config (struct plant *p, int version, const char *routes,
+                   const char *keys);
+
+/* Sends a request with attempt ID and KEY (NULL: none) to edge E.  */
+struct answer plant_ask (struct plant *p, uint32_t e, const char *method,
+                         const char *path, const char *id, const char *key);
+
+/* Returns how often requests with ID ran at all replicas.  */
+uint32_t plant_ran (struct plant *p, const char *id);
+
+/* Waits until PATH with KEY is answered with STATUS at edge E; false after
+   five seconds.  */
+bool plant_await (struct plant *p, uint32_t e, const char *path,
+                  const char *key, int status);
+
+/* Returns what edge E has logged; the caller frees it.  */
+char *plant_log (struct plant *p, uint32_t e);
+
+#endif
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -263,6 +263,42 @@
   return pid;
 }
 
+pid_t
+harness_spawn (struct harness *h, const char *log, const char *program, ...)
+{
+  char *argv[ARGUMENTS_MAX] = { (char *)program };
+  char path[256];
+  uint32_t n = 1;
+  va_list ap;
+  pid_t pid;
+  int out;
+
+  va_start (ap, program);
+  while (n < ARGUMENTS_MAX - 1 && (argv[n] = va_arg (ap, char *)))
+    n++;
+  va_end (ap);
+  snprintf (path, sizeof path, "%s/%s.out", h->dir, log);
+  out = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  pid = fork ();
+  if (pid == 0)
+    exec_child (h, log, program, argv, out);
+  close (out);
+  if (h->processes_count == HARNESS_PROCESSES_MAX)
+    fail ("too many processes");
+  h->processes[h->processes_count++] = pid;
+  return pid;
+}
+
+char *
+harness_log_path (const struct harness *h, uint32_t n)
+{
+  char *path = NULL;
+
+  if (asprintf (&path, "%s/edge-%u.out", h->dir, n) < 0)
+    fail ("asprintf");
+  return path;
+}
+
 void
 harness_signal (struct harness *h, pid_t pid, int signal)
 {
--- /dev/null
+++ b/test/test_edge.c
@@ -0,0 +1,554 @@
+/* Tests of bilberry-edge with real processes: a store, replicas that spoil
+   their answers, and callers.  */
+
+#include "harness/plant.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static void
+check_status (struct plant *p, const char *method, const char *path,
+              const char *id, int status)
+{
+  struct answer a = plant_ask (p, 0, method, path, id, "key-1");
+
+  g_test_message ("%s %s %s", method, path, id);
+  g_assert_cmpint (a.status, ==, status);
+  g_assert_true (a.whole);
+  answer_free (&a);
+}
+
+static void
+test_path (void)
+{
+  struct plant p;
+  struct answer a;
+  char *text;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  a = plant_ask (&p, 0, "POST", "/order/7", "o1", "key-1");
+  g_assert_cmpint (a.status, ==, 200);
+  g_assert_cmpstr (a.body, ==, "answer of i-1");
+  g_assert_nonnull (strstr (a.headers, "X-Replica-Signature: i-1"));
+  g_assert_nonnull (strstr (a.headers, "X-Attempt-Id: o1"));
+  answer_free (&a);
+  a = plant_ask (&p, 0, "GET", "/stream/7", "s1", "key-1");
+  g_assert_cmpint (a.status, ==, 200);
+  g_assert_true (a.whole);
+  g_assert_nonnull (strstr (a.body, "id: 1\ndata: piece 1\n\n"));
+  g_assert_nonnull (strstr (a.body, "id: 6\ndata: piece 6\n\n"));
+  answer_free (&a);
+  /* The key stays here; the customer is the key's, whatever was sent.  */
+  a = harness_http (p.replicas[0], "GET", "/ran", "", "");
+  g_assert_nonnull (strstr (a.body, "o1 by maker within "));
+  g_assert_nonnull (strstr (a.body, " key \n"));
+  g_assert_null (strstr (a.body, "forged"));
+  answer_free (&a);
+  text = plant_log (&p, 0);
+  g_assert_nonnull (strstr (text, "\"event\":\"send\",\"id\":\"o1\""));
+  g_free (text);
+  plant_free (&p);
+}
+
+static void
+test_refusals (void)
+{
+  struct plant p;
+  struct answer a;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  a = plant_ask (&p, 0, "GET", "/check/1", "k1", "key-9");
+  g_assert_cmpint (a.status, ==, 401);
+  answer_free (&a);
+  a = plant_ask (&p, 0, "GET", "/check/1", "k2", NULL);
+  g_assert_cmpint (a.status, ==, 401);
+  answer_free (&a);
+  check_status (&p, "GET", "/nowhere/1", "k3", 404);
+  /* A pool without replicas: refused, with when to come back.  */
+  a = plant_ask (&p, 0, "GET", "/other/1", "k4", "key-1");
+  g_assert_cmpint (a.status, ==, 503);
+  g_assert_nonnull (strstr (a.headers, "Retry-After: "));
+  answer_free (&a);
+  g_assert_cmpuint (plant_ran (&p, "k1") + plant_ran (&p, "k2")
+                        + plant_ran (&p, "k3") + plant_ran (&p, "k4"),
+                    ==, 0);
+  plant_free (&p);
+}
+
+struct fault_case
+{
+  const char *fault;
+  int order;       /* status of an order at it alone */
+  uint32_t ran;    /* how often that order runs */
+  bool check_goes; /* a check ends well at another replica */
+};
+
+/* An order is sent once more only where it did not run, and is promised not to
+   have run only then; a check goes on elsewhere.  */
+static void
+test_faults (void)
+{
+  static const struct fault_case cases[] = {
+    { "reset", 502, 1, true },    { "cut", 502, 1, true },
+    { "garbage", 502, 1, true },  { "other-id", 502, 1, true },
+    { "unsigned", 502, 1, true }, { "not-run", 503, 0, true },
+    { "fail", 500, 1, true },     { "silent", 504, 1, true },
+    { "unframed", 200, 1, true }, { "extra", 200, 1, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct fault_case *c = &cases[i];
+      struct plant p;
+      g_test_message ("%s", c->fault);
+      plant_init (&p);
+      plant_replica (&p, "i-bad", "app", c->fault);
+      plant_edge (&p, 0);
+      check_status (&p, "POST", "/order/1", "o1", c->order);
+      g_assert_cmpuint (plant_ran (&p, "o1"), ==, c->ran);
+      plant_replica (&p, "i-good", "app", "");
+      g_assert_true (plant_await (&p, 0, "/check/1", "key-1", 200));
+      for (uint32_t k = 0; k < 6; k++)
+        {
+          char id[16];
+          g_snprintf (id, sizeof id, "c%u", k);
+          check_status (&p, "GET", "/check/1", id, 200);
+        }
+      plant_free (&p);
+    }
+}
+
+/* An answer without a length that ends with its channel does not look more
+   whole to the caller than it did here.  */
+static void
+test_unframed (void)
+{
+  struct plant p;
+  struct answer a;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "unframed");
+  plant_edge (&p, 0);
+  a = plant_ask (&p, 0, "GET", "/check/1", "c1", "key-1");
+  g_assert_cmpint (a.status, ==, 200);
+  g_assert_cmpstr (a.body, ==, "up to the end");
+  g_assert_null (strstr (a.headers, "Content-Length"));
+  g_assert_null (strstr (a.headers, "Transfer-Encoding"));
+  answer_free (&a);
+  plant_free (&p);
+}
+
+/* A stream that breaks off in the middle of an event goes on at another
+   replica: each piece once, none of the half event.  */
+static void
+test_resume (void)
+{
+  struct plant p;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "break");
+  plant_replica (&p, "i-2", "app", "break");
+  plant_edge (&p, 0);
+  for (uint32_t k = 0; k < 4; k++)
+    {
+      struct answer a = plant_ask (&p, 0, "GET", "/stream/1", "s1", "key-1");
+      const char *at = a.body;
+      g_assert_cmpint (a.status, ==, 200);
+      g_assert_true (a.whole);
+      for (int i = 1; i <= 6; i++)
+        {
+          char event[64];
+          g_snprintf (event, sizeof event, "id: %d\ndata: piece %d\n\n", i, i);
+          g_assert_true (g_str_has_prefix (at, event));
+          at += strlen (event);
+        }
+      g_assert_cmpstr (at, ==, "");
+      answer_free (&a);
+    }
+  plant_free (&p);
+}
+
+/* The address of a replica that is gone belongs to another service now.  */
+static void
+test_address_used_again (void)
+{
+  struct plant p;
+  char *value;
+
+  plant_init (&p);
+  plant_replica (&p, "i-new", "other", "");
+  value = g_strdup_printf (
+      "{\"service\":\"app\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+      "\"slots\":8,\"state\":\"ready\"}",
+      p.replicas[0]);
+  plant_put (&p, "servers/i-old", value);
+  g_free (value);
+  plant_edge (&p, 0);
+  check_status (&p, "POST", "/order/1", "o1", 503);
+  g_assert_cmpuint (plant_ran (&p, "o1"), ==, 0);
+  check_status (&p, "GET", "/other/1", "c1", 200);
+  plant_free (&p);
+}
+
+/* Items of another writer: the others hold.  */
+static void
+test_unusable_items (void)
+{
+  struct plant p;
+  char *text;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_put (&p, "servers/i-a", "{\"service\":\"app\"}");
+  plant_put (&p, "servers/i-b", "\xff\xfe no JSON");
+  plant_put (&p, "servers/i-c",
+             "{\"service\":7,\"address\":[],\"slots\":\"x\"}");
+  plant_put (&p, "servers/i-d",
+             "{\"service\":\"app\",\"address\":\"127.0.0.1:1\",\"zone\":"
+             "\"z1\",\"slots\":3,\"state\":\"resting\"}");
+  plant_put (&p, "other/thing", "x");
+  plant_edge (&p, 0);
+  for (uint32_t k = 0; k < 5; k++)
+    check_status (&p, "POST", "/order/1", "o1", 200);
+  plant_put (&p, "op/config", "{\"version\":9}");
+  harness_sleep_ms (200);
+  check_status (&p, "POST", "/order/1", "o2", 200);
+  text = plant_log (&p, 0);
+  g_assert_nonnull (strstr (text, "\"event\":\"upstream_unusable\""));
+  g_assert_nonnull (strstr (text, "\"event\":\"config_unusable\""));
+  g_free (text);
+  plant_free (&p);
+}
+
+/* Changes are in force soon: a route, a key, an evacuation, a leaving.  */
+static void
+test_changes (void)
+{
+  struct plant p;
+  char *value;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  plant_config (&p, 2,
+                ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":"
+                "\"/new/\",\"route-kind\":\"idempotent\",\"service\":\"app\","
+                "\"timeout-ms\":900,\"slo-ms\":100,\"max-attempts\":1}",
+                ",\"key-2\"");
+  g_assert_true (plant_await (&p, 0, "/new/1", "key-2", 200));
+  plant_config (&p, 3, "", "");
+  g_assert_true (plant_await (&p, 0, "/check/1", "key-2", 401));
+  g_assert_true (plant_await (&p, 0, "/new/1", "key-1", 404));
+  plant_put (&p, "op/evacuate/z1", "{}");
+  g_assert_true (plant_await (&p, 0, "/check/1", "key-1", 503));
+  plant_put (&p, "op/evacuate/z1", NULL);
+  g_assert_true (plant_await (&p, 0, "/check/1", "key-1", 200));
+  value = g_strdup_printf (
+      "{\"service\":\"app\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+      "\"slots\":8,\"state\":\"draining\"}",
+      p.replicas[0]);
+  plant_put (&p, "servers/i-1", value);
+  g_free (value);
+  g_assert_true (plant_await (&p, 0, "/check/1", "key-1", 503));
+  plant_free (&p);
+}
+
+/* The store fails in each of its ways and comes back: what is believed holds
+   meanwhile, and changes made meanwhile are in force after.  */
+static void
+test_store_fails (void)
+{
+  static const char *const modes[]
+      = { "busy", "unavailable", "silent", "garbage" };
+  struct plant p;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (modes); i++)
+    {
+      char keys[32];
+      char key[16];
+      g_test_message ("%s", modes[i]);
+      g_snprintf (key, sizeof key, "key-m%u", i);
+      g_snprintf (keys, sizeof keys, ",\"%s\"", key);
+      plant_mode (&p, modes[i]);
+      harness_sleep_ms (300);
+      check_status (&p, "GET", "/check/1", "c1", 200);
+      plant_config (&p, 10 + (int)i, "", keys);
+      if (i % 2 == 1)
+        {
+          struct answer a = harness_http (p.store, "POST", "/forget", "", "");
+          answer_free (&a);
+        }
+      plant_mode (&p, "ok");
+      g_assert_true (plant_await (&p, 0, "/check/1", key, 200));
+    }
+  plant_free (&p);
+}
+
+/* The store turns one edge away from its start: a peer tells it all, and
+   takes keys away too.  */
+static void
+test_peers_tell (void)
+{
+  struct plant p;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  plant_edge (&p, harness_port (p.h));
+  g_assert_true (plant_await (&p, 1, "/check/1", "key-1", 200));
+  plant_config (&p, 2, "", ",\"key-2\"");
+  g_assert_true (plant_await (&p, 1, "/check/1", "key-2", 200));
+  plant_config (&p, 3, "", "");
+  g_assert_true (plant_await (&p, 1, "/check/1", "key-2", 401));
+  plant_free (&p);
+}
+
+static void
+test_drain (void)
+{
+  struct plant p;
+  struct answer a;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  harness_signal (p.h, p.edges[0].pid, SIGTERM);
+  harness_sleep_ms (200);
+  a = harness_http (p.edges[0].ready, "GET", "/v1/readyz", "", "");
+  g_assert_cmpint (a.status, ==, 503);
+  answer_free (&a);
+  /* Callers that still come are served and told to go.  */
+  a = plant_ask (&p, 0, "POST", "/order/1", "o1", "key-1");
+  g_assert_cmpint (a.status, ==, 200);
+  g_assert_nonnull (strstr (a.headers, "Connection: close"));
+  answer_free (&a);
+  g_assert_cmpint (harness_wait (p.h, p.edges[0].pid), ==, 0);
+  plant_free (&p);
+}
+
+/* SIGHUP, and a settings file that cannot be used, change nothing.  */
+static void
+test_reload (void)
+{
+  struct plant p;
+  char *text;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  harness_write_in (harness_config_dir (p.h), "edge-0.yaml", "node: [");
+  harness_signal (p.h, p.edges[0].pid, SIGHUP);
+  harness_sleep_ms (200);
+  check_status (&p, "POST", "/order/1", "o1", 200);
+  text = plant_log (&p, 0);
+  g_assert_nonnull (strstr (text, "\"event\":\"reload_refused\""));
+  g_free (text);
+  plant_free (&p);
+}
+
+struct raw_case
+{
+  const char *text;
+  const char *answer; /* how the answer begins */
+};
+
+/* What callers may not send, and requests hidden in others.  */
+static void
+test_bad_input (void)
+{
+  static const struct raw_case cases[] = {
+    { "nonsense\r\n\r\n", "HTTP/1.1 400 " },
+    { "GET /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 5\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 400 " },
+    { "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 5\r\n"
+      "Content-Length: 6\r\n\r\nhello",
+      "HTTP/1.1 400 " },
+    { "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: "
+      "99999\r\n\r\n",
+      "HTTP/1.1 413 " },
+    { "GET /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nHost: b\r\n\r\n",
+      "HTTP/1.1 400 " },
+    { "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n", "HTTP/1.1 408 " },
+  };
+  struct plant p;
+  char *large = g_strnfill (5000, 'x');
+  char *text;
+  char *got;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      got = harness_raw (p.edges[0].front, cases[i].text,
+                         strlen (cases[i].text), 3000);
+      g_test_message ("%s", cases[i].text);
+      g_assert_true (g_str_has_prefix (got, cases[i].answer));
+      free (got);
+    }
+  text = g_strdup_printf ("GET /check/1 HTTP/1.1\r\nX-Large: %s\r\n\r\n",
+                          large);
+  got = harness_raw (p.edges[0].front, text, strlen (text), 3000);
+  g_assert_true (g_str_has_prefix (got, "HTTP/1.1 431 "));
+  free (got);
+  g_free (text);
+  g_free (large);
+  check_status (&p, "POST", "/order/1", "o1", 200);
+  plant_free (&p);
+}
+
+/* A chunked body goes on whole; two requests on one channel get their own
+   answers, in order.  */
+static void
+test_channel (void)
+{
+  static const char text[]
+      = "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: a1\r\n"
+        "Authorization: Bearer key-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        "GET /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: a2\r\n"
+        "Authorization: Bearer key-1\r\nConnection: close\r\n\r\n";
+  struct plant p;
+  char *got;
+  const char *first;
+  const char *second;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  got = harness_raw (p.edges[0].front, text, strlen (text), 3000);
+  first = strstr (got, "X-Attempt-Id: a1");
+  second = strstr (got, "X-Attempt-Id: a2");
+  g_assert_nonnull (first);
+  g_assert_nonnull (second);
+  g_assert_true (first < second);
+  free (got);
+  plant_free (&p);
+}
+
+/* A caller that leaves ends the work: the replica's channel is closed.  */
+static void
+test_caller_leaves (void)
+{
+  static const char text[]
+      = "GET /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: g1\r\n"
+        "Authorization: Bearer key-1\r\nX-Deadline-Ms: 1900\r\n\r\n";
+  struct plant p;
+  char *log = NULL;
+  int fd;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "silent");
+  plant_edge (&p, 0);
+  fd = harness_send_unread (p.edges[0].front, text, strlen (text));
+  harness_sleep_ms (100);
+  close (fd);
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      g_free (log);
+      log = plant_log (&p, 0);
+      if (strstr (log, "\"event\":\"caller_gone\",\"id\":\"g1\""))
+        break;
+      harness_sleep_ms (50);
+    }
+  g_assert_nonnull (strstr (log, "\"event\":\"caller_gone\",\"id\":\"g1\""));
+  g_free (log);
+  plant_free (&p);
+}
+
+/* From the id of a failed order to its cause, by the log alone.  */
+static void
+test_explains (void)
+{
+  struct plant p;
+  char **lines;
+  char *log;
+  GString *story = g_string_new ("");
+
+  plant_init (&p);
+  plant_replica (&p, "i-bad", "app", "reset");
+  plant_edge (&p, 0);
+  check_status (&p, "POST", "/order/1", "lost-1", 502);
+  harness_sleep_ms (100);
+  log = plant_log (&p, 0);
+  lines = g_strsplit (log, "\n", -1);
+  for (uint32_t i = 0; lines[i]; i++)
+    if (strstr (lines[i], "\"id\":\"lost-1\""))
+      g_string_append_printf (story, "%s\n", lines[i]);
+  g_assert_nonnull (strstr (story->str, "\"event\":\"send\""));
+  g_assert_nonnull (strstr (story->str, "\"upstream\":\"i-bad\""));
+  g_assert_nonnull (strstr (story->str, "\"event\":\"try_failed\""));
+  g_assert_nonnull (strstr (story->str, "\"outcome\":\"lost\""));
+  g_assert_nonnull (strstr (story->str, "\"how\":\"unanswered\""));
+  g_assert_nonnull (strstr (story->str, "\"event\":\"refuse\""));
+  g_assert_nonnull (strstr (story->str, "\"status\":502"));
+  g_string_free (story, TRUE);
+  g_strfreev (lines);
+  g_free (log);
+  plant_free (&p);
+}
+
+static void
+test_command (void)
+{
+  struct harness *h = harness_new (harness_build_dir ());
+  char *path = g_strdup_printf ("%s/s.yaml", harness_config_dir (h));
+
+  g_assert_cmpint (harness_wait (h, harness_spawn (h, "a", "bilberry-edge",
+                                                   "--help", NULL)),
+                   ==, 0);
+  g_assert_cmpint (harness_wait (h, harness_spawn (h, "b", "bilberry-rank",
+                                                   "--nonsense", NULL)),
+                   ==, 2);
+  harness_write_in (harness_config_dir (h), "s.yaml",
+                    "node: a\nip: 127.0.0.1\nzone: z\n");
+  g_assert_cmpint (
+      harness_wait (h, harness_spawn (h, "c", "bilberry-edge", "--check", "-s",
+                                      path, NULL)),
+      ==, 1);
+  harness_write_in (harness_config_dir (h), "s.yaml",
+                    "node: a\nip: 127.0.0.1\nzone: z\n"
+                    "app: '127.0.0.1:9'\nservice: s\n");
+  g_assert_cmpint (
+      harness_wait (h, harness_spawn (h, "d", "bilberry-rank", "--check", "-s",
+                                      path, NULL)),
+      ==, 0);
+  g_free (path);
+  harness_free (h);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/edge/path", test_path);
+  g_test_add_func ("/edge/refusals", test_refusals);
+  g_test_add_func ("/edge/faults", test_faults);
+  g_test_add_func ("/edge/unframed", test_unframed);
+  g_test_add_func ("/edge/resume", test_resume);
+  g_test_add_func ("/edge/address-used-again", test_address_used_again);
+  g_test_add_func ("/edge/unusable-items", test_unusable_items);
+  g_test_add_func ("/edge/changes", test_changes);
+  g_test_add_func ("/edge/store-fails", test_store_fails);
+  g_test_add_func ("/edge/peers-tell", test_peers_tell);
+  g_test_add_func ("/edge/drain", test_drain);
+  g_test_add_func ("/edge/reload", test_reload);
+  g_test_add_func ("/edge/bad-input", test_bad_input);
+  g_test_add_func ("/edge/channel", test_channel);
+  g_test_add_func ("/edge/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/edge/explains", test_explains);
+  g_test_add_func ("/edge/command", test_command);
+  return g_test_run ();
+}
