--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,8 @@
 FUZZ_FLAGS = -std=gnu11 -g -O1 $(WARN) -fsanitize=address,undefined \
 	-fno-sanitize-recover=undefined
 FUZZ_LIBS := $(patsubst %.c,$(B)/obj-fuzz/%.o,\
-	$(wildcard libbase/*.c libmember/*.c libproto/*.c libsettings/*.c))
+	$(wildcard libbase/*.c libfleet/*.c libh1/*.c libmember/*.c \
+	libproto/*.c libsettings/*.c platform/*.c libnet/header.c))
 
 $(B)/obj-fuzz/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -167,7 +168,7 @@
 
 # Makes the seeds of the fuzz targets again, after a change of the schema.
 seeds:
-	rm -rf fuzz/seeds
+	rm -rf fuzz/seeds/fuzz_member fuzz/seeds/fuzz_message fuzz/seeds/fuzz_settings
 	fuzz/corpus fuzz/seeds
 
 clean:
--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -8,7 +8,8 @@
    /v1/...: reset, cut, garbage, extra, other-id, unsigned, not-run, fail,
    silent, unframed, early.  Paths that begin with /stream/ give events 1 to 6
    after Last-Event-Id; the fault break ends them after event 3 for callers
-   that have seen none.  GET /ran gives the ids of requests that ran.  */
+   that have seen none.  GET /ran gives the ids of requests that ran,
+   and a line for each time that its counts were asked for.  */
 
 #include "bilberry/settings.h"
 
@@ -80,6 +81,12 @@
   return value ? value : g_strdup ("");
 }
 
+/* A rank of a group of one with a map that is prepared and not in use.  */
+static const char report_text[]
+    = "{\"queued\":0,\"running\":0,\"group\":{\"name\":\"g\",\"epoch\":1,"
+      "\"rank\":0,\"state\":\"open\"},\"size\":2,\"step\":9,\"map\":0,"
+      "\"prepared\":5}";
+
 static bool
 has_fault (const char *name)
 {
@@ -179,6 +186,14 @@
       answer (c, "200 OK", attempt, "Connection: close\r\n", ran->str);
       close_channel (c);
     }
+  else if (g_str_has_prefix (head, "GET /v1/report "))
+    answer (c, "200 OK", attempt, "", report_text);
+  else if (g_str_has_prefix (head, "GET /v1/picked "))
+    {
+      g_string_append (ran, "counted\n");
+      answer (c, "200 OK", attempt, "",
+              "{\"step\":9,\"epoch\":1,\"counts\":[1,2]}");
+    }
   else if (*expect && strcmp (expect, id) != 0)
     answer (c, "421 Elsewhere", attempt, "X-Not-Executed: 1\r\n", "");
   else if (has_fault ("not-run"))
--- /dev/null
+++ b/fuzz/fuzz_platform.c
@@ -0,0 +1,110 @@
+/* Fuzz target: what the decoders of the platform's formats make of any bytes.
+   The first byte chooses the decoder.  */
+
+#include "bilberry/platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PLACES = 11,
+  ROWS_MAX = 128,
+  DECODERS = 7
+};
+
+/* libFuzzer fixes the name.  */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size); // NOLINT
+
+static void
+decode_item (const uint8_t *data, size_t size, bool config)
+{
+  GBytes *value = g_bytes_new (data, size);
+  const char *why = NULL;
+
+  if (config)
+    {
+      struct bb_config *c = bb_config_decode (value, 1, &why);
+      g_assert_true (c || why);
+      bb_config_unref (c);
+    }
+  else
+    {
+      struct bb_upstream *u = bb_upstream_decode ("i-1", value, 1, &why);
+      g_assert_true (u || why);
+      bb_upstream_free (u);
+    }
+  g_bytes_unref (value);
+}
+
+static void
+decode_start (const uint8_t *data, size_t size)
+{
+  char *why = NULL;
+  struct bb_start *s = bb_start_parse ((const char *)data, size, &why);
+
+  g_assert_true (s || why);
+  bb_start_free (s);
+  g_free (why);
+}
+
+static void
+decode_headers (struct bb_bytes text)
+{
+  struct bb_h1_message m = { .headers_count = 3 };
+  struct bb_header out[BB_SEND_HEADERS_MAX];
+  struct bb_send send = { .upstream_id = "i-1", .left_ms = 5 };
+  char numbers[BB_SEND_TEXT];
+  struct bb_ask ask;
+  struct bb_reply reply;
+  uint64_t id;
+
+  m.headers[0] = (struct bb_header){ bb_bytes_of ("Connection"), text };
+  m.headers[1] = (struct bb_header){ bb_bytes_of ("X-Token-Counts"), text };
+  m.headers[2] = (struct bb_header){ text, text };
+  bb_ask_decode (&m, &ask);
+  bb_reply_decode (&m, text, &reply);
+  bb_send_headers (&m, &send, out, numbers);
+  bb_event_id (text, &id);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size) // NOLINT
+{
+  struct bb_bytes rest = { NULL, 0 };
+  struct bb_rank_report report;
+  struct bb_counts counts;
+  uint16_t rows[ROWS_MAX];
+  uint64_t version;
+  uint32_t count;
+
+  if (size < 1)
+    return 0;
+  rest.ptr = (const char *)data + 1;
+  rest.size = (uint32_t)size - 1;
+  switch (data[0] % DECODERS)
+    {
+    case 0:
+      decode_item (data + 1, size - 1, true);
+      break;
+    case 1:
+      decode_item (data + 1, size - 1, false);
+      break;
+    case 2:
+      decode_start (data + 1, size - 1);
+      break;
+    case 3:
+      decode_headers (rest);
+      break;
+    case 4:
+      bb_rank_report_decode (rest, &report);
+      break;
+    case 5:
+      bb_counts_decode (rest, &counts);
+      free (counts.values);
+      break;
+    default:
+      bb_lists_decode (rest, &version, rows, ROWS_MAX, PLACES, &count);
+    }
+  return 0;
+}
--- a/test/harness/plant.c
+++ b/test/harness/plant.c
@@ -165,6 +165,29 @@
   return n;
 }
 
+pid_t
+plant_rank (struct plant *p, uint32_t r)
+{
+  uint16_t port = harness_port (p->h);
+  char *text = g_strdup_printf (
+      "node: \"side-%u\"\nip: \"127.0.0.1\"\nzone: \"z1\"\n"
+      "internal-ports:\n  - %u\n  - %u\nseeds:\n  - \"127.0.0.1:%u\"\n"
+      "app: \"127.0.0.1:%u\"\nservice: \"app\"\n",
+      r, port, port, p->edges[0].control, p->replicas[r]);
+  char *path
+      = g_strdup_printf ("%s/side-%u.yaml", harness_config_dir (p->h), r);
+  char name[32];
+  pid_t pid;
+
+  g_snprintf (name, sizeof name, "side-%u.yaml", r);
+  harness_write_in (harness_config_dir (p->h), name, text);
+  g_snprintf (name, sizeof name, "side-%u", r);
+  pid = harness_spawn (p->h, name, "bilberry-rank", "-s", path, NULL);
+  g_free (text);
+  g_free (path);
+  return pid;
+}
+
 struct answer
 plant_ask (struct plant *p, uint32_t e, const char *method, const char *path,
            const char *id, const char *key)
--- a/test/harness/plant.h
+++ b/test/harness/plant.h
@@ -43,6 +43,9 @@
 /* Starts an edge and waits until it is ready.  STORE 0: the plant's.  */
 uint32_t plant_edge (struct plant *p, uint16_t store);
 
+/* Starts the agent beside replica R.  Returns its process.  */
+pid_t plant_rank (struct plant *p, uint32_t r);
+
 /* Writes an item of the store, or removes it (NULL).  */
 void plant_put (struct plant *p, const char *key, const char *value);
 void plant_mode (struct plant *p, const char *mode);
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,201 @@
+/* Tests of the formats of the platform, and of pauses.  */
+
+#include "bilberry/start.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+test_start (void)
+{
+  static const char text[]
+      = "node: n1\nip: 10.0.0.1\nzone: z1\nzones:\n  z1: r\n  z2: r\n"
+        "listen:\n  front: 10.0.0.1:80\nseeds:\n  - a:1\n  - b:2\n"
+        "internal-ports:\n  - 7340\n  - 7355\napp: null\nnew-field: [1, {}]\n"
+        "bounds:\n  grace-s: 5.5\n  drain-ms: nonsense\n"
+        "  budget-extra: 88\n";
+  char *why = NULL;
+  struct bb_start *s = bb_start_parse (text, strlen (text), &why);
+
+  g_assert_nonnull (s);
+  g_assert_cmpstr (s->name, ==, "n1");
+  g_assert_cmpuint (s->failure_domains, ==, 2);
+  g_assert_cmpstr (s->front, ==, "10.0.0.1:80");
+  g_assert_null (s->ready);
+  g_assert_null (s->upstream);
+  g_assert_cmpuint (s->seeds_count, ==, 2);
+  g_assert_cmpuint (s->port_first, ==, 7340);
+  g_assert_cmpint (s->grace_ms, ==, 5500);
+  /* What cannot be read keeps its usual value.  */
+  g_assert_cmpint (s->drain_ms, ==, 2000);
+  g_assert_cmpuint (s->retry_extra, ==, 88);
+  bb_start_free (s);
+}
+
+static void
+test_start_faults (void)
+{
+  static const char *const texts[] = { "", "node: [", "ip: 10.0.0.1\nzone: z",
+                                       "- a\n- b\n", "node: n\nzone: z\n" };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      char *why = NULL;
+      g_assert_null (bb_start_parse (texts[i], strlen (texts[i]), &why));
+      g_assert_nonnull (why);
+      g_free (why);
+    }
+}
+
+static const struct bb_header *
+find (const struct bb_header *headers, uint32_t n, const char *name)
+{
+  for (uint32_t i = 0; i < n; i++)
+    if (bb_bytes_equal (headers[i].name, name))
+      return &headers[i];
+  return NULL;
+}
+
+/* What concerns one channel stays here, and what is the system's own to set is
+   set whatever the caller sent.  */
+static void
+test_headers (void)
+{
+  struct bb_h1_message m = { .headers_count = 7 };
+  const char *const in[][2] = { { "X-Attempt-Id", "a1" },
+                                { "Connection", "X-Hop, close" },
+                                { "X-Hop", "1" },
+                                { "X-Tenant", "forged" },
+                                { "Authorization", "Bearer k" },
+                                { "X-Expect-Replica", "forged" },
+                                { "X-Kept", "yes" } };
+  struct bb_header out[BB_SEND_HEADERS_MAX];
+  char text[BB_SEND_TEXT];
+  struct bb_send s = { .upstream_id = "i-1",
+                       .customer = "maker",
+                       .left_ms = 1234,
+                       .last_event = 7,
+                       .priority = 3 };
+  struct bb_ask a;
+  uint32_t n;
+
+  for (uint32_t i = 0; i < m.headers_count; i++)
+    m.headers[i]
+        = (struct bb_header){ bb_bytes_of (in[i][0]), bb_bytes_of (in[i][1]) };
+  bb_ask_decode (&m, &a);
+  g_assert_true (bb_bytes_equal (a.key, "k"));
+  n = bb_send_headers (&m, &s, out, text);
+  g_assert_null (find (out, n, "X-Hop"));
+  g_assert_null (find (out, n, "Connection"));
+  g_assert_null (find (out, n, "Authorization"));
+  g_assert_true (bb_bytes_equal (find (out, n, "X-Tenant")->value, "maker"));
+  g_assert_true (
+      bb_bytes_equal (find (out, n, "X-Expect-Replica")->value, "i-1"));
+  g_assert_true (
+      bb_bytes_equal (find (out, n, "X-Deadline-Ms")->value, "1234"));
+  g_assert_true (bb_bytes_equal (find (out, n, "Last-Event-Id")->value, "7"));
+  g_assert_true (bb_bytes_equal (find (out, n, "X-Kept")->value, "yes"));
+  g_assert_cmpuint (n, ==, 7);
+}
+
+static void
+test_retry_after (void)
+{
+  char text[BB_SEND_TEXT];
+
+  g_assert_true (bb_bytes_equal (bb_retry_after (1250, text).value, "1.250"));
+  g_assert_true (bb_bytes_equal (bb_retry_after (30, text).value, "0.030"));
+}
+
+static void
+test_event_id (void)
+{
+  uint64_t id = 0;
+
+  g_assert_true (bb_event_id (bb_bytes_of ("id: 12\ndata: x\n\n"), &id));
+  g_assert_cmpuint (id, ==, 12);
+  g_assert_true (bb_event_id (bb_bytes_of ("data: x\nid:7\r\n\n"), &id));
+  g_assert_cmpuint (id, ==, 7);
+  g_assert_false (bb_event_id (bb_bytes_of ("data: id: 5\n\n"), &id));
+  g_assert_false (bb_event_id (bb_bytes_of ("id: x\n\n"), &id));
+}
+
+static void
+test_order (void)
+{
+  static const uint16_t map[] = { 0, 2, 1, UINT16_MAX };
+  struct bb_order o = { .op = BB_ORDER_PREPARE,
+                        .version = 4,
+                        .epoch = 1,
+                        .fence = 9,
+                        .map = map,
+                        .sets = 1,
+                        .ranks = 2,
+                        .places = 2 };
+  char *text = bb_order_encode (&o);
+
+  g_assert_cmpstr (text, ==,
+                   "{\"op\":\"prepare\",\"epoch\":1,\"fence\":9,\"version\":4,"
+                   "\"map\":[[[0,2],[1]]]}");
+  free (text);
+  o.op = BB_ORDER_HOLD;
+  o.step = 77;
+  text = bb_order_encode (&o);
+  g_assert_cmpstr (text, ==,
+                   "{\"op\":\"hold\",\"epoch\":1,\"fence\":9,\"step\":77}");
+  free (text);
+}
+
+/* An item never goes back, whoever tells it.  */
+static void
+test_view (void)
+{
+  struct bb_view *v = bb_view_new ();
+  GBytes *one = g_bytes_new_static ("1", 1);
+  GHashTable *keys = g_hash_table_new (g_str_hash, g_str_equal);
+  GPtrArray *missing;
+
+  g_assert_true (bb_view_put (v, "a", one, 5));
+  g_assert_false (bb_view_put (v, "a", one, 5));
+  g_assert_false (bb_view_put (v, "a", NULL, 4));
+  g_assert_true (bb_view_put (v, "b", one, 9));
+  /* A listing that is older than an item says nothing of it.  */
+  missing = bb_view_missing (v, keys, 7);
+  g_assert_cmpuint (missing->len, ==, 1);
+  g_assert_cmpstr (g_ptr_array_index (missing, 0), ==, "a");
+  g_ptr_array_unref (missing);
+  g_assert_true (bb_view_put (v, "a", NULL, 7));
+  g_assert_false (bb_view_put (v, "a", one, 6));
+  g_hash_table_unref (keys);
+  g_bytes_unref (one);
+  bb_view_free (v);
+}
+
+/* A suspended VM stops the steady clock; a frozen process sees both go on.  */
+static void
+test_wake (void)
+{
+  struct bb_wake w = { 0 };
+
+  g_assert_cmpint (bb_wake_look (&w, 1000, 5000, 400), ==, 0);
+  g_assert_cmpint (bb_wake_look (&w, 1050, 5050, 400), ==, 0);
+  g_assert_cmpint (bb_wake_look (&w, 1100, 8100, 400), ==, 3050);
+  g_assert_cmpint (bb_wake_look (&w, 1150, 8150, 400), ==, 0);
+  g_assert_cmpint (bb_wake_look (&w, 4150, 11150, 400), ==, 3000);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/start/read", test_start);
+  g_test_add_func ("/platform/start/faults", test_start_faults);
+  g_test_add_func ("/platform/headers", test_headers);
+  g_test_add_func ("/platform/retry-after", test_retry_after);
+  g_test_add_func ("/platform/event-id", test_event_id);
+  g_test_add_func ("/platform/order", test_order);
+  g_test_add_func ("/platform/view", test_view);
+  g_test_add_func ("/platform/wake", test_wake);
+  return g_test_run ();
+}
