Leave a switch alone whose ranks follow another leader; know the map before clearing

A leader now ends a switch only where all agents but one follow it. Also: a leader that did not yet know all rows sent a map with empty ones to be prepared (400).

--- a/cmd/edge/line.c
+++ b/cmd/edge/line.c
@@ -11,12 +11,11 @@
   HOLD_AIMS = 3, /* a request waits for so many times its aim */
   FIRST_DEFAULT_MS = 100,
   ASK_EVERY_MS = 120,
-  ASK_TIMEOUT_MS = 400,
+  ASK_LOST_MS = 800, /* without an answer: ask another */
+  ASK_KEPT_MS = 1600,
   BUSY_BACK_MS = 500 /* when room is expected where all is taken */
 };
 
-/* Part of one new value in a smoothed time.  */
-
 struct ask
 {
   struct edge *edge;
@@ -280,10 +279,10 @@
   uint32_t seen = 0;
   struct bb_h1_out out = { .method = bb_bytes_of ("GET"),
                            .target = bb_bytes_of (bb_report_target),
-                           .idle_max_ms = ASK_TIMEOUT_MS * 4 };
+                           .idle_max_ms = ASK_KEPT_MS };
   struct ask *a;
 
-  if ((l->asking && now - l->asked_ms < ASK_TIMEOUT_MS * 2)
+  if ((l->asking && now - l->asked_ms < ASK_LOST_MS)
       || now - l->asked_ms < ASK_EVERY_MS)
     return;
   for (guint k = 0; k < e->target_list->len; k++)
--- a/cmd/rank/plan.c
+++ b/cmd/rank/plan.c
@@ -10,6 +10,7 @@
   FAST_HALF_LIFE_MS = 90,  /* shows a shift of demand */
   SLOW_HALF_LIFE_MS = 700, /* evens out the mix of requests */
   SETTLE_MS = 160,         /* counts from before a shift fade for so long */
+  SHIFT_GAP_MS = 320,      /* a shift within it is the same one */
   HORIZON_MS = 2500,       /* for which the loads are expected to last */
   MEGABITS_OF_BYTE = 8
 };
@@ -107,7 +108,7 @@
   if (shift_of (fast_total, slow_total) > shift_least)
     {
       memcpy (slow, fast, sizeof slow);
-      if (now - shifted_ms > SETTLE_MS * 2)
+      if (now - shifted_ms > SHIFT_GAP_MS)
         shifted_ms = now;
     }
   return now - shifted_ms >= SETTLE_MS;
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -44,7 +44,7 @@
 /* Reads the settings file at PATH.  NULL on a fault, told by *WHY, which the
    caller frees.  Fields that are not known are passed over.  */
 struct bb_start *bb_start_read (const char *path, char **why);
-struct bb_start *bb_start_parse (const char *text, size_t size, char **why);
+struct bb_start *bb_start_parse (const char *data, size_t size, char **why);
 void bb_start_free (struct bb_start *s);
 
 /* Returns the path of the settings file from the environment, or NULL.  */
--- a/include/bilberry/start.h
+++ b/include/bilberry/start.h
@@ -6,6 +6,10 @@
 
 #include "bilberry/platform.h"
 
+#ifndef BB_VERSION
+#define BB_VERSION "0.1.0"
+#endif
+
 /* What a program needs of its settings.  Returns what is missing, a constant
    sentence, or NULL.  */
 typedef const char *bb_start_fault (const struct bb_start *s);
--- a/libgroup/lead.c
+++ b/libgroup/lead.c
@@ -12,6 +12,7 @@
   PREPARE_AGAIN_MS = 120,
   MARGIN_STEPS = 2,       /* passes from the last one seen to the held one */
   SETTLE_AFTER_MS = 150,  /* for states to show the end of a switch */
+  STRANGERS_MAX = 1,      /* ranks whose agent is gone, or frozen */
   MISSING_AFTER_MS = 300, /* a rank that cannot be asked for so long */
   STATUS_OK = 200,
   STATUS_BEGUN = 202,
@@ -191,7 +192,7 @@
 begin_hold (struct bb_lead *l, bb_ms now)
 {
   enter (l, BB_LEAD_HOLDING, now);
-  l->holder = (l->self + 1) % l->size.ranks;
+  l->holder = l->self + 1 < l->size.ranks ? l->self + 1 : 0;
   l->step = 0;
   for (uint32_t r = 0; r < l->size.ranks; r++)
     if (l->ranks[r].step > l->step)
@@ -329,11 +330,10 @@
       || !(is_ok (status) || k->map == l->version))
     return;
   k->done = true;
-  if (l->phase == BB_LEAD_ARMING_OWN)
-    begin_go (l, now);
-  else if (all_done (l) && l->phase == BB_LEAD_ARMING)
+  if (l->phase == BB_LEAD_ARMING && all_done (l))
     begin_arm_own (l, now);
-  else if (all_done (l))
+  else if (l->phase == BB_LEAD_ARMING_OWN
+           || (l->phase == BB_LEAD_FORWARDING && all_done (l)))
     begin_go (l, now);
 }
 
@@ -484,6 +484,18 @@
   give_all (l, BB_LEAD_DISARM, AGAIN_MS, now);
 }
 
+/* Returns how many ranks have an agent that does not follow this leader: it
+   may follow another, which may be ending the same switch in its own way.  */
+static uint32_t
+count_strangers (const struct bb_lead *l)
+{
+  uint32_t n = 0;
+
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    n += !l->ranks[r].attached;
+  return n;
+}
+
 /* Ends a switch that another leader left.  */
 static void
 settle (struct bb_lead *l, bb_ms now)
@@ -496,6 +508,8 @@
   look_for_missing (l, now);
   if (!is_whole (l, SETTLE_FRESH_MS, now))
     return;
+  if (!is_clean (l) && count_strangers (l) > STRANGERS_MAX)
+    return;
   if (is_clean (l))
     {
       l->missing = l->size.ranks;
@@ -590,10 +604,22 @@
     give_all (l, BB_LEAD_PREPARE, AGAIN_MS, now);
 }
 
+/* Whether the map in force is known, but for the missing rank's rows.  */
+static bool
+has_lists (const struct bb_lead *l)
+{
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    if (r != l->missing
+        && (l->ranks[r].lists_epoch != l->epoch
+            || l->ranks[r].lists_version != l->ranks[r].map))
+      return false;
+  return true;
+}
+
 static void
 go_on_disarming (struct bb_lead *l, bb_ms now)
 {
-  if (all_done (l))
+  if (all_done (l) && has_lists (l))
     begin_clear (l, now);
   else
     give_all (l, BB_LEAD_DISARM, AGAIN_MS, now);
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -31,7 +31,7 @@
   for (uint32_t set = 0; set < s->sets; set++)
     for (uint32_t p = 0; p < s->places; p++)
       for (uint32_t r = 0; r < s->ranks; r++)
-        map[((size_t)set * s->ranks + r) * s->places + p]
+        map[(((size_t)set * s->ranks) + r) * s->places + p]
             = (uint16_t)((p * s->ranks + r + p * s->ranks / s->experts)
                          % s->experts);
 }
@@ -42,7 +42,7 @@
 {
   for (uint32_t set = 0; set < s->sets; set++)
     {
-      g_autofree uint32_t *holders = g_new0 (uint32_t, s->experts);
+      uint32_t holders[128] = { 0 };
       for (uint32_t r = 0; r < s->ranks; r++)
         {
           size_t at = ((size_t)set * s->ranks + r) * s->places;
@@ -80,11 +80,11 @@
   size_t places = bb_group_places (&s);
   g_autofree uint16_t *map = g_new (uint16_t, places);
   g_autofree uint16_t *next = g_new (uint16_t, places);
-  g_autofree double *loads = g_new (double, s.sets *s.experts);
+  double loads[3 * 96];
   GRand *rand = g_rand_new_with_seed (1);
 
   fill_in_turn (map, &s);
-  for (uint32_t i = 0; i < s.sets * s.experts; i++)
+  for (uint32_t i = 0; i < G_N_ELEMENTS (loads); i++)
     {
       double x = g_rand_double_range (rand, 0.02, 1);
       loads[i] = 1 / (x * x);
@@ -98,7 +98,7 @@
           g_assert_true (p.worthwhile);
           g_assert_cmpfloat (p.before, >, 2);
         }
-      g_assert_cmpuint (p.copies_most, <=, s.spare * s.sets);
+      g_assert_cmpuint (p.copies_most, <=, (size_t)s.spare * s.sets);
       memcpy (map, next, places * sizeof *map);
     }
   for (uint32_t set = 0; set < s.sets; set++)
@@ -516,6 +516,47 @@
   g_free (w);
 }
 
+/* A leader that wakes while the other agents follow another leader sees their
+   ranks from afar: it must leave the switch alone.  */
+static void
+test_strangers (void)
+{
+  struct world *w = g_new0 (struct world, 1);
+  struct bb_lead *l = &w->leads[0];
+
+  w->rand = g_rand_new_with_seed (1);
+  w->epoch = 1;
+  w->leading[0] = true;
+  bb_lead_init (l, &size, 0, on_order, w);
+  for (uint32_t r = 0; r < RANKS; r++)
+    w->ranks[r].prepared = 1;
+  w->ranks[1].held = 9;
+  w->ranks[1].armed = 1;
+  w->ranks[1].armed_step = 9;
+  w->step = 8;
+  for (w->now = 1000; w->now < 4000; w->now += TICK_MS)
+    {
+      for (uint32_t r = 0; r < RANKS; r++)
+        {
+          tell_state (w, 0, r);
+          l->ranks[r].attached = r < 2;
+        }
+      bb_lead_tick (l, w->now);
+    }
+  g_assert_cmpint (l->phase, ==, BB_LEAD_SETTLING);
+  g_assert_cmpuint (w->ranks[1].armed, ==, 1);
+  for (uint32_t r = 0; r < RANKS; r++)
+    {
+      tell_state (w, 0, r);
+      l->ranks[r].attached = r < RANKS - 1;
+    }
+  bb_lead_tick (l, w->now);
+  g_assert_cmpint (l->phase, ==, BB_LEAD_FORWARDING);
+  bb_lead_free (l);
+  g_rand_free (w->rand);
+  g_free (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -526,6 +567,7 @@
   g_test_add_func ("/group/switch/late-orders", test_switch_late_orders);
   g_test_add_func ("/group/switch/frozen", test_switch_frozen);
   g_test_add_func ("/group/switch/frozen-late", test_switch_frozen_late);
+  g_test_add_func ("/group/switch/strangers", test_strangers);
   g_test_add_func ("/group/switch/epoch", test_epoch_ends_switch);
   return g_test_run ();
 }
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -87,15 +87,15 @@
     ENTRIES = 3,
     WINDOW_MS = 10000,
     EXTRA = 88,
-    SECONDS = 60
+    RUN_MS = 60000
   };
   struct bb_budget b[ENTRIES];
-  g_autofree uint32_t *requests = g_new0 (uint32_t, SECONDS * 1000);
-  g_autofree uint32_t *repeats = g_new0 (uint32_t, SECONDS * 1000);
+  g_autofree uint32_t *requests = g_new0 (uint32_t, RUN_MS);
+  g_autofree uint32_t *repeats = g_new0 (uint32_t, RUN_MS);
 
   for (uint32_t i = 0; i < ENTRIES; i++)
     bb_budget_init (&b[i], WINDOW_MS);
-  for (bb_ms now = 0; now < SECONDS * 1000; now += 5)
+  for (bb_ms now = 0; now < RUN_MS; now += 5)
     for (uint32_t i = 0; i < ENTRIES; i++)
       {
         if (now % 50 == 0)
@@ -106,7 +106,7 @@
         if (bb_budget_repeat (&b[i], now, 0.2, EXTRA, ENTRIES))
           repeats[now]++;
       }
-  for (uint32_t at = WINDOW_MS; at < SECONDS * 1000; at += 100)
+  for (uint32_t at = WINDOW_MS; at < RUN_MS; at += 100)
     {
       uint32_t r = 0;
       uint32_t q = 0;
