--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -207,6 +207,9 @@
   lapsed = !t->told->draining && e->store_back_ms > 0
            && now - e->store_back_ms < LAPSE_KEEP_MS;
   t->gone_ms = lapsed ? e->store_back_ms + LAPSE_KEEP_MS : now;
+  /* It may also have left: the bound of leaving counts from now.  */
+  if (t->gone_ms > now + e->start->drain_ms / 2)
+    t->gone_ms = now + e->start->drain_ms / 2;
   if (t->gone_ms < 1)
     t->gone_ms = 1;
   bb_event ("upstream_gone", "{s:s, s:s, s:I, s:b}", "upstream", id, "source",
