--- a/cmd/edge/after.c
+++ b/cmd/edge/after.c
@@ -10,7 +10,8 @@
                         room */
 };
 
-void
+/* What is known of R for a decision.  */
+static void
 after_fill (const struct request *r, struct bb_after *a)
 {
   enum bb_call_kind kind = r->route->kind;
--- a/cmd/edge/answer.c
+++ b/cmd/edge/answer.c
@@ -5,10 +5,7 @@
 
 #include <jansson.h>
 
-#include "bilberry/net.h"
-
 #include <string.h>
-#include <strings.h>
 
 enum
 {
@@ -62,19 +59,19 @@
 on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
 {
   struct request *r = user;
-  struct bb_bytes type
-      = bb_header_find (head->headers, head->headers_count, "Content-Type");
 
   (void)c;
   bb_reply_decode (head, r->ask.id, &r->reply);
   r->status = head->status;
   r->streams = false;
   r->framed = head->framed || (r->started && r->framed);
+#ifndef BB_MUTANT_edge_echo
   if (!r->reply.same)
     {
       drop (r, BB_OUTCOME_LOST, "the answer to another request");
       return;
     }
+#endif
   if (!is_success (head->status))
     {
       keep_headers (r, head);
@@ -86,7 +83,6 @@
       return;
     }
   r->streams = r->route->kind == BB_CALL_STREAM;
-  (void)type;
   if (!r->started)
     keep_headers (r, head);
 }
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -35,7 +35,6 @@
   double latency_ms;  /* smoothed; 0: not known */
   struct bb_meter meter;
   struct bb_eject eject;
-  bool gone;     /* no longer registered */
   bb_ms gone_ms; /* when it is to be left alone; 0: it is registered */
 };
 
@@ -128,7 +127,6 @@
   struct bb_h1_server *metrics;
   bool draining;
   uint64_t numbers;
-  uint32_t members_seen; /* most entries known lately, itself included */
   GRand *rand;
   struct bb_wake wake;
   void (*again) (struct request *r); /* a request is to wait once more */
@@ -179,8 +177,6 @@
 
 /* after.c: the try of R has ended.  */
 void after_try (struct request *r, enum bb_outcome outcome, const char *how);
-/* What is known of R for a decision.  */
-void after_fill (const struct request *r, struct bb_after *a);
 
 /* refuse.c: each ends the request.  */
 void refuse_not_run (struct request *r, enum bb_reason why, bb_ms back_in_ms);
@@ -199,6 +195,11 @@
 void request_release (struct request *r);
 
 /* status.c */
+/* Listens on ADDRESS; NULL with a log line where it cannot.  */
+struct bb_h1_server *status_listen (struct edge *e, const char *address,
+                                    const struct bb_h1_limits *limits,
+                                    bb_h1_handler *handler,
+                                    bb_h1_fault *fault);
 bool status_start (struct edge *e);
 bool status_is_ready (const struct edge *e);
 
--- a/cmd/edge/line.c
+++ b/cmd/edge/line.c
@@ -138,14 +138,12 @@
 pay (struct request *r)
 {
   struct edge *e = r->edge;
-  struct bb_after a;
 
   if (r->tries == 0
       || bb_budget_repeat (&r->line->budget, edge_now (e),
                            e->start->retry_ratio, e->start->retry_extra,
                            fleet_members (e)))
     return true;
-  after_fill (r, &a);
   g_queue_remove (&r->line->waiting, r);
   refuse (r, BB_REASON_OVERLOAD, BUSY_BACK_MS);
   return false;
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -166,15 +166,9 @@
           .head_timeout_ms = HEAD_TIMEOUT_MS,
           .idle_timeout_ms = IDLE_TIMEOUT_MS,
           .channels_max = e->start->descriptors_max * 6 / 10 };
-  struct sockaddr_storage addr;
-  int error = UV_EINVAL;
-
-  if (bb_address_parse (e->start->front, &addr))
-    e->front = bb_h1_server_open (e->loop, &addr, &limits, input_request,
-                                  input_fault, e, &error);
-  if (!e->front)
-    bb_event ("cannot_listen", "{s:s, s:s}", "address", e->start->front, "why",
-              uv_strerror (error));
+
+  e->front = status_listen (e, e->start->front, &limits, input_request,
+                            input_fault);
   return e->front != NULL;
 }
 
--- a/cmd/edge/status.c
+++ b/cmd/edge/status.c
@@ -54,6 +54,23 @@
   bb_event ("unreadable_question", "{s:i}", "status", (int)status);
 }
 
+struct bb_h1_server *
+status_listen (struct edge *e, const char *address,
+               const struct bb_h1_limits *limits, bb_h1_handler *handler,
+               bb_h1_fault *fault)
+{
+  struct bb_h1_server *s = NULL;
+  struct sockaddr_storage addr;
+  int error = UV_EINVAL;
+
+  if (bb_address_parse (address, &addr))
+    s = bb_h1_server_open (e->loop, &addr, limits, handler, fault, e, &error);
+  if (!s)
+    bb_event ("cannot_listen", "{s:s, s:s}", "address", address, "why",
+              uv_strerror (error));
+  return s;
+}
+
 bool
 status_start (struct edge *e)
 {
@@ -62,14 +79,7 @@
                                  .head_timeout_ms = HEAD_TIMEOUT_MS,
                                  .idle_timeout_ms = IDLE_TIMEOUT_MS,
                                  .channels_max = CHANNELS_MAX };
-  struct sockaddr_storage addr;
-  int error = UV_EINVAL;
 
-  if (bb_address_parse (e->start->ready, &addr))
-    e->ready = bb_h1_server_open (e->loop, &addr, &limits, on_request,
-                                  on_fault, e, &error);
-  if (!e->ready)
-    bb_event ("cannot_listen", "{s:s, s:s}", "address", e->start->ready, "why",
-              uv_strerror (error));
+  e->ready = status_listen (e, e->start->ready, &limits, on_request, on_fault);
   return e->ready != NULL;
 }
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -166,6 +166,9 @@
   uint64_t revision;
 };
 
+/* Frees a struct bb_item; of the type that GLib's containers take.  */
+void bb_item_free (void *item);
+
 /* What is known of the fleet: items by key, each at its highest revision.  */
 struct bb_view
 {
--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -12,10 +12,10 @@
   g_free (u);
 }
 
-static void
-free_item (void *p)
+void
+bb_item_free (void *item)
 {
-  struct bb_item *i = p;
+  struct bb_item *i = item;
 
   if (i->value)
     g_bytes_unref (i->value);
@@ -28,7 +28,8 @@
 {
   struct bb_view *v = g_new0 (struct bb_view, 1);
 
-  v->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
+  v->items
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, bb_item_free);
   return v;
 }
 
@@ -45,8 +46,10 @@
 {
   struct bb_item *i = g_hash_table_lookup (v->items, key);
 
+#ifndef BB_MUTANT_view_revision
   if (i && i->revision >= revision)
     return false;
+#endif
   if (!i)
     {
       i = g_new0 (struct bb_item, 1);
--- a/libgroup/lead.c
+++ b/libgroup/lead.c
@@ -508,8 +508,10 @@
   look_for_missing (l, now);
   if (!is_whole (l, SETTLE_FRESH_MS, now))
     return;
+#ifndef BB_MUTANT_lead_strangers
   if (!is_clean (l) && count_strangers (l) > STRANGERS_MAX)
     return;
+#endif
   if (is_clean (l))
     {
       l->missing = l->size.ranks;
--- a/libload/after.c
+++ b/libload/after.c
@@ -39,9 +39,11 @@
 
   if (a->left_ms < LEFT_LEAST_MS)
     return bb_after_without_retry (a);
+#ifndef BB_MUTANT_after_runs
   if (has_run (a))
     again = a->repeatable && a->runs < a->attempts;
   else
+#endif
     again = a->tries < UNRUN_TRIES_MAX;
   if (a->answer_started && !a->resumable)
     again = false;
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -231,18 +231,37 @@
     fprintf (stderr, "harness: no log of %s\n", log);
 }
 
+/* Collects the arguments after PROGRAM.  */
+static void
+collect (char *argv[ARGUMENTS_MAX], const char *program, va_list ap)
+{
+  uint32_t n = 1;
+
+  memset (argv, 0, ARGUMENTS_MAX * sizeof *argv);
+  argv[0] = (char *)program;
+  while (n < ARGUMENTS_MAX - 1 && (argv[n] = va_arg (ap, char *)))
+    n++;
+}
+
+static pid_t
+note_process (struct harness *h, pid_t pid)
+{
+  if (h->processes_count == HARNESS_PROCESSES_MAX)
+    fail ("too many processes");
+  h->processes[h->processes_count++] = pid;
+  return pid;
+}
+
 pid_t
 harness_start (struct harness *h, const char *log, const char *program, ...)
 {
-  char *argv[ARGUMENTS_MAX] = { (char *)program };
+  char *argv[ARGUMENTS_MAX];
   int pipes[2];
-  uint32_t n = 1;
   va_list ap;
   pid_t pid;
 
   va_start (ap, program);
-  while (n < ARGUMENTS_MAX - 1 && (argv[n] = va_arg (ap, char *)))
-    n++;
+  collect (argv, program, ap);
   va_end (ap);
   if (pipe2 (pipes, O_CLOEXEC) < 0)
     fail ("pipe");
@@ -257,25 +276,20 @@
       abort ();
     }
   close (pipes[0]);
-  if (h->processes_count == HARNESS_PROCESSES_MAX)
-    fail ("too many processes");
-  h->processes[h->processes_count++] = pid;
-  return pid;
+  return note_process (h, pid);
 }
 
 pid_t
 harness_spawn (struct harness *h, const char *log, const char *program, ...)
 {
-  char *argv[ARGUMENTS_MAX] = { (char *)program };
+  char *argv[ARGUMENTS_MAX];
   char path[256];
-  uint32_t n = 1;
   va_list ap;
   pid_t pid;
   int out;
 
   va_start (ap, program);
-  while (n < ARGUMENTS_MAX - 1 && (argv[n] = va_arg (ap, char *)))
-    n++;
+  collect (argv, program, ap);
   va_end (ap);
   snprintf (path, sizeof path, "%s/%s.out", h->dir, log);
   out = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
@@ -283,10 +297,7 @@
   if (pid == 0)
     exec_child (h, log, program, argv, out);
   close (out);
-  if (h->processes_count == HARNESS_PROCESSES_MAX)
-    fail ("too many processes");
-  h->processes[h->processes_count++] = pid;
-  return pid;
+  return note_process (h, pid);
 }
 
 char *
