Take only the leader's rank's own answer for its arm; versions tell their leader

Orders of the randomised run are now slow at times, and it failed before. Also two agents that lead at one time could use one version for two maps.

--- a/libgroup/lead.c
+++ b/libgroup/lead.c
@@ -188,6 +188,16 @@
   return true;
 }
 
+/* Returns a version above all that are known.  It tells its leader: two that
+   lead at one time must not use one version for two maps.  */
+static uint64_t
+next_version (struct bb_lead *l)
+{
+  l->highest
+      = (l->highest / BB_LEAD_RANKS_MAX + 1) * BB_LEAD_RANKS_MAX + l->self;
+  return l->highest;
+}
+
 static void
 begin_hold (struct bb_lead *l, bb_ms now)
 {
@@ -227,7 +237,7 @@
 bb_lead_begin (struct bb_lead *l, const uint16_t *next, bb_ms now)
 {
   memcpy (l->next, next, bb_group_places (&l->size) * sizeof *l->next);
-  l->version = ++l->highest;
+  l->version = next_version (l);
   enter (l, BB_LEAD_PREPARING, now);
   give_all (l, BB_LEAD_PREPARE, PREPARE_AGAIN_MS, now);
 }
@@ -332,7 +342,8 @@
   k->done = true;
   if (l->phase == BB_LEAD_ARMING && all_done (l))
     begin_arm_own (l, now);
-  else if (l->phase == BB_LEAD_ARMING_OWN
+  /* Answers to arms that were sent again still come in.  */
+  else if ((l->phase == BB_LEAD_ARMING_OWN && rank == l->self)
            || (l->phase == BB_LEAD_FORWARDING && all_done (l)))
     begin_go (l, now);
 }
@@ -583,7 +594,7 @@
   memcpy (l->next, l->map, bb_group_places (&l->size) * sizeof *l->next);
   if (l->missing < l->size.ranks)
     fill_missing_rows (l, l->next);
-  l->version = ++l->highest;
+  l->version = next_version (l);
   enter (l, BB_LEAD_CLEARING, now);
   if (l->missing < l->size.ranks)
     l->ranks[l->missing].done = true;
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -185,6 +185,16 @@
   return w->now < w->frozen_until[r];
 }
 
+/* Some orders are slow, as on links that lose packets: they are sent again
+   before their answer comes.  */
+static bb_ms
+order_time (struct world *w)
+{
+  return g_rand_int_range (w->rand, 0, 10) == 0
+             ? g_rand_int_range (w->rand, 60, 200)
+             : g_rand_int_range (w->rand, 1, 10);
+}
+
 static void
 on_order (uint32_t rank, const struct bb_lead_order *o, void *user)
 {
@@ -223,7 +233,7 @@
           .what = *o,
           .at_ms = w->now
                    + (late ? g_rand_int_range (w->rand, 2000, 12000)
-                           : g_rand_int_range (w->rand, 1, 10)),
+                           : order_time (w)),
         };
         return;
       }
@@ -557,6 +567,34 @@
   g_free (w);
 }
 
+/* Two agents lead at one time, each with what it knows: their maps must not
+   bear one version.  */
+static void
+test_two_leaders (void)
+{
+  struct world *w = g_new0 (struct world, 1);
+  uint16_t next[SETS * RANKS * PLACES];
+
+  w->rand = g_rand_new_with_seed (1);
+  w->epoch = 1;
+  w->now = 1000;
+  fill_in_turn (next, &size);
+  for (uint32_t leader = 0; leader < 2; leader++)
+    {
+      bb_lead_init (&w->leads[leader], &size, leader, on_order, w);
+      for (uint32_t r = 0; r < RANKS; r++)
+        tell_state (w, leader, r);
+      g_assert_true (bb_lead_is_ready (&w->leads[leader], w->now));
+    }
+  for (uint32_t leader = 0; leader < 2; leader++)
+    bb_lead_begin (&w->leads[leader], next, w->now);
+  g_assert_cmpuint (w->leads[0].version, !=, w->leads[1].version);
+  for (uint32_t leader = 0; leader < 2; leader++)
+    bb_lead_free (&w->leads[leader]);
+  g_rand_free (w->rand);
+  g_free (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -568,6 +606,7 @@
   g_test_add_func ("/group/switch/frozen", test_switch_frozen);
   g_test_add_func ("/group/switch/frozen-late", test_switch_frozen_late);
   g_test_add_func ("/group/switch/strangers", test_strangers);
+  g_test_add_func ("/group/switch/two-leaders", test_two_leaders);
   g_test_add_func ("/group/switch/epoch", test_epoch_ends_switch);
   return g_test_run ();
 }
