--- a/cmd/edge/line.c
+++ b/cmd/edge/line.c
@@ -9,11 +9,11 @@
 enum
 {
   HOLD_AIMS = 3, /* a request waits for so many times its aim */
-  FIRST_DEFAULT_MS = 100,
   ASK_EVERY_MS = 120,
   ASK_LOST_MS = 800, /* without an answer: ask another */
   ASK_KEPT_MS = 1600,
-  BUSY_BACK_MS = 500 /* when room is expected where all is taken */
+  BUSY_BACK_MS = 500, /* when room is expected where all is taken */
+  WRITER_TOKENS = 700 /* prompt tokens that load a rank like a writer */
 };
 
 struct ask
@@ -66,7 +66,7 @@
 }
 
 static struct target *
-choose (struct line *l, const struct request *r, bool *any_usable)
+choose (struct line *l, const struct request *r)
 {
   struct edge *e = l->edge;
   const struct bb_pool *pool = bb_config_pool (e->config, l->pool);
@@ -78,18 +78,16 @@
   uint32_t n = 0;
   uint32_t i;
 
-  *any_usable = false;
   for (guint k = 0; k < e->target_list->len && n < UPSTREAMS_MAX; k++)
     {
       struct target *t = g_ptr_array_index (e->target_list, k);
       if (strcmp (t->told->pool, l->pool) != 0)
         continue;
       fill_place (&places[n], l, r, t, cold);
-      *any_usable |= places[n].usable;
       targets[n++] = t;
     }
   if (pool && pool->has_engine)
-    cost.token = 1.0 / 700;
+    cost.token = 1.0 / WRITER_TOKENS;
   else
     fill_slow (places, targets, n);
   i = bb_place_choose (places, n, &cost, g_rand_double (e->rand));
@@ -156,7 +154,6 @@
 {
   struct request *r = pick (l);
   struct target *t;
-  bool any_usable;
 
   if (!r)
     return false;
@@ -167,7 +164,7 @@
         g_queue_push_tail (&r->line->waiting, r);
       return true;
     }
-  t = choose (l, r, &any_usable);
+  t = choose (l, r);
   if (!t)
     return false;
   if (!pay (r))
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -22,7 +22,6 @@
 {
   struct bb_conn *conn;
   char *host;
-  bool open;
   bb_ms since_ms;
   bb_ms heard_ms;
 };
@@ -159,7 +158,6 @@
 {
   struct link *l = bb_conn_user (c);
 
-  l->open = true;
   if (l == member.dialled)
     tell (l);
 }
