Drop calls and message fields that nothing uses; one place for the callers' share of channels

Accessors of libh1, the ends of the peers and the store's client, and two fields of messages had no caller. The part of descriptors that callers may have stood twice as a bare fraction.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -138,6 +138,8 @@
                  uint64_t revision, const char *source);
 void fleet_init (struct edge *e);
 uint32_t fleet_members (const struct edge *e);
+/* Returns how many channels callers may have.  */
+uint32_t fleet_channels_max (const struct edge *e);
 void fleet_peer_state (struct edge *e, const char *name,
                        const struct bb_peer_state *m);
 void fleet_peer_change (struct edge *e, const char *name, bool here);
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -14,7 +14,9 @@
 {
   LAPSE_KEEP_MS = 2000, /* an upstream that lapsed while the store was away is
                            used for so long after its return */
-  PEER_LOADS_MAX = 256
+  PEER_LOADS_MAX = 256,
+  FORGET_AFTER_MS = 10000, /* an upstream that is gone */
+  CALLERS_PERCENT = 60     /* of the descriptors; upstreams need the rest */
 };
 
 bb_ms
@@ -65,16 +67,21 @@
     }
 }
 
+uint32_t
+fleet_channels_max (const struct edge *e)
+{
+  return e->start->descriptors_max * CALLERS_PERCENT / 100;
+}
+
 static void
 set_limits (struct edge *e)
 {
   const struct bb_config *c = e->config;
-  struct bb_h1_limits limits
-      = { .head_max_bytes = c->head_max_bytes,
-          .body_max_bytes = c->body_max_bytes,
-          .head_timeout_ms = c->head_timeout_ms,
-          .idle_timeout_ms = c->idle_timeout_ms,
-          .channels_max = e->start->descriptors_max * 6 / 10 };
+  struct bb_h1_limits limits = { .head_max_bytes = c->head_max_bytes,
+                                 .body_max_bytes = c->body_max_bytes,
+                                 .head_timeout_ms = c->head_timeout_ms,
+                                 .idle_timeout_ms = c->idle_timeout_ms,
+                                 .channels_max = fleet_channels_max (e) };
 
   if (e->front)
     bb_h1_server_set_limits (e->front, &limits);
@@ -139,7 +146,8 @@
   for (guint i = 0; i < e->target_list->len; i++)
     {
       struct target *t = g_ptr_array_index (e->target_list, i);
-      if (t->gone_ms == 0 || now < t->gone_ms + 10000 || t->in_flight > 0)
+      if (t->gone_ms == 0 || now < t->gone_ms + FORGET_AFTER_MS
+          || t->in_flight > 0)
         continue;
       g_hash_table_remove (e->targets, t->told->id);
       g_ptr_array_remove_index_fast (e->target_list, i);
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -160,12 +160,11 @@
 static bool
 open_front (struct edge *e)
 {
-  struct bb_h1_limits limits
-      = { .head_max_bytes = HEAD_MAX_BYTES,
-          .body_max_bytes = BODY_MAX_BYTES,
-          .head_timeout_ms = HEAD_TIMEOUT_MS,
-          .idle_timeout_ms = IDLE_TIMEOUT_MS,
-          .channels_max = e->start->descriptors_max * 6 / 10 };
+  struct bb_h1_limits limits = { .head_max_bytes = HEAD_MAX_BYTES,
+                                 .body_max_bytes = BODY_MAX_BYTES,
+                                 .head_timeout_ms = HEAD_TIMEOUT_MS,
+                                 .idle_timeout_ms = IDLE_TIMEOUT_MS,
+                                 .channels_max = fleet_channels_max (e) };
 
   e->front = status_listen (e, e->start->front, &limits, input_request,
                             input_fault);
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -77,7 +77,6 @@
 /* Returns how many requests are being read or answered, and answers that are
    not yet taken by the caller.  */
 uint32_t bb_h1_server_busy (const struct bb_h1_server *s);
-uint32_t bb_h1_server_channels (const struct bb_h1_server *s);
 
 /* Sends a whole answer and ends the exchange.  */
 void bb_h1_respond (struct bb_h1_exchange *x, uint16_t status,
@@ -138,9 +137,6 @@
 /* Closes channels that have no call, such as after a pause.  */
 void bb_h1_pool_drop_idle (struct bb_h1_pool *p);
 
-/* Returns the number of channels ever opened.  */
-uint64_t bb_h1_pool_opened (const struct bb_h1_pool *p);
-
 /* What to send.  */
 struct bb_h1_out
 {
@@ -162,9 +158,4 @@
 /* Ends the call and its channel; no callback follows.  */
 void bb_h1_cancel (struct bb_h1_call *c);
 
-/* Whether the request went out on a channel that was made, and on one that
-   had served before.  */
-bool bb_h1_call_is_sent (const struct bb_h1_call *c);
-bool bb_h1_call_is_kept (const struct bb_h1_call *c);
-
 #endif
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -141,7 +141,6 @@
 {
   uint64_t upstream;
   uint32_t in_flight;
-  uint32_t tokens;
 };
 
 /* Which map a group uses from a step on, and which before.  */
@@ -438,7 +437,6 @@
   struct bb_bytes counts;
   uint32_t queued;
   uint32_t running;
-  uint32_t pending;
   struct bb_bytes lists;
   uint64_t lists_version;
   uint64_t gave_version;
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -43,7 +43,6 @@
                                struct bb_view *view,
                                const struct bb_peers_ops *ops, void *user,
                                int *error);
-void bb_peers_free (struct bb_peers *p);
 
 /* Tells all peers an item.  */
 void bb_peers_tell (struct bb_peers *p, const struct bb_item *i);
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -90,7 +90,6 @@
                           const struct bb_store_page *page, void *user);
 
 struct bb_store *bb_store_new (uv_loop_t *loop, const char *address);
-void bb_store_free (struct bb_store *s);
 
 /* Lists items whose keys begin with PREFIX, after key AFTER ("": from the
    first).  One call at a time.  */
--- a/libh1/client.c
+++ b/libh1/client.c
@@ -38,9 +38,8 @@
   struct bb_h1_call *call;
   struct h1_reader reader;
   size_t queued_bytes;
-  uint32_t served; /* calls that ended whole */
-  bool sent;       /* of the present call */
-  bool headed;     /* the head of the answer has come */
+  bool sent;   /* of the present call */
+  bool headed; /* the head of the answer has come */
   bool closing;
   uint32_t handles;
   bb_ms idle_since_ms;
@@ -56,7 +55,6 @@
   bb_ms connect_timeout_ms;
   struct link *idle; /* the one used last stands first */
   uint32_t links;
-  uint64_t opened;
   bool freed;
 };
 
@@ -193,7 +191,6 @@
 static void
 keep (struct link *l)
 {
-  l->served++;
   l->idle_since_ms = (bb_ms)uv_now (l->pool->loop);
   l->headed = false;
   l->sent = false;
@@ -357,7 +354,6 @@
     abort ();
   l->pool = p;
   p->links++;
-  p->opened++;
   l->handles = 2;
   uv_tcp_init (p->loop, &l->tcp);
   uv_timer_init (p->loop, &l->timer);
@@ -469,18 +465,6 @@
   free_call (c);
 }
 
-bool
-bb_h1_call_is_sent (const struct bb_h1_call *c)
-{
-  return c->link && c->link->sent;
-}
-
-bool
-bb_h1_call_is_kept (const struct bb_h1_call *c)
-{
-  return c->link && c->link->served > 0;
-}
-
 struct bb_h1_pool *
 bb_h1_pool_new (uv_loop_t *loop, const struct sockaddr_storage *addr,
                 bb_ms connect_timeout_ms)
@@ -515,9 +499,3 @@
   p->freed = true;
   free_pool_if_last (p);
 }
-
-uint64_t
-bb_h1_pool_opened (const struct bb_h1_pool *p)
-{
-  return p->opened;
-}
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -576,9 +576,3 @@
     n++;
   return n;
 }
-
-uint32_t
-bb_h1_server_channels (const struct bb_h1_server *s)
-{
-  return s->count;
-}
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -400,17 +400,3 @@
   uv_timer_start (&p->timer, on_timer, 0, STATE_EVERY_MS);
   return p;
 }
-
-void
-bb_peers_free (struct bb_peers *p)
-{
-  struct peer *peer;
-  struct peer *next;
-
-  uv_timer_stop (&p->timer);
-  if (p->listener)
-    bb_listener_close (p->listener);
-  p->listener = NULL;
-  DL_FOREACH_SAFE (p->peers, peer, next)
-  bb_conn_close (peer->conn, "this process ends");
-}
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -254,13 +254,11 @@
 static void
 put_upstream_load (msgpack_packer *pk, const struct bb_upstream_load *v)
 {
-  msgpack_pack_map (pk, 3);
+  msgpack_pack_map (pk, 2);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->upstream);
   msgpack_pack_uint8 (pk, 2);
   msgpack_pack_uint64 (pk, v->in_flight);
-  msgpack_pack_uint8 (pk, 3);
-  msgpack_pack_uint64 (pk, v->tokens);
 }
 
 static bool
@@ -289,12 +287,6 @@
           v->in_flight = (uint32_t)n;
           seen |= UINT64_C (1) << 2;
           break;
-        case 3:
-          if (!bb_wire_get_uint (o, U32_MAX, &n, "tokens", e))
-            return false;
-          v->tokens = (uint32_t)n;
-          seen |= UINT64_C (1) << 3;
-          break;
         default:
           break;
         }
@@ -2254,7 +2246,7 @@
 static void
 put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
 {
-  msgpack_pack_map (pk, 25);
+  msgpack_pack_map (pk, 24);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->upstream);
   msgpack_pack_uint8 (pk, 2);
@@ -2285,8 +2277,6 @@
   msgpack_pack_uint64 (pk, v->queued);
   msgpack_pack_uint8 (pk, 15);
   msgpack_pack_uint64 (pk, v->running);
-  msgpack_pack_uint8 (pk, 16);
-  msgpack_pack_uint64 (pk, v->pending);
   msgpack_pack_uint8 (pk, 17);
   bb_wire_put_bin (pk, v->lists);
   msgpack_pack_uint8 (pk, 18);
@@ -2407,12 +2397,6 @@
           v->running = (uint32_t)n;
           seen |= UINT64_C (1) << 15;
           break;
-        case 16:
-          if (!bb_wire_get_uint (o, U32_MAX, &n, "pending", e))
-            return false;
-          v->pending = (uint32_t)n;
-          seen |= UINT64_C (1) << 16;
-          break;
         case 17:
           if (!bb_wire_get_bin (o, 65536, &v->lists, "lists", e))
             return false;
@@ -3796,7 +3780,6 @@
   { BB_MSG_RANK_STATE, 13, false, "counts" },
   { BB_MSG_RANK_STATE, 14, false, "queued" },
   { BB_MSG_RANK_STATE, 15, false, "running" },
-  { BB_MSG_RANK_STATE, 16, false, "pending" },
   { BB_MSG_RANK_STATE, 17, false, "lists" },
   { BB_MSG_RANK_STATE, 18, false, "lists_version" },
   { BB_MSG_RANK_STATE, 19, false, "gave_version" },
