Repeat orders of a switch every 20 ms, so that lost ones hold a group shortly

Their group was held: half of all orders got no answer, and each was given again only after 60 ms, so that a hold took up to 740 ms without any other fault (test_group with the new bound). Ruled out: a late close by the edge; the log shows caller_gone at the time of the caller's close. The rest of the time held is frozen agents and the search for the next leader. test_group checks that no hold lasts 500 ms while no VM is frozen, also with half of the orders lost.

--- a/libgroup/lead.c
+++ b/libgroup/lead.c
@@ -7,7 +7,8 @@
 {
   FRESH_MS = 600,        /* an older state says nothing of now */
   SETTLE_FRESH_MS = 250, /* the same, for a switch that is left over */
-  AGAIN_MS = 60,         /* an order without result is sent again */
+  AGAIN_MS = 20,         /* an order without result is sent again; the
+                            group stands still meanwhile */
   PREPARE_MAX_MS = 8000, /* then the switch is given up */
   PREPARE_AGAIN_MS = 120,
   MARGIN_STEPS = 2,       /* passes from the last one seen to the held one */
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -18,6 +18,7 @@
   STATE_EVERY_MS = 20,
   PASS_MS = 50,
   RUN_MS = 20000,
+  HOLD_MAX_MS = 500, /* callers that leave are to be noticed within it */
   ORDERS_MAX = 4096,
   RUNS = 250
 };
@@ -164,6 +165,7 @@
   uint64_t step;
   bb_ms pass_ms;
   struct order orders[ORDERS_MAX];
+  uint32_t orders_top; /* none is in use from here on */
   struct bb_lead leads[RANKS];
   bool leading[RANKS];
   bb_ms frozen_until[RANKS]; /* of an agent and its VM */
@@ -176,6 +178,8 @@
   double lost; /* part of orders without answer, carried out late */
   bool idles;  /* the group has no work at times */
   uint32_t switches;
+  bb_ms held_since_ms; /* the group waits for a hold; 0: it does not */
+  bb_ms longest_hold_ms;
   uint32_t leader; /* giving an order now */
 };
 
@@ -225,6 +229,8 @@
   for (uint32_t i = 0; i < ORDERS_MAX; i++)
     if (!w->orders[i].used)
       {
+        if (i >= w->orders_top)
+          w->orders_top = i + 1;
         w->orders[i] = (struct order){
           .used = true,
           .answered = !late,
@@ -295,7 +301,7 @@
 static void
 run_orders (struct world *w)
 {
-  for (uint32_t i = 0; i < ORDERS_MAX; i++)
+  for (uint32_t i = 0; i < w->orders_top; i++)
     {
       struct order *o = &w->orders[i];
       uint16_t status;
@@ -314,18 +320,39 @@
     }
 }
 
+static bool
+is_held (const struct world *w)
+{
+  for (uint32_t r = 0; r < RANKS; r++)
+    if (w->ranks[r].held == w->step + 1)
+      return true;
+  return false;
+}
+
+/* Takes the time for which a pass that was due is held.  */
+static void
+note_hold (struct world *w)
+{
+  if (!is_held (w))
+    w->held_since_ms = 0;
+  else if (w->held_since_ms == 0)
+    w->held_since_ms = w->now;
+  else if (w->now - w->held_since_ms > w->longest_hold_ms)
+    w->longest_hold_ms = w->now - w->held_since_ms;
+}
+
 /* Begins a pass where no rank is held.  All ranks must use one map.  */
 static void
 run_pass (struct world *w)
 {
   if (w->now < w->pass_ms)
     return;
+  note_hold (w);
+  if (is_held (w))
+    return;
   w->pass_ms = w->now + PASS_MS;
   if (w->idles && g_rand_int_range (w->rand, 0, 10) == 0)
     w->pass_ms += 1000;
-  for (uint32_t r = 0; r < RANKS; r++)
-    if (w->ranks[r].held == w->step + 1)
-      return;
   w->step++;
   for (uint32_t r = 0; r < RANKS; r++)
     {
@@ -458,6 +485,8 @@
         }
     }
   switches = w->switches;
+  if (!freezes)
+    g_assert_cmpint (w->longest_hold_ms, <, HOLD_MAX_MS);
   for (uint32_t r = 0; r < RANKS; r++)
     if (w->leading[r])
       {
@@ -485,6 +514,14 @@
     run_world (seed, 0.35, false, seed % 2 == 0);
 }
 
+/* Load pattern: half of the orders get no answer and come late.  */
+static void
+test_switch_half_lost (void)
+{
+  for (uint32_t seed = 1; seed <= RUNS; seed++)
+    run_world (seed, 0.5, false, false);
+}
+
 static void
 test_switch_frozen (void)
 {
@@ -603,6 +640,7 @@
   g_test_add_func ("/group/climb/leaves", test_climb_leaves);
   g_test_add_func ("/group/switch/calm", test_switch_calm);
   g_test_add_func ("/group/switch/late-orders", test_switch_late_orders);
+  g_test_add_func ("/group/switch/half-lost", test_switch_half_lost);
   g_test_add_func ("/group/switch/frozen", test_switch_frozen);
   g_test_add_func ("/group/switch/frozen-late", test_switch_frozen_late);
   g_test_add_func ("/group/switch/strangers", test_strangers);
