A leader for each group; follow the next agent as soon as it answers

Cause, grown sites: 72 agents in three groups had one leader, which knew the sizes of its own group only and never switched a map (0 changes, most loaded rank 3.3 times the mean). Counts go along only when they were read anew, and in 16 bits: 24 ranks of 1,536 counts had needed more than a leader's link has.

--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -232,7 +232,9 @@
   bb_lead_init (&l->lead, &size, self, give_order, l);
   plan_reset ();
   l->leading = true;
-  bb_event ("leads", "{s:i, s:i}", "ranks", (int)ranks, "self", (int)self);
+  snprintf (l->group, sizeof l->group, "%s", l->agent->own.report.group);
+  bb_event ("leads", "{s:s, s:i, s:i}", "group", l->group, "ranks", (int)ranks,
+            "self", (int)self);
   return true;
 }
 
@@ -267,7 +269,7 @@
                  now);
   if (m->counts.size > 0)
     {
-      uint32_t *deltas = g_memdup2 (m->counts.ptr, m->counts.size);
+      uint16_t *deltas = g_memdup2 (m->counts.ptr, m->counts.size);
       plan_counts (deltas, m->counts.size / (uint32_t)sizeof *deltas, now);
       g_free (deltas);
     }
@@ -294,20 +296,23 @@
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
   struct follower *f = bb_conn_user (c);
-  struct bb_rank_result ping = { 0 };
+  struct bb_rank_hello hello
+      = { .group = bb_bytes_of (
+              leader.agent->own.known ? leader.agent->own.report.group : "") };
 
   f->heard_ms = agent_now (leader.agent);
   if (m->type == BB_MSG_RANK_STATE)
     {
-      f->named = m->u.rank_state.size > 0;
+      f->named = m->u.rank_state.size > 0
+                 && bb_bytes_equal (m->u.rank_state.group, leader.group);
       f->rank = m->u.rank_state.rank;
       g_free (f->host);
       f->host = g_strndup (m->u.rank_state.upstream.ptr,
                            m->u.rank_state.upstream.size);
-      take_state (&leader, &m->u.rank_state, true);
-      /* Shows the member that its leader lives.  */
-      if (member_leads ())
-        bb_put_rank_result (bb_conn_out (c), &ping);
+      if (f->named)
+        take_state (&leader, &m->u.rank_state, true);
+      /* Shows that this process lives, also before it leads.  */
+      bb_put_rank_hello (bb_conn_out (c), &hello);
     }
   else if (m->type == BB_MSG_RANK_RESULT)
     take_result (m->u.rank_result.id, m->u.rank_result.status);
@@ -344,6 +349,7 @@
 struct far
 {
   char *address;
+  char *host; /* of the address */
 };
 
 static void
@@ -355,7 +361,9 @@
 
   if (!r)
     bb_event ("far_silent", "{s:s}", "address", far->address);
-  if (r && r->grouped && l->leading)
+  if (r && r->grouped && l->leading && strcmp (r->group, l->group) != 0)
+    member_set_elsewhere (far->host, agent_now (l->agent));
+  else if (r && r->grouped && l->leading)
     {
       m.epoch = r->epoch;
       m.rank = r->rank;
@@ -372,20 +380,19 @@
       take_state (l, &m, false);
     }
   g_free (far->address);
+  g_free (far->host);
   g_free (far);
 }
 
 static bool
-has_agent (const struct leader *l, const char *address)
+has_agent (const struct leader *l, const char *host)
 {
-  size_t n = strlen (l->agent->host);
   const struct follower *f;
 
-  if (strncmp (address, l->agent->host, n) == 0 && address[n] == ':')
+  if (strcmp (host, l->agent->host) == 0)
     return true;
   DL_FOREACH (l->followers, f)
-  if (f->host && strncmp (address, f->host, strlen (f->host)) == 0
-      && address[strlen (f->host)] == ':')
+  if (g_strcmp0 (f->host, host) == 0)
     return true;
   return false;
 }
@@ -405,11 +412,16 @@
   g_hash_table_iter_init (&it, l->agent->fellows);
   while (g_hash_table_iter_next (&it, NULL, &address))
     {
+      char *host = view_host_of (address);
       struct far *far;
-      if (has_agent (l, address))
-        continue;
+      if (has_agent (l, host) || member_is_elsewhere (host, now))
+        {
+          g_free (host);
+          continue;
+        }
       far = g_new0 (struct far, 1);
       far->address = g_strdup (address);
+      far->host = host;
       remote_ask (l->agent, address, on_far_report, far);
     }
 }
@@ -464,6 +476,7 @@
   struct leader *l = &leader;
 
   (void)a;
+  l->group[0] = '\0';
   if (!l->leading)
     return;
   bb_event ("leads_no_more", "{s:s}", "phase",
--- a/cmd/rank/main.c
+++ b/cmd/rank/main.c
@@ -100,8 +100,7 @@
                                &a->settings_path, &status);
   if (!a->start)
     return status;
-  a->host = g_strndup (a->start->upstream,
-                       strrchr (a->start->upstream, ':') - a->start->upstream);
+  a->host = view_host_of (a->start->upstream);
   bb_event ("start", "{s:s, s:s, s:s}", "name", a->start->name, "version",
             BB_VERSION, "upstream", a->start->upstream);
   signal (SIGPIPE, SIG_IGN);
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -1,6 +1,6 @@
-/* Finds the agent that leads: the first in the order of hosts that can be
-   reached.  Each agent is the member of one leader at a time and takes orders
-   of no other.  */
+/* Keeps the connection to the agent that leads, as bb_follow has it.  Each
+   agent is the member of one leader at a time and takes orders of no other.
+ */
 
 #include "rank.h"
 
@@ -10,29 +10,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  RETRY_MS = 1000,   /* between tries to reach an agent that comes before */
-  DIAL_MAX_MS = 150, /* for an answer: a frozen VM accepts connections */
-  SILENT_MS = 350    /* of a leader, which answers each state */
-};
-
-/* The connection to a leader or to one that may be.  */
+/* A connection to another agent.  */
 struct link
 {
   struct bb_conn *conn;
   char *host;
-  bb_ms since_ms;
-  bb_ms heard_ms;
 };
 
 struct member
 {
   struct agent *agent;
-  struct link *leader;  /* attached to; NULL: none */
-  struct link *dialled; /* has not answered yet */
-  bool leads;           /* no agent that comes before answers */
-  GHashTable *tried;    /* host to time of the last try */
+  struct bb_follow follow;
+  struct link *leader;  /* NULL: none */
+  struct link *dialled; /* NULL: none */
 };
 
 static struct member member;
@@ -49,7 +39,19 @@
 bool
 member_leads (void)
 {
-  return member.leads;
+  return member.follow.leads;
+}
+
+bool
+member_is_elsewhere (const char *host, bb_ms now)
+{
+  return bb_follow_is_elsewhere (&member.follow, host, now);
+}
+
+void
+member_set_elsewhere (const char *host, bb_ms now)
+{
+  bb_follow_set_elsewhere (&member.follow, host, now);
 }
 
 static void
@@ -118,38 +120,31 @@
   g_free (map);
 }
 
-/* The agent that was dialled answers, so it leads.  */
-static void
-attach (struct link *l)
-{
-  if (member.leader)
-    bb_conn_close (member.leader->conn, "another leads");
-  if (member.leads)
-    leader_stop (member.agent);
-  member.leads = false;
-  member.leader = l;
-  member.dialled = NULL;
-  bb_event ("leader", "{s:s}", "host", l->host);
-}
+static void act (enum bb_follow_act what);
 
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
   struct link *l = bb_conn_user (c);
+  bb_ms now = agent_now (member.agent);
+  char *group;
 
-  l->heard_ms = agent_now (member.agent);
-  if (l == member.dialled)
-    attach (l);
   if (m->type == BB_MSG_RANK_ORDER && l == member.leader)
     take_order (l, &m->u.rank_order);
+  if (m->type != BB_MSG_RANK_HELLO
+      || (l != member.leader && l != member.dialled))
+    return;
+  group = g_strndup (m->u.rank_hello.group.ptr, m->u.rank_hello.group.size);
+  act (bb_follow_told (&member.follow, l->host, group, now));
+  g_free (group);
 }
 
 static void
-tell (struct link *l)
+tell (struct link *l, bool counts)
 {
   struct bb_rank_state m;
 
-  own_fill (member.agent, &m);
+  own_fill (member.agent, &m, counts);
   bb_put_rank_state (bb_conn_out (l->conn), &m);
 }
 
@@ -159,21 +154,39 @@
   struct link *l = bb_conn_user (c);
 
   if (l == member.dialled)
-    tell (l);
+    tell (l, false);
 }
 
+/* L, which may be the leader's or the dialled one, is not used any more.  */
 static void
-on_close (struct bb_conn *c, const char *why)
+forget (struct link *l, const char *why)
 {
-  struct link *l = bb_conn_user (c);
-
   if (l == member.leader)
     {
       member.leader = NULL;
       bb_event ("leader_lost", "{s:s, s:s}", "host", l->host, "why", why);
     }
-  if (l == member.dialled)
+  else if (l == member.dialled)
     member.dialled = NULL;
+  else
+    return;
+  bb_follow_closed (&member.follow, l->host);
+}
+
+/* The connection's end is told later.  */
+static void
+drop (struct link *l, const char *why)
+{
+  forget (l, why);
+  bb_conn_close (l->conn, why);
+}
+
+static void
+on_close (struct bb_conn *c, const char *why)
+{
+  struct link *l = bb_conn_user (c);
+
+  forget (l, why);
   g_free (l->host);
   g_free (l);
 }
@@ -181,83 +194,89 @@
 static const struct bb_conn_ops ops = { on_message, on_open, on_close };
 
 static void
-dial (struct agent *a, const char *host)
+dial (struct agent *a)
 {
+  const char *host = member.follow.dialled;
   char *address
       = g_strdup_printf ("%s:%u", host, (unsigned)a->start->port_first);
   struct sockaddr_storage addr;
   struct link *l;
-  int64_t *at = g_new (int64_t, 1);
 
-  *at = agent_now (a);
-  g_hash_table_replace (member.tried, g_strdup (host), at);
   if (bb_address_parse (address, &addr))
     {
       l = g_new0 (struct link, 1);
       l->host = g_strdup (host);
-      l->since_ms = agent_now (a);
       member.dialled = l;
       l->conn = bb_conn_connect (a->loop, &addr, &ops, l);
     }
+  else
+    bb_follow_closed (&member.follow, host);
   g_free (address);
 }
 
-static bool
-was_tried_lately (const struct agent *a, const char *host)
+/* The agent that was dialled answers, so it is followed.  */
+static void
+attach (void)
 {
-  const int64_t *at = g_hash_table_lookup (member.tried, host);
+  struct link *l = member.dialled;
+  struct link *before = member.leader;
 
-  return at && agent_now (a) - *at < RETRY_MS;
+  member.leader = l;
+  member.dialled = NULL;
+  if (before)
+    bb_conn_close (before->conn, "another leads");
+  leader_stop (member.agent);
+  bb_event ("leader", "{s:s}", "host", l->host);
 }
 
-/* Tries the agents that come before the present leader, or before this one.
-   Where none of them answers, this one leads.  */
 static void
-look_for_leader (struct agent *a)
+act (enum bb_follow_act what)
 {
-  GPtrArray *hosts = view_hosts (a);
-  bool known = false;
-
-  for (guint i = 0; i < hosts->len && !member.dialled; i++)
+  switch (what)
     {
-      const char *host = g_ptr_array_index (hosts, i);
-      if (member.leader && strcmp (host, member.leader->host) == 0)
-        break;
-      if (strcmp (host, a->host) == 0)
-        {
-          known = true;
-          break;
-        }
-      if (!was_tried_lately (a, host))
-        dial (a, host);
+    case BB_FOLLOW_DIAL:
+      dial (member.agent);
+      break;
+    case BB_FOLLOW_ATTACH:
+      attach ();
+      break;
+    case BB_FOLLOW_CLOSE_DIALLED:
+      drop (member.dialled, "no answer of use");
+      break;
+    case BB_FOLLOW_CLOSE_LEADER:
+      drop (member.leader, "silent, or of another group");
+      break;
+    case BB_FOLLOW_NONE:
+      break;
     }
-  if (known && !member.leader && !member.dialled)
-    member.leads = true;
-  g_ptr_array_unref (hosts);
 }
 
 void
 member_tick (struct agent *a)
 {
-  bb_ms now = agent_now (a);
-
-  if (member.leader && now - member.leader->heard_ms > SILENT_MS)
-    bb_conn_close (member.leader->conn, "silent");
-  if (member.dialled && now - member.dialled->since_ms > DIAL_MAX_MS)
-    bb_conn_close (member.dialled->conn, "no answer");
-  if (!member.dialled)
-    look_for_leader (a);
+  GPtrArray *hosts = view_hosts (a);
+  enum bb_follow_act what;
+
+  if (a->own.known
+      && bb_follow_set_group (&member.follow, a->own.report.group))
+    leader_stop (a);
+  do
+    {
+      what = bb_follow_tick (&member.follow, (const char *const *)hosts->pdata,
+                             hosts->len, agent_now (a));
+      act (what);
+    }
+  while (what != BB_FOLLOW_NONE);
+  g_ptr_array_unref (hosts);
 }
 
 void
 member_woke (struct agent *a)
 {
-  if (member.leads)
-    leader_stop (a);
-  member.leads = false;
+  leader_stop (a);
+  bb_follow_woke (&member.follow);
   if (member.leader)
-    bb_conn_close (member.leader->conn, "this process was paused");
-  g_hash_table_remove_all (member.tried);
+    drop (member.leader, "this process was paused");
 }
 
 void
@@ -267,13 +286,14 @@
 
   /* A rank that is not known yet is told with no group, as a heartbeat.  */
   if (member.leader)
-    tell (member.leader);
-  if (member.leads)
+    tell (member.leader, true);
+  else if (member.follow.leads)
     {
-      own_fill (a, &m);
+      own_fill (a, &m, true);
       leader_take_own (a, &m);
     }
-  memset (a->own.deltas, 0, sizeof a->own.deltas);
+  else
+    own_forget_counts (a);
   a->busy = a->own.report.prepared > a->own.report.map
             || a->own.report.held > 0 || a->own.report.armed > 0;
 }
@@ -282,8 +302,7 @@
 member_start (struct agent *a)
 {
   member.agent = a;
-  member.tried
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  bb_follow_init (&member.follow, a->host);
   leader_start (a);
   return true;
 }
--- a/cmd/rank/own.c
+++ b/cmd/rank/own.c
@@ -13,7 +13,8 @@
   CONNECT_TIMEOUT_MS = 250,
   ASK_TIMEOUT_MS = 300,
   KEPT_IDLE_MAX_MS = 1500,
-  COUNTS_EVERY_MS = 90 /* less often than reports during a switch */
+  COUNTS_EVERY_MS = 90, /* less often than reports during a switch */
+  COUNTS_PER_MS = 8     /* large ones less often: the leader's link is small */
 };
 
 /* The questions, asked one after the other.  */
@@ -56,6 +57,7 @@
     }
   o->counts_count = c->count;
   o->counts_epoch = c->epoch;
+  o->counts_read = true;
 }
 
 static void
@@ -110,6 +112,14 @@
              || o->lists_version != o->report.map);
 }
 
+static bb_ms
+counts_every_ms (const struct own *o)
+{
+  bb_ms ms = o->counts_count / COUNTS_PER_MS;
+
+  return ms > COUNTS_EVERY_MS ? ms : COUNTS_EVERY_MS;
+}
+
 static void
 next (struct asking *k)
 {
@@ -118,7 +128,7 @@
   uv_timer_stop (&k->timer);
   k->call = NULL;
   if (k->question == ASK_REPORT && a->own.known
-      && agent_now (a) - k->counted_ms >= COUNTS_EVERY_MS)
+      && agent_now (a) - k->counted_ms >= counts_every_ms (&a->own))
     ask (ASK_COUNTS);
   else if (k->question != ASK_LISTS && wants_lists (a))
     ask (ASK_LISTS);
@@ -213,7 +223,29 @@
 }
 
 void
-own_fill (struct agent *a, struct bb_rank_state *m)
+own_forget_counts (struct agent *a)
+{
+  memset (a->own.deltas, 0, sizeof a->own.deltas);
+  a->own.counts_read = false;
+}
+
+/* What does not fit 16 bits is told the next time.  */
+static void
+fill_counts (struct own *o, struct bb_rank_state *m)
+{
+  for (uint32_t i = 0; i < o->counts_count; i++)
+    {
+      o->told[i]
+          = (uint16_t)(o->deltas[i] < UINT16_MAX ? o->deltas[i] : UINT16_MAX);
+      o->deltas[i] -= o->told[i];
+    }
+  o->counts_read = false;
+  m->counts.ptr = (const char *)o->told;
+  m->counts.size = o->counts_count * (uint32_t)sizeof *o->told;
+}
+
+void
+own_fill (struct agent *a, struct bb_rank_state *m, bool counts)
 {
   struct own *o = &a->own;
   const struct bb_rank_report *r = &o->report;
@@ -240,8 +272,8 @@
   m->gave_taken = o->gave_taken;
   m->queued = r->queued;
   m->running = r->running;
-  m->counts.ptr = (const char *)o->deltas;
-  m->counts.size = o->counts_count * (uint32_t)sizeof *o->deltas;
+  if (counts && o->counts_read)
+    fill_counts (o, m);
   if (o->lists_known && o->lists_epoch == r->epoch)
     {
       m->lists.ptr = (const char *)o->lists;
--- a/cmd/rank/plan.c
+++ b/cmd/rank/plan.c
@@ -61,7 +61,7 @@
 }
 
 void
-plan_counts (const uint32_t *deltas, uint32_t count, bb_ms now)
+plan_counts (const uint16_t *deltas, uint32_t count, bb_ms now)
 {
   if (count > COUNTS_MAX)
     return;
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -2,8 +2,8 @@
 #define RANK_H
 
 /* bilberry-rank - runs beside an engine that is a rank of a group.  Reads its
-   rank's report and counts, and gives it orders.  One of the agents leads: it
-   plans expert maps and brings all ranks to them.
+   rank's report and counts, and gives it orders.  One agent of each group
+   leads: it plans expert maps and brings all ranks to them.
 
    main.c starts; view.c learns the fleet from an entry; own.c asks the own
    rank; member.c keeps the connection to the leader; leader.c takes the
@@ -31,6 +31,8 @@
   bb_ms heard_ms;
   uint32_t counts[COUNTS_MAX]; /* since the rank started */
   uint32_t deltas[COUNTS_MAX]; /* since they were last told */
+  uint16_t told[COUNTS_MAX];   /* of these, as they are being told */
+  bool counts_read;            /* since they were last told */
   uint32_t counts_count;
   uint64_t counts_epoch;
   uint16_t lists[COUNTS_MAX];
@@ -69,6 +71,8 @@
 
 /* view.c */
 bool view_start (struct agent *a);
+/* Returns the IP number of ADDRESS; freed by the caller.  */
+char *view_host_of (const char *address);
 /* Returns the hosts of the pool's upstreams, in order; freed by the caller
    with g_ptr_array_unref.  */
 GPtrArray *view_hosts (const struct agent *a);
@@ -83,8 +87,10 @@
 /* The leader BY has the own rank given an order.  */
 void own_led_by (struct agent *a, uint32_t by, enum bb_order_op op,
                  uint64_t version, uint64_t epoch);
-/* Fills M from what the own rank said, and forgets the told counts.  */
-void own_fill (struct agent *a, struct bb_rank_state *m);
+/* Fills M from what the own rank said.  With COUNTS, those that were not told
+   yet go along where some were read since the last time.  */
+void own_fill (struct agent *a, struct bb_rank_state *m, bool counts);
+void own_forget_counts (struct agent *a);
 
 /* member.c */
 bool member_start (struct agent *a);
@@ -92,12 +98,14 @@
 /* Sends the own state to the leader, which may be this process.  */
 void member_tell (struct agent *a);
 bool member_leads (void);
+/* Whether HOST is known to be of another group.  */
+bool member_is_elsewhere (const char *host, bb_ms now);
+void member_set_elsewhere (const char *host, bb_ms now);
 /* The process was paused: its beliefs are old.  */
 void member_woke (struct agent *a);
 
 /* leader.c */
 void leader_start (struct agent *a);
-bool leader_accepts (struct agent *a);
 void leader_take_own (struct agent *a, const struct bb_rank_state *m);
 void leader_tick (struct agent *a);
 void leader_stop (struct agent *a);
@@ -105,7 +113,7 @@
 
 /* plan.c */
 /* Takes the counts of one rank since its last state.  */
-void plan_counts (const uint32_t *deltas, uint32_t count, bb_ms now);
+void plan_counts (const uint16_t *deltas, uint32_t count, bb_ms now);
 void plan_reset (void);
 /* Writes the map to switch to; false where none pays.  */
 bool plan_next (const struct bb_engine *e, struct bb_lead *l, uint16_t *next,
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -93,6 +93,15 @@
   return strcmp (*(char *const *)a, *(char *const *)b);
 }
 
+char *
+view_host_of (const char *address)
+{
+  const char *colon = strrchr (address, ':');
+
+  return colon ? g_strndup (address, (gsize)(colon - address))
+               : g_strdup (address);
+}
+
 GPtrArray *
 view_hosts (const struct agent *a)
 {
@@ -102,12 +111,7 @@
 
   g_hash_table_iter_init (&it, a->fellows);
   while (g_hash_table_iter_next (&it, NULL, &address))
-    {
-      const char *colon = strrchr (address, ':');
-      if (colon)
-        g_ptr_array_add (
-            hosts, g_strndup (address, (gsize)(colon - (char *)address)));
-    }
+    g_ptr_array_add (hosts, view_host_of (address));
   g_ptr_array_sort (hosts, compare);
   return hosts;
 }
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -3,13 +3,15 @@
 
 /* libgroup - expert maps of a group whose ranks obey orders: which map to use
    next, and how all ranks come to use it at one pass.  Pure: no socket, no
-   clock, no global.  Link with -lgroup.
+   clock, no global.  Link with -lgroup -lglib-2.0.
 
    A map has for each set and rank a row of places; a place holds an expert or
    BB_PLACE_EMPTY.  The ranks that hold an expert share its tokens evenly.  */
 
 #include "bilberry/base.h"
 
+#include <glib.h>
+
 enum
 {
   BB_PLACE_EMPTY = UINT16_MAX
@@ -196,4 +198,63 @@
 /* Begins a switch to NEXT.  */
 void bb_lead_begin (struct bb_lead *l, const uint16_t *next, bb_ms now);
 
+/* Who leads.
+
+   Each agent follows the first of its group, in the order of hosts, that
+   answers, whether or not that one leads already; one that reaches none before
+   itself leads.  Agents learn of each other's group only by asking, so a host
+   of another group is left alone for a while.  The owner makes connections as
+   it is told and says what it hears.  */
+
+enum bb_follow_act
+{
+  BB_FOLLOW_NONE,
+  BB_FOLLOW_DIAL,          /* connect to f->dialled */
+  BB_FOLLOW_ATTACH,        /* the dialled host is the leader from now on */
+  BB_FOLLOW_CLOSE_DIALLED, /* it did not answer, or is of no use */
+  BB_FOLLOW_CLOSE_LEADER   /* it is silent, or of another group */
+};
+
+struct bb_follow
+{
+  char *self;     /* own host */
+  char *group;    /* own; empty: not known */
+  char *leader;   /* host that is followed; NULL: none */
+  char *dialled;  /* host that has not answered yet; NULL: none */
+  bb_ms heard_ms; /* from the leader */
+  bb_ms dialled_ms;
+  bool leads;
+  GHashTable *seen; /* what is known of a host */
+};
+
+void bb_follow_init (struct bb_follow *f, const char *self);
+void bb_follow_free (struct bb_follow *f);
+
+/* The own group is GROUP.  Returns whether it is another one than before: all
+   that was known of other hosts is forgotten then.  */
+bool bb_follow_set_group (struct bb_follow *f, const char *group);
+
+/* Looks at the time, and at HOSTS, all known ones in order.  To be called
+   again until it returns BB_FOLLOW_NONE.  */
+enum bb_follow_act bb_follow_tick (struct bb_follow *f,
+                                   const char *const *hosts, uint32_t count,
+                                   bb_ms now);
+
+/* HOST, which is dialled or followed, says that it is of GROUP; empty: it does
+   not know.  */
+enum bb_follow_act bb_follow_told (struct bb_follow *f, const char *host,
+                                   const char *group, bb_ms now);
+
+/* The connection to HOST has ended.  */
+void bb_follow_closed (struct bb_follow *f, const char *host);
+
+/* HOST is of another group.  */
+void bb_follow_set_elsewhere (struct bb_follow *f, const char *host,
+                              bb_ms now);
+bool bb_follow_is_elsewhere (const struct bb_follow *f, const char *host,
+                             bb_ms now);
+
+/* The process was paused: who leads is to be found anew.  */
+void bb_follow_woke (struct bb_follow *f);
+
 #endif
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -473,6 +473,12 @@
   uint16_t status;
 };
 
+/* Answers each state of another agent; tells the group of the own rank.  */
+struct bb_rank_hello
+{
+  struct bb_bytes group;
+};
+
 /* First message on a connection, sent by both sides.  */
 struct bb_hello
 {
@@ -596,6 +602,7 @@
   BB_RANK_STATE_LISTS_MAX_BYTES = 65536,
   BB_RANK_ORDER_MAP_MAX_BYTES = 1048576,
   BB_RANK_ORDER_TARGET_MAX_BYTES = 64,
+  BB_RANK_HELLO_GROUP_MAX_BYTES = 64,
   BB_HELLO_NAME_MAX_BYTES = 128,
   BB_CALL_CUSTOMER_MAX_BYTES = 128,
   BB_CALL_METHOD_MAX_BYTES = 32,
@@ -632,6 +639,7 @@
   BB_MSG_RANK_STATE = 55,
   BB_MSG_RANK_ORDER = 56,
   BB_MSG_RANK_RESULT = 57,
+  BB_MSG_RANK_HELLO = 58,
   BB_MSG_HELLO = 1,
   BB_MSG_CALL = 2,
   BB_MSG_CANCEL = 3,
@@ -672,6 +680,7 @@
     struct bb_rank_state rank_state;
     struct bb_rank_order rank_order;
     struct bb_rank_result rank_result;
+    struct bb_rank_hello rank_hello;
     struct bb_hello hello;
     struct bb_call call;
     struct bb_cancel cancel;
@@ -732,6 +741,8 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_rank_result (msgpack_sbuffer *buf, const struct bb_rank_result *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_rank_hello (msgpack_sbuffer *buf, const struct bb_rank_hello *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_call (msgpack_sbuffer *buf, const struct bb_call *v);
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -2644,6 +2644,40 @@
   return true;
 }
 
+static void
+put_rank_hello (msgpack_packer *pk, const struct bb_rank_hello *v)
+{
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->group);
+}
+
+static bool
+get_rank_hello (const msgpack_object *obj, struct bb_rank_hello *v,
+                struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "rank_hello", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 64, &v->group, "group", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  (void)seen;
+  return true;
+}
+
 static void
 put_hello (msgpack_packer *pk, const struct bb_hello *v)
 {
@@ -3419,6 +3453,15 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_rank_hello (msgpack_sbuffer *buf, const struct bb_rank_hello *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_RANK_HELLO);
+  put_rank_hello (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_hello (msgpack_sbuffer *buf, const struct bb_hello *v)
 {
@@ -3544,6 +3587,8 @@
       return get_rank_order (obj, &m->u.rank_order, e);
     case BB_MSG_RANK_RESULT:
       return get_rank_result (obj, &m->u.rank_result, e);
+    case BB_MSG_RANK_HELLO:
+      return get_rank_hello (obj, &m->u.rank_hello, e);
     case BB_MSG_HELLO:
       return get_hello (obj, &m->u.hello, e);
     case BB_MSG_CALL:
@@ -3639,6 +3684,9 @@
     case BB_MSG_RANK_RESULT:
       bb_put_rank_result (buf, &m->u.rank_result);
       break;
+    case BB_MSG_RANK_HELLO:
+      bb_put_rank_hello (buf, &m->u.rank_hello);
+      break;
     case BB_MSG_HELLO:
       bb_put_hello (buf, &m->u.hello);
       break;
@@ -3804,6 +3852,7 @@
   { BB_MSG_RANK_ORDER, 13, false, "from_rank" },
   { BB_MSG_RANK_RESULT, 1, true, "id" },
   { BB_MSG_RANK_RESULT, 2, true, "status" },
+  { BB_MSG_RANK_HELLO, 1, false, "group" },
   { BB_MSG_HELLO, 1, true, "role" },
   { BB_MSG_HELLO, 2, true, "incarnation" },
   { BB_MSG_HELLO, 3, true, "name" },
