Watch each group of a pool by itself at the edge

Cause: an edge kept one watch for all upstreams of a pool, so that on fleets of several groups one broken group stopped sends to all. An edge now asks each new upstream once for its group, and asks doubtful groups one by one (cmd/edge/groups.c); only a broken group's upstreams are left out, and a refused caller is told to wait for a group only where all are broken. Test: /edge/broken-group, which fails before (sends go on to the broken group as reports of both groups alternate).

--- a/cmd/edge/after.c
+++ b/cmd/edge/after.c
@@ -43,24 +43,23 @@
 {
   struct edge *e = r->edge;
   struct target *t = r->at;
-  struct line *l = r->line;
+  struct bb_group_watch *g = r->group ? &r->group->watch : NULL;
   bb_ms now = edge_now (e);
   bool group_fault
-      = l->grouped
+      = g
         && (r->outcome == BB_OUTCOME_LOST || r->outcome == BB_OUTCOME_SILENT
             || (r->outcome == BB_OUTCOME_NOT_RUN
                 && r->reply.at_fault.size > 0));
 
-  if (r->outcome == BB_OUTCOME_NOT_RUN && r->reply.at_fault.size > 0
-      && l->grouped)
-    bb_group_broke (&l->group, now);
-  else if (group_fault && l->group.state == BB_GROUP_OPEN
-           && now - l->group.progress_ms > 200)
-    l->group.state = BB_GROUP_DOUBTFUL;
+  if (g && r->outcome == BB_OUTCOME_NOT_RUN && r->reply.at_fault.size > 0)
+    bb_group_broke (g, now);
+  else if (group_fault && g->state == BB_GROUP_OPEN
+           && now - g->progress_ms > 200)
+    g->state = BB_GROUP_DOUBTFUL;
   if (r->outcome == BB_OUTCOME_ELSEWHERE)
     t->eject.failures = 99;
   if (r->outcome != BB_OUTCOME_NOT_RUN && r->outcome != BB_OUTCOME_FAILED
-      && !(group_fault && l->group.state != BB_GROUP_OPEN)
+      && !(group_fault && g->state != BB_GROUP_OPEN)
       && bb_eject_failed (&t->eject, now))
     bb_event ("eject", "{s:s, s:s, s:I}", "upstream", t->told->id, "outcome",
               bb_outcome_name (r->outcome), "for_ms",
@@ -88,7 +87,7 @@
 after_try (struct request *r, enum bb_outcome outcome, const char *how)
 {
   struct edge *e = r->edge;
-  bb_ms back_ms = ROOM_BACK_MS;
+  bb_ms back_ms;
   struct bb_after a;
   enum bb_next next;
 
@@ -103,8 +102,7 @@
             (int)r->status, "next", (int)next, "runs", (int)r->runs, "left_ms",
             (json_int_t)a.left_ms);
   note_target (r);
-  if (r->line->grouped && r->line->group.state == BB_GROUP_BROKEN)
-    back_ms = bb_group_back_in (&r->line->group, edge_now (e));
+  back_ms = groups_back_in (r->line, ROOM_BACK_MS, edge_now (e));
   request_release (r);
   switch (next)
     {
--- a/cmd/edge/answer.c
+++ b/cmd/edge/answer.c
@@ -118,7 +118,8 @@
 {
   bb_ms now = edge_now (r->edge);
 
-  bb_group_progress (&r->line->group, now);
+  if (r->group)
+    bb_group_progress (&r->group->watch, now);
   if (!r->first_event_seen)
     {
       request_prompt_read (r);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -7,7 +7,8 @@
    A request walks one way: input.c reads it and finds its route and customer,
    line.c lets it wait and chooses, send.c sends it, answer.c passes the answer
    on, after.c decides what follows a try and refuse.c ends a request without
-   an answer.  Each file calls only those after it in that row and fleet.c; a
+   an answer.  Each file calls only those after it in that row, groups.c and
+   fleet.c; a
    request that is tried again joins the line anew by edge->again.  */
 
 #include "bilberry/load.h"
@@ -22,6 +23,18 @@
 };
 
 struct edge;
+struct line;
+
+/* Upstreams of a pool that step together.  */
+struct group
+{
+  struct line *line;
+  char *name;         /* empty: of those whose group is not known yet */
+  uint32_t in_flight; /* sent by this entry */
+  struct bb_group_watch watch;
+  bool asking; /* one of its upstreams for a report */
+  bb_ms asked_ms;
+};
 
 /* An upstream and what this entry has under way there.  */
 struct target
@@ -35,7 +48,8 @@
   double latency_ms;  /* smoothed; 0: not known */
   struct bb_meter meter;
   struct bb_eject eject;
-  bb_ms gone_ms; /* when it is to be left alone; 0: it is registered */
+  struct group *group; /* NULL: its pool has none */
+  bb_ms gone_ms;       /* when it is to be left alone; 0: it is registered */
 };
 
 /* Work for one pool.  */
@@ -44,13 +58,10 @@
   struct edge *edge;
   char *pool;
   GQueue waiting; /* struct request */
-  uint32_t in_flight;
   struct bb_budget budget;
-  struct bb_group_watch group;
-  bool grouped; /* its upstreams step together */
-  bool asking;  /* for the report of a doubtful group */
-  bb_ms asked_ms;
-  double first_ms; /* smoothed time to a first event or an answer */
+  bool grouped;      /* its upstreams step together */
+  GPtrArray *groups; /* struct group; the first is of those not known */
+  double first_ms;   /* smoothed time to a first event or an answer */
 };
 
 enum request_state
@@ -80,7 +91,8 @@
   bb_ms heard_ms; /* last event, or the start of the present try */
   double draw;    /* picks the pool of a split route */
   struct line *line;
-  struct target *at; /* of the present try */
+  struct target *at;   /* of the present try */
+  struct group *group; /* likewise; NULL: none */
   struct bb_h1_call *call;
   uint32_t tries;
   uint32_t runs;     /* tries that may have run */
@@ -162,6 +174,18 @@
    there are none, it is refused and false.  */
 bool input_route (struct request *r);
 
+/* groups.c: which upstreams step together, and whether they do.  */
+/* Returns the group of T, or NULL where its pool has none.  */
+struct group *groups_of (struct edge *e, struct target *t);
+/* Whether G, which may be NULL, takes work.  */
+bool groups_is_open (struct group *g, bb_ms now);
+/* Returns when a group of L is expected to take work again; DEFAULT_MS where
+   one does.  */
+bb_ms groups_back_in (const struct line *l, bb_ms default_ms, bb_ms now);
+/* Called often: asks for reports of upstreams whose group is doubtful, or not
+   known.  */
+void groups_tick (struct line *l);
+
 /* line.c */
 void line_join (struct request *r);
 void line_run (struct line *l);
--- /dev/null
+++ b/cmd/edge/groups.c
@@ -0,0 +1,218 @@
+/* Which upstreams step together, and whether they do.  An upstream names its
+   group in its report, which is asked for once it is new, and again while its
+   group is in doubt.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+#include <string.h>
+
+enum
+{
+  ASK_EVERY_MS = 120,
+  ASK_LOST_MS = 800, /* without an answer: ask another */
+  ASK_KEPT_MS = 1600
+};
+
+struct ask
+{
+  struct edge *edge;
+  char *upstream; /* id */
+  struct group *group;
+  GByteArray *body;
+  uint16_t status;
+};
+
+static struct group *
+find (struct line *l, const char *name)
+{
+  struct group *g;
+
+  for (guint i = 0; i < l->groups->len; i++)
+    {
+      g = g_ptr_array_index (l->groups, i);
+      if (strcmp (g->name, name) == 0)
+        return g;
+    }
+  g = g_new0 (struct group, 1);
+  g->line = l;
+  g->name = g_strdup (name);
+  g->watch.progress_ms = edge_now (l->edge);
+  g_ptr_array_add (l->groups, g);
+  return g;
+}
+
+struct group *
+groups_of (struct edge *e, struct target *t)
+{
+  struct line *l;
+
+  if (t->group)
+    return t->group;
+  l = fleet_line (e, t->told->pool);
+  if (l->grouped)
+    t->group = find (l, "");
+  return t->group;
+}
+
+bool
+groups_is_open (struct group *g, bb_ms now)
+{
+  return !g || bb_group_look (&g->watch, g->in_flight, now) == BB_GROUP_OPEN;
+}
+
+bb_ms
+groups_back_in (const struct line *l, bb_ms default_ms, bb_ms now)
+{
+  bb_ms least = default_ms;
+  bool any = false;
+
+  for (guint i = 0; i < l->groups->len; i++)
+    {
+      const struct group *g = g_ptr_array_index (l->groups, i);
+      bb_ms back;
+      if (*g->name == '\0' && l->groups->len > 1)
+        continue;
+      if (g->watch.state != BB_GROUP_BROKEN)
+        return default_ms;
+      back = bb_group_back_in (&g->watch, now);
+      if (!any || back < least)
+        least = back;
+      any = true;
+    }
+  return least;
+}
+
+static void
+on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
+{
+  struct ask *a = user;
+
+  (void)c;
+  a->status = head->status;
+}
+
+static void
+on_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
+{
+  struct ask *a = user;
+
+  (void)c;
+  g_byte_array_append (a->body, (const guint8 *)piece.ptr, piece.size);
+}
+
+static void
+take_report (struct ask *a, const struct bb_rank_report *r)
+{
+  struct target *t = g_hash_table_lookup (a->edge->targets, a->upstream);
+  struct line *l = a->group->line;
+  struct group *g = find (l, r->group);
+  enum bb_group_state was = g->watch.state;
+
+  if (t && t->group != g)
+    {
+      bb_event ("member_of_group", "{s:s, s:s, s:s}", "upstream", a->upstream,
+                "pool", l->pool, "group", g->name);
+      t->group = g;
+    }
+  bb_group_reported (&g->watch, r->open, r->step, g->in_flight,
+                     edge_now (a->edge));
+  if (was != g->watch.state)
+    bb_event ("group", "{s:s, s:s, s:I, s:b}", "pool", l->pool, "group",
+              g->name, "epoch", (json_int_t)r->epoch, "open", r->open);
+  line_run (l);
+}
+
+static void
+on_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
+{
+  struct ask *a = user;
+  struct bb_bytes body
+      = { .ptr = (const char *)a->body->data, .size = a->body->len };
+  struct bb_rank_report report;
+
+  (void)c;
+  a->group->asking = false;
+  if (how == BB_H1_WHOLE && a->status == 200
+      && bb_rank_report_decode (body, &report) && report.grouped)
+    {
+      take_report (a, &report);
+      /* The next one whose group is not known.  */
+      if (*a->group->name == '\0')
+        groups_tick (a->group->line);
+    }
+  g_byte_array_unref (a->body);
+  g_free (a->upstream);
+  g_free (a);
+}
+
+static const struct bb_h1_call_ops ops = { on_head, on_data, on_end };
+
+static void
+ask (struct group *g, struct target *t)
+{
+  struct edge *e = g->line->edge;
+  struct bb_h1_out out = { .method = bb_bytes_of ("GET"),
+                           .target = bb_bytes_of (bb_report_target),
+                           .host = bb_bytes_of (t->told->address),
+                           .idle_max_ms = ASK_KEPT_MS };
+  struct ask *a = g_new0 (struct ask, 1);
+
+  g->asking = true;
+  g->asked_ms = edge_now (e);
+  a->edge = e;
+  a->upstream = g_strdup (t->told->id);
+  a->group = g;
+  a->body = g_byte_array_new ();
+  bb_h1_call (t->channels, &out, &ops, a);
+}
+
+/* Picks an upstream of G by chance.  */
+static struct target *
+pick (const struct group *g)
+{
+  struct edge *e = g->line->edge;
+  struct target *chosen = NULL;
+  uint32_t seen = 0;
+
+  for (guint k = 0; k < e->target_list->len; k++)
+    {
+      struct target *t = g_ptr_array_index (e->target_list, k);
+      if (t->gone_ms == 0 && strcmp (t->told->pool, g->line->pool) == 0
+          && groups_of (e, t) == g
+          && g_rand_int_range (e->rand, 0, (int)++seen) == 0)
+        chosen = t;
+    }
+  return chosen;
+}
+
+/* Whether a report of G is wanted.  */
+static bool
+wants_report (struct group *g, bb_ms now)
+{
+  bb_ms every = *g->name == '\0' ? 0 : ASK_EVERY_MS;
+
+  if (*g->name != '\0' && groups_is_open (g, now))
+    return false;
+  if (g->asking)
+    return now - g->asked_ms >= ASK_LOST_MS;
+  return now - g->asked_ms >= every;
+}
+
+void
+groups_tick (struct line *l)
+{
+  bb_ms now = edge_now (l->edge);
+
+  if (!l->grouped)
+    return;
+  find (l, "");
+  for (guint i = 0; i < l->groups->len; i++)
+    {
+      struct group *g = g_ptr_array_index (l->groups, i);
+      struct target *t = wants_report (g, now) ? pick (g) : NULL;
+      if (t)
+        ask (g, t);
+    }
+}
--- a/cmd/edge/line.c
+++ b/cmd/edge/line.c
@@ -8,22 +8,11 @@
 
 enum
 {
-  HOLD_AIMS = 3, /* a request waits for so many times its aim */
-  ASK_EVERY_MS = 120,
-  ASK_LOST_MS = 800, /* without an answer: ask another */
-  ASK_KEPT_MS = 1600,
+  HOLD_AIMS = 3,      /* a request waits for so many times its aim */
   BUSY_BACK_MS = 500, /* when room is expected where all is taken */
   WRITER_TOKENS = 700 /* prompt tokens that load a rank like a writer */
 };
 
-struct ask
-{
-  struct edge *edge;
-  char *pool;
-  GByteArray *body;
-  uint16_t status;
-};
-
 static bool
 was_tried (const struct request *r, const struct target *t)
 {
@@ -35,11 +24,12 @@
 
 static void
 fill_place (struct bb_place *p, struct line *l, const struct request *r,
-            const struct target *t, uint32_t cold_share)
+            struct target *t, uint32_t cold_share)
 {
   bb_ms now = edge_now (l->edge);
 
   p->usable = fleet_may_send (l->edge, t, now)
+              && groups_is_open (groups_of (l->edge, t), now)
               && bb_meter_has_room (&t->meter, now, cold_share);
   p->tried = was_tried (r, t);
   p->near
@@ -177,11 +167,6 @@
 void
 line_run (struct line *l)
 {
-  bb_ms now = edge_now (l->edge);
-
-  if (l->grouped
-      && bb_group_look (&l->group, l->in_flight, now) != BB_GROUP_OPEN)
-    return;
   while (l->waiting.length > 0 && send_next (l))
     ;
 }
@@ -213,92 +198,6 @@
   line_run (l);
 }
 
-/* Asking a doubtful group.  */
-
-static void
-on_ask_head (struct bb_h1_call *c, const struct bb_h1_message *head,
-             void *user)
-{
-  struct ask *a = user;
-
-  (void)c;
-  a->status = head->status;
-}
-
-static void
-on_ask_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
-{
-  struct ask *a = user;
-
-  (void)c;
-  g_byte_array_append (a->body, (const guint8 *)piece.ptr, piece.size);
-}
-
-static void
-on_ask_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
-{
-  struct ask *a = user;
-  struct line *l = fleet_line (a->edge, a->pool);
-  struct bb_bytes body
-      = { .ptr = (const char *)a->body->data, .size = a->body->len };
-  struct bb_rank_report report;
-
-  (void)c;
-  l->asking = false;
-  if (how == BB_H1_WHOLE && a->status == 200
-      && bb_rank_report_decode (body, &report) && report.grouped)
-    {
-      enum bb_group_state was = l->group.state;
-      bb_group_reported (&l->group, report.open, report.step, l->in_flight,
-                         edge_now (a->edge));
-      if (was != l->group.state)
-        bb_event ("group", "{s:s, s:s, s:I, s:b}", "pool", l->pool, "group",
-                  report.group, "epoch", (json_int_t)report.epoch, "open",
-                  report.open);
-      line_run (l);
-    }
-  g_byte_array_unref (a->body);
-  g_free (a->pool);
-  g_free (a);
-}
-
-static const struct bb_h1_call_ops ask_ops
-    = { on_ask_head, on_ask_data, on_ask_end };
-
-static void
-ask (struct line *l)
-{
-  struct edge *e = l->edge;
-  bb_ms now = edge_now (e);
-  struct target *chosen = NULL;
-  uint32_t seen = 0;
-  struct bb_h1_out out = { .method = bb_bytes_of ("GET"),
-                           .target = bb_bytes_of (bb_report_target),
-                           .idle_max_ms = ASK_KEPT_MS };
-  struct ask *a;
-
-  if ((l->asking && now - l->asked_ms < ASK_LOST_MS)
-      || now - l->asked_ms < ASK_EVERY_MS)
-    return;
-  for (guint k = 0; k < e->target_list->len; k++)
-    {
-      struct target *t = g_ptr_array_index (e->target_list, k);
-      if (strcmp (t->told->pool, l->pool) == 0 && t->gone_ms == 0
-          && g_rand_int_range (e->rand, 0, (int)++seen) == 0)
-        chosen = t;
-    }
-  if (!chosen)
-    return;
-  l->asking = true;
-  l->asked_ms = now;
-  a = g_new0 (struct ask, 1);
-  a->edge = e;
-  a->pool = g_strdup (l->pool);
-  a->body = g_byte_array_new ();
-  out.host = bb_bytes_of (chosen->told->address);
-  bb_h1_call (chosen->channels, &out, &ask_ops, a);
-}
-
 void
 line_tick (struct edge *e)
 {
@@ -309,10 +208,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct line *l = value;
-      if (l->grouped
-          && bb_group_look (&l->group, l->in_flight, edge_now (e))
-                 != BB_GROUP_OPEN)
-        ask (l);
+      groups_tick (l);
       line_run (l);
     }
 }
--- a/cmd/edge/request.c
+++ b/cmd/edge/request.c
@@ -73,7 +73,9 @@
 {
   r->at = t;
   t->in_flight++;
-  r->line->in_flight++;
+  r->group = groups_of (r->edge, t);
+  if (r->group)
+    r->group->in_flight++;
   r->prompt = r->ask.prompt_tokens;
   t->prompt += r->prompt;
   count_customer (r, 1);
@@ -94,7 +96,9 @@
     return;
   request_prompt_read (r);
   r->at->in_flight--;
-  r->line->in_flight--;
+  if (r->group)
+    r->group->in_flight--;
+  r->group = NULL;
   count_customer (r, -1);
   r->at = NULL;
 }
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -99,9 +99,7 @@
 
   if (r->state == REQUEST_WAITING)
     {
-      bb_ms back = r->line->grouped && r->line->group.state == BB_GROUP_BROKEN
-                       ? bb_group_back_in (&r->line->group, now)
-                       : r->route->aim_ms;
+      bb_ms back = groups_back_in (r->line, r->route->aim_ms, now);
       g_queue_remove (&r->line->waiting, r);
       refuse (r, BB_REASON_OVERLOAD, back);
       return;
@@ -112,8 +110,7 @@
       return;
     }
   /* Another rank of a group that stalls is no better.  */
-  if (now < r->deadline_ms && r->line->grouped
-      && r->line->group.state != BB_GROUP_OPEN)
+  if (now < r->deadline_ms && !groups_is_open (r->group, now))
     {
       bb_ms again = now + STALLED_AGAIN_MS;
       request_set_timer (r, again < r->deadline_ms ? again : r->deadline_ms);
--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -87,6 +87,11 @@
       "\"rank\":0,\"state\":\"open\"},\"size\":2,\"step\":9,\"map\":0,"
       "\"prepared\":5}";
 
+/* A rank of another group, which has lost a rank.  */
+static const char broken_text[]
+    = "{\"queued\":0,\"running\":0,\"group\":{\"name\":\"b\",\"epoch\":1,"
+      "\"rank\":0,\"state\":\"broken\"},\"size\":2,\"step\":9,\"map\":0}";
+
 static bool
 has_fault (const char *name)
 {
@@ -187,7 +192,8 @@
       close_channel (c);
     }
   else if (g_str_has_prefix (head, "GET /v1/report "))
-    answer (c, "200 OK", attempt, "", report_text);
+    answer (c, "200 OK", attempt, "",
+            has_fault ("broken") ? broken_text : report_text);
   else if (g_str_has_prefix (head, "GET /v1/picked "))
     {
       g_string_append (ran, "counted\n");
@@ -196,6 +202,9 @@
     }
   else if (*expect && strcmp (expect, id) != 0)
     answer (c, "421 Elsewhere", attempt, "X-Not-Executed: 1\r\n", "");
+  else if (has_fault ("broken"))
+    answer (c, "503 Broken", attempt,
+            "X-Not-Executed: 1\r\nAt-Server: i-9\r\n", "");
   else if (has_fault ("not-run"))
     answer (c, "503 Full", attempt, "X-Not-Executed: 1\r\n", "");
   else
--- a/test/harness/plant.h
+++ b/test/harness/plant.h
@@ -32,7 +32,8 @@
 
 /* Starts a store with a configuration: host 127.0.0.1, route /order/ (at
    most once), /check/ (idempotent) and /stream/ (resumable stream) to pool
-   app, /other/ to pool other; customer maker with key key-1.  */
+   app, /other/ to pool other, /draft/ to pool draft, whose upstreams step
+   together in groups; customer maker with key key-1.  */
 void plant_init (struct plant *p);
 void plant_free (struct plant *p);
 
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -469,6 +469,35 @@
 }
 
 /* From the id of a failed order to its cause, by the log alone.  */
+/* One group of a pool is broken: the other one serves, and nothing is sent to
+   the broken one once that is known.  */
+static void
+test_broken_group (void)
+{
+  struct plant p;
+  char *text;
+  char *told;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "draft", "broken");
+  plant_replica (&p, "i-2", "draft", "");
+  plant_edge (&p, 0);
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("d%u", i);
+      check_status (&p, "GET", "/draft/1", id, 200);
+      harness_sleep_ms (50);
+    }
+  text = plant_log (&p, 0);
+  told = strstr (text,
+                 "\"event\":\"group\",\"pool\":\"draft\",\"group\":\"b\"");
+  g_assert_nonnull (told);
+  g_assert_nonnull (strstr (told, "\"upstream\":\"i-2\""));
+  g_assert_null (strstr (told, "\"upstream\":\"i-1\""));
+  g_free (text);
+  plant_free (&p);
+}
+
 static void
 test_explains (void)
 {
@@ -548,6 +577,7 @@
   g_test_add_func ("/edge/bad-input", test_bad_input);
   g_test_add_func ("/edge/channel", test_channel);
   g_test_add_func ("/edge/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/edge/broken-group", test_broken_group);
   g_test_add_func ("/edge/explains", test_explains);
   g_test_add_func ("/edge/command", test_command);
   return g_test_run ();
