--- /dev/null
+++ b/libgroup/ranks.c
@@ -0,0 +1,124 @@
+/* What is known of the ranks of a switch, and orders to them.  */
+
+#include "lead.h"
+
+void
+lead_enter (struct bb_lead *l, enum bb_lead_phase phase, bb_ms now)
+{
+  l->phase = phase;
+  l->since_ms = now;
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    {
+      l->ranks[r].done = false;
+      l->ranks[r].ordered_ms = 0;
+      l->ranks[r].orders = 0;
+    }
+}
+
+bool
+lead_is_fresh (const struct bb_lead *l, uint32_t rank, bb_ms age_ms, bb_ms now)
+{
+  const struct bb_lead_rank *k = &l->ranks[rank];
+
+  return k->known && now - k->heard_ms <= age_ms && k->open
+         && k->epoch == l->epoch;
+}
+
+bool
+lead_is_whole (const struct bb_lead *l, bb_ms age_ms, bb_ms now)
+{
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    if (r != l->missing && !lead_is_fresh (l, r, age_ms, now))
+      return false;
+  return true;
+}
+
+bool
+lead_is_armed (const struct bb_lead *l, uint32_t rank)
+{
+  return l->ranks[rank].armed > l->ranks[rank].map;
+}
+
+uint32_t
+lead_armed_rank (const struct bb_lead *l)
+{
+  uint32_t r = 0;
+
+  while (r < l->size.ranks && (r == l->missing || !lead_is_armed (l, r)))
+    r++;
+  return r;
+}
+
+uint32_t
+lead_held_rank (const struct bb_lead *l)
+{
+  uint32_t r = 0;
+
+  while (r < l->size.ranks && (r == l->missing || l->ranks[r].held == 0))
+    r++;
+  return r;
+}
+
+bool
+lead_is_clean (const struct bb_lead *l)
+{
+  return lead_armed_rank (l) == l->size.ranks
+         && lead_held_rank (l) == l->size.ranks;
+}
+
+void
+lead_give (struct bb_lead *l, uint32_t rank, enum bb_lead_op op, uint32_t via,
+           bb_ms now)
+{
+  struct bb_lead_order o = { .op = op,
+                             .version = l->version,
+                             .step = l->step,
+                             .epoch = l->epoch,
+                             .map = op == BB_LEAD_PREPARE ? l->next : NULL,
+                             .via = via };
+
+  l->ranks[rank].ordered_ms = now;
+  l->ranks[rank].orders++;
+  l->order (rank, &o, l->user);
+}
+
+bool
+lead_is_due (const struct bb_lead *l, uint32_t rank, bb_ms again_ms, bb_ms now)
+{
+  const struct bb_lead_rank *k = &l->ranks[rank];
+
+  return !k->done && (k->ordered_ms == 0 || now - k->ordered_ms >= again_ms);
+}
+
+void
+lead_give_all (struct bb_lead *l, enum bb_lead_op op, bb_ms again_ms,
+               bb_ms now)
+{
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    if (lead_is_due (l, r, again_ms, now))
+      lead_give (l, r, op, r, now);
+}
+
+bool
+lead_all_done (const struct bb_lead *l)
+{
+  for (uint32_t r = 0; r < l->size.ranks; r++)
+    if (!l->ranks[r].done)
+      return false;
+  return true;
+}
+
+uint64_t
+lead_next_version (struct bb_lead *l)
+{
+  l->highest
+      = (l->highest / BB_LEAD_RANKS_MAX + 1) * BB_LEAD_RANKS_MAX + l->self;
+  return l->highest;
+}
+
+void
+lead_begin_go (struct bb_lead *l, bb_ms now)
+{
+  lead_enter (l, BB_LEAD_GOING, now);
+  lead_give (l, l->holder, BB_LEAD_GO, l->holder, now);
+}
