One way to collect a small answer; latency histograms of the edge

The store's client, the rank's questions, orders and the edge's questions for reports each collected an answer by themselves; bb_h1_fetch does it now.

--- a/cmd/edge/answer.c
+++ b/cmd/edge/answer.c
@@ -104,6 +104,7 @@
     {
       bb_h1_start (r->x, r->status, r->headers, r->headers_count, r->framed);
       r->started = true;
+      times_add (TIMES_FIRST_EVENT, r->read_ms, edge_now (r->edge));
     }
   bb_h1_write (r->x, event);
   if (has_id)
@@ -211,6 +212,7 @@
 
   note_success (r);
   log_answer (r);
+  times_add (TIMES_ANSWER, r->read_ms, edge_now (r->edge));
   bb_counter ("bilberry_answers_total", "")->value++;
   if (r->streams && r->started)
     {
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -211,6 +211,17 @@
 /* Refuses as truth has it: not run, may have run, or broken off.  */
 void refuse (struct request *r, enum bb_reason why, bb_ms back_in_ms);
 
+/* times.c: how long requests took.  */
+enum times_of
+{
+  TIMES_WAIT,        /* in line, before each try */
+  TIMES_FIRST_EVENT, /* from the request's last byte */
+  TIMES_ANSWER,      /* likewise, to the end of a success */
+  TIMES
+};
+void times_start (void);
+void times_add (enum times_of what, bb_ms since_ms, bb_ms now);
+
 /* request.c */
 struct request *request_new (struct edge *e, struct bb_h1_exchange *x);
 void request_free (struct request *r);
--- a/cmd/edge/groups.c
+++ b/cmd/edge/groups.c
@@ -12,7 +12,8 @@
 {
   ASK_EVERY_MS = 120,
   ASK_LOST_MS = 800, /* without an answer: ask another */
-  ASK_KEPT_MS = 1600
+  ASK_KEPT_MS = 1600,
+  REPORT_MAX_BYTES = 65536
 };
 
 struct ask
@@ -20,8 +21,6 @@
   struct edge *edge;
   char *upstream; /* id */
   struct group *group;
-  GByteArray *body;
-  uint16_t status;
 };
 
 static struct group *
@@ -84,24 +83,6 @@
   return least;
 }
 
-static void
-on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
-{
-  struct ask *a = user;
-
-  (void)c;
-  a->status = head->status;
-}
-
-static void
-on_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
-{
-  struct ask *a = user;
-
-  (void)c;
-  g_byte_array_append (a->body, (const guint8 *)piece.ptr, piece.size);
-}
-
 static void
 take_report (struct ask *a, const struct bb_rank_report *r)
 {
@@ -125,16 +106,14 @@
 }
 
 static void
-on_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
+on_fetched (enum bb_h1_fetch_end how, uint16_t status, struct bb_bytes body,
+            void *user)
 {
   struct ask *a = user;
-  struct bb_bytes body
-      = { .ptr = (const char *)a->body->data, .size = a->body->len };
   struct bb_rank_report report;
 
-  (void)c;
   a->group->asking = false;
-  if (how == BB_H1_WHOLE && a->status == 200
+  if (how == BB_H1_FETCH_ANSWERED && status == 200
       && bb_rank_report_decode (body, &report) && report.grouped)
     {
       take_report (a, &report);
@@ -142,13 +121,10 @@
       if (*a->group->name == '\0')
         groups_tick (a->group->line);
     }
-  g_byte_array_unref (a->body);
   g_free (a->upstream);
   g_free (a);
 }
 
-static const struct bb_h1_call_ops ops = { on_head, on_data, on_end };
-
 static void
 ask (struct group *g, struct target *t)
 {
@@ -157,6 +133,7 @@
                            .target = bb_bytes_of (bb_report_target),
                            .host = bb_bytes_of (t->told->address),
                            .idle_max_ms = ASK_KEPT_MS };
+  struct bb_h1_fetch_limits limits = { ASK_LOST_MS, REPORT_MAX_BYTES };
   struct ask *a = g_new0 (struct ask, 1);
 
   g->asking = true;
@@ -164,8 +141,7 @@
   a->edge = e;
   a->upstream = g_strdup (t->told->id);
   a->group = g;
-  a->body = g_byte_array_new ();
-  bb_h1_call (t->channels, &out, &ops, a);
+  bb_h1_fetch (t->channels, &out, &limits, on_fetched, a);
 }
 
 /* Picks an upstream of G by chance.  */
@@ -195,9 +171,7 @@
 
   if (*g->name != '\0' && groups_is_open (g, now))
     return false;
-  if (g->asking)
-    return now - g->asked_ms >= ASK_LOST_MS;
-  return now - g->asked_ms >= every;
+  return !g->asking && now - g->asked_ms >= every;
 }
 
 void
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -201,6 +201,7 @@
   g_file_get_contents (e->settings_path, &e->settings_text, NULL, NULL);
   bb_event ("start", "{s:s, s:s, s:s}", "name", e->start->name, "version",
             BB_VERSION, "failure_domain", e->start->failure_domain);
+  times_start ();
   fleet_init (e);
   watch_signals (e);
   if (!open_front (e) || !status_start (e) || !peers_start (e))
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -66,6 +66,7 @@
   if (s.left_ms < 1)
     s.left_ms = 1;
   out.headers_count = bb_send_headers (&r->x->request, &s, headers, text);
+  times_add (TIMES_WAIT, r->joined_ms, now);
   request_take (r, t);
   bb_meter_add (&t->meter, now);
   bb_eject_sent (&t->eject, now);
--- a/cmd/rank/own.c
+++ b/cmd/rank/own.c
@@ -13,6 +13,7 @@
   CONNECT_TIMEOUT_MS = 250,
   ASK_TIMEOUT_MS = 300,
   KEPT_IDLE_MAX_MS = 1500,
+  ANSWER_MAX_BYTES = 1 << 20,
   COUNTS_EVERY_MS = 90, /* less often than reports during a switch */
   COUNTS_PER_MS = 8     /* large ones less often: the leader's link is small */
 };
@@ -30,11 +31,8 @@
 {
   struct agent *agent;
   struct bb_h1_pool *pool;
-  struct bb_h1_call *call;
-  uv_timer_t timer;
+  bool busy; /* a question is under way */
   enum question question;
-  GByteArray *body;
-  uint16_t status;
   bb_ms counted_ms; /* when counts were last asked for */
 };
 
@@ -78,10 +76,9 @@
 }
 
 static void
-take (struct asking *k)
+take (struct asking *k, struct bb_bytes body)
 {
   struct own *o = &k->agent->own;
-  struct bb_bytes body = { (const char *)k->body->data, k->body->len };
   struct bb_counts counts;
 
   if (k->question == ASK_REPORT)
@@ -125,8 +122,6 @@
 {
   struct agent *a = k->agent;
 
-  uv_timer_stop (&k->timer);
-  k->call = NULL;
   if (k->question == ASK_REPORT && a->own.known
       && agent_now (a) - k->counted_ms >= counts_every_ms (&a->own))
     ask (ASK_COUNTS);
@@ -137,46 +132,22 @@
 }
 
 static void
-on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
+on_fetched (enum bb_h1_fetch_end how, uint16_t status, struct bb_bytes body,
+            void *user)
 {
-  (void)c;
-  (void)user;
-  asking.status = head->status;
-}
-
-static void
-on_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
-{
-  (void)c;
-  (void)user;
-  g_byte_array_append (asking.body, (const guint8 *)piece.ptr, piece.size);
-}
-
-static void
-on_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
-{
-  struct asking *k = &asking;
+  struct asking *k = user;
 
-  (void)c;
-  (void)user;
-  if (how == BB_H1_WHOLE && k->status == 200)
-    take (k);
+  k->busy = false;
+  if (how == BB_H1_FETCH_LOST)
+    {
+      member_tell (k->agent);
+      return;
+    }
+  if (how == BB_H1_FETCH_ANSWERED && status == 200)
+    take (k, body);
   next (k);
 }
 
-static const struct bb_h1_call_ops ops = { on_head, on_data, on_end };
-
-static void
-on_timeout (uv_timer_t *t)
-{
-  struct asking *k = t->data;
-
-  if (k->call)
-    bb_h1_cancel (k->call);
-  k->call = NULL;
-  member_tell (k->agent);
-}
-
 static void
 ask (enum question q)
 {
@@ -184,24 +155,23 @@
   struct bb_h1_out out = { .method = bb_bytes_of ("GET"),
                            .host = bb_bytes_of (k->agent->start->upstream),
                            .idle_max_ms = KEPT_IDLE_MAX_MS };
+  struct bb_h1_fetch_limits limits = { ASK_TIMEOUT_MS, ANSWER_MAX_BYTES };
   const char *const targets[QUESTIONS]
       = { bb_report_target, bb_counts_target, bb_lists_target };
 
   out.target = bb_bytes_of (targets[q]);
   k->question = q;
-  k->status = 0;
+  k->busy = true;
   if (q == ASK_COUNTS)
     k->counted_ms = agent_now (k->agent);
-  g_byte_array_set_size (k->body, 0);
-  uv_timer_start (&k->timer, on_timeout, ASK_TIMEOUT_MS, 0);
-  k->call = bb_h1_call (k->pool, &out, &ops, k);
+  bb_h1_fetch (k->pool, &out, &limits, on_fetched, k);
 }
 
 void
 own_ask (struct agent *a)
 {
   (void)a;
-  if (!asking.call)
+  if (!asking.busy)
     ask (ASK_REPORT);
 }
 
@@ -288,9 +258,6 @@
   struct sockaddr_storage addr;
 
   asking.agent = a;
-  asking.body = g_byte_array_new ();
   if (bb_address_parse (a->start->upstream, &addr))
     asking.pool = bb_h1_pool_new (a->loop, &addr, CONNECT_TIMEOUT_MS);
-  uv_timer_init (a->loop, &asking.timer);
-  asking.timer.data = &asking;
 }
--- a/cmd/rank/remote.c
+++ b/cmd/rank/remote.c
@@ -18,10 +18,6 @@
 /* A call under way.  */
 struct call
 {
-  struct bb_h1_call *http;
-  uv_timer_t timer;
-  GByteArray *body;
-  uint16_t status;
   remote_fn *on_report;
   remote_result_fn *on_result;
   void *user;
@@ -47,64 +43,22 @@
 }
 
 static void
-on_timer_closed (uv_handle_t *h)
+on_fetched (enum bb_h1_fetch_end how, uint16_t status, struct bb_bytes body,
+            void *user)
 {
-  struct call *c = h->data;
-
-  g_byte_array_unref (c->body);
-  g_free (c);
-}
-
-static void
-finish (struct call *c, bool whole)
-{
-  struct bb_bytes body = { (const char *)c->body->data, c->body->len };
+  struct call *c = user;
+  bool whole = how == BB_H1_FETCH_ANSWERED;
   struct bb_rank_report report;
-  bool good
-      = whole && c->status == 200 && bb_rank_report_decode (body, &report);
 
   if (c->on_report)
-    c->on_report (good ? &report : NULL, c->user);
+    c->on_report (whole && status == 200
+                          && bb_rank_report_decode (body, &report)
+                      ? &report
+                      : NULL,
+                  c->user);
   if (c->on_result)
-    c->on_result (whole ? c->status : 0, c->user);
-  uv_close ((uv_handle_t *)&c->timer, on_timer_closed);
-}
-
-static void
-on_head (struct bb_h1_call *http, const struct bb_h1_message *head, void *user)
-{
-  struct call *c = user;
-
-  (void)http;
-  c->status = head->status;
-}
-
-static void
-on_data (struct bb_h1_call *http, struct bb_bytes piece, void *user)
-{
-  struct call *c = user;
-
-  (void)http;
-  if (c->body->len + piece.size <= ANSWER_MAX_BYTES)
-    g_byte_array_append (c->body, (const guint8 *)piece.ptr, piece.size);
-}
-
-static void
-on_end (struct bb_h1_call *http, enum bb_h1_end how, void *user)
-{
-  (void)http;
-  finish (user, how == BB_H1_WHOLE);
-}
-
-static const struct bb_h1_call_ops ops = { on_head, on_data, on_end };
-
-static void
-on_timeout (uv_timer_t *t)
-{
-  struct call *c = t->data;
-
-  bb_h1_cancel (c->http);
-  finish (c, false);
+    c->on_result (whole ? status : 0, c->user);
+  g_free (c);
 }
 
 static void
@@ -121,12 +75,9 @@
                            .headers_count = body.size > 0 ? 1 : 0,
                            .body = body,
                            .idle_max_ms = KEPT_IDLE_MAX_MS };
+  struct bb_h1_fetch_limits limits = { ORDER_TIMEOUT_MS, ANSWER_MAX_BYTES };
 
-  c->body = g_byte_array_new ();
-  uv_timer_init (a->loop, &c->timer);
-  c->timer.data = c;
-  uv_timer_start (&c->timer, on_timeout, ORDER_TIMEOUT_MS, 0);
-  c->http = bb_h1_call (pool_of (a, address), &out, &ops, c);
+  bb_h1_fetch (pool_of (a, address), &out, &limits, on_fetched, c);
 }
 
 void
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -158,4 +158,31 @@
 /* Ends the call and its channel; no callback follows.  */
 void bb_h1_cancel (struct bb_h1_call *c);
 
+/* A call whose answer is collected.  */
+struct bb_h1_fetch;
+
+enum bb_h1_fetch_end
+{
+  BB_H1_FETCH_ANSWERED, /* whole; status and body are given */
+  BB_H1_FETCH_LOST,     /* no whole answer in time */
+  BB_H1_FETCH_TOO_LARGE
+};
+
+/* BODY lasts for the call.  */
+typedef void bb_h1_fetched (enum bb_h1_fetch_end how, uint16_t status,
+                            struct bb_bytes body, void *user);
+
+struct bb_h1_fetch_limits
+{
+  bb_ms timeout_ms;
+  uint32_t body_max_bytes;
+};
+
+/* Sends OUT and gives FN the answer, exactly once unless it is cancelled.  */
+struct bb_h1_fetch *bb_h1_fetch (struct bb_h1_pool *p,
+                                 const struct bb_h1_out *out,
+                                 const struct bb_h1_fetch_limits *limits,
+                                 bb_h1_fetched *fn, void *user);
+void bb_h1_fetch_cancel (struct bb_h1_fetch *f);
+
 #endif
--- a/libh1/client.c
+++ b/libh1/client.c
@@ -58,6 +58,12 @@
   bool freed;
 };
 
+uv_loop_t *
+h1_pool_loop (const struct bb_h1_pool *p)
+{
+  return p->loop;
+}
+
 const char *
 bb_h1_end_name (enum bb_h1_end e)
 {
--- /dev/null
+++ b/libh1/fetch.c
@@ -0,0 +1,99 @@
+#include "h1.h"
+
+#include <glib.h>
+
+struct bb_h1_fetch
+{
+  struct bb_h1_call *call;
+  uv_timer_t timer;
+  GByteArray *body;
+  uint32_t body_max_bytes;
+  uint16_t status;
+  bb_h1_fetched *fn;
+  void *user;
+};
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  struct bb_h1_fetch *f = h->data;
+
+  g_byte_array_unref (f->body);
+  g_free (f);
+}
+
+static void
+end (struct bb_h1_fetch *f, enum bb_h1_fetch_end how)
+{
+  struct bb_bytes body = { (const char *)f->body->data, f->body->len };
+
+  f->call = NULL;
+  f->fn (how, f->status, body, f->user);
+  uv_close ((uv_handle_t *)&f->timer, on_timer_closed);
+}
+
+static void
+on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
+{
+  struct bb_h1_fetch *f = user;
+
+  (void)c;
+  f->status = head->status;
+}
+
+static void
+on_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
+{
+  struct bb_h1_fetch *f = user;
+
+  if (f->body->len + piece.size <= f->body_max_bytes)
+    {
+      g_byte_array_append (f->body, (const guint8 *)piece.ptr, piece.size);
+      return;
+    }
+  bb_h1_cancel (c);
+  end (f, BB_H1_FETCH_TOO_LARGE);
+}
+
+static void
+on_end (struct bb_h1_call *c, enum bb_h1_end how, void *user)
+{
+  (void)c;
+  end (user, how == BB_H1_WHOLE ? BB_H1_FETCH_ANSWERED : BB_H1_FETCH_LOST);
+}
+
+static const struct bb_h1_call_ops ops = { on_head, on_data, on_end };
+
+static void
+on_timeout (uv_timer_t *t)
+{
+  struct bb_h1_fetch *f = t->data;
+
+  bb_h1_cancel (f->call);
+  end (f, BB_H1_FETCH_LOST);
+}
+
+struct bb_h1_fetch *
+bb_h1_fetch (struct bb_h1_pool *p, const struct bb_h1_out *out,
+             const struct bb_h1_fetch_limits *limits, bb_h1_fetched *fn,
+             void *user)
+{
+  struct bb_h1_fetch *f = g_new0 (struct bb_h1_fetch, 1);
+
+  f->body = g_byte_array_new ();
+  f->body_max_bytes = limits->body_max_bytes;
+  f->fn = fn;
+  f->user = user;
+  uv_timer_init (h1_pool_loop (p), &f->timer);
+  f->timer.data = f;
+  uv_timer_start (&f->timer, on_timeout, (uint64_t)limits->timeout_ms, 0);
+  f->call = bb_h1_call (p, out, &ops, f);
+  return f;
+}
+
+void
+bb_h1_fetch_cancel (struct bb_h1_fetch *f)
+{
+  bb_h1_cancel (f->call);
+  uv_close ((uv_handle_t *)&f->timer, on_timer_closed);
+}
--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -76,4 +76,7 @@
 int h1_write (uv_stream_t *s, const char *data, size_t size,
               size_t *queued_bytes);
 
+/* client.c */
+uv_loop_t *h1_pool_loop (const struct bb_h1_pool *p);
+
 #endif
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -53,6 +53,12 @@
   text = plant_log (&p, 0);
   g_assert_nonnull (strstr (text, "\"event\":\"send\",\"id\":\"o1\""));
   g_free (text);
+  /* One order and one stream were timed.  */
+  a = harness_http (p.edges[0].ready, "GET", "/metrics", "", "");
+  g_assert_nonnull (strstr (a.body, "bilberry_wait_ms_count{} 2\n"));
+  g_assert_nonnull (strstr (a.body, "bilberry_first_event_ms_count{} 1\n"));
+  g_assert_nonnull (strstr (a.body, "bilberry_answer_ms_count{} 2\n"));
+  answer_free (&a);
   plant_free (&p);
 }
 
