--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -136,7 +136,6 @@
   bb_ms store_back_ms;
   struct bb_h1_server *front;
   struct bb_h1_server *ready;
-  struct bb_h1_server *metrics;
   bool draining;
   uint64_t numbers;
   GRand *rand;
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -204,7 +204,8 @@
   times_start ();
   fleet_init (e);
   watch_signals (e);
-  if (!open_front (e) || !status_start (e) || !peers_start (e))
+  if (!open_front (e) || !status_start (e) || !peers_start (e)
+      || !bb_metrics_listen (e->loop, e->start))
     return EXIT_FAILURE;
   e->store = bb_store_new (e->loop, e->start->store);
   reader_start (e);
--- a/cmd/edge/status.c
+++ b/cmd/edge/status.c
@@ -5,7 +5,6 @@
 
 #include "bilberry/settings.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -26,17 +25,10 @@
 on_request (struct bb_h1_exchange *x, void *arg)
 {
   struct edge *e = arg;
-  struct bb_bytes target = x->request.target;
-  char *text;
 
-  if (bb_bytes_equal (target, "/metrics"))
-    {
-      text = bb_metrics_print ();
-      bb_h1_respond (x, 200, NULL, 0, bb_bytes_of (text));
-      free (text);
-      return;
-    }
-  if (!bb_bytes_equal (target, bb_ready_target))
+  if (bb_metrics_respond (x))
+    return;
+  if (!bb_bytes_equal (x->request.target, bb_ready_target))
     {
       bb_h1_respond (x, 404, NULL, 0, bb_bytes_of ("no such page\n"));
       return;
--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -77,6 +77,8 @@
 
   if (!o)
     return;
+  if (status == 0)
+    bb_counter ("bilberry_orders_unanswered_total", "")->value++;
   if (l->leading)
     {
       if (status != 200 && status != 202)
@@ -196,6 +198,7 @@
                    || l->lead.phase == BB_LEAD_CLEARING
                    || l->lead.phase == BB_LEAD_GOING;
 
+  bb_counter ("bilberry_orders_total", "")->value++;
   o->id = ++l->orders;
   o->rank = rank;
   o->what = *what;
--- a/cmd/rank/main.c
+++ b/cmd/rank/main.c
@@ -110,7 +110,7 @@
       uv_signal_start (&signals[i], numbers[i] == SIGHUP ? on_hup : on_term,
                        numbers[i]);
     }
-  if (!view_start (a))
+  if (!view_start (a) || !bb_metrics_listen (a->loop, a->start))
     return EXIT_FAILURE;
   own_start (a);
   member_start (a);
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -26,6 +26,7 @@
   char *upstream; /* beside this process; the platform's "app"; NULL: none */
   char *pool;     /* of that upstream */
   char *store;    /* address; NULL: none */
+  uint32_t metrics_port; /* of the command line; 0: none */
   uint32_t memory_mb;
   uint32_t descriptors_max;
   bb_ms heartbeat_ms;
--- a/include/bilberry/start.h
+++ b/include/bilberry/start.h
@@ -2,8 +2,9 @@
 #define BILBERRY_START_H
 
 /* libstart - command line and settings of the programs that run on the
-   platform.  Link with -lstart -lplatform -largtable2.  */
+   platform.  Link with -lstart -lplatform -lh1 -largtable2.  */
 
+#include "bilberry/h1.h"
 #include "bilberry/platform.h"
 
 #ifndef BB_VERSION
@@ -23,6 +24,13 @@
                                    bb_start_fault *fault, char **path,
                                    int *status);
 
+/* Answers X where it asks for /metrics.  Returns whether it did.  */
+bool bb_metrics_respond (struct bb_h1_exchange *x);
+
+/* Serves /metrics on the port of the command line, if any.  False with a log
+   line where it cannot listen.  */
+bool bb_metrics_listen (uv_loop_t *loop, const struct bb_start *s);
+
 /* Tells pauses of the process by two clocks: a suspended VM stops the steady
    clock, a frozen process neither.  */
 struct bb_wake
--- a/libstart/command.c
+++ b/libstart/command.c
@@ -20,6 +20,12 @@
   return NULL;
 }
 
+static bool
+is_port (const struct arg_int *a)
+{
+  return a->count == 0 || (a->ival[0] > 0 && a->ival[0] <= UINT16_MAX);
+}
+
 struct bb_start *
 bb_start_command (int argc, char **argv, const char *program,
                   bb_start_fault *fault, char **path, int *status)
@@ -32,8 +38,10 @@
   struct arg_file *file
       = arg_file0 ("s", "settings", "FILE",
                    "settings; by default the environment names them");
-  struct arg_end *end = arg_end (4);
-  void *table[] = { help, version, check, file, end };
+  struct arg_int *metrics
+      = arg_int0 ("m", "metrics", "PORT", "serve /metrics on this port too");
+  struct arg_end *end = arg_end (5);
+  void *table[] = { help, version, check, file, metrics, end };
   int faults = arg_parse (argc, argv, table);
   const char *name = file->count > 0 ? file->filename[0] : bb_start_path ();
   struct bb_start *s = NULL;
@@ -48,11 +56,13 @@
     }
   else if (version->count > 0)
     printf ("%s %s\n", program, BB_VERSION);
-  else if (faults > 0 || !name)
+  else if (faults > 0 || !name || !is_port (metrics))
     {
       arg_print_errors (stderr, end, program);
       if (!name)
         fprintf (stderr, "%s: no settings are named\n", program);
+      if (!is_port (metrics))
+        fprintf (stderr, "%s: --metrics is not a port\n", program);
       fprintf (stderr, "Usage: %s", program);
       arg_print_syntax (stderr, table, "\n");
       *status = 2;
@@ -62,6 +72,8 @@
       s = read_settings (name, program, fault);
       *status = s ? EXIT_SUCCESS : EXIT_FAILURE;
     }
+  if (s && metrics->count > 0)
+    s->metrics_port = (uint32_t)metrics->ival[0];
   if (s && check->count > 0)
     {
       bb_start_free (s);
--- a/test/harness/plant.c
+++ b/test/harness/plant.c
@@ -144,6 +144,7 @@
   uint32_t n = p->edges_count++;
   struct plant_edge *e = &p->edges[n];
   GString *seeds = g_string_new ("");
+  char *metrics;
   char name[32];
   char *path;
   char *text;
@@ -151,6 +152,8 @@
   e->front = harness_port (p->h);
   e->ready = harness_port (p->h);
   e->control = harness_port (p->h);
+  e->metrics = harness_port (p->h);
+  metrics = g_strdup_printf ("%u", e->metrics);
   e->store = store ? store : p->store;
   for (uint32_t i = 0; i <= n; i++)
     g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
@@ -161,10 +164,11 @@
   harness_write_in (harness_config_dir (p->h), name, text);
   path = g_strdup_printf ("%s/%s", harness_config_dir (p->h), name);
   g_snprintf (name, sizeof name, "edge-%u", n);
-  e->pid
-      = harness_spawn (p->h, name, "bilberry-edge", "--settings", path, NULL);
+  e->pid = harness_spawn (p->h, name, "bilberry-edge", "--settings", path,
+                          "--metrics", metrics, NULL);
   await_ready (e);
   g_string_free (seeds, TRUE);
+  g_free (metrics);
   g_free (text);
   g_free (path);
   return n;
--- a/test/harness/plant.h
+++ b/test/harness/plant.h
@@ -15,6 +15,7 @@
   uint16_t front;
   uint16_t ready;
   uint16_t control;
+  uint16_t metrics;
   uint16_t store; /* port; may be that of nothing */
   pid_t pid;
 };
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -54,7 +54,7 @@
   g_assert_nonnull (strstr (text, "\"event\":\"send\",\"id\":\"o1\""));
   g_free (text);
   /* One order and one stream were timed.  */
-  a = harness_http (p.edges[0].ready, "GET", "/metrics", "", "");
+  a = harness_http (p.edges[0].metrics, "GET", "/metrics", "", "");
   g_assert_nonnull (strstr (a.body, "bilberry_wait_ms_count{} 2\n"));
   g_assert_nonnull (strstr (a.body, "bilberry_first_event_ms_count{} 1\n"));
   g_assert_nonnull (strstr (a.body, "bilberry_answer_ms_count{} 2\n"));
@@ -547,6 +547,10 @@
   g_assert_cmpint (harness_wait (h, harness_spawn (h, "b", "bilberry-rank",
                                                    "--nonsense", NULL)),
                    ==, 2);
+  g_assert_cmpint (
+      harness_wait (h, harness_spawn (h, "e", "bilberry-rank", "--metrics",
+                                      "70000", NULL)),
+      ==, 2);
   harness_write_in (harness_config_dir (h), "s.yaml",
                     "node: a\nip: 127.0.0.1\nzone: z\n");
   g_assert_cmpint (
