--- a/libgroup/follow.c
+++ b/libgroup/follow.c
@@ -100,18 +100,19 @@
 }
 
 /* Tries the hosts that come before the present leader, or before this one.
-   Where none of them answers, this one leads.  */
+   Where none of them answers, this one leads.  A leader that comes after this
+   one was followed while not all hosts were known.  */
 static enum bb_follow_act
 look (struct bb_follow *f, const char *const *hosts, uint32_t count, bb_ms now)
 {
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < count && strcmp (hosts[i], f->self) <= 0; i++)
     {
       if (f->leader && strcmp (hosts[i], f->leader) == 0)
         return BB_FOLLOW_NONE;
       if (strcmp (hosts[i], f->self) == 0)
         {
           f->leads = !f->leader;
-          return BB_FOLLOW_NONE;
+          return f->leader ? BB_FOLLOW_CLOSE_LEADER : BB_FOLLOW_NONE;
         }
       if (!bb_follow_is_elsewhere (f, hosts[i], now)
           && !was_tried_lately (f, hosts[i], now))
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -27,6 +27,7 @@
   bb_ms now;
   struct agent agents[AGENTS];
   const char *hosts[AGENTS];
+  uint32_t hosts_from; /* hosts before it are not known yet */
   uint32_t dials;
 };
 
@@ -131,7 +132,8 @@
         if (frozen (w, a))
           continue;
         hear (w, a);
-        while ((what = bb_follow_tick (&a->follow, w->hosts, AGENTS, w->now))
+        while ((what = bb_follow_tick (&a->follow, w->hosts + w->hosts_from,
+                                       AGENTS - w->hosts_from, w->now))
                != BB_FOLLOW_NONE)
           act (w, a, what);
       }
@@ -227,6 +229,23 @@
   world_free (w);
 }
 
+/* All start at once and learn of hosts bit by bit, the last ones first: none
+   may be left with a leader that comes after itself.  */
+static void
+test_late_hosts (void)
+{
+  struct world *w = world_new ();
+
+  join_groups (w);
+  w->hosts_from = AGENTS - 2;
+  run (w, 100);
+  w->hosts_from = 0;
+  run (w, 2000);
+  for (uint32_t g = 0; g < GROUPS; g++)
+    check_leader (w, g, g);
+  world_free (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -234,6 +253,7 @@
   g_test_add_func ("/follow/groups", test_groups);
   g_test_add_func ("/follow/frozen-leader", test_frozen_leader);
   g_test_add_func ("/follow/two-frozen", test_two_frozen);
+  g_test_add_func ("/follow/late-hosts", test_late_hosts);
   g_test_add_func ("/follow/group-changes", test_group_changes);
   return g_test_run ();
 }
