--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -283,7 +283,7 @@
 void
 leader_take_own (struct agent *a, const struct bb_rank_state *m)
 {
-  if (!member_leads ())
+  if (!leader.agent->follow.leads)
     return;
   if (set_up (&leader, m->size, m->rank))
     {
@@ -365,7 +365,8 @@
   if (!r)
     bb_event ("far_silent", "{s:s}", "address", far->address);
   if (r && r->grouped && l->leading && strcmp (r->group, l->group) != 0)
-    member_set_elsewhere (far->host, agent_now (l->agent));
+    bb_follow_set_elsewhere (&l->agent->follow, far->host,
+                             agent_now (l->agent));
   else if (r && r->grouped && l->leading)
     {
       m.epoch = r->epoch;
@@ -417,7 +418,8 @@
     {
       char *host = view_host_of (address);
       struct far *far;
-      if (has_agent (l, host) || member_is_elsewhere (host, now))
+      if (has_agent (l, host)
+          || bb_follow_is_elsewhere (&l->agent->follow, host, now))
         {
           g_free (host);
           continue;
@@ -465,7 +467,7 @@
   DL_FOREACH_SAFE (l->followers, f, tmp)
   if (now - f->heard_ms > SILENT_MS)
     bb_conn_close (f->conn, "silent");
-  if (!l->leading || !member_leads ())
+  if (!l->leading || !leader.agent->follow.leads)
     return;
   ask_far (l);
   bb_lead_tick (&l->lead, now);
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -20,7 +20,6 @@
 struct member
 {
   struct agent *agent;
-  struct bb_follow follow;
   struct link *leader;  /* NULL: none */
   struct link *dialled; /* NULL: none */
 };
@@ -36,24 +35,6 @@
   uint64_t version;
 };
 
-bool
-member_leads (void)
-{
-  return member.follow.leads;
-}
-
-bool
-member_is_elsewhere (const char *host, bb_ms now)
-{
-  return bb_follow_is_elsewhere (&member.follow, host, now);
-}
-
-void
-member_set_elsewhere (const char *host, bb_ms now)
-{
-  bb_follow_set_elsewhere (&member.follow, host, now);
-}
-
 static void
 on_result (uint16_t status, void *user)
 {
@@ -135,7 +116,7 @@
       || (l != member.leader && l != member.dialled))
     return;
   group = g_strndup (m->u.rank_hello.group.ptr, m->u.rank_hello.group.size);
-  act (bb_follow_told (&member.follow, l->host, group, now));
+  act (bb_follow_told (&member.agent->follow, l->host, group, now));
   g_free (group);
 }
 
@@ -170,7 +151,7 @@
     member.dialled = NULL;
   else
     return;
-  bb_follow_closed (&member.follow, l->host);
+  bb_follow_closed (&member.agent->follow, l->host);
 }
 
 /* The connection's end is told later.  */
@@ -196,7 +177,7 @@
 static void
 dial (struct agent *a)
 {
-  const char *host = member.follow.dialled;
+  const char *host = member.agent->follow.dialled;
   char *address
       = g_strdup_printf ("%s:%u", host, (unsigned)a->start->port_first);
   struct sockaddr_storage addr;
@@ -210,7 +191,7 @@
       l->conn = bb_conn_connect (a->loop, &addr, &ops, l);
     }
   else
-    bb_follow_closed (&member.follow, host);
+    bb_follow_closed (&member.agent->follow, host);
   g_free (address);
 }
 
@@ -258,12 +239,13 @@
   enum bb_follow_act what;
 
   if (a->own.known
-      && bb_follow_set_group (&member.follow, a->own.report.group))
+      && bb_follow_set_group (&member.agent->follow, a->own.report.group))
     leader_stop (a);
   do
     {
-      what = bb_follow_tick (&member.follow, (const char *const *)hosts->pdata,
-                             hosts->len, agent_now (a));
+      what = bb_follow_tick (&member.agent->follow,
+                             (const char *const *)hosts->pdata, hosts->len,
+                             agent_now (a));
       act (what);
     }
   while (what != BB_FOLLOW_NONE);
@@ -274,20 +256,21 @@
 member_woke (struct agent *a)
 {
   leader_stop (a);
-  bb_follow_woke (&member.follow);
+  bb_follow_woke (&member.agent->follow);
   if (member.leader)
     drop (member.leader, "this process was paused");
 }
 
-void
-member_tell (struct agent *a)
+/* Sends the own state to the leader, which may be this process.  */
+static void
+tell_own (struct agent *a)
 {
   struct bb_rank_state m;
 
   /* A rank that is not known yet is told with no group, as a heartbeat.  */
   if (member.leader)
     tell (member.leader, true);
-  else if (member.follow.leads)
+  else if (member.agent->follow.leads)
     {
       own_fill (a, &m, true);
       leader_take_own (a, &m);
@@ -302,7 +285,8 @@
 member_start (struct agent *a)
 {
   member.agent = a;
-  bb_follow_init (&member.follow, a->host);
+  a->on_own = tell_own;
+  bb_follow_init (&member.agent->follow, a->host);
   leader_start (a);
   return true;
 }
--- a/cmd/rank/own.c
+++ b/cmd/rank/own.c
@@ -128,7 +128,7 @@
   else if (k->question != ASK_LISTS && wants_lists (a))
     ask (ASK_LISTS);
   else
-    member_tell (a);
+    a->on_own (a);
 }
 
 static void
@@ -140,7 +140,7 @@
   k->busy = false;
   if (how == BB_H1_FETCH_LOST)
     {
-      member_tell (k->agent);
+      k->agent->on_own (k->agent);
       return;
     }
   if (how == BB_H1_FETCH_ANSWERED && status == 200)
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -5,10 +5,11 @@
    rank's report and counts, and gives it orders.  One agent of each group
    leads: it plans expert maps and brings all ranks to them.
 
-   main.c starts; view.c learns the fleet from an entry; own.c asks the own
-   rank; member.c keeps the connection to the leader; leader.c takes the
-   members' states and drives the switch; plan.c decides on a map; remote.c
-   reaches ranks that have no agent.  Each calls only those after it.  */
+   main.c starts; member.c keeps the connection to the leader; leader.c takes
+   the members' states and drives the switch; own.c asks the own rank, and says
+   so by agent->on_own; plan.c decides on a map; remote.c reaches ranks that
+   have no agent; view.c learns the fleet from an entry.  Each calls only those
+   after it.  */
 
 #include "bilberry/group.h"
 #include "bilberry/peer.h"
@@ -63,7 +64,9 @@
   char *host;                 /* of the own upstream */
   struct own own;
   uv_timer_t timer;
-  bool busy; /* a switch is under way */
+  bool busy;                        /* a switch is under way */
+  struct bb_follow follow;          /* who leads */
+  void (*on_own) (struct agent *a); /* the own rank was asked */
   struct bb_wake wake;
 };
 
@@ -95,12 +98,6 @@
 /* member.c */
 bool member_start (struct agent *a);
 void member_tick (struct agent *a);
-/* Sends the own state to the leader, which may be this process.  */
-void member_tell (struct agent *a);
-bool member_leads (void);
-/* Whether HOST is known to be of another group.  */
-bool member_is_elsewhere (const char *host, bb_ms now);
-void member_set_elsewhere (const char *host, bb_ms now);
 /* The process was paused: its beliefs are old.  */
 void member_woke (struct agent *a);
 
