Plan from counts of one demand, and price copies by their size

Cause 1: a shift of demand moved the fast counts by 0.17 to 0.29 of the slow ones and was never found (threshold 0.35; without a shift 0.03 to 0.12), so the first map after it was planned from mostly old counts. It is found at 0.16 now, and slow counts start anew while it settles. Cause 2: a copy cost 10 ms of the group's time whatever its size: with experts of 150 MB the search stopped at skews of 1.45 to 1.5. 12.8 ms a gigabyte now. The decision is bb_plan in libgroup, with /group/plan/shift, which fails at either of the former values.

--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -43,6 +43,7 @@
   struct bb_listener *listener;
   struct follower *followers;
   struct bb_lead lead;
+  struct bb_plan plan;
   bool leading; /* the state of the switch is set up */
   char group[64];
   bb_ms planned_ms;
@@ -233,7 +234,7 @@
                                  .places = p->engine.places,
                                  .spare = p->engine.spare };
   bb_lead_init (&l->lead, &size, self, give_order, l);
-  plan_reset ();
+  bb_plan_init (&l->plan, size.sets * size.experts);
   l->leading = true;
   snprintf (l->group, sizeof l->group, "%s", l->agent->own.report.group);
   bb_event ("leads", "{s:s, s:i, s:i}", "group", l->group, "ranks", (int)ranks,
@@ -273,7 +274,8 @@
   if (m->counts.size > 0)
     {
       uint16_t *deltas = g_memdup2 (m->counts.ptr, m->counts.size);
-      plan_counts (deltas, m->counts.size / (uint32_t)sizeof *deltas, now);
+      bb_plan_counts (&l->plan, deltas,
+                      m->counts.size / (uint32_t)sizeof *deltas, now);
       g_free (deltas);
     }
   bb_lead_tick (&l->lead, now);
@@ -437,15 +439,20 @@
 plan (struct leader *l)
 {
   bb_ms now = agent_now (l->agent);
+  const struct bb_pool *pool = l->agent->pool;
+  struct bb_plan_engine e;
   struct bb_climb_plan p;
   uint16_t *next;
 
-  if (!l->agent->pool || now - l->planned_ms < PLAN_EVERY_MS
+  if (!pool || now - l->planned_ms < PLAN_EVERY_MS
       || !bb_lead_is_ready (&l->lead, now))
     return;
   l->planned_ms = now;
   next = g_new (uint16_t, bb_group_places (&l->lead.size));
-  if (plan_next (&l->agent->pool->engine, &l->lead, next, now, &p))
+  e = (struct bb_plan_engine){ .expert_mb = pool->engine.expert_mb,
+                               .link_mbps = pool->engine.link_mbps,
+                               .expert_share = pool->engine.expert_share };
+  if (bb_plan_next (&l->plan, &l->lead.size, &e, l->lead.map, next, now, &p))
     {
       bb_event ("plan", "{s:f, s:f, s:i, s:i}", "before", p.before, "after",
                 p.after, "copies", (int)p.copies, "copies_most",
@@ -488,6 +495,7 @@
             bb_lead_phase_name (l->lead.phase));
   l->leading = false;
   bb_lead_free (&l->lead);
+  bb_plan_free (&l->plan);
   g_hash_table_remove_all (l->waiting);
 }
 
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -7,9 +7,8 @@
 
    main.c starts; member.c keeps the connection to the leader; leader.c takes
    the members' states and drives the switch; own.c asks the own rank, and says
-   so by agent->on_own; plan.c decides on a map; remote.c reaches ranks that
-   have no agent; view.c learns the fleet from an entry.  Each calls only those
-   after it.  */
+   so by agent->on_own; remote.c reaches ranks that have no agent; view.c
+   learns the fleet from an entry.  Each calls only those after it.  */
 
 #include "bilberry/group.h"
 #include "bilberry/peer.h"
@@ -108,14 +107,6 @@
 void leader_stop (struct agent *a);
 extern const struct bb_conn_ops leader_ops;
 
-/* plan.c */
-/* Takes the counts of one rank since its last state.  */
-void plan_counts (const uint16_t *deltas, uint32_t count, bb_ms now);
-void plan_reset (void);
-/* Writes the map to switch to; false where none pays.  */
-bool plan_next (const struct bb_engine *e, struct bb_lead *l, uint16_t *next,
-                bb_ms now, struct bb_climb_plan *plan);
-
 /* remote.c */
 /* Asks the upstream at ADDRESS for its report.  */
 typedef void remote_fn (const struct bb_rank_report *r, void *user);
--- /dev/null
+++ b/libgroup/plan.c
@@ -0,0 +1,140 @@
+#include "bilberry/group.h"
+
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  FAST_HALF_LIFE_MS = 90,  /* shows a shift of demand */
+  SLOW_HALF_LIFE_MS = 700, /* evens out the mix of requests */
+  SETTLE_MS = 160,         /* counts from before a shift fade for so long */
+  SHIFT_GAP_MS = 320,      /* a shift within it is the same one */
+  HORIZON_MS = 2500,       /* for which the loads are expected to last */
+  MEGABITS_OF_MB = 8,
+  MB_OF_GB = 1000
+};
+
+/* Part by which passes are longer while experts are copied.  */
+static const double copying_slow = 0.15;
+
+/* Worth of copying a gigabyte, against the group's time.  */
+static const double copy_price_ms_per_gb = 12.8;
+
+/* A map this even keeps streams in time.  */
+static const double skew_least = 1.25;
+
+/* Part of the demand that must go to other experts to count as a shift;
+   without one, fast and slow counts differ by up to 0.12.  */
+static const double shift_least = 0.16;
+
+/* Counts that are worth planning from.  */
+static const double counts_least = 2000;
+
+void
+bb_plan_init (struct bb_plan *p, uint32_t count)
+{
+  memset (p, 0, sizeof *p);
+  p->count = count;
+  p->fast = g_new0 (double, count);
+  p->slow = g_new0 (double, count);
+}
+
+void
+bb_plan_free (struct bb_plan *p)
+{
+  g_free (p->fast);
+  g_free (p->slow);
+  memset (p, 0, sizeof *p);
+}
+
+static void
+decay (struct bb_plan *p, bb_ms now)
+{
+  double age = (double)(now - p->decayed_ms);
+  double fast_part = pow (0.5, age / FAST_HALF_LIFE_MS);
+  double slow_part = pow (0.5, age / SLOW_HALF_LIFE_MS);
+
+  if (now == p->decayed_ms)
+    return;
+  p->decayed_ms = now;
+  for (uint32_t i = 0; i < p->count; i++)
+    {
+      p->fast[i] *= fast_part;
+      p->slow[i] *= slow_part;
+    }
+}
+
+void
+bb_plan_counts (struct bb_plan *p, const uint16_t *deltas, uint32_t count,
+                bb_ms now)
+{
+  if (count != p->count)
+    return;
+  decay (p, now);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      p->fast[i] += deltas[i];
+      p->slow[i] += deltas[i];
+    }
+}
+
+static double
+total_of (const double *loads, uint32_t count)
+{
+  double total = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    total += loads[i];
+  return total;
+}
+
+/* Returns the part of demand that has gone to other experts.  */
+static double
+shift_of (const struct bb_plan *p, double fast_total, double slow_total)
+{
+  double moved = 0;
+
+  for (uint32_t i = 0; i < p->count; i++)
+    moved += fabs (p->fast[i] / fast_total - p->slow[i] / slow_total);
+  return moved / 2;
+}
+
+/* Forgets what was before a shift.  Returns whether counts are of one
+   demand.  */
+static bool
+look_for_shift (struct bb_plan *p, bb_ms now)
+{
+  double fast_total = total_of (p->fast, p->count);
+  double slow_total = total_of (p->slow, p->count);
+
+  if (fast_total < counts_least || slow_total < counts_least)
+    return false;
+  if (shift_of (p, fast_total, slow_total) > shift_least
+      && now - p->shifted_ms > SHIFT_GAP_MS)
+    p->shifted_ms = now;
+  if (now - p->shifted_ms < SETTLE_MS)
+    memcpy (p->slow, p->fast, p->count * sizeof *p->slow);
+  return now - p->shifted_ms >= SETTLE_MS;
+}
+
+bool
+bb_plan_next (struct bb_plan *p, const struct bb_group_size *s,
+              const struct bb_plan_engine *e, const uint16_t *map,
+              uint16_t *next, bb_ms now, struct bb_climb_plan *plan)
+{
+  struct bb_climb_cost cost
+      = { .copy_ms = e->link_mbps > 0
+                         ? e->expert_mb * MEGABITS_OF_MB * 1000 / e->link_mbps
+                         : 0,
+          .horizon_ms = HORIZON_MS,
+          .slow = copying_slow,
+          .share = e->expert_share,
+          .copy_price_ms = copy_price_ms_per_gb * e->expert_mb / MB_OF_GB,
+          .skew_least = skew_least };
+
+  decay (p, now);
+  if (p->count != s->sets * s->experts || !look_for_shift (p, now))
+    return false;
+  *plan = bb_climb (s, map, p->slow, &cost, next);
+  return plan->worthwhile;
+}
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -132,6 +132,74 @@
   g_assert_false (bb_climb (&size, map, loads, &cost, next).worthwhile);
 }
 
+enum
+{
+  PLAN_SETS = 16,
+  PLAN_EXPERTS = 96,
+  PLAN_COUNTS = PLAN_SETS * PLAN_EXPERTS,
+  COUNT_EVERY_MS = 100
+};
+
+/* Fills the counts of one interval: expert E of each set is taken as the one
+   FIRST places further in the order of demand.  */
+static void
+fill_demand (uint16_t *counts, uint32_t first)
+{
+  for (uint32_t i = 0; i < PLAN_COUNTS; i++)
+    {
+      uint32_t order = (i % PLAN_EXPERTS * 37 + first) % PLAN_EXPERTS;
+      counts[i] = (uint16_t)(3000 / (order + 1));
+    }
+}
+
+/* Load pattern: small experts, and demand that shifts.  Nothing is planned
+   from counts of both demands, and the maps that follow are even enough.  */
+static void
+test_plan_shift (void)
+{
+  static const struct bb_group_size s = { PLAN_SETS, PLAN_EXPERTS, 24, 5, 2 };
+  static const struct bb_plan_engine e
+      = { .expert_mb = 150, .link_mbps = 44000, .expert_share = 0.85 };
+  size_t places = bb_group_places (&s);
+  g_autofree uint16_t *map = g_new (uint16_t, places);
+  g_autofree uint16_t *next = g_new (uint16_t, places);
+  uint16_t counts[PLAN_COUNTS];
+  struct bb_climb_plan c;
+  struct bb_plan p;
+  bb_ms now = 1000;
+  uint32_t first;
+
+  bb_plan_init (&p, PLAN_COUNTS);
+  fill_in_turn (map, &s);
+  for (uint32_t shift = 0; shift < 3; shift++)
+    {
+      first = shift * 31;
+      fill_demand (counts, first);
+      /* The first interval after a shift is a mix.  */
+      now += COUNT_EVERY_MS;
+      bb_plan_counts (&p, counts, PLAN_COUNTS, now);
+      if (shift > 0)
+        g_assert_false (bb_plan_next (&p, &s, &e, map, next, now, &c));
+      for (uint32_t i = 0; i < 20; i++)
+        {
+          now += COUNT_EVERY_MS;
+          bb_plan_counts (&p, counts, PLAN_COUNTS, now);
+          if (!bb_plan_next (&p, &s, &e, map, next, now, &c))
+            continue;
+          check_valid (&s, map, next);
+          memcpy (map, next, places * sizeof *map);
+        }
+      for (uint32_t set = 0; set < s.sets; set++)
+        {
+          double loads[PLAN_EXPERTS];
+          for (uint32_t k = 0; k < PLAN_EXPERTS; k++)
+            loads[k] = counts[set * PLAN_EXPERTS + k];
+          g_assert_cmpfloat (bb_group_skew (&s, map, set, loads), <, 1.25);
+        }
+    }
+  bb_plan_free (&p);
+}
+
 /* A rank as the platform describes it.  */
 struct rank
 {
@@ -638,6 +706,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/group/climb/evens", test_climb_evens);
   g_test_add_func ("/group/climb/leaves", test_climb_leaves);
+  g_test_add_func ("/group/plan/shift", test_plan_shift);
   g_test_add_func ("/group/switch/calm", test_switch_calm);
   g_test_add_func ("/group/switch/late-orders", test_switch_late_orders);
   g_test_add_func ("/group/switch/half-lost", test_switch_half_lost);
