Keep an agent up that hears from one without a group

Tests: /rank/first-knows-nothing, which fails before, and /rank/leader-stops (a silent leader, with real processes).

--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -312,8 +312,7 @@
                  && bb_bytes_equal (m->u.rank_state.group, leader.group);
       f->rank = m->u.rank_state.rank;
       g_free (f->host);
-      f->host = g_strndup (m->u.rank_state.upstream.ptr,
-                           m->u.rank_state.upstream.size);
+      f->host = bb_bytes_dup (m->u.rank_state.upstream);
       if (f->named)
         take_state (&leader, &m->u.rank_state, true);
       /* Shows that this process lives, also before it leads.  */
--- a/cmd/rank/member.c
+++ b/cmd/rank/member.c
@@ -82,7 +82,7 @@
   order->id = m->id;
   if (m->target.size > 0)
     {
-      char *address = g_strndup (m->target.ptr, m->target.size);
+      char *address = bb_bytes_dup (m->target);
       /* Told before it is given: who leads next must know of it.  */
       member.agent->own.gave_epoch = m->epoch;
       member.agent->own.gave_version = m->version;
@@ -115,7 +115,7 @@
   if (m->type != BB_MSG_RANK_HELLO
       || (l != member.leader && l != member.dialled))
     return;
-  group = g_strndup (m->u.rank_hello.group.ptr, m->u.rank_hello.group.size);
+  group = bb_bytes_dup (m->u.rank_hello.group);
   act (bb_follow_told (&member.agent->follow, l->host, group, now));
   g_free (group);
 }
--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -191,6 +191,8 @@
       answer (c, "200 OK", attempt, "Connection: close\r\n", ran->str);
       close_channel (c);
     }
+  else if (g_str_has_prefix (head, "GET /v1/report ") && has_fault ("mute"))
+    answer (c, "503 Starting", attempt, "", "");
   else if (g_str_has_prefix (head, "GET /v1/report "))
     answer (c, "200 OK", attempt, "",
             has_fault ("broken") ? broken_text : report_text);
--- a/include/bilberry/base.h
+++ b/include/bilberry/base.h
@@ -37,6 +37,10 @@
 /* Makes bytes of the string TEXT; NULL makes empty bytes.  */
 struct bb_bytes bb_bytes_of (const char *text);
 
+/* Returns a copy of BYTES as a string, which the caller frees; empty bytes,
+   which may have no address, make an empty one.  */
+char *bb_bytes_dup (struct bb_bytes bytes);
+
 /* A counter in the Prometheus sense.  LABELS is empty or the inside of the
    braces, such as reason="overload".  */
 struct bb_counter
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -57,8 +57,8 @@
 pid_t harness_spawn (struct harness *h, const char *log, const char *program,
                      ...) __attribute__ ((sentinel));
 
-/* Returns the path of edge-N.out; the caller frees it.  */
-char *harness_log_path (const struct harness *h, uint32_t n);
+/* Returns the path of LOG.out; the caller frees it.  */
+char *harness_log_path (const struct harness *h, const char *log);
 
 /* Sends SIGNAL to a process of the harness.  */
 void harness_signal (struct harness *h, pid_t pid, int signal);
--- a/test/harness/plant.c
+++ b/test/harness/plant.c
@@ -104,19 +104,28 @@
 uint32_t
 plant_replica (struct plant *p, const char *id, const char *pool,
                const char *fault)
+{
+  return plant_replica_on (p, "127.0.0.1", id, pool, fault);
+}
+
+uint32_t
+plant_replica_on (struct plant *p, const char *ip, const char *id,
+                  const char *pool, const char *fault)
 {
   uint16_t port = harness_port (p->h);
   char *key = g_strdup_printf ("servers/%s", id);
   char *value = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+      "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z1\","
       "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold-left-ms\":0,"
       "\"seq\":1}",
-      pool, port);
+      pool, ip, port);
   char address[32];
 
-  g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  g_snprintf (address, sizeof address, "%s:%u", ip, port);
   harness_start (p->h, id, "fake-replica", address, id, fault, NULL);
   plant_put (p, key, value);
+  g_snprintf (p->replica_ips[p->replicas_count], PLANT_IP_SIZE, "%s", ip);
+  g_snprintf (p->replica_pools[p->replicas_count], PLANT_IP_SIZE, "%s", pool);
   p->replicas[p->replicas_count++] = port;
   g_free (key);
   g_free (value);
@@ -177,17 +186,22 @@
 pid_t
 plant_rank (struct plant *p, uint32_t r)
 {
-  uint16_t port = harness_port (p->h);
-  char *text = g_strdup_printf (
-      "node: \"side-%u\"\nip: \"127.0.0.1\"\nzone: \"z1\"\n"
-      "internal-ports:\n  - %u\n  - %u\nseeds:\n  - \"127.0.0.1:%u\"\n"
-      "app: \"127.0.0.1:%u\"\nservice: \"app\"\n",
-      r, port, port, p->edges[0].control, p->replicas[r]);
+  const char *ip = p->replica_ips[r];
+  char *text;
   char *path
       = g_strdup_printf ("%s/side-%u.yaml", harness_config_dir (p->h), r);
   char name[32];
   pid_t pid;
 
+  if (p->agents_port == 0)
+    p->agents_port = harness_port (p->h);
+  text = g_strdup_printf (
+      "node: \"side-%u\"\nip: \"%s\"\nzone: \"z1\"\n"
+      "internal-ports:\n  - %u\n  - %u\nseeds:\n  - \"127.0.0.1:%u\"\n"
+      "app: \"%s:%u\"\nservice: \"%s\"\n",
+      r, ip, p->agents_port, p->agents_port, p->edges[0].control, ip,
+      p->replicas[r], p->replica_pools[r]);
+
   g_snprintf (name, sizeof name, "side-%u.yaml", r);
   harness_write_in (harness_config_dir (p->h), name, text);
   g_snprintf (name, sizeof name, "side-%u", r);
@@ -251,9 +265,9 @@
 }
 
 char *
-plant_log (struct plant *p, uint32_t e)
+plant_log (struct plant *p, const char *process)
 {
-  char *path = harness_log_path (p->h, e);
+  char *path = harness_log_path (p->h, process);
   char *text = NULL;
 
   g_file_get_contents (path, &text, NULL, NULL);
--- a/test/harness/plant.h
+++ b/test/harness/plant.h
@@ -7,7 +7,8 @@
 
 enum
 {
-  PLANT_MAX = 16
+  PLANT_MAX = 16,
+  PLANT_IP_SIZE = 16
 };
 
 struct plant_edge
@@ -28,7 +29,10 @@
   struct plant_edge edges[PLANT_MAX];
   uint32_t edges_count;
   uint16_t replicas[PLANT_MAX];
+  char replica_ips[PLANT_MAX][PLANT_IP_SIZE];
+  char replica_pools[PLANT_MAX][PLANT_IP_SIZE];
   uint32_t replicas_count;
+  uint16_t agents_port; /* the same on each IP number; 0: none yet */
 };
 
 /* Starts a store with a configuration: host 127.0.0.1, route /order/ (at
@@ -42,6 +46,10 @@
 uint32_t plant_replica (struct plant *p, const char *id, const char *pool,
                         const char *fault);
 
+/* The same on a loopback address of its own, so that several agents run.  */
+uint32_t plant_replica_on (struct plant *p, const char *ip, const char *id,
+                           const char *pool, const char *fault);
+
 /* Starts an edge and waits until it is ready.  STORE 0: the plant's.  */
 uint32_t plant_edge (struct plant *p, uint16_t store);
 
@@ -69,7 +77,8 @@
 bool plant_await (struct plant *p, uint32_t e, const char *path,
                   const char *key, int status);
 
-/* Returns what edge E has logged; the caller frees it.  */
-char *plant_log (struct plant *p, uint32_t e);
+/* Returns what PROCESS, such as "edge-0" or "side-0", has logged; the caller
+   frees it.  */
+char *plant_log (struct plant *p, const char *process);
 
 #endif
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -301,11 +301,11 @@
 }
 
 char *
-harness_log_path (const struct harness *h, uint32_t n)
+harness_log_path (const struct harness *h, const char *log)
 {
   char *path = NULL;
 
-  if (asprintf (&path, "%s/edge-%u.out", h->dir, n) < 0)
+  if (asprintf (&path, "%s/%s.out", h->dir, log) < 0)
     fail ("asprintf");
   return path;
 }
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -50,7 +50,7 @@
   g_assert_nonnull (strstr (a.body, " key \n"));
   g_assert_null (strstr (a.body, "forged"));
   answer_free (&a);
-  text = plant_log (&p, 0);
+  text = plant_log (&p, "edge-0");
   g_assert_nonnull (strstr (text, "\"event\":\"send\",\"id\":\"o1\""));
   g_free (text);
   /* One order and one stream were timed.  */
@@ -227,7 +227,7 @@
   plant_put (&p, "op/config", "{\"version\":9}");
   harness_sleep_ms (200);
   check_status (&p, "POST", "/order/1", "o2", 200);
-  text = plant_log (&p, 0);
+  text = plant_log (&p, "edge-0");
   g_assert_nonnull (strstr (text, "\"event\":\"upstream_unusable\""));
   g_assert_nonnull (strstr (text, "\"event\":\"config_unusable\""));
   g_free (text);
@@ -357,7 +357,7 @@
   harness_signal (p.h, p.edges[0].pid, SIGHUP);
   harness_sleep_ms (200);
   check_status (&p, "POST", "/order/1", "o1", 200);
-  text = plant_log (&p, 0);
+  text = plant_log (&p, "edge-0");
   g_assert_nonnull (strstr (text, "\"event\":\"reload_refused\""));
   g_free (text);
   plant_free (&p);
@@ -464,7 +464,7 @@
   for (uint32_t i = 0; i < 40; i++)
     {
       g_free (log);
-      log = plant_log (&p, 0);
+      log = plant_log (&p, "edge-0");
       if (strstr (log, "\"event\":\"caller_gone\",\"id\":\"g1\""))
         break;
       harness_sleep_ms (50);
@@ -494,7 +494,7 @@
       check_status (&p, "GET", "/draft/1", id, 200);
       harness_sleep_ms (50);
     }
-  text = plant_log (&p, 0);
+  text = plant_log (&p, "edge-0");
   told = strstr (text,
                  "\"event\":\"group\",\"pool\":\"draft\",\"group\":\"b\"");
   g_assert_nonnull (told);
@@ -517,7 +517,7 @@
   plant_edge (&p, 0);
   check_status (&p, "POST", "/order/1", "lost-1", 502);
   harness_sleep_ms (100);
-  log = plant_log (&p, 0);
+  log = plant_log (&p, "edge-0");
   lines = g_strsplit (log, "\n", -1);
   for (uint32_t i = 0; lines[i]; i++)
     if (strstr (lines[i], "\"id\":\"lost-1\""))
--- a/test/test_rank.c
+++ b/test/test_rank.c
@@ -58,11 +58,68 @@
   plant_free (&p);
 }
 
+/* Whether PROCESS logs TEXT, within five seconds.  */
+static bool
+is_logged (struct plant *p, const char *process, const char *text)
+{
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      g_autofree char *log = plant_log (p, process);
+      if (strstr (log, text))
+        return true;
+      harness_sleep_ms (50);
+    }
+  return false;
+}
+
+/* The agent that comes first knows nothing of its rank yet, and says so: the
+   next one stays up and leads.  */
+static void
+test_first_knows_nothing (void)
+{
+  struct plant p;
+
+  plant_init (&p);
+  plant_replica_on (&p, "127.0.0.2", "i-1", "draft", "mute");
+  plant_replica_on (&p, "127.0.0.3", "i-2", "draft", "");
+  plant_edge (&p, 0);
+  plant_rank (&p, 0);
+  plant_rank (&p, 1);
+  g_assert_true (is_logged (&p, "side-1", "\"event\":\"leads\""));
+  g_assert_false (is_logged (&p, "side-0", "\"event\":\"leads\""));
+  plant_free (&p);
+}
+
+/* A leader that is stopped is left for the next agent.  */
+static void
+test_leader_stops (void)
+{
+  struct plant p;
+  pid_t first;
+
+  plant_init (&p);
+  plant_replica_on (&p, "127.0.0.2", "i-1", "draft", "");
+  plant_replica_on (&p, "127.0.0.3", "i-2", "draft", "");
+  plant_edge (&p, 0);
+  first = plant_rank (&p, 0);
+  g_assert_true (is_logged (&p, "side-0", "\"event\":\"leads\""));
+  plant_rank (&p, 1);
+  g_assert_true (is_logged (&p, "side-1", "\"event\":\"leader\""));
+  harness_signal (p.h, first, SIGSTOP);
+  g_assert_true (is_logged (&p, "side-1", "\"event\":\"leader_lost\""));
+  g_assert_true (is_logged (&p, "side-1", "\"event\":\"leads\""));
+  harness_signal (p.h, first, SIGCONT);
+  g_assert_true (is_logged (&p, "side-1", "\"event\":\"leads_no_more\""));
+  plant_free (&p);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rank/counts-while-prepared", test_counts_while_prepared);
   g_test_add_func ("/rank/hup", test_hup);
+  g_test_add_func ("/rank/first-knows-nothing", test_first_knows_nothing);
+  g_test_add_func ("/rank/leader-stops", test_leader_stops);
   return g_test_run ();
 }
