--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -162,6 +162,8 @@
 /* reader.c: keeps the view up to date from the store.  */
 void reader_start (struct edge *e);
 void reader_look_again (struct edge *e);
+/* Whether this process watches the store, which answers.  */
+bool reader_reads (const struct edge *e);
 
 /* peers.c */
 bool peers_start (struct edge *e);
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -21,6 +21,7 @@
 fill_state (struct bb_peer_state *m, void *user)
 {
   fleet_fill_state (user, m);
+  m->reads = reader_reads (user);
 }
 
 static void
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -1,5 +1,6 @@
-/* Keeps the view up to date from the store: lists once, then watches.  While
-   the store turns this process away, peers tell the news.  */
+/* Keeps the view up to date from the store: lists once, then watches, unless
+   enough peers do.  Peers also tell the news while the store turns this
+   process away.  */
 
 #include "edge.h"
 
@@ -11,7 +12,8 @@
   WATCH_WAIT_MS = 1500,    /* short, since a watch may go silent */
   WATCH_TIMEOUT_MS = 2300, /* of the whole call */
   AGAIN_MS = 200,          /* after a failure, doubled */
-  AGAIN_MAX_MS = 1600
+  AGAIN_MAX_MS = 1600,
+  LOOK_MS = 100 /* whether to watch again */
 };
 
 struct reader
@@ -22,6 +24,7 @@
   char *after;       /* last key of the listing so far */
   uint64_t revision; /* of its first page, then the one to watch from */
   bool listed;
+  bool rests; /* peers watch */
   bb_ms again_ms;
 };
 
@@ -155,11 +158,46 @@
   step (r);
 }
 
+/* Peers that watch have all news, and know of the store's return.  */
+static void
+rest (struct reader *r)
+{
+  struct edge *e = r->edge;
+
+  if (!r->rests)
+    bb_event ("store_rests", "{s:I}", "revision",
+              (json_int_t)e->view->revision);
+  r->rests = true;
+  if (!e->store_ok)
+    e->store_back_ms = edge_now (e);
+  e->store_ok = true;
+  r->again_ms = 0;
+  uv_timer_start (&r->timer, on_timer, LOOK_MS, 0);
+}
+
+/* All up to the view's revision is known, from here or from peers.  */
+static void
+resume (struct reader *r)
+{
+  bb_event ("store_watched", "{s:I}", "revision",
+            (json_int_t)r->edge->view->revision);
+  r->rests = false;
+  r->revision = r->edge->view->revision;
+}
+
 static void
 step (struct reader *r)
 {
   struct bb_store *s = r->edge->store;
 
+  if (r->listed
+      && !bb_reader_is_wanted (bb_peers_reading_before (r->edge->peers)))
+    {
+      rest (r);
+      return;
+    }
+  if (r->rests)
+    resume (r);
   if (r->listed)
     bb_store_watch (s, "", r->revision, WATCH_WAIT_MS, WATCH_TIMEOUT_MS,
                     on_watched, r);
@@ -167,6 +205,12 @@
     bb_store_list (s, "", r->after, LIST_TIMEOUT_MS, on_listed, r);
 }
 
+bool
+reader_reads (const struct edge *e)
+{
+  return e->store_ok && reader.listed && !reader.rests;
+}
+
 void
 reader_look_again (struct edge *e)
 {
@@ -175,6 +219,7 @@
   bb_store_cancel (e->store);
   uv_timer_stop (&r->timer);
   r->listed = false;
+  r->rests = false;
   g_hash_table_remove_all (r->keys);
   g_free (r->after);
   r->after = g_strdup ("");
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -130,6 +130,11 @@
 /* Returns when a broken group is expected back, from NOW.  */
 bb_ms bb_group_back_in (const struct bb_group_watch *g, bb_ms now);
 
+/* Whether an entry is to watch the store, where READING_BEFORE peers that come
+   before it do.  Each watch is a priced call, and each change ends all of
+   them: of a large fleet only a few watch, and tell the others.  */
+bool bb_reader_is_wanted (uint32_t reading_before);
+
 /* How a try ended.  */
 enum bb_outcome
 {
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -251,6 +251,7 @@
   struct bb_upstream_load loads[256];
   uint32_t loads_count;
   bool taking;
+  bool reads;
 };
 
 /* One message of the switch of maps; bilberry/map.h names its types.  */
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -53,4 +53,7 @@
 /* Returns how many peers are connected that take callers themselves.  */
 uint32_t bb_peers_count (const struct bb_peers *p);
 
+/* Returns how many peers with a lower incarnation read the store.  */
+uint32_t bb_peers_reading_before (const struct bb_peers *p);
+
 #endif
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -27,6 +27,7 @@
   bool open;
   bool greeted;
   bool taking;
+  bool reads;
   bb_ms heard_ms;
   struct peer *prev;
   struct peer *next;
@@ -189,6 +190,7 @@
   struct bb_peers *p = peer->owner;
 
   peer->taking = m->taking;
+  peer->reads = m->reads;
   for (uint32_t i = 0; i < m->members_count; i++)
     add_place (p, m->members[i].address);
   p->ops->on_state (peer->name ? peer->name : "", m, p->user);
@@ -362,6 +364,18 @@
   return n;
 }
 
+uint32_t
+bb_peers_reading_before (const struct bb_peers *p)
+{
+  const struct peer *peer;
+  uint32_t n = 0;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->greeted && peer->reads && peer->incarnation < p->incarnation)
+    n++;
+  return n;
+}
+
 struct bb_peers *
 bb_peers_new (uv_loop_t *loop, const struct bb_peers_options *o,
               struct bb_view *view, const struct bb_peers_ops *ops, void *user,
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -988,7 +988,7 @@
 static void
 put_peer_state (msgpack_packer *pk, const struct bb_peer_state *v)
 {
-  msgpack_pack_map (pk, 4);
+  msgpack_pack_map (pk, 5);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->revision);
   msgpack_pack_uint8 (pk, 2);
@@ -1001,6 +1001,8 @@
     put_upstream_load (pk, &v->loads[i]);
   msgpack_pack_uint8 (pk, 4);
   bb_wire_put_bool (pk, v->taking);
+  msgpack_pack_uint8 (pk, 5);
+  bb_wire_put_bool (pk, v->reads);
 }
 
 static bool
@@ -1050,6 +1052,11 @@
             return false;
           seen |= UINT64_C (1) << 4;
           break;
+        case 5:
+          if (!bb_wire_get_bool (o, &v->reads, "reads", e))
+            return false;
+          seen |= UINT64_C (1) << 5;
+          break;
         default:
           break;
         }
@@ -3731,6 +3738,7 @@
   { BB_MSG_PEER_STATE, 2, false, "members" },
   { BB_MSG_PEER_STATE, 3, false, "loads" },
   { BB_MSG_PEER_STATE, 4, false, "taking" },
+  { BB_MSG_PEER_STATE, 5, false, "reads" },
   { BB_MSG_MAP_SWITCH, 1, true, "type" },
   { BB_MSG_MAP_SWITCH, 2, true, "from" },
   { BB_MSG_MAP_SWITCH, 3, true, "to" },
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -320,6 +320,69 @@
   plant_free (&p);
 }
 
+static bool
+has_logged (struct plant *p, uint32_t e, const char *text)
+{
+  g_autofree char *name = g_strdup_printf ("edge-%u", e);
+  g_autofree char *log = plant_log (p, name);
+
+  return strstr (log, text) != NULL;
+}
+
+/* Waits until COUNT edges have logged TEXT.  */
+static void
+await_logged (struct plant *p, const char *text, uint32_t count)
+{
+  uint32_t found = 0;
+
+  for (uint32_t i = 0; i < 100 && found < count; i++)
+    {
+      harness_sleep_ms (50);
+      found = 0;
+      for (uint32_t e = 0; e < p->edges_count; e++)
+        found += has_logged (p, e, text);
+    }
+  g_assert_cmpuint (found, >=, count);
+}
+
+/* Of six edges four watch the store and tell the others; when two of the four
+   are killed, others take their place.  */
+static void
+test_few_watch (void)
+{
+  const uint32_t edges = 6;
+  struct plant p;
+  uint32_t killed = 0;
+  uint32_t left = 0;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  for (uint32_t i = 0; i < edges; i++)
+    plant_edge (&p, 0);
+  await_logged (&p, "\"event\":\"store_rests\"", 2);
+  plant_config (&p, 2, "", ",\"key-2\"");
+  for (uint32_t i = 0; i < edges; i++)
+    g_assert_true (plant_await (&p, i, "/check/1", "key-2", 200));
+  for (uint32_t i = 0; i < edges && killed < 2; i++)
+    if (!has_logged (&p, i, "\"event\":\"store_rests\""))
+      {
+        harness_signal (p.h, p.edges[i].pid, SIGKILL);
+        p.edges[i].pid = 0;
+        killed++;
+      }
+  g_assert_cmpuint (killed, ==, 2);
+  await_logged (&p, "\"event\":\"store_watched\"", 2);
+  plant_config (&p, 3, "", "");
+  for (uint32_t i = 0; i < edges; i++)
+    if (p.edges[i].pid != 0)
+      {
+        g_assert_true (plant_await (&p, i, "/check/1", "key-2", 401));
+        left++;
+      }
+  g_assert_cmpuint (left, ==, edges - 2);
+  plant_free (&p);
+}
+
 static void
 test_drain (void)
 {
@@ -582,6 +645,7 @@
   g_test_add_func ("/edge/changes", test_changes);
   g_test_add_func ("/edge/store-fails", test_store_fails);
   g_test_add_func ("/edge/peers-tell", test_peers_tell);
+  g_test_add_func ("/edge/few-watch", test_few_watch);
   g_test_add_func ("/edge/drain", test_drain);
   g_test_add_func ("/edge/reload", test_reload);
   g_test_add_func ("/edge/bad-input", test_bad_input);
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -317,6 +317,18 @@
   g_assert_false (bb_waiter_before (&later, &timely, 600, 100));
 }
 
+/* Load pattern: a large fleet, of which each would watch the store.  */
+static void
+test_readers (void)
+{
+  uint32_t reading = 0;
+
+  for (uint32_t i = 0; i < 100; i++)
+    if (bb_reader_is_wanted (reading))
+      reading++;
+  g_assert_cmpuint (reading, ==, 4);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -331,6 +343,7 @@
   g_test_add_func ("/load/group/stall", test_group_stall);
   g_test_add_func ("/load/after", test_after);
   g_test_add_func ("/load/comeback", test_comeback);
+  g_test_add_func ("/load/readers", test_readers);
   g_test_add_func ("/load/waiters", test_waiters);
   return g_test_run ();
 }
