Let idle callers make room for new ones

An edge with all of its callers' channels taken closed each new one, so that idle callers kept others out for the idle timeout. The channel that has been idle for longest is closed now; both cases are counted. Test: /edge/many-callers, more callers than descriptors; it fails before.

--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -37,7 +37,8 @@
   uint32_t body_max_bytes;
   bb_ms head_timeout_ms; /* for a request to arrive whole */
   bb_ms idle_timeout_ms; /* for a channel without a request */
-  uint32_t channels_max; /* more are closed at once */
+  uint32_t channels_max; /* beyond it the one idle for longest is closed, or
+                            the new one where none is idle */
 };
 
 struct bb_h1_server;
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -445,11 +445,31 @@
     lose (c);
 }
 
+/* Ends the channel that has been idle for longest, to make room for a new
+   one.  Returns whether there was one.  */
+static bool
+end_idlest (struct bb_h1_server *s)
+{
+  struct channel *oldest = NULL;
+  struct channel *c;
+
+  DL_FOREACH (s->channels, c)
+  if (!c->answering && !c->ending && !c->closing && !c->reader.started
+      && (!oldest || c->since_ms < oldest->since_ms))
+    oldest = c;
+  if (!oldest)
+    return false;
+  bb_counter ("bilberry_channels_made_room_total", "")->value++;
+  close_channel (oldest);
+  return true;
+}
+
 static void
 on_connection (uv_stream_t *server, int status)
 {
   struct bb_h1_server *s = server->data;
   struct channel *c;
+  bool full;
 
   if (status < 0)
     return;
@@ -460,12 +480,13 @@
   uv_tcp_init (s->loop, &c->tcp);
   c->tcp.data = c;
   h1_reader_init (&c->reader, HTTP_REQUEST, &reader_ops, c);
+  full = s->count >= s->limits.channels_max && !end_idlest (s);
   DL_APPEND (s->channels, c);
   s->count++;
   c->since_ms = now_ms (c);
-  if (uv_accept (server, (uv_stream_t *)&c->tcp) < 0
-      || s->count > s->limits.channels_max)
+  if (uv_accept (server, (uv_stream_t *)&c->tcp) < 0 || full)
     {
+      bb_counter ("bilberry_channels_refused_total", "")->value++;
       close_channel (c);
       return;
     }
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -508,6 +508,43 @@
 }
 
 /* A caller that leaves ends the work: the replica's channel is closed.  */
+/* More callers than there are descriptors for: those that idle make room, and
+   the process stays small.  */
+static void
+test_many_callers (void)
+{
+  enum
+  {
+    CALLERS = 400, /* 60 of 100 of 500 descriptors are for callers */
+    MEMORY_MAX_KB = 160 * 1024 /* of the smallest VM */
+  };
+  int fds[CALLERS];
+  struct plant p;
+  struct answer a;
+  g_autofree char *path = NULL;
+  g_autofree char *status = NULL;
+  const char *peak;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  for (uint32_t i = 0; i < CALLERS; i++)
+    fds[i] = harness_connect (p.edges[0].front);
+  for (uint32_t i = 0; i < 5; i++)
+    check_status (&p, "GET", "/check/1", "m1", 200);
+  a = harness_http (p.edges[0].metrics, "GET", "/metrics", "", "");
+  g_assert_nonnull (strstr (a.body, "bilberry_channels_made_room_total 1"));
+  answer_free (&a);
+  path = g_strdup_printf ("/proc/%d/status", (int)p.edges[0].pid);
+  g_assert_true (g_file_get_contents (path, &status, NULL, NULL));
+  peak = strstr (status, "VmHWM:");
+  g_assert_nonnull (peak);
+  g_assert_cmpint (atoi (peak + strlen ("VmHWM:")), <, MEMORY_MAX_KB);
+  for (uint32_t i = 0; i < CALLERS; i++)
+    close (fds[i]);
+  plant_free (&p);
+}
+
 static void
 test_caller_leaves (void)
 {
@@ -650,6 +687,7 @@
   g_test_add_func ("/edge/reload", test_reload);
   g_test_add_func ("/edge/bad-input", test_bad_input);
   g_test_add_func ("/edge/channel", test_channel);
+  g_test_add_func ("/edge/many-callers", test_many_callers);
   g_test_add_func ("/edge/caller-leaves", test_caller_leaves);
   g_test_add_func ("/edge/broken-group", test_broken_group);
   g_test_add_func ("/edge/explains", test_explains);
