Tell news to peers once, not from everyone to everyone

The first of the edges that read the store tells all others at once now; states say up to which revision all is known and was sent, and a peer that lacks for 200 ms what is known gets it from anyone. Agents get signs of life without loads, and addresses of members go along once a second. Tests: /edge/teller-stops, /edge/few-watch, /edge/peers-tell.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -149,6 +149,9 @@
 struct line *fleet_line (struct edge *e, const char *pool);
 void fleet_item (struct edge *e, const char *key, GBytes *value,
                  uint64_t revision, const char *source);
+/* Whether this entry, the first of those that read the store, tells the others
+   news at once.  */
+bool fleet_tells (const struct edge *e);
 void fleet_init (struct edge *e);
 uint32_t fleet_members (const struct edge *e);
 /* Returns how many channels callers may have.  */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -225,6 +225,12 @@
             source, "revision", (json_int_t)revision, "lapsed", lapsed);
 }
 
+bool
+fleet_tells (const struct edge *e)
+{
+  return e->peers && bb_peers_reading_before (e->peers) == 0;
+}
+
 void
 fleet_item (struct edge *e, const char *key, GBytes *value, uint64_t revision,
             const char *source)
@@ -233,7 +239,7 @@
 
   if (!bb_view_put (e->view, key, value, revision))
     return;
-  if (e->peers)
+  if (strcmp (source, "store") == 0 && fleet_tells (e))
     bb_peers_tell (e->peers, g_hash_table_lookup (e->view->items, key));
   switch (bb_item_kind_of (key, &name))
     {
@@ -313,8 +319,8 @@
   g_hash_table_replace (e->peer_loads, g_strdup (name), loads);
   e->loads_changed = true;
   fleet_sum_others (e);
-  if (m->revision > e->view->revision)
-    e->view->revision = m->revision;
+  if (m->sent > e->view->revision)
+    e->view->revision = m->sent;
 }
 
 void
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -132,6 +132,7 @@
             void *user)
 {
   struct reader *r = user;
+  uint64_t before = r->revision;
 
   if (result == BB_STORE_GONE)
     {
@@ -152,6 +153,8 @@
     r->edge->view->revision = r->revision;
   if (page->items->len > 0)
     {
+      if (fleet_tells (r->edge))
+        bb_peers_told_all (r->edge->peers, before);
       bb_peers_send_state (r->edge->peers);
       line_run_all (r->edge);
     }
--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -338,7 +338,9 @@
 {
   struct follower *f = bb_conn_user (c);
 
-  bb_event ("follower_lost", "{s:i, s:s}", "rank", (int)f->rank, "why", why);
+  /* An agent of another group only asked.  */
+  if (f->named)
+    bb_event ("follower_lost", "{s:i, s:s}", "rank", (int)f->rank, "why", why);
   if (leader.leading && f->named && f->rank < leader.lead.size.ranks)
     leader.lead.ranks[f->rank].attached = false;
   DL_DELETE (leader.followers, f);
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -242,7 +242,7 @@
   struct bb_bytes value;
 };
 
-/* Sent often; everything up to the revision has been sent before it.  */
+/* Sent often.  */
 struct bb_peer_state
 {
   uint64_t revision;
@@ -251,6 +251,7 @@
   struct bb_upstream_load loads[256];
   uint32_t loads_count;
   bool taking;
+  uint64_t sent;
   bool reads;
 };
 
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -5,8 +5,9 @@
    view of the fleet.  Link with -lpeer -lfleet -lnet -lproto.
 
    Entries connect to each other, all to all; agents connect to one entry.
-   Each side sends its items at first and news as they come, then its state
-   often.  A silent connection is closed.  */
+   Each side sends its items at first, then its state often; that tells up to
+   which revision it knows all items, and what it lacks for a while is sent.
+   A silent connection is closed.  */
 
 #include "bilberry/fleet.h"
 #include "bilberry/net.h"
@@ -15,10 +16,11 @@
 
 struct bb_peers_ops
 {
-  /* An item was told; the owner relays it by bb_peers_tell if it is news.  */
+  /* An item was told.  */
   void (*on_item) (const char *key, GBytes *value, uint64_t revision,
                    void *user);
-  /* A peer's view is whole up to M->revision, and all its items were told.  */
+  /* A peer's view is whole up to M->revision, and all its items up to M->sent
+     were told, or are known here.  */
   void (*on_state) (const char *name, const struct bb_peer_state *m,
                     void *user);
   /* Fills the own state.  */
@@ -44,9 +46,13 @@
                                const struct bb_peers_ops *ops, void *user,
                                int *error);
 
-/* Tells all peers an item.  */
+/* Tells all peers an item at once.  To be called by one of those that learn
+   of it from its source; a peer that lacks it later gets it anyway.  */
 void bb_peers_tell (struct bb_peers *p, const struct bb_item *i);
 
+/* All items after revision SINCE were told by bb_peers_tell.  */
+void bb_peers_told_all (struct bb_peers *p, uint64_t since);
+
 /* Sends the own state now, beside the regular times.  */
 void bb_peers_send_state (struct bb_peers *p);
 
--- a/libgroup/follow.c
+++ b/libgroup/follow.c
@@ -4,19 +4,21 @@
 
 enum
 {
-  RETRY_MS = 1000,    /* between tries to reach a host */
-  DIAL_MAX_MS = 150,  /* for an answer: a frozen VM accepts connections */
-  SILENT_MS = 350,    /* of a leader, which answers each state */
-  ELSEWHERE_MS = 15000 /* for which a host counts as of another group */
+  RETRY_MS = 1000,   /* between tries to reach a host */
+  DIAL_MAX_MS = 150, /* for an answer: a frozen VM accepts connections */
+  SILENT_MS = 350,   /* of a leader, which answers each state */
+  /* For which a host counts as of another group, and how far that is spread,
+     so that a large fleet does not ask at once.  */
+  ELSEWHERE_MS = 30000,
+  ELSEWHERE_SPREAD_MS = 30000
 };
 
 /* What is known of a host.  */
 struct host
 {
   bb_ms tried_ms;
-  bb_ms elsewhere_ms; /* when it was found to be of another group */
+  bb_ms elsewhere_until_ms; /* it counts as of another group */
   bool tried;
-  bool elsewhere;
 };
 
 void
@@ -67,8 +69,9 @@
 {
   struct host *h = host_of (f, host);
 
-  h->elsewhere = true;
-  h->elsewhere_ms = now;
+  h->elsewhere_until_ms = now + ELSEWHERE_MS
+                          + (bb_ms)((g_str_hash (f->self) ^ g_str_hash (host))
+                                    % ELSEWHERE_SPREAD_MS);
 }
 
 bool
@@ -76,7 +79,7 @@
 {
   const struct host *h = g_hash_table_lookup (f->seen, host);
 
-  return h && h->elsewhere && now - h->elsewhere_ms < ELSEWHERE_MS;
+  return h && now < h->elsewhere_until_ms;
 }
 
 static bool
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -9,9 +9,13 @@
 enum
 {
   STATE_EVERY_MS = 100,
-  SILENT_MS = 1200,  /* without any message: the connection is dead */
-  REDIAL_MS = 400,   /* between tries to reach an address */
-  DIAL_MAX_MS = 800, /* for a connection to be made */
+  AGENT_TICKS = 4,    /* an agent needs no loads: a sign of life is enough */
+  MEMBERS_TICKS = 10, /* addresses change seldom */
+  SETTLED_TICKS = 2,  /* a peer that lacks what was known so long ago has it
+                         from nobody else */
+  SILENT_MS = 1200,   /* without any message: the connection is dead */
+  REDIAL_MS = 400,    /* between tries to reach an address */
+  DIAL_MAX_MS = 800,  /* for a connection to be made */
   ADDRESSES_MAX = 64
 };
 
@@ -28,6 +32,7 @@
   bool greeted;
   bool taking;
   bool reads;
+  uint64_t sent; /* all items up to this revision are sent, or known there */
   bb_ms heard_ms;
   struct peer *prev;
   struct peer *next;
@@ -55,6 +60,8 @@
   struct place places[ADDRESSES_MAX];
   uint32_t places_count;
   uint32_t next_place; /* of one that connects to one entry alone */
+  uint64_t ticks;
+  uint64_t settled[SETTLED_TICKS]; /* revision of the view some ticks ago */
   struct peer *peers;
 };
 
@@ -109,6 +116,32 @@
   g_hash_table_iter_init (&it, p->view->items);
   while (g_hash_table_iter_next (&it, NULL, &item))
     put_item (out, item);
+  peer->sent = p->view->revision;
+}
+
+/* Sends the items that PEER lacks.  */
+static void
+send_missing (struct peer *peer)
+{
+  const struct bb_view *v = peer->owner->view;
+  GHashTableIter it;
+  void *value;
+
+  g_hash_table_iter_init (&it, v->items);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct bb_item *i = value;
+      if (i->revision > peer->sent)
+        put_item (bb_conn_out (peer->conn), i);
+    }
+  peer->sent = v->revision;
+}
+
+/* Whether PEER is an agent, which nobody connects to.  */
+static bool
+is_agent (const struct peer *peer)
+{
+  return peer->greeted && !peer->address;
 }
 
 static void
@@ -118,10 +151,13 @@
   struct bb_peer_state *m = g_new0 (struct bb_peer_state, 1);
 
   m->revision = p->view->revision;
-  for (uint32_t i = 0; i < p->places_count; i++)
+  m->sent = peer->sent;
+  for (uint32_t i = 0; i < p->places_count && p->ticks % MEMBERS_TICKS == 0;
+       i++)
     m->members[m->members_count++].address
         = bb_bytes_of (p->places[i].address);
-  p->ops->fill_state (m, p->user);
+  if (!is_agent (peer))
+    p->ops->fill_state (m, p->user);
   bb_put_peer_state (bb_conn_out (peer->conn), m);
   g_free (m);
 }
@@ -191,6 +227,8 @@
 
   peer->taking = m->taking;
   peer->reads = m->reads;
+  if (m->revision > peer->sent)
+    peer->sent = m->revision;
   for (uint32_t i = 0; i < m->members_count; i++)
     add_place (p, m->members[i].address);
   p->ops->on_state (peer->name ? peer->name : "", m, p->user);
@@ -329,17 +367,35 @@
     send_state (peer);
 }
 
+/* Sends peers what they lack though it was known here some ticks ago.  */
+static void
+tell_missing (struct bb_peers *p)
+{
+  uint64_t *settled = &p->settled[p->ticks % SETTLED_TICKS];
+  struct peer *peer;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->open && peer->sent < *settled)
+    send_missing (peer);
+  *settled = p->view->revision;
+}
+
 static void
 on_timer (uv_timer_t *t)
 {
   struct bb_peers *p = t->data;
+  struct peer *peer;
 
   close_silent (p);
   if (p->all)
     dial_all (p);
   else
     dial_one (p);
-  bb_peers_send_state (p);
+  tell_missing (p);
+  DL_FOREACH (p->peers, peer)
+  if (peer->open && (!is_agent (peer) || p->ticks % AGENT_TICKS == 0))
+    send_state (peer);
+  p->ticks++;
 }
 
 void
@@ -352,6 +408,16 @@
     put_item (bb_conn_out (peer->conn), i);
 }
 
+void
+bb_peers_told_all (struct bb_peers *p, uint64_t since)
+{
+  struct peer *peer;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->open && peer->sent >= since && peer->sent < p->view->revision)
+    peer->sent = p->view->revision;
+}
+
 uint32_t
 bb_peers_count (const struct bb_peers *p)
 {
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -988,7 +988,7 @@
 static void
 put_peer_state (msgpack_packer *pk, const struct bb_peer_state *v)
 {
-  msgpack_pack_map (pk, 5);
+  msgpack_pack_map (pk, 6);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->revision);
   msgpack_pack_uint8 (pk, 2);
@@ -1001,6 +1001,8 @@
     put_upstream_load (pk, &v->loads[i]);
   msgpack_pack_uint8 (pk, 4);
   bb_wire_put_bool (pk, v->taking);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->sent);
   msgpack_pack_uint8 (pk, 5);
   bb_wire_put_bool (pk, v->reads);
 }
@@ -1052,6 +1054,12 @@
             return false;
           seen |= UINT64_C (1) << 4;
           break;
+        case 6:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "sent", e))
+            return false;
+          v->sent = (uint64_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
         case 5:
           if (!bb_wire_get_bool (o, &v->reads, "reads", e))
             return false;
@@ -3738,6 +3746,7 @@
   { BB_MSG_PEER_STATE, 2, false, "members" },
   { BB_MSG_PEER_STATE, 3, false, "loads" },
   { BB_MSG_PEER_STATE, 4, false, "taking" },
+  { BB_MSG_PEER_STATE, 6, false, "sent" },
   { BB_MSG_PEER_STATE, 5, false, "reads" },
   { BB_MSG_MAP_SWITCH, 1, true, "type" },
   { BB_MSG_MAP_SWITCH, 2, true, "from" },
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -320,6 +320,32 @@
   plant_free (&p);
 }
 
+/* Two edges read the store and a third one cannot.  Whichever of the two tells
+   news first, the other does while that one is stopped.  */
+static void
+test_teller_stops (void)
+{
+  struct plant p;
+
+  plant_init (&p);
+  plant_replica (&p, "i-1", "app", "");
+  plant_edge (&p, 0);
+  plant_edge (&p, 0);
+  plant_edge (&p, harness_port (p.h));
+  g_assert_true (plant_await (&p, 2, "/check/1", "key-1", 200));
+  for (int i = 0; i < 2; i++)
+    {
+      g_autofree char *keys = g_strdup_printf (",\"key-s%d\"", i);
+      g_autofree char *key = g_strdup_printf ("key-s%d", i);
+      harness_signal (p.h, p.edges[i].pid, SIGSTOP);
+      plant_config (&p, 2 + i, "", keys);
+      g_assert_true (plant_await (&p, 2, "/check/1", key, 200));
+      harness_signal (p.h, p.edges[i].pid, SIGCONT);
+      g_assert_true (plant_await (&p, (uint32_t)i, "/check/1", key, 200));
+    }
+  plant_free (&p);
+}
+
 static bool
 has_logged (struct plant *p, uint32_t e, const char *text)
 {
@@ -682,6 +708,7 @@
   g_test_add_func ("/edge/changes", test_changes);
   g_test_add_func ("/edge/store-fails", test_store_fails);
   g_test_add_func ("/edge/peers-tell", test_peers_tell);
+  g_test_add_func ("/edge/teller-stops", test_teller_stops);
   g_test_add_func ("/edge/few-watch", test_few_watch);
   g_test_add_func ("/edge/drain", test_drain);
   g_test_add_func ("/edge/reload", test_reload);
