--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -180,9 +180,13 @@
       uint16_t *row = rows + (size_t)l->missing * s->places;
       uint32_t n = 0;
       memset (held, 0, s->experts * sizeof *held);
-      for (uint32_t i = 0; i < s->ranks * s->places; i++)
-        if (i / s->places != l->missing && rows[i] < s->experts)
-          held[rows[i]] = true;
+      for (uint32_t r = 0; r < s->ranks; r++)
+        for (uint32_t p = 0; p < s->places && r != l->missing; p++)
+          {
+            uint16_t e = rows[(size_t)r * s->places + p];
+            if (e < s->experts)
+              held[e] = true;
+          }
       memset (row, 0xff, s->places * sizeof *row);
       for (uint32_t e = 0; e < s->experts && n < s->places; e++)
         if (!held[e])
