Send nothing more to an upstream that has work and says nothing

A frozen VM takes requests in, and the edge went on sending until a try was silent for three aims. Ruled out: late closes at the edge (the replica saw them closed when it read). An upstream with work of this entry that has said nothing for 500 ms gets no more while another one speaks, full or not. Test: /load/place/mute.

--- a/cmd/edge/answer.c
+++ b/cmd/edge/answer.c
@@ -61,6 +61,7 @@
   struct request *r = user;
 
   (void)c;
+  r->at->heard_ms = edge_now (r->edge);
   bb_reply_decode (head, r->ask.id, &r->reply);
   r->status = head->status;
   r->streams = false;
@@ -164,6 +165,7 @@
   struct request *r = user;
 
   (void)c;
+  r->at->heard_ms = edge_now (r->edge);
   g_byte_array_append (r->body, (const guint8 *)piece.ptr, piece.size);
   if (r->body->len > BODY_MAX_BYTES)
     {
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -46,6 +46,7 @@
   uint32_t others;    /* by the other entries, as they last told */
   double prompt;      /* tokens sent that are still to be read */
   double latency_ms;  /* smoothed; 0: not known */
+  bb_ms heard_ms;     /* last byte, or first send after nothing was there */
   struct bb_meter meter;
   struct bb_eject eject;
   struct group *group; /* NULL: its pool has none */
--- a/cmd/edge/line.c
+++ b/cmd/edge/line.c
@@ -32,6 +32,7 @@
               && groups_is_open (groups_of (l->edge, t), now)
               && bb_meter_has_room (&t->meter, now, cold_share);
   p->tried = was_tried (r, t);
+  p->mute = bb_place_is_mute (t->in_flight, t->heard_ms, now);
   p->near
       = strcmp (t->told->failure_domain, l->edge->start->failure_domain) == 0;
   p->in_flight = t->in_flight + t->others;
--- a/cmd/edge/request.c
+++ b/cmd/edge/request.c
@@ -72,6 +72,8 @@
 request_take (struct request *r, struct target *t)
 {
   r->at = t;
+  if (t->in_flight == 0)
+    t->heard_ms = edge_now (r->edge);
   t->in_flight++;
   r->group = groups_of (r->edge, t);
   if (r->group)
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -19,6 +19,7 @@
   bool usable;
   bool tried;         /* by this request */
   bool near;          /* in the entry's own failure domain */
+  bool mute;          /* has work and has said nothing for long */
   uint32_t in_flight; /* of all entries, as far as they have told */
   uint32_t limit;     /* of all entries */
   double prompt;      /* tokens sent lately that are still to be read */
@@ -35,10 +36,16 @@
 /* Chooses the upstream on which the request delays its fellows least.  All
    ranks of a group step together, so the most loaded one delays all: load is
    made even, by writers and by prompt tokens to be read.  One that was tried,
-   or has no room, is not chosen.  Of equals, DRAW (0 to 1) picks.  */
+   or has no room, is not chosen; nor is a mute one, unless all that are usable
+   are: a frozen VM takes requests in and reads them when it wakes, long after
+   their callers have left.  Of equals, DRAW (0 to 1) picks.  */
 uint32_t bb_place_choose (const struct bb_place *places, uint32_t count,
                           const struct bb_place_cost *cost, double draw);
 
+/* Whether an upstream with IN_FLIGHT requests of this entry, last heard of at
+   HEARD_MS, is mute: one that works sends some event in each pass.  */
+bool bb_place_is_mute (uint32_t in_flight, bb_ms heard_ms, bb_ms now);
+
 /* Sends to a pool beyond the first of each request, over a sliding window.
    Answers callers that repeat at once while upstreams fail.  */
 enum
--- a/libload/place.c
+++ b/libload/place.c
@@ -1,5 +1,25 @@
 #include "bilberry/load.h"
 
+enum
+{
+  MUTE_MS = 500 /* several passes of a loaded engine */
+};
+
+bool
+bb_place_is_mute (uint32_t in_flight, bb_ms heard_ms, bb_ms now)
+{
+  return in_flight > 0 && now - heard_ms > MUTE_MS;
+}
+
+static bool
+any_speaks (const struct bb_place *places, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (places[i].usable && !places[i].mute)
+      return true;
+  return false;
+}
+
 static bool
 can_take (const struct bb_place *p)
 {
@@ -23,12 +43,13 @@
   uint32_t best = BB_PLACE_NONE;
   uint32_t first = count > 0 ? (uint32_t)(draw * count) % count : 0;
   double least = 0;
+  bool speaks = any_speaks (places, count);
 
   for (uint32_t k = 0; k < count; k++)
     {
       uint32_t i = (first + k) % count;
       double s;
-      if (!can_take (&places[i]))
+      if (!can_take (&places[i]) || (places[i].mute && speaks))
         continue;
       s = score (&places[i], cost);
       if (best == BB_PLACE_NONE || s * tie < least
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -317,6 +317,32 @@
   g_assert_false (bb_waiter_before (&later, &timely, 600, 100));
 }
 
+/* Load pattern: the VM of one upstream freezes; it takes requests and says
+   nothing, while its fellows are full.  */
+static void
+test_place_mute (void)
+{
+  struct bb_place_cost cost = { .writer = 1 };
+  struct bb_place places[3] = { 0 };
+
+  g_assert_false (bb_place_is_mute (0, 0, 60000));
+  g_assert_false (bb_place_is_mute (1, 59800, 60000));
+  g_assert_true (bb_place_is_mute (1, 59000, 60000));
+  for (uint32_t i = 0; i < 3; i++)
+    places[i]
+        = (struct bb_place){ .usable = true, .in_flight = 12, .limit = 12 };
+  places[1].in_flight = 2;
+  places[1].mute = true;
+  g_assert_cmpuint (bb_place_choose (places, 3, &cost, 0.5), ==,
+                    BB_PLACE_NONE);
+  places[2].in_flight = 11;
+  g_assert_cmpuint (bb_place_choose (places, 3, &cost, 0.5), ==, 2);
+  /* All are mute: the pool is slow, or its group stands still.  */
+  places[0].mute = true;
+  places[2].mute = true;
+  g_assert_cmpuint (bb_place_choose (places, 3, &cost, 0.5), ==, 1);
+}
+
 /* Load pattern: a large fleet, of which each would watch the store.  */
 static void
 test_readers (void)
@@ -343,6 +369,7 @@
   g_test_add_func ("/load/group/stall", test_group_stall);
   g_test_add_func ("/load/after", test_after);
   g_test_add_func ("/load/comeback", test_comeback);
+  g_test_add_func ("/load/place/mute", test_place_mute);
   g_test_add_func ("/load/readers", test_readers);
   g_test_add_func ("/load/waiters", test_waiters);
   return g_test_run ();
