--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -8,8 +8,8 @@
    line.c lets it wait and chooses, send.c sends it, answer.c passes the answer
    on, after.c decides what follows a try and refuse.c ends a request without
    an answer.  Each file calls only those after it in that row, groups.c and
-   fleet.c; a
-   request that is tried again joins the line anew by edge->again.  */
+   fleet.c; a request that is tried again joins the line anew by
+   edge->again.  */
 
 #include "bilberry/load.h"
 #include "bilberry/peer.h"
--- a/cmd/edge/groups.c
+++ b/cmd/edge/groups.c
@@ -18,7 +18,6 @@
 
 struct ask
 {
-  struct edge *edge;
   char *upstream; /* id */
   struct group *group;
 };
@@ -86,8 +85,8 @@
 static void
 take_report (struct ask *a, const struct bb_rank_report *r)
 {
-  struct target *t = g_hash_table_lookup (a->edge->targets, a->upstream);
   struct line *l = a->group->line;
+  struct target *t = g_hash_table_lookup (l->edge->targets, a->upstream);
   struct group *g = find (l, r->group);
   enum bb_group_state was = g->watch.state;
 
@@ -98,7 +97,7 @@
       t->group = g;
     }
   bb_group_reported (&g->watch, r->open, r->step, g->in_flight,
-                     edge_now (a->edge));
+                     edge_now (l->edge));
   if (was != g->watch.state)
     bb_event ("group", "{s:s, s:s, s:I, s:b}", "pool", l->pool, "group",
               g->name, "epoch", (json_int_t)r->epoch, "open", r->open);
@@ -138,7 +137,6 @@
 
   g->asking = true;
   g->asked_ms = edge_now (e);
-  a->edge = e;
   a->upstream = g_strdup (t->told->id);
   a->group = g;
   bb_h1_fetch (t->channels, &out, &limits, on_fetched, a);
@@ -167,11 +165,10 @@
 static bool
 wants_report (struct group *g, bb_ms now)
 {
-  bb_ms every = *g->name == '\0' ? 0 : ASK_EVERY_MS;
-
-  if (*g->name != '\0' && groups_is_open (g, now))
-    return false;
-  return !g->asking && now - g->asked_ms >= every;
+  if (*g->name == '\0')
+    return !g->asking;
+  return !groups_is_open (g, now) && !g->asking
+         && now - g->asked_ms >= ASK_EVERY_MS;
 }
 
 void
--- a/libgroup/follow.c
+++ b/libgroup/follow.c
@@ -103,8 +103,8 @@
 }
 
 /* Tries the hosts that come before the present leader, or before this one.
-   Where none of them answers, this one leads.  A leader that comes after this
-   one was followed while not all hosts were known.  */
+   Where none of them answers, this one leads.  A leader that is not among the
+   hosts any more is left.  */
 static enum bb_follow_act
 look (struct bb_follow *f, const char *const *hosts, uint32_t count, bb_ms now)
 {
