edge: log a fingerprint that repeats of a request share

Cause: the id of a request is new with each repeat of its caller, so logs could not tell a request that fails again and again from many that fail. No decision uses it yet.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -25,7 +25,8 @@
 {
   CONNECT_TIMEOUT_MS = 350,
   /* Upstreams of a pool that are considered for a request.  */
-  UPSTREAMS_MAX = 1024
+  UPSTREAMS_MAX = 1024,
+  FINGERPRINT_TEXT_SIZE = 17
 };
 
 struct edge;
@@ -94,6 +95,9 @@
   char *customer; /* name of the customer; NULL: none identified */
   int32_t priority;
   uint64_t number; /* sequence number within the process */
+  /* Identifies the request when its caller repeats it under another id.  */
+  uint64_t fingerprint;
+  char fingerprint_text[FINGERPRINT_TEXT_SIZE]; /* in hexadecimal */
   enum request_state state;
   enum bb_outcome outcome; /* how the last try ended */
   bb_ms received_ms;       /* when the request was complete */
@@ -221,6 +225,13 @@
    false.  */
 bool input_route (struct request *r);
 
+/* suspect.c: requests that crash the upstreams that run them.  */
+/* Sets the fingerprint of R, a hash of its customer, host, method, path and
+   body, which a repeat by the same caller has too.  Never 0.  */
+void suspect_set_fingerprint (struct request *r);
+/* Writes FINGERPRINT in hexadecimal to TEXT.  */
+void suspect_print (uint64_t fingerprint, char text[FINGERPRINT_TEXT_SIZE]);
+
 /* groups.c: the engine groups of upstreams and their health.  */
 /* Returns the group of T, or NULL if its pool has no groups.  */
 struct group *groups_find (struct edge *e, struct target *t);
--- a/cmd/edge/refuse.c
+++ b/cmd/edge/refuse.c
@@ -17,10 +17,11 @@
   struct bb_bytes body = bb_bytes_of (bb_reason_text (reason));
 
   bb_count_refusal (reason);
-  bb_log_event ("refuse", "{s:s%, s:i, s:s, s:I, s:I, s:i, s:i}", "id",
+  bb_log_event ("refuse", "{s:s%, s:s, s:i, s:s, s:I, s:I, s:i, s:i}", "id",
                 r->info.attempt_id.ptr ? r->info.attempt_id.ptr : "",
-                (size_t)r->info.attempt_id.size, "status", (int)status,
-                "reason", bb_reason_name (reason), "took_ms",
+                (size_t)r->info.attempt_id.size, "fingerprint",
+                r->fingerprint_text, "status", (int)status, "reason",
+                bb_reason_name (reason), "took_ms",
                 (json_int_t)(now - r->received_ms), "back_in_ms",
                 (json_int_t)retry_after_ms, "tries", (int)r->tries, "runs",
                 (int)r->executions);
