--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -10,6 +10,11 @@
    returns a line for each request that was executed, and the line "counted"
    for each GET /v1/picked.
 
+   A request whose path contains "slow" gets its response after SLOW_MS.  One
+   whose path contains "crash" ends the server when it is executed: all
+   connections are closed and new ones are refused for DOWN_MS, after which the
+   server listens again; GET /ran then has a line "ended" for it.
+
    Faults in the responses to executed requests, except for /stream/:
 
      reset     closes the connection without a response
@@ -39,34 +44,49 @@
 
 enum
 {
-  EVENTS = 6,     /* number of events in a stream */
-  BREAK_AFTER = 3 /* number of events sent before the fault "break" */
+  EVENTS = 6,      /* number of events in a stream */
+  BREAK_AFTER = 3, /* number of events sent before the fault "break" */
+  SLOW_MS = 400,
+  DOWN_MS = 300
 };
 
 struct connection
 {
   uv_tcp_t tcp;
-  GString *in; /* bytes received and not yet handled */
+  uv_timer_t slow_timer;
+  GString *in;      /* bytes received and not yet handled */
+  char *attempt_id; /* of the request that gets a slow response */
+  uint32_t open_handles;
 };
 
 static const char *id;
 static const char *fault = "";
 static GString *request_log; /* what GET /ran returns */
+static struct sockaddr_storage listen_addr;
+static uv_tcp_t listener;
+static uv_timer_t restart_timer;
+static GPtrArray *connections; /* the open ones, struct connection */
 
 static void
 on_closed (uv_handle_t *h)
 {
   struct connection *c = h->data;
 
+  if (--c->open_handles > 0)
+    return;
   g_string_free (c->in, TRUE);
+  g_free (c->attempt_id);
   g_free (c);
 }
 
 static void
 close_connection (struct connection *c)
 {
-  if (!uv_is_closing ((uv_handle_t *)&c->tcp))
-    uv_close ((uv_handle_t *)&c->tcp, on_closed);
+  if (uv_is_closing ((uv_handle_t *)&c->tcp))
+    return;
+  g_ptr_array_remove_fast (connections, c);
+  uv_close ((uv_handle_t *)&c->tcp, on_closed);
+  uv_close ((uv_handle_t *)&c->slow_timer, on_closed);
 }
 
 /* Writes TEXT; closes the connection if it cannot be written at once.  */
@@ -205,6 +225,57 @@
   g_free (body);
 }
 
+static void
+on_slow_timer (uv_timer_t *t)
+{
+  struct connection *c = t->data;
+
+  respond_executed (c, c->attempt_id);
+}
+
+/* Responds to a request that was executed after SLOW_MS.  */
+static void
+respond_slowly (struct connection *c, const char *attempt_id)
+{
+  g_free (c->attempt_id);
+  c->attempt_id = g_strdup (attempt_id);
+  uv_timer_start (&c->slow_timer, on_slow_timer, SLOW_MS, 0);
+}
+
+static bool start_listening (void);
+
+static void
+on_restart_timer (uv_timer_t *t)
+{
+  (void)t;
+  if (!start_listening ())
+    {
+      fprintf (stderr, "fake-replica: cannot listen again\n");
+      exit (1);
+    }
+}
+
+/* Plays the end and the restart of the server process.  */
+static void
+crash (void)
+{
+  g_string_append (request_log, "ended\n");
+  while (connections->len > 0)
+    close_connection (g_ptr_array_index (connections, 0));
+  if (!uv_is_closing ((uv_handle_t *)&listener))
+    uv_close ((uv_handle_t *)&listener, NULL);
+  uv_timer_start (&restart_timer, on_restart_timer, DOWN_MS, 0);
+}
+
+/* Returns whether the path in HEAD contains WORD.  */
+static bool
+path_contains (const char *head, const char *word)
+{
+  const char *end = strstr (head, " HTTP/");
+
+  return end && g_strstr_len (head, end - head, word) != NULL;
+}
+
 static void
 handle_request (struct connection *c, const char *head)
 {
@@ -245,8 +316,12 @@
       g_free (customer);
       g_free (deadline);
       g_free (key);
-      if (has_fault ("silent"))
+      if (path_contains (head, "crash"))
+        crash ();
+      else if (has_fault ("silent"))
         ;
+      else if (path_contains (head, "slow"))
+        respond_slowly (c, attempt_id);
       else if (strstr (head, " /stream/"))
         send_stream (c, head, attempt_id);
       else
@@ -314,20 +389,30 @@
   (void)status;
   c->in = g_string_new ("");
   c->tcp.data = c;
+  c->slow_timer.data = c;
+  c->open_handles = 2;
   uv_tcp_init (s->loop, &c->tcp);
+  uv_timer_init (s->loop, &c->slow_timer);
+  g_ptr_array_add (connections, c);
   if (uv_accept (s, (uv_stream_t *)&c->tcp) < 0
       || uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read) < 0)
     close_connection (c);
 }
 
+static bool
+start_listening (void)
+{
+  uv_tcp_init (uv_default_loop (), &listener);
+  return uv_tcp_bind (&listener, (const struct sockaddr *)&listen_addr, 0) == 0
+         && uv_listen ((uv_stream_t *)&listener, 64, on_connection) == 0;
+}
+
 int
 main (int argc, char **argv)
 {
   uv_loop_t *loop = uv_default_loop ();
-  struct sockaddr_storage addr;
-  uv_tcp_t tcp;
 
-  if (argc < 3 || !bb_address_parse (argv[1], &addr))
+  if (argc < 3 || !bb_address_parse (argv[1], &listen_addr))
     {
       fprintf (stderr, "Usage: fake-replica ADDRESS:PORT ID [FAULT]\n");
       return 2;
@@ -335,9 +420,9 @@
   id = argv[2];
   fault = argc > 3 ? argv[3] : "";
   request_log = g_string_new ("");
-  uv_tcp_init (loop, &tcp);
-  if (uv_tcp_bind (&tcp, (const struct sockaddr *)&addr, 0) < 0
-      || uv_listen ((uv_stream_t *)&tcp, 64, on_connection) < 0)
+  connections = g_ptr_array_new ();
+  uv_timer_init (loop, &restart_timer);
+  if (!start_listening ())
     {
       fprintf (stderr, "fake-replica: cannot listen on %s\n", argv[1]);
       return 1;
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -149,22 +149,38 @@
   g_error ("edge did not become ready in time");
 }
 
+/* Starts edge N with the settings file that it has, and waits until it is
+   ready.  */
+static void
+spawn_edge (struct testbed *t, uint32_t n)
+{
+  struct testbed_edge *e = &t->edges[n];
+  char *path = g_strdup_printf ("%s/edge-%u.yaml",
+                                harness_config_dir (t->harness), n);
+  char *metrics = g_strdup_printf ("%u", e->metrics_port);
+  char name[32];
+
+  g_snprintf (name, sizeof name, "edge-%u", n);
+  e->pid = harness_spawn (t->harness, name, "bilberry-edge", "--settings",
+                          path, "--metrics", metrics, NULL);
+  await_ready (e);
+  g_free (metrics);
+  g_free (path);
+}
+
 uint32_t
 testbed_start_edge (struct testbed *t, uint16_t store)
 {
   uint32_t n = t->edges_count++;
   struct testbed_edge *e = &t->edges[n];
   GString *seeds = g_string_new ("");
-  char *metrics;
   char name[32];
-  char *path;
   char *text;
 
   e->front_port = harness_port (t->harness);
   e->ready_port = harness_port (t->harness);
   e->control_port = harness_port (t->harness);
   e->metrics_port = harness_port (t->harness);
-  metrics = g_strdup_printf ("%u", e->metrics_port);
   e->store_port = store ? store : t->store_port;
   for (uint32_t i = 0; i <= n; i++)
     g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
@@ -173,18 +189,25 @@
                           e->control_port, seeds->str, e->store_port);
   g_snprintf (name, sizeof name, "edge-%u.yaml", n);
   harness_write_file (harness_config_dir (t->harness), name, text);
-  path = g_strdup_printf ("%s/%s", harness_config_dir (t->harness), name);
-  g_snprintf (name, sizeof name, "edge-%u", n);
-  e->pid = harness_spawn (t->harness, name, "bilberry-edge", "--settings",
-                          path, "--metrics", metrics, NULL);
-  await_ready (e);
+  spawn_edge (t, n);
   g_string_free (seeds, TRUE);
-  g_free (metrics);
   g_free (text);
-  g_free (path);
   return n;
 }
 
+void
+testbed_kill_edge (struct testbed *t, uint32_t e)
+{
+  harness_signal (t->harness, t->edges[e].pid, SIGKILL);
+  harness_wait (t->harness, t->edges[e].pid);
+}
+
+void
+testbed_restart_edge (struct testbed *t, uint32_t e)
+{
+  spawn_edge (t, e);
+}
+
 pid_t
 testbed_start_rank (struct testbed *t, uint32_t r)
 {
@@ -230,28 +253,59 @@
   return a;
 }
 
-uint32_t
-testbed_count_runs (struct testbed *t, const char *id)
+/* Returns what replica R answers to GET /ran, after it is up again if it
+   crashed.  */
+static struct http_response
+get_ran (struct testbed *t, uint32_t r)
+{
+  struct http_response a = { 0 };
+
+  for (int spent = 0; spent < AWAIT_TIMEOUT_MS; spent += POLL_INTERVAL_MS)
+    {
+      a = harness_http (t->replica_ports[r], "GET", "/ran", "", "");
+      if (a.status == 200)
+        return a;
+      http_response_free (&a);
+      harness_sleep_ms (POLL_INTERVAL_MS);
+    }
+  g_error ("replica %u does not answer", r);
+}
+
+static uint32_t
+count_lines (struct testbed *t, const char *start)
 {
-  char *line = g_strdup_printf ("%s by ", id);
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < t->replicas_count; i++)
     {
-      struct http_response a
-          = harness_http (t->replica_ports[i], "GET", "/ran", "", "");
-      const char *at = a.body ? a.body : "";
-      while ((at = strstr (at, line)))
+      struct http_response a = get_ran (t, i);
+      const char *at = a.body;
+      while ((at = strstr (at, start)))
         {
-          at += strlen (line);
+          at += strlen (start);
           n++;
         }
       http_response_free (&a);
     }
-  g_free (line);
   return n;
 }
 
+uint32_t
+testbed_count_runs (struct testbed *t, const char *id)
+{
+  char *start = g_strdup_printf ("%s by ", id);
+  uint32_t n = count_lines (t, start);
+
+  g_free (start);
+  return n;
+}
+
+uint32_t
+testbed_count_ended (struct testbed *t)
+{
+  return count_lines (t, "ended\n");
+}
+
 bool
 testbed_await_status (struct testbed *t, uint32_t e, const char *path,
                       const char *key, int status)
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -63,6 +63,12 @@
    edge.  */
 uint32_t testbed_start_edge (struct testbed *t, uint16_t store);
 
+/* Kills edge E and waits for its end.  */
+void testbed_kill_edge (struct testbed *t, uint32_t e);
+/* Starts edge E, which was killed, with its settings of before, and waits
+   until it is ready.  Its log begins anew.  */
+void testbed_restart_edge (struct testbed *t, uint32_t e);
+
 /* Starts bilberry-rank, the agent of replica R.  Returns its process id.  */
 pid_t testbed_start_rank (struct testbed *t, uint32_t r);
 
@@ -87,6 +93,9 @@
 /* Returns how often requests with attempt id ID ran, over all replicas.  */
 uint32_t testbed_count_runs (struct testbed *t, const char *id);
 
+/* Returns how often replicas were ended by a request, over all replicas.  */
+uint32_t testbed_count_ended (struct testbed *t);
+
 /* Sends GET requests for PATH with KEY to edge E until one is answered with
    STATUS.  Returns false if none is within five seconds.  */
 bool testbed_await_status (struct testbed *t, uint32_t e, const char *path,
