libadmit: quarantine what crashes again after it was suspect

Callers saw: a harmless request refused with 422 where it had been in flight at two crashes, and a quarantined request run again by an agent or entry that connected more than ten minutes after its first crash. Cause: two crashes in any order made a quarantine. A request that many callers send is in flight at all upstreams that crash together, so it was quarantined by chance. And a quarantine was told as two crashes, of which the first was refused as too old where no record existed. Change: a report names the earlier crash that had made the request suspect when it was sent (prior). Only such a crash quarantines; it does so by itself, so one message tells a quarantine of any age. An answer that clears a suspect is told to the others too, and crashes up to it are ignored, so a peer does not bring the suspicion back. An agent does not record a call that it sent to an upstream that had just crashed: it went to a connection that was not closed yet and did not run. The time of a quarantine counts from the crash that made it. The other tests of the quarantine keep their checks; they name the prior crash now. Entries and agents share the code of these messages (libpeer/suspect.c), which stood twice.

--- a/cmd/agent/agent.h
+++ b/cmd/agent/agent.h
@@ -77,6 +77,9 @@
   uint64_t queue_id;
   bb_ms arrived_ms;
   bb_ms started_ms;         /* when it was sent to the upstream */
+  bool sent_to_dying;       /* the upstream had just crashed then */
+  uint64_t prior_crash;     /* crash that made the request suspect before it
+                               was sent; 0: none */
   UT_hash_handle hh_queued; /* handle for agent.queued_calls */
   UT_hash_handle hh;        /* handle for peer.calls */
   UT_hash_handle hh_once;   /* handle for agent.keyed_calls */
@@ -103,6 +106,7 @@
   struct bb_poison *poison;
   uint64_t last_crash_id; /* id of the upstream's last crash; 0: none */
   bb_ms last_crash_ms;
+  bool responded_since_crash; /* the upstream has responded since then */
   bool out_of_service; /* the settings take the upstream out of service: no new
                           call is run */
   struct rank *rank; /* rank of a group on this VM; NULL: this VM holds none */
@@ -122,10 +126,17 @@
 
 /* suspect.c */
 
+/* Records what is known of the request of C when it is sent.  */
+void suspect_start_call (struct call *c);
+
 /* Records that the upstream failed while C was running, which makes the
    request of C suspect, and tells all peers if that is new.  */
 void suspect_record_crash (const struct call *c);
 
+/* Records that C was answered, which clears a suspect request, and tells all
+   peers if it was suspect.  */
+void suspect_answered (const struct call *c);
+
 /* Records a suspect request that a peer reported; tells all peers if it is
    new.  */
 void suspect_on_message (struct agent *a, const struct bb_suspect *m);
--- a/cmd/agent/call.c
+++ b/cmd/agent/call.c
@@ -113,6 +113,7 @@
   struct call *c = bb_http_call_user (h);
   struct bb_head m = { .id = c->id, .status = status };
 
+  c->agent->responded_since_crash = true;
 #ifndef BB_MUTANT_headers_fit
   c->headers_too_large = !headers_fit (headers, headers_count);
 #endif
@@ -183,7 +184,7 @@
         suspect_record_crash (c);
     }
   else
-    bb_poison_clear (a->poison, c->request.fingerprint, bb_clock_now ());
+    suspect_answered (c);
   bb_admit_end (a->admit, !error, bb_clock_now () - c->started_ms);
   complete_once (c, !error, run);
   if (error)
@@ -254,6 +255,7 @@
   HASH_DELETE (hh_queued, a->queued_calls, c);
   c->state = CALL_RUNNING;
   c->started_ms = bb_clock_now ();
+  suspect_start_call (c);
   c->http = bb_http_client_send (a->client, m->method, m->path, m->headers,
                                  m->headers_count, m->body, &http_ops, c);
 }
--- a/cmd/agent/probe.c
+++ b/cmd/agent/probe.c
@@ -30,10 +30,12 @@
 on_head (struct bb_http_call *c, uint16_t status,
          const struct bb_header *headers, uint32_t headers_count)
 {
-  (void)c;
+  const struct probe *p = bb_http_call_user (c);
+
   (void)status;
   (void)headers;
   (void)headers_count;
+  p->agent->responded_since_crash = true;
 }
 
 static void
--- a/cmd/agent/suspect.c
+++ b/cmd/agent/suspect.c
@@ -3,14 +3,41 @@
 
 #include "agent.h"
 
+#include "bilberry/peer.h"
+
 #include <utlist.h>
 
+enum
+{
+  /* Time for which connections to an upstream that has crashed may still take
+     a request.  */
+  DYING_MS = 500
+};
+
 static void
-send_to_all (struct agent *a, const struct bb_suspect *m)
+send_to_all (struct agent *a, const struct bb_crash *c)
 {
   struct peer *p;
 
-  DL_FOREACH (a->peers, p) { bb_put_suspect (bb_conn_out (p->conn), m); }
+  DL_FOREACH (a->peers, p) { bb_put_crash (bb_conn_out (p->conn), c); }
+}
+
+/* Whether the upstream runs what is sent to it now, as far as is known.  */
+static bool
+is_alive (const struct agent *a, bb_ms now)
+{
+  return a->last_crash_id == 0 || a->responded_since_crash
+         || now - a->last_crash_ms >= DYING_MS;
+}
+
+void
+suspect_start_call (struct call *c)
+{
+  struct agent *a = c->agent;
+
+  c->sent_to_dying = !is_alive (a, c->started_ms);
+  c->prior_crash
+      = bb_poison_event (a->poison, c->request.fingerprint, c->started_ms);
 }
 
 void
@@ -18,41 +45,48 @@
 {
   struct agent *a = c->agent;
   bb_ms now = bb_clock_now ();
-  struct bb_suspect m = { .fingerprint = c->request.fingerprint };
+  struct bb_crash crash = { .fingerprint = c->request.fingerprint };
 
+  /* It did not run, so it is no cause of the crash.  */
+  if (c->sent_to_dying)
+    return;
   /* All calls running at a crash fail at about the same time.  A failed call
      that started after the last crash shows that there was another crash.  */
   if (a->last_crash_id == 0 || c->started_ms > a->last_crash_ms)
     {
       a->last_crash_id = bb_random_id ();
       a->last_crash_ms = now;
+      a->responded_since_crash = false;
     }
-  m.event = a->last_crash_id;
-  if (bb_poison_record_crash (a->poison, m.fingerprint, m.event, 0, now))
-    send_to_all (a, &m);
+  crash.event = a->last_crash_id;
+  if (bb_poison_event (a->poison, crash.fingerprint, now) == c->prior_crash)
+    crash.prior = c->prior_crash;
+  if (bb_poison_record_crash (a->poison, &crash, now))
+    send_to_all (a, &crash);
 }
 
 void
-suspect_on_message (struct agent *a, const struct bb_suspect *m)
+suspect_answered (const struct call *c)
 {
-  if (bb_poison_record_crash (a->poison, m->fingerprint, m->event, m->age_ms,
-                              bb_clock_now ()))
-    send_to_all (a, m);
+  struct agent *a = c->agent;
+  struct bb_crash answer = { .fingerprint = c->request.fingerprint };
+
+  if (bb_poison_clear (a->poison, answer.fingerprint, bb_clock_now ()))
+    send_to_all (a, &answer);
 }
 
-static void
-send_suspect (void *arg, uint64_t fingerprint, uint64_t event, bb_ms age_ms)
+void
+suspect_on_message (struct agent *a, const struct bb_suspect *m)
 {
-  struct peer *p = arg;
-  struct bb_suspect m = { .fingerprint = fingerprint,
-                          .event = event,
-                          .age_ms = (uint32_t)age_ms };
+  struct peer *p;
 
-  bb_put_suspect (bb_conn_out (p->conn), &m);
+  if (!bb_poison_receive (a->poison, m, bb_clock_now ()))
+    return;
+  DL_FOREACH (a->peers, p) { bb_put_suspect (bb_conn_out (p->conn), m); }
 }
 
 void
 suspect_send_known (struct peer *p)
 {
-  bb_poison_each (p->agent->poison, bb_clock_now (), send_suspect, p);
+  bb_put_crashes (bb_conn_out (p->conn), p->agent->poison, bb_clock_now ());
 }
--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -315,6 +315,9 @@
 /* Records a crash reported by the agent of L; if it is new, forwards it to
    all other agents.  */
 void suspect_receive (struct link *l, const struct bb_suspect *m);
+/* Records that a request with FINGERPRINT was answered, and tells all agents
+   if it was suspect.  */
+void suspect_answered (struct entry *e, uint64_t fingerprint);
 
 /* Sends all known crashes to an agent that has just connected.  */
 void suspect_send_all (struct link *l);
--- a/cmd/entry/response.c
+++ b/cmd/entry/response.c
@@ -208,7 +208,7 @@
       bb_http_respond (q->http, q->status, q->headers, q->headers_count, body);
     }
   measure_response (q);
-  bb_poison_clear (q->entry->poison, q->fingerprint, entry_now ());
+  suspect_answered (q->entry, q->fingerprint);
   request_end (q);
 }
 
--- a/cmd/entry/suspect.c
+++ b/cmd/entry/suspect.c
@@ -2,6 +2,8 @@
 
 #include "entry.h"
 
+#include "bilberry/peer.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -48,27 +50,27 @@
 {
   struct entry *e = l->entry;
 
-  if (!bb_poison_record_crash (e->poison, m->fingerprint, m->event, m->age_ms,
-                               entry_now ()))
+  if (!bb_poison_receive (e->poison, m, entry_now ()))
     return;
   for (struct link *other = e->links; other; other = other->next)
     if (other != l && other->ready)
       bb_put_suspect (bb_conn_out (other->conn), m);
 }
 
-static void
-send_suspect (void *arg, uint64_t fingerprint, uint64_t event, bb_ms age_ms)
+void
+suspect_answered (struct entry *e, uint64_t fingerprint)
 {
-  struct link *l = arg;
-  struct bb_suspect m = { .fingerprint = fingerprint,
-                          .event = event,
-                          .age_ms = (uint32_t)age_ms };
+  struct bb_crash answer = { .fingerprint = fingerprint };
 
-  bb_put_suspect (bb_conn_out (l->conn), &m);
+  if (!bb_poison_clear (e->poison, fingerprint, entry_now ()))
+    return;
+  for (struct link *l = e->links; l; l = l->next)
+    if (l->ready)
+      bb_put_crash (bb_conn_out (l->conn), &answer);
 }
 
 void
 suspect_send_all (struct link *l)
 {
-  bb_poison_each (l->entry->poison, entry_now (), send_suspect, l);
+  bb_put_crashes (bb_conn_out (l->conn), l->entry->poison, entry_now ());
 }
--- a/include/bilberry/admit.h
+++ b/include/bilberry/admit.h
@@ -96,16 +96,34 @@
 
 /* Detection of requests that crash upstreams.  A request is known by its
    fingerprint, a hash of what the caller sent, so that a repetition is
-   recognized.  A crash is known by an event number, which the agent that saw
-   it draws at random.  A fingerprint that was in flight at one crash is
-   suspect, at two it is quarantined.  The number of fingerprints is limited:
-   the one whose last crash was recorded longest ago is dropped first.  */
+   recognized.  A crash is known by an event number, which the process that saw
+   it draws at random.
+
+   A fingerprint that was in flight at a crash is suspect.  One that was sent
+   again as a suspect, and was in flight at a crash once more, is quarantined.
+   Two crashes of which neither preceded the sending of the other, as of
+   several upstreams of one VM, do not add up: a request that many callers send
+   is in flight at all of them.  An answer proves that crashes up to then had
+   another cause.
+
+   The number of fingerprints is limited: the one that changed longest ago is
+   dropped first.  */
 struct bb_poison;
 
+/* That a request was in flight at a crash.  */
+struct bb_crash
+{
+  uint64_t fingerprint; /* 0 is ignored */
+  uint64_t event;
+  uint64_t prior; /* bb_poison_event of the fingerprint when the request was
+                     sent; 0: it was not suspect */
+  bb_ms age_ms;   /* time since the crash */
+};
+
 enum bb_poison_state
 {
   BB_POISON_CLEAN,
-  BB_POISON_SUSPECT,    /* its request must run alone at an upstream */
+  BB_POISON_SUSPECT,    /* its request must be isolated from other suspects */
   BB_POISON_QUARANTINED /* its requests are to be refused */
 };
 
@@ -114,31 +132,35 @@
 struct bb_poison *bb_poison_new (void);
 void bb_poison_free (struct bb_poison *p);
 
-/* Records that FINGERPRINT was in flight at the crash EVENT, AGE_MS ago.
-   Returns whether this is new; false where the crash is recorded already, the
-   fingerprint is quarantined, the crash is too old, or FINGERPRINT is 0.  */
-bool bb_poison_record_crash (struct bb_poison *p, uint64_t fingerprint,
-                             uint64_t event, bb_ms age_ms, bb_ms now);
+/* Records C.  Returns whether the state of its fingerprint changes by it; if
+   so, other processes are to be told.  */
+bool bb_poison_record_crash (struct bb_poison *p, const struct bb_crash *c,
+                             bb_ms now);
 
-/* Records that a request with FINGERPRINT was answered.  A suspect is clean
-   again; a quarantined one is not.  */
-void bb_poison_clear (struct bb_poison *p, uint64_t fingerprint, bb_ms now);
+/* Records that a request with FINGERPRINT was answered at ANSWERED_MS.  A
+   suspect is clean again, unless its crash is newer; a quarantined one is not.
+   Returns whether it was suspect; if so, other processes are to be told.  */
+bool bb_poison_clear (struct bb_poison *p, uint64_t fingerprint,
+                      bb_ms answered_ms);
 
 /* Returns the state of FINGERPRINT at NOW.  */
 enum bb_poison_state bb_poison_state (struct bb_poison *p,
                                       uint64_t fingerprint, bb_ms now);
 
+/* Returns the number of the crash that made FINGERPRINT suspect or
+   quarantined; 0 where it is clean.  */
+uint64_t bb_poison_event (struct bb_poison *p, uint64_t fingerprint,
+                          bb_ms now);
+
 /* Returns the time in milliseconds until FINGERPRINT, suspect or quarantined,
    is clean again; 0 where it is clean.  */
 bb_ms bb_poison_remaining_ms (struct bb_poison *p, uint64_t fingerprint,
                               bb_ms now);
 
-/* Takes the crash EVENT, AGE_MS ago, with FINGERPRINT in flight.  */
-typedef void bb_poison_fn (void *arg, uint64_t fingerprint, uint64_t event,
-                           bb_ms age_ms);
+typedef void bb_poison_fn (void *arg, const struct bb_crash *c);
 
-/* Calls FN with ARG for each crash of each fingerprint that is not clean, to
-   send them all to a peer that has just connected.  */
+/* Calls FN with ARG for each fingerprint that is not clean, to send them all
+   to a peer that has just connected.  */
 void bb_poison_each (struct bb_poison *p, bb_ms now, bb_poison_fn *fn,
                      void *arg);
 
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -420,13 +420,15 @@
   uint32_t lost_ms;
 };
 
-/* Reports that a request was in flight when an upstream crashed; entries and
- * agents forward each report that is new to them.  */
+/* Reports that a request was in flight when an upstream crashed, or that a
+ * suspect one was answered; each process forwards a report that is new to it.
+ */
 struct bb_suspect
 {
   uint64_t fingerprint;
   uint64_t event;
   uint32_t age_ms;
+  uint64_t prior;
 };
 
 /* State of a rank, and how often its requests chose each expert since the last
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -2,7 +2,7 @@
 #define BILBERRY_PEER_H
 
 /* libpeer - replication of the fleet's state between edges and to agents.
-   Link with -lpeer -lfleet -lnet -lproto.
+   Link with -lpeer -lfleet -ladmit -lnet -lproto.
 
    Edges connect to all other edges; an agent connects to one edge.  On a new
    connection each side sends all items of its view.  Later it sends the items
@@ -10,6 +10,7 @@
    the revision up to which it has all items.  A connection on which nothing
    arrives for some time is closed.  */
 
+#include "bilberry/admit.h"
 #include "bilberry/fleet.h"
 #include "bilberry/net.h"
 
@@ -79,4 +80,13 @@
    watch the store.  */
 uint32_t bb_peers_count_readers_before (const struct bb_peers *p);
 
+/* Appends the message that tells C to OUT.  */
+void bb_put_crash (msgpack_sbuffer *out, const struct bb_crash *c);
+/* Appends a message for each fingerprint of P that is not clean to OUT.  */
+void bb_put_crashes (msgpack_sbuffer *out, struct bb_poison *p, bb_ms now);
+/* Records the report M in P.  Returns whether it is new, and so is to be
+   forwarded.  */
+bool bb_poison_receive (struct bb_poison *p, const struct bb_suspect *m,
+                        bb_ms now);
+
 #endif
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -2206,13 +2206,15 @@
 static void
 put_suspect (msgpack_packer *pk, const struct bb_suspect *v)
 {
-  msgpack_pack_map (pk, 3);
+  msgpack_pack_map (pk, 4);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->fingerprint);
   msgpack_pack_uint8 (pk, 2);
   msgpack_pack_uint64 (pk, v->event);
   msgpack_pack_uint8 (pk, 3);
   msgpack_pack_uint64 (pk, v->age_ms);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->prior);
 }
 
 static bool
@@ -2247,6 +2249,12 @@
           v->age_ms = (uint32_t)n;
           seen |= UINT64_C (1) << 3;
           break;
+        case 4:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "prior", e))
+            return false;
+          v->prior = (uint64_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
         default:
           break;
         }
@@ -3830,6 +3838,7 @@
   { BB_MSG_SUSPECT, 1, true, "fingerprint" },
   { BB_MSG_SUSPECT, 2, true, "event" },
   { BB_MSG_SUSPECT, 3, false, "age_ms" },
+  { BB_MSG_SUSPECT, 4, false, "prior" },
   { BB_MSG_RANK_STATE, 1, true, "upstream" },
   { BB_MSG_RANK_STATE, 2, false, "group" },
   { BB_MSG_RANK_STATE, 3, true, "epoch" },
--- a/test/test_poison.c
+++ b/test/test_poison.c
@@ -17,6 +17,16 @@
   TOKENS = 150
 };
 
+/* Records that fingerprint 7 was in flight at crash EVENT, which it was sent
+   to after PRIOR had made it suspect.  */
+static bool
+crash (struct bb_poison *p, uint64_t event, uint64_t prior, bb_ms now)
+{
+  struct bb_crash c = { .fingerprint = 7, .event = event, .prior = prior };
+
+  return bb_poison_record_crash (p, &c, now);
+}
+
 /* One crash makes a fingerprint suspect, a second one quarantines it.  */
 static void
 test_states (void)
@@ -24,15 +34,16 @@
   struct bb_poison *p = bb_poison_new ();
 
   g_assert_cmpint (bb_poison_state (p, 7, 0), ==, BB_POISON_CLEAN);
-  g_assert_true (bb_poison_record_crash (p, 7, 100, 0, 0));
+  g_assert_true (crash (p, 100, 0, 0));
   g_assert_cmpint (bb_poison_state (p, 7, 0), ==, BB_POISON_SUSPECT);
   /* A repeated report of the same crash does not count.  */
-  g_assert_false (bb_poison_record_crash (p, 7, 100, 0, 5));
+  g_assert_false (crash (p, 100, 0, 5));
   g_assert_cmpint (bb_poison_state (p, 7, 5), ==, BB_POISON_SUSPECT);
-  g_assert_true (bb_poison_record_crash (p, 7, 101, 0, 10));
+  g_assert_true (crash (p, 101, 100, 10));
   g_assert_cmpint (bb_poison_state (p, 7, 10), ==, BB_POISON_QUARANTINED);
+  g_assert_false (crash (p, 101, 100, 10));
   /* An answer does not end a quarantine; it expires.  */
-  bb_poison_clear (p, 7, 20);
+  g_assert_false (bb_poison_clear (p, 7, 20));
   g_assert_cmpint (bb_poison_state (p, 7, 20), ==, BB_POISON_QUARANTINED);
   g_assert_cmpint (bb_poison_remaining_ms (p, 7, 10), ==, QUARANTINE_MS);
   g_assert_cmpint (bb_poison_state (p, 7, 10 + QUARANTINE_MS), ==,
@@ -40,16 +51,65 @@
   bb_poison_free (p);
 }
 
-/* An answer ends suspicion, and so does time.  */
+/* A common request is in flight at several upstreams that crash at once.
+   Neither crash preceded the sending to the other, so it is only suspect.  */
+static void
+test_at_once (void)
+{
+  struct bb_poison *p = bb_poison_new ();
+
+  g_assert_true (crash (p, 100, 0, 0));
+  g_assert_false (crash (p, 101, 0, 0));
+  g_assert_false (crash (p, 102, 0, 3));
+  g_assert_cmpint (bb_poison_state (p, 7, 3), ==, BB_POISON_SUSPECT);
+  bb_poison_free (p);
+}
+
+static void
+copy_to (void *arg, const struct bb_crash *c)
+{
+  bb_poison_record_crash (arg, c, c->age_ms);
+}
+
+/* A peer that connects late, here at a time at which the suspicion alone would
+   have expired, learns of a quarantine that still holds, and for how long.  */
+static void
+test_late_peer (void)
+{
+  const bb_ms now = 2 * SUSPECT_MS;
+  struct bb_poison *p = bb_poison_new ();
+  struct bb_poison *late = bb_poison_new ();
+
+  crash (p, 100, 0, 0);
+  crash (p, 101, 100, 1000);
+  bb_poison_each (p, now, copy_to, late);
+  /* The clock of the late peer began at the second crash.  */
+  g_assert_cmpint (bb_poison_state (late, 7, now - 1000), ==,
+                   BB_POISON_QUARANTINED);
+  g_assert_cmpint (bb_poison_remaining_ms (late, 7, now - 1000), ==,
+                   bb_poison_remaining_ms (p, 7, now));
+  bb_poison_free (p);
+  bb_poison_free (late);
+}
+
+/* An answer ends suspicion, and so does time.  A report of the same crash that
+   comes after the answer does not renew it.  */
 static void
 test_cleared (void)
 {
   struct bb_poison *p = bb_poison_new ();
+  struct bb_crash late
+      = { .fingerprint = 7, .event = 100, .prior = 0, .age_ms = 2 };
 
-  bb_poison_record_crash (p, 7, 100, 0, 0);
-  bb_poison_clear (p, 7, 1);
+  crash (p, 100, 0, 0);
+  g_assert_true (bb_poison_clear (p, 7, 1));
   g_assert_cmpint (bb_poison_state (p, 7, 1), ==, BB_POISON_CLEAN);
-  bb_poison_record_crash (p, 7, 101, 0, 2);
+  g_assert_false (bb_poison_record_crash (p, &late, 2));
+  g_assert_cmpint (bb_poison_state (p, 7, 2), ==, BB_POISON_CLEAN);
+  crash (p, 101, 0, 2);
+  g_assert_cmpint (bb_poison_state (p, 7, 2), ==, BB_POISON_SUSPECT);
+  /* An answer from before the crash proves nothing.  */
+  g_assert_false (bb_poison_clear (p, 7, 1));
   g_assert_cmpint (bb_poison_state (p, 7, 2), ==, BB_POISON_SUSPECT);
   g_assert_cmpint (bb_poison_state (p, 7, 2 + SUSPECT_MS), ==,
                    BB_POISON_CLEAN);
@@ -63,7 +123,10 @@
   struct bb_poison *p = bb_poison_new ();
 
   for (uint64_t i = 1; i <= 5000; i++)
-    bb_poison_record_crash (p, i, 100, 0, (bb_ms)i);
+    {
+      struct bb_crash c = { .fingerprint = i, .event = 100 };
+      bb_poison_record_crash (p, &c, (bb_ms)i);
+    }
   g_assert_cmpint (bb_poison_state (p, 1, 5000), ==, BB_POISON_CLEAN);
   g_assert_cmpint (bb_poison_state (p, 5000, 5000), ==, BB_POISON_SUSPECT);
   bb_poison_free (p);
@@ -227,6 +290,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/poison/states", test_states);
+  g_test_add_func ("/poison/at-once", test_at_once);
+  g_test_add_func ("/poison/late-peer", test_late_peer);
   g_test_add_func ("/poison/cleared", test_cleared);
   g_test_add_func ("/poison/bounded", test_bounded);
   g_test_add_func ("/poison/alone", test_alone);
