--- /dev/null
+++ b/cmd/edge/crash.c
@@ -0,0 +1,138 @@
+/* Finds out whether an upstream has crashed, and which requests were in flight
+   there.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+/* A request whose connection to an upstream ended before its response.  */
+struct loss
+{
+  uint64_t fingerprint;
+  uint64_t prior_crash; /* as in the request */
+};
+
+/* Finds out whether an upstream whose connections ended has crashed: it has if
+   new connections are refused.  */
+struct crash_check
+{
+  struct edge *edge;
+  struct target *target;
+  uint64_t number;
+  GArray *losses;     /* struct loss */
+  guint probed_count; /* losses before the start of the current probe */
+};
+
+bool
+crash_is_checked (const struct request *r)
+{
+#ifdef BB_MUTANT_edge_hold
+  return false;
+#endif
+  return g_hash_table_contains (r->edge->running_checks, &r->check_number);
+}
+
+/* Records that the requests of the losses of CHECK were in flight when the
+   upstream crashed.  */
+static void
+record_crash (const struct crash_check *check)
+{
+  struct edge *e = check->edge;
+  bb_ms now = edge_now (e);
+  uint64_t event
+      = ((uint64_t)g_rand_int (e->rand) << 31 | g_rand_int (e->rand) >> 1) | 1;
+
+  bb_counter ("bilberry_upstream_crashes_total", "")->value++;
+  for (guint i = 0; i < check->losses->len; i++)
+    {
+      const struct loss *l = &g_array_index (check->losses, struct loss, i);
+      struct bb_crash c = { .fingerprint = l->fingerprint, .event = event };
+      /* An answer since then may have cleared the suspicion.  */
+      if (bb_poison_event (e->poison, l->fingerprint, now) == l->prior_crash)
+        c.prior = l->prior_crash;
+      if (!bb_poison_record_crash (e->poison, &c, now))
+        continue;
+      bb_peers_broadcast_crash (e->peers, &c);
+      suspect_apply_change (e, &c, "own");
+    }
+}
+
+static void
+end_check (struct crash_check *check)
+{
+  struct edge *e = check->edge;
+
+  check->target->check = NULL;
+  g_hash_table_remove (e->running_checks, &check->number);
+  g_array_unref (check->losses);
+  g_free (check);
+  queue_dispatch_all (e);
+}
+
+static void start_probe (struct crash_check *check);
+
+static void
+on_probe (enum bb_h1_probe_result result, void *user)
+{
+  static const char *const names[] = { "accepted", "refused", "silent" };
+  struct crash_check *check = user;
+  struct target *t = check->target;
+
+  bb_log_event ("upstream_probed", "{s:s, s:s, s:i}", "upstream",
+                t->record->id, "connection", names[result], "lost",
+                (int)check->losses->len);
+#ifdef BB_MUTANT_edge_probe
+  result = BB_H1_PROBE_REFUSED;
+#endif
+  if (result == BB_H1_PROBE_REFUSED)
+    {
+      bb_h1_pool_drop_idle (t->connections);
+      record_crash (check);
+    }
+  else if (check->losses->len > check->probed_count)
+    {
+      /* The others may be of a crash since the probe began.  */
+      g_array_remove_range (check->losses, 0, check->probed_count);
+      start_probe (check);
+      return;
+    }
+  end_check (check);
+}
+
+static void
+start_probe (struct crash_check *check)
+{
+  check->probed_count = check->losses->len;
+  bb_h1_probe (check->target->connections, CONNECT_TIMEOUT_MS, on_probe,
+               check);
+}
+
+void
+crash_check_upstream (struct request *r)
+{
+  struct edge *e = r->edge;
+  struct target *t = r->target;
+  struct loss l
+      = { .fingerprint = r->fingerprint, .prior_crash = r->prior_crash };
+  bool is_new = !t->check;
+
+  if (is_new)
+    {
+      t->check = g_new0 (struct crash_check, 1);
+      t->check->edge = e;
+      t->check->target = t;
+      t->check->number = ++e->last_check_number;
+      t->check->losses = g_array_new (FALSE, FALSE, sizeof (struct loss));
+      g_hash_table_add (e->running_checks, &t->check->number);
+    }
+  g_array_append_val (t->check->losses, l);
+  r->check_number = t->check->number;
+  if (is_new)
+    start_probe (t->check);
+}
+
+void
+crash_init (struct edge *e)
+{
+  e->running_checks = g_hash_table_new (g_int64_hash, g_int64_equal);
+}
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -12,9 +12,10 @@
 
    Each of them calls only later files of this list, and files outside it such
    as fleet.c and groups.c.  There are two exceptions: queue.c calls
-   input_route after a change of configuration, and response.c and groups.c
-   call queue_dispatch when an upstream may have room again.  A retried request
-   goes back to its queue through edge->requeue.  */
+   input_route after a change of configuration, and response.c, groups.c,
+   crash.c, isolate.c and suspect.c call queue.c when an upstream may have room
+   again, or when requests that wait are to be refused.  A retried request goes
+   back to its queue through edge->requeue.  */
 
 #include "bilberry/load.h"
 #include "bilberry/peer.h"
@@ -29,6 +30,7 @@
   FINGERPRINT_TEXT_SIZE = 17
 };
 
+struct crash_check;
 struct edge;
 struct pool_queue;
 
@@ -61,8 +63,10 @@
   struct bb_ejection ejection;
   /* Group of the upstream; NULL: none, or not looked up yet.  */
   struct group *group;
-  bb_ms retire_at_ms; /* time from which on it gets no new requests; 0:
-                         registered */
+  bb_ms retire_at_ms;        /* time from which on it gets no new requests; 0:
+                                registered */
+  struct crash_check *check; /* finds out whether it has crashed; it gets no
+                                requests meanwhile.  NULL: none */
 };
 
 /* The requests that wait for an upstream of one pool.  */
@@ -72,6 +76,7 @@
   char *pool;
   GQueue waiting; /* the waiting requests, struct request */
   struct bb_retry_window retry_window;
+  uint64_t round;        /* number of the current call of queue_dispatch */
   bool grouped;          /* its upstreams are ranks of engine groups */
   GPtrArray *groups;     /* struct group; the first has the empty name */
   double first_event_ms; /* smoothed time from sending to the first event, or
@@ -98,6 +103,13 @@
   /* Identifies the request when its caller repeats it under another id.  */
   uint64_t fingerprint;
   char fingerprint_text[FINGERPRINT_TEXT_SIZE]; /* in hexadecimal */
+  uint64_t prior_crash;  /* crash that had made the request suspect when the
+                            current try was sent; 0: none */
+  uint64_t claimed_hash; /* id_hash of the upstream that was last claimed to
+                          isolate the request; 0: none */
+  bool isolated;         /* it is in flight there as isolated */
+  uint64_t check_number; /* check of the upstream of a failed try; no further
+                            try is sent while it runs.  0: none */
   enum request_state state;
   enum bb_outcome outcome; /* how the last try ended */
   bb_ms received_ms;       /* when the request was complete */
@@ -105,6 +117,7 @@
   /* Time until which a response meets the route's SLO.  */
   bb_ms slo_deadline_ms;
   bb_ms queued_ms;   /* when it last entered the queue */
+  uint64_t round;    /* queue->round in which it had to wait for isolation */
   bb_ms sent_ms;     /* start of the current try */
   bb_ms progress_ms; /* time of the last event, or start of the current try */
   double split_draw; /* random number from 0 to 1 that picks the pool of a
@@ -155,6 +168,10 @@
   bool peer_loads_changed; /* peer_loads changed since they were last summed */
   bb_ms peer_loads_summed_ms;
   struct bb_peers *peers;
+  struct bb_poison *poison;       /* requests that crash upstreams */
+  struct bb_isolation *isolation; /* where they may be sent */
+  GHashTable *running_checks;     /* numbers of the checks that run */
+  uint64_t last_check_number;
   struct bb_store *store;
   bool store_ok; /* the last call of the store succeeded, or peers watch the
                     store for this edge */
@@ -201,7 +218,8 @@
 /* Writes the loads of this edge to M, for its peers.  */
 void fleet_fill_peer_state (struct edge *e, struct bb_peer_state *m);
 /* Whether T may get new requests: it is registered, neither draining nor
-   ejected, and its failure domain is not evacuated.  */
+   ejected, not being checked for a crash, and its failure domain is not
+   evacuated.  */
 bool fleet_may_send (const struct edge *e, const struct target *t, bb_ms now);
 /* Returns the time of the event loop.  */
 bb_ms edge_now (const struct edge *e);
@@ -226,11 +244,52 @@
 bool input_route (struct request *r);
 
 /* suspect.c: requests that crash the upstreams that run them.  */
+void suspect_init (struct edge *e);
 /* Sets the fingerprint of R, a hash of its customer, host, method, path and
    body, which a repeat by the same caller has too.  Never 0.  */
 void suspect_set_fingerprint (struct request *r);
-/* Writes FINGERPRINT in hexadecimal to TEXT.  */
-void suspect_print (uint64_t fingerprint, char text[FINGERPRINT_TEXT_SIZE]);
+/* Whether R is suspect or quarantined; if so, it may only be sent as isolate.c
+   allows.  */
+bool suspect_is_suspect (const struct request *r);
+/* Whether R is quarantined, and so is to be refused.  */
+bool suspect_is_quarantined (const struct request *r);
+/* Returns for how long R will be quarantined.  */
+bb_ms suspect_remaining_ms (const struct request *r);
+/* R got a response that reports success: it is not suspect any more.  */
+void suspect_answered (const struct request *r);
+/* Logs C, which is new and came from SOURCE, and refuses the waiting requests
+   that it quarantines.  */
+void suspect_apply_change (struct edge *e, const struct bb_crash *c,
+                           const char *source);
+/* Applies M, which a peer sent and which is new.  */
+void suspect_apply_message (struct edge *e, const struct bb_suspect *m);
+
+/* crash.c: whether upstreams have crashed.  */
+void crash_init (struct edge *e);
+/* Called when the connection of the current try of R ended before its
+   response: finds out whether the upstream has crashed, which makes R
+   suspect.  */
+void crash_check_upstream (struct request *r);
+/* Whether the check of an upstream that R was lost at still runs; R is not
+   sent again before its end.  */
+bool crash_is_checked (const struct request *r);
+
+/* isolate.c: keeps suspect requests apart from each other, over all edges.  */
+void isolate_init (struct edge *e);
+/* Whether R, which is suspect, may be sent to T or claim it.  */
+bool isolate_may_use (const struct request *r, const struct target *t);
+/* Whether this edge may send suspect requests to T without a claim.  */
+bool isolate_owns (const struct edge *e, const struct target *t);
+/* Returns whether R, which is suspect, is to be sent to T now.  Otherwise it
+   has to wait; the other edges are told that it is to be sent there.  */
+bool isolate_claim (struct request *r, const struct target *t);
+/* R is not in flight any more, if it was.  */
+void isolate_release (struct request *r);
+/* Another edge was found, is gone, or told how it uses an upstream.  */
+void isolate_add_edge (struct edge *e, const char *name);
+void isolate_remove_edge (struct edge *e, const char *name);
+void isolate_apply (struct edge *e, const char *name,
+                    const struct bb_peer_isolated *m);
 
 /* groups.c: the engine groups of upstreams and their health.  */
 /* Returns the group of T, or NULL if its pool has no groups.  */
@@ -254,6 +313,8 @@
 void queue_dispatch_all (struct edge *e);
 /* Called every tick: checks the groups and dispatches all queues.  */
 void queue_tick (struct edge *e);
+/* Refuses the waiting requests that are quarantined.  */
+void queue_refuse_quarantined (struct edge *e);
 
 /* send.c: tries.  */
 /* Starts a try of R at T.  */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -153,7 +153,7 @@
     {
       struct target *t = g_ptr_array_index (e->target_list, i);
       if (t->retire_at_ms == 0 || now < t->retire_at_ms + RETIRED_KEEP_MS
-          || t->in_flight > 0)
+          || t->in_flight > 0 || t->check)
         continue;
       g_hash_table_remove (e->targets, t->record->id);
       g_ptr_array_remove_index_fast (e->target_list, i);
@@ -280,7 +280,7 @@
 {
   if (t->retire_at_ms != 0 && now >= t->retire_at_ms)
     return false;
-  if (t->record->draining)
+  if (t->record->draining || t->check)
     return false;
   if (g_hash_table_contains (e->evacuated_domains, t->record->failure_domain))
     return false;
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -215,6 +215,9 @@
                 e->settings->failure_domain);
   latency_start ();
   fleet_init (e);
+  suspect_init (e);
+  isolate_init (e);
+  crash_init (e);
   start_signals (e);
   if (!open_front (e) || !status_start (e) || !peers_start (e)
       || !bb_metrics_listen (e->loop, e->settings))
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -14,6 +14,8 @@
   struct edge *e = user;
 
   fleet_apply_peer_state (e, name, m);
+  if (m->taking)
+    isolate_add_edge (e, name);
   queue_dispatch_all (e);
 }
 
@@ -28,10 +30,24 @@
 on_change (const char *name, bool connected, void *user)
 {
   fleet_apply_peer_change (user, name, connected);
+  if (!connected)
+    isolate_remove_edge (user, name);
+}
+
+static void
+on_isolated (const char *name, const struct bb_peer_isolated *m, void *user)
+{
+  isolate_apply (user, name, m);
+}
+
+static void
+on_suspect (const struct bb_suspect *m, void *user)
+{
+  suspect_apply_message (user, m);
 }
 
 static const struct bb_peers_ops ops
-    = { on_item, on_state, fill_state, on_change };
+    = { on_item, on_state, fill_state, on_change, on_isolated, on_suspect };
 
 bool
 peers_start (struct edge *e)
@@ -43,7 +59,8 @@
           .seeds_count = e->settings->seeds_count,
           .connect_all = true,
           .incarnation
-          = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1 };
+          = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1,
+          .poison = e->poison };
   int error;
 
   e->peers = bb_peers_new (e->loop, &o, e->view, &ops, e, &error);
--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -26,14 +26,13 @@
 
 static void
 fill_candidate (struct bb_balance_candidate *c, struct pool_queue *q,
-                const struct request *r, struct target *t, uint32_t cold_share)
+                struct target *t, uint32_t cold_share)
 {
   bb_ms now = edge_now (q->edge);
 
   c->usable = fleet_may_send (q->edge, t, now)
               && groups_is_up (groups_find (q->edge, t), now)
               && bb_rate_limiter_allows (&t->rate_limiter, now, cold_share);
-  c->tried = was_tried (r, t);
   c->unresponsive
       = bb_balance_is_unresponsive (t->in_flight, t->last_activity_ms, now);
   c->same_domain
@@ -62,6 +61,33 @@
       candidates[i].relative_latency = targets[i]->latency_ms / least;
 }
 
+/* Which upstreams a request may be sent to, in the order in which they are
+   considered.  */
+enum choice
+{
+  CHOICE_CLAIMED, /* that which an isolated request has claimed */
+  CHOICE_OWN,     /* not tried, and needs no claim; for isolated requests */
+  CHOICE_UNTRIED, /* not tried */
+  CHOICE_ANY      /* for requests that were tried before */
+};
+
+static bool
+is_excluded (enum choice c, const struct request *r, const struct target *t)
+{
+  switch (c)
+    {
+    case CHOICE_CLAIMED:
+      return t->id_hash != r->claimed_hash;
+    case CHOICE_OWN:
+      return was_tried (r, t) || !isolate_owns (r->edge, t);
+    case CHOICE_UNTRIED:
+      return was_tried (r, t);
+    case CHOICE_ANY:
+      return false;
+    }
+  return false;
+}
+
 static struct target *
 choose_target (struct pool_queue *q, const struct request *r)
 {
@@ -69,33 +95,39 @@
   const struct bb_pool *pool = bb_config_find_pool (e->config, q->pool);
   uint32_t cold_share = bb_cold_start_share (
       pool ? pool->cold_requests_per_s : 0, fleet_edge_count (e));
+  bool isolated = suspect_is_suspect (r);
   struct bb_balance_candidate candidates[UPSTREAMS_MAX] = { 0 };
   struct target *targets[UPSTREAMS_MAX];
   struct bb_balance_cost cost = { .per_request = 1, .per_prompt_token = 0 };
+  enum choice last = r->tried_count > 0 ? CHOICE_ANY : CHOICE_UNTRIED;
   uint32_t n = 0;
-  uint32_t i;
+  uint32_t chosen = BB_BALANCE_NONE;
 
   for (guint k = 0; k < e->target_list->len && n < UPSTREAMS_MAX; k++)
     {
       struct target *t = g_ptr_array_index (e->target_list, k);
       if (strcmp (t->record->pool, q->pool) != 0)
         continue;
-      fill_candidate (&candidates[n], q, r, t, cold_share);
+      fill_candidate (&candidates[n], q, t, cold_share);
+#ifndef BB_MUTANT_edge_isolate
+      if (isolated && !isolate_may_use (r, t))
+        candidates[n].usable = false;
+#endif
       targets[n++] = t;
     }
   if (pool && pool->has_engine)
     cost.per_prompt_token = 1.0 / PREFILL_TOKENS_PER_DECODE;
   else
     fill_relative_latency (candidates, targets, n);
-  i = bb_balance_choose (candidates, n, &cost, g_rand_double (e->rand));
-  /* Only upstreams that were already tried are left: use one of them.  */
-  if (i == BB_BALANCE_NONE && r->tried_count > 0)
+  for (enum choice c = isolated ? CHOICE_CLAIMED : CHOICE_UNTRIED;
+       c <= last && chosen == BB_BALANCE_NONE; c++)
     {
       for (uint32_t k = 0; k < n; k++)
-        candidates[k].tried = false;
-      i = bb_balance_choose (candidates, n, &cost, g_rand_double (e->rand));
+        candidates[k].tried = is_excluded (c, r, targets[k]);
+      chosen
+          = bb_balance_choose (candidates, n, &cost, g_rand_double (e->rand));
     }
-  return i == BB_BALANCE_NONE ? NULL : targets[i];
+  return chosen == BB_BALANCE_NONE ? NULL : targets[chosen];
 }
 
 static void
@@ -110,6 +142,9 @@
                     : 0;
 }
 
+/* Returns the waiting request that is sent next, NULL if there is none. Passes
+   over those whose upstream is being checked for a crash, and those that had
+   to wait for isolation in this round.  */
 static struct request *
 pick_request (struct pool_queue *q)
 {
@@ -119,13 +154,16 @@
 
   for (GList *i = q->waiting.head; i; i = i->next)
     {
+      struct request *r = i->data;
       struct bb_queued_request queued = { 0 };
-      fill_queued_request (i->data, &queued);
+      if (r->round == q->round || crash_is_checked (r))
+        continue;
+      fill_queued_request (r, &queued);
       if (chosen
           && !bb_queued_request_before (&queued, &best, now,
                                         (bb_ms)q->first_event_ms))
         continue;
-      chosen = i->data;
+      chosen = r;
       best = queued;
     }
   return chosen;
@@ -148,9 +186,19 @@
   return false;
 }
 
+/* Moves R to its queue under the configuration in force, or refuses it.  */
+static void
+route_again (struct request *r)
+{
+  g_queue_remove (&r->queue->waiting, r);
+  if (input_route (r))
+    g_queue_push_tail (&r->queue->waiting, r);
+}
+
 /* Takes the next request from the queue: sends it, refuses it, or moves it to
-   its queue under a new configuration.  Returns false if there is none, or no
-   upstream for it.  */
+   its queue under a new configuration.  An isolated request, which only few
+   upstreams may get, is passed over in this round if it has to wait.  Returns
+   false if there is none, or no upstream for it.  */
 static bool
 send_next (struct pool_queue *q)
 {
@@ -161,12 +209,15 @@
     return false;
   if (r->config != q->edge->config)
     {
-      g_queue_remove (&q->waiting, r);
-      if (input_route (r))
-        g_queue_push_tail (&r->queue->waiting, r);
+      route_again (r);
       return true;
     }
   t = choose_target (q, r);
+  if (suspect_is_suspect (r) && (!t || !isolate_claim (r, t)))
+    {
+      r->round = q->round;
+      return true;
+    }
   if (!t)
     return false;
   if (!charge_retry (r))
@@ -179,6 +230,7 @@
 void
 queue_dispatch (struct pool_queue *q)
 {
+  q->round++;
   while (q->waiting.length > 0 && send_next (q))
     ;
 }
@@ -203,6 +255,11 @@
   bb_ms wait_max = r->route->slo_ms * QUEUE_WAIT_SLOS;
   bb_ms give_up = now + wait_max;
 
+  if (suspect_is_quarantined (r))
+    {
+      refuse (r, BB_REASON_QUARANTINED, 0);
+      return;
+    }
   r->state = REQUEST_WAITING;
   r->queued_ms = now;
   request_set_timer (r, give_up < r->deadline_ms ? give_up : r->deadline_ms);
@@ -224,3 +281,30 @@
       queue_dispatch (q);
     }
 }
+
+static void
+refuse_quarantined_of (struct pool_queue *q)
+{
+  GList *next;
+
+  for (GList *i = q->waiting.head; i; i = next)
+    {
+      struct request *r = i->data;
+      next = i->next;
+      if (!suspect_is_quarantined (r))
+        continue;
+      g_queue_delete_link (&q->waiting, i);
+      refuse (r, BB_REASON_QUARANTINED, 0);
+    }
+}
+
+void
+queue_refuse_quarantined (struct edge *e)
+{
+  GHashTableIter it;
+  void *value;
+
+  g_hash_table_iter_init (&it, e->queues);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    refuse_quarantined_of (value);
+}
--- a/cmd/edge/refuse.c
+++ b/cmd/edge/refuse.c
@@ -74,6 +74,10 @@
     refuse_abort (r, reason);
   else if (r->executions > 0)
     refuse_failed (r, BB_REASON_UPSTREAM_FAILED);
+  /* 429, not the 422 of the reason, since it promises that the request did not
+     run.  */
+  else if (reason == BB_REASON_QUARANTINED)
+    respond (r, reason, 429, suspect_remaining_ms (r));
   else if (status == 503 || status == 429)
     refuse_not_run (r, reason, retry_after_ms);
   else
--- a/cmd/edge/request.c
+++ b/cmd/edge/request.c
@@ -36,6 +36,7 @@
 request_free (struct request *r)
 {
   uv_close ((uv_handle_t *)r->timer, on_timer_closed);
+  isolate_release (r);
   if (r->headers_text)
     g_string_chunk_free (r->headers_text);
   g_byte_array_unref (r->body);
@@ -95,6 +96,7 @@
 void
 request_release (struct request *r)
 {
+  isolate_release (r);
   if (!r->target)
     return;
   request_prompt_processed (r);
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -223,6 +223,7 @@
   struct bb_bytes rest = { (const char *)r->body->data, r->body->len };
 
   record_success (r);
+  suspect_answered (r);
   log_response (r);
   latency_record (LATENCY_RESPONSE, r->received_ms, edge_now (r->edge));
   bb_counter ("bilberry_answers_total", "")->value++;
@@ -267,6 +268,8 @@
 
   (void)c;
   r->call = NULL;
+  if (how != BB_H1_WHOLE && how != BB_H1_UNSENT)
+    crash_check_upstream (r);
   if (outcome == BB_OUTCOME_ANSWERED)
     finish_response (r);
   else
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -70,6 +70,7 @@
       = bb_forward_headers (&r->exchange->request, &s, headers, text);
   latency_record (LATENCY_WAIT, r->queued_ms, now);
   request_assign (r, t);
+  r->prior_crash = bb_poison_event (e->poison, r->fingerprint, now);
   bb_rate_limiter_record (&t->rate_limiter, now);
   bb_ejection_sent (&t->ejection, now);
   r->state = REQUEST_SENT;
--- a/cmd/edge/suspect.c
+++ b/cmd/edge/suspect.c
@@ -1,7 +1,11 @@
-/* Requests that crash the upstreams that run them.  */
+/* Requests that crash the upstreams that run them.  A request that was in
+   flight at a crash is suspect and is isolated; one that is in flight at a
+   further crash is quarantined, at all edges.  */
 
 #include "edge.h"
 
+#include <jansson.h>
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -14,8 +18,8 @@
   return b.size > 0 ? XXH64 (b.ptr, b.size, seed) : seed;
 }
 
-void
-suspect_print (uint64_t fingerprint, char text[FINGERPRINT_TEXT_SIZE])
+static void
+print_fingerprint (uint64_t fingerprint, char text[FINGERPRINT_TEXT_SIZE])
 {
   g_snprintf (text, FINGERPRINT_TEXT_SIZE, "%016" G_GINT64_MODIFIER "x",
               fingerprint);
@@ -32,5 +36,76 @@
   h = hash_bytes (h, m->target);
   h = hash_bytes (h, m->body);
   r->fingerprint = h ? h : 1;
-  suspect_print (r->fingerprint, r->fingerprint_text);
+  print_fingerprint (r->fingerprint, r->fingerprint_text);
+}
+
+bool
+suspect_is_quarantined (const struct request *r)
+{
+#ifdef BB_MUTANT_edge_quarantine
+  return false;
+#endif
+  return bb_poison_state (r->edge->poison, r->fingerprint, edge_now (r->edge))
+         == BB_POISON_QUARANTINED;
+}
+
+bool
+suspect_is_suspect (const struct request *r)
+{
+  return bb_poison_state (r->edge->poison, r->fingerprint, edge_now (r->edge))
+         != BB_POISON_CLEAN;
+}
+
+bb_ms
+suspect_remaining_ms (const struct request *r)
+{
+  return bb_poison_remaining_ms (r->edge->poison, r->fingerprint,
+                                 edge_now (r->edge));
+}
+
+void
+suspect_apply_change (struct edge *e, const struct bb_crash *c,
+                      const char *source)
+{
+  static const char *const states[] = { "clean", "suspect", "quarantined" };
+  enum bb_poison_state state
+      = bb_poison_state (e->poison, c->fingerprint, edge_now (e));
+  char text[FINGERPRINT_TEXT_SIZE];
+
+  print_fingerprint (c->fingerprint, text);
+  bb_log_event ("suspect", "{s:s, s:s, s:s, s:I, s:I, s:I}", "fingerprint",
+                text, "state", states[state], "source", source, "crash",
+                (json_int_t)c->event, "prior", (json_int_t)c->prior, "age_ms",
+                (json_int_t)c->age_ms);
+  if (state == BB_POISON_QUARANTINED)
+    queue_refuse_quarantined (e);
+}
+
+void
+suspect_answered (const struct request *r)
+{
+  struct edge *e = r->edge;
+  struct bb_crash answer = { .fingerprint = r->fingerprint };
+
+  if (!bb_poison_clear (e->poison, r->fingerprint, edge_now (e)))
+    return;
+  bb_peers_broadcast_crash (e->peers, &answer);
+  suspect_apply_change (e, &answer, "own");
+}
+
+void
+suspect_apply_message (struct edge *e, const struct bb_suspect *m)
+{
+  struct bb_crash c = { .fingerprint = m->fingerprint,
+                        .event = m->event,
+                        .prior = m->prior,
+                        .age_ms = m->age_ms };
+
+  suspect_apply_change (e, &c, "peer");
+}
+
+void
+suspect_init (struct edge *e)
+{
+  e->poison = bb_poison_new ();
 }
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -85,8 +85,24 @@
   bb_log_event ("entry", "{s:s, s:b}", "name", name, "here", here);
 }
 
+static void
+on_isolated (const char *name, const struct bb_peer_isolated *m, void *user)
+{
+  (void)name;
+  (void)m;
+  (void)user;
+}
+
+/* An agent only keeps these, for edges that start without any.  */
+static void
+on_suspect (const struct bb_suspect *m, void *user)
+{
+  (void)m;
+  (void)user;
+}
+
 static const struct bb_peers_ops peer_ops
-    = { on_item, on_state, fill_state, on_change };
+    = { on_item, on_state, fill_state, on_change, on_isolated, on_suspect };
 
 static int
 compare_strings (const void *a, const void *b)
@@ -125,7 +141,8 @@
           .seeds = a->settings->seeds,
           .seeds_count = a->settings->seeds_count,
           .incarnation
-          = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1 };
+          = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1,
+          .poison = bb_poison_new () };
   int error;
 
   a->view = bb_view_new ();
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -193,6 +193,20 @@
    freed.  */
 void bb_h1_call_cancel (struct bb_h1_call *c);
 
+enum bb_h1_probe_result
+{
+  BB_H1_PROBE_ACCEPTED,
+  BB_H1_PROBE_REFUSED, /* the VM is up, and no process listens */
+  BB_H1_PROBE_SILENT   /* no response within the timeout, or another error */
+};
+
+typedef void bb_h1_probe_fn (enum bb_h1_probe_result result, void *user);
+
+/* Opens a connection to the server of P, closes it, and passes the result to
+   FN, which is called exactly once, after bb_h1_probe has returned.  */
+void bb_h1_probe (struct bb_h1_pool *p, bb_ms timeout_ms, bb_h1_probe_fn *fn,
+                  void *user);
+
 /* A call whose response is collected in memory.  */
 struct bb_h1_fetch;
 
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -64,6 +64,72 @@
 bool bb_balance_is_unresponsive (uint32_t in_flight, bb_ms last_received_ms,
                                  bb_ms now);
 
+/* Isolation of requests that may crash upstreams: at most one of them is in
+   flight at an upstream, over all entries.
+
+   Each upstream is owned by one entry, by a hash that all entries that know
+   the same members compute alike.  The owner may send at once, unless it knows
+   of a claim.  Another entry first claims the upstream at all others, waits,
+   and sends unless one of them has sent there meanwhile, or has claimed it
+   earlier or precedes.  So isolated requests of several entries are only in
+   flight together where a claim takes longer than the wait, or the entries do
+   not know of each other.  An upstream is identified by a hash, a member by a
+   hash or a random number.  */
+struct bb_isolation;
+
+enum
+{
+  BB_ISOLATION_MEMBERS_MAX = 64 /* further ones are ignored */
+};
+
+/* Returns the isolation of the entry OWN, which the caller frees with
+   bb_isolation_free.  */
+struct bb_isolation *bb_isolation_new (uint64_t own);
+void bb_isolation_free (struct bb_isolation *s);
+
+/* MEMBER, another entry, was found or is gone.  The first returns whether it
+   is new.  */
+bool bb_isolation_add_member (struct bb_isolation *s, uint64_t member);
+void bb_isolation_remove_member (struct bb_isolation *s, uint64_t member);
+
+/* Returns whether this entry owns UPSTREAM.  */
+bool bb_isolation_is_own (const struct bb_isolation *s, uint64_t upstream);
+
+/* Returns whether the isolated request REQUEST, a number that is unique at
+   this entry, may be sent to UPSTREAM or claim it.  */
+bool bb_isolation_may_use (const struct bb_isolation *s, uint64_t upstream,
+                           uint64_t request, bb_ms now);
+
+enum bb_isolation_step
+{
+  BB_ISOLATION_SEND, /* send, and tell all members BB_ISOLATION_USE_IN_FLIGHT
+                      */
+  BB_ISOLATION_CLAIMED, /* tell all members BB_ISOLATION_USE_CLAIM, ask again
+                           later */
+  BB_ISOLATION_WAIT     /* ask again later */
+};
+
+/* Asks to send REQUEST to UPSTREAM, which it may use.  */
+enum bb_isolation_step bb_isolation_claim (struct bb_isolation *s,
+                                           uint64_t upstream, uint64_t request,
+                                           bb_ms now);
+
+/* The isolated request that this entry has sent to UPSTREAM ended there; tell
+   all members BB_ISOLATION_USE_FREE.  */
+void bb_isolation_end (struct bb_isolation *s, uint64_t upstream);
+
+/* MEMBER told how it uses UPSTREAM.  */
+void bb_isolation_apply (struct bb_isolation *s, uint64_t member,
+                         uint64_t upstream, enum bb_isolation_use use,
+                         bb_ms now);
+
+typedef void bb_isolation_fn (void *arg, uint64_t upstream);
+
+/* Calls FN for each upstream at which this entry has an isolated request in
+   flight, to tell a member that was just found.  */
+void bb_isolation_each (const struct bb_isolation *s, bb_isolation_fn *fn,
+                        void *arg);
+
 enum
 {
   BB_RETRY_WINDOW_BUCKETS = 20
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -14,6 +14,19 @@
   uint32_t size;
 };
 
+/* How an entry uses an upstream for a request that is isolated since it may
+ * crash upstreams.  */
+enum bb_isolation_use
+{
+  BB_ISOLATION_USE_FREE,      /* free */
+  BB_ISOLATION_USE_CLAIM,     /* claim */
+  BB_ISOLATION_USE_IN_FLIGHT, /* in_flight */
+  BB_ISOLATION_USE_COUNT
+};
+
+/* Returns the name of VALUE, or "unknown".  */
+const char *bb_isolation_use_name (uint32_t value);
+
 /* Status of a member as another process sees it.  */
 enum bb_member_status
 {
@@ -261,6 +274,14 @@
   bool reads;
 };
 
+/* How the sender uses an upstream for a request that is isolated since it may
+ * crash upstreams.  */
+struct bb_peer_isolated
+{
+  uint64_t upstream;
+  uint8_t use;
+};
+
 /* A message of the protocol by which a group changes to a new map; enum
  * bb_switch_type lists the types.  */
 struct bb_map_switch
@@ -639,6 +660,7 @@
   BB_MSG_PEER_HELLO = 50,
   BB_MSG_PEER_ITEM = 51,
   BB_MSG_PEER_STATE = 52,
+  BB_MSG_PEER_ISOLATED = 53,
   BB_MSG_MAP_SWITCH = 40,
   BB_MSG_SEALED = 30,
   BB_MSG_PING = 31,
@@ -680,6 +702,7 @@
     struct bb_peer_hello peer_hello;
     struct bb_peer_item peer_item;
     struct bb_peer_state peer_state;
+    struct bb_peer_isolated peer_isolated;
     struct bb_map_switch map_switch;
     struct bb_sealed sealed;
     struct bb_ping ping;
@@ -721,6 +744,9 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_peer_state (msgpack_sbuffer *buf, const struct bb_peer_state *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_peer_isolated (msgpack_sbuffer *buf,
+                           const struct bb_peer_isolated *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_map_switch (msgpack_sbuffer *buf, const struct bb_map_switch *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_sealed (msgpack_sbuffer *buf, const struct bb_sealed *v);
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -8,7 +8,11 @@
    connection each side sends all items of its view.  Later it sends the items
    that the other side lacks, and at regular intervals its state, which tells
    the revision up to which it has all items.  A connection on which nothing
-   arrives for some time is closed.  */
+   arrives for some time is closed.
+
+   Requests that crash upstreams are told like items: all that are known on a
+   new connection, and each change at once to all peers.  Agents keep them too,
+   so that edges that were all restarted learn of them again.  */
 
 #include "bilberry/admit.h"
 #include "bilberry/fleet.h"
@@ -36,6 +40,11 @@
      processes connected to each other, one of the two connections is closed:
      this is called with CONNECTED false although the peer stays connected.  */
   void (*on_connection_change) (const char *name, bool connected, void *user);
+  /* The peer NAME told how it uses an upstream for an isolated request.  */
+  void (*on_isolated) (const char *name, const struct bb_peer_isolated *m,
+                       void *user);
+  /* A peer sent M, which was new and is in POISON now.  */
+  void (*on_suspect) (const struct bb_suspect *m, void *user);
 };
 
 struct bb_peers_options
@@ -44,8 +53,10 @@
   const char *address; /* host:port to listen on for peers; NULL: none */
   char *const *seeds;  /* addresses of the first peers to connect to */
   uint32_t seeds_count;
-  bool connect_all;     /* connect to all known addresses, not to one */
-  uint64_t incarnation; /* random; identifies this run of the process */
+  bool connect_all;         /* connect to all known addresses, not to one */
+  uint64_t incarnation;     /* random; identifies this run of the process */
+  struct bb_poison *poison; /* requests that crash upstreams, with times of the
+                               loop's clock; must outlive the result */
 };
 
 /* Starts to connect to the seeds, and to listen where O has an address.  The
@@ -69,6 +80,14 @@
    that have all items up to SINCE.  */
 void bb_peers_mark_sent (struct bb_peers *p, uint64_t since);
 
+/* Sends C, which is new in the poison of the options, to all connected peers.
+   An event of 0 says that its fingerprint was answered.  */
+void bb_peers_broadcast_crash (struct bb_peers *p, const struct bb_crash *c);
+
+/* Sends M to all connected peers.  */
+void bb_peers_broadcast_isolated (struct bb_peers *p,
+                                  const struct bb_peer_isolated *m);
+
 /* Sends the own state to all connected peers now, in addition to the regular
    times.  */
 void bb_peers_send_state (struct bb_peers *p);
--- a/libh1/client.c
+++ b/libh1/client.c
@@ -70,6 +70,12 @@
   return p->loop;
 }
 
+const struct sockaddr *
+h1_pool_address (const struct bb_h1_pool *p)
+{
+  return (const struct sockaddr *)&p->addr;
+}
+
 const char *
 bb_h1_result_name (enum bb_h1_result result)
 {
--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -84,5 +84,7 @@
 
 /* Returns the loop of P.  */
 uv_loop_t *h1_pool_loop (const struct bb_h1_pool *p);
+/* Returns the address of the server of P.  */
+const struct sockaddr *h1_pool_address (const struct bb_h1_pool *p);
 
 #endif
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -72,6 +72,7 @@
   bool connect_all;
   uint64_t incarnation;
   struct bb_view *view;
+  struct bb_poison *poison;
   const struct bb_peers_ops *ops;
   void *user;
   struct endpoint endpoints[ADDRESSES_MAX];
@@ -138,6 +139,9 @@
   while (g_hash_table_iter_next (&it, NULL, &item))
     put_item (out, item);
   peer->sent_revision = p->view->revision;
+#ifndef BB_MUTANT_peer_crashes
+  bb_put_crashes (out, p->poison, now_ms (p));
+#endif
 }
 
 /* Sends PEER the items with a revision above its sent_revision, and advances
@@ -258,6 +262,21 @@
   p->ops->on_state (peer->name ? peer->name : "", m, p->user);
 }
 
+/* Forwards what is new to all peers but the one that sent it.  */
+static void
+on_suspect (struct peer *from, const struct bb_suspect *m)
+{
+  struct bb_peers *p = from->owner;
+  struct peer *peer;
+
+  if (!bb_poison_receive (p->poison, m, now_ms (p)))
+    return;
+  DL_FOREACH (p->peers, peer)
+  if (peer->open && peer != from)
+    bb_put_suspect (bb_conn_out (peer->conn), m);
+  p->ops->on_suspect (m, p->user);
+}
+
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
@@ -275,6 +294,13 @@
     case BB_MSG_PEER_STATE:
       on_state (peer, &m->u.peer_state);
       break;
+    case BB_MSG_PEER_ISOLATED:
+      peer->owner->ops->on_isolated (peer->name ? peer->name : "",
+                                     &m->u.peer_isolated, peer->owner->user);
+      break;
+    case BB_MSG_SUSPECT:
+      on_suspect (peer, &m->u.suspect);
+      break;
     default:
       bb_conn_close (c, "unexpected type of message");
     }
@@ -434,6 +460,27 @@
     put_item (bb_conn_out (peer->conn), i);
 }
 
+void
+bb_peers_broadcast_crash (struct bb_peers *p, const struct bb_crash *c)
+{
+  struct peer *peer;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->open)
+    bb_put_crash (bb_conn_out (peer->conn), c);
+}
+
+void
+bb_peers_broadcast_isolated (struct bb_peers *p,
+                             const struct bb_peer_isolated *m)
+{
+  struct peer *peer;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->open)
+    bb_put_peer_isolated (bb_conn_out (peer->conn), m);
+}
+
 void
 bb_peers_mark_sent (struct bb_peers *p, uint64_t since)
 {
@@ -485,6 +532,7 @@
   p->incarnation = o->incarnation;
   p->next_endpoint = (uint32_t)o->incarnation;
   p->view = view;
+  p->poison = o->poison;
   p->ops = ops;
   p->user = user;
   *error = 0;
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -9,6 +9,19 @@
 #define U32_MAX UINT32_MAX
 #define U64_MAX UINT64_MAX
 
+const char *
+bb_isolation_use_name (uint32_t value)
+{
+  static const char *const table[] = {
+    "free",
+    "claim",
+    "in_flight",
+  };
+  if (value >= BB_ISOLATION_USE_COUNT)
+    return "unknown";
+  return table[value];
+}
+
 const char *
 bb_member_status_name (uint32_t value)
 {
@@ -1074,6 +1087,53 @@
   return true;
 }
 
+static void
+put_peer_isolated (msgpack_packer *pk, const struct bb_peer_isolated *v)
+{
+  msgpack_pack_map (pk, 2);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->upstream);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->use);
+}
+
+static bool
+get_peer_isolated (const msgpack_object *obj, struct bb_peer_isolated *v,
+                   struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_isolated", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "upstream", e))
+            return false;
+          v->upstream = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U8_MAX, &n, "use", e))
+            return false;
+          v->use = (uint8_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_isolated", "upstream", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("peer_isolated", "use", e);
+  return true;
+}
+
 static void
 put_map_switch (msgpack_packer *pk, const struct bb_map_switch *v)
 {
@@ -3314,6 +3374,15 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_peer_isolated (msgpack_sbuffer *buf, const struct bb_peer_isolated *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_ISOLATED);
+  put_peer_isolated (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_map_switch (msgpack_sbuffer *buf, const struct bb_map_switch *v)
 {
@@ -3574,6 +3643,8 @@
       return get_peer_item (obj, &m->u.peer_item, e);
     case BB_MSG_PEER_STATE:
       return get_peer_state (obj, &m->u.peer_state, e);
+    case BB_MSG_PEER_ISOLATED:
+      return get_peer_isolated (obj, &m->u.peer_isolated, e);
     case BB_MSG_MAP_SWITCH:
       return get_map_switch (obj, &m->u.map_switch, e);
     case BB_MSG_SEALED:
@@ -3653,6 +3724,9 @@
     case BB_MSG_PEER_STATE:
       bb_put_peer_state (buf, &m->u.peer_state);
       break;
+    case BB_MSG_PEER_ISOLATED:
+      bb_put_peer_isolated (buf, &m->u.peer_isolated);
+      break;
     case BB_MSG_MAP_SWITCH:
       bb_put_map_switch (buf, &m->u.map_switch);
       break;
@@ -3756,6 +3830,8 @@
   { BB_MSG_PEER_STATE, 4, false, "taking" },
   { BB_MSG_PEER_STATE, 6, false, "sent" },
   { BB_MSG_PEER_STATE, 5, false, "reads" },
+  { BB_MSG_PEER_ISOLATED, 1, true, "upstream" },
+  { BB_MSG_PEER_ISOLATED, 2, true, "use" },
   { BB_MSG_MAP_SWITCH, 1, true, "type" },
   { BB_MSG_MAP_SWITCH, 2, true, "from" },
   { BB_MSG_MAP_SWITCH, 3, true, "to" },
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -14,24 +15,31 @@
   REPLICAS = 6,
   /* Replicas that a request may end before it is refused everywhere.  */
   ENDED_MAX = 2,
-  DOWN_MS = 300,   /* how long a fake replica is down */
-  SPREAD_MS = 100, /* time until all edges know of a crash */
-  INNOCENTS = 6
+  DOWN_MS = 300,    /* how long a fake replica is down */
+  SPREAD_MS = 100,  /* time until all edges know of a crash */
+  CONNECT_MS = 1000 /* time until a process is connected to its peers */
 };
 
 static void
-start (struct testbed *t)
+start_with (struct testbed *t, uint32_t edges, uint32_t replicas,
+            const char *fault)
 {
   testbed_init (t);
-  for (uint32_t i = 0; i < REPLICAS; i++)
+  for (uint32_t i = 0; i < replicas; i++)
     {
       g_autofree char *id = g_strdup_printf ("i-%u", i);
-      testbed_start_replica (t, id, "app", "");
+      testbed_start_replica (t, id, "app", fault);
     }
-  for (uint32_t i = 0; i < EDGES; i++)
+  for (uint32_t i = 0; i < edges; i++)
     testbed_start_edge (t, 0);
 }
 
+static void
+start (struct testbed *t)
+{
+  start_with (t, EDGES, REPLICAS, "");
+}
+
 /* Sends GET PATH to edge E and returns the status of the response.  */
 static int
 get_status (struct testbed *t, uint32_t e, const char *path)
@@ -70,6 +78,218 @@
   testbed_free (&t);
 }
 
+/* Sends the request that ends replicas until it is quarantined.  */
+static void
+quarantine (struct testbed *t)
+{
+  send_in_turn (t, "/check/crash", 1);
+  g_assert_cmpint (get_status (t, 0, "/check/crash"), ==, 429);
+}
+
+/* Sends the quarantined request to edge E: it must be refused, and run
+   nowhere.  */
+static void
+check_refused (struct testbed *t, uint32_t e)
+{
+  uint32_t ended = testbed_count_ended (t);
+
+  g_assert_cmpint (get_status (t, e, "/check/crash"), ==, 429);
+  g_assert_cmpuint (testbed_count_ended (t), ==, ended);
+}
+
+/* An order that ends servers runs once for each request of its caller, and
+   then is refused with the promise that it did not run, for as long as the
+   quarantine lasts.  */
+static void
+test_order (void)
+{
+  struct testbed t;
+  struct http_response a;
+  const char *after;
+
+  start (&t);
+  for (uint32_t i = 0; i < ENDED_MAX; i++)
+    {
+      a = testbed_request (&t, i, "POST", "/order/crash", "o1", "key-1");
+      g_assert_cmpint (a.status, ==, 502);
+      http_response_free (&a);
+      harness_sleep_ms (DOWN_MS + SPREAD_MS);
+    }
+  a = testbed_request (&t, 2, "POST", "/order/crash", "o2", "key-1");
+  g_assert_cmpint (a.status, ==, 429);
+  after = strstr (a.headers, "Retry-After: ");
+  g_assert_nonnull (after);
+  g_assert_cmpint (atoi (after + strlen ("Retry-After: ")), >, 3500);
+  http_response_free (&a);
+  g_assert_cmpuint (testbed_count_ended (&t), ==, ENDED_MAX);
+  g_assert_cmpuint (testbed_count_runs (&t, "o2"), ==, 0);
+  testbed_free (&t);
+}
+
+/* Harmless requests that are in flight beside one that ends replicas.  */
+struct innocent
+{
+  pthread_t thread;
+  struct testbed *t;
+  uint32_t edge;
+  char path[32];
+  int status;
+};
+
+static void *
+send_innocent (void *arg)
+{
+  struct innocent *i = arg;
+
+  i->status = get_status (i->t, i->edge, i->path);
+  return NULL;
+}
+
+/* Starts to send COUNT harmless requests to the edges in turn, and waits until
+   all are in flight.  */
+static void
+start_innocents (struct testbed *t, struct innocent *all, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      all[i].t = t;
+      all[i].edge = i % t->edges_count;
+      g_snprintf (all[i].path, sizeof all[i].path, "/stream/slow-%u", i);
+      pthread_create (&all[i].thread, NULL, send_innocent, &all[i]);
+    }
+  harness_sleep_ms (SPREAD_MS);
+}
+
+static void
+join_innocents (struct innocent *all, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    pthread_join (all[i].thread, NULL);
+}
+
+/* Two harmless requests are in flight at each replica, from different edges,
+   when one that ends replicas comes.  All are answered, and none is refused
+   when it is repeated.  */
+static void
+test_innocents (void)
+{
+  enum
+  {
+    COUNT = 2 * REPLICAS
+  };
+  struct innocent all[COUNT];
+  struct testbed t;
+
+  start (&t);
+  start_innocents (&t, all, COUNT);
+  get_status (&t, 0, "/stream/crash");
+  join_innocents (all, COUNT);
+  for (uint32_t i = 0; i < COUNT; i++)
+    g_assert_cmpint (all[i].status, ==, 200);
+  for (uint32_t i = 0; i < COUNT; i++)
+    g_assert_cmpint (get_status (&t, all[i].edge, all[i].path), ==, 200);
+  g_assert_cmpint (get_status (&t, 1, "/stream/crash"), ==, 429);
+  g_assert_cmpuint (testbed_count_ended (&t), <=, ENDED_MAX);
+  testbed_free (&t);
+}
+
+/* With one of two replicas down, the requests that were in flight at the crash
+   are sent to the other one after the other, so that no harmless one is in
+   flight at a second crash and refused later.  */
+static void
+test_isolated (void)
+{
+  enum
+  {
+    COUNT = 4
+  };
+  struct innocent all[COUNT];
+  struct testbed t;
+
+  start_with (&t, 1, 2, "");
+  start_innocents (&t, all, COUNT);
+  get_status (&t, 0, "/stream/crash");
+  join_innocents (all, COUNT);
+  g_assert_cmpuint (testbed_count_ended (&t), <=, ENDED_MAX);
+  /* Until no replica is ejected any more.  */
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-1", 200));
+  for (uint32_t i = 0; i < COUNT; i++)
+    g_assert_cmpint (get_status (&t, 0, all[i].path), ==, 200);
+  testbed_free (&t);
+}
+
+/* All edges are killed at once.  An agent still knows the quarantine and tells
+   the edge that it connects to.  */
+static void
+test_edges_killed (void)
+{
+  struct testbed t;
+
+  start (&t);
+  testbed_start_rank (&t, 0);
+  harness_sleep_ms (2 * CONNECT_MS);
+  quarantine (&t);
+  for (uint32_t e = 0; e < EDGES; e++)
+    testbed_kill_edge (&t, e);
+  for (uint32_t e = 0; e < EDGES; e++)
+    testbed_restart_edge (&t, e);
+  harness_sleep_ms (2 * CONNECT_MS);
+  for (uint32_t e = 0; e < EDGES; e++)
+    check_refused (&t, e);
+  testbed_free (&t);
+}
+
+/* An edge is frozen while a request is quarantined.  */
+static void
+test_frozen_edge (void)
+{
+  struct testbed t;
+
+  start (&t);
+  harness_signal (t.harness, t.edges[2].pid, SIGSTOP);
+  quarantine (&t);
+  /* Its peers close their connections to it.  */
+  harness_sleep_ms (2 * CONNECT_MS);
+  harness_signal (t.harness, t.edges[2].pid, SIGCONT);
+  harness_sleep_ms (CONNECT_MS);
+  check_refused (&t, 2);
+  testbed_free (&t);
+}
+
+/* An edge that starts later learns of a quarantine.  */
+static void
+test_late_edge (void)
+{
+  struct testbed t;
+
+  start (&t);
+  quarantine (&t);
+  testbed_start_edge (&t, 0);
+  harness_sleep_ms (CONNECT_MS);
+  check_refused (&t, EDGES);
+  testbed_free (&t);
+}
+
+/* Replicas that run a request and lose the response are up: the request is not
+   quarantined.  */
+static void
+test_lost_responses (void)
+{
+  struct testbed t;
+
+  start_with (&t, EDGES, 3, "reset");
+  for (uint32_t i = 0; i < 3 * EDGES; i++)
+    {
+      g_assert_cmpint (get_status (&t, i % EDGES, "/check/1"), ==, 502);
+      harness_sleep_ms (SPREAD_MS);
+    }
+  for (uint32_t e = 0; e < EDGES; e++)
+    g_assert_cmpuint (harness_counter (t.edges[e].metrics_port,
+                                       "bilberry_upstream_crashes_total", ""),
+                      ==, 0);
+  testbed_free (&t);
+}
+
 /* Returns the value of the field NAME in the first line of EVENT in the log of
    edge E; freed by the caller.  */
 static char *
@@ -116,6 +336,13 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/crash/sent-on", test_sent_on);
+  g_test_add_func ("/crash/order", test_order);
+  g_test_add_func ("/crash/innocents", test_innocents);
+  g_test_add_func ("/crash/isolated", test_isolated);
+  g_test_add_func ("/crash/edges-killed", test_edges_killed);
+  g_test_add_func ("/crash/frozen-edge", test_frozen_edge);
+  g_test_add_func ("/crash/late-edge", test_late_edge);
+  g_test_add_func ("/crash/lost-responses", test_lost_responses);
   g_test_add_func ("/crash/same-in-logs", test_same_in_logs);
   return g_test_run ();
 }
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -367,6 +367,105 @@
   g_assert_cmpuint (watchers, ==, 4);
 }
 
+/* Requests that may crash upstreams: entry OWN and two others, and an upstream
+   of each.  */
+struct isolation_case
+{
+  struct bb_isolation *isolation;
+  uint64_t own_upstream;
+  uint64_t foreign_upstream;
+};
+
+enum
+{
+  OWN = 101,
+  OTHER = 102,
+  THIRD = 103,
+  CLAIM_WAIT_MS = 40
+};
+
+static void
+isolation_init (struct isolation_case *c)
+{
+  c->isolation = bb_isolation_new (OWN);
+  bb_isolation_add_member (c->isolation, OTHER);
+  bb_isolation_add_member (c->isolation, THIRD);
+  c->own_upstream = 0;
+  c->foreign_upstream = 0;
+  for (uint64_t u = 1; u < 100; u++)
+    if (bb_isolation_is_own (c->isolation, u))
+      c->own_upstream = u;
+    else
+      c->foreign_upstream = u;
+  g_assert_cmpuint (c->own_upstream, !=, 0);
+  g_assert_cmpuint (c->foreign_upstream, !=, 0);
+}
+
+/* The owner sends at once, and nobody else until that has ended.  */
+static void
+test_isolation_owner (void)
+{
+  struct isolation_case c;
+
+  isolation_init (&c);
+  g_assert_true (bb_isolation_may_use (c.isolation, c.own_upstream, 1, 0));
+  g_assert_cmpint (bb_isolation_claim (c.isolation, c.own_upstream, 1, 0), ==,
+                   BB_ISOLATION_SEND);
+  g_assert_false (bb_isolation_may_use (c.isolation, c.own_upstream, 2, 9999));
+  bb_isolation_end (c.isolation, c.own_upstream);
+  g_assert_true (bb_isolation_may_use (c.isolation, c.own_upstream, 2, 9999));
+  /* A claim of another entry that came first holds up the owner too.  */
+  bb_isolation_apply (c.isolation, OTHER, c.own_upstream,
+                      BB_ISOLATION_USE_CLAIM, 10000);
+  g_assert_false (
+      bb_isolation_may_use (c.isolation, c.own_upstream, 2, 10000));
+  bb_isolation_free (c.isolation);
+}
+
+/* Another entry waits after its claim, and gives way to what it hears.  */
+static void
+test_isolation_claim (void)
+{
+  struct isolation_case c;
+  uint64_t u;
+
+  isolation_init (&c);
+  u = c.foreign_upstream;
+  g_assert_cmpint (bb_isolation_claim (c.isolation, u, 1, 0), ==,
+                   BB_ISOLATION_CLAIMED);
+  g_assert_cmpint (bb_isolation_claim (c.isolation, u, 1, CLAIM_WAIT_MS - 1),
+                   ==, BB_ISOLATION_WAIT);
+  g_assert_false (bb_isolation_may_use (c.isolation, u, 2, 1));
+  bb_isolation_apply (c.isolation, OTHER, u, BB_ISOLATION_USE_IN_FLIGHT, 5);
+  g_assert_false (bb_isolation_may_use (c.isolation, u, 1, CLAIM_WAIT_MS));
+  bb_isolation_apply (c.isolation, OTHER, u, BB_ISOLATION_USE_FREE, 30);
+  g_assert_true (bb_isolation_may_use (c.isolation, u, 1, CLAIM_WAIT_MS));
+  g_assert_cmpint (bb_isolation_claim (c.isolation, u, 1, CLAIM_WAIT_MS), ==,
+                   BB_ISOLATION_SEND);
+  bb_isolation_free (c.isolation);
+}
+
+/* What an entry that is gone has claimed or sent does not stay.  */
+static void
+test_isolation_gone (void)
+{
+  struct isolation_case c;
+
+  isolation_init (&c);
+  bb_isolation_apply (c.isolation, OTHER, c.own_upstream,
+                      BB_ISOLATION_USE_IN_FLIGHT, 0);
+  g_assert_false (bb_isolation_may_use (c.isolation, c.own_upstream, 1, 9999));
+  bb_isolation_remove_member (c.isolation, OTHER);
+  g_assert_true (bb_isolation_may_use (c.isolation, c.own_upstream, 1, 9999));
+  /* A claim ends by itself.  */
+  bb_isolation_apply (c.isolation, THIRD, c.own_upstream,
+                      BB_ISOLATION_USE_CLAIM, 9999);
+  g_assert_false (
+      bb_isolation_may_use (c.isolation, c.own_upstream, 1, 10000));
+  g_assert_true (bb_isolation_may_use (c.isolation, c.own_upstream, 1, 10999));
+  bb_isolation_free (c.isolation);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -384,5 +483,8 @@
   g_test_add_func ("/load/place/unresponsive", test_balance_unresponsive);
   g_test_add_func ("/load/readers", test_store_watchers);
   g_test_add_func ("/load/waiters", test_queue_order);
+  g_test_add_func ("/load/isolation/owner", test_isolation_owner);
+  g_test_add_func ("/load/isolation/claim", test_isolation_claim);
+  g_test_add_func ("/load/isolation/gone", test_isolation_gone);
   return g_test_run ();
 }
