Retry budget: an edge that starts again takes little of it for one window

Callers saw: nothing beside errors; the service got more repeats than the operator allows (BUDGET). Cause: what an edge had spent was forgotten with its process, so that each life took a whole part. A part also grew at once where other edges were lost, although theirs was spent. The platform says when the whole system starts for the first time; then no edge ran before, and the whole part is used at once.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -153,6 +153,8 @@
 struct edge
 {
   uv_loop_t *loop;
+  bb_ms started_ms; /* start of the process; long ago if there was none
+                       before */
   struct bb_process_settings *settings;
   char *settings_path;
   char *settings_text; /* contents of the settings file, as last read */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -48,7 +48,8 @@
   q->edge = e;
   q->pool = g_strdup (pool);
   g_queue_init (&q->waiting);
-  bb_retry_window_init (&q->retry_window, e->settings->retry_window_ms);
+  bb_retry_window_init (&q->retry_window, e->settings->retry_window_ms,
+                        e->started_ms);
   q->groups = g_ptr_array_new ();
   g_hash_table_insert (e->queues, q->pool, q);
   return q;
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -210,9 +210,10 @@
   if (!e->settings)
     return status;
   g_file_get_contents (e->settings_path, &e->settings_text, NULL, NULL);
-  bb_log_event ("start", "{s:s, s:s, s:s}", "name", e->settings->name,
-                "version", BB_VERSION, "failure_domain",
-                e->settings->failure_domain);
+  e->started_ms = e->settings->first_start ? INT64_MIN / 2 : edge_now (e);
+  bb_log_event ("start", "{s:b, s:s, s:s, s:s}", "first",
+                e->settings->first_start, "name", e->settings->name, "version",
+                BB_VERSION, "failure_domain", e->settings->failure_domain);
   latency_start ();
   fleet_init (e);
   suspect_init (e);
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -137,17 +137,27 @@
 
 /* Retry budget of a pool: counts of requests and of retries over a sliding
    window, kept in a ring of time buckets.  It keeps callers that retry at once
-   from multiplying the load while upstreams fail.  */
+   from multiplying the load while upstreams fail.
+
+   The retries of an entry still count after its end, although nobody knows of
+   them: for the length of the window an entry that has started takes little of
+   the budget, and a part is not larger than by the most members of that
+   time.  */
 struct bb_retry_window
 {
+  bb_ms started_ms;    /* when the entry started */
+  uint32_t members;    /* the most members in the last window, or before it */
+  bb_ms members_at_ms; /* when there were so many last */
   bb_ms bucket_ms;     /* length of a bucket */
   bb_ms newest_bucket; /* start of the newest bucket, divided by bucket_ms */
   uint32_t requests[BB_RETRY_WINDOW_BUCKETS];
   uint32_t retries[BB_RETRY_WINDOW_BUCKETS];
 };
 
-/* Clears W and sets the length of its window to WINDOW_MS.  */
-void bb_retry_window_init (struct bb_retry_window *w, bb_ms window_ms);
+/* Clears W and sets the length of its window to WINDOW_MS.  STARTED_MS is when
+   the entry started, or long ago if no entry ran before.  */
+void bb_retry_window_init (struct bb_retry_window *w, bb_ms window_ms,
+                           bb_ms started_ms);
 
 /* Counts a new request; its retries are not counted here.  */
 void bb_retry_window_add_request (struct bb_retry_window *w, bb_ms now);
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -33,6 +33,7 @@
   char *store_address; /* address of the platform's store; NULL: none */
   /* Port for /metrics, from the command line; 0: none.  */
   uint32_t metrics_port;
+  bool first_start;         /* the whole system starts for the first time */
   uint32_t memory_mb;       /* limit of the process */
   uint32_t descriptors_max; /* limit of open file descriptors */
   bb_ms heartbeat_ms;
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -43,7 +43,8 @@
       "zones:\n  z1: \"r\"\nlisten:\n  front: \"127.0.0.1:%u\"\n"
       "  ready: \"127.0.0.1:%u\"\n  control: \"127.0.0.1:%u\"\n"
       "internal-ports:\n  - 1\n  - 2\nseeds:\n%s"
-      "limits:\n  max-fds: 500\nbounds:\n  budget-extra: 100\nplatform:\n  "
+      "bootstrap: %s\nlimits:\n  max-fds: 500\nbounds:\n  budget-extra: "
+      "100\nplatform:\n  "
       "address: \"127.0.0.1:%u\"\n"
       "later: {unknown: [1, 2]}\n";
 
@@ -168,30 +169,41 @@
   g_free (path);
 }
 
-uint32_t
-testbed_start_edge (struct testbed *t, uint16_t store)
+/* Writes the settings of edge N.  FIRST says that the system starts for the
+   first time.  */
+static void
+write_edge_settings (struct testbed *t, uint32_t n, bool first)
 {
-  uint32_t n = t->edges_count++;
-  struct testbed_edge *e = &t->edges[n];
+  const struct testbed_edge *e = &t->edges[n];
   GString *seeds = g_string_new ("");
   char name[32];
   char *text;
 
-  e->front_port = harness_port (t->harness);
-  e->ready_port = harness_port (t->harness);
-  e->control_port = harness_port (t->harness);
-  e->metrics_port = harness_port (t->harness);
-  e->store_port = store ? store : t->store_port;
   for (uint32_t i = 0; i <= n; i++)
     g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
                             t->edges[i].control_port);
   text = g_strdup_printf (settings_text, n, e->front_port, e->ready_port,
-                          e->control_port, seeds->str, e->store_port);
+                          e->control_port, seeds->str,
+                          first ? "true" : "false", e->store_port);
   g_snprintf (name, sizeof name, "edge-%u.yaml", n);
   harness_write_file (harness_config_dir (t->harness), name, text);
-  spawn_edge (t, n);
   g_string_free (seeds, TRUE);
   g_free (text);
+}
+
+uint32_t
+testbed_start_edge (struct testbed *t, uint16_t store)
+{
+  uint32_t n = t->edges_count++;
+  struct testbed_edge *e = &t->edges[n];
+
+  e->front_port = harness_port (t->harness);
+  e->ready_port = harness_port (t->harness);
+  e->control_port = harness_port (t->harness);
+  e->metrics_port = harness_port (t->harness);
+  e->store_port = store ? store : t->store_port;
+  write_edge_settings (t, n, true);
+  spawn_edge (t, n);
   return n;
 }
 
@@ -205,6 +217,7 @@
 void
 testbed_restart_edge (struct testbed *t, uint32_t e)
 {
+  write_edge_settings (t, e, false);
   spawn_edge (t, e);
 }
 
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -81,37 +81,57 @@
   g_assert_cmpuint (sent[2], >=, 1);
 }
 
-/* Callers retry at once while every upstream fails.  Over any window the
-   retries of all entries together must stay within the ratio plus the extra
-   allowance.  */
+/* Callers retry at once while every upstream fails, and entries are killed. */
+struct retry_storm
+{
+  uint32_t entries;
+  uint32_t request_interval_ms; /* of the callers of one entry */
+  bb_ms kill_interval_ms;       /* time between two kills; 0: none */
+  uint32_t killed;              /* entries that a kill restarts */
+  bool lost; /* killed entries do not start again, and others serve their
+                callers */
+};
+
+/* Over any window the retries of all entries together must stay within the
+   ratio plus the extra allowance.  */
 static void
-test_retry_window_limit (void)
+check_retry_storm (const struct retry_storm *s)
 {
   enum
   {
-    ENTRIES = 3,
+    ENTRIES_MAX = 11,
     WINDOW_MS = 10000,
     EXTRA = 88,
     RUN_MS = 60000
   };
-  struct bb_retry_window b[ENTRIES];
+  struct bb_retry_window b[ENTRIES_MAX];
   g_autofree uint32_t *requests = g_new0 (uint32_t, RUN_MS);
   g_autofree uint32_t *repeats = g_new0 (uint32_t, RUN_MS);
+  uint32_t alive = s->entries;
 
-  for (uint32_t i = 0; i < ENTRIES; i++)
-    bb_retry_window_init (&b[i], WINDOW_MS);
+  for (uint32_t i = 0; i < s->entries; i++)
+    bb_retry_window_init (&b[i], WINDOW_MS, 0);
   for (bb_ms now = 0; now < RUN_MS; now += 5)
-    for (uint32_t i = 0; i < ENTRIES; i++)
-      {
-        if (now % 50 == 0)
-          {
-            bb_retry_window_add_request (&b[i], now);
-            requests[now]++;
-          }
-        if (bb_retry_window_take_retry (&b[i], now, 0.2, EXTRA, ENTRIES))
-          repeats[now]++;
-      }
-  for (uint32_t at = WINDOW_MS; at < RUN_MS; at += 100)
+    {
+      bool kill = s->kill_interval_ms > 0 && now >= 2 * WINDOW_MS
+                  && now % s->kill_interval_ms == 0;
+      if (kill && s->lost)
+        alive = s->entries - s->killed;
+      for (uint32_t i = 0; kill && !s->lost && i < s->killed; i++)
+        bb_retry_window_init (&b[i], WINDOW_MS, now);
+      for (uint32_t i = 0; i < s->entries; i++)
+        {
+          struct bb_retry_window *w = &b[i % alive];
+          if (now % s->request_interval_ms == 0)
+            {
+              bb_retry_window_add_request (w, now);
+              requests[now]++;
+            }
+          if (bb_retry_window_take_retry (w, now, 0.2, EXTRA, alive))
+            repeats[now]++;
+        }
+    }
+  for (uint32_t at = 2 * WINDOW_MS; at < RUN_MS; at += 100)
     {
       uint32_t r = 0;
       uint32_t q = 0;
@@ -124,6 +144,47 @@
     }
 }
 
+static void
+test_retry_window_limit (void)
+{
+  static const struct retry_storm s
+      = { .entries = 3, .request_interval_ms = 50 };
+
+  check_retry_storm (&s);
+}
+
+/* All entries are killed again and again: what they had spent before still
+   counts.  */
+static void
+test_retry_window_killed (void)
+{
+  static const struct retry_storm slow = { .entries = 3,
+                                           .request_interval_ms = 50,
+                                           .kill_interval_ms = 4000,
+                                           .killed = 3 };
+  static const struct retry_storm fast = { .entries = 3,
+                                           .request_interval_ms = 10,
+                                           .kill_interval_ms = 4000,
+                                           .killed = 3 };
+
+  check_retry_storm (&slow);
+  check_retry_storm (&fast);
+}
+
+/* Half of the entries are lost: the others do not take over at once what those
+   had already spent.  */
+static void
+test_retry_window_lost (void)
+{
+  static const struct retry_storm s = { .entries = 11,
+                                        .request_interval_ms = 100,
+                                        .kill_interval_ms = 20000,
+                                        .killed = 6,
+                                        .lost = true };
+
+  check_retry_storm (&s);
+}
+
 /* All entries together must not send a cold upstream more requests in any
    second than it accepts.  */
 static void
@@ -474,6 +535,8 @@
   g_test_add_func ("/load/place/out", test_balance_skips_ineligible);
   g_test_add_func ("/load/place/slow", test_balance_slow_upstream);
   g_test_add_func ("/load/budget", test_retry_window_limit);
+  g_test_add_func ("/load/budget-killed", test_retry_window_killed);
+  g_test_add_func ("/load/budget-lost", test_retry_window_lost);
   g_test_add_func ("/load/cold", test_cold_start_limit);
   g_test_add_func ("/load/eject", test_ejection);
   g_test_add_func ("/load/group/outage", test_group_outage);
