House: one loop over all queues, one loop over all peers

cmd/edge/queue.c walked the table of queues in three places, libpeer/peer.c the list of peers in four; a message to all peers is encoded once now. No change of behaviour; test_edge and test_crash pass.

--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -235,15 +235,21 @@
     ;
 }
 
-void
-queue_dispatch_all (struct edge *e)
+static void
+for_each_queue (struct edge *e, void (*fn) (struct pool_queue *q))
 {
   GHashTableIter it;
   void *value;
 
   g_hash_table_iter_init (&it, e->queues);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    queue_dispatch (value);
+    fn (value);
+}
+
+void
+queue_dispatch_all (struct edge *e)
+{
+  for_each_queue (e, queue_dispatch);
 }
 
 void
@@ -267,19 +273,17 @@
   queue_dispatch (q);
 }
 
+static void
+tick_queue (struct pool_queue *q)
+{
+  groups_tick (q);
+  queue_dispatch (q);
+}
+
 void
 queue_tick (struct edge *e)
 {
-  GHashTableIter it;
-  void *value;
-
-  g_hash_table_iter_init (&it, e->queues);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      struct pool_queue *q = value;
-      groups_tick (q);
-      queue_dispatch (q);
-    }
+  for_each_queue (e, tick_queue);
 }
 
 static void
@@ -301,10 +305,5 @@
 void
 queue_refuse_quarantined (struct edge *e)
 {
-  GHashTableIter it;
-  void *value;
-
-  g_hash_table_iter_init (&it, e->queues);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    refuse_quarantined_of (value);
+  for_each_queue (e, refuse_quarantined_of);
 }
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -262,18 +262,33 @@
   p->ops->on_state (peer->name ? peer->name : "", m, p->user);
 }
 
+/* Sends FRAMES, encoded messages, to all connected peers but EXCEPT, which may
+   be NULL.  */
+static void
+send_to_all (struct bb_peers *p, const struct peer *except,
+             const msgpack_sbuffer *frames)
+{
+  struct peer *peer;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->open && peer != except)
+    msgpack_sbuffer_write (bb_conn_out (peer->conn), frames->data,
+                           frames->size);
+}
+
 /* Forwards what is new to all peers but the one that sent it.  */
 static void
 on_suspect (struct peer *from, const struct bb_suspect *m)
 {
   struct bb_peers *p = from->owner;
-  struct peer *peer;
+  msgpack_sbuffer frame;
 
   if (!bb_poison_receive (p->poison, m, now_ms (p)))
     return;
-  DL_FOREACH (p->peers, peer)
-  if (peer->open && peer != from)
-    bb_put_suspect (bb_conn_out (peer->conn), m);
+  msgpack_sbuffer_init (&frame);
+  bb_put_suspect (&frame, m);
+  send_to_all (p, from, &frame);
+  msgpack_sbuffer_destroy (&frame);
   p->ops->on_suspect (m, p->user);
 }
 
@@ -453,32 +468,35 @@
 void
 bb_peers_broadcast_item (struct bb_peers *p, const struct bb_item *i)
 {
-  struct peer *peer;
+  msgpack_sbuffer frame;
 
-  DL_FOREACH (p->peers, peer)
-  if (peer->open)
-    put_item (bb_conn_out (peer->conn), i);
+  msgpack_sbuffer_init (&frame);
+  put_item (&frame, i);
+  send_to_all (p, NULL, &frame);
+  msgpack_sbuffer_destroy (&frame);
 }
 
 void
 bb_peers_broadcast_crash (struct bb_peers *p, const struct bb_crash *c)
 {
-  struct peer *peer;
+  msgpack_sbuffer frame;
 
-  DL_FOREACH (p->peers, peer)
-  if (peer->open)
-    bb_put_crash (bb_conn_out (peer->conn), c);
+  msgpack_sbuffer_init (&frame);
+  bb_put_crash (&frame, c);
+  send_to_all (p, NULL, &frame);
+  msgpack_sbuffer_destroy (&frame);
 }
 
 void
 bb_peers_broadcast_isolated (struct bb_peers *p,
                              const struct bb_peer_isolated *m)
 {
-  struct peer *peer;
+  msgpack_sbuffer frame;
 
-  DL_FOREACH (p->peers, peer)
-  if (peer->open)
-    bb_put_peer_isolated (bb_conn_out (peer->conn), m);
+  msgpack_sbuffer_init (&frame);
+  bb_put_peer_isolated (&frame, m);
+  send_to_all (p, NULL, &frame);
+  msgpack_sbuffer_destroy (&frame);
 }
 
 void
