agent: a call sent to an upstream that had just crashed is not its crash

Callers saw: on a busy machine a harmless request was refused with 422, or its stream ended with an error (/poison/innocents, in KNOWN-RED.txt). Cause: the calls that wait at an agent start when a crash ends the others. They went out on connections of the dead process that were not closed yet, failed there, and counted as a further crash of theirs: at the quarantine, and at the entry, which gives up after two. The agent's log names the request.

--- a/cmd/agent/call.c
+++ b/cmd/agent/call.c
@@ -175,10 +175,16 @@
     }
   if (error)
     {
-      v.reason = run == BB_RUN_NOT_RUN ? BB_REASON_UPSTREAM_REFUSED
-                                       : BB_REASON_UPSTREAM_FAILED;
+      v.reason = run == BB_RUN_NOT_RUN || c->sent_to_dying
+                     ? BB_REASON_UPSTREAM_REFUSED
+                     : BB_REASON_UPSTREAM_FAILED;
       v.retry_after_ms = RETRY_AFTER_MS;
-      bb_log (BB_LOG_WARN, "agent", "The upstream failed: %s.", error);
+      bb_log (BB_LOG_WARN, "agent",
+              "The upstream failed: %s, request %016llx%s.", error,
+              (unsigned long long)c->request.fingerprint,
+              c->sent_to_dying ? ", sent after a crash"
+              : c->prior_crash ? ", suspect"
+                               : "");
       bb_admit_upstream_restarted (a->admit);
       if (run != BB_RUN_NOT_RUN)
         suspect_record_crash (c);
