libadmit: keep a customer's name whole where it has a null byte

Cause: the name was copied up to its first null byte and then hashed and compared with its full size: a read past the end (AddressSanitizer, /admit/null-byte, heap-buffer-overflow in find_or_add_customer). Can one come: not from settings, which refuse null characters, so not from an entry of ours; a call on the wire may hold one (/agent/null-byte sends it). Change: the name is copied with its size, and the agent refuses such a call as a bad request, since no customer of the settings has that name. Both tests are new; /admit/null-byte was seen red before.

--- a/cmd/agent/call.c
+++ b/cmd/agent/call.c
@@ -570,7 +570,10 @@
       return false;
     }
 #endif
-  if (m->deadline_ms <= (uint64_t)paused_ms)
+  /* No customer of the settings has such a name.  */
+  if (m->customer.size > 0 && memchr (m->customer.ptr, '\0', m->customer.size))
+    v->reason = BB_REASON_BAD_REQUEST;
+  else if (m->deadline_ms <= (uint64_t)paused_ms)
     v->reason = BB_REASON_DEADLINE;
   else if (bb_poison_state (a->poison, m->fingerprint, bb_clock_now ())
            == BB_POISON_QUARANTINED)
--- a/libadmit/admit.c
+++ b/libadmit/admit.c
@@ -96,9 +96,12 @@
   if (c)
     return c;
   c = calloc (1, sizeof *c);
-  if (!c)
+  if (c)
+    c->name = malloc (r->customer.size + 1);
+  if (!c || !c->name)
     abort ();
-  c->name = strndup (r->customer.ptr, r->customer.size);
+  if (r->customer.size > 0)
+    memcpy (c->name, r->customer.ptr, r->customer.size);
   HASH_ADD_KEYPTR (hh, a->customers, c->name, r->customer.size, c);
   DL_APPEND (a->round_robin, c);
   return c;
--- a/test/test_admit.c
+++ b/test/test_admit.c
@@ -21,6 +21,29 @@
   return bb_admit_enqueue (a, &r, 0, evicted, v);
 }
 
+/* Names of customers may hold any bytes: those that differ only after a null
+   byte are different customers.  */
+static void
+test_null_byte (void)
+{
+  struct bb_admit *a = bb_admit_new (&limits);
+  struct bb_request_result v;
+  uint64_t evicted;
+
+  for (uint64_t id = 1; id <= 2; id++)
+    {
+      char name[] = { 'a', '\0', (char)('a' + id), 'x', 'x', 'x', 'x', 'x' };
+      struct bb_admit_request r = { .id = id,
+                                    .customer = { name, sizeof name },
+                                    .weight = 1,
+                                    .tokens = 1,
+                                    .deadline_ms = 1000000 };
+      g_assert_true (bb_admit_enqueue (a, &r, 0, &evicted, &v));
+    }
+  g_assert_cmpuint (bb_admit_stats (a).customers, ==, 2);
+  bb_admit_free (a);
+}
+
 /* After a start or a restart, no more requests run than the cold limit allows;
    each one that succeeds raises the limit by one.  */
 static void
@@ -179,5 +202,6 @@
   g_test_add_func ("/admit/full", test_full);
   g_test_add_func ("/admit/deadline", test_deadline);
   g_test_add_func ("/admit/naive", test_naive);
+  g_test_add_func ("/admit/null-byte", test_null_byte);
   return g_test_run ();
 }
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -3,6 +3,7 @@
    agents are killed, stopped or shut down.  Calls that the agent must refuse
    must not reach the upstream.  */
 
+#include "bilberry/base.h"
 #include "bilberry/wire.h"
 #include "harness/fleet.h"
 
@@ -302,16 +303,17 @@
   fleet_free (&f);
 }
 
-/* Sends one call directly to the agent of U, as an entry with outdated
-   information would.  Returns the socket.  */
+/* Sends one call of CUSTOMER directly to the agent of U, as an entry with
+   outdated information would.  Returns the socket.  */
 static int
-send_call (const struct fleet_upstream *u, uint64_t incarnation)
+send_call_of (const struct fleet_upstream *u, uint64_t incarnation,
+              struct bb_bytes customer)
 {
   struct bb_hello hello
       = { .name = { "entry-9", 7 }, .incarnation = 1, .role = BB_ROLE_ENTRY };
   struct bb_call call = { .id = 1,
                           .agent_incarnation = incarnation,
-                          .customer = { "customer-1", 10 },
+                          .customer = customer,
                           .method = { "POST", 4 },
                           .path = { "/orders", 7 },
                           .body = { "stale", 5 },
@@ -328,6 +330,12 @@
   return fd;
 }
 
+static int
+send_call (const struct fleet_upstream *u, uint64_t incarnation)
+{
+  return send_call_of (u, incarnation, bb_bytes_of ("customer-1"));
+}
+
 /* Waits until the agent of U has refused a call for REASON or the call of
    send_call has run; returns how often it ran.  */
 static uint32_t
@@ -379,6 +387,23 @@
   fleet_free (&f);
 }
 
+/* The agent refuses a call of a customer whose name has a null byte, which no
+   settings allow.  */
+static void
+test_null_byte (void)
+{
+  static const char name[] = { 'a', '\0', 'b' };
+  struct fleet f;
+  struct fleet_upstream *u;
+
+  start_orders (&f, 1);
+  u = &f.upstreams[0];
+  close (send_call_of (u, read_incarnation (u),
+                       (struct bb_bytes){ name, sizeof name }));
+  g_assert_cmpuint (await_refusal_or_run (&f, u, "bad_request"), ==, 0);
+  fleet_free (&f);
+}
+
 /* The agent refuses a call while its failure domain is out of service.  */
 static void
 test_out_of_service (void)
@@ -479,6 +504,7 @@
   g_test_add_func ("/agent/kill-all", test_kill_all);
   g_test_add_func ("/agent/term", test_graceful_shutdown);
   g_test_add_func ("/agent/pause", test_pause);
+  g_test_add_func ("/agent/null-byte", test_null_byte);
   g_test_add_func ("/agent/stale", test_stale_incarnation);
   g_test_add_func ("/agent/out", test_out_of_service);
   g_test_add_func ("/agent/cold", test_cold_restart);
