libh1: leave trailers out of the buffer that a message points into

Callers saw: an edge that ended, with all requests on it, when a caller or an upstream sent a message in chunks with a trailer that made the buffer of its head grow. Cause: trailers were appended to the buffer of the head after the target and the headers had been made to point into it; where the buffer moved they pointed into freed memory. Evidence: bilberry-edge under AddressSanitizer, heap-use-after-free: a caller's trailer in bb_request_info_decode (/edge/request-trailers), an upstream's in keep_alive_time_ms (/edge/response-trailers); both tests failed before. Change: once the head is complete, the reader only counts the bytes of trailers, which nothing used; they still count for a server's limit on the head, and also where they come together with the end of the request. bilberry-rank parses with the same reader; entries and agents use that of h2o.

--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -24,6 +24,7 @@
      other-id  sends another X-Attempt-Id
      unsigned  omits X-Replica-Signature
      fail      responds with 500
+     trailers  sends the body in chunks, followed by a long trailer
      unframed  omits Content-Length and closes the connection after the body
 
    Other faults:
@@ -46,6 +47,7 @@
 {
   EVENTS = 6,      /* number of events in a stream */
   BREAK_AFTER = 3, /* number of events sent before the fault "break" */
+  TRAILER_BYTES = 30000,
   SLOW_MS = 400,
   DOWN_MS = 300
 };
@@ -185,6 +187,23 @@
   g_free (last);
 }
 
+/* Sends BODY in one chunk, followed by a trailer of TRAILER_BYTES.  */
+static void
+respond_with_trailer (struct connection *c, const char *attempt_id,
+                      const char *body)
+{
+  char *trailer = g_strnfill (TRAILER_BYTES, 't');
+  char *text = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s\r\n"
+      "Keep-Alive: timeout=9\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "%zx\r\n%s\r\n0\r\nX-Trailer: %s\r\n\r\n",
+      attempt_id, id, strlen (body), body, trailer);
+
+  write_text (c, text);
+  g_free (text);
+  g_free (trailer);
+}
+
 /* Responds to a request that was executed, as FAULT says.  */
 static void
 respond_executed (struct connection *c, const char *attempt_id)
@@ -204,6 +223,8 @@
           c, "\r\nX-Replica-Signature: x\r\nContent-Length: 100\r\n\r\nha");
       close_connection (c);
     }
+  else if (has_fault ("trailers"))
+    respond_with_trailer (c, attempt_id, body);
   else if (has_fault ("other-id"))
     respond (c, "200 OK", "another", signature, body);
   else if (has_fault ("unsigned"))
--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -54,10 +54,13 @@
   struct h1_field fields[BB_H1_HEADERS_MAX];
   uint32_t fields_count;
   uint32_t target_size;
-  bool in_value; /* the last part parsed was a header value */
-  bool started;  /* the first bytes of a message have arrived */
-  bool complete; /* the message is complete; the parser is paused */
-  bool overflow; /* more headers than BB_H1_HEADERS_MAX */
+  uint32_t trailers_size; /* bytes of trailers, which are not kept */
+  bool in_value;          /* the last part parsed was a header value */
+  bool head_complete;     /* what follows may be body or trailers; the message
+                             points into the head buffer, which must not grow */
+  bool started;           /* the first bytes of a message have arrived */
+  bool complete;          /* the message is complete; the parser is paused */
+  bool overflow;          /* more headers than BB_H1_HEADERS_MAX */
   struct bb_h1_message message;
 };
 
--- a/libh1/reader.c
+++ b/libh1/reader.c
@@ -64,12 +64,25 @@
   return 0;
 }
 
+/* Returns whether the SIZE bytes that were parsed belong to a trailer.  They
+   are only counted: nothing here uses trailers.  */
+static bool
+skip_trailer (struct h1_reader *r, size_t size)
+{
+  if (!r->head_complete)
+    return false;
+  r->trailers_size += (uint32_t)size;
+  return true;
+}
+
 static int
 on_field (http_parser *p, const char *at, size_t size)
 {
   struct h1_reader *r = p->data;
   struct h1_field *f;
 
+  if (skip_trailer (r, size))
+    return 0;
   if (r->fields_count == 0 || r->in_value)
     {
       r->in_value = false;
@@ -94,8 +107,8 @@
   struct h1_reader *r = p->data;
   struct h1_field *f;
 
-  /* No header name precedes this value.  */
-  if (r->fields_count == 0)
+  /* The second: no header name precedes this value.  */
+  if (skip_trailer (r, size) || r->fields_count == 0)
     return 0;
   f = &r->fields[r->fields_count - 1];
   if (!r->in_value)
@@ -151,6 +164,7 @@
 
   h1_buffer_append (&r->head, "", 0);
   fill_message (r);
+  r->head_complete = true;
   r->message.framed = is_framed (p);
   p->upgrade = 0;
   return r->ops->on_head (r, r->user) ? 1 : 0;
@@ -212,7 +226,9 @@
   r->head.size = 0;
   r->fields_count = 0;
   r->target_size = 0;
+  r->trailers_size = 0;
   r->in_value = false;
+  r->head_complete = false;
   r->started = false;
   r->complete = false;
 }
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -309,13 +309,14 @@
   start_lingering_close (c);
 }
 
-/* Returns whether the request head is larger than allowed.  The body has a
-   limit of its own.  */
+/* Returns whether the request head, with the trailers, is larger than allowed.
+   The body has a limit of its own.  */
 static bool
 is_head_too_large (const struct connection *c)
 {
   return c->reader.overflow
-         || c->reader.head.size > c->server->limits.head_max_bytes;
+         || c->reader.head.size + c->reader.trailers_size
+                > c->server->limits.head_max_bytes;
 }
 
 /* Counts the Host headers.  A request with more than one is rejected, since
@@ -374,6 +375,12 @@
 
   if (c->closing || c->lingering)
     return;
+  /* Its trailers came together with its end.  */
+  if (is_head_too_large (c))
+    {
+      reject_request (c, 431);
+      return;
+    }
   memset (&c->exchange, 0, sizeof c->exchange);
   c->exchange.on_disconnect = no_callback;
   c->exchange.request = r->message;
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -549,6 +549,69 @@
   testbed_free (&t);
 }
 
+/* Sends a POST in chunks that ends with a trailer of SIZE bytes, as attempt
+   ID. Returns the response, which the caller frees.  */
+static char *
+send_trailer (struct testbed *t, const char *id, gsize size)
+{
+  g_autofree char *trailer = g_strnfill (size, 'x');
+  g_autofree char *text = g_strdup_printf (
+      "POST /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: %s\r\n"
+      "Authorization: Bearer key-1\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n"
+      "3\r\nabc\r\n0\r\nX-Trailer: %s\r\n\r\n",
+      id, trailer);
+
+  return harness_send_raw (t->edges[0].front_port, text, strlen (text), 3000);
+}
+
+/* The trailer of a request in chunks is left out, whatever its size; it counts
+   for the limit on the head.  */
+static void
+test_request_trailers (void)
+{
+  struct testbed t;
+  char *got;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  for (gsize size = 1; size < 1800; size = size * 3 / 2 + 1)
+    {
+      g_autofree char *id = g_strdup_printf ("a%zu", size);
+      got = send_trailer (&t, id, size);
+      g_assert_true (g_str_has_prefix (got, "HTTP/1.1 200 "));
+      g_assert_cmpuint (testbed_count_runs (&t, id), ==, 1);
+      free (got);
+    }
+  got = send_trailer (&t, "large", 3000);
+  g_assert_true (g_str_has_prefix (got, "HTTP/1.1 431 "));
+  g_assert_cmpuint (testbed_count_runs (&t, "large"), ==, 0);
+  free (got);
+  testbed_free (&t);
+}
+
+/* So is that of a response.  */
+static void
+test_response_trailers (void)
+{
+  struct testbed t;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "trailers");
+  testbed_start_edge (&t, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      struct http_response a
+          = testbed_request (&t, 0, "GET", "/check/1", "c1", "key-1");
+      g_assert_cmpint (a.status, ==, 200);
+      g_assert_cmpstr (a.body, ==, "answer of i-1");
+      g_assert_null (strstr (a.headers, "X-Trailer"));
+      http_response_free (&a);
+    }
+  testbed_free (&t);
+}
+
 /* More callers connect than there are descriptors for: idle connections are
    closed to make room, and the process stays small.  */
 static void
@@ -731,6 +794,8 @@
   g_test_add_func ("/edge/reload", test_reload);
   g_test_add_func ("/edge/bad-input", test_bad_input);
   g_test_add_func ("/edge/channel", test_channel);
+  g_test_add_func ("/edge/request-trailers", test_request_trailers);
+  g_test_add_func ("/edge/response-trailers", test_response_trailers);
   g_test_add_func ("/edge/many-callers", test_many_callers);
   g_test_add_func ("/edge/caller-leaves", test_caller_leaves);
   g_test_add_func ("/edge/broken-group", test_broken_group);
