House: cmd/agent/call.c in two files

The largest file of a command (676 lines) held what accepts a call and what runs it. call_run.c queues, sends and answers calls that may run; call.c accepts them and asks libonce. Functions moved, and renamed with call_ where both files use them; no other change. test_agent, test_once and test_poison pass.

--- a/cmd/agent/agent.h
+++ b/cmd/agent/agent.h
@@ -167,6 +167,11 @@
 /* Cancels all calls of P, whose connection has closed.  */
 void call_cancel_all (struct peer *p);
 
+uint32_t call_count_keyed (const struct agent *a);
+extern const struct bb_once_ops call_once_ops;
+
+/* call_run.c */
+
 /* Queues the calls that libonce has allowed to run, then starts queued calls
    as far as the concurrency limit permits.  Called after each event that may
    do either, because libonce must not be called from its own callbacks.  */
@@ -174,8 +179,39 @@
 
 /* Refuses all queued calls because the upstream is out of service.  */
 void call_refuse_queued (struct agent *a);
-uint32_t call_count_keyed (const struct agent *a);
-extern const struct bb_once_ops call_once_ops;
+/* call_run.c: used by call.c.  */
+
+enum
+{
+  RETRY_AFTER_MS = 1000
+};
+
+/* Queues a call that may run, or refuses and frees it.  */
+void call_enqueue (struct call *c);
+
+/* Refuses the call of C, without freeing it, if its peer is still there.  */
+void call_refuse (struct call *c, const struct bb_request_result *v);
+
+/* Refuses and frees a call that has not been sent to the upstream.  */
+void call_refuse_not_run (struct call *c, const struct bb_request_result *v);
+
+/* Refuses the call ID of P, which need not exist.  */
+void call_send_refusal (struct peer *p, uint64_t id,
+                        const struct bb_request_result *v);
+
+/* Refuses a call whose deadline has passed.  A non-idempotent call that is
+   running is not cancelled, so that repeats of its key get its outcome.  */
+void call_on_deadline (uv_timer_t *t);
+
+/* Reports to libonce how a call that it allowed has ended: with the stored
+   outcome if WHOLE, otherwise with RUN.  */
+void call_complete_once (struct call *c, bool whole, enum bb_run run);
+
+/* Makes C send nothing more to its peer.  */
+void call_detach_peer (struct call *c);
+
+/* Removes C from all tables and the queue and frees it.  */
+void call_free (struct call *c);
 
 /* probe.c */
 
