edge: a connection that is closed at once is no sign of life

Seen: /crash/order failed twice beside eight linters: the probe of a replica that had just ended was accepted (upstream_probed, accepted, in the same millisecond), so that its crash was not recorded and a third replica ended. Cause: connections of an ending process close one after the other, and the kernel accepts new ones until the listening socket is closed too.

--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -286,18 +286,25 @@
   for_each_queue (e, tick_queue);
 }
 
+static struct request *
+find_quarantined (const struct pool_queue *q)
+{
+  for (GList *i = q->waiting.head; i; i = i->next)
+    if (suspect_is_quarantined (i->data))
+      return i->data;
+  return NULL;
+}
+
+/* Searches again after each one: the end of a response may start the next
+   request of its connection, which changes the queue.  */
 static void
 refuse_quarantined_of (struct pool_queue *q)
 {
-  GList *next;
+  struct request *r;
 
-  for (GList *i = q->waiting.head; i; i = next)
+  while ((r = find_quarantined (q)))
     {
-      struct request *r = i->data;
-      next = i->next;
-      if (!suspect_is_quarantined (r))
-        continue;
-      g_queue_delete_link (&q->waiting, i);
+      g_queue_remove (&q->waiting, r);
       refuse (r, BB_REASON_QUARANTINED, 0);
     }
 }
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -195,15 +195,17 @@
 
 enum bb_h1_probe_result
 {
-  BB_H1_PROBE_ACCEPTED,
-  BB_H1_PROBE_REFUSED, /* the VM is up, and no process listens */
-  BB_H1_PROBE_SILENT   /* no response within the timeout, or another error */
+  BB_H1_PROBE_ACCEPTED, /* a process listens */
+  BB_H1_PROBE_REFUSED,  /* the VM is up, and no process listens */
+  BB_H1_PROBE_SILENT    /* no response within the timeout, or another error */
 };
 
 typedef void bb_h1_probe_fn (enum bb_h1_probe_result result, void *user);
 
 /* Opens a connection to the server of P, closes it, and passes the result to
-   FN, which is called exactly once, after bb_h1_probe has returned.  */
+   FN, which is called exactly once, after bb_h1_probe has returned.  P must
+   outlive that call.  A connection that the server closes at once is tried
+   again, since the kernel accepts some for a process that is just ending.  */
 void bb_h1_probe (struct bb_h1_pool *p, bb_ms timeout_ms, bb_h1_probe_fn *fn,
                   void *user);
 
--- a/libload/isolation.c
+++ b/libload/isolation.c
@@ -60,10 +60,15 @@
 void
 bb_isolation_free (struct bb_isolation *s)
 {
-  struct claim *c;
-  struct claim *next;
+  struct claim *c = s->claims;
 
-  HASH_ITER (hh, s->claims, c, next) { remove_claim (s, c); }
+  HASH_CLEAR (hh, s->claims);
+  while (c)
+    {
+      struct claim *next = c->hh.next;
+      free (c);
+      c = next;
+    }
   free (s);
 }
 
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -113,7 +113,7 @@
     bb_retry_window_init (&b[i], WINDOW_MS, 0);
   for (bb_ms now = 0; now < RUN_MS; now += 5)
     {
-      bool kill = s->kill_interval_ms > 0 && now >= 2 * WINDOW_MS
+      bool kill = s->kill_interval_ms > 0 && now >= (bb_ms)WINDOW_MS * 2
                   && now % s->kill_interval_ms == 0;
       if (kill && s->lost)
         alive = s->entries - s->killed;
--- a/test/test_poison.c
+++ b/test/test_poison.c
@@ -76,7 +76,7 @@
 static void
 test_late_peer (void)
 {
-  const bb_ms now = 2 * SUSPECT_MS;
+  const bb_ms now = (bb_ms)SUSPECT_MS * 2;
   struct bb_poison *p = bb_poison_new ();
   struct bb_poison *late = bb_poison_new ();
 
