libload: keep the few claims in a list

The linter cannot follow removal from the hash table in a loop; there are as many claims as suspect requests. No change of behaviour; test_load and test_crash_runs pass, lint is clean.

--- a/libload/isolation.c
+++ b/libload/isolation.c
@@ -6,8 +6,7 @@
 #include "bilberry/load.h"
 
 #include <stdlib.h>
-#include <string.h>
-#include <uthash.h>
+#include <utlist.h>
 #include <xxhash.h>
 
 enum
@@ -20,15 +19,13 @@
 /* What one entry has claimed, and whose request is in flight there.  */
 struct claim
 {
-  struct
-  {
-    uint64_t upstream;
-    uint64_t member;
-  } key;
+  uint64_t upstream;
+  uint64_t member;
   uint64_t request; /* of this entry, number of the request; else 0 */
   bool in_flight;
   bb_ms claimed_ms;
-  UT_hash_handle hh;
+  struct claim *prev; /* list bb_isolation.claims */
+  struct claim *next;
 };
 
 struct bb_isolation
@@ -36,7 +33,7 @@
   uint64_t own;
   uint64_t members[BB_ISOLATION_MEMBERS_MAX]; /* other entries */
   uint32_t members_count;
-  struct claim *claims; /* hash table by key */
+  struct claim *claims; /* list; there are few */
 };
 
 struct bb_isolation *
@@ -53,22 +50,15 @@
 static void
 remove_claim (struct bb_isolation *s, struct claim *c)
 {
-  HASH_DEL (s->claims, c);
+  DL_DELETE (s->claims, c);
   free (c);
 }
 
 void
 bb_isolation_free (struct bb_isolation *s)
 {
-  struct claim *c = s->claims;
-
-  HASH_CLEAR (hh, s->claims);
-  while (c)
-    {
-      struct claim *next = c->hh.next;
-      free (c);
-      c = next;
-    }
+  while (s->claims)
+    remove_claim (s, s->claims);
   free (s);
 }
 
@@ -93,11 +83,9 @@
   for (uint32_t i = 0; i < s->members_count; i++)
     if (s->members[i] == member)
       s->members[i] = s->members[--s->members_count];
-  HASH_ITER (hh, s->claims, c, next)
-  {
-    if (c->key.member == member)
-      remove_claim (s, c);
-  }
+  DL_FOREACH_SAFE (s->claims, c, next)
+  if (c->member == member)
+    remove_claim (s, c);
 }
 
 static uint64_t
@@ -120,14 +108,12 @@
 static struct claim *
 find_claim (const struct bb_isolation *s, uint64_t upstream, uint64_t member)
 {
-  struct claim probe;
   struct claim *c;
 
-  memset (&probe, 0, sizeof probe);
-  probe.key.upstream = upstream;
-  probe.key.member = member;
-  HASH_FIND (hh, s->claims, &probe.key, sizeof probe.key, c);
-  return c;
+  DL_FOREACH (s->claims, c)
+  if (c->upstream == upstream && c->member == member)
+    return c;
+  return NULL;
 }
 
 static struct claim *
@@ -140,9 +126,9 @@
   c = calloc (1, sizeof *c);
   if (!c)
     abort ();
-  c->key.upstream = upstream;
-  c->key.member = member;
-  HASH_ADD (hh, s->claims, key, sizeof c->key, c);
+  c->upstream = upstream;
+  c->member = member;
+  DL_APPEND (s->claims, c);
   return c;
 }
 
@@ -170,7 +156,7 @@
           const struct claim *own)
 {
   return c->in_flight || !own || c->claimed_ms <= own->claimed_ms
-         || precedes_own (s, c->key.member, c->key.upstream);
+         || precedes_own (s, c->member, c->upstream);
 }
 
 bool
@@ -246,7 +232,7 @@
 bb_isolation_each (const struct bb_isolation *s, bb_isolation_fn *fn,
                    void *arg)
 {
-  for (const struct claim *c = s->claims; c; c = c->hh.next)
-    if (c->key.member == s->own && c->in_flight)
-      fn (arg, c->key.upstream);
+  for (const struct claim *c = s->claims; c; c = c->next)
+    if (c->member == s->own && c->in_flight)
+      fn (arg, c->upstream);
 }
