--- a/test/test_crash_runs.c
+++ b/test/test_crash_runs.c
@@ -97,6 +97,7 @@
   uint32_t common_refused;
   uint32_t answered;
   GPtrArray *requests; /* all of the run, which owns them */
+  GPtrArray *tries;    /* likewise, struct try */
   struct told ticks[EDGES_MAX];
 };
 
@@ -233,17 +234,14 @@
     }
 }
 
-/* Returns the request of the try ARG, which is freed, or NULL if the try has
-   ended.  */
+/* Returns the request of the try ARG, or NULL if the try has ended.  */
 static struct request *
 end_try (void *arg)
 {
-  struct try *t = arg;
+  const struct try *t = arg;
   struct request *q = t->request;
-  bool runs = q->running && q->tries == t->number;
 
-  g_free (t);
-  return runs ? q : NULL;
+  return q->running && q->tries == t->number ? q : NULL;
 }
 
 static void
@@ -315,6 +313,7 @@
   q->upstream = upstream;
   q->tries++;
   q->running = true;
+  g_ptr_array_add (r->tries, t);
   t->request = q;
   t->number = q->tries;
   q->prior_crash = bb_poison_event (e->poison, q->fingerprint, now);
@@ -616,6 +615,7 @@
   r->upstreams_count = 3 + (uint32_t)(seed * 7 % (UPSTREAMS_MAX - 2));
   r->last_fingerprint = FIRST_UNIQUE;
   r->requests = g_ptr_array_new_with_free_func (g_free);
+  r->tries = g_ptr_array_new_with_free_func (g_free);
   r->sim = bb_sim_new (seed, nodes_count (r));
   bb_sim_set_net (r->sim, &net);
   bb_sim_on_deliver (r->sim, receive, r);
@@ -638,6 +638,7 @@
       g_ptr_array_unref (r->upstreams[i].running);
     }
   g_ptr_array_unref (r->requests);
+  g_ptr_array_unref (r->tries);
   bb_sim_free (r->sim);
 }
 
