libh1: a probe whose connection is reset while it connects tries again

The log of edge-0 has upstream_probed with "silent" in the millisecond in which the replica ended, so that its crash was not recorded. Cause: the connect ended at once with an error that is neither a refusal nor a timeout: the kernel had accepted the connection and reset it as the listening socket closed. It counted as no response, which makes no request suspect. The log has no error number, so that it was a reset is inferred from the time. Change: such an error is tried again like a connection that is closed at once.

--- a/libh1/probe.c
+++ b/libh1/probe.c
@@ -113,6 +113,15 @@
   finish_probe (p, p->accepted ? BB_H1_PROBE_ACCEPTED : BB_H1_PROBE_SILENT);
 }
 
+/* Whether a connect that ended with STATUS was accepted by the kernel and
+   closed before this process saw it.  */
+static bool
+was_closed (int status)
+{
+  return status < 0 && status != UV_ECONNREFUSED && status != UV_ETIMEDOUT
+         && status != UV_EHOSTUNREACH && status != UV_ENETUNREACH;
+}
+
 static void
 on_connect (uv_connect_t *req, int status)
 {
@@ -120,6 +129,11 @@
 
   if (p->ended || status == UV_ECANCELED)
     return;
+  if (was_closed (status) && p->attempts < ATTEMPTS_MAX)
+    {
+      close_tcp (p);
+      return;
+    }
   if (status < 0
       || uv_read_start ((uv_stream_t *)&p->tcp, on_alloc, on_read) < 0)
     {
