edge: log each failed call to the store, and how long the store was away

A log had one line for an outage, store_lost. It could not tell whether an edge had a call in flight when the store came back, how long that call lasted and what delay followed it, nor whether peers counted as watching. store_call_failed says so for each call, store_back how long there was no response.

--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -27,6 +27,9 @@
   bool listed;
   bool standby; /* enough peers watch, so this process does not */
   bb_ms retry_delay_ms;
+  bb_ms call_started_ms;
+  bb_ms response_ms;     /* time of the last valid response */
+  uint32_t failed_calls; /* failed calls since the last valid response */
 };
 
 static struct reader reader;
@@ -43,6 +46,7 @@
 retry_later (struct reader *r, enum bb_store_result result, const char *call)
 {
   struct edge *e = r->edge;
+  bb_ms delay_ms;
 
   bb_counter ("bilberry_store_failures_total", "")->value++;
   if (e->store_ok || r->retry_delay_ms == 0)
@@ -50,14 +54,18 @@
                   bb_store_result_name (result), "revision",
                   (json_int_t)e->view->revision);
   e->store_ok = false;
+  r->failed_calls++;
   r->retry_delay_ms
       = r->retry_delay_ms == 0 ? RETRY_MIN_MS : r->retry_delay_ms * 2;
   if (r->retry_delay_ms > RETRY_MAX_MS)
     r->retry_delay_ms = RETRY_MAX_MS;
-  uv_timer_start (&r->timer, on_timer,
-                  (uint64_t)(r->retry_delay_ms
-                             + g_rand_int_range (e->rand, 0, RETRY_MIN_MS)),
-                  0);
+  delay_ms = r->retry_delay_ms + g_rand_int_range (e->rand, 0, RETRY_MIN_MS);
+  bb_log_event ("store_call_failed", "{s:s, s:s, s:I, s:I, s:i}", "call", call,
+                "why", bb_store_result_name (result), "took_ms",
+                (json_int_t)(edge_now (e) - r->call_started_ms), "next_in_ms",
+                (json_int_t)delay_ms, "peers_watching",
+                (int)bb_peers_count_readers (e->peers));
+  uv_timer_start (&r->timer, on_timer, (uint64_t)delay_ms, 0);
 }
 
 static void
@@ -67,12 +75,16 @@
 
   if (!e->store_ok)
     {
-      bb_log_event ("store_back", "{s:I}", "revision",
-                    (json_int_t)e->view->revision);
+      bb_log_event ("store_back", "{s:I, s:I, s:i}", "revision",
+                    (json_int_t)e->view->revision, "away_ms",
+                    (json_int_t)(edge_now (e) - r->response_ms),
+                    "failed_calls", (int)r->failed_calls);
       e->store_recovered_ms = edge_now (e);
     }
   e->store_ok = true;
   r->retry_delay_ms = 0;
+  r->response_ms = edge_now (e);
+  r->failed_calls = 0;
 }
 
 static void
@@ -209,6 +221,7 @@
     }
   if (r->standby)
     leave_standby (r);
+  r->call_started_ms = edge_now (r->edge);
   if (r->listed)
     bb_store_watch (s, "", r->revision, WATCH_WAIT_MS, WATCH_TIMEOUT_MS,
                     on_watched, r);
@@ -243,6 +256,7 @@
   struct reader *r = &reader;
 
   r->edge = e;
+  r->response_ms = edge_now (e);
   r->listed_keys
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   uv_timer_init (e->loop, &r->timer);
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -95,6 +95,9 @@
 /* Returns how many connected peers accept requests of callers.  */
 uint32_t bb_peers_count_accepting (const struct bb_peers *p);
 
+/* Returns how many connected peers watch the store.  */
+uint32_t bb_peers_count_readers (const struct bb_peers *p);
+
 /* Returns how many connected peers with a lower incarnation than this process
    watch the store.  */
 uint32_t bb_peers_count_readers_before (const struct bb_peers *p);
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -522,6 +522,18 @@
   return n;
 }
 
+uint32_t
+bb_peers_count_readers (const struct bb_peers *p)
+{
+  const struct peer *peer;
+  uint32_t n = 0;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->hello_received && peer->reads_store)
+    n++;
+  return n;
+}
+
 uint32_t
 bb_peers_count_readers_before (const struct bb_peers *p)
 {
