--- a/fake/store/store.c
+++ b/fake/store/store.c
@@ -9,9 +9,11 @@
      POST /forget        compacts the history, so that a watch from an earlier
                          revision gets 410
      POST /mode?is=M     sets how the service responds to reads
+     POST /drop-watches  never responds to the watches that wait now
 
    The modes are ok, busy (429), unavailable (503), garbage (malformed JSON)
-   and silent (no response, not even to a watch that waits already).  */
+   and silent (no response, not even to a watch that waits already; calls that
+   fall into it get none afterwards either).  */
 
 #include "../lib/fake.h"
 
@@ -36,6 +38,7 @@
 struct watch
 {
   struct bb_http_request *r;
+  uint64_t number;
   uint64_t after;
   int64_t deadline_ms;
   uv_timer_t timer;
@@ -45,6 +48,9 @@
 static uint64_t revision = 1;
 static uint64_t compacted_revision; /* changes before this revision are gone */
 static char mode[16] = "ok";
+static uint64_t watches_started;
+static uint64_t dropped_watches; /* the first watches, up to this many, get no
+                                    response */
 
 static int
 compare_keys (const void *a, const void *b)
@@ -184,8 +190,11 @@
 {
   struct watch *w = t->data;
 
-  if (strcmp (mode, "silent") == 0)
-    return;
+  if (strcmp (mode, "silent") == 0 || w->number <= dropped_watches)
+    {
+      uv_timer_stop (t);
+      return;
+    }
   if (revision > w->after || w->after < compacted_revision
       || bb_clock_now () >= w->deadline_ms)
     respond_watch (w);
@@ -209,6 +218,7 @@
   w->r = r;
   r->user = w;
   r->on_done = on_watch_done;
+  w->number = ++watches_started;
   w->after = strtoull (after, NULL, 10);
   w->deadline_ms = bb_clock_now () + strtol (wait, NULL, 10);
   uv_timer_init (uv_default_loop (), &w->timer);
@@ -250,6 +260,8 @@
     put_item (key, NULL);
   else if (g_str_has_prefix (r->path.ptr, "/forget"))
     compacted_revision = ++revision;
+  else if (g_str_has_prefix (r->path.ptr, "/drop-watches"))
+    dropped_watches = watches_started;
   else
     g_strlcpy (mode, new_mode, sizeof mode);
   if (!bb_bytes_equal (r->method, "GET"))
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -3,6 +3,8 @@
 
 #include "harness/testbed.h"
 
+#include "bilberry/base.h"
+
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
@@ -314,6 +316,122 @@
   testbed_free (&t);
 }
 
+enum
+{
+  /* Time from a change in the store until it is in force at every edge.  */
+  CONFIG_DEADLINE_MS = 2000,
+  RETURN_EDGES = 3
+};
+
+/* A store that does not respond for some time, and its edges.  All watches
+   begin again just before.  */
+struct outage
+{
+  bb_ms length_ms;
+  struct testbed bed;
+  bb_ms return_ms; /* time of the change; 0: not made yet */
+  uint32_t left;   /* edges at which the change is not yet in force */
+  bool in_force[RETURN_EDGES];
+};
+
+static void
+outage_start (struct outage *o)
+{
+  testbed_init (&o->bed);
+  testbed_start_replica (&o->bed, "i-1", "app", "");
+  for (uint32_t e = 0; e < RETURN_EDGES; e++)
+    testbed_start_edge (&o->bed, 0);
+  testbed_put_config (&o->bed, 2, "", ",\"key-2\"");
+  for (uint32_t e = 0; e < RETURN_EDGES; e++)
+    g_assert_true (
+        testbed_await_status (&o->bed, e, "/check/1", "key-2", 200));
+  o->left = RETURN_EDGES;
+}
+
+/* Makes a change, which revokes key-2.  */
+static void
+outage_change (struct outage *o)
+{
+  testbed_put_config (&o->bed, 3, "", "");
+  o->return_ms = bb_clock_now ();
+}
+
+/* Asks the edges at which the change is not yet in force.  */
+static void
+outage_poll (struct outage *o)
+{
+  g_assert_cmpint (bb_clock_now () - o->return_ms, <=, CONFIG_DEADLINE_MS);
+  for (uint32_t e = 0; e < RETURN_EDGES; e++)
+    {
+      struct http_response a;
+      if (o->in_force[e])
+        continue;
+      a = testbed_request (&o->bed, e, "GET", "/check/1", "c1", "key-2");
+      o->in_force[e] = a.status == 401;
+      o->left -= o->in_force[e];
+      http_response_free (&a);
+    }
+}
+
+/* The store comes back after outages of several lengths, with a change: it is
+   in force in time at all edges, whatever their calls into the outage are
+   doing.  */
+static void
+test_change_after_outage (void)
+{
+  struct outage outages[] = { { .length_ms = 5700 },
+                              { .length_ms = 6200 },
+                              { .length_ms = 9200 } };
+  uint32_t open = G_N_ELEMENTS (outages);
+  bb_ms began_ms;
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (outages); i++)
+    outage_start (&outages[i]);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (outages); i++)
+    testbed_set_store_mode (&outages[i].bed, "silent");
+  began_ms = bb_clock_now ();
+  while (open > 0)
+    {
+      open = 0;
+      for (uint32_t i = 0; i < G_N_ELEMENTS (outages); i++)
+        {
+          struct outage *o = &outages[i];
+          if (o->return_ms > 0 && o->left > 0)
+            outage_poll (o);
+          if (o->return_ms == 0 && bb_clock_now () - began_ms >= o->length_ms)
+            {
+              testbed_set_store_mode (&o->bed, "ok");
+              outage_change (o);
+            }
+          open += o->left > 0;
+        }
+      harness_sleep_ms (10);
+    }
+  for (uint32_t i = 0; i < G_N_ELEMENTS (outages); i++)
+    testbed_free (&outages[i].bed);
+}
+
+/* The watches that wait at the store get no response any more, though it
+   responds to new calls: a change is in force in time all the same.  */
+static void
+test_watches_dropped (void)
+{
+  struct outage o = { 0 };
+  struct http_response a;
+
+  outage_start (&o);
+  harness_sleep_ms (50);
+  a = harness_http (o.bed.store_port, "POST", "/drop-watches", "", "");
+  http_response_free (&a);
+  outage_change (&o);
+  while (o.left > 0)
+    {
+      outage_poll (&o);
+      harness_sleep_ms (10);
+    }
+  testbed_free (&o.bed);
+}
+
 /* One edge never reaches the store: it gets all items from a peer, and learns
    of a removed key too.  */
 static void
@@ -787,6 +905,8 @@
   g_test_add_func ("/edge/unusable-items", test_unusable_items);
   g_test_add_func ("/edge/changes", test_changes);
   g_test_add_func ("/edge/store-fails", test_store_fails);
+  g_test_add_func ("/edge/change-after-outage", test_change_after_outage);
+  g_test_add_func ("/edge/watches-dropped", test_watches_dropped);
   g_test_add_func ("/edge/config-from-peer", test_config_from_peer);
   g_test_add_func ("/edge/forwarding-edge-stops", test_forwarding_edge_stops);
   g_test_add_func ("/edge/few-watch", test_few_watch);
