edge: a call to the store that gets no response does not hold up the next one

Seen by callers: a route that was added is answered 404 over 2 s after its configuration was acked (CONFIG), in the record at 37.528 s. Cause: an edge had one call to the store at a time. One that was sent into an outage never gets a response, also once the store is back, and held up the next for 2.3 s; after it came a delay that doubled up to 1.8 s. So for up to 4.1 s after the return no call was there to be answered, at all edges in step, since all had lost the store in the same moment. In the record: calls of the three edges at 33 s and 37.5 s, the store back at 34 s, versions acked from 35.368 s. Change: calls overlap, each on a connection of its own; the first response counts. A watch that is not answered in time has a second call beside it; a watch waits 1 s, not 1.5 s. The first edge that gets a response tells its peers at once. Why it works: the time without an open call is bounded by the interval, whatever the calls of before do, and no longer grows with the outage.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -174,7 +174,6 @@
   struct bb_isolation *isolation; /* where they may be sent */
   GHashTable *running_checks;     /* numbers of the checks that run */
   uint64_t last_check_number;
-  struct bb_store *store;
   bool store_ok; /* the last call of the store succeeded, or peers watch the
                     store for this edge */
   bb_ms store_recovered_ms;          /* when store_ok last became true */
@@ -229,7 +228,7 @@
 /* reader.c: keeps the view up to date with the store.  */
 void reader_start (struct edge *e);
 /* Cancels the current call and lists the store from its first key.  */
-void reader_restart (struct edge *e);
+void reader_restart (void);
 /* Whether this edge watches the store itself and the last call succeeded.  */
 bool reader_is_watching (const struct edge *e);
 
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -52,8 +52,7 @@
       struct target *t = g_ptr_array_index (e->target_list, i);
       bb_h1_pool_drop_idle (t->connections);
     }
-  if (e->store)
-    reader_restart (e);
+  reader_restart ();
 }
 
 /* Loads the settings if the file has changed.  A running process keeps its
@@ -223,7 +222,6 @@
   if (!open_front (e) || !status_start (e) || !peers_start (e)
       || !bb_metrics_listen (e->loop, e->settings))
     return EXIT_FAILURE;
-  e->store = bb_store_new (e->loop, e->settings->store_address);
   reader_start (e);
   uv_timer_init (e->loop, &tick);
   tick.data = e;
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -9,25 +9,34 @@
 enum
 {
   LIST_TIMEOUT_MS = 1500,
-  WATCH_WAIT_MS = 1500,    /* short, since a watch may stop responding */
+  WATCH_WAIT_MS = 1000,    /* short, since a watch may stop responding */
+  PROBE_WAIT_MS = 1,       /* a response is all that is wanted */
   WATCH_TIMEOUT_MS = 2300, /* longest time for the whole call */
-  RETRY_MIN_MS = 200,      /* first delay after a failure; doubles each time */
-  RETRY_MAX_MS = 1600,
-  STANDBY_CHECK_MS = 100 /* time between checks whether a watch is needed */
+  STANDBY_CHECK_MS = 100,  /* time between checks whether a watch is needed */
+  CALLS_MAX = 8            /* more than start within a timeout */
+};
+
+/* A call to the store, on a connection of its own.  */
+struct call
+{
+  struct reader *reader;
+  struct bb_store *store;
+  bool in_flight;
+  bb_ms started_ms;
 };
 
 struct reader
 {
   struct edge *edge;
-  uv_timer_t timer;
+  uv_timer_t timer; /* start of the next call, or the next check in standby */
+  struct call calls[CALLS_MAX];
   GHashTable *listed_keys; /* keys of the current listing */
   char *last_key;          /* last key of the current listing; "": none yet */
   uint64_t revision; /* revision of the first page listed, then the one to
                         watch from */
   bool listed;
-  bool standby; /* enough peers watch, so this process does not */
-  bb_ms retry_delay_ms;
-  bb_ms call_started_ms;
+  bool standby;          /* enough peers watch, so this process does not */
+  bool takes_over;       /* it is in standby, but will watch soon */
   bb_ms response_ms;     /* time of the last valid response */
   uint32_t failed_calls; /* failed calls since the last valid response */
 };
@@ -42,38 +51,95 @@
   start_next_call (t->data);
 }
 
+/* Starts the next call in time, unless the current one gets a response
+   earlier.  */
+static void
+schedule_next_call (struct reader *r, bb_ms wait_ms)
+{
+  struct edge *e = r->edge;
+  struct bb_store_call_state s
+      = { .responding = e->store_ok,
+          .wait_ms = wait_ms,
+          .members = fleet_edge_count (e),
+          .peers_watching = bb_peers_count_readers (e->peers) };
+
+  uv_timer_start (
+      &r->timer, on_timer,
+      (uint64_t)bb_store_next_call_ms (&s, g_rand_double (e->rand)), 0);
+}
+
+static bool
+has_call_in_flight (const struct reader *r)
+{
+  for (uint32_t i = 0; i < CALLS_MAX; i++)
+    if (r->calls[i].in_flight)
+      return true;
+  return false;
+}
+
+/* Returns a call that is not in flight; where all are, the oldest one is
+   cancelled.  */
+static struct call *
+take_call (struct reader *r)
+{
+  struct call *oldest = &r->calls[0];
+
+  for (uint32_t i = 0; i < CALLS_MAX; i++)
+    {
+      struct call *c = &r->calls[i];
+      if (!c->in_flight)
+        return c;
+      if (c->started_ms < oldest->started_ms)
+        oldest = c;
+    }
+  bb_store_cancel (oldest->store);
+  return oldest;
+}
+
+static void
+cancel_calls (struct reader *r)
+{
+  for (uint32_t i = 0; i < CALLS_MAX; i++)
+    {
+      bb_store_cancel (r->calls[i].store);
+      r->calls[i].in_flight = false;
+    }
+}
+
 static void
-retry_later (struct reader *r, enum bb_store_result result, const char *call)
+record_failure (struct call *c, enum bb_store_result result, const char *name)
 {
+  struct reader *r = c->reader;
   struct edge *e = r->edge;
-  bb_ms delay_ms;
+  bool was_ok = e->store_ok;
 
+  c->in_flight = false;
   bb_counter ("bilberry_store_failures_total", "")->value++;
-  if (e->store_ok || r->retry_delay_ms == 0)
-    bb_log_event ("store_lost", "{s:s, s:s, s:I}", "call", call, "why",
+  if (r->failed_calls == 0)
+    bb_log_event ("store_lost", "{s:s, s:s, s:I}", "call", name, "why",
                   bb_store_result_name (result), "revision",
                   (json_int_t)e->view->revision);
-  e->store_ok = false;
   r->failed_calls++;
-  r->retry_delay_ms
-      = r->retry_delay_ms == 0 ? RETRY_MIN_MS : r->retry_delay_ms * 2;
-  if (r->retry_delay_ms > RETRY_MAX_MS)
-    r->retry_delay_ms = RETRY_MAX_MS;
-  delay_ms = r->retry_delay_ms + g_rand_int_range (e->rand, 0, RETRY_MIN_MS);
-  bb_log_event ("store_call_failed", "{s:s, s:s, s:I, s:I, s:i}", "call", call,
+  e->store_ok = false;
+  bb_log_event ("store_call_failed", "{s:s, s:s, s:I, s:i}", "call", name,
                 "why", bb_store_result_name (result), "took_ms",
-                (json_int_t)(edge_now (e) - r->call_started_ms), "next_in_ms",
-                (json_int_t)delay_ms, "peers_watching",
+                (json_int_t)(edge_now (e) - c->started_ms), "peers_watching",
                 (int)bb_peers_count_readers (e->peers));
-  uv_timer_start (&r->timer, on_timer, (uint64_t)delay_ms, 0);
+  if (was_ok || !uv_is_active ((uv_handle_t *)&r->timer))
+    schedule_next_call (r, 0);
 }
 
+/* The other calls are cancelled, as they may never get a response.  */
 static void
-record_success (struct reader *r)
+record_success (struct call *c)
 {
+  struct reader *r = c->reader;
   struct edge *e = r->edge;
+  bool was_ok = e->store_ok;
 
-  if (!e->store_ok)
+  c->in_flight = false;
+  cancel_calls (r);
+  if (!was_ok)
     {
       bb_log_event ("store_back", "{s:I, s:I, s:i}", "revision",
                     (json_int_t)e->view->revision, "away_ms",
@@ -82,9 +148,10 @@
       e->store_recovered_ms = edge_now (e);
     }
   e->store_ok = true;
-  r->retry_delay_ms = 0;
   r->response_ms = edge_now (e);
   r->failed_calls = 0;
+  if (!was_ok)
+    bb_peers_send_state (e->peers);
 }
 
 static void
@@ -120,14 +187,15 @@
 on_listed (enum bb_store_result result, const struct bb_store_page *page,
            void *user)
 {
-  struct reader *r = user;
+  struct call *c = user;
+  struct reader *r = c->reader;
 
   if (result != BB_STORE_OK)
     {
-      retry_later (r, result, "list");
+      record_failure (c, result, "list");
       return;
     }
-  record_success (r);
+  record_success (c);
   if (*r->last_key == '\0')
     r->revision = page->revision;
   for (guint i = 0; i < page->items->len; i++)
@@ -148,21 +216,22 @@
 on_watched (enum bb_store_result result, const struct bb_store_page *page,
             void *user)
 {
-  struct reader *r = user;
+  struct call *c = user;
+  struct reader *r = c->reader;
   uint64_t since = r->revision;
 
   if (result == BB_STORE_GONE)
     {
       r->listed = false;
-      reader_restart (r->edge);
+      reader_restart ();
       return;
     }
   if (result != BB_STORE_OK)
     {
-      retry_later (r, result, "watch");
+      record_failure (c, result, "watch");
       return;
     }
-  record_success (r);
+  record_success (c);
   apply_items (r, page);
   if (page->revision > r->revision)
     r->revision = page->revision;
@@ -189,10 +258,10 @@
     bb_log_event ("store_rests", "{s:I}", "revision",
                   (json_int_t)e->view->revision);
   r->standby = true;
+  r->takes_over = false;
   if (!e->store_ok)
     e->store_recovered_ms = edge_now (e);
   e->store_ok = true;
-  r->retry_delay_ms = 0;
   uv_timer_start (&r->timer, on_timer, STANDBY_CHECK_MS, 0);
 }
 
@@ -207,26 +276,53 @@
   r->revision = r->edge->view->revision;
 }
 
+/* Starts a list or watch call, beside those that are in flight.  */
 static void
-start_next_call (struct reader *r)
+start_call (struct reader *r)
 {
-  struct bb_store *s = r->edge->store;
+  bool probes = !r->edge->store_ok || has_call_in_flight (r);
+  struct call *c = take_call (r);
+  bb_ms wait_ms = 0;
+
+  c->in_flight = true;
+  c->started_ms = edge_now (r->edge);
+  if (r->listed)
+    {
+      wait_ms = probes ? PROBE_WAIT_MS : WATCH_WAIT_MS;
+      bb_store_watch (c->store, "", r->revision, wait_ms, WATCH_TIMEOUT_MS,
+                      on_watched, c);
+    }
+  else
+    bb_store_list (c->store, "", r->last_key, LIST_TIMEOUT_MS, on_listed, c);
+#ifndef BB_MUTANT_store_overlap
+  schedule_next_call (r, wait_ms);
+#endif
+}
 
+static void
+start_next_call (struct reader *r)
+{
   if (r->listed
       && !bb_should_watch_store (
           bb_peers_count_readers_before (r->edge->peers)))
     {
+      cancel_calls (r);
       enter_standby (r);
       return;
     }
+  if (r->standby && !r->takes_over)
+    {
+      r->takes_over = true;
+      uv_timer_start (
+          &r->timer, on_timer,
+          (uint64_t)bb_store_takeover_ms (fleet_edge_count (r->edge),
+                                          g_rand_double (r->edge->rand)),
+          0);
+      return;
+    }
   if (r->standby)
     leave_standby (r);
-  r->call_started_ms = edge_now (r->edge);
-  if (r->listed)
-    bb_store_watch (s, "", r->revision, WATCH_WAIT_MS, WATCH_TIMEOUT_MS,
-                    on_watched, r);
-  else
-    bb_store_list (s, "", r->last_key, LIST_TIMEOUT_MS, on_listed, r);
+  start_call (r);
 }
 
 bool
@@ -236,11 +332,11 @@
 }
 
 void
-reader_restart (struct edge *e)
+reader_restart (void)
 {
   struct reader *r = &reader;
 
-  bb_store_cancel (e->store);
+  cancel_calls (r);
   uv_timer_stop (&r->timer);
   r->listed = false;
   r->standby = false;
@@ -256,10 +352,15 @@
   struct reader *r = &reader;
 
   r->edge = e;
+  for (uint32_t i = 0; i < CALLS_MAX; i++)
+    {
+      r->calls[i].reader = r;
+      r->calls[i].store = bb_store_new (e->loop, e->settings->store_address);
+    }
   r->response_ms = edge_now (e);
   r->listed_keys
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   uv_timer_init (e->loop, &r->timer);
   r->timer.data = r;
-  reader_restart (e);
+  reader_restart ();
 }
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -278,6 +278,29 @@
    changes on to the others.  */
 bool bb_should_watch_store (uint32_t watchers_before);
 
+/* Returns how long an entry that does not watch waits before it does, where
+   too few of its peers watch by now: another entry may do so first.  MEMBERS
+   and DRAW are as for bb_store_next_call_ms.  */
+bb_ms bb_store_takeover_ms (uint32_t members, double draw);
+
+/* What an entry knows of the store when it starts a call.  */
+struct bb_store_call_state
+{
+  bool responding;  /* the last call that ended got a response */
+  bb_ms wait_ms;    /* how long the store may hold this call back; 0: not */
+  uint32_t members; /* entries that are connected, this one included */
+  uint32_t peers_watching; /* peers that watch the store */
+};
+
+/* Returns the time from the start of a call to the start of the next one,
+   where the call has not ended by then.  A call that was sent while the store
+   did not respond may never get a response, also once the store is back, so
+   the next call does not wait for it.  While the store does not respond, all
+   entries together call it at a bounded rate, and one that gets its changes
+   from a peer calls seldom.  DRAW is a uniform random number from 0 to 1 that
+   keeps entries from calling at the same time.  */
+bb_ms bb_store_next_call_ms (const struct bb_store_call_state *s, double draw);
+
 /* How an attempt ended.  */
 enum bb_outcome
 {
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -428,6 +428,103 @@
   g_assert_cmpuint (watchers, ==, 4);
 }
 
+enum
+{
+  OUTAGE_ENTRIES_MAX = 1100,
+  STORE_READS_PER_S = 2000,
+  STORE_RESPONSE_MS = 4,
+  CONFIG_DEADLINE_MS = 2000,
+  PEER_DELAY_MS = 2
+};
+
+/* Entries that call a store until it responds to the first of them, which
+   passes changes on to the others.  */
+struct store_outage
+{
+  GRand *rand;
+  uint32_t entries;
+  bb_ms return_ms;
+  bb_ms next_call_ms[OUTAGE_ENTRIES_MAX];
+  uint32_t calls; /* since the last full second */
+  uint32_t most_calls_per_s;
+};
+
+/* Returns whether a call that starts at NOW gets a response.  */
+static bool
+outage_call (struct store_outage *o, uint32_t entry, bb_ms now)
+{
+  struct bb_store_call_state s = { .members = o->entries };
+
+  o->calls++;
+  o->next_call_ms[entry]
+      = now + bb_store_next_call_ms (&s, g_rand_double (o->rand));
+  return now >= o->return_ms;
+}
+
+/* Returns the time from the return of the store until all entries have what
+   was changed meanwhile.  */
+static bb_ms
+outage_play (struct store_outage *o)
+{
+  /* Four watch, the others notice that these lost the store.  */
+  for (uint32_t i = 0; i < o->entries; i++)
+    o->next_call_ms[i] = i < 4 ? g_rand_int_range (o->rand, 0, 1300)
+                               : 1300
+                                     + bb_store_takeover_ms (
+                                         o->entries, g_rand_double (o->rand));
+  for (bb_ms now = 0;; now++)
+    {
+      if (now % 1000 == 0)
+        {
+          o->most_calls_per_s = MAX (o->most_calls_per_s, o->calls);
+          o->calls = 0;
+        }
+      for (uint32_t i = 0; i < o->entries; i++)
+        if (o->next_call_ms[i] <= now && outage_call (o, i, now))
+          return now + STORE_RESPONSE_MS + PEER_DELAY_MS - o->return_ms;
+    }
+}
+
+/* A store that does not respond comes back at any moment.  What was changed as
+   it returns is in force in time, with few edges and with many, and their
+   calls take less than a tenth of what it serves.  */
+static void
+test_store_outage (void)
+{
+  static const uint32_t fleets[] = { 1, 3, 15, 100, OUTAGE_ENTRIES_MAX };
+  struct store_outage *o = g_new0 (struct store_outage, 1);
+
+  o->rand = g_rand_new_with_seed (22);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (fleets); i++)
+    for (uint32_t n = 0; n < 20; n++)
+      {
+        o->entries = fleets[i];
+        o->return_ms = g_rand_int_range (o->rand, 3000, 12000);
+        o->calls = 0;
+        o->most_calls_per_s = 0;
+        g_assert_cmpint (outage_play (o), <, CONFIG_DEADLINE_MS);
+        g_assert_cmpuint (o->most_calls_per_s, <, STORE_READS_PER_S / 10);
+      }
+  g_rand_free (o->rand);
+  g_free (o);
+}
+
+/* An entry that gets its changes from a peer calls seldom, and one whose store
+   responds leaves a call the time that the store may hold it back.  */
+static void
+test_store_next_call (void)
+{
+  struct bb_store_call_state s
+      = { .members = 3, .peers_watching = 1, .wait_ms = 1 };
+
+  g_assert_cmpint (bb_store_next_call_ms (&s, 0), >=, 1000);
+  g_assert_cmpint (bb_store_next_call_ms (&s, 1), <=, CONFIG_DEADLINE_MS);
+  s.responding = true;
+  s.wait_ms = 1000;
+  g_assert_cmpint (bb_store_next_call_ms (&s, 0), >, s.wait_ms);
+  g_assert_cmpint (bb_store_next_call_ms (&s, 1), <, CONFIG_DEADLINE_MS);
+}
+
 /* Requests that may crash upstreams: entry OWN and two others, and an upstream
    of each.  */
 struct isolation_case
@@ -545,6 +642,8 @@
   g_test_add_func ("/load/retry-delay", test_retry_delay);
   g_test_add_func ("/load/place/unresponsive", test_balance_unresponsive);
   g_test_add_func ("/load/readers", test_store_watchers);
+  g_test_add_func ("/load/store-outage", test_store_outage);
+  g_test_add_func ("/load/store-next-call", test_store_next_call);
   g_test_add_func ("/load/waiters", test_queue_order);
   g_test_add_func ("/load/isolation/owner", test_isolation_owner);
   g_test_add_func ("/load/isolation/claim", test_isolation_claim);
