edge: mark items as sent to peers only where this edge sent them

Callers of an edge that gets its items from a peer could see an older configuration until the next one was written. Cause: the edge that passes changes on took all items of a response of the store as sent to its peers, also those that it had learned of from a peer before and so had not sent. An edge that this peer had not reached was told that it has all items up to the newest revision, raised its own, and never asked for what it lacked.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -195,8 +195,8 @@
 struct pool_queue *fleet_queue (struct edge *e, const char *pool);
 /* Applies the item of KEY, unless a newer one is known.  VALUE NULL removes
    it.  SOURCE is "store" or "peer"; an item from the store is also sent to
-   the peers if fleet_forwards_items.  */
-void fleet_apply_item (struct edge *e, const char *key, GBytes *value,
+   the peers if fleet_forwards_items.  Returns whether the item is new.  */
+bool fleet_apply_item (struct edge *e, const char *key, GBytes *value,
                        uint64_t revision, const char *source);
 /* Whether this edge sends changes from the store to its peers at once: it does
    if no peer of a lower incarnation watches the store.  */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -240,14 +240,14 @@
   return e->peers && bb_peers_count_readers_before (e->peers) == 0;
 }
 
-void
+bool
 fleet_apply_item (struct edge *e, const char *key, GBytes *value,
                   uint64_t revision, const char *source)
 {
   const char *name;
 
   if (!bb_view_put (e->view, key, value, revision))
-    return;
+    return false;
   if (strcmp (source, "store") == 0 && fleet_forwards_items (e))
     bb_peers_broadcast_item (e->peers,
                              g_hash_table_lookup (e->view->items, key));
@@ -274,6 +274,7 @@
     case BB_ITEM_OTHER:
       break;
     }
+  return true;
 }
 
 bool
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -154,17 +154,24 @@
     bb_peers_send_state (e->peers);
 }
 
-static void
+/* Returns whether all items of PAGE are new.  */
+static bool
 apply_items (struct reader *r, const struct bb_store_page *page)
 {
+  bool all_new = true;
+
   if (page->unusable > 0)
     bb_log_event ("items_unreadable", "{s:i}", "count", (int)page->unusable);
   for (guint i = 0; i < page->items->len; i++)
     {
       const struct bb_item *item = g_ptr_array_index (page->items, i);
-      fleet_apply_item (r->edge, item->key, item->value, item->revision,
-                        "store");
+      bool is_new = fleet_apply_item (r->edge, item->key, item->value,
+                                      item->revision, "store");
+#ifndef BB_MUTANT_items_known
+      all_new &= is_new;
+#endif
     }
+  return all_new;
 }
 
 /* Removes the items that the complete listing lacks.  */
@@ -219,6 +226,7 @@
   struct call *c = user;
   struct reader *r = c->reader;
   uint64_t since = r->revision;
+  bool all_new;
 
   if (result == BB_STORE_GONE)
     {
@@ -232,14 +240,15 @@
       return;
     }
   record_success (c);
-  apply_items (r, page);
+  all_new = apply_items (r, page);
   if (page->revision > r->revision)
     r->revision = page->revision;
   if (r->revision > r->edge->view->revision)
     r->edge->view->revision = r->revision;
   if (page->items->len > 0)
     {
-      if (fleet_forwards_items (r->edge))
+      /* An item that a peer told before was not sent to the others.  */
+      if (all_new && fleet_forwards_items (r->edge))
         bb_peers_mark_sent (r->edge->peers, since);
       bb_peers_send_state (r->edge->peers);
       queue_dispatch_all (r->edge);
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -70,13 +70,19 @@
   g_free (path);
 }
 
+char *
+testbed_config (int version, const char *routes, const char *keys)
+{
+  G_GNUC_BEGIN_IGNORE_DEPRECATIONS
+  return g_strdup_printf (config_text, version, routes, keys);
+  G_GNUC_END_IGNORE_DEPRECATIONS
+}
+
 void
 testbed_put_config (struct testbed *t, int version, const char *routes,
                     const char *keys)
 {
-  G_GNUC_BEGIN_IGNORE_DEPRECATIONS
-  char *text = g_strdup_printf (config_text, version, routes, keys);
-  G_GNUC_END_IGNORE_DEPRECATIONS
+  char *text = testbed_config (version, routes, keys);
 
   testbed_put_item (t, "op/config", text);
   g_free (text);
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -77,9 +77,11 @@
 /* Sets how the store answers reads: one of the modes of fake-store.  */
 void testbed_set_store_mode (struct testbed *t, const char *mode);
 
-/* Writes the configuration with VERSION, and with further routes and further
+/* Returns the configuration with VERSION, and with further routes and further
    keys of the customer.  ROUTES and KEYS are JSON array elements that begin
-   with a comma, or "".  */
+   with a comma, or "".  The caller frees it.  */
+char *testbed_config (int version, const char *routes, const char *keys);
+/* Writes that configuration to the store.  */
 void testbed_put_config (struct testbed *t, int version, const char *routes,
                          const char *keys);
 
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -1,6 +1,7 @@
 /* Tests of bilberry-edge with real processes: a fake store, fake replicas that
    can return faulty responses, and callers.  */
 
+#include "harness/frame.h"
 #include "harness/testbed.h"
 
 #include "bilberry/base.h"
@@ -451,6 +452,70 @@
   testbed_free (&t);
 }
 
+/* Sends an item to edge E as a peer that ends before it has told another edge.
+   REVISION is the one that the store gives the item.  */
+static void
+tell_edge_alone (struct testbed *t, uint32_t e, const char *key,
+                 const char *value, uint64_t revision)
+{
+  struct bb_peer_hello hello
+      = { .incarnation = 7, .name = bb_bytes_of ("short-lived") };
+  struct bb_peer_item item = { .key = bb_bytes_of (key),
+                               .value = bb_bytes_of (value),
+                               .revision = revision };
+  struct frame_peer *p = frame_connect (t->edges[e].control_port);
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&out);
+  bb_put_peer_hello (&out, &hello);
+  bb_put_peer_item (&out, &item);
+  frame_send (p, &out);
+  msgpack_sbuffer_destroy (&out);
+  frame_close (p);
+}
+
+/* Returns the store revision up to which edge E has all items.  */
+static uint64_t
+edge_revision (struct testbed *t, uint32_t e)
+{
+  struct frame_peer *p = frame_connect (t->edges[e].control_port);
+  struct bb_message m;
+  uint64_t revision;
+
+  g_assert_true (frame_await (p, BB_MSG_PEER_STATE, &m, 2000));
+  revision = m.u.peer_state.revision;
+  bb_message_free (&m);
+  frame_close (p);
+  return revision;
+}
+
+/* An edge learns of a configuration from a peer that ends at once, and reads
+   it from the store together with a newer item.  Another edge, which cannot
+   reach the store, gets both.  */
+static void
+test_item_known_already (void)
+{
+  struct testbed t;
+  g_autofree char *config = testbed_config (2, "", ",\"key-2\"");
+  uint64_t revision;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_start_edge (&t, harness_port (t.harness));
+  g_assert_true (testbed_await_status (&t, 1, "/check/1", "key-1", 200));
+  harness_sleep_ms (300);
+  testbed_set_store_mode (&t, "silent");
+  revision = edge_revision (&t, 0);
+  tell_edge_alone (&t, 0, "op/config", config, revision + 1);
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-2", 200));
+  testbed_put_item (&t, "op/config", config);
+  testbed_put_item (&t, "op/evacuate/z9", "{}");
+  testbed_set_store_mode (&t, "ok");
+  g_assert_true (testbed_await_status (&t, 1, "/check/1", "key-2", 200));
+  testbed_free (&t);
+}
+
 /* Two edges watch the store and a third cannot reach it.  While either of the
    two is stopped, the other sends changes to the third.  */
 static void
@@ -907,6 +972,7 @@
   g_test_add_func ("/edge/store-fails", test_store_fails);
   g_test_add_func ("/edge/change-after-outage", test_change_after_outage);
   g_test_add_func ("/edge/watches-dropped", test_watches_dropped);
+  g_test_add_func ("/edge/item-known-already", test_item_known_already);
   g_test_add_func ("/edge/config-from-peer", test_config_from_peer);
   g_test_add_func ("/edge/forwarding-edge-stops", test_forwarding_edge_stops);
   g_test_add_func ("/edge/few-watch", test_few_watch);
