edge: decode only the last of several versions in one response of the store

The stand-in for the store keeps its history, as the platform's does: a watch gets each version that was written, not only the last.

--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -154,10 +154,30 @@
     bb_peers_send_state (e->peers);
 }
 
-/* Returns whether all items of PAGE are new.  */
+/* Returns the newest item of each key in PAGE, whose keys and items it
+   borrows.  */
+static GHashTable *
+newest_items (const struct bb_store_page *page)
+{
+  GHashTable *newest = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < page->items->len; i++)
+    {
+      struct bb_item *item = g_ptr_array_index (page->items, i);
+      const struct bb_item *other = g_hash_table_lookup (newest, item->key);
+      if (!other || other->revision < item->revision)
+        g_hash_table_replace (newest, item->key, item);
+    }
+  return newest;
+}
+
+/* Applies the items of PAGE in order, but no version that another one in PAGE
+   replaces: an edge that was without the store would decode many
+   configurations for nothing.  Returns whether all applied items are new.  */
 static bool
 apply_items (struct reader *r, const struct bb_store_page *page)
 {
+  GHashTable *newest = newest_items (page);
   bool all_new = true;
 
   if (page->unusable > 0)
@@ -165,12 +185,16 @@
   for (guint i = 0; i < page->items->len; i++)
     {
       const struct bb_item *item = g_ptr_array_index (page->items, i);
-      bool is_new = fleet_apply_item (r->edge, item->key, item->value,
-                                      item->revision, "store");
+      bool is_new;
+      if (g_hash_table_lookup (newest, item->key) != item)
+        continue;
+      is_new = fleet_apply_item (r->edge, item->key, item->value,
+                                 item->revision, "store");
 #ifndef BB_MUTANT_items_known
       all_new &= is_new;
 #endif
     }
+  g_hash_table_unref (newest);
   return all_new;
 }
 
--- a/fake/store/store.c
+++ b/fake/store/store.c
@@ -44,7 +44,8 @@
   uv_timer_t timer;
 };
 
-static GPtrArray *items; /* sorted by key */
+static GPtrArray *items;   /* sorted by key */
+static GPtrArray *history; /* all items as they were written, by revision */
 static uint64_t revision = 1;
 static uint64_t compacted_revision; /* changes before this revision are gone */
 static char mode[16] = "ok";
@@ -68,6 +69,17 @@
   return NULL;
 }
 
+static struct item *
+copy_item (const struct item *i)
+{
+  struct item *copy = g_new0 (struct item, 1);
+
+  copy->key = g_strdup (i->key);
+  copy->value = i->value ? g_bytes_ref (i->value) : NULL;
+  copy->revision = i->revision;
+  return copy;
+}
+
 /* Sets KEY to VALUE, or removes it if VALUE is NULL, as a new revision.  */
 static void
 put_item (const char *key, struct bb_bytes *value)
@@ -85,6 +97,7 @@
     g_bytes_unref (i->value);
   i->value = value ? g_bytes_new (value->ptr, value->size) : NULL;
   i->revision = ++revision;
+  g_ptr_array_add (history, copy_item (i));
 }
 
 static json_t *
@@ -166,9 +179,9 @@
 {
   json_t *list = json_array ();
 
-  for (guint i = 0; i < items->len; i++)
+  for (guint i = 0; i < history->len; i++)
     {
-      const struct item *it = g_ptr_array_index (items, i);
+      const struct item *it = g_ptr_array_index (history, i);
       if (it->revision > w->after)
         json_array_append_new (list, item_to_json (it));
     }
@@ -276,5 +289,6 @@
   struct fake_option options[] = { { NULL, NULL, 0 } };
 
   items = g_ptr_array_new ();
+  history = g_ptr_array_new ();
   return fake_main (argc, argv, options, on_request, NULL);
 }
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -516,6 +516,30 @@
   testbed_free (&t);
 }
 
+/* Of several versions that come in one response only the last is decoded.  */
+static void
+test_last_version_only (void)
+{
+  struct testbed t;
+  g_autofree char *log = NULL;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-1", 200));
+  testbed_set_store_mode (&t, "silent");
+  testbed_put_config (&t, 2, "", "");
+  testbed_put_config (&t, 3, "", "");
+  testbed_put_config (&t, 4, "", ",\"key-4\"");
+  testbed_set_store_mode (&t, "ok");
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-4", 200));
+  log = testbed_read_log (&t, "edge-0");
+  g_assert_nonnull (strstr (log, "\"version\":4,"));
+  g_assert_null (strstr (log, "\"version\":2,"));
+  g_assert_null (strstr (log, "\"version\":3,"));
+  testbed_free (&t);
+}
+
 /* Two edges watch the store and a third cannot reach it.  While either of the
    two is stopped, the other sends changes to the third.  */
 static void
@@ -973,6 +997,7 @@
   g_test_add_func ("/edge/change-after-outage", test_change_after_outage);
   g_test_add_func ("/edge/watches-dropped", test_watches_dropped);
   g_test_add_func ("/edge/item-known-already", test_item_known_already);
+  g_test_add_func ("/edge/last-version-only", test_last_version_only);
   g_test_add_func ("/edge/config-from-peer", test_config_from_peer);
   g_test_add_func ("/edge/forwarding-edge-stops", test_forwarding_edge_stops);
   g_test_add_func ("/edge/few-watch", test_few_watch);
