--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -27,7 +27,8 @@
   CONNECT_TIMEOUT_MS = 350,
   /* Upstreams of a pool that are considered for a request.  */
   UPSTREAMS_MAX = 1024,
-  FINGERPRINT_TEXT_SIZE = 17
+  FINGERPRINT_TEXT_SIZE = 17,
+  PARTS_TEXT_SIZE = 8 * FINGERPRINT_TEXT_SIZE
 };
 
 struct crash_check;
@@ -103,6 +104,10 @@
   /* Identifies the request when its caller repeats it under another id.  */
   uint64_t fingerprint;
   char fingerprint_text[FINGERPRINT_TEXT_SIZE]; /* in hexadecimal */
+  /* Identify the parts of the prompt that other requests may share.  */
+  uint64_t parts[BB_SHARED_PARTS_MAX];
+  uint32_t parts_count;
+  char parts_text[PARTS_TEXT_SIZE]; /* the first ones in hexadecimal */
   uint64_t prior_crash;  /* crash that had made the request suspect when the
                             current try was sent; 0: none */
   uint64_t claimed_hash; /* id_hash of the upstream that was last claimed to
@@ -248,7 +253,7 @@
 void suspect_init (struct edge *e);
 /* Sets the fingerprint of R, a hash of its customer, host, method, path and
    body, which a repeat by the same caller has too.  Never 0.  */
-void suspect_set_fingerprint (struct request *r);
+void suspect_set_fingerprints (struct request *r);
 /* Whether R is suspect or quarantined; if so, it may only be sent as isolate.c
    allows.  */
 bool suspect_is_suspect (const struct request *r);
--- a/cmd/edge/input.c
+++ b/cmd/edge/input.c
@@ -71,9 +71,9 @@
       refuse (r, reason, 0);
       return false;
     }
-  suspect_set_fingerprint (r);
   g_free (r->pool);
   r->pool = g_strdup (bb_route_pick_pool (r->route, r->split_draw));
+  suspect_set_fingerprints (r);
   r->queue = fleet_queue (e, r->pool);
   return true;
 }
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -86,14 +86,16 @@
   if (r->tries > 1)
     bb_count_retry (BB_REASON_UPSTREAM_FAILED);
   bb_log_event (
-      "send", "{s:s%, s:s, s:s, s:s, s:i, s:I, s:I, s:i, s:i, s:i, s:I, s:I}",
+      "send",
+      "{s:s%, s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:i, s:i, s:i, s:I, s:I}",
       "id", r->info.attempt_id.ptr, (size_t)r->info.attempt_id.size,
-      "fingerprint", r->fingerprint_text, "route", r->route->name, "upstream",
-      t->record->id, "try", (int)r->tries, "waited_ms",
-      (json_int_t)(now - r->queued_ms), "left_ms", (json_int_t)s.remaining_ms,
-      "own", (int)t->in_flight, "others", (int)t->peers_in_flight, "waiting",
-      (int)r->queue->waiting.length, "version", (json_int_t)r->config->version,
-      "revision", (json_int_t)t->record->revision);
+      "fingerprint", r->fingerprint_text, "parts", r->parts_text, "route",
+      r->route->name, "upstream", t->record->id, "try", (int)r->tries,
+      "waited_ms", (json_int_t)(now - r->queued_ms), "left_ms",
+      (json_int_t)s.remaining_ms, "own", (int)t->in_flight, "others",
+      (int)t->peers_in_flight, "waiting", (int)r->queue->waiting.length,
+      "version", (json_int_t)r->config->version, "revision",
+      (json_int_t)t->record->revision);
   set_timer (r);
 }
 
--- a/cmd/edge/suspect.c
+++ b/cmd/edge/suspect.c
@@ -25,8 +25,30 @@
               fingerprint);
 }
 
+/* A part is known by its pool too: what crashes one model may suit another. */
+static void
+set_parts (struct request *r)
+{
+  uint64_t pool = hash_bytes (0, bb_bytes_of (r->pool));
+  char *at = r->parts_text;
+
+  r->parts_count = r->info.shared_parts_count;
+  *at = '\0';
+  for (uint32_t i = 0; i < r->parts_count; i++)
+    {
+      r->parts[i] = hash_bytes (pool, r->info.shared_parts[i]);
+      if (at + FINGERPRINT_TEXT_SIZE > r->parts_text + PARTS_TEXT_SIZE)
+        continue;
+      print_fingerprint (r->parts[i], at);
+      at += FINGERPRINT_TEXT_SIZE;
+      at[-1] = ' ';
+    }
+  if (at > r->parts_text)
+    at[-1] = '\0';
+}
+
 void
-suspect_set_fingerprint (struct request *r)
+suspect_set_fingerprints (struct request *r)
 {
   const struct bb_h1_message *m = &r->exchange->request;
   uint64_t h = hash_bytes (0, bb_bytes_of (r->customer ? r->customer : ""));
@@ -37,6 +59,7 @@
   h = hash_bytes (h, m->body);
   r->fingerprint = h ? h : 1;
   print_fingerprint (r->fingerprint, r->fingerprint_text);
+  set_parts (r);
 }
 
 bool
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -52,7 +52,7 @@
 static void
 decode_headers (struct bb_bytes text)
 {
-  struct bb_h1_message m = { .headers_count = 3 };
+  struct bb_h1_message m = { .headers_count = 4 };
   struct bb_header out[BB_FORWARD_HEADERS_MAX];
   struct bb_forward_options options
       = { .upstream_id = "i-1", .remaining_ms = 5 };
@@ -64,6 +64,7 @@
   m.headers[0] = (struct bb_header){ bb_bytes_of ("Connection"), text };
   m.headers[1] = (struct bb_header){ bb_bytes_of ("X-Token-Counts"), text };
   m.headers[2] = (struct bb_header){ text, text };
+  m.headers[3] = (struct bb_header){ bb_bytes_of ("X-Prefix-Hash"), text };
   bb_request_info_decode (&m, &request);
   bb_response_info_decode (&m, text, &response);
   bb_forward_headers (&m, &options, out, numbers);
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -133,6 +133,11 @@
 /* Cancels the request in progress, if any; its callback is not called.  */
 void bb_store_cancel (struct bb_store *s);
 
+enum
+{
+  BB_SHARED_PARTS_MAX = 16
+};
+
 /* What the headers of a caller's request say.  The bytes point into the
    message.  Numbers are 0 where the header is missing.  */
 struct bb_request_info
@@ -148,6 +153,11 @@
   uint64_t last_event_id;      /* last event that the caller has; valid where
                                   RESUMES is set */
   bool resumes; /* the caller has the events up to LAST_EVENT_ID already */
+  /* Ids of the parts of the prompt, in order, without the last part, which
+     belongs to this request or its session; at most the first
+     BB_SHARED_PARTS_MAX.  */
+  struct bb_bytes shared_parts[BB_SHARED_PARTS_MAX];
+  uint32_t shared_parts_count;
 };
 
 /* Decodes the headers of the request M into INFO.  */
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -104,6 +104,37 @@
   g_assert_cmpuint (n, ==, 7);
 }
 
+/* The last part belongs to the request itself and is left out.  */
+static void
+test_prompt_parts (void)
+{
+  struct bb_h1_message m = { .headers_count = 1 };
+  struct bb_request_info info;
+  g_autoptr (GString) many = g_string_new ("");
+
+  m.headers[0].name = bb_bytes_of ("x-prefix-hash");
+  m.headers[0].value = bb_bytes_of ("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+  bb_request_info_decode (&m, &info);
+  g_assert_cmpuint (info.shared_parts_count, ==, 2);
+  g_assert_true (bb_bytes_equal (info.shared_parts[0], "5c1e07a2"));
+  g_assert_true (bb_bytes_equal (info.shared_parts[1], "91bd3f06"));
+  m.headers[0].value = bb_bytes_of ("5c1e07a2:800");
+  bb_request_info_decode (&m, &info);
+  g_assert_cmpuint (info.shared_parts_count, ==, 0);
+  m.headers[0].value = bb_bytes_of (",:3,a,,b");
+  bb_request_info_decode (&m, &info);
+  g_assert_cmpuint (info.shared_parts_count, ==, 1);
+  g_assert_true (bb_bytes_equal (info.shared_parts[0], "a"));
+  for (uint32_t i = 0; i < 100; i++)
+    g_string_append_printf (many, "%x:1,", i);
+  m.headers[0].value = bb_bytes_of (many->str);
+  bb_request_info_decode (&m, &info);
+  g_assert_cmpuint (info.shared_parts_count, ==, BB_SHARED_PARTS_MAX);
+  m.headers_count = 0;
+  bb_request_info_decode (&m, &info);
+  g_assert_cmpuint (info.shared_parts_count, ==, 0);
+}
+
 static void
 test_retry_after (void)
 {
@@ -199,6 +230,7 @@
   g_test_add_func ("/platform/start/read", test_settings);
   g_test_add_func ("/platform/start/faults", test_settings_errors);
   g_test_add_func ("/platform/headers", test_headers);
+  g_test_add_func ("/platform/prompt-parts", test_prompt_parts);
   g_test_add_func ("/platform/retry-after", test_retry_after);
   g_test_add_func ("/platform/event-id", test_event_id);
   g_test_add_func ("/platform/order", test_order);
