test: requests that share a part of their prompts must not end replica after replica

The stand-in for a replica ends itself once it has sent the head of its response to a request with the part "dead".

--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -13,7 +13,9 @@
    A request whose path contains "slow" gets its response after SLOW_MS.  One
    whose path contains "crash" ends the server when it is executed: all
    connections are closed and new ones are refused for DOWN_MS, after which the
-   server listens again; GET /ran then has a line "ended" for it.
+   server listens again; GET /ran then has a line "ended" for it.  So does one
+   with the part "dead" in its X-Prefix-Hash, unless that is the last part, as
+   soon as it has sent the head of its response.
 
    Faults in the responses to executed requests, except for /stream/:
 
@@ -297,6 +299,19 @@
   return end && g_strstr_len (head, end - head, word) != NULL;
 }
 
+/* Returns whether the prompt in HEAD has the part "dead", not as the last.  */
+static bool
+has_dead_part (const char *head)
+{
+  g_autofree char *parts = get_header (head, "X-Prefix-Hash");
+  g_auto (GStrv) list = g_strsplit (parts, ",", -1);
+
+  for (guint i = 0; i + 1 < g_strv_length (list); i++)
+    if (g_str_has_prefix (list[i], "dead:"))
+      return true;
+  return false;
+}
+
 static void
 handle_request (struct connection *c, const char *head)
 {
@@ -337,7 +352,14 @@
       g_free (customer);
       g_free (deadline);
       g_free (key);
-      if (path_contains (head, "crash"))
+      if (has_dead_part (head))
+        {
+          write_text (c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ");
+          write_text (c, attempt_id);
+          write_text (c, "\r\nX-Replica-Signature: x\r\n\r\n");
+          crash ();
+        }
+      else if (path_contains (head, "crash"))
         crash ();
       else if (has_fault ("silent"))
         ;
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -3,6 +3,8 @@
 
 #include "harness/testbed.h"
 
+#include "bilberry/base.h"
+
 #include <glib.h>
 #include <pthread.h>
 #include <signal.h>
@@ -331,6 +333,127 @@
   testbed_free (&t);
 }
 
+enum
+{
+  STABILITY_MS = 3000,  /* stability-window-ms of the platform */
+  FREE_CRASHES = 5,     /* crashes of a part after which the bound counts */
+  LATE_REACHED_MAX = 3, /* requests with the part that may reach replicas later
+                           than STABILITY_MS after them */
+  PART_REQUESTS = 30,
+  PART_INTERVAL_MS = 200,
+  KILL_EVERY = 6 /* requests from one kill of an edge to the next */
+};
+
+/* Requests with a part that ends replicas, and sound ones that share its
+   caller, route and first part with them.  */
+struct part_run
+{
+  struct testbed t;
+  uint32_t sent;
+  bb_ms fifth_ms;      /* when the bound began to count; 0: not yet */
+  uint32_t at_bound;   /* replicas ended by then and in STABILITY_MS more */
+  uint32_t sound_sent; /* later than 2 * STABILITY_MS after the last crash */
+  uint32_t sound_answered;
+};
+
+static int
+send_parts (struct part_run *p, uint32_t e, const char *parts)
+{
+  g_autofree char *path = g_strdup_printf ("/stream/%u", p->sent);
+  g_autofree char *headers = g_strdup_printf (
+      "X-Attempt-Id: p%u\r\nX-Deadline-Ms: 1500\r\n"
+      "Authorization: Bearer key-1\r\nX-Prefix-Hash: %s,%x:30\r\n",
+      p->sent, parts, 0x5000 + p->sent);
+  struct http_response a
+      = harness_http (p->t.edges[e].front_port, "GET", path, headers, "");
+  int status = a.complete ? a.status : 0;
+
+  p->sent++;
+  http_response_free (&a);
+  return status;
+}
+
+/* Notes how many replicas have ended since the bound began to count.  */
+static void
+update_bound (struct part_run *p)
+{
+  uint32_t ended = testbed_count_ended (&p->t);
+  bb_ms now = bb_clock_now ();
+
+  if (p->fifth_ms == 0 && ended >= FREE_CRASHES)
+    p->fifth_ms = now;
+  if (p->fifth_ms == 0 || now - p->fifth_ms <= STABILITY_MS)
+    p->at_bound = ended;
+}
+
+/* Sends requests with the part to edge E and a sound one beside each.  */
+static void
+send_pair (struct part_run *p, uint32_t e)
+{
+  bool counts = p->sent / 2 > PART_REQUESTS / 2;
+  int status;
+
+  send_parts (p, e, "a1:40,dead:100");
+  update_bound (p);
+  status = send_parts (p, e, p->sent % 4 == 1 ? "a1:40,b2:50" : "a1:40");
+  if (counts)
+    {
+      p->sound_sent++;
+      p->sound_answered += status == 200;
+    }
+  harness_sleep_ms (PART_INTERVAL_MS);
+}
+
+static void
+check_part_run (struct part_run *p)
+{
+  uint32_t ended = testbed_count_ended (&p->t);
+
+  g_test_message ("%u ended, %u of them late, %u of %u sound ones answered",
+                  ended, ended - p->at_bound, p->sound_answered,
+                  p->sound_sent);
+  g_assert_cmpuint (ended - p->at_bound, <=, LATE_REACHED_MAX);
+  g_assert_cmpuint (p->sound_answered, ==, p->sound_sent);
+}
+
+/* Requests that are no two alike share a part that ends replicas, and come at
+   any edge.  The others with the same first part are served.  */
+static void
+test_shared_part (void)
+{
+  struct part_run p = { 0 };
+
+  start (&p.t);
+  for (uint32_t i = 0; i < PART_REQUESTS; i++)
+    send_pair (&p, i % EDGES);
+  check_part_run (&p);
+  testbed_free (&p.t);
+}
+
+/* The same, while the edges are killed in turn.  */
+static void
+test_shared_part_edges_killed (void)
+{
+  struct part_run p = { 0 };
+  uint32_t killed = EDGES;
+
+  start (&p.t);
+  for (uint32_t i = 0; i < PART_REQUESTS; i++)
+    {
+      uint32_t e = i % EDGES;
+      if (i % KILL_EVERY == KILL_EVERY - 1)
+        {
+          if (killed < EDGES)
+            testbed_restart_edge (&p.t, killed);
+          killed = i / KILL_EVERY % EDGES;
+          testbed_kill_edge (&p.t, killed);
+        }
+      send_pair (&p, e == killed ? (e + 1) % EDGES : e);
+    }
+  check_part_run (&p);
+  testbed_free (&p.t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -344,5 +467,8 @@
   g_test_add_func ("/crash/late-edge", test_late_edge);
   g_test_add_func ("/crash/lost-responses", test_lost_responses);
   g_test_add_func ("/crash/same-in-logs", test_same_in_logs);
+  g_test_add_func ("/crash/shared-part", test_shared_part);
+  g_test_add_func ("/crash/shared-part-edges-killed",
+                   test_shared_part_edges_killed);
   return g_test_run ();
 }
