--- a/cmd/edge/crash.c
+++ b/cmd/edge/crash.c
@@ -5,11 +5,16 @@
 
 #include <jansson.h>
 
+#include <string.h>
+
 /* A request whose connection to an upstream ended before its response.  */
 struct loss
 {
   uint64_t fingerprint;
   uint64_t prior_crash; /* as in the request */
+  uint64_t parts[BB_SHARED_PARTS_MAX];
+  uint32_t parts_count;
+  bool isolated; /* it was the only suspect one at the upstream */
 };
 
 /* Finds out whether an upstream whose connections ended has crashed: it has if
@@ -32,6 +37,32 @@
   return g_hash_table_contains (r->edge->running_checks, &r->check_number);
 }
 
+/* Records that the parts of the losses of CHECK were in flight at crash EVENT.
+   A loss shows more than others do where its request was isolated for nothing
+   but its parts.  */
+static void
+record_parts (const struct crash_check *check, uint64_t event)
+{
+  struct edge *e = check->edge;
+
+  for (guint i = 0; i < check->losses->len; i++)
+    {
+      const struct loss *l = &g_array_index (check->losses, struct loss, i);
+      struct bb_part_crash c
+          = { .event = event,
+              .request = l->fingerprint,
+              .parts_count = l->parts_count,
+              .isolated = l->isolated && l->prior_crash == 0 };
+      const struct bb_part_crash *known;
+      memcpy (c.parts, l->parts, sizeof l->parts);
+      known = bb_parts_record_crash (e->parts, &c, edge_now (e));
+      if (!known)
+        continue;
+      bb_peers_broadcast_part_crash (e->peers, known);
+      suspect_apply_part_crash (e, known, "own");
+    }
+}
+
 /* Records that the requests of the losses of CHECK were in flight when the
    upstream crashed.  */
 static void
@@ -43,6 +74,7 @@
       = ((uint64_t)g_rand_int (e->rand) << 31 | g_rand_int (e->rand) >> 1) | 1;
 
   bb_counter ("bilberry_upstream_crashes_total", "")->value++;
+  record_parts (check, event);
   for (guint i = 0; i < check->losses->len; i++)
     {
       const struct loss *l = &g_array_index (check->losses, struct loss, i);
@@ -112,10 +144,14 @@
 {
   struct edge *e = r->edge;
   struct target *t = r->target;
-  struct loss l
-      = { .fingerprint = r->fingerprint, .prior_crash = r->prior_crash };
+  struct loss l = { .fingerprint = r->fingerprint,
+                    .prior_crash = r->prior_crash,
+                    .parts_count = r->parts_count,
+                    .isolated = r->upstream_claim.granted };
   bool is_new = !t->check;
 
+  memcpy (l.parts, r->parts, sizeof l.parts);
+
   if (is_new)
     {
       t->check = g_new0 (struct crash_check, 1);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -84,6 +84,14 @@
                             to the whole response where there is no stream */
 };
 
+/* A claim to be the only request, over all edges, that is in flight at an
+   upstream or with a part of a prompt as a suspect.  */
+struct isolation_claim
+{
+  uint64_t key; /* id_hash of the upstream, or the part; 0: none */
+  bool granted;
+};
+
 enum request_state
 {
   REQUEST_WAITING,
@@ -108,11 +116,11 @@
   uint64_t parts[BB_SHARED_PARTS_MAX];
   uint32_t parts_count;
   char parts_text[PARTS_TEXT_SIZE]; /* the first ones in hexadecimal */
-  uint64_t prior_crash;  /* crash that had made the request suspect when the
-                            current try was sent; 0: none */
-  uint64_t claimed_hash; /* id_hash of the upstream that was last claimed to
-                          isolate the request; 0: none */
-  bool isolated;         /* it is in flight there as isolated */
+  uint64_t prior_crash; /* crash that had made the request suspect when the
+                           current try was sent; 0: none */
+  /* What was last claimed to isolate the request.  */
+  struct isolation_claim upstream_claim;
+  struct isolation_claim part_claim;
   uint64_t check_number; /* check of the upstream of a failed try; no further
                             try is sent while it runs.  0: none */
   enum request_state state;
@@ -176,6 +184,7 @@
   bb_ms peer_loads_summed_ms;
   struct bb_peers *peers;
   struct bb_poison *poison;       /* requests that crash upstreams */
+  struct bb_parts *parts;         /* parts of prompts that do */
   struct bb_isolation *isolation; /* where they may be sent */
   GHashTable *running_checks;     /* numbers of the checks that run */
   uint64_t last_check_number;
@@ -249,10 +258,12 @@
    false.  */
 bool input_route (struct request *r);
 
-/* suspect.c: requests that crash the upstreams that run them.  */
+/* suspect.c: requests, and parts of prompts, that crash the upstreams that run
+   them.  */
 void suspect_init (struct edge *e);
 /* Sets the fingerprint of R, a hash of its customer, host, method, path and
-   body, which a repeat by the same caller has too.  Never 0.  */
+   body, which a repeat by the same caller has too, and those of the parts of
+   its prompt.  Never 0.  */
 void suspect_set_fingerprints (struct request *r);
 /* Whether R is suspect or quarantined; if so, it may only be sent as isolate.c
    allows.  */
@@ -269,6 +280,12 @@
                            const char *source);
 /* Applies M, which a peer sent and which is new.  */
 void suspect_apply_message (struct edge *e, const struct bb_suspect *m);
+/* Likewise for a crash that makes parts of prompts suspect, and for a suspect
+   part that is sound.  */
+void suspect_apply_part_crash (struct edge *e, const struct bb_part_crash *c,
+                               const char *source);
+void suspect_apply_sound_part (struct edge *e, uint64_t part,
+                               const char *source);
 
 /* crash.c: whether upstreams have crashed.  */
 void crash_init (struct edge *e);
@@ -286,8 +303,10 @@
 bool isolate_may_use (const struct request *r, const struct target *t);
 /* Whether this edge may send suspect requests to T without a claim.  */
 bool isolate_owns (const struct edge *e, const struct target *t);
-/* Returns whether R, which is suspect, is to be sent to T now.  Otherwise it
-   has to wait; the other edges are told that it is to be sent there.  */
+/* Returns whether R, which is suspect, is to be sent to T now: no other
+   suspect request is in flight there, and none with the same suspect part
+   anywhere. Otherwise it has to wait; the other edges are told that it is to
+   be sent.  */
 bool isolate_claim (struct request *r, const struct target *t);
 /* R is not in flight any more, if it was.  */
 void isolate_release (struct request *r);
--- a/cmd/edge/isolate.c
+++ b/cmd/edge/isolate.c
@@ -1,5 +1,6 @@
 /* Sends requests that may crash upstreams only where no other one is in
-   flight, of any edge.  The decisions are those of libload.  */
+   flight, of any edge, and one at a time of those that share a suspect part.
+   The decisions are those of libload.  */
 
 #include "edge.h"
 
@@ -33,21 +34,37 @@
   return bb_isolation_is_own (e->isolation, t->id_hash);
 }
 
-bool
-isolate_claim (struct request *r, const struct target *t)
+static void
+release_claim (struct edge *e, struct isolation_claim *c)
 {
-  struct edge *e = r->edge;
+  if (!c->granted)
+    return;
+  bb_isolation_end (e->isolation, c->key);
+  tell_use (e, c->key, BB_ISOLATION_USE_FREE);
+  *c = (struct isolation_claim){ 0 };
+}
 
-  r->claimed_hash = t->id_hash;
-  switch (
-      bb_isolation_claim (e->isolation, t->id_hash, r->number, edge_now (e)))
+/* Claims KEY for R as C.  Returns whether the claim is granted.  */
+static bool
+claim_key (const struct request *r, struct isolation_claim *c, uint64_t key)
+{
+  struct edge *e = r->edge;
+  bb_ms now = edge_now (e);
+
+  if (c->granted && c->key == key)
+    return true;
+  release_claim (e, c);
+  if (!bb_isolation_may_use (e->isolation, key, r->number, now))
+    return false;
+  c->key = key;
+  switch (bb_isolation_claim (e->isolation, key, r->number, now))
     {
     case BB_ISOLATION_SEND:
-      r->isolated = true;
-      tell_use (e, t->id_hash, BB_ISOLATION_USE_IN_FLIGHT);
+      c->granted = true;
+      tell_use (e, key, BB_ISOLATION_USE_IN_FLIGHT);
       return true;
     case BB_ISOLATION_CLAIMED:
-      tell_use (e, t->id_hash, BB_ISOLATION_USE_CLAIM);
+      tell_use (e, key, BB_ISOLATION_USE_CLAIM);
       return false;
     case BB_ISOLATION_WAIT:
       return false;
@@ -55,17 +72,22 @@
   return false;
 }
 
+bool
+isolate_claim (struct request *r, const struct target *t)
+{
+  uint64_t part = bb_parts_most_suspect (r->edge->parts, r->parts,
+                                         r->parts_count, edge_now (r->edge));
+
+  if (part != 0 && !claim_key (r, &r->part_claim, part))
+    return false;
+  return claim_key (r, &r->upstream_claim, t->id_hash);
+}
+
 void
 isolate_release (struct request *r)
 {
-  struct edge *e = r->edge;
-
-  if (!r->isolated)
-    return;
-  r->isolated = false;
-  bb_isolation_end (e->isolation, r->claimed_hash);
-  tell_use (e, r->claimed_hash, BB_ISOLATION_USE_FREE);
-  r->claimed_hash = 0;
+  release_claim (r->edge, &r->upstream_claim);
+  release_claim (r->edge, &r->part_claim);
 }
 
 static void
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -46,8 +46,26 @@
   suspect_apply_message (user, m);
 }
 
-static const struct bb_peers_ops ops
-    = { on_item, on_state, fill_state, on_change, on_isolated, on_suspect };
+static void
+on_part_crash (const struct bb_part_crash *c, void *user)
+{
+  suspect_apply_part_crash (user, c, "peer");
+}
+
+static void
+on_sound_part (uint64_t part, void *user)
+{
+  suspect_apply_sound_part (user, part, "peer");
+}
+
+static const struct bb_peers_ops ops = { .on_item = on_item,
+                                         .on_state = on_state,
+                                         .fill_state = fill_state,
+                                         .on_connection_change = on_change,
+                                         .on_isolated = on_isolated,
+                                         .on_suspect = on_suspect,
+                                         .on_part_crash = on_part_crash,
+                                         .on_sound_part = on_sound_part };
 
 bool
 peers_start (struct edge *e)
@@ -60,7 +78,8 @@
           .connect_all = true,
           .incarnation
           = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1,
-          .poison = e->poison };
+          .poison = e->poison,
+          .parts = e->parts };
   int error;
 
   e->peers = bb_peers_new (e->loop, &o, e->view, &ops, e, &error);
--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -77,7 +77,7 @@
   switch (c)
     {
     case CHOICE_CLAIMED:
-      return t->id_hash != r->claimed_hash;
+      return t->id_hash != r->upstream_claim.key;
     case CHOICE_OWN:
       return was_tried (r, t) || !isolate_owns (r->edge, t);
     case CHOICE_UNTRIED:
--- a/cmd/edge/suspect.c
+++ b/cmd/edge/suspect.c
@@ -1,6 +1,8 @@
 /* Requests that crash the upstreams that run them.  A request that was in
    flight at a crash is suspect and is isolated; one that is in flight at a
-   further crash is quarantined, at all edges.  */
+   further crash is quarantined, at all edges.  The same holds for parts of
+   prompts, which many requests share, unless an answer has shown that they are
+   sound.  */
 
 #include "edge.h"
 
@@ -62,28 +64,44 @@
   set_parts (r);
 }
 
+static enum bb_poison_state
+state_of (const struct request *r)
+{
+  struct edge *e = r->edge;
+  bb_ms now = edge_now (e);
+  enum bb_poison_state whole
+      = bb_poison_state (e->poison, r->fingerprint, now);
+  enum bb_poison_state part
+      = bb_parts_state (e->parts, r->parts, r->parts_count, now);
+
+  return part > whole ? part : whole;
+}
+
 bool
 suspect_is_quarantined (const struct request *r)
 {
 #ifdef BB_MUTANT_edge_quarantine
   return false;
 #endif
-  return bb_poison_state (r->edge->poison, r->fingerprint, edge_now (r->edge))
-         == BB_POISON_QUARANTINED;
+  return state_of (r) == BB_POISON_QUARANTINED;
 }
 
 bool
 suspect_is_suspect (const struct request *r)
 {
-  return bb_poison_state (r->edge->poison, r->fingerprint, edge_now (r->edge))
-         != BB_POISON_CLEAN;
+  return state_of (r) != BB_POISON_CLEAN;
 }
 
 bb_ms
 suspect_remaining_ms (const struct request *r)
 {
-  return bb_poison_remaining_ms (r->edge->poison, r->fingerprint,
-                                 edge_now (r->edge));
+  struct edge *e = r->edge;
+  bb_ms now = edge_now (e);
+  bb_ms whole_ms = bb_poison_remaining_ms (e->poison, r->fingerprint, now);
+  bb_ms part_ms
+      = bb_parts_remaining_ms (e->parts, r->parts, r->parts_count, now);
+
+  return part_ms > whole_ms ? part_ms : whole_ms;
 }
 
 void
@@ -104,12 +122,63 @@
     queue_refuse_quarantined (e);
 }
 
+static void
+log_part (struct edge *e, uint64_t part, const struct bb_part_crash *c,
+          const char *source)
+{
+  static const char *const states[] = { "sound", "suspect", "quarantined" };
+  char text[FINGERPRINT_TEXT_SIZE];
+  char request[FINGERPRINT_TEXT_SIZE];
+
+  print_fingerprint (part, text);
+  print_fingerprint (c->request, request);
+  bb_log_event ("suspect_part", "{s:s, s:s, s:s, s:I, s:s, s:b, s:i, s:I}",
+                "part", text, "state",
+                states[bb_parts_state (e->parts, &part, 1, edge_now (e))],
+                "source", source, "crash", (json_int_t)c->event, "request",
+                request, "isolated", c->isolated, "of_parts",
+                (int)c->parts_count, "age_ms", (json_int_t)c->age_ms);
+}
+
+void
+suspect_apply_part_crash (struct edge *e, const struct bb_part_crash *c,
+                          const char *source)
+{
+  for (uint32_t i = 0; i < c->parts_count; i++)
+    log_part (e, c->parts[i], c, source);
+  queue_refuse_quarantined (e);
+}
+
+void
+suspect_apply_sound_part (struct edge *e, uint64_t part, const char *source)
+{
+  struct bb_part_crash none = { 0 };
+
+  log_part (e, part, &none, source);
+  /* Another part may be quarantined by elimination.  */
+  queue_refuse_quarantined (e);
+}
+
+static void
+record_sound_parts (const struct request *r)
+{
+  struct edge *e = r->edge;
+
+  for (uint32_t i = 0; i < r->parts_count; i++)
+    if (bb_parts_record_sound (e->parts, r->parts[i], edge_now (e)))
+      {
+        bb_peers_broadcast_sound_part (e->peers, r->parts[i]);
+        suspect_apply_sound_part (e, r->parts[i], "own");
+      }
+}
+
 void
 suspect_answered (const struct request *r)
 {
   struct edge *e = r->edge;
   struct bb_crash answer = { .fingerprint = r->fingerprint };
 
+  record_sound_parts (r);
   if (!bb_poison_clear (e->poison, r->fingerprint, edge_now (e)))
     return;
   bb_peers_broadcast_crash (e->peers, &answer);
@@ -131,4 +200,5 @@
 suspect_init (struct edge *e)
 {
   e->poison = bb_poison_new ();
+  e->parts = bb_parts_new ();
 }
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -63,21 +63,6 @@
     }
 }
 
-static void
-on_state (const char *name, const struct bb_peer_state *m, void *user)
-{
-  (void)name;
-  (void)m;
-  (void)user;
-}
-
-static void
-fill_state (struct bb_peer_state *m, void *user)
-{
-  (void)m;
-  (void)user;
-}
-
 static void
 on_change (const char *name, bool here, void *user)
 {
@@ -85,24 +70,10 @@
   bb_log_event ("entry", "{s:s, s:b}", "name", name, "here", here);
 }
 
-static void
-on_isolated (const char *name, const struct bb_peer_isolated *m, void *user)
-{
-  (void)name;
-  (void)m;
-  (void)user;
-}
-
-/* An agent only keeps these, for edges that start without any.  */
-static void
-on_suspect (const struct bb_suspect *m, void *user)
-{
-  (void)m;
-  (void)user;
-}
-
+/* What is told of requests and parts that crash upstreams is only kept, for
+   edges that start without any.  */
 static const struct bb_peers_ops peer_ops
-    = { on_item, on_state, fill_state, on_change, on_isolated, on_suspect };
+    = { .on_item = on_item, .on_connection_change = on_change };
 
 static int
 compare_strings (const void *a, const void *b)
@@ -142,7 +113,8 @@
           .seeds_count = a->settings->seeds_count,
           .incarnation
           = ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1,
-          .poison = bb_poison_new () };
+          .poison = bb_poison_new (),
+          .parts = bb_parts_new () };
   int error;
 
   a->view = bb_view_new ();
--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -15,7 +15,7 @@
    connections are closed and new ones are refused for DOWN_MS, after which the
    server listens again; GET /ran then has a line "ended" for it.  So does one
    with the part "dead" in its X-Prefix-Hash, unless that is the last part, as
-   soon as it has sent the head of its response.
+   soon as it has sent the head of its response, which announces chunks.
 
    Faults in the responses to executed requests, except for /stream/:
 
@@ -27,7 +27,8 @@
      unsigned  omits X-Replica-Signature
      fail      responds with 500
      trailers  sends the body in chunks, followed by a long trailer
-     unframed  omits Content-Length and closes the connection after the body
+     unframed  omits Content-Length and closes the connection after the body;
+               the head of a response to the part "dead" announces no chunks
 
    Other faults:
 
@@ -356,7 +357,10 @@
         {
           write_text (c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ");
           write_text (c, attempt_id);
-          write_text (c, "\r\nX-Replica-Signature: x\r\n\r\n");
+          write_text (c, has_fault ("unframed")
+                             ? "\r\nX-Replica-Signature: x\r\n\r\n"
+                             : "\r\nX-Replica-Signature: x\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n");
           crash ();
         }
       else if (path_contains (head, "crash"))
--- a/include/bilberry/admit.h
+++ b/include/bilberry/admit.h
@@ -167,4 +167,86 @@
 /* Returns the number of quarantined fingerprints.  */
 uint32_t bb_poison_quarantined (struct bb_poison *p, bb_ms now);
 
+/* Detection of parts of prompts that crash each upstream that answers a
+   request with them, whatever else the request holds.  A part is known by a
+   hash, 0 is none.
+
+   A part of a request that was answered completely is sound, for some time
+   after the last such answer.  The other parts of a request that was in flight
+   at a crash are suspect, until one is found to be sound.  A part is
+   quarantined
+   - where a request in which no other part is suspect was isolated at a crash,
+     and the same part, again alone, was in flight at another crash in another
+     request,
+   - where it was in flight at three crashes, each time in another, isolated
+     request: it comes with another part always, and neither is ever answered.
+   A crash at which a quarantined part was in flight makes no other part
+   suspect.  An answer shows also a quarantined part to be sound.
+
+   The number of sound parts and of crashes is limited: the oldest are dropped
+   first.  */
+struct bb_parts;
+
+enum
+{
+  BB_PARTS_MAX = 16 /* parts of one request */
+};
+
+/* A request that was in flight at a crash, with those of its parts that are
+   not known to be sound.  */
+struct bb_part_crash
+{
+  uint64_t event;   /* number of the crash, drawn by the process that saw it */
+  uint64_t request; /* fingerprint of the request */
+  uint64_t parts[BB_PARTS_MAX];
+  uint32_t parts_count;
+  bool isolated;    /* it was the only suspect request at the upstream, and was
+                       suspect for its parts alone */
+  bool quarantined; /* each of PARTS is quarantined */
+  bb_ms age_ms;     /* time since the crash */
+};
+
+/* Returns a detection that knows no parts, which the caller frees with
+   bb_parts_free.  */
+struct bb_parts *bb_parts_new (void);
+void bb_parts_free (struct bb_parts *p);
+
+/* Records C, without the parts that are known to be sound.  Where it tells
+   something new, returns what is known of it now, which other processes are to
+   be told; valid until the next call.  Returns NULL where it is known already,
+   or all its parts are sound.  */
+const struct bb_part_crash *
+bb_parts_record_crash (struct bb_parts *p, const struct bb_part_crash *c,
+                       bb_ms now);
+
+/* Records that a request with PART was answered at NOW.  Returns whether PART
+   was suspect or quarantined; if so, other processes are to be told.  */
+bool bb_parts_record_sound (struct bb_parts *p, uint64_t part, bb_ms now);
+
+/* Returns whether PART is known to be sound.  */
+bool bb_parts_is_sound (struct bb_parts *p, uint64_t part, bb_ms now);
+
+/* Returns the worst state of the COUNT parts at PARTS.  */
+enum bb_poison_state bb_parts_state (struct bb_parts *p, const uint64_t *parts,
+                                     uint32_t count, bb_ms now);
+
+/* Returns the time in milliseconds until none of the parts is suspect or
+   quarantined by a crash up to now; 0 where none is.  */
+bb_ms bb_parts_remaining_ms (struct bb_parts *p, const uint64_t *parts,
+                             uint32_t count, bb_ms now);
+
+/* Returns the one of the parts that was in flight at the most crashes which no
+   quarantined part explains; 0 where none was.  */
+uint64_t bb_parts_most_suspect (struct bb_parts *p, const uint64_t *parts,
+                                uint32_t count, bb_ms now);
+
+typedef void bb_parts_fn (void *arg, const struct bb_part_crash *c);
+
+/* Calls FN with ARG for each crash, to tell them all to a peer that has just
+   connected.  */
+void bb_parts_each (struct bb_parts *p, bb_ms now, bb_parts_fn *fn, void *arg);
+
+/* Returns the number of crashes by which parts are quarantined.  */
+uint32_t bb_parts_quarantined (struct bb_parts *p, bb_ms now);
+
 #endif
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -74,7 +74,8 @@
    earlier or precedes.  So isolated requests of several entries are only in
    flight together where a claim takes longer than the wait, or the entries do
    not know of each other.  An upstream is identified by a hash, a member by a
-   hash or a random number.  */
+   hash or a random number.  A part of prompts is claimed like an upstream, so
+   that one request with it is in flight at a time.  */
 struct bb_isolation;
 
 enum
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -207,6 +207,12 @@
   uint32_t age_ms;
 };
 
+/* A part of a prompt, by a hash of its pool and id.  */
+struct bb_prompt_part
+{
+  uint64_t part;
+};
+
 /* One HTTP header field.  */
 struct bb_header
 {
@@ -274,8 +280,8 @@
   bool reads;
 };
 
-/* How the sender uses an upstream for a request that is isolated since it may
- * crash upstreams.  */
+/* How the sender uses an upstream, or a part of prompts, for a request that is
+ * isolated since it may crash upstreams.  */
 struct bb_peer_isolated
 {
   uint64_t upstream;
@@ -452,6 +458,27 @@
   uint64_t prior;
 };
 
+/* Reports the parts of a request that was in flight when an upstream crashed,
+ * but those that are known to be sound; each process forwards a report that is
+ * new to it.  */
+struct bb_suspect_parts
+{
+  uint64_t event;
+  uint64_t request;
+  struct bb_prompt_part parts[16];
+  uint32_t parts_count;
+  bool isolated;
+  bool quarantined;
+  uint32_t age_ms;
+};
+
+/* Reports that a request with a part was answered, where a suspect_parts names
+ * the part.  */
+struct bb_sound_part
+{
+  uint64_t part;
+};
+
 /* State of a rank, and how often its requests chose each expert since the last
  * state.  */
 struct bb_rank_state
@@ -635,6 +662,7 @@
   BB_ONCE_SYNCED_SETS_MAX = 8,
   BB_ONCE_SYNCED_MEMBER_MAX_BYTES = 128,
   BB_ONCE_SYNCED_NOTES_MAX_BYTES = 16777216,
+  BB_SUSPECT_PARTS_PARTS_MAX = 16,
   BB_RANK_STATE_UPSTREAM_MAX_BYTES = 128,
   BB_RANK_STATE_GROUP_MAX_BYTES = 64,
   BB_RANK_STATE_COUNTS_MAX_BYTES = 65536,
@@ -676,6 +704,8 @@
   BB_MSG_ONCE_SYNC = 14,
   BB_MSG_ONCE_SYNCED = 15,
   BB_MSG_SUSPECT = 17,
+  BB_MSG_SUSPECT_PARTS = 18,
+  BB_MSG_SOUND_PART = 19,
   BB_MSG_RANK_STATE = 55,
   BB_MSG_RANK_ORDER = 56,
   BB_MSG_RANK_RESULT = 57,
@@ -718,6 +748,8 @@
     struct bb_once_sync once_sync;
     struct bb_once_synced once_synced;
     struct bb_suspect suspect;
+    struct bb_suspect_parts suspect_parts;
+    struct bb_sound_part sound_part;
     struct bb_rank_state rank_state;
     struct bb_rank_order rank_order;
     struct bb_rank_result rank_result;
@@ -779,6 +811,11 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_suspect (msgpack_sbuffer *buf, const struct bb_suspect *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_suspect_parts (msgpack_sbuffer *buf,
+                           const struct bb_suspect_parts *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_sound_part (msgpack_sbuffer *buf, const struct bb_sound_part *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_rank_state (msgpack_sbuffer *buf, const struct bb_rank_state *v);
 /* Appends a frame that holds V to BUF.  */
 void bb_put_rank_order (msgpack_sbuffer *buf, const struct bb_rank_order *v);
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -10,9 +10,11 @@
    the revision up to which it has all items.  A connection on which nothing
    arrives for some time is closed.
 
-   Requests that crash upstreams are told like items: all that are known on a
-   new connection, and each change at once to all peers.  Agents keep them too,
-   so that edges that were all restarted learn of them again.  */
+   Requests and parts of prompts that crash upstreams are told like items: all
+   that are known on a new connection, and each change at once to all peers.
+   Agents keep them too, so that edges that were all restarted learn of them
+   again.  A process that is told of a crash with a part that it knows to be
+   sound tells the sender so.  */
 
 #include "bilberry/admit.h"
 #include "bilberry/fleet.h"
@@ -21,8 +23,10 @@
 /* The connections of one process to its peers.  */
 struct bb_peers;
 
-/* Callbacks to the owner, with the USER of bb_peers_new.  All are required.
-   Strings and messages are valid during the call.  */
+/* Callbacks to the owner, with the USER of bb_peers_new.  Those that are
+   marked as optional may be NULL.  Strings and messages are valid during the
+   call.
+ */
 struct bb_peers_ops
 {
   /* A peer sent the item KEY as of REVISION.  VALUE is NULL where the item was
@@ -30,21 +34,29 @@
   void (*on_item) (const char *key, GBytes *value, uint64_t revision,
                    void *user);
   /* The peer NAME sent its state M.  It has all items up to M->revision, and
-     this process has received or already had all items up to M->sent.  */
+     this process has received or already had all items up to M->sent.
+     Optional.  */
   void (*on_state) (const char *name, const struct bb_peer_state *m,
                     void *user);
   /* Fills in the fields of the own state M that libpeer does not know: loads,
-     taking and reads.  Not called for a peer that is known to be an agent.  */
+     taking and reads.  Not called for a peer that is known to be an agent.
+     Optional.  */
   void (*fill_state) (struct bb_peer_state *m, void *user);
   /* The peer NAME connected, or a connection to it was closed.  Where two
      processes connected to each other, one of the two connections is closed:
      this is called with CONNECTED false although the peer stays connected.  */
   void (*on_connection_change) (const char *name, bool connected, void *user);
-  /* The peer NAME told how it uses an upstream for an isolated request.  */
+  /* The peer NAME told how it uses an upstream for an isolated request.
+     Optional.  */
   void (*on_isolated) (const char *name, const struct bb_peer_isolated *m,
                        void *user);
-  /* A peer sent M, which was new and is in POISON now.  */
+  /* A peer sent M, which was new and is in POISON now.  Optional.  */
   void (*on_suspect) (const struct bb_suspect *m, void *user);
+  /* A peer told of C, which was new and is in PARTS now.  Optional.  */
+  void (*on_part_crash) (const struct bb_part_crash *c, void *user);
+  /* A peer told that PART, which was suspect or quarantined, is sound.
+     Optional.  */
+  void (*on_sound_part) (uint64_t part, void *user);
 };
 
 struct bb_peers_options
@@ -57,6 +69,7 @@
   uint64_t incarnation;     /* random; identifies this run of the process */
   struct bb_poison *poison; /* requests that crash upstreams, with times of the
                                loop's clock; must outlive the result */
+  struct bb_parts *parts;   /* parts that do; likewise */
 };
 
 /* Starts to connect to the seeds, and to listen where O has an address.  The
@@ -84,6 +97,15 @@
    An event of 0 says that its fingerprint was answered.  */
 void bb_peers_broadcast_crash (struct bb_peers *p, const struct bb_crash *c);
 
+/* Sends C, which is new in the parts of the options, to all connected peers.
+ */
+void bb_peers_broadcast_part_crash (struct bb_peers *p,
+                                    const struct bb_part_crash *c);
+
+/* Tells all connected peers that PART, which was suspect or quarantined, is
+   sound.  */
+void bb_peers_broadcast_sound_part (struct bb_peers *p, uint64_t part);
+
 /* Sends M to all connected peers.  */
 void bb_peers_broadcast_isolated (struct bb_peers *p,
                                   const struct bb_peer_isolated *m);
@@ -110,5 +132,15 @@
    forwarded.  */
 bool bb_poison_receive (struct bb_poison *p, const struct bb_suspect *m,
                         bb_ms now);
+/* Appends the message that tells C to OUT.  */
+void bb_put_part_crash (msgpack_sbuffer *out, const struct bb_part_crash *c);
+/* Appends a message for each crash that P knows to OUT.  */
+void bb_put_part_crashes (msgpack_sbuffer *out, struct bb_parts *p, bb_ms now);
+/* Records the report M in P, and appends a message for each of its parts that
+   P knows to be sound to REPLY.  Returns as bb_parts_record_crash.  */
+const struct bb_part_crash *bb_parts_receive (struct bb_parts *p,
+                                              const struct bb_suspect_parts *m,
+                                              msgpack_sbuffer *reply,
+                                              bb_ms now);
 
 #endif
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -73,6 +73,7 @@
   uint64_t incarnation;
   struct bb_view *view;
   struct bb_poison *poison;
+  struct bb_parts *parts;
   const struct bb_peers_ops *ops;
   void *user;
   struct endpoint endpoints[ADDRESSES_MAX];
@@ -141,6 +142,7 @@
   peer->sent_revision = p->view->revision;
 #ifndef BB_MUTANT_peer_crashes
   bb_put_crashes (out, p->poison, now_ms (p));
+  bb_put_part_crashes (out, p->parts, now_ms (p));
 #endif
 }
 
@@ -183,7 +185,7 @@
        i < p->endpoints_count && p->ticks % MEMBERS_INTERVAL_TICKS == 0; i++)
     m->members[m->members_count++].address
         = bb_bytes_of (p->endpoints[i].address);
-  if (!is_agent (peer))
+  if (!is_agent (peer) && p->ops->fill_state)
     p->ops->fill_state (m, p->user);
   bb_put_peer_state (bb_conn_out (peer->conn), m);
   g_free (m);
@@ -259,14 +261,15 @@
     peer->sent_revision = m->revision;
   for (uint32_t i = 0; i < m->members_count; i++)
     add_endpoint (p, m->members[i].address);
-  p->ops->on_state (peer->name ? peer->name : "", m, p->user);
+  if (p->ops->on_state)
+    p->ops->on_state (peer->name ? peer->name : "", m, p->user);
 }
 
 /* Sends FRAMES, encoded messages, to all connected peers but EXCEPT, which may
-   be NULL.  */
+   be NULL, and frees FRAMES.  */
 static void
 send_to_all (struct bb_peers *p, const struct peer *except,
-             const msgpack_sbuffer *frames)
+             msgpack_sbuffer *frames)
 {
   struct peer *peer;
 
@@ -274,6 +277,16 @@
   if (peer->open && peer != except)
     msgpack_sbuffer_write (bb_conn_out (peer->conn), frames->data,
                            frames->size);
+  msgpack_sbuffer_destroy (frames);
+}
+
+static void
+on_isolated (struct peer *peer, const struct bb_peer_isolated *m)
+{
+  struct bb_peers *p = peer->owner;
+
+  if (p->ops->on_isolated)
+    p->ops->on_isolated (peer->name ? peer->name : "", m, p->user);
 }
 
 /* Forwards what is new to all peers but the one that sent it.  */
@@ -288,8 +301,40 @@
   msgpack_sbuffer_init (&frame);
   bb_put_suspect (&frame, m);
   send_to_all (p, from, &frame);
-  msgpack_sbuffer_destroy (&frame);
-  p->ops->on_suspect (m, p->user);
+  if (p->ops->on_suspect)
+    p->ops->on_suspect (m, p->user);
+}
+
+static void
+on_part_crash (struct peer *from, const struct bb_suspect_parts *m)
+{
+  struct bb_peers *p = from->owner;
+  const struct bb_part_crash *c
+      = bb_parts_receive (p->parts, m, bb_conn_out (from->conn), now_ms (p));
+  msgpack_sbuffer frame;
+
+  if (!c)
+    return;
+  msgpack_sbuffer_init (&frame);
+  bb_put_part_crash (&frame, c);
+  send_to_all (p, from, &frame);
+  if (p->ops->on_part_crash)
+    p->ops->on_part_crash (c, p->user);
+}
+
+static void
+on_sound_part (struct peer *from, const struct bb_sound_part *m)
+{
+  struct bb_peers *p = from->owner;
+  msgpack_sbuffer frame;
+
+  if (!bb_parts_record_sound (p->parts, m->part, now_ms (p)))
+    return;
+  msgpack_sbuffer_init (&frame);
+  bb_put_sound_part (&frame, m);
+  send_to_all (p, from, &frame);
+  if (p->ops->on_sound_part)
+    p->ops->on_sound_part (m->part, p->user);
 }
 
 static void
@@ -310,12 +355,17 @@
       on_state (peer, &m->u.peer_state);
       break;
     case BB_MSG_PEER_ISOLATED:
-      peer->owner->ops->on_isolated (peer->name ? peer->name : "",
-                                     &m->u.peer_isolated, peer->owner->user);
+      on_isolated (peer, &m->u.peer_isolated);
       break;
     case BB_MSG_SUSPECT:
       on_suspect (peer, &m->u.suspect);
       break;
+    case BB_MSG_SUSPECT_PARTS:
+      on_part_crash (peer, &m->u.suspect_parts);
+      break;
+    case BB_MSG_SOUND_PART:
+      on_sound_part (peer, &m->u.sound_part);
+      break;
     default:
       bb_conn_close (c, "unexpected type of message");
     }
@@ -473,7 +523,6 @@
   msgpack_sbuffer_init (&frame);
   put_item (&frame, i);
   send_to_all (p, NULL, &frame);
-  msgpack_sbuffer_destroy (&frame);
 }
 
 void
@@ -484,7 +533,28 @@
   msgpack_sbuffer_init (&frame);
   bb_put_crash (&frame, c);
   send_to_all (p, NULL, &frame);
-  msgpack_sbuffer_destroy (&frame);
+}
+
+void
+bb_peers_broadcast_part_crash (struct bb_peers *p,
+                               const struct bb_part_crash *c)
+{
+  msgpack_sbuffer frame;
+
+  msgpack_sbuffer_init (&frame);
+  bb_put_part_crash (&frame, c);
+  send_to_all (p, NULL, &frame);
+}
+
+void
+bb_peers_broadcast_sound_part (struct bb_peers *p, uint64_t part)
+{
+  struct bb_sound_part m = { .part = part };
+  msgpack_sbuffer frame;
+
+  msgpack_sbuffer_init (&frame);
+  bb_put_sound_part (&frame, &m);
+  send_to_all (p, NULL, &frame);
 }
 
 void
@@ -496,7 +566,6 @@
   msgpack_sbuffer_init (&frame);
   bb_put_peer_isolated (&frame, m);
   send_to_all (p, NULL, &frame);
-  msgpack_sbuffer_destroy (&frame);
 }
 
 void
@@ -563,6 +632,7 @@
   p->next_endpoint = (uint32_t)o->incarnation;
   p->view = view;
   p->poison = o->poison;
+  p->parts = o->parts;
   p->ops = ops;
   p->user = user;
   *error = 0;
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -663,6 +663,43 @@
   return true;
 }
 
+static void
+put_prompt_part (msgpack_packer *pk, const struct bb_prompt_part *v)
+{
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->part);
+}
+
+static bool
+get_prompt_part (const msgpack_object *obj, struct bb_prompt_part *v,
+                 struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "prompt_part", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "part", e))
+            return false;
+          v->part = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("prompt_part", "part", e);
+  return true;
+}
+
 static void
 put_header (msgpack_packer *pk, const struct bb_header *v)
 {
@@ -2326,6 +2363,127 @@
   return true;
 }
 
+static void
+put_suspect_parts (msgpack_packer *pk, const struct bb_suspect_parts *v)
+{
+  msgpack_pack_map (pk, 6);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->event);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->request);
+  msgpack_pack_uint8 (pk, 3);
+  bb_wire_put_count (pk, v->parts_count, 16);
+  for (uint32_t i = 0; i < v->parts_count; i++)
+    put_prompt_part (pk, &v->parts[i]);
+  msgpack_pack_uint8 (pk, 4);
+  bb_wire_put_bool (pk, v->isolated);
+  msgpack_pack_uint8 (pk, 5);
+  bb_wire_put_bool (pk, v->quarantined);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->age_ms);
+}
+
+static bool
+get_suspect_parts (const msgpack_object *obj, struct bb_suspect_parts *v,
+                   struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "suspect_parts", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "event", e))
+            return false;
+          v->event = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "request", e))
+            return false;
+          v->request = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_is_list (o, 16, "parts", e))
+            return false;
+          v->parts_count = o->via.array.size;
+          for (uint32_t i = 0; i < v->parts_count; i++)
+            {
+              if (!get_prompt_part (&o->via.array.ptr[i], &v->parts[i], e))
+                return false;
+            }
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_bool (o, &v->isolated, "isolated", e))
+            return false;
+          seen |= UINT64_C (1) << 4;
+          break;
+        case 5:
+          if (!bb_wire_get_bool (o, &v->quarantined, "quarantined", e))
+            return false;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "age_ms", e))
+            return false;
+          v->age_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("suspect_parts", "event", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("suspect_parts", "request", e);
+  return true;
+}
+
+static void
+put_sound_part (msgpack_packer *pk, const struct bb_sound_part *v)
+{
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->part);
+}
+
+static bool
+get_sound_part (const msgpack_object *obj, struct bb_sound_part *v,
+                struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "sound_part", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "part", e))
+            return false;
+          v->part = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("sound_part", "part", e);
+  return true;
+}
+
 static void
 put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
 {
@@ -3518,6 +3676,24 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_suspect_parts (msgpack_sbuffer *buf, const struct bb_suspect_parts *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_SUSPECT_PARTS);
+  put_suspect_parts (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_sound_part (msgpack_sbuffer *buf, const struct bb_sound_part *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_SOUND_PART);
+  put_sound_part (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_rank_state (msgpack_sbuffer *buf, const struct bb_rank_state *v)
 {
@@ -3675,6 +3851,10 @@
       return get_once_synced (obj, &m->u.once_synced, e);
     case BB_MSG_SUSPECT:
       return get_suspect (obj, &m->u.suspect, e);
+    case BB_MSG_SUSPECT_PARTS:
+      return get_suspect_parts (obj, &m->u.suspect_parts, e);
+    case BB_MSG_SOUND_PART:
+      return get_sound_part (obj, &m->u.sound_part, e);
     case BB_MSG_RANK_STATE:
       return get_rank_state (obj, &m->u.rank_state, e);
     case BB_MSG_RANK_ORDER:
@@ -3772,6 +3952,12 @@
     case BB_MSG_SUSPECT:
       bb_put_suspect (buf, &m->u.suspect);
       break;
+    case BB_MSG_SUSPECT_PARTS:
+      bb_put_suspect_parts (buf, &m->u.suspect_parts);
+      break;
+    case BB_MSG_SOUND_PART:
+      bb_put_sound_part (buf, &m->u.sound_part);
+      break;
     case BB_MSG_RANK_STATE:
       bb_put_rank_state (buf, &m->u.rank_state);
       break;
@@ -3915,6 +4101,13 @@
   { BB_MSG_SUSPECT, 2, true, "event" },
   { BB_MSG_SUSPECT, 3, false, "age_ms" },
   { BB_MSG_SUSPECT, 4, false, "prior" },
+  { BB_MSG_SUSPECT_PARTS, 1, true, "event" },
+  { BB_MSG_SUSPECT_PARTS, 2, true, "request" },
+  { BB_MSG_SUSPECT_PARTS, 3, false, "parts" },
+  { BB_MSG_SUSPECT_PARTS, 4, false, "isolated" },
+  { BB_MSG_SUSPECT_PARTS, 5, false, "quarantined" },
+  { BB_MSG_SUSPECT_PARTS, 6, false, "age_ms" },
+  { BB_MSG_SOUND_PART, 1, true, "part" },
   { BB_MSG_RANK_STATE, 1, true, "upstream" },
   { BB_MSG_RANK_STATE, 2, false, "group" },
   { BB_MSG_RANK_STATE, 3, true, "epoch" },
--- a/test/test_crash_runs.c
+++ b/test/test_crash_runs.c
@@ -1,7 +1,7 @@
 /* Randomised runs of the quarantine at edges: libadmit's detection and
    libload's isolation, in several edges and agents that exchange messages with
-   random delays, before upstreams that some requests crash.  A failed run
-   prints its seed.  */
+   random delays, before upstreams that some requests, or all requests with
+   some part, crash.  A failed run prints its seed.  */
 
 #include "bilberry/admit.h"
 #include "bilberry/load.h"
@@ -25,7 +25,13 @@
   ATTEMPTS_MAX = 3,
   COMMON = 1, /* fingerprint that many callers send */
   POISON = 2,
-  FIRST_UNIQUE = 3
+  FIRST_UNIQUE = 3,
+  FIRST_PART = 1000, /* of those that many requests share */
+  SHARED_PARTS = 40,
+  POISON_PART = 2000,
+  FIRST_RARE_PART = 3000,
+  FREE_CRASHES = 5, /* crashes of a part after which sends count as late */
+  LATE_SENDS_MAX = 3
 };
 
 /* What happens in a run beside the request that crashes upstreams.  */
@@ -35,6 +41,8 @@
   bool pauses;   /* of one edge */
   bool crashes;  /* of several upstreams at once, by another cause */
   bool all_gone; /* all edges and agents are killed at the same time, once */
+  bool part; /* a part crashes upstreams, under requests no two alike, and not
+                one request that is repeated */
 };
 
 struct run;
@@ -48,15 +56,20 @@
   uint64_t fingerprint;
   uint64_t prior_crash;
   uint64_t claimed; /* upstream; 0: none */
+  uint64_t parts[2];
+  uint64_t part_claimed; /* 0: none */
   uint32_t upstream;
   uint32_t tries;
   bool isolated;
+  bool part_granted;  /* PART_CLAIMED is granted */
+  bool sent_isolated; /* the last try was isolated */
   bool running;
 };
 
 struct edge
 {
   struct bb_poison *poison;
+  struct bb_parts *parts;
   struct bb_isolation *isolation;
   GPtrArray *waiting; /* struct request */
   uint64_t incarnation;
@@ -90,9 +103,10 @@
   uint64_t last_number;
   uint64_t last_fingerprint;
   uint32_t poison_crashes;
-  bb_ms third_crash_ms; /* 0: not yet */
-  uint32_t late_sends;  /* of POISON, by edges in touch, later than IN_TOUCH_MS
-                           after the third crash */
+  bb_ms bound_ms; /* time of the third crash, with a part the fifth; 0: not yet
+                   */
+  uint32_t late_sends; /* of what crashes upstreams, by edges in touch, later
+                          than IN_TOUCH_MS after the bound */
   uint32_t innocents_refused;
   uint32_t common_refused;
   uint32_t answered;
@@ -109,11 +123,20 @@
     uint32_t number;
   };
 
+enum message_kind
+{
+  MESSAGE_CRASH,
+  MESSAGE_USE,
+  MESSAGE_PART_CRASH,
+  MESSAGE_SOUND_PART
+};
+
 struct message
 {
+  enum message_kind kind;
   struct bb_crash crash;
-  uint64_t upstream;
-  bool is_use;
+  struct bb_part_crash part_crash;
+  uint64_t key; /* of an isolation, or a sound part */
   enum bb_isolation_use use;
 };
 
@@ -144,10 +167,10 @@
 }
 
 static void
-tell_use (struct run *r, uint32_t edge, uint64_t upstream,
+tell_use (struct run *r, uint32_t edge, uint64_t key,
           enum bb_isolation_use use)
 {
-  struct message m = { .is_use = true, .upstream = upstream, .use = use };
+  struct message m = { .kind = MESSAGE_USE, .key = key, .use = use };
 
   send_to_all (r, edge, &m);
 }
@@ -161,18 +184,33 @@
   return e->up && e->incarnation == q->incarnation;
 }
 
+/* Ends the claim on KEY if it is GRANTED.  */
 static void
-release (struct request *q)
+release_key (struct request *q, uint64_t key, bool granted)
 {
   struct run *r = q->run;
 
-  if (q->isolated && edge_remains (q))
-    {
-      bb_isolation_end (r->edges[q->edge].isolation, q->claimed);
-      tell_use (r, q->edge, q->claimed, BB_ISOLATION_USE_FREE);
-    }
+  if (!granted || !edge_remains (q))
+    return;
+  bb_isolation_end (r->edges[q->edge].isolation, key);
+  tell_use (r, q->edge, key, BB_ISOLATION_USE_FREE);
+}
+
+static void
+release (struct request *q)
+{
+  release_key (q, q->claimed, q->isolated);
+  release_key (q, q->part_claimed, q->part_granted);
   q->isolated = false;
   q->claimed = 0;
+  q->part_granted = false;
+  q->part_claimed = 0;
+}
+
+static bool
+has_poison_part (const struct request *q)
+{
+  return q->parts[1] == POISON_PART;
 }
 
 static void
@@ -180,7 +218,9 @@
 {
   struct run *r = q->run;
 
-  r->innocents_refused += q->fingerprint >= FIRST_UNIQUE;
+  release (q);
+  r->innocents_refused
+      += q->fingerprint >= FIRST_UNIQUE && !has_poison_part (q);
   r->common_refused += q->fingerprint == COMMON;
 }
 
@@ -192,6 +232,41 @@
   send_to_all (r, edge, &m);
 }
 
+static void
+broadcast_part_crash (struct run *r, uint32_t edge,
+                      const struct bb_part_crash *c)
+{
+  struct message m = { .kind = MESSAGE_PART_CRASH, .part_crash = *c };
+
+  send_to_all (r, edge, &m);
+}
+
+static void
+broadcast_sound (struct run *r, uint32_t edge, uint64_t part)
+{
+  struct message m = { .kind = MESSAGE_SOUND_PART, .key = part };
+
+  send_to_all (r, edge, &m);
+}
+
+/* Records that the parts of Q were in flight at crash EVENT.  */
+static void
+record_parts (struct request *q, uint64_t event)
+{
+  struct run *r = q->run;
+  struct bb_part_crash c
+      = { .event = event,
+          .request = q->fingerprint,
+          .parts = { q->parts[0], q->parts[1] },
+          .parts_count = 2,
+          .isolated = q->sent_isolated && q->prior_crash == 0 };
+  const struct bb_part_crash *known = bb_parts_record_crash (
+      r->edges[q->edge].parts, &c, bb_sim_now (r->sim));
+
+  if (known)
+    broadcast_part_crash (r, q->edge, known);
+}
+
 static void dispatch (struct run *r, uint32_t edge);
 
 /* The edge of Q has found that the upstream of Q ended.  */
@@ -213,6 +288,7 @@
     c.prior = q->prior_crash;
   if (bb_poison_record_crash (e->poison, &c, now))
     broadcast_crash (r, q->edge, &c);
+  record_parts (q, c.event);
   if (q->tries < ATTEMPTS_MAX)
     g_ptr_array_add (e->waiting, q);
   dispatch (r, q->edge);
@@ -254,8 +330,8 @@
     return;
   r = q->run;
   r->poison_crashes++;
-  if (r->poison_crashes == 3)
-    r->third_crash_ms = bb_sim_now (sim);
+  if (r->poison_crashes == (r->scenario.part ? FREE_CRASHES : 3))
+    r->bound_ms = bb_sim_now (sim);
   crash_upstream (r, q->upstream);
 }
 
@@ -271,6 +347,10 @@
     return;
   release (q);
   r->answered++;
+  for (uint32_t i = 0; i < G_N_ELEMENTS (q->parts); i++)
+    if (bb_parts_record_sound (r->edges[q->edge].parts, q->parts[i],
+                               bb_sim_now (sim)))
+      broadcast_sound (r, q->edge, q->parts[i]);
   if (bb_poison_clear (r->edges[q->edge].poison, q->fingerprint,
                        bb_sim_now (sim)))
     broadcast_crash (r, q->edge, &answer);
@@ -311,6 +391,7 @@
   struct try *t = g_new (struct try, 1);
 
   q->upstream = upstream;
+  q->sent_isolated = q->isolated;
   q->tries++;
   q->running = true;
   g_ptr_array_add (r->tries, t);
@@ -319,12 +400,12 @@
   q->prior_crash = bb_poison_event (e->poison, q->fingerprint, now);
   g_ptr_array_add (u->running, q);
   check_isolated (r, u);
-  if (q->fingerprint != POISON)
+  if (q->fingerprint != POISON && !has_poison_part (q))
     {
       bb_sim_schedule (r->sim, 20 + draw (r, 400), on_answered, t);
       return;
     }
-  if (r->third_crash_ms > 0 && now > r->third_crash_ms + IN_TOUCH_MS
+  if (r->bound_ms > 0 && now > r->bound_ms + IN_TOUCH_MS
       && now >= e->in_touch_at_ms)
     r->late_sends++;
   bb_sim_schedule (r->sim, draw (r, 20), on_poison_runs, t);
@@ -358,34 +439,73 @@
 }
 
 static bool
-claim (struct request *q, uint32_t upstream)
+claim_key (struct request *q, uint64_t key)
 {
   struct run *r = q->run;
-  struct edge *e = &r->edges[q->edge];
-  enum bb_isolation_step step = bb_isolation_claim (
-      e->isolation, upstream + 1, q->number, bb_sim_now (r->sim));
+  struct bb_isolation *isolation = r->edges[q->edge].isolation;
+  bb_ms now = bb_sim_now (r->sim);
+  enum bb_isolation_step step;
 
-  q->claimed = upstream + 1;
+  if (!bb_isolation_may_use (isolation, key, q->number, now))
+    return false;
+  step = bb_isolation_claim (isolation, key, q->number, now);
   if (step == BB_ISOLATION_CLAIMED)
-    tell_use (r, q->edge, upstream + 1, BB_ISOLATION_USE_CLAIM);
+    tell_use (r, q->edge, key, BB_ISOLATION_USE_CLAIM);
   if (step != BB_ISOLATION_SEND)
     return false;
-  q->isolated = true;
-  tell_use (r, q->edge, upstream + 1, BB_ISOLATION_USE_IN_FLIGHT);
+  tell_use (r, q->edge, key, BB_ISOLATION_USE_IN_FLIGHT);
   return true;
 }
 
+static bool
+claim_part (struct request *q)
+{
+  struct run *r = q->run;
+  uint64_t part
+      = bb_parts_most_suspect (r->edges[q->edge].parts, q->parts,
+                               G_N_ELEMENTS (q->parts), bb_sim_now (r->sim));
+
+  if (part == 0 || (q->part_granted && q->part_claimed == part))
+    return true;
+  release_key (q, q->part_claimed, q->part_granted);
+  q->part_claimed = part;
+  q->part_granted = claim_key (q, part);
+  return q->part_granted;
+}
+
+static bool
+claim (struct request *q, uint32_t upstream)
+{
+  if (!claim_part (q))
+    return false;
+  q->claimed = upstream + 1;
+  q->isolated = claim_key (q, q->claimed);
+  return q->isolated;
+}
+
+static enum bb_poison_state
+state_of (const struct request *q)
+{
+  struct run *r = q->run;
+  const struct edge *e = &r->edges[q->edge];
+  bb_ms now = bb_sim_now (r->sim);
+  enum bb_poison_state whole
+      = bb_poison_state (e->poison, q->fingerprint, now);
+  enum bb_poison_state part
+      = bb_parts_state (e->parts, q->parts, G_N_ELEMENTS (q->parts), now);
+
+  return MAX (whole, part);
+}
+
 static void
 dispatch (struct run *r, uint32_t edge)
 {
   struct edge *e = &r->edges[edge];
-  bb_ms now = bb_sim_now (r->sim);
 
   for (guint i = 0; i < e->waiting->len;)
     {
       struct request *q = g_ptr_array_index (e->waiting, i);
-      enum bb_poison_state state
-          = bb_poison_state (e->poison, q->fingerprint, now);
+      enum bb_poison_state state = state_of (q);
       int u = choose_upstream (q, state == BB_POISON_SUSPECT);
       if (state == BB_POISON_QUARANTINED)
         {
@@ -413,6 +533,26 @@
   bb_sim_schedule_on_node (sim, t->to, TICK_MS, on_tick, arg);
 }
 
+static void
+receive_part_crash (struct run *r, uint32_t from, uint32_t to,
+                    const struct bb_part_crash *c)
+{
+  struct bb_parts *parts = r->edges[to].parts;
+  bb_ms now = bb_sim_now (r->sim);
+  const struct bb_part_crash *known;
+
+  for (uint32_t i = 0; i < c->parts_count; i++)
+    if (bb_parts_is_sound (parts, c->parts[i], now))
+      {
+        struct message reply
+            = { .kind = MESSAGE_SOUND_PART, .key = c->parts[i] };
+        bb_sim_send (r->sim, to, from, &reply, sizeof reply);
+      }
+  known = bb_parts_record_crash (parts, c, now);
+  if (known)
+    broadcast_part_crash (r, to, known);
+}
+
 static void
 receive (struct bb_sim *sim, uint32_t from, uint32_t to, const void *data,
          size_t size, void *arg)
@@ -425,22 +565,32 @@
   g_assert_cmpuint (size, ==, sizeof *m);
   if (!e->up)
     return;
-  if (m->is_use)
+  switch (m->kind)
     {
+    case MESSAGE_USE:
       if (to < r->edges_count)
-        bb_isolation_apply (e->isolation, member_id (from), m->upstream,
-                            m->use, now);
+        bb_isolation_apply (e->isolation, member_id (from), m->key, m->use,
+                            now);
+      break;
+    case MESSAGE_PART_CRASH:
+      receive_part_crash (r, from, to, &m->part_crash);
+      break;
+    case MESSAGE_SOUND_PART:
+      if (bb_parts_record_sound (e->parts, m->key, now))
+        broadcast_sound (r, to, m->key);
+      break;
+    case MESSAGE_CRASH:
+      if (m->crash.event == 0)
+        bb_poison_clear (e->poison, m->crash.fingerprint, now);
+      else if (bb_poison_record_crash (e->poison, &m->crash, now))
+        broadcast_crash (r, to, &m->crash);
     }
-  else if (m->crash.event == 0)
-    bb_poison_clear (e->poison, m->crash.fingerprint, now);
-  else if (bb_poison_record_crash (e->poison, &m->crash, now))
-    broadcast_crash (r, to, &m->crash);
 }
 
 /* Callers.  */
 
 static void
-new_request (struct run *r, uint64_t fingerprint)
+new_request (struct run *r, uint64_t fingerprint, uint64_t second_part)
 {
   uint32_t edge = draw (r, r->edges_count);
   struct edge *e = &r->edges[edge];
@@ -455,6 +605,12 @@
   q->incarnation = e->incarnation;
   q->number = ++r->last_number;
   q->fingerprint = fingerprint;
+  /* The first ones are the most popular, the last ones are seldom seen.  */
+  q->parts[0]
+      = FIRST_PART
+        + (fingerprint < FIRST_UNIQUE ? (uint32_t)fingerprint
+                                      : draw (r, 1 + draw (r, SHARED_PARTS)));
+  q->parts[1] = second_part;
   g_ptr_array_add (e->waiting, q);
 }
 
@@ -463,7 +619,10 @@
 {
   struct run *r = arg;
 
-  new_request (r, draw (r, 4) == 0 ? COMMON : ++r->last_fingerprint);
+  uint64_t rare = FIRST_RARE_PART + r->last_fingerprint / 4;
+
+  new_request (r, draw (r, 4) == 0 ? COMMON : ++r->last_fingerprint,
+               draw (r, 3) == 0 ? rare : 0);
   bb_sim_schedule (sim, 1 + draw (r, 40), on_innocent_caller, r);
 }
 
@@ -473,10 +632,19 @@
 {
   struct run *r = arg;
 
-  new_request (r, POISON);
+  new_request (r, POISON, 0);
   bb_sim_schedule (sim, 300 + draw (r, 1500), on_poison_caller, r);
 }
 
+static void
+on_part_caller (struct bb_sim *sim, void *arg)
+{
+  struct run *r = arg;
+
+  new_request (r, ++r->last_fingerprint, POISON_PART);
+  bb_sim_schedule (sim, 50 + draw (r, 500), on_part_caller, r);
+}
+
 /* Faults.  */
 
 static void
@@ -488,6 +656,15 @@
   bb_sim_send (t->run->sim, t->from, t->to, &m, sizeof m);
 }
 
+static void
+tell_known_part_crash (void *arg, const struct bb_part_crash *c)
+{
+  const struct told *t = arg;
+  struct message m = { .kind = MESSAGE_PART_CRASH, .part_crash = *c };
+
+  bb_sim_send (t->run->sim, t->from, t->to, &m, sizeof m);
+}
+
 static void
 connect_to_all (struct run *r, uint32_t node)
 {
@@ -497,6 +674,8 @@
       if (n == node || !r->edges[n].up)
         continue;
       bb_poison_each (r->edges[n].poison, bb_sim_now (r->sim), tell_known, &t);
+      bb_parts_each (r->edges[n].parts, bb_sim_now (r->sim),
+                     tell_known_part_crash, &t);
       if (n >= r->edges_count)
         continue;
       bb_isolation_add_member (r->edges[n].isolation, member_id (node));
@@ -511,8 +690,11 @@
 
   e->up = true;
   e->incarnation++;
-  e->in_touch_at_ms = bb_sim_now (r->sim) + IN_TOUCH_MS;
+  /* It may be paused for longer.  */
+  e->in_touch_at_ms
+      = MAX (e->in_touch_at_ms, bb_sim_now (r->sim) + IN_TOUCH_MS);
   e->poison = bb_poison_new ();
+  e->parts = bb_parts_new ();
   e->isolation = bb_isolation_new (member_id (edge));
   e->waiting = g_ptr_array_new ();
 }
@@ -524,6 +706,7 @@
 
   e->up = false;
   bb_poison_free (e->poison);
+  bb_parts_free (e->parts);
   bb_isolation_free (e->isolation);
   g_ptr_array_unref (e->waiting);
   for (uint32_t n = 0; n < r->edges_count; n++)
@@ -653,7 +836,8 @@
       on_tick (r->sim, &r->ticks[i]);
     }
   on_innocent_caller (r->sim, r);
-  bb_sim_schedule (r->sim, 1000, on_poison_caller, r);
+  bb_sim_schedule (r->sim, 1000, s->part ? on_part_caller : on_poison_caller,
+                   r);
   if (s->kills)
     bb_sim_schedule (r->sim, 3000, on_kill, r);
   if (s->pauses)
@@ -738,6 +922,41 @@
     }
 }
 
+/* A part crashes upstreams under requests no two alike.  Few are sent once it
+   has ended five upstreams, and no other request is refused.  */
+static void
+test_part (void)
+{
+  static const struct scenario s = { .part = true };
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct run r;
+      play (&r, &s, seed);
+      g_assert_cmpuint (r.late_sends, <=, LATE_SENDS_MAX);
+      g_assert_cmpuint (r.poison_crashes, <=, FREE_CRASHES + LATE_SENDS_MAX);
+      g_assert_cmpuint (r.innocents_refused, ==, 0);
+      free_run (&r);
+    }
+}
+
+/* The same, while upstreams also end by another cause, and edges are killed,
+   also all at once, and paused.  */
+static void
+test_part_with_faults (void)
+{
+  static const struct scenario s
+      = { .part = true, .kills = true, .pauses = true, .crashes = true };
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct run r;
+      play (&r, &s, seed);
+      g_assert_cmpuint (r.late_sends, <=, LATE_SENDS_MAX);
+      free_run (&r);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -746,5 +965,7 @@
   g_test_add_func ("/crash-runs/upstreams-end", test_crashes);
   g_test_add_func ("/crash-runs/edges-fail", test_edges_fail);
   g_test_add_func ("/crash-runs/all-gone", test_all_gone);
+  g_test_add_func ("/crash-runs/part", test_part);
+  g_test_add_func ("/crash-runs/part-with-faults", test_part_with_faults);
   return g_test_run ();
 }
