edge: a response that ends with its connection is no answer if its upstream ended

Cause: the end of the connection was taken for the end of the response, so that the crash was not looked for, and the part counted as answered, hence as harmless. Change: such a response clears nothing until a probe finds its upstream up; where it is refused, the request was in flight at a crash. Other requests are sent there meanwhile. What a request is recognized by is one struct.

--- a/cmd/edge/crash.c
+++ b/cmd/edge/crash.c
@@ -7,14 +7,14 @@
 
 #include <string.h>
 
-/* A request whose connection to an upstream ended before its response.  */
+/* A request whose connection to an upstream ended before its response, or as
+   the end of it.  */
 struct loss
 {
-  uint64_t fingerprint;
+  struct request_identity identity;
   uint64_t prior_crash; /* as in the request */
-  uint64_t parts[BB_SHARED_PARTS_MAX];
-  uint32_t parts_count;
-  bool isolated; /* it was the only suspect one at the upstream */
+  bool isolated;        /* it was the only suspect one at the upstream */
+  bool complete;        /* its response is complete if the upstream is up */
 };
 
 /* Finds out whether an upstream whose connections ended has crashed: it has if
@@ -26,6 +26,7 @@
   uint64_t number;
   GArray *losses;     /* struct loss */
   guint probed_count; /* losses before the start of the current probe */
+  bool holds;         /* the upstream gets no requests meanwhile */
 };
 
 bool
@@ -50,11 +51,11 @@
       const struct loss *l = &g_array_index (check->losses, struct loss, i);
       struct bb_part_crash c
           = { .event = event,
-              .request = l->fingerprint,
-              .parts_count = l->parts_count,
+              .request = l->identity.fingerprint,
+              .parts_count = l->identity.parts_count,
               .isolated = l->isolated && l->prior_crash == 0 };
       const struct bb_part_crash *known;
-      memcpy (c.parts, l->parts, sizeof l->parts);
+      memcpy (c.parts, l->identity.parts, sizeof c.parts);
       known = bb_parts_record_crash (e->parts, &c, edge_now (e));
       if (!known)
         continue;
@@ -78,9 +79,11 @@
   for (guint i = 0; i < check->losses->len; i++)
     {
       const struct loss *l = &g_array_index (check->losses, struct loss, i);
-      struct bb_crash c = { .fingerprint = l->fingerprint, .event = event };
+      struct bb_crash c
+          = { .fingerprint = l->identity.fingerprint, .event = event };
       /* An answer since then may have cleared the suspicion.  */
-      if (bb_poison_event (e->poison, l->fingerprint, now) == l->prior_crash)
+      if (bb_poison_event (e->poison, l->identity.fingerprint, now)
+          == l->prior_crash)
         c.prior = l->prior_crash;
       if (!bb_poison_record_crash (e->poison, &c, now))
         continue;
@@ -89,6 +92,18 @@
     }
 }
 
+/* The upstream is up: what ended with its connection was answered.  */
+static void
+record_answers (const struct crash_check *check)
+{
+  for (guint i = 0; i < check->probed_count; i++)
+    {
+      const struct loss *l = &g_array_index (check->losses, struct loss, i);
+      if (l->complete)
+        suspect_answered (check->edge, &l->identity);
+    }
+}
+
 static void
 end_check (struct crash_check *check)
 {
@@ -116,6 +131,8 @@
 #ifdef BB_MUTANT_edge_probe
   result = BB_H1_PROBE_REFUSED;
 #endif
+  if (result == BB_H1_PROBE_ACCEPTED)
+    record_answers (check);
   if (result == BB_H1_PROBE_REFUSED)
     {
       bb_h1_pool_drop_idle (t->connections);
@@ -139,19 +156,23 @@
                check);
 }
 
+bool
+crash_holds (const struct target *t)
+{
+  return t->check && t->check->holds;
+}
+
 void
-crash_check_upstream (struct request *r)
+crash_check_upstream (struct request *r, bool complete)
 {
   struct edge *e = r->edge;
   struct target *t = r->target;
-  struct loss l = { .fingerprint = r->fingerprint,
+  struct loss l = { .identity = r->identity,
                     .prior_crash = r->prior_crash,
-                    .parts_count = r->parts_count,
-                    .isolated = r->upstream_claim.granted };
+                    .isolated = r->upstream_claim.granted,
+                    .complete = complete };
   bool is_new = !t->check;
 
-  memcpy (l.parts, r->parts, sizeof l.parts);
-
   if (is_new)
     {
       t->check = g_new0 (struct crash_check, 1);
@@ -162,6 +183,7 @@
       g_hash_table_add (e->running_checks, &t->check->number);
     }
   g_array_append_val (t->check->losses, l);
+  t->check->holds |= !complete;
   r->check_number = t->check->number;
   if (is_new)
     start_probe (t->check);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -92,6 +92,16 @@
   bool granted;
 };
 
+/* By what a request is recognized among others that crash upstreams.  */
+struct request_identity
+{
+  uint64_t fingerprint; /* the same when its caller repeats it under another
+                           id; never 0 */
+  /* Parts of the prompt that other requests may share.  */
+  uint64_t parts[BB_SHARED_PARTS_MAX];
+  uint32_t parts_count;
+};
+
 enum request_state
 {
   REQUEST_WAITING,
@@ -109,12 +119,8 @@
   char *customer; /* name of the customer; NULL: none identified */
   int32_t priority;
   uint64_t number; /* sequence number within the process */
-  /* Identifies the request when its caller repeats it under another id.  */
-  uint64_t fingerprint;
+  struct request_identity identity;
   char fingerprint_text[FINGERPRINT_TEXT_SIZE]; /* in hexadecimal */
-  /* Identify the parts of the prompt that other requests may share.  */
-  uint64_t parts[BB_SHARED_PARTS_MAX];
-  uint32_t parts_count;
   char parts_text[PARTS_TEXT_SIZE]; /* the first ones in hexadecimal */
   uint64_t prior_crash; /* crash that had made the request suspect when the
                            current try was sent; 0: none */
@@ -147,8 +153,9 @@
   uv_timer_t *timer;
   /* The response.  */
   bool response_started; /* the head of the response was sent to the caller */
-  bool framed;    /* the end of the response body is marked without a close */
-  bool streaming; /* the response is forwarded event by event */
+  bool framed; /* the end of the response body is marked without a close */
+  bool ends_by_close; /* the response of the current try has no other end */
+  bool streaming;     /* the response is forwarded event by event */
   uint16_t status;
   struct bb_response_info reply;
   struct bb_header headers[BB_H1_HEADERS_MAX]; /* headers of the response */
@@ -272,8 +279,9 @@
 bool suspect_is_quarantined (const struct request *r);
 /* Returns for how long R will be quarantined.  */
 bb_ms suspect_remaining_ms (const struct request *r);
-/* R got a response that reports success: it is not suspect any more.  */
-void suspect_answered (const struct request *r);
+/* The request ID got a complete response that reports success: neither it nor
+   its parts are suspect any more.  */
+void suspect_answered (struct edge *e, const struct request_identity *id);
 /* Logs C, which is new and came from SOURCE, and refuses the waiting requests
    that it quarantines.  */
 void suspect_apply_change (struct edge *e, const struct bb_crash *c,
@@ -290,9 +298,12 @@
 /* crash.c: whether upstreams have crashed.  */
 void crash_init (struct edge *e);
 /* Called when the connection of the current try of R ended before its
-   response: finds out whether the upstream has crashed, which makes R
-   suspect.  */
-void crash_check_upstream (struct request *r);
+   response, or, where it is COMPLETE, as the end of its response: finds out
+   whether the upstream has crashed, which makes R suspect.  A complete
+   response counts as an answer only if the upstream has not.  */
+void crash_check_upstream (struct request *r, bool complete);
+/* Whether T gets no requests since it may have crashed.  */
+bool crash_holds (const struct target *t);
 /* Whether the check of an upstream that R was lost at still runs; R is not
    sent again before its end.  */
 bool crash_is_checked (const struct request *r);
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -282,7 +282,7 @@
 {
   if (t->retire_at_ms != 0 && now >= t->retire_at_ms)
     return false;
-  if (t->record->draining || t->check)
+  if (t->record->draining || crash_holds (t))
     return false;
   if (g_hash_table_contains (e->evacuated_domains, t->record->failure_domain))
     return false;
--- a/cmd/edge/isolate.c
+++ b/cmd/edge/isolate.c
@@ -75,8 +75,9 @@
 bool
 isolate_claim (struct request *r, const struct target *t)
 {
-  uint64_t part = bb_parts_most_suspect (r->edge->parts, r->parts,
-                                         r->parts_count, edge_now (r->edge));
+  uint64_t part
+      = bb_parts_most_suspect (r->edge->parts, r->identity.parts,
+                               r->identity.parts_count, edge_now (r->edge));
 
   if (part != 0 && !claim_key (r, &r->part_claim, part))
     return false;
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -68,6 +68,9 @@
   bb_response_info_decode (head, r->info.attempt_id, &r->reply);
   r->status = head->status;
   r->streaming = false;
+#ifndef BB_MUTANT_edge_unframed
+  r->ends_by_close = !head->framed;
+#endif
   r->framed = head->framed || (r->response_started && r->framed);
 #ifndef BB_MUTANT_edge_echo
   if (!r->reply.attempt_id_matches)
@@ -223,7 +226,8 @@
   struct bb_bytes rest = { (const char *)r->body->data, r->body->len };
 
   record_success (r);
-  suspect_answered (r);
+  if (!r->ends_by_close)
+    suspect_answered (r->edge, &r->identity);
   log_response (r);
   latency_record (LATENCY_RESPONSE, r->received_ms, edge_now (r->edge));
   bb_counter ("bilberry_answers_total", "")->value++;
@@ -268,8 +272,8 @@
 
   (void)c;
   r->call = NULL;
-  if (how != BB_H1_WHOLE && how != BB_H1_UNSENT)
-    crash_check_upstream (r);
+  if (how != BB_H1_UNSENT && (how != BB_H1_WHOLE || r->ends_by_close))
+    crash_check_upstream (r, how == BB_H1_WHOLE);
   if (outcome == BB_OUTCOME_ANSWERED)
     finish_response (r);
   else
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -70,7 +70,7 @@
       = bb_forward_headers (&r->exchange->request, &s, headers, text);
   latency_record (LATENCY_WAIT, r->queued_ms, now);
   request_assign (r, t);
-  r->prior_crash = bb_poison_event (e->poison, r->fingerprint, now);
+  r->prior_crash = bb_poison_event (e->poison, r->identity.fingerprint, now);
   bb_rate_limiter_record (&t->rate_limiter, now);
   bb_ejection_sent (&t->ejection, now);
   r->state = REQUEST_SENT;
@@ -80,6 +80,7 @@
   r->sent_ms = now;
   r->progress_ms = now;
   r->first_event_seen = false;
+  r->ends_by_close = false;
   r->headers_count = 0;
   g_byte_array_set_size (r->body, 0);
   r->call = bb_h1_call (t->connections, &out, &response_ops, r);
--- a/cmd/edge/suspect.c
+++ b/cmd/edge/suspect.c
@@ -34,14 +34,14 @@
   uint64_t pool = hash_bytes (0, bb_bytes_of (r->pool));
   char *at = r->parts_text;
 
-  r->parts_count = r->info.shared_parts_count;
+  r->identity.parts_count = r->info.shared_parts_count;
   *at = '\0';
-  for (uint32_t i = 0; i < r->parts_count; i++)
+  for (uint32_t i = 0; i < r->identity.parts_count; i++)
     {
-      r->parts[i] = hash_bytes (pool, r->info.shared_parts[i]);
+      r->identity.parts[i] = hash_bytes (pool, r->info.shared_parts[i]);
       if (at + FINGERPRINT_TEXT_SIZE > r->parts_text + PARTS_TEXT_SIZE)
         continue;
-      print_fingerprint (r->parts[i], at);
+      print_fingerprint (r->identity.parts[i], at);
       at += FINGERPRINT_TEXT_SIZE;
       at[-1] = ' ';
     }
@@ -59,8 +59,8 @@
   h = hash_bytes (h, m->method);
   h = hash_bytes (h, m->target);
   h = hash_bytes (h, m->body);
-  r->fingerprint = h ? h : 1;
-  print_fingerprint (r->fingerprint, r->fingerprint_text);
+  r->identity.fingerprint = h ? h : 1;
+  print_fingerprint (r->identity.fingerprint, r->fingerprint_text);
   set_parts (r);
 }
 
@@ -70,9 +70,9 @@
   struct edge *e = r->edge;
   bb_ms now = edge_now (e);
   enum bb_poison_state whole
-      = bb_poison_state (e->poison, r->fingerprint, now);
-  enum bb_poison_state part
-      = bb_parts_state (e->parts, r->parts, r->parts_count, now);
+      = bb_poison_state (e->poison, r->identity.fingerprint, now);
+  enum bb_poison_state part = bb_parts_state (e->parts, r->identity.parts,
+                                              r->identity.parts_count, now);
 
   return part > whole ? part : whole;
 }
@@ -97,9 +97,10 @@
 {
   struct edge *e = r->edge;
   bb_ms now = edge_now (e);
-  bb_ms whole_ms = bb_poison_remaining_ms (e->poison, r->fingerprint, now);
-  bb_ms part_ms
-      = bb_parts_remaining_ms (e->parts, r->parts, r->parts_count, now);
+  bb_ms whole_ms
+      = bb_poison_remaining_ms (e->poison, r->identity.fingerprint, now);
+  bb_ms part_ms = bb_parts_remaining_ms (e->parts, r->identity.parts,
+                                         r->identity.parts_count, now);
 
   return part_ms > whole_ms ? part_ms : whole_ms;
 }
@@ -160,26 +161,23 @@
 }
 
 static void
-record_sound_parts (const struct request *r)
+record_sound_parts (struct edge *e, const struct request_identity *id)
 {
-  struct edge *e = r->edge;
-
-  for (uint32_t i = 0; i < r->parts_count; i++)
-    if (bb_parts_record_sound (e->parts, r->parts[i], edge_now (e)))
+  for (uint32_t i = 0; i < id->parts_count; i++)
+    if (bb_parts_record_sound (e->parts, id->parts[i], edge_now (e)))
       {
-        bb_peers_broadcast_sound_part (e->peers, r->parts[i]);
-        suspect_apply_sound_part (e, r->parts[i], "own");
+        bb_peers_broadcast_sound_part (e->peers, id->parts[i]);
+        suspect_apply_sound_part (e, id->parts[i], "own");
       }
 }
 
 void
-suspect_answered (const struct request *r)
+suspect_answered (struct edge *e, const struct request_identity *id)
 {
-  struct edge *e = r->edge;
-  struct bb_crash answer = { .fingerprint = r->fingerprint };
+  struct bb_crash answer = { .fingerprint = id->fingerprint };
 
-  record_sound_parts (r);
-  if (!bb_poison_clear (e->poison, r->fingerprint, edge_now (e)))
+  record_sound_parts (e, id);
+  if (!bb_poison_clear (e->poison, id->fingerprint, edge_now (e)))
     return;
   bb_peers_broadcast_crash (e->peers, &answer);
   suspect_apply_change (e, &answer, "own");
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -454,6 +454,20 @@
   testbed_free (&p.t);
 }
 
+/* The same at replicas whose responses have neither a length nor chunks, so
+   that one that is cut off by the end of its replica looks complete.  */
+static void
+test_shared_part_unframed (void)
+{
+  struct part_run p = { 0 };
+
+  start_with (&p.t, EDGES, REPLICAS, "unframed");
+  for (uint32_t i = 0; i < PART_REQUESTS; i++)
+    send_pair (&p, i % EDGES);
+  check_part_run (&p);
+  testbed_free (&p.t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -470,5 +484,6 @@
   g_test_add_func ("/crash/shared-part", test_shared_part);
   g_test_add_func ("/crash/shared-part-edges-killed",
                    test_shared_part_edges_killed);
+  g_test_add_func ("/crash/shared-part-unframed", test_shared_part_unframed);
   return g_test_run ();
 }
