--- a/cmd/edge/suspect.c
+++ b/cmd/edge/suspect.c
@@ -186,10 +186,7 @@
 void
 suspect_apply_message (struct edge *e, const struct bb_suspect *m)
 {
-  struct bb_crash c = { .fingerprint = m->fingerprint,
-                        .event = m->event,
-                        .prior = m->prior,
-                        .age_ms = m->age_ms };
+  struct bb_crash c = bb_crash_of (m);
 
   suspect_apply_change (e, &c, "peer");
 }
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -124,6 +124,9 @@
    watch the store.  */
 uint32_t bb_peers_count_readers_before (const struct bb_peers *p);
 
+/* Returns the message that tells C, and what the message M tells.  */
+struct bb_suspect bb_suspect_of (const struct bb_crash *c);
+struct bb_crash bb_crash_of (const struct bb_suspect *m);
 /* Appends the message that tells C to OUT.  */
 void bb_put_crash (msgpack_sbuffer *out, const struct bb_crash *c);
 /* Appends a message for each fingerprint of P that is not clean to OUT.  */
--- /dev/null
+++ b/libpeer/internal.h
@@ -0,0 +1,87 @@
+#ifndef PEER_INTERNAL_H
+#define PEER_INTERNAL_H
+
+/* The connections to peers, and what libpeer's files share.  */
+
+#include "bilberry/peer.h"
+
+enum
+{
+  ADDRESSES_MAX = 64, /* number of addresses that a state message can carry */
+
+  /* Ticks after which this process sends its items to a peer that still lacks
+     them: the peer did not get them from the process that broadcast them.  */
+  RESEND_DELAY_TICKS = 2
+};
+
+/* A connection to a peer, which this process or the peer opened.  */
+struct peer
+{
+  struct bb_peers *owner;
+  struct bb_conn *conn;
+  char *connect_address; /* address that this process connected to; NULL where
+                            the peer connected */
+  char *listen_address;  /* address that the peer listens on, from its hello;
+                            NULL: none */
+  char *name;
+  uint64_t incarnation;
+  bool open; /* the connection is established */
+  bool hello_received;
+  bool accepting;         /* the peer accepts requests of callers */
+  bool reads_store;       /* the peer watches the store */
+  uint64_t sent_revision; /* the peer was sent, or has, all items up to it */
+  bb_ms received_ms;      /* time of the last message, or of the start of the
+                             connection */
+  struct peer *prev;
+  struct peer *next;
+};
+
+/* An address that a process listens on for peers.  */
+struct endpoint
+{
+  char *address;
+  bb_ms attempted_ms; /* time of the last attempt to connect */
+};
+
+struct bb_peers
+{
+  uv_loop_t *loop;
+  uv_timer_t timer;
+  struct bb_listener *listener;
+  char *name;
+  char *address; /* address to listen on; NULL: none */
+  bool connect_all;
+  uint64_t incarnation;
+  struct bb_view *view;
+  struct bb_poison *poison;
+  struct bb_parts *parts;
+  const struct bb_peers_ops *ops;
+  void *user;
+  struct endpoint endpoints[ADDRESSES_MAX];
+  uint32_t endpoints_count;
+  uint32_t next_endpoint; /* next endpoint to try, modulo endpoints_count; used
+                             where CONNECT_ALL is not set */
+  uint64_t ticks;
+  /* Revisions of the view at the last RESEND_DELAY_TICKS ticks: a ring buffer,
+     indexed by tick.  */
+  uint64_t past_revisions[RESEND_DELAY_TICKS];
+  struct peer *peers;
+};
+
+/* Returns the time of the event loop.  */
+bb_ms peer_now_ms (const struct bb_peers *p);
+
+/* Handle the message M that FROM sent: record it, and forward what is new to
+   all peers but FROM.  */
+void peer_on_suspect (struct peer *from, const struct bb_suspect *m);
+void peer_on_suspect_parts (struct peer *from,
+                            const struct bb_suspect_parts *m);
+void peer_on_sound_part (struct peer *from, const struct bb_sound_part *m);
+void peer_on_isolated (struct peer *from, const struct bb_peer_isolated *m);
+
+/* Sends FRAMES, encoded messages, to all connected peers but EXCEPT, which may
+   be NULL, and frees FRAMES.  */
+void peer_send_to_all (struct bb_peers *p, const struct peer *except,
+                       msgpack_sbuffer *frames);
+
+#endif
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -1,7 +1,7 @@
 /* Exchanges the items of the store and the states of the processes with
    peers.  */
 
-#include "bilberry/peer.h"
+#include "internal.h"
 
 #include "bilberry/settings.h"
 
@@ -21,74 +21,15 @@
      omit it, because it seldom changes.  */
   MEMBERS_INTERVAL_TICKS = 10,
 
-  /* Ticks after which this process sends its items to a peer that still lacks
-     them: the peer did not get them from the process that broadcast them.  */
-  RESEND_DELAY_TICKS = 2,
-
   IDLE_TIMEOUT_MS = 1200, /* time without a message after which a connection
                              is closed */
   /* Time between attempts to connect to the same address.  */
   RECONNECT_INTERVAL_MS = 400,
-  CONNECT_TIMEOUT_MS = 800,
-  ADDRESSES_MAX = 64 /* number of addresses that a state message can carry */
-};
-
-/* A connection to a peer, which this process or the peer opened.  */
-struct peer
-{
-  struct bb_peers *owner;
-  struct bb_conn *conn;
-  char *connect_address; /* address that this process connected to; NULL where
-                            the peer connected */
-  char *listen_address;  /* address that the peer listens on, from its hello;
-                            NULL: none */
-  char *name;
-  uint64_t incarnation;
-  bool open; /* the connection is established */
-  bool hello_received;
-  bool accepting;         /* the peer accepts requests of callers */
-  bool reads_store;       /* the peer watches the store */
-  uint64_t sent_revision; /* the peer was sent, or has, all items up to it */
-  bb_ms received_ms;      /* time of the last message, or of the start of the
-                             connection */
-  struct peer *prev;
-  struct peer *next;
+  CONNECT_TIMEOUT_MS = 800
 };
 
-/* An address that a process listens on for peers.  */
-struct endpoint
-{
-  char *address;
-  bb_ms attempted_ms; /* time of the last attempt to connect */
-};
-
-struct bb_peers
-{
-  uv_loop_t *loop;
-  uv_timer_t timer;
-  struct bb_listener *listener;
-  char *name;
-  char *address; /* address to listen on; NULL: none */
-  bool connect_all;
-  uint64_t incarnation;
-  struct bb_view *view;
-  struct bb_poison *poison;
-  struct bb_parts *parts;
-  const struct bb_peers_ops *ops;
-  void *user;
-  struct endpoint endpoints[ADDRESSES_MAX];
-  uint32_t endpoints_count;
-  uint32_t next_endpoint; /* next endpoint to try, modulo endpoints_count; used
-                             where CONNECT_ALL is not set */
-  uint64_t ticks;
-  /* Revisions of the view at the last RESEND_DELAY_TICKS ticks: a ring buffer,
-     indexed by tick.  */
-  uint64_t past_revisions[RESEND_DELAY_TICKS];
-  struct peer *peers;
-};
-
-static bb_ms
-now_ms (const struct bb_peers *p)
+bb_ms
+peer_now_ms (const struct bb_peers *p)
 {
   return (bb_ms)uv_now (p->loop);
 }
@@ -141,8 +82,8 @@
     put_item (out, item);
   peer->sent_revision = p->view->revision;
 #ifndef BB_MUTANT_peer_crashes
-  bb_put_crashes (out, p->poison, now_ms (p));
-  bb_put_part_crashes (out, p->parts, now_ms (p));
+  bb_put_crashes (out, p->poison, peer_now_ms (p));
+  bb_put_part_crashes (out, p->parts, peer_now_ms (p));
 #endif
 }
 
@@ -197,7 +138,7 @@
   struct peer *peer = bb_conn_user (c);
 
   peer->open = true;
-  peer->received_ms = now_ms (peer->owner);
+  peer->received_ms = peer_now_ms (peer->owner);
   send_hello (peer);
   send_state (peer);
 }
@@ -265,84 +206,12 @@
     p->ops->on_state (peer->name ? peer->name : "", m, p->user);
 }
 
-/* Sends FRAMES, encoded messages, to all connected peers but EXCEPT, which may
-   be NULL, and frees FRAMES.  */
-static void
-send_to_all (struct bb_peers *p, const struct peer *except,
-             msgpack_sbuffer *frames)
-{
-  struct peer *peer;
-
-  DL_FOREACH (p->peers, peer)
-  if (peer->open && peer != except)
-    msgpack_sbuffer_write (bb_conn_out (peer->conn), frames->data,
-                           frames->size);
-  msgpack_sbuffer_destroy (frames);
-}
-
-static void
-on_isolated (struct peer *peer, const struct bb_peer_isolated *m)
-{
-  struct bb_peers *p = peer->owner;
-
-  if (p->ops->on_isolated)
-    p->ops->on_isolated (peer->name ? peer->name : "", m, p->user);
-}
-
-/* Forwards what is new to all peers but the one that sent it.  */
-static void
-on_suspect (struct peer *from, const struct bb_suspect *m)
-{
-  struct bb_peers *p = from->owner;
-  msgpack_sbuffer frame;
-
-  if (!bb_poison_receive (p->poison, m, now_ms (p)))
-    return;
-  msgpack_sbuffer_init (&frame);
-  bb_put_suspect (&frame, m);
-  send_to_all (p, from, &frame);
-  if (p->ops->on_suspect)
-    p->ops->on_suspect (m, p->user);
-}
-
-static void
-on_part_crash (struct peer *from, const struct bb_suspect_parts *m)
-{
-  struct bb_peers *p = from->owner;
-  const struct bb_part_crash *c
-      = bb_parts_receive (p->parts, m, bb_conn_out (from->conn), now_ms (p));
-  msgpack_sbuffer frame;
-
-  if (!c)
-    return;
-  msgpack_sbuffer_init (&frame);
-  bb_put_part_crash (&frame, c);
-  send_to_all (p, from, &frame);
-  if (p->ops->on_part_crash)
-    p->ops->on_part_crash (c, p->user);
-}
-
-static void
-on_sound_part (struct peer *from, const struct bb_sound_part *m)
-{
-  struct bb_peers *p = from->owner;
-  msgpack_sbuffer frame;
-
-  if (!bb_parts_record_sound (p->parts, m->part, now_ms (p)))
-    return;
-  msgpack_sbuffer_init (&frame);
-  bb_put_sound_part (&frame, m);
-  send_to_all (p, from, &frame);
-  if (p->ops->on_sound_part)
-    p->ops->on_sound_part (m->part, p->user);
-}
-
 static void
 on_message (struct bb_conn *c, const struct bb_message *m)
 {
   struct peer *peer = bb_conn_user (c);
 
-  peer->received_ms = now_ms (peer->owner);
+  peer->received_ms = peer_now_ms (peer->owner);
   switch (m->type)
     {
     case BB_MSG_PEER_HELLO:
@@ -355,16 +224,16 @@
       on_state (peer, &m->u.peer_state);
       break;
     case BB_MSG_PEER_ISOLATED:
-      on_isolated (peer, &m->u.peer_isolated);
+      peer_on_isolated (peer, &m->u.peer_isolated);
       break;
     case BB_MSG_SUSPECT:
-      on_suspect (peer, &m->u.suspect);
+      peer_on_suspect (peer, &m->u.suspect);
       break;
     case BB_MSG_SUSPECT_PARTS:
-      on_part_crash (peer, &m->u.suspect_parts);
+      peer_on_suspect_parts (peer, &m->u.suspect_parts);
       break;
     case BB_MSG_SOUND_PART:
-      on_sound_part (peer, &m->u.sound_part);
+      peer_on_sound_part (peer, &m->u.sound_part);
       break;
     default:
       bb_conn_close (c, "unexpected type of message");
@@ -412,13 +281,13 @@
   struct sockaddr_storage addr;
   struct peer *peer;
 
-  endpoint->attempted_ms = now_ms (p);
+  endpoint->attempted_ms = peer_now_ms (p);
   if (!bb_address_parse (endpoint->address, &addr))
     return;
   peer = g_new0 (struct peer, 1);
   peer->owner = p;
   peer->connect_address = g_strdup (endpoint->address);
-  peer->received_ms = now_ms (p);
+  peer->received_ms = peer_now_ms (p);
   DL_APPEND (p->peers, peer);
   peer->conn = bb_conn_connect (p->loop, &addr, &connect_ops, peer);
 }
@@ -439,7 +308,7 @@
 connect_to_all (struct bb_peers *p)
 {
   for (uint32_t i = 0; i < p->endpoints_count; i++)
-    if (now_ms (p) - p->endpoints[i].attempted_ms >= RECONNECT_INTERVAL_MS
+    if (peer_now_ms (p) - p->endpoints[i].attempted_ms >= RECONNECT_INTERVAL_MS
         && !has_connection (p, p->endpoints[i].address))
       connect_to (p, &p->endpoints[i]);
 }
@@ -452,7 +321,7 @@
   if (p->peers || p->endpoints_count == 0)
     return;
   endpoint = &p->endpoints[p->next_endpoint % p->endpoints_count];
-  if (now_ms (p) - endpoint->attempted_ms < RECONNECT_INTERVAL_MS)
+  if (peer_now_ms (p) - endpoint->attempted_ms < RECONNECT_INTERVAL_MS)
     return;
   p->next_endpoint++;
   connect_to (p, endpoint);
@@ -467,7 +336,7 @@
   DL_FOREACH_SAFE (p->peers, peer, next)
   {
     bb_ms max = peer->open ? IDLE_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
-    if (now_ms (p) - peer->received_ms > max)
+    if (peer_now_ms (p) - peer->received_ms > max)
       bb_conn_close (peer->conn, "silent");
   }
 }
@@ -522,50 +391,7 @@
 
   msgpack_sbuffer_init (&frame);
   put_item (&frame, i);
-  send_to_all (p, NULL, &frame);
-}
-
-void
-bb_peers_broadcast_crash (struct bb_peers *p, const struct bb_crash *c)
-{
-  msgpack_sbuffer frame;
-
-  msgpack_sbuffer_init (&frame);
-  bb_put_crash (&frame, c);
-  send_to_all (p, NULL, &frame);
-}
-
-void
-bb_peers_broadcast_part_crash (struct bb_peers *p,
-                               const struct bb_part_crash *c)
-{
-  msgpack_sbuffer frame;
-
-  msgpack_sbuffer_init (&frame);
-  bb_put_part_crash (&frame, c);
-  send_to_all (p, NULL, &frame);
-}
-
-void
-bb_peers_broadcast_sound_part (struct bb_peers *p, uint64_t part)
-{
-  struct bb_sound_part m = { .part = part };
-  msgpack_sbuffer frame;
-
-  msgpack_sbuffer_init (&frame);
-  bb_put_sound_part (&frame, &m);
-  send_to_all (p, NULL, &frame);
-}
-
-void
-bb_peers_broadcast_isolated (struct bb_peers *p,
-                             const struct bb_peer_isolated *m)
-{
-  msgpack_sbuffer frame;
-
-  msgpack_sbuffer_init (&frame);
-  bb_put_peer_isolated (&frame, m);
-  send_to_all (p, NULL, &frame);
+  peer_send_to_all (p, NULL, &frame);
 }
 
 void
--- a/libpeer/suspect.c
+++ b/libpeer/suspect.c
@@ -2,14 +2,22 @@
 
 #include "bilberry/peer.h"
 
-void
-bb_put_crash (msgpack_sbuffer *out, const struct bb_crash *c)
+struct bb_suspect
+bb_suspect_of (const struct bb_crash *c)
 {
   struct bb_suspect m = { .fingerprint = c->fingerprint,
                           .event = c->event,
                           .prior = c->prior,
                           .age_ms = (uint32_t)c->age_ms };
 
+  return m;
+}
+
+void
+bb_put_crash (msgpack_sbuffer *out, const struct bb_crash *c)
+{
+  struct bb_suspect m = bb_suspect_of (c);
+
   bb_put_suspect (out, &m);
 }
 
@@ -25,16 +33,24 @@
   bb_poison_each (p, now, put_known, out);
 }
 
-bool
-bb_poison_receive (struct bb_poison *p, const struct bb_suspect *m, bb_ms now)
+struct bb_crash
+bb_crash_of (const struct bb_suspect *m)
 {
   struct bb_crash c = { .fingerprint = m->fingerprint,
                         .event = m->event,
                         .prior = m->prior,
                         .age_ms = m->age_ms };
 
-  if (m->event == 0)
-    return bb_poison_clear (p, m->fingerprint, now - (bb_ms)m->age_ms);
+  return c;
+}
+
+bool
+bb_poison_receive (struct bb_poison *p, const struct bb_suspect *m, bb_ms now)
+{
+  struct bb_crash c = bb_crash_of (m);
+
+  if (c.event == 0)
+    return bb_poison_clear (p, c.fingerprint, now - c.age_ms);
   return bb_poison_record_crash (p, &c, now);
 }
 
