--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -272,6 +272,18 @@
   return a;
 }
 
+void
+testbed_check_status (struct testbed *t, const char *method, const char *path,
+                      const char *id, int status)
+{
+  struct http_response a = testbed_request (t, 0, method, path, id, "key-1");
+
+  g_test_message ("%s %s %s", method, path, id);
+  g_assert_cmpint (a.status, ==, status);
+  g_assert_true (a.complete);
+  http_response_free (&a);
+}
+
 /* Returns what replica R answers to GET /ran, after it is up again if it
    crashed.  */
 static struct http_response
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -92,6 +92,11 @@
                                       const char *method, const char *path,
                                       const char *id, const char *key);
 
+/* Sends a request with key-1 to edge 0 and asserts that it gets a complete
+   response with STATUS.  */
+void testbed_check_status (struct testbed *t, const char *method,
+                           const char *path, const char *id, int status);
+
 /* Returns how often requests with attempt id ID ran, over all replicas.  */
 uint32_t testbed_count_runs (struct testbed *t, const char *id);
 
