--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -198,6 +198,7 @@
   bool store_ok; /* the last call of the store succeeded, or peers watch the
                     store for this edge */
   bb_ms store_recovered_ms;          /* when store_ok last became true */
+  uint64_t store_era;                /* the highest one seen */
   struct bb_h1_server *front_server; /* server for callers */
   /* Server for readiness checks and metrics.  */
   struct bb_h1_server *ready_server;
@@ -218,7 +219,10 @@
    it.  SOURCE is "store" or "peer"; an item from the store is also sent to
    the peers if fleet_forwards_items.  Returns whether the item is new.  */
 bool fleet_apply_item (struct edge *e, const char *key, GBytes *value,
-                       uint64_t revision, const char *source);
+                       bb_revision revision, const char *source);
+/* SOURCE told REVISION.  Returns whether it shows that the store has come back
+   from an older copy; then the store is listed again.  */
+bool fleet_note_era (struct edge *e, bb_revision revision, const char *source);
 /* Whether this edge sends changes from the store to its peers at once: it does
    if no peer of a lower incarnation watches the store.  */
 bool fleet_forwards_items (const struct edge *e);
@@ -250,6 +254,11 @@
 void reader_start (struct edge *e);
 /* Cancels the current call and lists the store from its first key.  */
 void reader_restart (void);
+/* The store has come back from an older copy: lists it, and again once what
+   the copy lacks must have been written again.  */
+void reader_store_returned (void);
+/* A peer has told all its items: the first call need not wait for that.  */
+void reader_peer_told (void);
 /* Whether this edge watches the store itself and the last call succeeded.  */
 bool reader_is_watching (const struct edge *e);
 
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -93,25 +93,36 @@
 }
 
 static void
-apply_config (struct edge *e, GBytes *value, uint64_t revision,
+apply_config (struct edge *e, GBytes *value, bb_revision revision,
               const char *source)
 {
   const char *error = NULL;
   struct bb_config *c
       = value ? bb_config_decode (value, revision, &error) : NULL;
 
+  if (c && e->config && c->version < e->config->version)
+    {
+      /* As the store's copy has it, after the store came back.  */
+      bb_log_event ("config_older", "{s:s, s:I, s:I}", "source", source,
+                    "version", (json_int_t)c->version, "in_force",
+                    (json_int_t)e->config->version);
+      bb_config_unref (c);
+      return;
+    }
   if (!c)
     {
       bb_counter ("bilberry_items_unusable_total", "kind=\"config\"")->value++;
-      bb_log_event ("config_unusable", "{s:s, s:I, s:s}", "source", source,
-                    "revision", (json_int_t)revision, "why",
-                    error ? error : "it was removed");
+      bb_log_event ("config_unusable", "{s:s, s:I, s:I, s:s}", "source",
+                    source, "era", (json_int_t)bb_revision_era (revision),
+                    "revision", (json_int_t)bb_revision_number (revision),
+                    "why", error ? error : "it was removed");
       return;
     }
-  bb_log_event ("config", "{s:s, s:I, s:I, s:i, s:i}", "source", source,
-                "version", (json_int_t)c->version, "revision",
-                (json_int_t)revision, "routes", (int)c->routes->len,
-                "customers", (int)c->customers->len);
+  bb_log_event ("config", "{s:s, s:I, s:I, s:I, s:i, s:i}", "source", source,
+                "version", (json_int_t)c->version, "era",
+                (json_int_t)bb_revision_era (revision), "revision",
+                (json_int_t)bb_revision_number (revision), "routes",
+                (int)c->routes->len, "customers", (int)c->customers->len);
   bb_config_unref (e->config);
   e->config = c;
   update_queues (e);
@@ -165,7 +176,7 @@
 
 static void
 apply_upstream (struct edge *e, const char *id, GBytes *value,
-                uint64_t revision, const char *source)
+                bb_revision revision, const char *source)
 {
   struct target *t = g_hash_table_lookup (e->targets, id);
   const char *error = NULL;
@@ -178,17 +189,20 @@
     {
       bb_counter ("bilberry_items_unusable_total", "kind=\"upstream\"")
           ->value++;
-      bb_log_event ("upstream_unusable", "{s:s, s:s, s:I, s:s}", "upstream",
-                    id, "source", source, "revision", (json_int_t)revision,
-                    "why", error);
+      bb_log_event ("upstream_unusable", "{s:s, s:s, s:I, s:I, s:s}",
+                    "upstream", id, "source", source, "era",
+                    (json_int_t)bb_revision_era (revision), "revision",
+                    (json_int_t)bb_revision_number (revision), "why", error);
       if (t)
         t->retire_at_ms = edge_now (e);
       return;
     }
-  bb_log_event ("upstream", "{s:s, s:s, s:s, s:s, s:b, s:i, s:I}", "upstream",
-                id, "source", source, "pool", u->pool, "address", u->address,
-                "draining", u->draining, "cold_left_ms", (int)u->cold_left_ms,
-                "revision", (json_int_t)revision);
+  bb_log_event ("upstream", "{s:s, s:s, s:s, s:s, s:b, s:i, s:I, s:I}",
+                "upstream", id, "source", source, "pool", u->pool, "address",
+                u->address, "draining", u->draining, "cold_left_ms",
+                (int)u->cold_left_ms, "era",
+                (json_int_t)bb_revision_era (revision), "revision",
+                (json_int_t)bb_revision_number (revision));
   if (!t)
     {
       if (!add_target (e, u))
@@ -211,7 +225,7 @@
 }
 
 static void
-remove_upstream (struct edge *e, const char *id, uint64_t revision,
+remove_upstream (struct edge *e, const char *id, bb_revision revision,
                  const char *source)
 {
   struct target *t = g_hash_table_lookup (e->targets, id);
@@ -229,9 +243,10 @@
     t->retire_at_ms = now + e->settings->drain_ms / 2;
   if (t->retire_at_ms < 1)
     t->retire_at_ms = 1;
-  bb_log_event ("upstream_gone", "{s:s, s:s, s:I, s:b}", "upstream", id,
-                "source", source, "revision", (json_int_t)revision, "lapsed",
-                lapsed);
+  bb_log_event ("upstream_gone", "{s:s, s:s, s:I, s:I, s:b}", "upstream", id,
+                "source", source, "era",
+                (json_int_t)bb_revision_era (revision), "revision",
+                (json_int_t)bb_revision_number (revision), "lapsed", lapsed);
 }
 
 bool
@@ -240,12 +255,36 @@
   return e->peers && bb_peers_count_readers_before (e->peers) == 0;
 }
 
+bool
+fleet_note_era (struct edge *e, bb_revision revision, const char *source)
+{
+  uint64_t era = bb_revision_era (revision);
+  bool knows_items = g_hash_table_size (e->view->items) > 0;
+
+  if (era <= e->store_era)
+    return false;
+  if (knows_items)
+    {
+      bb_counter ("bilberry_store_returns_total", "")->value++;
+      bb_log_event ("store_returned", "{s:s, s:I, s:I, s:I, s:I}", "source",
+                    source, "era", (json_int_t)era, "revision",
+                    (json_int_t)bb_revision_number (revision), "era_before",
+                    (json_int_t)e->store_era, "revision_before",
+                    (json_int_t)bb_revision_number (e->view->revision));
+    }
+  e->store_era = era;
+  if (knows_items)
+    reader_store_returned ();
+  return knows_items;
+}
+
 bool
 fleet_apply_item (struct edge *e, const char *key, GBytes *value,
-                  uint64_t revision, const char *source)
+                  bb_revision revision, const char *source)
 {
   const char *name;
 
+  fleet_note_era (e, revision, source);
   if (!bb_view_put (e->view, key, value, revision))
     return false;
   if (strcmp (source, "store") == 0 && fleet_forwards_items (e))
@@ -267,9 +306,10 @@
         g_hash_table_add (e->evacuated_domains, g_strdup (name));
       else
         g_hash_table_remove (e->evacuated_domains, name);
-      bb_log_event ("evacuation", "{s:s, s:b, s:s, s:I}", "failure_domain",
-                    name, "out", value != NULL, "source", source, "revision",
-                    (json_int_t)revision);
+      bb_log_event ("evacuation", "{s:s, s:b, s:s, s:I, s:I}",
+                    "failure_domain", name, "out", value != NULL, "source",
+                    source, "era", (json_int_t)bb_revision_era (revision),
+                    "revision", (json_int_t)bb_revision_number (revision));
       break;
     case BB_ITEM_OTHER:
       break;
@@ -333,6 +373,7 @@
   g_hash_table_replace (e->peer_loads, g_strdup (name), loads);
   e->peer_loads_changed = true;
   fleet_sum_peer_loads (e);
+  fleet_note_era (e, m->revision, "peer");
   if (m->sent > e->view->revision)
     e->view->revision = m->sent;
 }
--- a/cmd/edge/groups.c
+++ b/cmd/edge/groups.c
@@ -134,7 +134,8 @@
                                .target = bb_bytes_of (bb_report_target),
                                .host = bb_bytes_of (t->record->address),
                                .idle_max_ms = REPORT_IDLE_MAX_MS };
-  struct bb_h1_fetch_limits limits = { REPORT_TIMEOUT_MS, REPORT_MAX_BYTES };
+  struct bb_h1_fetch_limits limits = { .timeout_ms = REPORT_TIMEOUT_MS,
+                                       .body_max_bytes = REPORT_MAX_BYTES };
   struct report_call *call = g_new0 (struct report_call, 1);
 
   g->report_pending = true;
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -3,7 +3,7 @@
 #include "edge.h"
 
 static void
-on_item (const char *key, GBytes *value, uint64_t revision, void *user)
+on_item (const char *key, GBytes *value, bb_revision revision, void *user)
 {
   fleet_apply_item (user, key, value, revision, "peer");
 }
@@ -14,6 +14,7 @@
   struct edge *e = user;
 
   fleet_apply_peer_state (e, name, m);
+  reader_peer_told ();
   if (m->taking)
     isolate_add_edge (e, name);
   queue_dispatch_all (e);
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -13,7 +13,16 @@
   PROBE_WAIT_MS = 1,       /* a response is all that is wanted */
   WATCH_TIMEOUT_MS = 2300, /* longest time for the whole call */
   STANDBY_CHECK_MS = 100,  /* time between checks whether a watch is needed */
-  CALLS_MAX = 8            /* more than start within a timeout */
+  CALLS_MAX = 8,           /* more than start within a timeout */
+
+  /* Longest time that the first call waits for a peer, which knows what a
+     store that came back from a copy lacks.  */
+  PEER_WAIT_MS = 200,
+  /* After a return of the store: time until what the copy lacks has been
+     written again, and heartbeats after which registrations of the copy have
+     expired unless their upstreams live.  */
+  REWRITE_MS = 2000,
+  LEASE_HEARTBEATS = 3
 };
 
 /* A call to the store, on a connection of its own.  */
@@ -32,13 +41,17 @@
   struct call calls[CALLS_MAX];
   GHashTable *listed_keys; /* keys of the current listing */
   char *last_key;          /* last key of the current listing; "": none yet */
-  uint64_t revision; /* revision of the first page listed, then the one to
-                        watch from */
+  bb_revision revision;    /* of the first page listed, then the one to watch
+                              from */
   bool listed;
-  bool standby;          /* enough peers watch, so this process does not */
-  bool takes_over;       /* it is in standby, but will watch soon */
-  bb_ms response_ms;     /* time of the last valid response */
-  uint32_t failed_calls; /* failed calls since the last valid response */
+  bool holds_missing;      /* what a listing lacks stays in the view, as the
+                              store has just come back from a copy */
+  uv_timer_t settle_timer; /* end of that, then of all held items */
+  bool standby;            /* enough peers watch, so this process does not */
+  bool takes_over;         /* it is in standby, but will watch soon */
+  bool waits_for_peer;     /* the first call has not started */
+  bb_ms response_ms;       /* time of the last valid response */
+  uint32_t failed_calls;   /* failed calls since the last valid response */
 };
 
 static struct reader reader;
@@ -116,9 +129,10 @@
   c->in_flight = false;
   bb_counter ("bilberry_store_failures_total", "")->value++;
   if (r->failed_calls == 0)
-    bb_log_event ("store_lost", "{s:s, s:s, s:I}", "call", name, "why",
-                  bb_store_result_name (result), "revision",
-                  (json_int_t)e->view->revision);
+    bb_log_event ("store_lost", "{s:s, s:s, s:I, s:I}", "call", name, "why",
+                  bb_store_result_name (result), "era",
+                  (json_int_t)bb_revision_era (e->view->revision), "revision",
+                  (json_int_t)bb_revision_number (e->view->revision));
   r->failed_calls++;
   e->store_ok = false;
   bb_log_event ("store_call_failed", "{s:s, s:s, s:I, s:i}", "call", name,
@@ -141,9 +155,11 @@
   cancel_calls (r);
   if (!was_ok)
     {
-      bb_log_event ("store_back", "{s:I, s:I, s:i}", "revision",
-                    (json_int_t)e->view->revision, "away_ms",
-                    (json_int_t)(edge_now (e) - r->response_ms),
+      bb_log_event ("store_back", "{s:I, s:I, s:I, s:i}", "era",
+                    (json_int_t)bb_revision_era (e->view->revision),
+                    "revision",
+                    (json_int_t)bb_revision_number (e->view->revision),
+                    "away_ms", (json_int_t)(edge_now (e) - r->response_ms),
                     "failed_calls", (int)r->failed_calls);
       e->store_recovered_ms = edge_now (e);
     }
@@ -198,22 +214,33 @@
   return all_new;
 }
 
-/* Removes the items that the complete listing lacks.  */
+/* Removes the items that the complete listing lacks, unless they are held.  */
 static void
 finish_listing (struct reader *r)
 {
-  GPtrArray *missing
-      = bb_view_missing (r->edge->view, r->listed_keys, r->revision);
+  GPtrArray *missing;
 
+  r->listed = true;
+  if (r->holds_missing)
+    {
+      bb_view_hold_missing (r->edge->view, r->listed_keys, r->revision);
+      return;
+    }
+  missing = bb_view_missing (r->edge->view, r->listed_keys, r->revision);
   for (guint i = 0; i < missing->len; i++)
     fleet_apply_item (r->edge, g_ptr_array_index (missing, i), NULL,
                       r->revision, "store");
   g_ptr_array_unref (missing);
-  r->listed = true;
   if (r->revision > r->edge->view->revision)
     r->edge->view->revision = r->revision;
 }
 
+static bool
+is_of_past_era (const struct reader *r, const struct bb_store_page *page)
+{
+  return bb_revision_era (page->revision) < r->edge->store_era;
+}
+
 static void
 on_listed (enum bb_store_result result, const struct bb_store_page *page,
            void *user)
@@ -221,12 +248,16 @@
   struct call *c = user;
   struct reader *r = c->reader;
 
+  if (result == BB_STORE_OK && is_of_past_era (r, page))
+    result = BB_STORE_OUTDATED;
   if (result != BB_STORE_OK)
     {
       record_failure (c, result, "list");
       return;
     }
   record_success (c);
+  if (fleet_note_era (r->edge, page->revision, "store"))
+    return;
   if (*r->last_key == '\0')
     r->revision = page->revision;
   for (guint i = 0; i < page->items->len; i++)
@@ -249,7 +280,7 @@
 {
   struct call *c = user;
   struct reader *r = c->reader;
-  uint64_t since = r->revision;
+  bb_revision since = r->revision;
   bool all_new;
 
   if (result == BB_STORE_GONE)
@@ -258,12 +289,16 @@
       reader_restart ();
       return;
     }
+  if (result == BB_STORE_OK && is_of_past_era (r, page))
+    result = BB_STORE_OUTDATED;
   if (result != BB_STORE_OK)
     {
       record_failure (c, result, "watch");
       return;
     }
   record_success (c);
+  if (fleet_note_era (r->edge, page->revision, "store"))
+    return;
   all_new = apply_items (r, page);
   if (page->revision > r->revision)
     r->revision = page->revision;
@@ -288,8 +323,9 @@
   struct edge *e = r->edge;
 
   if (!r->standby)
-    bb_log_event ("store_rests", "{s:I}", "revision",
-                  (json_int_t)e->view->revision);
+    bb_log_event ("store_rests", "{s:I, s:I}", "era",
+                  (json_int_t)bb_revision_era (e->view->revision), "revision",
+                  (json_int_t)bb_revision_number (e->view->revision));
   r->standby = true;
   r->takes_over = false;
   if (!e->store_ok)
@@ -303,8 +339,10 @@
 static void
 leave_standby (struct reader *r)
 {
-  bb_log_event ("store_watched", "{s:I}", "revision",
-                (json_int_t)r->edge->view->revision);
+  bb_log_event ("store_watched", "{s:I, s:I}", "era",
+                (json_int_t)bb_revision_era (r->edge->view->revision),
+                "revision",
+                (json_int_t)bb_revision_number (r->edge->view->revision));
   r->standby = false;
   r->revision = r->edge->view->revision;
 }
@@ -335,6 +373,7 @@
 static void
 start_next_call (struct reader *r)
 {
+  r->waits_for_peer = false;
   if (r->listed
       && !bb_should_watch_store (
           bb_peers_count_readers_before (r->edge->peers)))
@@ -379,6 +418,41 @@
   start_next_call (r);
 }
 
+static void
+on_settle_timer (uv_timer_t *t)
+{
+  struct reader *r = t->data;
+
+  if (r->holds_missing)
+    uv_timer_start (
+        t, on_settle_timer,
+        (uint64_t)(LEASE_HEARTBEATS * r->edge->settings->heartbeat_ms), 0);
+  else
+    bb_view_release_held (r->edge->view);
+  r->holds_missing = false;
+  reader_restart ();
+}
+
+void
+reader_store_returned (void)
+{
+  struct reader *r = &reader;
+
+  r->holds_missing = true;
+  uv_timer_start (&r->settle_timer, on_settle_timer, REWRITE_MS, 0);
+  reader_restart ();
+}
+
+void
+reader_peer_told (void)
+{
+  if (reader.waits_for_peer)
+    {
+      reader.waits_for_peer = false;
+      reader_restart ();
+    }
+}
+
 void
 reader_start (struct edge *e)
 {
@@ -395,5 +469,10 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   uv_timer_init (e->loop, &r->timer);
   r->timer.data = r;
-  reader_restart ();
+  uv_timer_init (e->loop, &r->settle_timer);
+  r->settle_timer.data = r;
+  r->last_key = g_strdup ("");
+  r->waits_for_peer = !e->settings->first_start;
+  uv_timer_start (&r->timer, on_timer, r->waits_for_peer ? PEER_WAIT_MS : 0,
+                  0);
 }
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -86,17 +86,19 @@
   r->call = bb_h1_call (t->connections, &out, &response_ops, r);
   if (r->tries > 1)
     bb_count_retry (BB_REASON_UPSTREAM_FAILED);
-  bb_log_event (
-      "send",
-      "{s:s%, s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:i, s:i, s:i, s:I, s:I}",
-      "id", r->info.attempt_id.ptr, (size_t)r->info.attempt_id.size,
-      "fingerprint", r->fingerprint_text, "parts", r->parts_text, "route",
-      r->route->name, "upstream", t->record->id, "try", (int)r->tries,
-      "waited_ms", (json_int_t)(now - r->queued_ms), "left_ms",
-      (json_int_t)s.remaining_ms, "own", (int)t->in_flight, "others",
-      (int)t->peers_in_flight, "waiting", (int)r->queue->waiting.length,
-      "version", (json_int_t)r->config->version, "revision",
-      (json_int_t)t->record->revision);
+  bb_log_event ("send",
+                "{s:s%, s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:i, s:i, s:i, "
+                "s:I, s:I, s:I}",
+                "id", r->info.attempt_id.ptr, (size_t)r->info.attempt_id.size,
+                "fingerprint", r->fingerprint_text, "parts", r->parts_text,
+                "route", r->route->name, "upstream", t->record->id, "try",
+                (int)r->tries, "waited_ms", (json_int_t)(now - r->queued_ms),
+                "left_ms", (json_int_t)s.remaining_ms, "own",
+                (int)t->in_flight, "others", (int)t->peers_in_flight,
+                "waiting", (int)r->queue->waiting.length, "version",
+                (json_int_t)r->config->version, "era",
+                (json_int_t)bb_revision_era (t->record->revision), "revision",
+                (json_int_t)bb_revision_number (t->record->revision));
   set_timer (r);
 }
 
--- a/cmd/rank/engine.c
+++ b/cmd/rank/engine.c
@@ -165,8 +165,8 @@
       = { .method = bb_bytes_of ("GET"),
           .host = bb_bytes_of (p->agent->settings->upstream_address),
           .idle_max_ms = IDLE_CONNECTION_MAX_MS };
-  struct bb_h1_fetch_limits limits
-      = { REQUEST_TIMEOUT_MS, RESPONSE_MAX_BYTES };
+  struct bb_h1_fetch_limits limits = { .timeout_ms = REQUEST_TIMEOUT_MS,
+                                       .body_max_bytes = RESPONSE_MAX_BYTES };
   const char *const targets[REQUEST_KINDS]
       = { bb_report_target, bb_expert_counts_target, bb_map_rows_target };
 
--- a/cmd/rank/remote.c
+++ b/cmd/rank/remote.c
@@ -75,8 +75,8 @@
                                .headers_count = body.size > 0 ? 1 : 0,
                                .body = body,
                                .idle_max_ms = IDLE_CONNECTION_MAX_MS };
-  struct bb_h1_fetch_limits limits
-      = { REQUEST_TIMEOUT_MS, RESPONSE_MAX_BYTES };
+  struct bb_h1_fetch_limits limits = { .timeout_ms = REQUEST_TIMEOUT_MS,
+                                       .body_max_bytes = RESPONSE_MAX_BYTES };
 
   bb_h1_fetch (get_pool (a, address), &out, &limits, on_response, c);
 }
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 static void
-update_config (struct agent *a, GBytes *value, uint64_t revision)
+update_config (struct agent *a, GBytes *value, bb_revision revision)
 {
   const char *why = NULL;
   struct bb_config *c
@@ -15,8 +15,15 @@
 
   if (!c)
     {
-      bb_log_event ("config_unusable", "{s:I, s:s}", "revision",
-                    (json_int_t)revision, "why", why ? why : "it was removed");
+      bb_log_event ("config_unusable", "{s:I, s:I, s:s}", "era",
+                    (json_int_t)bb_revision_era (revision), "revision",
+                    (json_int_t)bb_revision_number (revision), "why",
+                    why ? why : "it was removed");
+      return;
+    }
+  if (a->config && c->version < a->config->version)
+    {
+      bb_config_unref (c);
       return;
     }
   bb_config_unref (a->config);
@@ -28,7 +35,7 @@
 
 static void
 update_upstream (struct agent *a, const char *id, GBytes *value,
-                 uint64_t revision)
+                 bb_revision revision)
 {
   const char *why = NULL;
   struct bb_upstream *u
@@ -42,7 +49,7 @@
 }
 
 static void
-on_item (const char *key, GBytes *value, uint64_t revision, void *user)
+on_item (const char *key, GBytes *value, bb_revision revision, void *user)
 {
   struct agent *a = user;
   const char *name;
--- a/fake/lib/fake.c
+++ b/fake/lib/fake.c
@@ -81,14 +81,34 @@
   return 0;
 }
 
+static struct bb_header common_header;
+
+void
+fake_set_header (const char *name, const char *value)
+{
+  free ((char *)common_header.value.ptr);
+  common_header.name = bb_bytes_of (name);
+  common_header.value = bb_bytes_of (strdup (value));
+}
+
+static void
+respond (struct bb_http_request *r, uint16_t status, const char *type,
+         const char *text)
+{
+  struct bb_header h[2] = { { .name = bb_bytes_of ("content-type"),
+                              .value = bb_bytes_of (type) },
+                            common_header };
+
+  bb_http_respond (r, status, h, common_header.name.size > 0 ? 2 : 1,
+                   bb_bytes_of (text));
+}
+
 void
 fake_respond_json (struct bb_http_request *r, uint16_t status, json_t *json)
 {
-  struct bb_header h = { .name = bb_bytes_of ("content-type"),
-                         .value = bb_bytes_of ("application/json") };
   char *text = json_dumps (json, JSON_COMPACT | JSON_PRESERVE_ORDER);
 
-  bb_http_respond (r, status, &h, 1, bb_bytes_of (text));
+  respond (r, status, "application/json", text);
   free (text);
   json_decref (json);
 }
@@ -97,8 +117,5 @@
 fake_respond_text (struct bb_http_request *r, uint16_t status,
                    const char *text)
 {
-  struct bb_header h = { .name = bb_bytes_of ("content-type"),
-                         .value = bb_bytes_of ("text/plain") };
-
-  bb_http_respond (r, status, &h, 1, bb_bytes_of (text));
+  respond (r, status, "text/plain", text);
 }
--- a/fake/store/store.c
+++ b/fake/store/store.c
@@ -9,7 +9,11 @@
      POST /forget        compacts the history, so that a watch from an earlier
                          revision gets 410
      POST /mode?is=M     sets how the service responds to reads
-     POST /drop-watches  never responds to the watches that wait now
+     POST /save          takes a copy of all items
+     POST /restore       returns from that copy: what came after it is lost,
+   its revisions are given out again, and the era, which the header Store-Era
+   of each response tells, rises by one POST /drop-watches  never responds to
+   the watches that wait now
 
    The modes are ok, busy (429), unavailable (503), garbage (malformed JSON)
    and silent (no response, not even to a watch that waits already; calls that
@@ -49,6 +53,9 @@
 static uint64_t revision = 1;
 static uint64_t compacted_revision; /* changes before this revision are gone */
 static char mode[16] = "ok";
+static GPtrArray *saved_items;
+static uint64_t saved_revision;
+static uint32_t era = 1;
 static uint64_t watches_started;
 static uint64_t dropped_watches; /* the first watches, up to this many, get no
                                     response */
@@ -100,6 +107,44 @@
   g_ptr_array_add (history, copy_item (i));
 }
 
+static GPtrArray *
+copy_items (const GPtrArray *from)
+{
+  GPtrArray *copy = g_ptr_array_new ();
+
+  for (guint i = 0; i < from->len; i++)
+    g_ptr_array_add (copy, copy_item (g_ptr_array_index (from, i)));
+  return copy;
+}
+
+static void
+set_era_header (void)
+{
+  char text[16];
+
+  g_snprintf (text, sizeof text, "%u", era);
+  fake_set_header ("store-era", text);
+}
+
+static void
+save (void)
+{
+  saved_items = copy_items (items);
+  saved_revision = revision;
+}
+
+/* Returns from the saved items; all waiting watches end with 410.  */
+static void
+restore (void)
+{
+  items = copy_items (saved_items);
+  revision = saved_revision;
+  g_ptr_array_set_size (history, 0);
+  compacted_revision = revision;
+  era++;
+  set_era_header ();
+}
+
 static json_t *
 item_to_json (const struct item *i)
 {
@@ -186,7 +231,7 @@
         json_array_append_new (list, item_to_json (it));
     }
   w->r->on_done = NULL;
-  if (w->after < compacted_revision)
+  if (w->after < compacted_revision || w->after > revision)
     {
       json_decref (list);
       fake_respond_text (w->r, 410, "gone");
@@ -208,7 +253,7 @@
       uv_timer_stop (t);
       return;
     }
-  if (revision > w->after || w->after < compacted_revision
+  if (revision != w->after || w->after < compacted_revision
       || bb_clock_now () >= w->deadline_ms)
     respond_watch (w);
 }
@@ -273,6 +318,10 @@
     put_item (key, NULL);
   else if (g_str_has_prefix (r->path.ptr, "/forget"))
     compacted_revision = ++revision;
+  else if (g_str_has_prefix (r->path.ptr, "/save"))
+    save ();
+  else if (g_str_has_prefix (r->path.ptr, "/restore"))
+    restore ();
   else if (g_str_has_prefix (r->path.ptr, "/drop-watches"))
     dropped_watches = watches_started;
   else
@@ -290,5 +339,6 @@
 
   items = g_ptr_array_new ();
   history = g_ptr_array_new ();
+  set_era_header ();
   return fake_main (argc, argv, options, on_request, NULL);
 }
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -9,6 +9,16 @@
 
 #include <glib.h>
 
+/* A revision of the store, with the store's era in its upper 16 bits.  The era
+   rises each time the store comes back from an older copy, which gives numbers
+   out again; so of two revisions the higher one is newer.  */
+typedef uint64_t bb_revision;
+
+bb_revision bb_revision_of (uint64_t era, uint64_t number);
+uint64_t bb_revision_era (bb_revision r);
+/* The number that the store gave out in that era.  */
+uint64_t bb_revision_number (bb_revision r);
+
 /* Whether a request may run more than once.  */
 enum bb_call_kind
 {
@@ -97,7 +107,7 @@
 struct bb_config
 {
   uint32_t reference_count;
-  uint64_t revision;    /* store revision at which it was written */
+  bb_revision revision; /* at which it was written */
   uint64_t version;     /* version number that the operator set */
   GPtrArray *routes;    /* struct bb_route, longest prefix first */
   GHashTable *pools;    /* struct bb_pool by name */
@@ -173,7 +183,7 @@
   bool draining;           /* takes no new requests */
   uint32_t cold_left_ms;   /* remaining cold start when it registered */
   int64_t started_unix_ms; /* time of its start; 0: not known */
-  uint64_t revision;       /* store revision at which it registered */
+  bb_revision revision;    /* at which it registered */
 };
 
 /* Frees U, which may be NULL.  */
@@ -193,8 +203,10 @@
 struct bb_item
 {
   char *key;
-  GBytes *value;     /* NULL: the key was removed */
-  uint64_t revision; /* store revision at which the item last changed */
+  GBytes *value;        /* NULL: the key was removed */
+  bb_revision revision; /* at which the item last changed */
+  bool held; /* the store has something older, or nothing, since it came back
+                from a copy */
 };
 
 /* Frees ITEM, a struct bb_item.  Usable as a GDestroyNotify.  */
@@ -202,12 +214,18 @@
 
 /* Local copy of the store: items by key, each at the highest revision seen.
    Removed items stay, without a value, so that an older one that arrives late
-   does not bring them back.  */
+   does not bring them back.
+
+   When the store has come back from an older copy, an item of the new era
+   whose number is not higher than that of the one in the view is what the copy
+   has: the view keeps its own item, held, at the new revision.  A later change
+   in the new era replaces it.  */
 struct bb_view
 {
   GHashTable *items; /* struct bb_item by key */
-  uint64_t revision; /* all changes up to this store revision are in ITEMS;
-                        kept by the caller */
+  bb_revision
+      revision; /* all changes up to it are in ITEMS; kept by the caller
+                 */
 };
 
 /* Returns an empty view.  */
@@ -220,12 +238,21 @@
    and the value referenced.  Returns whether the item changed: false where V
    already has REVISION or a higher one of KEY.  */
 bool bb_view_put (struct bb_view *v, const char *key, GBytes *value,
-                  uint64_t revision);
+                  bb_revision revision);
+
+/* Holds the items that the store lacks after its return: KEYS is the set of
+   keys of the first complete listing in the new era, at REVISION.  */
+void bb_view_hold_missing (struct bb_view *v, GHashTable *keys,
+                           bb_revision revision);
+
+/* Holds no item any more: the next listing replaces those that the store has
+   otherwise.  */
+void bb_view_release_held (struct bb_view *v);
 
 /* Returns the keys that V has but the store no longer does.  KEYS is the set
    of keys of a complete listing of the store at REVISION; items newer than
    REVISION are not reported.  The array owns the keys; the caller frees it. */
 GPtrArray *bb_view_missing (const struct bb_view *v, GHashTable *keys,
-                            uint64_t revision);
+                            bb_revision revision);
 
 #endif
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -224,11 +224,16 @@
 typedef void bb_h1_fetch_fn (enum bb_h1_fetch_result result, uint16_t status,
                              struct bb_bytes body, void *user);
 
+/* Called with the head of the response, before the function of the fetch.  */
+typedef void bb_h1_fetch_head_fn (const struct bb_h1_message *head,
+                                  void *user);
+
 struct bb_h1_fetch_limits
 {
   /* Longest time from bb_h1_fetch to the end of the response.  */
   bb_ms timeout_ms;
   uint32_t body_max_bytes;
+  bb_h1_fetch_head_fn *on_head; /* NULL: not called */
 };
 
 /* Sends REQUEST and passes the response to FN, which is called exactly once
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -31,7 +31,7 @@
 {
   /* A peer sent the item KEY as of REVISION.  VALUE is NULL where the item was
      removed.  The item may be known already, or older than the known one.  */
-  void (*on_item) (const char *key, GBytes *value, uint64_t revision,
+  void (*on_item) (const char *key, GBytes *value, bb_revision revision,
                    void *user);
   /* The peer NAME sent its state M.  It has all items up to M->revision, and
      this process has received or already had all items up to M->sent.
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -73,10 +73,11 @@
    from bb_item_kind_of.  Return the result, which the caller frees by
    bb_config_unref or bb_upstream_free, or NULL with a constant sentence in
    *WHY.  */
-struct bb_config *bb_config_decode (GBytes *value, uint64_t revision,
+struct bb_config *bb_config_decode (GBytes *value, bb_revision revision,
                                     const char **why);
 struct bb_upstream *bb_upstream_decode (const char *id, GBytes *value,
-                                        uint64_t revision, const char **why);
+                                        bb_revision revision,
+                                        const char **why);
 
 /* Result of a request to the store.  */
 enum bb_store_result
@@ -89,6 +90,8 @@
   BB_STORE_LOST,        /* no complete response in time */
   BB_STORE_UNREADABLE,  /* unexpected status, or a malformed or too large
                            body */
+  BB_STORE_OUTDATED,    /* of an era before the present one; never passed to a
+                           bb_store_fn */
   BB_STORE_RESULTS
 };
 
@@ -98,10 +101,10 @@
 /* Decoded response of the store.  */
 struct bb_store_page
 {
-  GPtrArray *items;  /* struct bb_item */
-  uint64_t revision; /* store revision at the time of the response */
-  bool more;         /* a list has further pages, after its last key */
-  uint32_t unusable; /* number of malformed items, which are left out */
+  GPtrArray *items;     /* struct bb_item */
+  bb_revision revision; /* of the store at the time of the response */
+  bool more;            /* a list has further pages, after its last key */
+  uint32_t unusable;    /* number of malformed items, which are left out */
 };
 
 /* A read-only client of the platform's store.  It has at most one request in
@@ -126,9 +129,12 @@
 /* Requests the changes after REVISION of items whose keys begin with PREFIX.
    Where there are none yet, the store waits for one for up to WAIT_MS.  Ends
    after TIMEOUT_MS at the latest.  */
-void bb_store_watch (struct bb_store *s, const char *prefix, uint64_t revision,
-                     bb_ms wait_ms, bb_ms timeout_ms, bb_store_fn *fn,
-                     void *user);
+void bb_store_watch (struct bb_store *s, const char *prefix,
+                     bb_revision revision, bb_ms wait_ms, bb_ms timeout_ms,
+                     bb_store_fn *fn, void *user);
+
+/* Returns the era that the head of a response of the store tells; 0: none.  */
+uint64_t bb_store_era (const struct bb_h1_message *head);
 
 /* Cancels the request in progress, if any; its callback is not called.  */
 void bb_store_cancel (struct bb_store *s);
--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -40,15 +40,61 @@
   g_free (v);
 }
 
+enum
+{
+  REVISION_NUMBER_BITS = 48
+};
+
+bb_revision
+bb_revision_of (uint64_t era, uint64_t number)
+{
+  return era << REVISION_NUMBER_BITS
+         | (number & (((uint64_t)1 << REVISION_NUMBER_BITS) - 1));
+}
+
+uint64_t
+bb_revision_era (bb_revision r)
+{
+  return r >> REVISION_NUMBER_BITS;
+}
+
+uint64_t
+bb_revision_number (bb_revision r)
+{
+  return r & (((uint64_t)1 << REVISION_NUMBER_BITS) - 1);
+}
+
+static bool
+values_equal (GBytes *a, GBytes *b)
+{
+  return a && b ? g_bytes_equal (a, b) : a == b;
+}
+
+/* Whether REVISION, of a later era than I, is that of an older copy.  */
+static bool
+is_older_copy (const struct bb_item *i, bb_revision revision)
+{
+  return bb_revision_era (i->revision) < bb_revision_era (revision)
+         && bb_revision_number (revision) <= bb_revision_number (i->revision);
+}
+
 bool
 bb_view_put (struct bb_view *v, const char *key, GBytes *value,
-             uint64_t revision)
+             bb_revision revision)
 {
   struct bb_item *i = g_hash_table_lookup (v->items, key);
 
 #ifndef BB_MUTANT_view_revision
   if (i && i->revision >= revision)
     return false;
+#endif
+#ifndef BB_MUTANT_view_era
+  if (i && is_older_copy (i, revision))
+    {
+      i->held = !values_equal (i->value, value);
+      i->revision = revision;
+      return false;
+    }
 #endif
   if (!i)
     {
@@ -60,11 +106,48 @@
     g_bytes_unref (i->value);
   i->value = value ? g_bytes_ref (value) : NULL;
   i->revision = revision;
+  i->held = false;
   return true;
 }
 
+void
+bb_view_hold_missing (struct bb_view *v, GHashTable *keys,
+                      bb_revision revision)
+{
+  GHashTableIter it;
+  void *value;
+
+  g_hash_table_iter_init (&it, v->items);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct bb_item *i = value;
+      if (bb_revision_era (i->revision) == bb_revision_era (revision)
+          || g_hash_table_contains (keys, i->key))
+        continue;
+      i->held = i->value != NULL;
+      i->revision = revision;
+    }
+}
+
+void
+bb_view_release_held (struct bb_view *v)
+{
+  GHashTableIter it;
+  void *value;
+
+  g_hash_table_iter_init (&it, v->items);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct bb_item *i = value;
+      if (i->held)
+        i->revision = bb_revision_of (bb_revision_era (i->revision), 0);
+      i->held = false;
+    }
+}
+
 GPtrArray *
-bb_view_missing (const struct bb_view *v, GHashTable *keys, uint64_t revision)
+bb_view_missing (const struct bb_view *v, GHashTable *keys,
+                 bb_revision revision)
 {
   GPtrArray *missing = g_ptr_array_new_with_free_func (g_free);
   GHashTableIter it;
--- a/libh1/fetch.c
+++ b/libh1/fetch.c
@@ -11,6 +11,7 @@
   GByteArray *body;
   uint32_t body_max_bytes;
   uint16_t status;
+  bb_h1_fetch_head_fn *on_head;
   bb_h1_fetch_fn *fn;
   void *user;
 };
@@ -41,6 +42,8 @@
 
   (void)c;
   f->status = head->status;
+  if (f->on_head)
+    f->on_head (head, f->user);
 }
 
 static void
@@ -85,6 +88,7 @@
 
   f->body = g_byte_array_new ();
   f->body_max_bytes = limits->body_max_bytes;
+  f->on_head = limits->on_head;
   f->fn = fn;
   f->user = user;
   uv_timer_init (h1_pool_loop (p), &f->timer);
--- a/test/test_parts.c
+++ b/test/test_parts.c
@@ -55,7 +55,7 @@
                    BB_POISON_QUARANTINED);
   g_assert_cmpuint (bb_parts_quarantined (p, now), ==, 1);
   g_assert_cmpint (bb_parts_remaining_ms (p, request, 2, now), >=,
-                   59 * MINUTE_MS);
+                   (bb_ms)59 * MINUTE_MS);
   bb_parts_free (p);
 }
 
@@ -179,7 +179,7 @@
 {
   struct bb_parts *p = bb_parts_new ();
   uint32_t count = 0;
-  bb_ms later = now + 11 * MINUTE_MS;
+  bb_ms later = now + (bb_ms)11 * MINUTE_MS;
   uint64_t part = P;
 
   bb_parts_record_sound (p, A, now);
@@ -190,8 +190,8 @@
   crash (p, 12, 22, true, P, 0);
   g_assert_cmpint (bb_parts_state (p, &part, 1, later), ==,
                    BB_POISON_QUARANTINED);
-  g_assert_cmpint (bb_parts_state (p, &part, 1, now + 61 * MINUTE_MS), ==,
-                   BB_POISON_CLEAN);
+  g_assert_cmpint (bb_parts_state (p, &part, 1, now + (bb_ms)61 * MINUTE_MS),
+                   ==, BB_POISON_CLEAN);
   for (uint64_t i = 0; i < 1000; i++)
     crash (p, 1000 + i, 5000 + i, false, 100 + i, 0);
   bb_parts_each (p, now, count_crash, &count);
