--- a/cmd/rank/engine.c
+++ b/cmd/rank/engine.c
@@ -272,6 +272,7 @@
   struct sockaddr_storage addr;
 
   poller.agent = a;
+  a->engine.leader_rank = BB_GROUP_NO_RANK;
   if (bb_address_parse (a->settings->upstream_address, &addr))
     poller.pool = bb_h1_pool_new (a->loop, &addr, CONNECT_TIMEOUT_MS);
 }
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -169,12 +169,18 @@
   uint32_t via_rank;   /* rank whose agent sends the order */
 };
 
+enum
+{
+  BB_GROUP_NO_RANK = UINT32_MAX
+};
+
 /* The state of one rank, as last reported, and of the orders sent to it.  0
    stands for no version and no step.  */
 struct bb_group_switch_rank
 {
   bool known;                /* a state was reported */
-  bool attached;             /* its agent takes orders of this leader */
+  bool attached;             /* its agent takes orders of this leader, and
+                                reported what is known of the agent */
   bool open;                 /* its group takes work */
   bb_ms reported_ms;         /* time of the last report */
   uint64_t epoch;            /* epoch of its group */
@@ -185,7 +191,8 @@
   uint64_t armed_step;       /* pass from which it uses armed_version */
   uint64_t held_step;        /* pass that it holds */
   uint32_t last_leader;      /* rank of the leader that sent the last order
-                                which its agent passed on to it */
+                                which its agent passed on to it;
+                                BB_GROUP_NO_RANK: none, or not known */
   uint64_t disarmed_version; /* version that its agent last had it disarm */
   uint64_t disarmed_epoch;   /* epoch of disarmed_version */
   uint64_t relayed_epoch;    /* epoch of the last ARM that its agent relayed,
--- a/libgroup/switch.c
+++ b/libgroup/switch.c
@@ -48,6 +48,8 @@
   memset (sw->current_map, 0xff,
           bb_group_places (size) * sizeof *sw->current_map);
   memset (sw->next_map, 0xff, bb_group_places (size) * sizeof *sw->next_map);
+  for (uint32_t r = 0; r < size->ranks; r++)
+    sw->ranks[r].last_leader = BB_GROUP_NO_RANK;
 }
 
 void
@@ -164,6 +166,20 @@
     sw->highest_version = k->armed_version;
 }
 
+/* Keeps in K what only the agent of a rank can report.  */
+static void
+keep_agent_report (struct bb_group_switch_rank *k,
+                   const struct bb_group_switch_rank *before)
+{
+  k->last_leader = before->last_leader;
+  k->disarmed_version = before->disarmed_version;
+  k->disarmed_epoch = before->disarmed_epoch;
+  k->relayed_epoch = before->relayed_epoch;
+  k->relayed_version = before->relayed_version;
+  k->relayed_rank = before->relayed_rank;
+  k->relayed_accepted = before->relayed_accepted;
+}
+
 void
 bb_group_switch_update_rank (struct bb_group_switch *sw, uint32_t rank,
                              const struct bb_group_switch_rank *state,
@@ -177,6 +193,8 @@
   k = &sw->ranks[rank];
   before = *k;
   *k = *state;
+  if (!state->attached)
+    keep_agent_report (k, &before);
   k->known = true;
   k->reported_ms = now;
   k->done = before.done;
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -734,6 +734,50 @@
   g_free (sim);
 }
 
+static void
+ignore_order (uint32_t rank, const struct bb_group_switch_order *o, void *user)
+{
+  (void)rank;
+  (void)o;
+  (void)user;
+}
+
+/* The report of an engine whose agent is not connected tells nothing of its
+   agent: what the agent reported before stays, and nothing is known of one
+   that never did, also not that rank 0 led it.  */
+static void
+test_polled_rank (void)
+{
+  struct bb_group_switch_rank by_agent = { .attached = true,
+                                           .open = true,
+                                           .epoch = 1,
+                                           .last_leader = 2,
+                                           .disarmed_version = 7,
+                                           .disarmed_epoch = 1,
+                                           .relayed_epoch = 1,
+                                           .relayed_version = 8,
+                                           .relayed_rank = 2,
+                                           .relayed_accepted = true };
+  struct bb_group_switch_rank polled
+      = { .open = true, .epoch = 1, .map_version = 3 };
+  struct bb_group_switch sw;
+
+  bb_group_switch_init (&sw, &size, 0, ignore_order, NULL);
+  bb_group_switch_update_rank (&sw, 1, &by_agent, NULL, 10);
+  bb_group_switch_update_rank (&sw, 1, &polled, NULL, 20);
+  g_assert_cmpuint (sw.ranks[1].map_version, ==, 3);
+  g_assert_false (sw.ranks[1].attached);
+  g_assert_cmpuint (sw.ranks[1].last_leader, ==, 2);
+  g_assert_cmpuint (sw.ranks[1].disarmed_version, ==, 7);
+  g_assert_cmpuint (sw.ranks[1].disarmed_epoch, ==, 1);
+  g_assert_cmpuint (sw.ranks[1].relayed_version, ==, 8);
+  g_assert_cmpuint (sw.ranks[1].relayed_rank, ==, 2);
+  g_assert_true (sw.ranks[1].relayed_accepted);
+  bb_group_switch_update_rank (&sw, 2, &polled, NULL, 20);
+  g_assert_cmpuint (sw.ranks[2].last_leader, !=, 0);
+  bb_group_switch_free (&sw);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -749,5 +793,6 @@
   g_test_add_func ("/group/switch/detached-ranks", test_detached_ranks);
   g_test_add_func ("/group/switch/two-leaders", test_two_leaders);
   g_test_add_func ("/group/switch/epoch", test_epoch_ends_switch);
+  g_test_add_func ("/group/polled-rank", test_polled_rank);
   return g_test_run ();
 }
