rank: a leader keeps no order whose result cannot come

An order that was not sent, since the agent of its rank is not connected, and one whose connection ended stayed in the table of pending orders, and a switch gives it again each 20 ms. Change: an order is kept only if it was sent, and is dropped with its connection.

--- a/cmd/edge/suspect.c
+++ b/cmd/edge/suspect.c
@@ -127,7 +127,7 @@
 log_part (struct edge *e, uint64_t part, const struct bb_part_crash *c,
           const char *source)
 {
-  static const char *const states[] = { "sound", "suspect", "quarantined" };
+  static const char *const states[] = { "clean", "suspect", "quarantined" };
   char text[FINGERPRINT_TEXT_SIZE];
   char request[FINGERPRINT_TEXT_SIZE];
 
--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -37,6 +37,9 @@
 {
   uint64_t id;
   uint32_t rank;
+  /* Whose agent sends it; NULL: sent by HTTP, which always ends in a result.
+   */
+  const struct follower_conn *follower;
   struct bb_group_switch_order order;
 };
 
@@ -75,6 +78,14 @@
                 "abandoned", (int)s->abandoned);
 }
 
+/* Updates the metric after a change of the table.  */
+static void
+count_pending (const struct leader *l)
+{
+  bb_counter ("bilberry_orders_pending", "")->value
+      = g_hash_table_size (l->pending_orders);
+}
+
 static void
 handle_result (uint64_t id, uint16_t status)
 {
@@ -97,6 +108,7 @@
       log_phase (l);
     }
   g_hash_table_remove (l->pending_orders, &id);
+  count_pending (l);
 }
 
 static void
@@ -217,18 +229,25 @@
   o->id = ++l->last_order_id;
   o->rank = rank;
   o->order = *order;
-  g_hash_table_insert (l->pending_orders, &o->id, o);
   if (!by_self && f)
-    send_order_to_follower (f, o, order->via_rank == rank ? NULL : address);
+    {
+      o->follower = f;
+      g_hash_table_insert (l->pending_orders, &o->id, o);
+      send_order_to_follower (f, o, order->via_rank == rank ? NULL : address);
+    }
   else if (address && (by_self || finishing))
     {
+      g_hash_table_insert (l->pending_orders, &o->id, o);
       if (rank == l->map_switch.self_rank)
         engine_note_leader (l->agent, l->map_switch.self_rank,
                             convert_op (order->op), order->version,
                             order->epoch);
       send_order_direct (address, o);
     }
+  else
+    g_free (o);
   g_free (address);
+  count_pending (l);
 }
 
 /* Initializes the switch for RANKS ranks, of which this agent's is SELF, if
@@ -356,11 +375,22 @@
   bb_conn_set_user (c, f);
 }
 
+static gboolean
+is_order_of (gpointer id, gpointer order, gpointer follower)
+{
+  (void)id;
+  return ((const struct pending_order *)order)->follower == follower;
+}
+
 static void
 on_close (struct bb_conn *c, const char *why)
 {
   struct follower_conn *f = bb_conn_user (c);
 
+  /* Their results cannot come any more.  */
+  g_hash_table_foreach_remove (leader.pending_orders, is_order_of, f);
+  count_pending (&leader);
+
   /* Agents of other groups connect only to learn the group; the end of such a
      connection is not logged.  */
   if (f->in_group)
@@ -528,6 +558,7 @@
   bb_group_switch_free (&l->map_switch);
   bb_demand_free (&l->demand);
   g_hash_table_remove_all (l->pending_orders);
+  count_pending (l);
 }
 
 void
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -235,6 +235,7 @@
   char *path = g_strdup_printf ("%s/side-%u.yaml",
                                 harness_config_dir (t->harness), r);
   char name[32];
+  char metrics[8];
   pid_t pid;
 
   if (t->agent_port == 0)
@@ -249,7 +250,10 @@
   g_snprintf (name, sizeof name, "side-%u.yaml", r);
   harness_write_file (harness_config_dir (t->harness), name, text);
   g_snprintf (name, sizeof name, "side-%u", r);
-  pid = harness_spawn (t->harness, name, "bilberry-rank", "-s", path, NULL);
+  t->agent_metrics_ports[r] = harness_port (t->harness);
+  g_snprintf (metrics, sizeof metrics, "%u", t->agent_metrics_ports[r]);
+  pid = harness_spawn (t->harness, name, "bilberry-rank", "-s", path,
+                       "--metrics", metrics, NULL);
   g_free (text);
   g_free (path);
   return pid;
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -34,6 +34,7 @@
   char replica_pools[TESTBED_MAX][TESTBED_TEXT_SIZE];
   uint32_t replicas_count;
   uint16_t agent_port; /* port of all agents; 0: no agent started yet */
+  uint16_t agent_metrics_ports[TESTBED_MAX]; /* by replica */
 };
 
 /* Initializes T, which the caller frees with testbed_free, and starts a fake
--- a/test/test_rank.c
+++ b/test/test_rank.c
@@ -1,7 +1,10 @@
 /* Tests of bilberry-rank with real processes.  */
 
+#include "harness/frame.h"
 #include "harness/testbed.h"
 
+#include "bilberry/base.h"
+
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
@@ -118,6 +121,77 @@
   testbed_free (&testbed);
 }
 
+enum
+{
+  STATE_INTERVAL_MS = 100,
+  STATES = 12,
+  CLOSED_MS = 300 /* until the leader knows that a connection has ended */
+};
+
+/* Sends the state of rank 1, whose engine is armed with a map.  */
+static void
+send_state (struct frame_peer *p)
+{
+  struct bb_rank_state m = { .upstream = bb_bytes_of ("127.0.0.9"),
+                             .group = bb_bytes_of ("g"),
+                             .epoch = 1,
+                             .rank = 1,
+                             .size = 2,
+                             .open = true,
+                             .step = 9,
+                             .prepared = 5,
+                             .armed = 5,
+                             .armed_step = 1000 };
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&out);
+  bb_put_rank_state (&out, &m);
+  frame_send (p, &out);
+  msgpack_sbuffer_destroy (&out);
+}
+
+static uint64_t
+count_pending (struct testbed *t)
+{
+  return harness_counter (t->agent_metrics_ports[0], "bilberry_orders_pending",
+                          "");
+}
+
+/* Orders to an agent that never answers wait for their results as long as its
+   connection lasts; those that cannot be sent do not.  */
+static void
+test_orders_lost (void)
+{
+  struct testbed testbed;
+  struct frame_peer *p;
+  struct bb_message m;
+  uint32_t orders = 0;
+
+  testbed_init (&testbed);
+  testbed_start_replica (&testbed, "i-1", "draft", "");
+  testbed_start_edge (&testbed, 0);
+  testbed_start_rank (&testbed, 0);
+  g_assert_true (wait_for_log (&testbed, "side-0", "\"event\":\"leads\""));
+  p = frame_connect (testbed.agent_port);
+  for (uint32_t i = 0; i < STATES; i++)
+    {
+      send_state (p);
+      if (frame_await (p, BB_MSG_RANK_ORDER, &m, STATE_INTERVAL_MS))
+        {
+          bb_message_free (&m);
+          orders++;
+        }
+    }
+  g_test_message ("%u orders seen, %" G_GUINT64_FORMAT " pending", orders,
+                  count_pending (&testbed));
+  g_assert_cmpuint (orders, >, 0);
+  g_assert_cmpuint (count_pending (&testbed), >, 0);
+  frame_close (p);
+  harness_sleep_ms (CLOSED_MS);
+  g_assert_cmpuint (count_pending (&testbed), ==, 0);
+  testbed_free (&testbed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -127,5 +201,6 @@
   g_test_add_func ("/rank/first-knows-nothing",
                    test_first_agent_without_report);
   g_test_add_func ("/rank/leader-stops", test_leader_stopped);
+  g_test_add_func ("/rank/orders-lost", test_orders_lost);
   return g_test_run ();
 }
