edge: after the store's return, values tell which of two is newer where numbers cannot

Change: a configuration tells by its version, an upstream by its start, by draining and by its count of changes. The guard items_known builds again.

--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -408,6 +408,7 @@
 fleet_init (struct edge *e)
 {
   e->view = bb_view_new ();
+  e->view->is_newer_value = bb_item_is_newer;
   e->targets = g_hash_table_new (g_str_hash, g_str_equal);
   e->target_list = g_ptr_array_new ();
   e->evacuated_domains
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -206,9 +206,10 @@
         continue;
       is_new = fleet_apply_item (r->edge, item->key, item->value,
                                  item->revision, "store");
-#ifndef BB_MUTANT_items_known
-      all_new &= is_new;
+#ifdef BB_MUTANT_items_known
+      is_new = true;
 #endif
+      all_new &= is_new;
     }
   g_hash_table_unref (newest);
   return all_new;
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -125,6 +125,7 @@
   int error;
 
   a->view = bb_view_new ();
+  a->view->is_newer_value = bb_item_is_newer;
   a->upstreams
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   a->peers = bb_peers_new (a->loop, &o, a->view, &peer_ops, a, &error);
--- a/fake/store/store.c
+++ b/fake/store/store.c
@@ -11,9 +11,10 @@
      POST /mode?is=M     sets how the service responds to reads
      POST /save          takes a copy of all items
      POST /restore       returns from that copy: what came after it is lost,
-   its revisions are given out again, and the era, which the header Store-Era
-   of each response tells, rises by one POST /drop-watches  never responds to
-   the watches that wait now
+                         its revisions are given out again, and the era, which
+                         each response has as Store-Era, rises by one
+     GET /calls          returns how many reads came so far
+     POST /drop-watches  never responds to the watches that wait now
 
    The modes are ok, busy (429), unavailable (503), garbage (malformed JSON)
    and silent (no response, not even to a watch that waits already; calls that
@@ -56,6 +57,7 @@
 static GPtrArray *saved_items;
 static uint64_t saved_revision;
 static uint32_t era = 1;
+static uint64_t read_calls;
 static uint64_t watches_started;
 static uint64_t dropped_watches; /* the first watches, up to this many, get no
                                     response */
@@ -289,6 +291,7 @@
 static void
 on_read (struct bb_http_request *r)
 {
+  read_calls++;
   if (strcmp (mode, "busy") == 0)
     fake_respond_text (r, 429, "busy");
   else if (strcmp (mode, "unavailable") == 0)
@@ -310,7 +313,13 @@
   char *new_mode = query_value (r->path, "is");
 
   (void)arg;
-  if (bb_bytes_equal (r->method, "GET"))
+  if (g_str_has_prefix (r->path.ptr, "/calls"))
+    {
+      char text[32];
+      g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, read_calls);
+      fake_respond_text (r, 200, text);
+    }
+  else if (bb_bytes_equal (r->method, "GET"))
     on_read (r);
   else if (g_str_has_prefix (r->path.ptr, "/put"))
     put_item (key, &r->body);
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -218,14 +218,17 @@
 
    When the store has come back from an older copy, an item of the new era
    whose number is not higher than that of the one in the view is what the copy
-   has: the view keeps its own item, held, at the new revision.  A later change
-   in the new era replaces it.  */
+   has: the view keeps its own item, held, at the new revision, unless the
+   values show that the store's is newer.  A later change in the new era
+   replaces it.  */
 struct bb_view
 {
   GHashTable *items; /* struct bb_item by key */
-  bb_revision
-      revision; /* all changes up to it are in ITEMS; kept by the caller
-                 */
+  /* All changes up to it are in ITEMS; kept by the caller.  */
+  bb_revision revision;
+  /* Returns whether VALUE of KEY was written after KNOWN, as far as they tell
+     themselves; set by the caller, NULL: they never do.  */
+  bool (*is_newer_value) (const char *key, GBytes *known, GBytes *value);
 };
 
 /* Returns an empty view.  */
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -79,6 +79,11 @@
                                         bb_revision revision,
                                         const char **why);
 
+/* Returns whether VALUE of the item KEY was written after KNOWN, by the
+   version of a configuration, or by the start, the state or the count of
+   changes of an upstream.  False also where they do not tell.  */
+bool bb_item_is_newer (const char *key, GBytes *known, GBytes *value);
+
 /* Result of a request to the store.  */
 enum bb_store_result
 {
--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -70,12 +70,17 @@
   return a && b ? g_bytes_equal (a, b) : a == b;
 }
 
-/* Whether REVISION, of a later era than I, is that of an older copy.  */
+/* Whether VALUE at REVISION, of a later era than I, is that of an older copy.
+ */
 static bool
-is_older_copy (const struct bb_item *i, bb_revision revision)
+is_older_copy (const struct bb_view *v, const struct bb_item *i, GBytes *value,
+               bb_revision revision)
 {
-  return bb_revision_era (i->revision) < bb_revision_era (revision)
-         && bb_revision_number (revision) <= bb_revision_number (i->revision);
+  if (bb_revision_era (i->revision) >= bb_revision_era (revision)
+      || bb_revision_number (revision) > bb_revision_number (i->revision))
+    return false;
+  return !v->is_newer_value || !i->value || !value
+         || !v->is_newer_value (i->key, i->value, value);
 }
 
 bool
@@ -89,7 +94,7 @@
     return false;
 #endif
 #ifndef BB_MUTANT_view_era
-  if (i && is_older_copy (i, revision))
+  if (i && is_older_copy (v, i, value, revision))
     {
       i->held = !values_equal (i->value, value);
       i->revision = revision;
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -8,7 +8,7 @@
 
 enum
 {
-  TESTBED_MAX = 16,
+  TESTBED_MAX = 32,
   TESTBED_TEXT_SIZE = 16
 };
 
--- a/test/test_edge_return.c
+++ b/test/test_edge_return.c
@@ -106,6 +106,26 @@
   testbed_free (&t);
 }
 
+/* The next configuration is written as the store returns, before any edge has
+   looked, at a revision that was given out before.  */
+static void
+test_config_at_return (void)
+{
+  struct testbed t;
+
+  start (&t);
+  testbed_put_config (&t, 3, "", "");
+  check_in_time (&t, "key-2", 401);
+  testbed_set_store_mode (&t, "silent");
+  harness_sleep_ms (REWRITE_MS);
+  post (&t, "/restore");
+  testbed_put_config (&t, 4, "", ",\"key-4\"");
+  testbed_set_store_mode (&t, "ok");
+  check_in_time (&t, "key-4", 200);
+  check_stays (&t, "key-2", 401, SETTLED_MS);
+  testbed_free (&t);
+}
+
 static void
 put_upstream (struct testbed *t, uint32_t r, const char *id, const char *state)
 {
@@ -161,6 +181,28 @@
   testbed_free (&t);
 }
 
+/* An upstream that begins to leave as the store returns gets no more
+   requests.  */
+static void
+test_leaving_at_return (void)
+{
+  struct testbed t;
+  uint32_t runs;
+
+  start (&t);
+  put_upstream (&t, 0, "i-1", "ready");
+  harness_sleep_ms (REWRITE_MS / 2);
+  testbed_set_store_mode (&t, "silent");
+  post (&t, "/restore");
+  put_upstream (&t, 0, "i-1", "draining");
+  testbed_set_store_mode (&t, "ok");
+  harness_sleep_ms (CONFIG_DEADLINE_MS);
+  runs = count_runs_at (&t, 0);
+  check_stays (&t, "key-2", 200, OBSERVE_MS);
+  g_assert_cmpuint (count_runs_at (&t, 0), ==, runs);
+  testbed_free (&t);
+}
+
 /* What the copy lacks is no removal: the only upstreams registered after it,
    and stay in use until they have registered again.  One that does not is gone
    after that time.  */
@@ -277,7 +319,9 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/return/config", test_config);
+  g_test_add_func ("/return/config-at-return", test_config_at_return);
   g_test_add_func ("/return/leaving", test_leaving);
+  g_test_add_func ("/return/leaving-at-return", test_leaving_at_return);
   g_test_add_func ("/return/missing", test_missing);
   g_test_add_func ("/return/evacuated", test_evacuated);
   g_test_add_func ("/return/twice", test_twice);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -135,6 +135,38 @@
   g_assert_cmpuint (info.shared_parts_count, ==, 0);
 }
 
+static bool
+is_newer (const char *key, const char *known, const char *value)
+{
+  g_autoptr (GBytes) a = g_bytes_new (known, strlen (known));
+  g_autoptr (GBytes) b = g_bytes_new (value, strlen (value));
+
+  return bb_item_is_newer (key, a, b);
+}
+
+/* What values tell of which was written later; nothing where they are
+   malformed or say the same.  */
+static void
+test_newer_item (void)
+{
+  static const char ready[] = "{\"state\":\"ready\",\"born\":5,\"seq\":7}";
+  static const char leaving[]
+      = "{\"state\":\"draining\",\"born\":5,\"seq\":8}";
+
+  g_assert_true (is_newer ("op/config", "{\"version\":4}", "{\"version\":9}"));
+  g_assert_false (
+      is_newer ("op/config", "{\"version\":9}", "{\"version\":4}"));
+  g_assert_true (is_newer ("servers/i", ready, leaving));
+  g_assert_false (is_newer ("servers/i", leaving, ready));
+  g_assert_false (is_newer ("servers/i", ready, ready));
+  g_assert_true (is_newer ("servers/i", leaving,
+                           "{\"state\":\"ready\",\"born\":6,\"seq\":1}"));
+  g_assert_true (is_newer ("servers/i", ready,
+                           "{\"state\":\"ready\",\"born\":5,\"seq\":9}"));
+  g_assert_false (is_newer ("servers/i", ready, "no JSON"));
+  g_assert_false (is_newer ("op/evacuate/z", "{}", "{}"));
+}
+
 static void
 test_retry_after (void)
 {
@@ -231,6 +263,7 @@
   g_test_add_func ("/platform/start/faults", test_settings_errors);
   g_test_add_func ("/platform/headers", test_headers);
   g_test_add_func ("/platform/prompt-parts", test_prompt_parts);
+  g_test_add_func ("/platform/newer-item", test_newer_item);
   g_test_add_func ("/platform/retry-after", test_retry_after);
   g_test_add_func ("/platform/event-id", test_event_id);
   g_test_add_func ("/platform/order", test_order);
