edge: the view's revision rises with the first listing after the store's return

Found when reading the change: the listing that holds what the copy lacks left the view at the revision of the era before until the next watch had answered, up to 1 s, in which peers were told so and would send all items again.

--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -215,23 +215,27 @@
   return all_new;
 }
 
-/* Removes the items that the complete listing lacks, unless they are held.  */
 static void
-finish_listing (struct reader *r)
+remove_missing (struct reader *r)
 {
-  GPtrArray *missing;
+  GPtrArray *missing
+      = bb_view_missing (r->edge->view, r->listed_keys, r->revision);
 
-  r->listed = true;
-  if (r->holds_missing)
-    {
-      bb_view_hold_missing (r->edge->view, r->listed_keys, r->revision);
-      return;
-    }
-  missing = bb_view_missing (r->edge->view, r->listed_keys, r->revision);
   for (guint i = 0; i < missing->len; i++)
     fleet_apply_item (r->edge, g_ptr_array_index (missing, i), NULL,
                       r->revision, "store");
   g_ptr_array_unref (missing);
+}
+
+/* Removes the items that the complete listing lacks, unless they are held.  */
+static void
+finish_listing (struct reader *r)
+{
+  r->listed = true;
+  if (r->holds_missing)
+    bb_view_hold_missing (r->edge->view, r->listed_keys, r->revision);
+  else
+    remove_missing (r);
   if (r->revision > r->edge->view->revision)
     r->edge->view->revision = r->revision;
 }
