--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -250,6 +250,22 @@
 /* Returns the time of the event loop.  */
 bb_ms edge_now (const struct edge *e);
 
+/* store_calls.c: calls to the store, each on a connection of its own, of which
+   several may be in flight.  */
+struct store_call;
+void store_calls_start (struct edge *e);
+/* Whether any call is in flight.  */
+bool store_calls_in_flight (void);
+/* Returns a call that counts as in flight from now on; where all did, the
+   oldest one is cancelled.  */
+struct store_call *store_call_begin (void);
+/* Returns the client to make call C with.  */
+struct bb_store *store_call_client (const struct store_call *c);
+/* Call C got a response or failed.  Returns how long it took.  */
+bb_ms store_call_end (struct store_call *c);
+/* Cancels all calls in flight; their callbacks are not called.  */
+void store_calls_cancel (void);
+
 /* reader.c: keeps the view up to date with the store.  */
 void reader_start (struct edge *e);
 /* Cancels the current call and lists the store from its first key.  */
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -13,7 +13,6 @@
   PROBE_WAIT_MS = 1,       /* a response is all that is wanted */
   WATCH_TIMEOUT_MS = 2300, /* longest time for the whole call */
   STANDBY_CHECK_MS = 100,  /* time between checks whether a watch is needed */
-  CALLS_MAX = 8,           /* more than start within a timeout */
 
   /* Longest time that the first call waits for a peer, which knows what a
      store that came back from a copy lacks.  */
@@ -25,20 +24,10 @@
   LEASE_HEARTBEATS = 3
 };
 
-/* A call to the store, on a connection of its own.  */
-struct call
-{
-  struct reader *reader;
-  struct bb_store *store;
-  bool in_flight;
-  bb_ms started_ms;
-};
-
 struct reader
 {
   struct edge *edge;
   uv_timer_t timer; /* start of the next call, or the next check in standby */
-  struct call calls[CALLS_MAX];
   GHashTable *listed_keys; /* keys of the current listing */
   char *last_key;          /* last key of the current listing; "": none yet */
   bb_revision revision;    /* of the first page listed, then the one to watch
@@ -81,52 +70,15 @@
       (uint64_t)bb_store_next_call_ms (&s, g_rand_double (e->rand)), 0);
 }
 
-static bool
-has_call_in_flight (const struct reader *r)
-{
-  for (uint32_t i = 0; i < CALLS_MAX; i++)
-    if (r->calls[i].in_flight)
-      return true;
-  return false;
-}
-
-/* Returns a call that is not in flight; where all are, the oldest one is
-   cancelled.  */
-static struct call *
-take_call (struct reader *r)
-{
-  struct call *oldest = &r->calls[0];
-
-  for (uint32_t i = 0; i < CALLS_MAX; i++)
-    {
-      struct call *c = &r->calls[i];
-      if (!c->in_flight)
-        return c;
-      if (c->started_ms < oldest->started_ms)
-        oldest = c;
-    }
-  bb_store_cancel (oldest->store);
-  return oldest;
-}
-
 static void
-cancel_calls (struct reader *r)
+record_failure (struct store_call *c, enum bb_store_result result,
+                const char *name)
 {
-  for (uint32_t i = 0; i < CALLS_MAX; i++)
-    {
-      bb_store_cancel (r->calls[i].store);
-      r->calls[i].in_flight = false;
-    }
-}
-
-static void
-record_failure (struct call *c, enum bb_store_result result, const char *name)
-{
-  struct reader *r = c->reader;
+  struct reader *r = &reader;
   struct edge *e = r->edge;
   bool was_ok = e->store_ok;
+  bb_ms took_ms = store_call_end (c);
 
-  c->in_flight = false;
   bb_counter ("bilberry_store_failures_total", "")->value++;
   if (r->failed_calls == 0)
     bb_log_event ("store_lost", "{s:s, s:s, s:I, s:I}", "call", name, "why",
@@ -137,7 +89,7 @@
   e->store_ok = false;
   bb_log_event ("store_call_failed", "{s:s, s:s, s:I, s:i}", "call", name,
                 "why", bb_store_result_name (result), "took_ms",
-                (json_int_t)(edge_now (e) - c->started_ms), "peers_watching",
+                (json_int_t)took_ms, "peers_watching",
                 (int)bb_peers_count_readers (e->peers));
   if (was_ok || !uv_is_active ((uv_handle_t *)&r->timer))
     schedule_next_call (r, 0);
@@ -145,14 +97,14 @@
 
 /* The other calls are cancelled, as they may never get a response.  */
 static void
-record_success (struct call *c)
+record_success (struct store_call *c)
 {
-  struct reader *r = c->reader;
+  struct reader *r = &reader;
   struct edge *e = r->edge;
   bool was_ok = e->store_ok;
 
-  c->in_flight = false;
-  cancel_calls (r);
+  store_call_end (c);
+  store_calls_cancel ();
   if (!was_ok)
     {
       bb_log_event ("store_back", "{s:I, s:I, s:I, s:i}", "era",
@@ -250,8 +202,8 @@
 on_listed (enum bb_store_result result, const struct bb_store_page *page,
            void *user)
 {
-  struct call *c = user;
-  struct reader *r = c->reader;
+  struct store_call *c = user;
+  struct reader *r = &reader;
 
   if (result == BB_STORE_OK && is_of_past_era (r, page))
     result = BB_STORE_OUTDATED;
@@ -283,8 +235,8 @@
 on_watched (enum bb_store_result result, const struct bb_store_page *page,
             void *user)
 {
-  struct call *c = user;
-  struct reader *r = c->reader;
+  struct store_call *c = user;
+  struct reader *r = &reader;
   bb_revision since = r->revision;
   bool all_new;
 
@@ -356,20 +308,19 @@
 static void
 start_call (struct reader *r)
 {
-  bool probes = !r->edge->store_ok || has_call_in_flight (r);
-  struct call *c = take_call (r);
+  bool probes = !r->edge->store_ok || store_calls_in_flight ();
+  struct store_call *c = store_call_begin ();
+  struct bb_store *s = store_call_client (c);
   bb_ms wait_ms = 0;
 
-  c->in_flight = true;
-  c->started_ms = edge_now (r->edge);
   if (r->listed)
     {
       wait_ms = probes ? PROBE_WAIT_MS : WATCH_WAIT_MS;
-      bb_store_watch (c->store, "", r->revision, wait_ms, WATCH_TIMEOUT_MS,
+      bb_store_watch (s, "", r->revision, wait_ms, WATCH_TIMEOUT_MS,
                       on_watched, c);
     }
   else
-    bb_store_list (c->store, "", r->last_key, LIST_TIMEOUT_MS, on_listed, c);
+    bb_store_list (s, "", r->last_key, LIST_TIMEOUT_MS, on_listed, c);
 #ifndef BB_MUTANT_store_overlap
   schedule_next_call (r, wait_ms);
 #endif
@@ -383,7 +334,7 @@
       && !bb_should_watch_store (
           bb_peers_count_readers_before (r->edge->peers)))
     {
-      cancel_calls (r);
+      store_calls_cancel ();
       enter_standby (r);
       return;
     }
@@ -413,7 +364,7 @@
 {
   struct reader *r = &reader;
 
-  cancel_calls (r);
+  store_calls_cancel ();
   uv_timer_stop (&r->timer);
   r->listed = false;
   r->standby = false;
@@ -464,11 +415,7 @@
   struct reader *r = &reader;
 
   r->edge = e;
-  for (uint32_t i = 0; i < CALLS_MAX; i++)
-    {
-      r->calls[i].reader = r;
-      r->calls[i].store = bb_store_new (e->loop, e->settings->store_address);
-    }
+  store_calls_start (e);
   r->response_ms = edge_now (e);
   r->listed_keys
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
