--- a/libadmit/parts.c
+++ b/libadmit/parts.c
@@ -74,8 +74,12 @@
 void
 bb_parts_free (struct bb_parts *p)
 {
-  while (p->oldest_sound)
-    remove_sound (p, p->oldest_sound);
+  struct sound_part *s;
+  struct sound_part *next;
+
+  HASH_CLEAR (hh, p->sound);
+  DL_FOREACH_SAFE (p->oldest_sound, s, next)
+  free (s);
   while (p->crashes)
     remove_crash (p, p->crashes);
   free (p);
