libh1: tell of connections that the server closes and of input that it discards

A caller's connection was closed without a trace, except to make room. Counters by reason (idle, stop, next_request) and of discarded bytes, and one log line for each connection with discarded input. No behaviour changes.

--- a/libh1/server.c
+++ b/libh1/server.c
@@ -4,6 +4,7 @@
 #include "bilberry/net.h"
 #include "h1.h"
 
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -32,7 +33,7 @@
   bool close_after_response;
   bool closing;   /* the socket handle is being closed */
   bool lingering; /* start_lingering_close was called */
-  bool reading;   /* unused */
+  bool discarded; /* input was discarded */
   size_t queued_bytes;
   bb_ms state_since_ms; /* start of the current request, of idling, or of a
                            phase of the lingering close */
@@ -74,6 +75,27 @@
   free (c);
 }
 
+/* Counts connections that the server closes without having told the caller in
+   a response.  */
+static void
+count_close (const char *labels)
+{
+  bb_counter ("bilberry_channels_closed_total", labels)->value++;
+}
+
+/* The caller sent SIZE bytes after the server began to close the connection;
+   a request among them gets no response.  */
+static void
+discard_input (struct connection *c, size_t size)
+{
+  bb_counter ("bilberry_channels_discarded_bytes_total", "")->value += size;
+  if (c->discarded)
+    return;
+  c->discarded = true;
+  bb_log_event ("input_discarded", "{s:I, s:I}", "bytes", (json_int_t)size,
+                "closing_ms", (json_int_t)(now_ms (c) - c->state_since_ms));
+}
+
 static void
 close_connection (struct connection *c)
 {
@@ -457,12 +479,18 @@
       return;
     }
   if (c->lingering)
-    return;
+    {
+      discard_input (c, (size_t)size);
+      return;
+    }
   h1_buffer_append (&c->input, buf->base, (size_t)size);
   if (!c->responding)
     process_input (c);
   else if (c->input.size > PIPELINED_MAX_BYTES)
-    handle_disconnect (c);
+    {
+      count_close ("reason=\"next_request\"");
+      handle_disconnect (c);
+    }
 }
 
 /* Closes the connection that has been idle for longest, to make room for a new
@@ -530,7 +558,10 @@
   else if (c->reader.started && age > limits->read_timeout_ms)
     reject_request (c, 408);
   else if (!c->reader.started && age > limits->idle_timeout_ms)
-    start_lingering_close (c);
+    {
+      count_close ("reason=\"idle\"");
+      start_lingering_close (c);
+    }
 }
 
 static void
@@ -605,7 +636,10 @@
   uv_close ((uv_handle_t *)&s->tcp, NULL);
   DL_FOREACH_SAFE (s->connections, c, next)
   if (!c->responding && !c->reader.started)
-    start_lingering_close (c);
+    {
+      count_close ("reason=\"stop\"");
+      start_lingering_close (c);
+    }
 }
 
 uint32_t
