libh1: a connection whose request has arrived is not idle

Callers saw: a whole request on a kept connection, and the connection closed with neither an answer nor a refusal.

Cause: whether a connection is idle was judged by what had been read.

Change: a connection is idle only if its socket holds no bytes either (has_input), and a server stops listening only after the loop has accepted and read what was there (a check handle, which runs after reads); until then, and while requests wait in sockets, it counts as active, so that the process does not exit.

--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -86,12 +86,13 @@
    bb_h1_server_close.  */
 void bb_h1_server_drain (struct bb_h1_server *s);
 
-/* Stops listening and closes connections without a request.  Requests in
-   progress continue.  */
+/* Stops listening and closes connections without a request, once the loop has
+   read what had arrived before the call.  Requests in progress continue.  */
 void bb_h1_server_close (struct bb_h1_server *s);
 
 /* Returns the number of connections on which a request is being received or
-   handled, or response data is queued that the kernel has not accepted.  */
+   handled, or has arrived, or response data is queued that the kernel has not
+   accepted.  Not 0 while a bb_h1_server_close has yet to take effect.  */
 uint32_t bb_h1_server_active_connections (const struct bb_h1_server *s);
 
 /* Sends a complete response and ends the exchange.  The server adds
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <utlist.h>
 
 enum
@@ -45,12 +46,14 @@
 {
   uv_tcp_t tcp;
   uv_timer_t sweep_timer;
+  uv_check_t stop_check; /* runs after the loop has read what had arrived */
   uv_loop_t *loop;
   struct bb_h1_limits limits;
   bb_h1_handler *handler;
   bb_h1_error_handler *on_error;
   void *arg;
   bool draining;
+  bool stopping; /* bb_h1_server_close was called */
   bool listener_closed;
   uint32_t connections_count;
   struct connection *connections;
@@ -493,6 +496,30 @@
     }
 }
 
+/* Whether the socket holds bytes that have not been read.  Timers run before
+   reads, so after a stall a request may have been waiting there for long.  */
+static bool
+has_input (const struct connection *c)
+{
+#ifndef BB_MUTANT_h1_unread
+  char byte;
+  uv_os_fd_t fd;
+
+  return uv_fileno ((const uv_handle_t *)&c->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+#else
+  return false;
+#endif
+}
+
+/* Whether C has no request and may be closed.  */
+static bool
+is_idle (const struct connection *c)
+{
+  return !c->responding && !c->lingering && !c->closing && !c->reader.started
+         && !has_input (c);
+}
+
 /* Closes the connection that has been idle for longest, to make room for a new
    one.  Returns false if none is idle.  */
 static bool
@@ -502,8 +529,7 @@
   struct connection *c;
 
   DL_FOREACH (s->connections, c)
-  if (!c->responding && !c->lingering && !c->closing && !c->reader.started
-      && (!oldest || c->state_since_ms < oldest->state_since_ms))
+  if ((!oldest || c->state_since_ms < oldest->state_since_ms) && is_idle (c))
     oldest = c;
   if (!oldest)
     return false;
@@ -557,7 +583,7 @@
     return;
   else if (c->reader.started && age > limits->read_timeout_ms)
     reject_request (c, 408);
-  else if (!c->reader.started && age > limits->idle_timeout_ms)
+  else if (age > limits->idle_timeout_ms && is_idle (c))
     {
       count_close ("reason=\"idle\"");
       start_lingering_close (c);
@@ -608,6 +634,8 @@
   s->sweep_timer.data = s;
   uv_timer_start (&s->sweep_timer, on_sweep, SWEEP_INTERVAL_MS,
                   SWEEP_INTERVAL_MS);
+  uv_check_init (loop, &s->stop_check);
+  s->stop_check.data = s;
   return s;
 }
 
@@ -624,24 +652,35 @@
   s->draining = true;
 }
 
-void
-bb_h1_server_close (struct bb_h1_server *s)
+/* Carries out bb_h1_server_close, once the loop has accepted the connections
+   and read the requests that had arrived before.  */
+static void
+on_stop_check (uv_check_t *check)
 {
+  struct bb_h1_server *s = check->data;
   struct connection *c;
   struct connection *next;
 
-  if (s->listener_closed)
-    return;
+  uv_check_stop (check);
   s->listener_closed = true;
   uv_close ((uv_handle_t *)&s->tcp, NULL);
   DL_FOREACH_SAFE (s->connections, c, next)
-  if (!c->responding && !c->reader.started)
+  if (is_idle (c))
     {
       count_close ("reason=\"stop\"");
       start_lingering_close (c);
     }
 }
 
+void
+bb_h1_server_close (struct bb_h1_server *s)
+{
+  if (s->stopping)
+    return;
+  s->stopping = true;
+  uv_check_start (&s->stop_check, on_stop_check);
+}
+
 uint32_t
 bb_h1_server_active_connections (const struct bb_h1_server *s)
 {
@@ -649,7 +688,8 @@
   uint32_t n = 0;
 
   DL_FOREACH (s->connections, c)
-  if (c->responding || c->queued_bytes > 0 || c->reader.started)
+  if (c->responding || c->queued_bytes > 0 || c->reader.started
+      || (!c->lingering && has_input (c)))
     n++;
-  return n;
+  return s->stopping && !s->listener_closed ? n + 1 : n;
 }
