libh1: nothing is read from an idle connection that is being closed

Callers saw: a whole request sent just before the end of a connection was read by the edge and discarded.

That is right after a response that announced the close: an immediate close could cost the caller the end of that response. On an idle connection nothing is on its way to the caller, and a request that crosses the close was read although no answer could be sent any more. A caller may repeat a request that must not run twice only if it was not read, and could not tell.

Change: an idle connection is closed at once; what crosses the close is answered by a reset. Only one whose last response is not all sent lingers. Room is not made at the cost of such a connection any more either.

--- a/libh1/server.c
+++ b/libh1/server.c
@@ -132,11 +132,11 @@
     c->state_since_ms = now_ms (c);
 }
 
-/* Closes the connection once the client has received the response: sends what
-   is queued, shuts down the write side, and waits for the client to close.
-   Each of the two phases takes at most LINGER_MAX_MS.  An immediate close with
-   unread input would reset the connection, and the client could lose the end
-   of the response.  */
+/* Closes the connection once the client has received a response that announced
+   the close: sends what is queued, shuts down the write side, and waits for
+   the client to close. Each of the two phases takes at most LINGER_MAX_MS.  An
+   immediate close with unread input would reset the connection, and the client
+   could lose the end of the response.  */
 static void
 start_lingering_close (struct connection *c)
 {
@@ -520,6 +520,24 @@
          && !has_input (c);
 }
 
+/* Closes C, which is idle, without a word to the caller.  Nothing more is
+   read: a request that crosses the close is answered by a reset, which tells
+   its caller that it was not read.  */
+static void
+close_idle (struct connection *c, const char *reason)
+{
+  count_close (reason);
+#ifdef BB_MUTANT_h1_crossing
+  start_lingering_close (c);
+  return;
+#endif
+  /* The caller has not taken all of the last response yet.  */
+  if (c->queued_bytes > 0)
+    start_lingering_close (c);
+  else
+    close_connection (c);
+}
+
 /* Closes the connection that has been idle for longest, to make room for a new
    one.  Returns false if none is idle.  */
 static bool
@@ -529,7 +547,9 @@
   struct connection *c;
 
   DL_FOREACH (s->connections, c)
-  if ((!oldest || c->state_since_ms < oldest->state_since_ms) && is_idle (c))
+  if (c->queued_bytes == 0
+      && (!oldest || c->state_since_ms < oldest->state_since_ms)
+      && is_idle (c))
     oldest = c;
   if (!oldest)
     return false;
@@ -584,10 +604,7 @@
   else if (c->reader.started && age > limits->read_timeout_ms)
     reject_request (c, 408);
   else if (age > limits->idle_timeout_ms && is_idle (c))
-    {
-      count_close ("reason=\"idle\"");
-      start_lingering_close (c);
-    }
+    close_idle (c, "reason=\"idle\"");
 }
 
 static void
@@ -666,10 +683,7 @@
   uv_close ((uv_handle_t *)&s->tcp, NULL);
   DL_FOREACH_SAFE (s->connections, c, next)
   if (is_idle (c))
-    {
-      count_close ("reason=\"stop\"");
-      start_lingering_close (c);
-    }
+    close_idle (c, "reason=\"stop\"");
 }
 
 void
