libh1: a drain closes no connection whose response did not announce it

Callers saw: after a stream that had begun before the SIGTERM, the connection closed without "Connection: close"; a request sent on it at once was read and discarded.

Cause: the end of each response closed the connection during a drain, also of one whose head had gone out before it.

Change: such a connection stays open and its next request is answered with the announcement; once the server has stopped, it is closed as idle.

The file's functions on idle connections moved up, unchanged.

--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -81,9 +81,9 @@
 void bb_h1_server_set_limits (struct bb_h1_server *s,
                               const struct bb_h1_limits *limits);
 
-/* Sends "Connection: close" with each further response and closes the
-   connection after it.  Open and new connections are served until
-   bb_h1_server_close.  */
+/* Sends "Connection: close" with each response that begins from now on and
+   closes the connection after it.  Other connections, also new ones and those
+   whose response has begun, are served until bb_h1_server_close.  */
 void bb_h1_server_drain (struct bb_h1_server *s);
 
 /* Stops listening and closes connections without a request, once the loop has
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -157,6 +157,48 @@
     }
 }
 
+/* Whether the socket holds bytes that have not been read.  Timers run before
+   reads, so after a stall a request may have been waiting there for long.  */
+static bool
+has_input (const struct connection *c)
+{
+#ifndef BB_MUTANT_h1_unread
+  char byte;
+  uv_os_fd_t fd;
+
+  return uv_fileno ((const uv_handle_t *)&c->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+#else
+  return false;
+#endif
+}
+
+/* Whether C has no request and may be closed.  */
+static bool
+is_idle (const struct connection *c)
+{
+  return !c->responding && !c->lingering && !c->closing && !c->reader.started
+         && !has_input (c);
+}
+
+/* Closes C, which is idle, without a word to the caller.  Nothing more is
+   read: a request that crosses the close is answered by a reset, which tells
+   its caller that it was not read.  */
+static void
+close_idle (struct connection *c, const char *reason)
+{
+  count_close (reason);
+#ifdef BB_MUTANT_h1_crossing
+  start_lingering_close (c);
+  return;
+#endif
+  /* The caller has not taken all of the last response yet.  */
+  if (c->queued_bytes > 0)
+    start_lingering_close (c);
+  else
+    close_connection (c);
+}
+
 /* The client closed the connection, or it failed.  */
 static void
 handle_disconnect (struct connection *c)
@@ -218,9 +260,7 @@
 {
   c->responding = false;
   c->response_started = false;
-  /* A response that started before the drain has no "Connection: close", but
-     its connection is closed too.  */
-  if (c->close_after_response || c->server->draining)
+  if (c->close_after_response)
     {
       start_lingering_close (c);
       return;
@@ -229,6 +269,9 @@
   h1_reader_reset (&c->reader);
   c->body.size = 0;
   process_input (c);
+  /* A response that began before the drain did not announce the close.  */
+  if (c->server->listener_closed && is_idle (c))
+    close_idle (c, "reason=\"stop\"");
 }
 
 void
@@ -496,48 +539,6 @@
     }
 }
 
-/* Whether the socket holds bytes that have not been read.  Timers run before
-   reads, so after a stall a request may have been waiting there for long.  */
-static bool
-has_input (const struct connection *c)
-{
-#ifndef BB_MUTANT_h1_unread
-  char byte;
-  uv_os_fd_t fd;
-
-  return uv_fileno ((const uv_handle_t *)&c->tcp, &fd) == 0
-         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-#else
-  return false;
-#endif
-}
-
-/* Whether C has no request and may be closed.  */
-static bool
-is_idle (const struct connection *c)
-{
-  return !c->responding && !c->lingering && !c->closing && !c->reader.started
-         && !has_input (c);
-}
-
-/* Closes C, which is idle, without a word to the caller.  Nothing more is
-   read: a request that crosses the close is answered by a reset, which tells
-   its caller that it was not read.  */
-static void
-close_idle (struct connection *c, const char *reason)
-{
-  count_close (reason);
-#ifdef BB_MUTANT_h1_crossing
-  start_lingering_close (c);
-  return;
-#endif
-  /* The caller has not taken all of the last response yet.  */
-  if (c->queued_bytes > 0)
-    start_lingering_close (c);
-  else
-    close_connection (c);
-}
-
 /* Closes the connection that has been idle for longest, to make room for a new
    one.  Returns false if none is idle.  */
 static bool
@@ -692,6 +693,7 @@
   if (s->stopping)
     return;
   s->stopping = true;
+  s->draining = true;
   uv_check_start (&s->stop_check, on_stop_check);
 }
 
