edge: a caller over the limit of connections is refused, not cut off

Callers saw: with as many connections as the edge allows, each with a request, the connection of one more was closed without a word, its request unanswered.

Cause: the server closed a connection over its limit as soon as it was accepted.

Change: up to an eighth beyond the limit, such a connection is read, its request is refused with 503, reason connection_limit and a Retry-After, and it is closed. Beyond that it is closed at once, as before; the descriptors that the limit leaves to upstreams are not all used.

--- a/cmd/edge/input.c
+++ b/cmd/edge/input.c
@@ -10,6 +10,7 @@
 {
   /* Time until there is likely to be a configuration.  */
   NO_CONFIG_RETRY_MS = 300,
+  FULL_RETRY_MS = 400, /* time until a connection has probably become idle */
   TIMEOUT_DEFAULT_MS = 30000
 };
 
@@ -99,14 +100,19 @@
   bb_request_info_decode (&x->request, &r->info);
   r->last_event_id = r->info.last_event_id;
   bb_counter ("bilberry_requests_total", "")->value++;
+  r->deadline_ms
+      = r->received_ms
+        + (r->info.timeout_ms > 0 ? (bb_ms)r->info.timeout_ms : 1000);
   if (!e->config)
     {
-      r->deadline_ms
-          = r->received_ms
-            + (r->info.timeout_ms > 0 ? (bb_ms)r->info.timeout_ms : 1000);
       refuse_not_run (r, BB_REASON_NO_UPSTREAM, NO_CONFIG_RETRY_MS);
       return;
     }
+  if (x->over_limit)
+    {
+      refuse_not_run (r, BB_REASON_CONNECTION_LIMIT, FULL_RETRY_MS);
+      return;
+    }
   if (!input_route (r))
     return;
   set_deadlines (r);
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -41,8 +41,10 @@
   bb_ms read_timeout_ms; /* longest time for a request to arrive completely */
   bb_ms idle_timeout_ms; /* longest time for a connection without a request */
   uint32_t connections_max; /* at the limit, the connection idle for longest is
-                               closed for a new one, or the new one itself if
-                               none is idle */
+                               closed for a new one.  If none is idle, the new
+                               one is served once, with over_limit set; an
+                               eighth of the limit beyond it, new ones are
+                               closed at once */
 };
 
 struct bb_h1_server;
@@ -52,6 +54,8 @@
 {
   struct bb_h1_message request;
   bb_ms received_ms; /* loop time at which the request was complete */
+  bool over_limit;   /* its connection is beyond the limit of the server: to be
+                        refused; the connection is closed after the response */
   void *user;        /* for use by the handler */
   /* Called when the connection is lost before the response has ended; X is
      invalid after the call.  Not called after bb_h1_respond, bb_h1_end or
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -119,10 +119,11 @@
                           */
   BB_REASON_CANCELLED,   /* the caller went away */
   BB_REASON_INTERNAL,    /* an internal fault */
-  BB_REASON_OTHER_SETTINGS, /* the agent has other settings */
-  BB_REASON_HEAD_TOO_LARGE, /* the path or the headers of the request are too
-                               large */
-  BB_REASON_SLOW_CLIENT,    /* the caller is too slow */
+  BB_REASON_OTHER_SETTINGS,   /* the agent has other settings */
+  BB_REASON_HEAD_TOO_LARGE,   /* the path or the headers of the request are too
+                                 large */
+  BB_REASON_SLOW_CLIENT,      /* the caller is too slow */
+  BB_REASON_CONNECTION_LIMIT, /* callers have too many connections */
   BB_REASON_COUNT
 };
 
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -15,8 +15,11 @@
 {
   SWEEP_INTERVAL_MS = 100, /* time between checks for timeouts */
   LINGER_MAX_MS = 1000,    /* maximum of each phase of a lingering close */
-  PIPELINED_MAX_BYTES = 64 * 1024 /* input buffered during a response; above,
-                                     the connection is closed */
+  PIPELINED_MAX_BYTES = 64 * 1024, /* input buffered during a response; above,
+                                      the connection is closed */
+  /* Connections beyond the limit on which a request is refused, as a part of
+     the limit.  */
+  OVER_LIMIT_DIVISOR = 8
 };
 
 /* A connection from a client.  */
@@ -32,9 +35,10 @@
   bool chunked;                   /* the response body is sent in chunks */
   bool response_started;          /* the head of the response was sent */
   bool close_after_response;
-  bool closing;   /* the socket handle is being closed */
-  bool lingering; /* start_lingering_close was called */
-  bool discarded; /* input was discarded */
+  bool closing;    /* the socket handle is being closed */
+  bool lingering;  /* start_lingering_close was called */
+  bool discarded;  /* input was discarded */
+  bool over_limit; /* beyond the limit on connections when it was accepted */
   size_t queued_bytes;
   bb_ms state_since_ms; /* start of the current request, of idling, or of a
                            phase of the lingering close */
@@ -232,7 +236,8 @@
 format_head (struct connection *c, struct h1_buffer *out, uint16_t status,
              const struct bb_header *headers, uint32_t count)
 {
-  if (c->server->draining || !http_should_keep_alive (&c->reader.parser))
+  if (c->server->draining || c->over_limit
+      || !http_should_keep_alive (&c->reader.parser))
     c->close_after_response = true;
   h1_buffer_printf (out, "HTTP/1.1 %d %s\r\n", status, reason_phrase (status));
   for (uint32_t i = 0; i < count; i++)
@@ -455,6 +460,7 @@
   c->exchange.request.body.ptr = c->body.data;
   c->exchange.request.body.size = (uint32_t)c->body.size;
   c->exchange.received_ms = now_ms (c);
+  c->exchange.over_limit = c->over_limit;
   c->responding = true;
   c->server->handler (&c->exchange, c->server->arg);
 }
@@ -559,12 +565,34 @@
   return true;
 }
 
+/* Whether another connection would be one more than the limit and no idle one
+   can be closed for it.  */
+static bool
+is_full (struct bb_h1_server *s)
+{
+  return s->connections_count >= s->limits.connections_max
+         && !close_longest_idle (s);
+}
+
+/* Whether so many connections are over the limit that further ones are closed
+   at once.  */
+static bool
+is_overfull (const struct bb_h1_server *s)
+{
+  uint32_t max = s->limits.connections_max;
+
+#ifdef BB_MUTANT_h1_over_limit
+  return s->connections_count >= max;
+#endif
+  return s->connections_count >= max + max / OVER_LIMIT_DIVISOR;
+}
+
 static void
 on_connection (uv_stream_t *server, int status)
 {
   struct bb_h1_server *s = server->data;
   struct connection *c;
-  bool full;
+  bool overfull;
 
   if (status < 0)
     return;
@@ -575,12 +603,12 @@
   uv_tcp_init (s->loop, &c->tcp);
   c->tcp.data = c;
   h1_reader_init (&c->reader, HTTP_REQUEST, &reader_ops, c);
-  full = s->connections_count >= s->limits.connections_max
-         && !close_longest_idle (s);
+  c->over_limit = is_full (s);
+  overfull = c->over_limit && is_overfull (s);
   DL_APPEND (s->connections, c);
   s->connections_count++;
   c->state_since_ms = now_ms (c);
-  if (uv_accept (server, (uv_stream_t *)&c->tcp) < 0 || full)
+  if (uv_accept (server, (uv_stream_t *)&c->tcp) < 0 || overfull)
     {
       bb_counter ("bilberry_channels_refused_total", "")->value++;
       close_connection (c);
