libh1: a lower idle timeout holds for a connection from its next response on

Callers saw: beside a change of the configuration that lowers the idle timeout, connections that they might still use by the limit they knew were closed at once, and requests on their way there were lost.

Cause: limits were replaced for connections that were idle already.

Change: each connection keeps the timeout that was in force when it became idle; a higher one holds at once.

--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -81,7 +81,8 @@
                    const struct bb_h1_limits *limits, bb_h1_handler *handler,
                    bb_h1_error_handler *on_error, void *arg, int *error);
 
-/* Replaces the limits of S, also for open connections.  */
+/* Replaces the limits of S, also for open connections.  A lower idle timeout
+   holds for a connection from its next response on.  */
 void bb_h1_server_set_limits (struct bb_h1_server *s,
                               const struct bb_h1_limits *limits);
 
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -40,8 +40,9 @@
   bool discarded;  /* input was discarded */
   bool over_limit; /* beyond the limit on connections when it was accepted */
   size_t queued_bytes;
-  bb_ms state_since_ms; /* start of the current request, of idling, or of a
-                           phase of the lingering close */
+  bb_ms idle_timeout_ms; /* limit on idling, as it was when idling began */
+  bb_ms state_since_ms;  /* start of the current request, of idling, or of a
+                            phase of the lingering close */
   struct connection *prev;
   struct connection *next;
 };
@@ -260,6 +261,15 @@
                                - offsetof (struct connection, exchange));
 }
 
+/* C waits for its next request.  A lower limit that comes later does not hold
+   for it, since the caller goes by the one that it knows.  */
+static void
+begin_idling (struct connection *c)
+{
+  c->state_since_ms = now_ms (c);
+  c->idle_timeout_ms = c->server->limits.idle_timeout_ms;
+}
+
 static void
 finish_response (struct connection *c)
 {
@@ -270,7 +280,7 @@
       start_lingering_close (c);
       return;
     }
-  c->state_since_ms = now_ms (c);
+  begin_idling (c);
   h1_reader_reset (&c->reader);
   c->body.size = 0;
   process_input (c);
@@ -607,7 +617,7 @@
   overfull = c->over_limit && is_overfull (s);
   DL_APPEND (s->connections, c);
   s->connections_count++;
-  c->state_since_ms = now_ms (c);
+  begin_idling (c);
   if (uv_accept (server, (uv_stream_t *)&c->tcp) < 0 || overfull)
     {
       bb_counter ("bilberry_channels_refused_total", "")->value++;
@@ -632,7 +642,8 @@
     return;
   else if (c->reader.started && age > limits->read_timeout_ms)
     reject_request (c, 408);
-  else if (age > limits->idle_timeout_ms && is_idle (c))
+  else if (age > c->idle_timeout_ms && age > limits->idle_timeout_ms
+           && is_idle (c))
     close_idle (c, "reason=\"idle\"");
 }
 
