libh1: a large next request does not end the response before it

Callers saw: a caller that sent its next request during a response, with more than 64 KiB, lost both: its connection was closed.

Cause: the bound on buffered input was kept by closing the connection.

Change: at the bound the server stops reading until the response has ended; the caller's window does the rest. Meanwhile it does not notice that the caller left, which ends with the response.

--- a/libh1/server.c
+++ b/libh1/server.c
@@ -16,7 +16,7 @@
   SWEEP_INTERVAL_MS = 100, /* time between checks for timeouts */
   LINGER_MAX_MS = 1000,    /* maximum of each phase of a lingering close */
   PIPELINED_MAX_BYTES = 64 * 1024, /* input buffered during a response; above,
-                                      the connection is closed */
+                                      no more is read until its end */
   /* Connections beyond the limit on which a request is refused, as a part of
      the limit.  */
   OVER_LIMIT_DIVISOR = 8
@@ -35,10 +35,11 @@
   bool chunked;                   /* the response body is sent in chunks */
   bool response_started;          /* the head of the response was sent */
   bool close_after_response;
-  bool closing;    /* the socket handle is being closed */
-  bool lingering;  /* start_lingering_close was called */
-  bool discarded;  /* input was discarded */
-  bool over_limit; /* beyond the limit on connections when it was accepted */
+  bool closing;     /* the socket handle is being closed */
+  bool lingering;   /* start_lingering_close was called */
+  bool discarded;   /* input was discarded */
+  bool read_paused; /* too much input came during a response */
+  bool over_limit;  /* beyond the limit on connections when it was accepted */
   size_t queued_bytes;
   bb_ms idle_timeout_ms; /* limit on idling, as it was when idling began */
   bb_ms state_since_ms;  /* start of the current request, of idling, or of a
@@ -65,6 +66,8 @@
 };
 
 static void process_input (struct connection *c);
+static void on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf);
+static void on_read (uv_stream_t *s, ssize_t size, const uv_buf_t *buf);
 
 static bb_ms
 now_ms (const struct connection *c)
@@ -270,11 +273,22 @@
   c->idle_timeout_ms = c->server->limits.idle_timeout_ms;
 }
 
+static void
+resume_reading (struct connection *c)
+{
+  if (!c->read_paused || c->closing)
+    return;
+  c->read_paused = false;
+  if (uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read) < 0)
+    close_connection (c);
+}
+
 static void
 finish_response (struct connection *c)
 {
   c->responding = false;
   c->response_started = false;
+  resume_reading (c);
   if (c->close_after_response)
     {
       start_lingering_close (c);
@@ -550,8 +564,8 @@
     process_input (c);
   else if (c->input.size > PIPELINED_MAX_BYTES)
     {
-      count_close ("reason=\"next_request\"");
-      handle_disconnect (c);
+      c->read_paused = true;
+      uv_read_stop (s);
     }
 }
 
