--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -17,7 +17,8 @@
   PEER_LOADS_MAX = 256,
   /* Time between sums of peers' loads, as peers may be many.  */
   SUM_INTERVAL_MS = 20,
-  RETIRED_KEEP_MS = 10000, /* how long a removed upstream is kept */
+  RETIRED_KEEP_DRAINS = 5, /* how long a removed upstream is kept, as a
+                              multiple of bounds.drain-ms */
   /* Share of the descriptors; upstreams need the rest.  */
   CALLER_CONNECTIONS_PERCENT = 60
 };
@@ -160,11 +161,12 @@
 free_retired_targets (struct edge *e)
 {
   bb_ms now = edge_now (e);
+  bb_ms keep_ms = e->settings->drain_ms * RETIRED_KEEP_DRAINS;
 
   for (guint i = 0; i < e->target_list->len; i++)
     {
       struct target *t = g_ptr_array_index (e->target_list, i);
-      if (t->retire_at_ms == 0 || now < t->retire_at_ms + RETIRED_KEEP_MS
+      if (t->retire_at_ms == 0 || now < t->retire_at_ms + keep_ms
           || t->in_flight > 0 || t->check)
         continue;
       g_hash_table_remove (e->targets, t->record->id);
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -8,7 +8,8 @@
 enum
 {
   AWAIT_TIMEOUT_MS = 5000,
-  POLL_INTERVAL_MS = 25
+  POLL_INTERVAL_MS = 25,
+  DRAIN_DEFAULT_MS = 2000
 };
 
 static const char config_text[]
@@ -44,7 +45,7 @@
       "  ready: \"127.0.0.1:%u\"\n  control: \"127.0.0.1:%u\"\n"
       "internal-ports:\n  - 1\n  - 2\nseeds:\n%s"
       "bootstrap: %s\nlimits:\n  max-fds: 500\nbounds:\n  budget-extra: "
-      "100\nplatform:\n  "
+      "100\n  drain-ms: %u\nplatform:\n  "
       "address: \"127.0.0.1:%u\"\n"
       "later: {unknown: [1, 2]}\n";
 
@@ -94,6 +95,7 @@
   char address[32];
 
   memset (t, 0, sizeof *t);
+  t->drain_ms = DRAIN_DEFAULT_MS;
   t->harness = harness_new (harness_build_dir ());
   t->store_port = harness_port (t->harness);
   g_snprintf (address, sizeof address, "127.0.0.1:%u", t->store_port);
@@ -140,6 +142,29 @@
   return t->replicas_count - 1;
 }
 
+void
+testbed_register (struct testbed *t, uint32_t r, const char *id,
+                  uint64_t born_unix_ms)
+{
+  g_autofree char *key = g_strdup_printf ("servers/%s", id);
+  g_autofree char *value = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z1\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold-left-ms\":0,"
+      "\"born\":%" G_GUINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
+      t->replica_pools[r], t->replica_ips[r], t->replica_ports[r],
+      born_unix_ms, ++t->seq);
+
+  testbed_put_item (t, key, value);
+}
+
+void
+testbed_unregister (struct testbed *t, const char *id)
+{
+  g_autofree char *key = g_strdup_printf ("servers/%s", id);
+
+  testbed_put_item (t, key, NULL);
+}
+
 static void
 await_ready (struct testbed_edge *e)
 {
@@ -188,9 +213,9 @@
   for (uint32_t i = 0; i <= n; i++)
     g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
                             t->edges[i].control_port);
-  text = g_strdup_printf (settings_text, n, e->front_port, e->ready_port,
-                          e->control_port, seeds->str,
-                          first ? "true" : "false", e->store_port);
+  text = g_strdup_printf (
+      settings_text, n, e->front_port, e->ready_port, e->control_port,
+      seeds->str, first ? "true" : "false", t->drain_ms, e->store_port);
   g_snprintf (name, sizeof name, "edge-%u.yaml", n);
   harness_write_file (harness_config_dir (t->harness), name, text);
   g_string_free (seeds, TRUE);
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -33,6 +33,8 @@
   char replica_ips[TESTBED_MAX][TESTBED_TEXT_SIZE];
   char replica_pools[TESTBED_MAX][TESTBED_TEXT_SIZE];
   uint32_t replicas_count;
+  uint32_t drain_ms;   /* bounds.drain-ms of edges started from now on */
+  uint64_t seq;        /* of the last registration by testbed_register */
   uint16_t agent_port; /* port of all agents; 0: no agent started yet */
   uint16_t agent_metrics_ports[TESTBED_MAX]; /* by replica */
 };
@@ -59,6 +61,13 @@
                                    const char *id, const char *pool,
                                    const char *fault);
 
+/* Registers replica R in the store under ID, as a process started at
+   BORN_UNIX_MS.  */
+void testbed_register (struct testbed *t, uint32_t r, const char *id,
+                       uint64_t born_unix_ms);
+/* Removes the registration of ID.  */
+void testbed_unregister (struct testbed *t, const char *id);
+
 /* Starts an edge and waits until it is ready; aborts if it is not.  STORE is
    the port of its store; 0 means the testbed's.  Returns the index of the
    edge.  */
