cmd/edge: free an upstream only from the event loop

Callers saw closed connections: each edge ended when an upstream registered again under its id after the edge would have forgotten it.

Cause: apply_upstream looked the target up, called free_retired_targets, which freed it, and went on with the pointer. Any function could free targets while others had pointers to them.

targets.c now owns the upstreams. The only call that frees one is the callback of a timer of its own, static in that file, so no other code of the edge is running then: a pointer to a target is valid until the function that has it returns to the event loop. What keeps one for longer holds it by target_hold: a request while a try is in flight, and a crash check. The table's key belongs to the target and not to its record, which is replaced at each registration.

--- a/cmd/edge/crash.c
+++ b/cmd/edge/crash.c
@@ -110,6 +110,7 @@
   struct edge *e = check->edge;
 
   check->target->check = NULL;
+  target_release (check->target);
   g_hash_table_remove (e->running_checks, &check->number);
   g_array_unref (check->losses);
   g_free (check);
@@ -178,6 +179,7 @@
       t->check = g_new0 (struct crash_check, 1);
       t->check->edge = e;
       t->check->target = t;
+      target_hold (t);
       t->check->number = ++e->last_check_number;
       t->check->losses = g_array_new (FALSE, FALSE, sizeof (struct loss));
       g_hash_table_add (e->running_checks, &t->check->number);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -47,9 +47,11 @@
   bb_ms report_requested_ms;
 };
 
-/* An upstream and what this edge knows of it.  */
+/* An upstream and what this edge knows of it; see targets.c.  */
 struct target
 {
+  char *id;
+  uint32_t holds;             /* see target_hold */
   struct bb_upstream *record; /* what the upstream registered in the store */
   uint64_t id_hash;           /* identifies it in messages to peers */
   struct bb_h1_pool *connections;
@@ -180,7 +182,7 @@
   char *settings_text; /* contents of the settings file, as last read */
   struct bb_view *view;
   struct bb_config *config;
-  GHashTable *targets;           /* struct target by upstream id */
+  GHashTable *targets;           /* struct target by its id */
   GPtrArray *target_list;        /* the elements of targets */
   GHashTable *evacuated_domains; /* failure domains that get no new requests */
   GHashTable *queues;            /* struct pool_queue by pool */
@@ -210,8 +212,21 @@
                                           retry a request */
 };
 
-/* fleet.c: the configuration, upstreams and evacuations in force, and the
-   loads of the other edges.  */
+/* targets.c: the upstreams.  A pointer to a target is valid until the function
+   that has it returns to the event loop, and while it is held.  */
+void targets_init (struct edge *e);
+/* Returns the upstream ID, which may be removed and remembered; NULL if it is
+   not known.  */
+struct target *targets_find (const struct edge *e, const char *id);
+/* Applies the registration of upstream ID; VALUE NULL removes it.  */
+void targets_apply (struct edge *e, const char *id, GBytes *value,
+                    bb_revision revision, const char *source);
+/* Keeps T from being freed until target_release.  */
+void target_hold (struct target *t);
+void target_release (struct target *t);
+
+/* fleet.c: the configuration and evacuations in force, and the loads of the
+   other edges.  */
 
 /* Returns the queue of POOL, which is made on first use.  */
 struct pool_queue *fleet_queue (struct edge *e, const char *pool);
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -1,24 +1,17 @@
-/* The state of the fleet as this edge knows it: the configuration, upstreams,
-   evacuated failure domains, and the loads of the other edges.  */
+/* The state of the fleet as this edge knows it: the configuration, evacuated
+   failure domains, and the loads of the other edges.  */
 
 #include "edge.h"
 
 #include <jansson.h>
 
-#include "bilberry/settings.h"
-
 #include <string.h>
-#include <xxhash.h>
 
 enum
 {
-  LAPSE_KEEP_MS = 2000, /* how long after the store recovers an upstream whose
-                           registration expired meanwhile stays in use */
   PEER_LOADS_MAX = 256,
   /* Time between sums of peers' loads, as peers may be many.  */
   SUM_INTERVAL_MS = 20,
-  RETIRED_KEEP_DRAINS = 5, /* how long a removed upstream is kept, as a
-                              multiple of bounds.drain-ms */
   /* Share of the descriptors; upstreams need the rest.  */
   CALLER_CONNECTIONS_PERCENT = 60
 };
@@ -130,127 +123,6 @@
   update_limits (e);
 }
 
-static void
-free_target (struct target *t)
-{
-  bb_h1_pool_free (t->connections);
-  bb_upstream_free (t->record);
-  g_free (t);
-}
-
-static struct target *
-add_target (struct edge *e, struct bb_upstream *u)
-{
-  struct sockaddr_storage addr;
-  struct target *t;
-
-  if (!bb_address_parse (u->address, &addr))
-    return NULL;
-  t = g_new0 (struct target, 1);
-  t->record = u;
-  t->id_hash = XXH64 (u->id, strlen (u->id), 0);
-  t->connections = bb_h1_pool_new (e->loop, &addr, CONNECT_TIMEOUT_MS);
-  g_hash_table_insert (e->targets, t->record->id, t);
-  g_ptr_array_add (e->target_list, t);
-  return t;
-}
-
-/* Frees targets that were retired a while ago and have no request in
-   flight.  */
-static void
-free_retired_targets (struct edge *e)
-{
-  bb_ms now = edge_now (e);
-  bb_ms keep_ms = e->settings->drain_ms * RETIRED_KEEP_DRAINS;
-
-  for (guint i = 0; i < e->target_list->len; i++)
-    {
-      struct target *t = g_ptr_array_index (e->target_list, i);
-      if (t->retire_at_ms == 0 || now < t->retire_at_ms + keep_ms
-          || t->in_flight > 0 || t->check)
-        continue;
-      g_hash_table_remove (e->targets, t->record->id);
-      g_ptr_array_remove_index_fast (e->target_list, i);
-      free_target (t);
-      i--;
-    }
-}
-
-static void
-apply_upstream (struct edge *e, const char *id, GBytes *value,
-                bb_revision revision, const char *source)
-{
-  struct target *t = g_hash_table_lookup (e->targets, id);
-  const char *error = NULL;
-  struct bb_upstream *u;
-  struct bb_upstream *old;
-
-  free_retired_targets (e);
-  u = bb_upstream_decode (id, value, revision, &error);
-  if (!u)
-    {
-      bb_counter ("bilberry_items_unusable_total", "kind=\"upstream\"")
-          ->value++;
-      bb_log_event ("upstream_unusable", "{s:s, s:s, s:I, s:I, s:s}",
-                    "upstream", id, "source", source, "era",
-                    (json_int_t)bb_revision_era (revision), "revision",
-                    (json_int_t)bb_revision_number (revision), "why", error);
-      if (t)
-        t->retire_at_ms = edge_now (e);
-      return;
-    }
-  bb_log_event ("upstream", "{s:s, s:s, s:s, s:s, s:b, s:i, s:I, s:I}",
-                "upstream", id, "source", source, "pool", u->pool, "address",
-                u->address, "draining", u->draining, "cold_left_ms",
-                (int)u->cold_left_ms, "era",
-                (json_int_t)bb_revision_era (revision), "revision",
-                (json_int_t)bb_revision_number (revision));
-  if (!t)
-    {
-      if (!add_target (e, u))
-        bb_upstream_free (u);
-      return;
-    }
-  /* The table's key is owned by the record: remove the entry before the old
-     record is freed.  */
-  old = t->record;
-  g_hash_table_steal (e->targets, old->id);
-  if (old->started_unix_ms != u->started_unix_ms || t->retire_at_ms != 0)
-    {
-      bb_h1_pool_drop_idle (t->connections);
-      memset (&t->ejection, 0, sizeof t->ejection);
-    }
-  t->record = u;
-  t->retire_at_ms = 0;
-  g_hash_table_insert (e->targets, u->id, t);
-  bb_upstream_free (old);
-}
-
-static void
-remove_upstream (struct edge *e, const char *id, bb_revision revision,
-                 const char *source)
-{
-  struct target *t = g_hash_table_lookup (e->targets, id);
-  bb_ms now = edge_now (e);
-  bool lapsed;
-
-  if (!t || t->retire_at_ms != 0)
-    return;
-  lapsed = !t->record->draining && e->store_recovered_ms > 0
-           && now - e->store_recovered_ms < LAPSE_KEEP_MS;
-  t->retire_at_ms = lapsed ? e->store_recovered_ms + LAPSE_KEEP_MS : now;
-  /* The upstream may have left for good, even if its registration seems to
-     have expired: stop sending to it well within drain_ms from now.  */
-  if (t->retire_at_ms > now + e->settings->drain_ms / 2)
-    t->retire_at_ms = now + e->settings->drain_ms / 2;
-  if (t->retire_at_ms < 1)
-    t->retire_at_ms = 1;
-  bb_log_event ("upstream_gone", "{s:s, s:s, s:I, s:I, s:b}", "upstream", id,
-                "source", source, "era",
-                (json_int_t)bb_revision_era (revision), "revision",
-                (json_int_t)bb_revision_number (revision), "lapsed", lapsed);
-}
-
 bool
 fleet_forwards_items (const struct edge *e)
 {
@@ -298,10 +170,7 @@
       apply_config (e, value, revision, source);
       break;
     case BB_ITEM_UPSTREAM:
-      if (value)
-        apply_upstream (e, name, value, revision, source);
-      else
-        remove_upstream (e, name, revision, source);
+      targets_apply (e, name, value, revision, source);
       break;
     case BB_ITEM_EVACUATION:
       if (value)
@@ -411,8 +280,6 @@
 {
   e->view = bb_view_new ();
   e->view->is_newer_value = bb_item_is_newer;
-  e->targets = g_hash_table_new (g_str_hash, g_str_equal);
-  e->target_list = g_ptr_array_new ();
   e->evacuated_domains
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   e->queues = g_hash_table_new (g_str_hash, g_str_equal);
--- a/cmd/edge/groups.c
+++ b/cmd/edge/groups.c
@@ -88,7 +88,7 @@
 apply_report (struct report_call *call, const struct bb_rank_report *r)
 {
   struct pool_queue *q = call->group->queue;
-  struct target *t = g_hash_table_lookup (q->edge->targets, call->upstream_id);
+  struct target *t = targets_find (q->edge, call->upstream_id);
   struct group *g = find_or_add (q, r->group);
   enum bb_group_health_state old_state = g->health.state;
 
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -215,6 +215,7 @@
                 BB_VERSION, "failure_domain", e->settings->failure_domain);
   latency_start ();
   fleet_init (e);
+  targets_init (e);
   suspect_init (e);
   isolate_init (e);
   crash_init (e);
--- a/cmd/edge/request.c
+++ b/cmd/edge/request.c
@@ -74,6 +74,7 @@
 request_assign (struct request *r, struct target *t)
 {
   r->target = t;
+  target_hold (t);
   if (t->in_flight == 0)
     t->last_activity_ms = edge_now (r->edge);
   t->in_flight++;
@@ -105,5 +106,6 @@
     r->group->in_flight--;
   r->group = NULL;
   count_customer (r, -1);
+  target_release (r->target);
   r->target = NULL;
 }
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -131,7 +131,8 @@
   char address[32];
 
   g_snprintf (address, sizeof address, "%s:%u", ip, port);
-  harness_start (t->harness, id, "fake-replica", address, id, fault, NULL);
+  t->replica_pids[t->replicas_count] = harness_start (
+      t->harness, id, "fake-replica", address, id, fault, NULL);
   testbed_put_item (t, key, value);
   g_snprintf (t->replica_ips[t->replicas_count], TESTBED_TEXT_SIZE, "%s", ip);
   g_snprintf (t->replica_pools[t->replicas_count], TESTBED_TEXT_SIZE, "%s",
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -30,6 +30,7 @@
   struct testbed_edge edges[TESTBED_MAX];
   uint32_t edges_count;
   uint16_t replica_ports[TESTBED_MAX];
+  pid_t replica_pids[TESTBED_MAX];
   char replica_ips[TESTBED_MAX][TESTBED_TEXT_SIZE];
   char replica_pools[TESTBED_MAX][TESTBED_TEXT_SIZE];
   uint32_t replicas_count;
