--- a/cmd/edge/failure.c
+++ b/cmd/edge/failure.c
@@ -101,13 +101,16 @@
     r->executions++;
   fill_attempt (r, &a);
   next = bb_attempt_next_action (&a);
-  bb_log_event (
-      "try_failed", "{s:s%, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:I}",
-      "id", r->info.attempt_id.ptr, (size_t)r->info.attempt_id.size,
-      "fingerprint", r->fingerprint_text, "parts", r->parts_text, "upstream",
-      r->target->record->id, "outcome", bb_outcome_name (outcome), "how",
-      detail, "status", (int)r->status, "next", (int)next, "runs",
-      (int)r->executions, "left_ms", (json_int_t)a.remaining_ms);
+  bb_log_event ("try_failed",
+                "{s:s%, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:I, s:I, "
+                "s:b}",
+                "id", r->info.attempt_id.ptr, (size_t)r->info.attempt_id.size,
+                "fingerprint", r->fingerprint_text, "parts", r->parts_text,
+                "upstream", r->target->record->id, "outcome",
+                bb_outcome_name (outcome), "how", detail, "status",
+                (int)r->status, "next", (int)next, "runs", (int)r->executions,
+                "left_ms", (json_int_t)a.remaining_ms, "rest_ms",
+                (json_int_t)r->reply.rest_ms, "leaving", r->reply.leaving);
   update_target (r);
   retry_after_ms
       = groups_retry_after_ms (r->queue, FULL_RETRY_MS, edge_now (e));
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -197,11 +197,12 @@
 {
   bb_ms now = edge_now (r->edge);
 
-  bb_log_event ("answer", "{s:s%, s:i, s:I, s:i, s:I}", "id",
+  bb_log_event ("answer", "{s:s%, s:i, s:I, s:i, s:I, s:b}", "id",
                 r->info.attempt_id.ptr, (size_t)r->info.attempt_id.size,
                 "status", (int)r->status, "took_ms",
                 (json_int_t)(now - r->received_ms), "tries", (int)r->tries,
-                "last_event", (json_int_t)r->last_event_id);
+                "last_event", (json_int_t)r->last_event_id, "leaving",
+                r->reply.leaving);
 }
 
 static void
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -81,6 +81,7 @@
   r->progress_ms = now;
   r->first_event_seen = false;
   r->ends_by_close = false;
+  r->reply = (struct bb_response_info){ 0 };
   r->headers_count = 0;
   g_byte_array_set_size (r->body, 0);
   r->call = bb_h1_call (t->connections, &out, &response_ops, r);
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -52,7 +52,7 @@
 static void
 decode_headers (struct bb_bytes text)
 {
-  struct bb_h1_message m = { .headers_count = 4 };
+  struct bb_h1_message m = { .status = 503, .headers_count = 6 };
   struct bb_header out[BB_FORWARD_HEADERS_MAX];
   struct bb_forward_options options
       = { .upstream_id = "i-1", .remaining_ms = 5 };
@@ -65,8 +65,12 @@
   m.headers[1] = (struct bb_header){ bb_bytes_of ("X-Token-Counts"), text };
   m.headers[2] = (struct bb_header){ text, text };
   m.headers[3] = (struct bb_header){ bb_bytes_of ("X-Prefix-Hash"), text };
+  m.headers[4] = (struct bb_header){ bb_bytes_of ("Retry-After"), text };
+  m.headers[5] = (struct bb_header){ bb_bytes_of ("Server-Leaving"), text };
   bb_request_info_decode (&m, &request);
   bb_response_info_decode (&m, text, &response);
+  if (response.rest_ms < 0 || response.rest_ms > BB_REST_MAX_MS)
+    abort ();
   bb_forward_headers (&m, &options, out, numbers);
   bb_sse_event_id (text, &id);
 }
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -203,6 +203,13 @@
                              struct bb_header out[BB_FORWARD_HEADERS_MAX],
                              char text[BB_HEADER_TEXT_BYTES]);
 
+enum
+{
+  /* Longest rest that an upstream can ask for.  One damaged header must not
+     remove an upstream for good; one that is away for longer drains.  */
+  BB_REST_MAX_MS = 600000
+};
+
 /* What the head of an upstream's response says.  */
 struct bb_response_info
 {
@@ -214,6 +221,12 @@
   bool has_content_encoding; /* the body is encoded, so it is not the
                                 upstream's own */
   bool closes_connection;
+  bool leaving; /* the upstream leaves, and must get no new requests */
+  /* For how long the upstream, which has turned the request away, wants no
+     requests of this process: a number of seconds, with or without a fraction,
+     at most BB_REST_MAX_MS.  0: no time given, or anything else, such as a
+     date or a negative number, which says nothing.  */
+  bb_ms rest_ms;
   /* Id of the upstream that made the request fail; empty: not given.  */
   struct bb_bytes failed_upstream;
 };
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -176,6 +176,89 @@
   g_assert_true (bb_bytes_equal (bb_retry_after (30, text).value, "0.030"));
 }
 
+struct rest_case
+{
+  uint16_t status;
+  const char *retry_after;
+  bb_ms rest_ms;
+};
+
+/* A Retry-After that is no number of seconds says nothing; none keeps an
+   upstream away for more than BB_REST_MAX_MS.  */
+static void
+test_rest (void)
+{
+  static const struct rest_case cases[] = {
+    { 503, "3", 3000 },
+    { 503, " \t3 ", 3000 },
+    { 503, "0.25", 250 },
+    { 503, "1.0001", 1001 },
+    { 503, "0.0000", 0 },
+    { 503, "007", 7000 },
+    { 503, "600", BB_REST_MAX_MS },
+    { 503, "600.001", BB_REST_MAX_MS },
+    { 503, "601", BB_REST_MAX_MS },
+    { 503, "9223372036854775807", BB_REST_MAX_MS },
+    { 503, "99999999999999999999999999999999999999.9", BB_REST_MAX_MS },
+    { 503, "0", 0 },
+    { 503, "", 0 },
+    { 503, " ", 0 },
+    { 503, "-3", 0 },
+    { 503, "+3", 0 },
+    { 503, ".5", 0 },
+    { 503, "3.", 0 },
+    { 503, ".", 0 },
+    { 503, "1.2.3", 0 },
+    { 503, "3 4", 0 },
+    { 503, "3, 4", 0 },
+    { 503, "3s", 0 },
+    { 503, "1e3", 0 },
+    { 503, "0x10", 0 },
+    { 503, "inf", 0 },
+    { 503, "nan", 0 },
+    { 503, "soon", 0 },
+    { 503, "Fri, 04 Dec 2026 12:00:00 GMT", 0 },
+    { 200, "3", 0 },
+    { 429, "3", 0 },
+    { 421, "3", 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct bb_h1_message m
+          = { .status = cases[i].status, .headers_count = 1 };
+      struct bb_response_info info;
+      m.headers[0] = (struct bb_header){ bb_bytes_of ("retry-after"),
+                                         bb_bytes_of (cases[i].retry_after) };
+      g_test_message ("%u \"%s\"", cases[i].status, cases[i].retry_after);
+      bb_response_info_decode (&m, bb_bytes_of (""), &info);
+      g_assert_cmpint (info.rest_ms, ==, cases[i].rest_ms);
+    }
+}
+
+/* An upstream leaves if it says so in any answer of its own.  */
+static void
+test_leaving (void)
+{
+  static const uint16_t statuses[] = { 200, 503, 500, 421 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      struct bb_h1_message m = { .status = statuses[i], .headers_count = 1 };
+      struct bb_response_info info;
+      m.headers[0] = (struct bb_header){ bb_bytes_of ("server-leaving"),
+                                         bb_bytes_of ("1") };
+      bb_response_info_decode (&m, bb_bytes_of (""), &info);
+      g_assert_cmpint (info.leaving, ==, statuses[i] != 421);
+      m.headers[0].value = bb_bytes_of ("0");
+      bb_response_info_decode (&m, bb_bytes_of (""), &info);
+      g_assert_false (info.leaving);
+      m.headers_count = 0;
+      bb_response_info_decode (&m, bb_bytes_of (""), &info);
+      g_assert_false (info.leaving);
+    }
+}
+
 static void
 test_event_id (void)
 {
@@ -265,6 +348,8 @@
   g_test_add_func ("/platform/prompt-parts", test_prompt_parts);
   g_test_add_func ("/platform/newer-item", test_newer_item);
   g_test_add_func ("/platform/retry-after", test_retry_after);
+  g_test_add_func ("/platform/rest", test_rest);
+  g_test_add_func ("/platform/leaving", test_leaving);
   g_test_add_func ("/platform/event-id", test_event_id);
   g_test_add_func ("/platform/order", test_order);
   g_test_add_func ("/platform/view", test_view);
