--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -36,8 +36,17 @@
      break     closes a stream within event 4 if the caller has seen no event
      not-run   responds with 503 and X-Not-Executed instead of executing
      broken    as not-run, and GET /v1/report says that the group is broken
-     mute      responds with 503 to GET /v1/report  */
+     rest      for SHED_MS from the first request on, as not-run, and asks for
+               REST_S seconds of rest by Retry-After
+     leaving   has Server-Leaving in its responses
+     left      as not-run, with Server-Leaving
+     mute      responds with 503 to GET /v1/report
 
+   With the faults "rest", "leaving" and "left", GET /ran also has a line
+   "reached ATTEMPT-ID at MS" for each request that is not answered with 421;
+   MS is a time of bb_clock_now.  */
+
+#include "bilberry/base.h"
 #include "bilberry/settings.h"
 
 #include <glib.h>
@@ -52,9 +61,12 @@
   BREAK_AFTER = 3, /* number of events sent before the fault "break" */
   TRAILER_BYTES = 30000,
   SLOW_MS = 400,
-  DOWN_MS = 300
+  DOWN_MS = 300,
+  SHED_MS = 4000
 };
 
+#define REST_S "2"
+
 struct connection
 {
   uv_tcp_t tcp;
@@ -70,6 +82,7 @@
 static struct sockaddr_storage listen_addr;
 static uv_tcp_t listener;
 static uv_timer_t restart_timer;
+static bb_ms shed_until_ms;    /* 0: no request yet */
 static GPtrArray *connections; /* the open ones, struct connection */
 
 static void
@@ -158,6 +171,13 @@
   g_free (text);
 }
 
+/* Returns the header that says that the replica leaves, "" if it does not.  */
+static const char *
+leaving_header (void)
+{
+  return has_fault ("leaving") ? "Server-Leaving: 1\r\n" : "";
+}
+
 /* Sends the events after Last-Event-Id, each in a chunk of its own.  */
 static void
 send_stream (struct connection *c, const char *head, const char *attempt_id)
@@ -166,8 +186,9 @@
   int from = atoi (last) + 1;
   char *start = g_strdup_printf (
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s\r\n"
-      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-      attempt_id, id);
+      "%sContent-Type: text/event-stream\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n",
+      attempt_id, id, leaving_header ());
 
   write_text (c, start);
   for (int i = from; i <= EVENTS; i++)
@@ -211,7 +232,8 @@
 static void
 respond_executed (struct connection *c, const char *attempt_id)
 {
-  char *signature = g_strdup_printf ("X-Replica-Signature: %s\r\n", id);
+  char *signature = g_strdup_printf ("X-Replica-Signature: %s\r\n%s", id,
+                                     leaving_header ());
   char *body = g_strdup_printf ("answer of %s", id);
 
   if (has_fault ("reset"))
@@ -313,9 +335,33 @@
   return false;
 }
 
+/* Logs that the request ATTEMPT_ID has reached the replica.  Returns whether
+   it is turned away with 503, and sets *HEADERS to what the response says.  */
+static bool
+turns_away (const char *attempt_id, const char **headers)
+{
+  bb_ms now = bb_clock_now ();
+
+  if (has_fault ("rest") || has_fault ("leaving") || has_fault ("left"))
+    g_string_append_printf (request_log, "reached %s at %lld\n", attempt_id,
+                            (long long)now);
+  if (has_fault ("rest"))
+    {
+      if (shed_until_ms == 0)
+        shed_until_ms = now + SHED_MS;
+      *headers = "X-Not-Executed: 1\r\nRetry-After: " REST_S "\r\n";
+      return now < shed_until_ms;
+    }
+  *headers = has_fault ("left") ? "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+             : has_fault ("broken") ? "X-Not-Executed: 1\r\nAt-Server: i-9\r\n"
+                                    : "X-Not-Executed: 1\r\n";
+  return has_fault ("left") || has_fault ("broken") || has_fault ("not-run");
+}
+
 static void
 handle_request (struct connection *c, const char *head)
 {
+  const char *headers;
   char *attempt_id = get_header (head, "X-Attempt-Id");
   char *expected_id = get_header (head, "X-Expect-Replica");
 
@@ -338,11 +384,8 @@
     }
   else if (*expected_id && strcmp (expected_id, id) != 0)
     respond (c, "421 Elsewhere", attempt_id, "X-Not-Executed: 1\r\n", "");
-  else if (has_fault ("broken"))
-    respond (c, "503 Broken", attempt_id,
-             "X-Not-Executed: 1\r\nAt-Server: i-9\r\n", "");
-  else if (has_fault ("not-run"))
-    respond (c, "503 Full", attempt_id, "X-Not-Executed: 1\r\n", "");
+  else if (turns_away (attempt_id, &headers))
+    respond (c, "503 Full", attempt_id, headers, "");
   else
     {
       char *customer = get_header (head, "X-Tenant");
