--- a/test/test_edge_rest.c
+++ b/test/test_edge_rest.c
@@ -1,4 +1,5 @@
-/* Tests of bilberry-edge with upstreams that ask for rest.  */
+/* Tests of bilberry-edge with upstreams that ask for rest, or say in their
+   answers that they leave.  */
 
 #include "harness/testbed.h"
 
@@ -14,6 +15,7 @@
   /* From then on no more than REQUESTS_IN_REST_MAX reach it.  */
   REST_BINDS_MS = 500,
   REQUESTS_IN_REST_MAX = 2,
+  DRAIN_MS = 2000, /* until an upstream that leaves must get no requests */
   OBSERVE_MS = 1000,
   REQUEST_INTERVAL_MS = 15
 };
@@ -229,6 +231,87 @@
   return bb_clock_now ();
 }
 
+/* An upstream that says in an answer that it leaves gets no request that came
+   drain-ms later, whatever the answer is.  */
+static void
+test_leaving (void)
+{
+  static const char *const faults[] = { "leaving", "left" };
+  static const char *const paths[] = { "/check/1", "/stream/1" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (paths); k++)
+      {
+        struct testbed t;
+        bb_ms told_ms;
+        uint32_t failed;
+        g_test_message ("%s %s", faults[i], paths[k]);
+        testbed_init (&t);
+        testbed_start_replica (&t, "i-1", "app", faults[i]);
+        testbed_start_replica (&t, "i-2", "app", "");
+        testbed_start_edge (&t, 0);
+        told_ms = reach_first (&t, paths[k]);
+        failed = send_requests (&t, paths[k], DRAIN_MS + OBSERVE_MS);
+        g_assert_cmpuint (count_reached (&t, 0, told_ms + DRAIN_MS), ==, 0);
+        g_assert_cmpuint (failed, ==, 0);
+        testbed_free (&t);
+      }
+}
+
+/* What an upstream has said in an answer holds until it starts anew: a later
+   registration of the same start does not undo it.  */
+static void
+test_leaving_registers_again (void)
+{
+  struct testbed t;
+  bb_ms told_ms;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "leaving");
+  testbed_start_replica (&t, "i-2", "app", "");
+  put_upstream (&t, "i-1", 2, 1000);
+  testbed_start_edge (&t, 0);
+  told_ms = reach_first (&t, "/check/1");
+  for (uint32_t seq = 3; seq < 6; seq++)
+    {
+      put_upstream (&t, "i-1", seq, 1000);
+      send_requests (&t, "/check/1", OBSERVE_MS);
+    }
+  g_assert_cmpuint (count_reached (&t, 0, told_ms + DRAIN_MS), ==, 0);
+  told_ms = bb_clock_now ();
+  put_upstream (&t, "i-1", 1, 2000);
+  send_requests (&t, "/check/1", OBSERVE_MS);
+  g_assert_cmpuint (count_reached (&t, 0, told_ms), >=, 1);
+  testbed_free (&t);
+}
+
+/* While all upstreams leave, a request is refused without a try and without a
+   wait.  */
+static void
+test_all_leaving (void)
+{
+  struct testbed t;
+  struct http_response a;
+  g_autofree char *log = NULL;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "leaving");
+  testbed_start_edge (&t, 0);
+  reach_first (&t, "/check/1");
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      bb_ms sent_ms = bb_clock_now ();
+      a = send_patient (&t, "GET", "/check/1");
+      g_assert_cmpint (a.status, ==, 503);
+      g_assert_cmpint (retry_after_ms (&a), >, 0);
+      http_response_free (&a);
+      g_assert_cmpuint (count_reached (&t, 0, sent_ms), ==, 0);
+    }
+  log = testbed_read_log (&t, "edge-0");
+  g_assert_null (strstr (log, "\"reason\":\"overload\""));
+  testbed_free (&t);
+}
+
 /* An upstream that has started anew is not kept away by what it asked for
    before.  */
 static void
@@ -258,5 +341,9 @@
   g_test_add_func ("/rest/ignored-by-retries", test_retries);
   g_test_add_func ("/rest/held-while-all-rest", test_all);
   g_test_add_func ("/rest/restarted-kept-away", test_restart);
+  g_test_add_func ("/rest/sent-to-leaving", test_leaving);
+  g_test_add_func ("/rest/sent-to-leaving-that-registers",
+                   test_leaving_registers_again);
+  g_test_add_func ("/rest/held-while-all-leave", test_all_leaving);
   return g_test_run ();
 }
