--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -64,6 +64,7 @@
                              send after idling */
   struct bb_rate_limiter rate_limiter;
   struct bb_ejection ejection;
+  struct bb_rest rest; /* asked for by its present start */
   /* Group of the upstream; NULL: none, or not looked up yet.  */
   struct group *group;
   bb_ms retire_at_ms;        /* time from which on it gets no new requests; 0:
@@ -144,7 +145,8 @@
   double split_draw; /* random number from 0 to 1 that picks the pool of a
                         split route */
   struct pool_queue *queue;
-  struct target *target; /* upstream of the current try; NULL: none */
+  struct target *target;   /* upstream of the current try; NULL: none */
+  int64_t started_unix_ms; /* start of the upstream at which it was sent */
   /* Group of the upstream of the current try; NULL: none.  */
   struct group *group;
   struct bb_h1_call *call;
@@ -258,10 +260,15 @@
 void fleet_sum_peer_loads (struct edge *e);
 /* Writes the loads of this edge to M, for its peers.  */
 void fleet_fill_peer_state (struct edge *e, struct bb_peer_state *m);
-/* Whether T may get new requests: it is registered, neither draining nor
-   ejected, not being checked for a crash, and its failure domain is not
-   evacuated.  */
+/* Whether T may get new requests: it is registered and not leaving, neither at
+   rest nor ejected, not being checked for a crash, and its failure domain is
+   not evacuated.  */
 bool fleet_may_send (const struct edge *e, const struct target *t, bb_ms now);
+/* Whether T is not registered any more, and no longer in use.  */
+bool fleet_is_gone (const struct target *t, bb_ms now);
+/* Whether T, which is registered, leaves or is in a failure domain that is
+   evacuated.  */
+bool fleet_is_leaving (const struct edge *e, const struct target *t);
 /* Returns the time of the event loop.  */
 bb_ms edge_now (const struct edge *e);
 
@@ -367,6 +374,16 @@
 void isolate_apply (struct edge *e, const char *name,
                     const struct bb_peer_isolated *m);
 
+/* rest.c: what upstreams ask for in their answers.  */
+/* The upstream of R has sent the head of its response.  */
+void rest_record_answer (struct request *r);
+/* T has started anew: what it asked for before does not hold any more.  */
+void rest_forget (struct target *t);
+/* Returns in how many milliseconds the first upstream of Q takes requests
+   again, where all rest or leave; UNKNOWN_MS where all leave, 0 where one does
+   neither or none is registered.  */
+bb_ms rest_wait_ms (const struct pool_queue *q, bb_ms unknown_ms, bb_ms now);
+
 /* groups.c: the engine groups of upstreams and their health.  */
 /* Returns the group of T, or NULL if its pool has no groups.  */
 struct group *groups_find (struct edge *e, struct target *t);
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -188,15 +188,29 @@
   return true;
 }
 
+bool
+fleet_is_gone (const struct target *t, bb_ms now)
+{
+  return t->retire_at_ms != 0 && now >= t->retire_at_ms;
+}
+
+bool
+fleet_is_leaving (const struct edge *e, const struct target *t)
+{
+  return t->record->draining
+         || g_hash_table_contains (e->evacuated_domains,
+                                   t->record->failure_domain);
+}
+
 bool
 fleet_may_send (const struct edge *e, const struct target *t, bb_ms now)
 {
-  if (t->retire_at_ms != 0 && now >= t->retire_at_ms)
-    return false;
-  if (t->record->draining || crash_holds (t))
+  if (fleet_is_gone (t, now) || fleet_is_leaving (e, t) || crash_holds (t))
     return false;
-  if (g_hash_table_contains (e->evacuated_domains, t->record->failure_domain))
+#ifndef BB_MUTANT_edge_rest
+  if (!bb_rest_is_over (&t->rest, now))
     return false;
+#endif
   return bb_ejection_is_usable (&t->ejection, now);
 }
 
--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -195,6 +195,24 @@
     g_queue_push_tail (&r->queue->waiting, r);
 }
 
+/* Refuses R, for which there is no upstream, if all upstreams of its pool rest
+   or leave: holding it would be of no use.  One that may have run cannot be
+   refused as not run, and waits as long as any other.  */
+static bool
+refuse_at_rest (struct pool_queue *q, struct request *r)
+{
+  bb_ms wait_ms = rest_wait_ms (q, r->route->slo_ms, edge_now (q->edge));
+
+#ifdef BB_MUTANT_edge_rest_hold
+  return false;
+#endif
+  if (wait_ms == 0 || r->executions > 0 || r->response_started)
+    return false;
+  g_queue_remove (&q->waiting, r);
+  refuse (r, BB_REASON_UPSTREAMS_REST, wait_ms);
+  return true;
+}
+
 /* Takes the next request from the queue: sends it, refuses it, or moves it to
    its queue under a new configuration.  An isolated request, which only few
    upstreams may get, is passed over in this round if it has to wait.  Returns
@@ -213,6 +231,8 @@
       return true;
     }
   t = choose_target (q, r);
+  if (!t && refuse_at_rest (q, r))
+    return true;
   if (suspect_is_suspect (r) && (!t || !isolate_claim (r, t)))
     {
       r->round = q->round;
--- a/cmd/edge/request.c
+++ b/cmd/edge/request.c
@@ -74,6 +74,7 @@
 request_assign (struct request *r, struct target *t)
 {
   r->target = t;
+  r->started_unix_ms = t->record->started_unix_ms;
   target_hold (t);
   if (t->in_flight == 0)
     t->last_activity_ms = edge_now (r->edge);
--- /dev/null
+++ b/cmd/edge/rest.c
@@ -0,0 +1,56 @@
+/* What upstreams ask for in their answers, and requests that find all
+   upstreams of their pool at rest.  The decisions are those of libload.  */
+
+#include "edge.h"
+
+#include <jansson.h>
+
+#include <string.h>
+
+void
+rest_record_answer (struct request *r)
+{
+  struct target *t = r->target;
+  bb_ms now = edge_now (r->edge);
+
+  /* What an earlier start of the upstream said does not concern this one.  */
+  if (r->reply.rest_ms == 0
+      || r->started_unix_ms != t->record->started_unix_ms)
+    return;
+  bb_rest_ask (&t->rest, r->reply.rest_ms, now);
+  bb_counter ("bilberry_upstream_rests_total", "")->value++;
+  bb_log_event ("upstream_rests", "{s:s, s:I, s:I}", "upstream", t->id,
+                "rest_ms", (json_int_t)r->reply.rest_ms, "left_ms",
+                (json_int_t)(t->rest.until_ms - now));
+}
+
+void
+rest_forget (struct target *t)
+{
+#ifdef BB_MUTANT_edge_rest_start
+  return;
+#endif
+  memset (&t->rest, 0, sizeof t->rest);
+}
+
+bb_ms
+rest_wait_ms (const struct pool_queue *q, bb_ms unknown_ms, bb_ms now)
+{
+  const struct edge *e = q->edge;
+  struct bb_pool_opening o = { 0 };
+  bb_ms wait_ms;
+  bb_ms group_ms;
+
+  for (guint i = 0; i < e->target_list->len && !o.is_open; i++)
+    {
+      const struct target *t = g_ptr_array_index (e->target_list, i);
+      if (strcmp (t->record->pool, q->pool) == 0 && !fleet_is_gone (t, now))
+        bb_pool_opening_add (&o, fleet_is_leaving (e, t), &t->rest, now);
+    }
+  wait_ms = bb_pool_opening_wait_ms (&o, unknown_ms, now);
+  if (wait_ms == 0)
+    return 0;
+  /* After its rest an upstream may still have to wait for its group.  */
+  group_ms = groups_retry_after_ms (q, wait_ms, now);
+  return group_ms > wait_ms ? group_ms : wait_ms;
+}
--- a/cmd/edge/targets.c
+++ b/cmd/edge/targets.c
@@ -111,6 +111,8 @@
       bb_h1_pool_drop_idle (t->connections);
       memset (&t->ejection, 0, sizeof t->ejection);
     }
+  if (t->record->started_unix_ms != u->started_unix_ms)
+    rest_forget (t);
   bb_upstream_free (t->record);
   t->record = u;
   t->retire_at_ms = 0;
--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -38,13 +38,15 @@
      broken    as not-run, and GET /v1/report says that the group is broken
      rest      for SHED_MS from the first request on, as not-run, and asks for
                REST_S seconds of rest by Retry-After
+     weary     as rest, and meanwhile GET /v1/report says that the group is
+               broken
      leaving   has Server-Leaving in its responses
      left      as not-run, with Server-Leaving
      mute      responds with 503 to GET /v1/report
 
-   With the faults "rest", "leaving" and "left", GET /ran also has a line
-   "reached ATTEMPT-ID at MS" for each request that is not answered with 421;
-   MS is a time of bb_clock_now.  */
+   With the faults "rest", "weary", "leaving" and "left", GET /ran also has a
+   line "reached ATTEMPT-ID at MS" for each request that is not answered with
+   421; MS is a time of bb_clock_now.  */
 
 #include "bilberry/base.h"
 #include "bilberry/settings.h"
@@ -342,14 +344,18 @@
 {
   bb_ms now = bb_clock_now ();
 
-  if (has_fault ("rest") || has_fault ("leaving") || has_fault ("left"))
+  if (has_fault ("rest") || has_fault ("weary") || has_fault ("leaving")
+      || has_fault ("left"))
     g_string_append_printf (request_log, "reached %s at %lld\n", attempt_id,
                             (long long)now);
-  if (has_fault ("rest"))
+  if (has_fault ("rest") || has_fault ("weary"))
     {
       if (shed_until_ms == 0)
         shed_until_ms = now + SHED_MS;
-      *headers = "X-Not-Executed: 1\r\nRetry-After: " REST_S "\r\n";
+      *headers = has_fault ("rest")
+                     ? "X-Not-Executed: 1\r\nRetry-After: " REST_S "\r\n"
+                     : "X-Not-Executed: 1\r\nAt-Server: i-9\r\n"
+                       "Retry-After: " REST_S "\r\n";
       return now < shed_until_ms;
     }
   *headers = has_fault ("left") ? "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
@@ -358,6 +364,15 @@
   return has_fault ("left") || has_fault ("broken") || has_fault ("not-run");
 }
 
+/* Returns whether the group of the replica is broken.  */
+static bool
+is_broken (void)
+{
+  return has_fault ("broken")
+         || (has_fault ("weary") && shed_until_ms > 0
+             && bb_clock_now () < shed_until_ms);
+}
+
 static void
 handle_request (struct connection *c, const char *head)
 {
@@ -375,7 +390,7 @@
     respond (c, "503 Starting", attempt_id, "", "");
   else if (g_str_has_prefix (head, "GET /v1/report "))
     respond (c, "200 OK", attempt_id, "",
-             has_fault ("broken") ? broken_report : prepared_report);
+             is_broken () ? broken_report : prepared_report);
   else if (g_str_has_prefix (head, "GET /v1/picked "))
     {
       g_string_append (request_log, "counted\n");
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -223,6 +223,40 @@
 /* Returns whether the upstream may get a request at NOW.  */
 bool bb_ejection_is_usable (const struct bb_ejection *e, bb_ms now);
 
+/* Rest of one upstream: it has turned a request of this entry away and wants
+   no further ones of this entry for a time.  */
+struct bb_rest
+{
+  bb_ms until_ms; /* no requests before this time; 0: never asked */
+};
+
+/* Records that the upstream asks for a rest of FOR_MS; 0 asks for none.  What
+   it asked for before holds too.  */
+void bb_rest_ask (struct bb_rest *r, bb_ms for_ms, bb_ms now);
+
+/* Returns whether the upstream may get a request at NOW.  */
+bool bb_rest_is_over (const struct bb_rest *r, bb_ms now);
+
+/* When a pool takes requests, as far as its upstreams rest or leave.  Starts
+   as zeros.  */
+struct bb_pool_opening
+{
+  uint32_t upstreams;
+  bool is_open; /* some upstream neither rests nor leaves */
+  bb_ms at_ms;  /* earliest end of a rest; 0: all leave */
+};
+
+/* Adds an upstream that rests as R says.  LEAVES is whether it takes no
+   requests for a time that is not known.  */
+void bb_pool_opening_add (struct bb_pool_opening *o, bool leaves,
+                          const struct bb_rest *r, bb_ms now);
+
+/* Returns in how many milliseconds from NOW the first upstream takes requests
+   again, UNKNOWN_MS where all leave; 0 where one neither rests nor leaves, or
+   no upstream is known: then a request waits in the queue.  */
+bb_ms bb_pool_opening_wait_ms (const struct bb_pool_opening *o,
+                               bb_ms unknown_ms, bb_ms now);
+
 /* State of a group: upstreams that run each pass in lockstep.  */
 enum bb_group_health_state
 {
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -123,6 +123,7 @@
   BB_REASON_HEAD_TOO_LARGE, /* the path or the headers of the request are too
                                large */
   BB_REASON_SLOW_CLIENT,    /* the caller is too slow */
+  BB_REASON_UPSTREAMS_REST, /* all upstreams rest or leave */
   BB_REASON_COUNT
 };
 
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -162,6 +162,7 @@
     "other_settings",
     "head_too_large",
     "slow_client",
+    "upstreams_rest",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -199,6 +200,7 @@
     "the agent has other settings",
     "the path or the headers of the request are too large",
     "the caller is too slow",
+    "all upstreams rest or leave",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -210,7 +212,7 @@
 {
   static uint16_t const table[] = {
     200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503, 503, 503,
-    503, 502, 502, 504, 409, 409, 422, 422, 499, 500, 503, 431, 408,
+    503, 502, 502, 504, 409, 409, 422, 422, 499, 500, 503, 431, 408, 503,
   };
   if (value >= BB_REASON_COUNT)
     return 500;
--- a/test/test_edge_rest.c
+++ b/test/test_edge_rest.c
@@ -12,10 +12,12 @@
 enum
 {
   REST_MS = 2000, /* what a replica with the fault "rest" asks for */
+  SHED_MS = 4000, /* how long it turns requests away */
   /* From then on no more than REQUESTS_IN_REST_MAX reach it.  */
   REST_BINDS_MS = 500,
   REQUESTS_IN_REST_MAX = 2,
   DRAIN_MS = 2000, /* until an upstream that leaves must get no requests */
+  REOPEN_MS = 500, /* until an edge knows that a group is open again */
   OBSERVE_MS = 1000,
   REQUEST_INTERVAL_MS = 15
 };
@@ -53,6 +55,19 @@
   return n;
 }
 
+/* Returns when the first request reached replica R.  */
+static bb_ms
+read_first (struct testbed *t, uint32_t r)
+{
+  GArray *times = read_reached (t, r);
+  bb_ms first_ms;
+
+  g_assert_cmpuint (times->len, >=, 1);
+  first_ms = g_array_index (times, bb_ms, 0);
+  g_array_unref (times);
+  return first_ms;
+}
+
 /* Asserts that replica R, which turned all requests away, got no more than the
    allowed ones in the rest that any of its answers asked for.  */
 static void
@@ -179,14 +194,7 @@
   http_response_free (&a);
   g_assert_cmpuint (count_reached (&t, 0, 0), ==, 1);
   g_assert_cmpuint (count_reached (&t, 1, 0), ==, 1);
-  {
-    GArray *times = read_reached (&t, 0);
-    GArray *others = read_reached (&t, 1);
-    first_ms = MIN (g_array_index (times, bb_ms, 0),
-                    g_array_index (others, bb_ms, 0));
-    g_array_unref (times);
-    g_array_unref (others);
-  }
+  first_ms = MIN (read_first (&t, 0), read_first (&t, 1));
   for (uint32_t i = 0; i < 5; i++)
     {
       harness_sleep_ms (100);
@@ -202,12 +210,36 @@
       g_assert_cmpuint (count_reached (&t, 1, sent_ms), ==, 0);
     }
   log = testbed_read_log (&t, "edge-0");
-  g_assert_nonnull (strstr (log, "\"reason\":\"upstream_refused\""));
+  g_assert_nonnull (strstr (log, "\"reason\":\"upstreams_rest\""));
   /* A request that is held until its time in the queue is over.  */
   g_assert_null (strstr (log, "\"reason\":\"overload\""));
   testbed_free (&t);
 }
 
+/* The ranks of a group that is broken ask for rest.  Once it is open, none of
+   them is left alone for longer than it has asked for.  */
+static void
+test_group (void)
+{
+  struct testbed t;
+  bb_ms rested_ms = 0; /* end of the last rest that may be asked for */
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "draft", "weary");
+  testbed_start_replica (&t, "i-2", "draft", "weary");
+  testbed_start_edge (&t, 0);
+  send_requests (&t, "/draft/1", SHED_MS / 2);
+  for (uint32_t r = 0; r < 2; r++)
+    {
+      check_rest (&t, r);
+      rested_ms = MAX (rested_ms, read_first (&t, r) + SHED_MS + REST_MS);
+    }
+  while (bb_clock_now () < rested_ms + REOPEN_MS)
+    send_requests (&t, "/draft/1", 100);
+  g_assert_cmpuint (send_requests (&t, "/draft/1", OBSERVE_MS), ==, 0);
+  testbed_free (&t);
+}
+
 static void
 put_upstream (struct testbed *t, const char *id, uint32_t seq, uint32_t born)
 {
@@ -340,6 +372,7 @@
   g_test_add_func ("/rest/ignored", test_one);
   g_test_add_func ("/rest/ignored-by-retries", test_retries);
   g_test_add_func ("/rest/held-while-all-rest", test_all);
+  g_test_add_func ("/rest/group", test_group);
   g_test_add_func ("/rest/restarted-kept-away", test_restart);
   g_test_add_func ("/rest/sent-to-leaving", test_leaving);
   g_test_add_func ("/rest/sent-to-leaving-that-registers",
