--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -67,6 +67,8 @@
   struct bb_rest rest; /* asked for by its present start */
   /* Group of the upstream; NULL: none, or not looked up yet.  */
   struct group *group;
+  bool leaving; /* its present start has said that it leaves, in an answer or
+                   in its registration */
   bb_ms retire_at_ms;        /* time from which on it gets no new requests; 0:
                                 registered */
   struct crash_check *check; /* finds out whether it has crashed; it gets no
@@ -377,8 +379,10 @@
 /* rest.c: what upstreams ask for in their answers.  */
 /* The upstream of R has sent the head of its response.  */
 void rest_record_answer (struct request *r);
-/* T has started anew: what it asked for before does not hold any more.  */
-void rest_forget (struct target *t);
+/* T has registered as its record says.  What an earlier start has asked for
+   does not hold for a new one, but for the same one it does: a registration
+   may be older than an answer.  */
+void rest_apply_record (struct target *t, bool new_start);
 /* Returns in how many milliseconds the first upstream of Q takes requests
    again, where all rest or leave; UNKNOWN_MS where all leave, 0 where one does
    neither or none is registered.  */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -197,7 +197,7 @@
 bool
 fleet_is_leaving (const struct edge *e, const struct target *t)
 {
-  return t->record->draining
+  return t->leaving
          || g_hash_table_contains (e->evacuated_domains,
                                    t->record->failure_domain);
 }
--- a/cmd/edge/targets.c
+++ b/cmd/edge/targets.c
@@ -55,6 +55,7 @@
   t = g_new0 (struct target, 1);
   t->id = g_strdup (u->id);
   t->record = u;
+  rest_apply_record (t, true);
   t->id_hash = XXH64 (u->id, strlen (u->id), 0);
   t->connections = bb_h1_pool_new (e->loop, &addr, CONNECT_TIMEOUT_MS);
   g_hash_table_insert (e->targets, t->id, t);
@@ -99,23 +100,34 @@
     }
 }
 
+/* Returns whether U, by which T registers again, is of another start.  Where
+   the time of its start is not known, one that was removed has started anew.
+ */
+static bool
+is_new_start (const struct target *t, const struct bb_upstream *u)
+{
+  return t->record->started_unix_ms != u->started_unix_ms
+         || (u->started_unix_ms == 0 && t->retire_at_ms != 0);
+}
+
 /* T registered again, as U, which T takes over.  */
 static void
 update_target (struct target *t, struct bb_upstream *u)
 {
+  bool new_start = is_new_start (t, u);
+
 #ifdef BB_MUTANT_target_freed
   on_free_timer (&free_timer);
 #endif
-  if (t->record->started_unix_ms != u->started_unix_ms || t->retire_at_ms != 0)
+  if (new_start || t->retire_at_ms != 0)
     {
       bb_h1_pool_drop_idle (t->connections);
       memset (&t->ejection, 0, sizeof t->ejection);
     }
-  if (t->record->started_unix_ms != u->started_unix_ms)
-    rest_forget (t);
   bb_upstream_free (t->record);
   t->record = u;
   t->retire_at_ms = 0;
+  rest_apply_record (t, new_start);
 }
 
 static void
@@ -160,7 +172,7 @@
 
   if (!t || t->retire_at_ms != 0)
     return;
-  lapsed = !t->record->draining && e->store_recovered_ms > 0
+  lapsed = !t->leaving && e->store_recovered_ms > 0
            && now - e->store_recovered_ms < LAPSE_KEEP_MS;
   t->retire_at_ms = lapsed ? e->store_recovered_ms + LAPSE_KEEP_MS : now;
   /* The upstream may have left for good, even if its registration seems to
