--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -124,6 +124,7 @@
                                  large */
   BB_REASON_SLOW_CLIENT,      /* the caller is too slow */
   BB_REASON_CONNECTION_LIMIT, /* callers have too many connections */
+  BB_REASON_UPSTREAMS_REST,   /* all upstreams rest or leave */
   BB_REASON_COUNT
 };
 
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -163,6 +163,7 @@
     "head_too_large",
     "slow_client",
     "connection_limit",
+    "upstreams_rest",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -201,6 +202,7 @@
     "the path or the headers of the request are too large",
     "the caller is too slow",
     "callers have too many connections",
+    "all upstreams rest or leave",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -211,8 +213,8 @@
 bb_reason_status (uint32_t value)
 {
   static uint16_t const table[] = {
-    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503, 503, 503,
-    503, 502, 502, 504, 409, 409, 422, 422, 499, 500, 503, 431, 408, 503,
+    200, 400, 401, 401, 404, 405, 413, 429, 429, 503, 503, 503, 503, 503, 503,
+    502, 502, 504, 409, 409, 422, 422, 499, 500, 503, 431, 408, 503, 503,
   };
   if (value >= BB_REASON_COUNT)
     return 500;
