cmd/edge: what was learned of an upstream holds for its process alone

An upstream that registered again under its id with a new start, address or pool kept its old address, group and cold limit: requests went on to the old address, and what was learned of the old process counted for the new.

A registration that is not of the same process (bb_upstream_is_same_process: start, address, pool) makes a new target; the old one leaves the table and is freed when no request or crash check holds it. The same process keeps all but, after a removal, its ejection and idle connections, as before. docs/design/0047 is the rule.

--- a/cmd/edge/targets.c
+++ b/cmd/edge/targets.c
@@ -1,4 +1,6 @@
-/* The upstreams that this edge knows, and how long it remembers them.
+/* The upstreams that this edge knows, and how long it remembers them.  One
+   that registers again as another process, or elsewhere, gets a new target, so
+   that nothing learned of the old one counts for it.
 
    A target is freed by on_free_timer alone, which only the event loop calls.
    So a pointer to a target is valid until the function that has it returns to
@@ -18,13 +20,15 @@
 {
   LAPSE_KEEP_MS = 2000, /* how long after the store recovers an upstream whose
                            registration expired meanwhile stays in use */
-  /* How long a removed upstream is remembered after its last use, as a
+  /* How long an upstream that has left is remembered, as a
      multiple of bounds.drain-ms.  */
   REMEMBERED_DRAINS = 5,
   FREE_INTERVAL_MS = 50
 };
 
 static uv_timer_t free_timer;
+static GPtrArray *replaced; /* targets that are neither in the table nor in the
+                               list, and are freed once nothing holds them */
 
 struct target *
 targets_find (const struct edge *e, const char *id)
@@ -59,9 +63,17 @@
   t->connections = bb_h1_pool_new (e->loop, &addr, CONNECT_TIMEOUT_MS);
   g_hash_table_insert (e->targets, t->id, t);
   g_ptr_array_add (e->target_list, t);
+  e->peer_loads_changed = true;
   return t;
 }
 
+static void
+remove_target (struct edge *e, struct target *t)
+{
+  g_hash_table_remove (e->targets, t->id);
+  g_ptr_array_remove_fast (e->target_list, t);
+}
+
 static void
 free_target (struct target *t)
 {
@@ -71,16 +83,22 @@
   g_free (t);
 }
 
+static bool
+is_held (const struct target *t)
+{
+#ifdef BB_MUTANT_target_held
+  return false;
+#endif
+  return t->holds > 0;
+}
+
 static bool
 is_forgotten (const struct edge *e, const struct target *t)
 {
   bb_ms keep_ms = e->settings->drain_ms * REMEMBERED_DRAINS;
 
-#ifndef BB_MUTANT_target_held
-  if (t->holds > 0)
-    return false;
-#endif
-  return t->retire_at_ms != 0 && edge_now (e) >= t->retire_at_ms + keep_ms;
+  return !is_held (t) && t->retire_at_ms != 0
+         && edge_now (e) >= t->retire_at_ms + keep_ms;
 }
 
 static void
@@ -93,20 +111,23 @@
       struct target *t = g_ptr_array_index (e->target_list, i);
       if (!is_forgotten (e, t))
         continue;
-      g_hash_table_remove (e->targets, t->id);
-      g_ptr_array_remove_index_fast (e->target_list, i);
+      remove_target (e, t);
       free_target (t);
     }
+  for (guint i = replaced->len; i-- > 0;)
+    if (!is_held (g_ptr_array_index (replaced, i)))
+      free_target (g_ptr_array_remove_index_fast (replaced, i));
 }
 
-/* T registered again, as U, which T takes over.  */
+/* T registered again as U, the same process, and U becomes its record.  After
+   a removal that is newer evidence than the failures before.  */
 static void
-update_target (struct target *t, struct bb_upstream *u)
+renew_target (struct target *t, struct bb_upstream *u)
 {
 #ifdef BB_MUTANT_target_freed
   on_free_timer (&free_timer);
 #endif
-  if (t->record->started_unix_ms != u->started_unix_ms || t->retire_at_ms != 0)
+  if (t->retire_at_ms != 0)
     {
       bb_h1_pool_drop_idle (t->connections);
       memset (&t->ejection, 0, sizeof t->ejection);
@@ -116,6 +137,14 @@
   t->retire_at_ms = 0;
 }
 
+static void
+replace_target (struct edge *e, struct target *t)
+{
+  remove_target (e, t);
+  bb_h1_pool_drop_idle (t->connections);
+  g_ptr_array_add (replaced, t);
+}
+
 static void
 apply_record (struct edge *e, const char *id, GBytes *value,
               bb_revision revision, const char *source)
@@ -142,9 +171,14 @@
                 (int)u->cold_left_ms, "era",
                 (json_int_t)bb_revision_era (revision), "revision",
                 (json_int_t)bb_revision_number (revision));
+  if (t && bb_upstream_is_same_process (t->record, u))
+    {
+      renew_target (t, u);
+      return;
+    }
   if (t)
-    update_target (t, u);
-  else if (!add_target (e, u))
+    replace_target (e, t);
+  if (!add_target (e, u))
     bb_upstream_free (u);
 }
 
@@ -188,6 +222,7 @@
 {
   e->targets = g_hash_table_new (g_str_hash, g_str_equal);
   e->target_list = g_ptr_array_new ();
+  replaced = g_ptr_array_new ();
   uv_timer_init (e->loop, &free_timer);
   free_timer.data = e;
 #ifndef BB_MUTANT_target_freed
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -186,6 +186,12 @@
   bb_revision revision;    /* at which it registered */
 };
 
+/* Whether A and B, which registered under one id, are the same process in the
+   same pool and at the same address, so that what was learned of one holds for
+   the other.  */
+bool bb_upstream_is_same_process (const struct bb_upstream *a,
+                                  const struct bb_upstream *b);
+
 /* Frees U, which may be NULL.  */
 void bb_upstream_free (struct bb_upstream *u);
 
--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -1,5 +1,19 @@
 #include "bilberry/fleet.h"
 
+#include <string.h>
+
+bool
+bb_upstream_is_same_process (const struct bb_upstream *a,
+                             const struct bb_upstream *b)
+{
+#ifdef BB_MUTANT_upstream_process
+  return true;
+#endif
+  return a->started_unix_ms == b->started_unix_ms
+         && strcmp (a->address, b->address) == 0
+         && strcmp (a->pool, b->pool) == 0;
+}
+
 void
 bb_upstream_free (struct bb_upstream *u)
 {
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -394,3 +394,27 @@
   free (path);
   return text ? text : g_strdup ("");
 }
+
+uint32_t
+testbed_count_log (struct testbed *t, const char *process, const char *text)
+{
+  g_autofree char *log = testbed_read_log (t, process);
+  uint32_t n = 0;
+
+  for (const char *at = log; (at = strstr (at, text)); at++)
+    n++;
+  return n;
+}
+
+void
+testbed_await_log (struct testbed *t, const char *process, const char *text,
+                   uint32_t n)
+{
+  for (int spent = 0; spent < AWAIT_TIMEOUT_MS; spent += POLL_INTERVAL_MS)
+    {
+      if (testbed_count_log (t, process, text) > n)
+        return;
+      harness_sleep_ms (POLL_INTERVAL_MS);
+    }
+  g_error ("%s does not log %s", process, text);
+}
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -123,4 +123,13 @@
    replica 0).  The caller frees it.  */
 char *testbed_read_log (struct testbed *t, const char *process);
 
+/* Returns how often TEXT is in the log of PROCESS.  */
+uint32_t testbed_count_log (struct testbed *t, const char *process,
+                            const char *text);
+
+/* Waits until TEXT is more than N times in the log of PROCESS; aborts if it is
+   not within five seconds.  */
+void testbed_await_log (struct testbed *t, const char *process,
+                        const char *text, uint32_t n);
+
 #endif
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -273,6 +273,36 @@
     }
 }
 
+/* The process of an upstream is known by its start, address and pool, not by
+   its failure domain, its state or its slots.  */
+static void
+test_same_process (void)
+{
+  struct bb_upstream a = { .pool = "p",
+                           .address = "1:1",
+                           .failure_domain = "z",
+                           .slots = 8,
+                           .started_unix_ms = 7 };
+  struct bb_upstream same = { .pool = "p",
+                              .address = "1:1",
+                              .failure_domain = "y",
+                              .slots = 9,
+                              .draining = true,
+                              .started_unix_ms = 7 };
+  struct bb_upstream other;
+
+  g_assert_true (bb_upstream_is_same_process (&a, &same));
+  other = a;
+  other.started_unix_ms = 8;
+  g_assert_false (bb_upstream_is_same_process (&a, &other));
+  other = a;
+  other.address = "1:2";
+  g_assert_false (bb_upstream_is_same_process (&a, &other));
+  other = a;
+  other.pool = "q";
+  g_assert_false (bb_upstream_is_same_process (&a, &other));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -283,5 +313,6 @@
   g_test_add_func ("/view/release", test_release);
   g_test_add_func ("/view/twice", test_twice);
   g_test_add_func ("/view/runs", test_runs);
+  g_test_add_func ("/view/same-process", test_same_process);
   return g_test_run ();
 }
