cmd/edge: go through the queues by a list, as they may be added to

After a change of configuration each queue is dispatched, and a waiting request may be moved to a pool that has no queue yet (so may the next request on a connection, when a refusal ends). The queue was then added to the hash table during its iteration: GLib reports a critical fault and ends the iteration, and the other queues wait for the next tick.

Queues are never removed, so a list in order of creation can be gone through while it grows. /edge/route-to-new-pool, which runs the edge with G_DEBUG=fatal-criticals, ended the edge before:

g_hash_table_iter_next: assertion 'ri->version == ri->hash_table->version' failed

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -185,7 +185,8 @@
   GHashTable *targets;           /* struct target by its id */
   GPtrArray *target_list;        /* the elements of targets */
   GHashTable *evacuated_domains; /* failure domains that get no new requests */
-  GHashTable *queues;            /* struct pool_queue by pool */
+  GHashTable *queues;    /* struct pool_queue by pool; none is ever removed */
+  GPtrArray *queue_list; /* the elements of queues */
   GHashTable *customer_in_flight; /* number of requests by customer */
   GHashTable *peer_loads;  /* requests in flight at each peer: by name of the
                               peer, a table by id_hash of the target */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -46,6 +46,7 @@
                         e->started_ms);
   q->groups = g_ptr_array_new ();
   g_hash_table_insert (e->queues, q->pool, q);
+  g_ptr_array_add (e->queue_list, q);
   return q;
 }
 
@@ -283,6 +284,7 @@
   e->evacuated_domains
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   e->queues = g_hash_table_new (g_str_hash, g_str_equal);
+  e->queue_list = g_ptr_array_new ();
   e->customer_in_flight
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   e->peer_loads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -235,15 +235,12 @@
     ;
 }
 
+/* FN may add queues: a request that it moves may be the first of its pool.  */
 static void
 for_each_queue (struct edge *e, void (*fn) (struct pool_queue *q))
 {
-  GHashTableIter it;
-  void *value;
-
-  g_hash_table_iter_init (&it, e->queues);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    fn (value);
+  for (guint i = 0; i < e->queue_list->len; i++)
+    fn (g_ptr_array_index (e->queue_list, i));
 }
 
 void
--- a/test/test_edge_store.c
+++ b/test/test_edge_store.c
@@ -426,6 +426,45 @@
   testbed_free (&t);
 }
 
+static gpointer
+request_waiting (gpointer user)
+{
+  struct http_response a
+      = testbed_request (user, 0, "GET", "/check/new/1", "w1", "key-1");
+  int status = a.status;
+
+  http_response_free (&a);
+  return GINT_TO_POINTER (status);
+}
+
+/* A request that waits is moved to a pool that is not known yet, because a new
+   configuration routes it there: the queues change while they are gone
+   through.  */
+static void
+test_route_to_new_pool (void)
+{
+  struct testbed t;
+  GThread *caller;
+
+  g_setenv ("G_DEBUG", "fatal-criticals", TRUE);
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_put_item (&t, "op/evacuate/z1", "{}");
+  testbed_start_edge (&t, 0);
+  g_unsetenv ("G_DEBUG");
+  caller = g_thread_new ("caller", request_waiting, &t);
+  harness_sleep_ms (100);
+  testbed_put_config (
+      &t, 2,
+      ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":"
+      "\"/check/new/\",\"route-kind\":\"idempotent\",\"service\":\"none\","
+      "\"timeout-ms\":900,\"slo-ms\":100,\"max-attempts\":1}",
+      "");
+  g_assert_cmpint (GPOINTER_TO_INT (g_thread_join (caller)), ==, 503);
+  testbed_check_status (&t, "GET", "/check/1", "w2", 503);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -440,5 +479,6 @@
   g_test_add_func ("/edge/config-from-peer", test_config_from_peer);
   g_test_add_func ("/edge/forwarding-edge-stops", test_forwarding_edge_stops);
   g_test_add_func ("/edge/few-watch", test_few_watch);
+  g_test_add_func ("/edge/route-to-new-pool", test_route_to_new_pool);
   return g_test_run ();
 }
