cmd/rank: a call to what is no address fails, and does not end the agent

The agent that leads a group polls the upstreams of its pool; where the address of an entry is none ("nowhere:80"), there is no pool of connections for it, and bb_h1_fetch was called with NULL: a segmentation fault, again after each start for as long as the entry stands. An order to a rank at such an address ended it likewise.

The call now fails as one that gets no response, from a timer, so that no result comes before the function that sends it has returned.

/rank/unusable-address failed before; with SAN=1: libh1/client.c:70, member access within null pointer. test_rank: 6 passed, plain and SAN=1.

--- a/cmd/rank/remote.c
+++ b/cmd/rank/remote.c
@@ -18,6 +18,7 @@
 /* A call in progress; one of the two functions is NULL.  */
 struct call
 {
+  uv_timer_t timer; /* ends a call to what is no address */
   remote_report_fn *on_report;
   remote_result_fn *on_result;
   void *user;
@@ -25,6 +26,7 @@
 
 static GHashTable *pools; /* connection pools by address */
 
+/* Returns the pool of ADDRESS, or NULL where that is no address.  */
 static struct bb_h1_pool *
 get_pool (struct agent *a, const char *address)
 {
@@ -61,6 +63,29 @@
   g_free (c);
 }
 
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  struct bb_bytes none = { NULL, 0 };
+
+  on_response (BB_H1_FETCH_FAILED, 0, none, h->data);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  uv_close ((uv_handle_t *)t, on_timer_closed);
+}
+
+/* Ends C without a response, after the function that sends it has returned. */
+static void
+fail_call (struct agent *a, struct call *c)
+{
+  uv_timer_init (a->loop, &c->timer);
+  c->timer.data = c;
+  uv_timer_start (&c->timer, on_timer, 0, 0);
+}
+
 static void
 send_request (struct agent *a, const char *address, const char *method,
               const char *target, struct bb_bytes body, struct call *c)
@@ -77,8 +102,12 @@
                                .idle_max_ms = IDLE_CONNECTION_MAX_MS };
   struct bb_h1_fetch_limits limits = { .timeout_ms = REQUEST_TIMEOUT_MS,
                                        .body_max_bytes = RESPONSE_MAX_BYTES };
+  struct bb_h1_pool *pool = get_pool (a, address);
 
-  bb_h1_fetch (get_pool (a, address), &out, &limits, on_response, c);
+  if (pool)
+    bb_h1_fetch (pool, &out, &limits, on_response, c);
+  else
+    fail_call (a, c);
 }
 
 void
--- a/test/test_rank.c
+++ b/test/test_rank.c
@@ -192,6 +192,26 @@
   testbed_free (&testbed);
 }
 
+/* An upstream of the group whose address is not one does not end the agent
+   that leads.  */
+static void
+test_unusable_address (void)
+{
+  struct testbed testbed;
+
+  testbed_init (&testbed);
+  testbed_start_replica_on (&testbed, "127.0.0.2", "i-1", "draft", "");
+  testbed_start_edge (&testbed, 0);
+  testbed_start_rank (&testbed, 0);
+  g_assert_true (wait_for_log (&testbed, "side-0", "\"event\":\"leads\""));
+  testbed_put_item (&testbed, "servers/i-bad",
+                    "{\"service\":\"draft\",\"address\":\"nowhere:80\","
+                    "\"zone\":\"z1\",\"slots\":8,\"state\":\"ready\"}");
+  g_assert_true (
+      wait_for_log (&testbed, "side-0", "\"address\":\"nowhere:80\""));
+  testbed_free (&testbed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -202,5 +222,6 @@
                    test_first_agent_without_report);
   g_test_add_func ("/rank/leader-stops", test_leader_stopped);
   g_test_add_func ("/rank/orders-lost", test_orders_lost);
+  g_test_add_func ("/rank/unusable-address", test_unusable_address);
   return g_test_run ();
 }
