--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -147,8 +147,7 @@
   double split_draw; /* random number from 0 to 1 that picks the pool of a
                         split route */
   struct pool_queue *queue;
-  struct target *target;   /* upstream of the current try; NULL: none */
-  int64_t started_unix_ms; /* start of the upstream at which it was sent */
+  struct target *target; /* upstream of the current try; NULL: none */
   /* Group of the upstream of the current try; NULL: none.  */
   struct group *group;
   struct bb_h1_call *call;
@@ -189,7 +188,8 @@
   GHashTable *targets;           /* struct target by its id */
   GPtrArray *target_list;        /* the elements of targets */
   GHashTable *evacuated_domains; /* failure domains that get no new requests */
-  GHashTable *queues;            /* struct pool_queue by pool */
+  GHashTable *queues;    /* struct pool_queue by pool; none is ever removed */
+  GPtrArray *queue_list; /* the elements of queues */
   GHashTable *customer_in_flight; /* number of requests by customer */
   GHashTable *peer_loads;  /* requests in flight at each peer: by name of the
                               peer, a table by id_hash of the target */
@@ -379,9 +379,8 @@
 /* rest.c: what upstreams ask for in their answers.  */
 /* The upstream of R has sent the head of its response.  */
 void rest_record_answer (struct request *r);
-/* T has registered as its record says.  What an earlier start has asked for
-   does not hold for a new one, but for the same one it does: a registration
-   may be older than an answer.  */
+/* T has registered as its record says.  What it asked for before holds, since
+   a registration may be older than an answer, unless NEW_START.  */
 void rest_apply_record (struct target *t, bool new_start);
 /* Returns in how many milliseconds the first upstream of Q takes requests
    again, where all rest or leave; UNKNOWN_MS where all leave, 0 where one does
--- a/cmd/edge/rest.c
+++ b/cmd/edge/rest.c
@@ -30,9 +30,6 @@
 {
   struct target *t = r->target;
 
-  /* What an earlier start of the upstream said does not concern this one.  */
-  if (r->started_unix_ms != t->record->started_unix_ms)
-    return;
   if (r->reply.rest_ms > 0)
     record_rest (t, r->reply.rest_ms, edge_now (r->edge));
 #ifdef BB_MUTANT_edge_leaving
@@ -48,13 +45,11 @@
 #ifdef BB_MUTANT_edge_leaving_start
   t->leaving = false;
 #endif
-#ifndef BB_MUTANT_edge_rest_start
   if (new_start)
     {
       memset (&t->rest, 0, sizeof t->rest);
       t->leaving = false;
     }
-#endif
   t->leaving = t->leaving || t->record->draining;
 }
 
