cmd/rank: one file for each job of the leader

leader.c held the connections, the orders, the polls, the plans and the state of the group in 584 lines. Each job has a file of its own now, described in leader.h; only leader.c names the one leader, the others take it.

No change of behaviour. test_rank, test_follow and test_engine pass.

--- /dev/null
+++ b/cmd/rank/leader_group.c
@@ -0,0 +1,99 @@
+/* What the leader knows of the ranks of its group.  */
+
+#include "leader.h"
+
+#include <jansson.h>
+#include <stdio.h>
+
+bool
+leader_init_group (struct leader *l, uint32_t ranks, uint32_t self)
+{
+  const struct bb_pool *p = l->agent->pool;
+  struct bb_group_size size;
+
+  if (l->active)
+    return true;
+  if (!p || ranks == 0 || ranks > RANKS_MAX
+      || p->engine.sets * p->engine.experts > COUNTS_MAX)
+    return false;
+  size = (struct bb_group_size){ .sets = p->engine.sets,
+                                 .experts = p->engine.experts,
+                                 .ranks = ranks,
+                                 .places = p->engine.places,
+                                 .spare = p->engine.spare };
+  bb_group_switch_init (&l->map_switch, &size, self, leader_send_order, l);
+  bb_demand_init (&l->demand, size.sets * size.experts);
+  l->active = true;
+  snprintf (l->group, sizeof l->group, "%s", l->agent->engine.report.group);
+  bb_log_event ("leads", "{s:s, s:i, s:i}", "group", l->group, "ranks",
+                (int)ranks, "self", (int)self);
+  return true;
+}
+
+static struct bb_group_switch_rank
+convert_state (const struct bb_rank_state *m, bool attached)
+{
+  return (struct bb_group_switch_rank){ .attached = attached,
+                                        .open = m->open,
+                                        .epoch = m->epoch,
+                                        .step = m->step,
+                                        .map_version = m->map,
+                                        .prepared_version = m->prepared,
+                                        .armed_version = m->armed,
+                                        .armed_step = m->armed_step,
+                                        .held_step = m->held,
+                                        .last_leader = m->led_by,
+                                        .disarmed_version = m->given_up,
+                                        .disarmed_epoch = m->given_up_epoch,
+                                        .relayed_epoch = m->gave_epoch,
+                                        .relayed_version = m->gave_version,
+                                        .relayed_rank = m->gave_rank,
+                                        .relayed_accepted = m->gave_taken,
+                                        .row_version = m->lists_version };
+}
+
+/* Returns the rows of state M, or NULL where it has none for a group of size
+   S.  */
+static const uint16_t *
+rows_of (const struct bb_rank_state *m, const struct bb_group_size *s)
+{
+  size_t size_bytes = (size_t)s->sets * s->places * sizeof (uint16_t);
+
+  return m->lists.size == size_bytes ? (const uint16_t *)m->lists.ptr : NULL;
+}
+
+static void
+add_counts (struct leader *l, struct bb_bytes counts, bb_ms now)
+{
+  uint16_t *deltas;
+
+  if (counts.size == 0)
+    return;
+  deltas = g_memdup2 (counts.ptr, counts.size);
+  bb_demand_add (&l->demand, deltas, counts.size / (uint32_t)sizeof *deltas,
+                 now);
+  g_free (deltas);
+}
+
+void
+leader_advance_switch (struct leader *l, bb_ms now)
+{
+  bb_group_switch_tick (&l->map_switch, now);
+  leader_log_phase (l);
+}
+
+void
+leader_update_rank (struct leader *l, const struct bb_rank_state *m,
+                    bool attached)
+{
+  const struct bb_group_size *s = &l->map_switch.size;
+  struct bb_group_switch_rank state = convert_state (m, attached);
+  bb_ms now = agent_now (l->agent);
+
+  if (!l->active || m->size != s->ranks || m->rank >= s->ranks)
+    return;
+  bb_group_switch_update_rank (&l->map_switch, m->rank, &state, rows_of (m, s),
+                               now);
+  add_counts (l, m->counts, now);
+  leader_advance_switch (l, now);
+}
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -9,8 +9,8 @@
 
    main.c      startup, timers and signals
    follower.c  leader election and the connection to the leader
-   leader.c    leader of a group: collects the state of all ranks, plans maps
-               and drives their switch
+   leader*.c   leader of a group: collects the state of all ranks, plans maps
+               and drives their switch (leader.h)
    engine.c    polls the local engine and calls agent->on_poll_done
    remote.c    HTTP calls to the engine at an address
    view.c      configuration and upstreams, received from bilberry-edge
@@ -144,8 +144,6 @@
 /* Stops leading and frees the state of the switch.  Does nothing if this agent
    is not the leader.  */
 void leader_stop (struct agent *a);
-/* Callbacks of connections from other agents.  */
-extern const struct bb_conn_ops leader_ops;
 
 /* remote.c */
 /* R is the report, or NULL without a valid response; it is valid during the
