libpeer: peer.c in files for connections, states, items and addresses

No change of behaviour. test_edge, test_edge_store, test_edge_return, test_crash and test_parts pass (56 tests).

--- /dev/null
+++ b/libpeer/connection.c
@@ -0,0 +1,178 @@
+/* A connection to a peer: hello, messages and end.  */
+
+#include "internal.h"
+
+#include <utlist.h>
+
+enum
+{
+  IDLE_TIMEOUT_MS = 1200, /* time without a message after which a connection
+                             is closed */
+  CONNECT_TIMEOUT_MS = 800
+};
+
+struct peer *
+peer_add (struct bb_peers *p)
+{
+  struct peer *peer = g_new0 (struct peer, 1);
+
+  peer->owner = p;
+  peer->received_ms = peer_now_ms (p);
+  DL_APPEND (p->peers, peer);
+  return peer;
+}
+
+static void
+send_hello (struct peer *peer)
+{
+  struct bb_peers *p = peer->owner;
+  struct bb_peer_hello m = { .incarnation = p->incarnation,
+                             .name = bb_bytes_of (p->name),
+                             .address = bb_bytes_of (p->address) };
+  msgpack_sbuffer *out = bb_conn_out (peer->conn);
+
+  bb_put_peer_hello (out, &m);
+  peer_send_all_items (peer);
+#ifndef BB_MUTANT_peer_crashes
+  bb_put_crashes (out, p->poison, peer_now_ms (p));
+  bb_put_part_crashes (out, p->parts, peer_now_ms (p));
+#endif
+}
+
+static void
+on_open (struct bb_conn *c)
+{
+  struct peer *peer = bb_conn_user (c);
+
+  peer->open = true;
+  peer->received_ms = peer_now_ms (peer->owner);
+  send_hello (peer);
+  peer_send_state (peer);
+}
+
+static void
+on_hello (struct peer *peer, const struct bb_peer_hello *m)
+{
+  struct bb_peers *p = peer->owner;
+  struct peer *other;
+
+  if (m->incarnation == p->incarnation)
+    {
+      bb_conn_close (peer->conn, "connected to itself");
+      return;
+    }
+  peer->hello_received = true;
+  peer->incarnation = m->incarnation;
+  g_free (peer->name);
+  peer->name = bb_bytes_strdup (m->name);
+  g_free (peer->listen_address);
+  peer->listen_address
+      = m->address.size > 0 ? bb_bytes_strdup (m->address) : NULL;
+  peer_add_endpoint (p, m->address);
+  /* Where two processes have connected to each other, both close the
+     connection that the higher incarnation opened.  */
+  DL_FOREACH (p->peers, other)
+  if (other != peer && other->hello_received
+      && other->incarnation == peer->incarnation)
+    {
+      bool keep_own = p->incarnation < peer->incarnation;
+      struct peer *duplicate
+          = (peer->connect_address != NULL) == keep_own ? other : peer;
+      bb_conn_close (duplicate->conn, "doubled");
+      return;
+    }
+  p->ops->on_connection_change (peer->name, true, p->user);
+}
+
+static void
+on_item (struct peer *peer, const struct bb_peer_item *m)
+{
+  struct bb_peers *p = peer->owner;
+  char *key = bb_bytes_strdup (m->key);
+  GBytes *value
+      = m->removed ? NULL : g_bytes_new (m->value.ptr, m->value.size);
+
+  p->ops->on_item (key, value, m->revision, p->user);
+  if (value)
+    g_bytes_unref (value);
+  g_free (key);
+}
+
+static void
+on_message (struct bb_conn *c, const struct bb_message *m)
+{
+  struct peer *peer = bb_conn_user (c);
+
+  peer->received_ms = peer_now_ms (peer->owner);
+  switch (m->type)
+    {
+    case BB_MSG_PEER_HELLO:
+      on_hello (peer, &m->u.peer_hello);
+      break;
+    case BB_MSG_PEER_ITEM:
+      on_item (peer, &m->u.peer_item);
+      break;
+    case BB_MSG_PEER_STATE:
+      peer_on_state (peer, &m->u.peer_state);
+      break;
+    case BB_MSG_PEER_ISOLATED:
+      peer_on_isolated (peer, &m->u.peer_isolated);
+      break;
+    case BB_MSG_SUSPECT:
+      peer_on_suspect (peer, &m->u.suspect);
+      break;
+    case BB_MSG_SUSPECT_PARTS:
+      peer_on_suspect_parts (peer, &m->u.suspect_parts);
+      break;
+    case BB_MSG_SOUND_PART:
+      peer_on_sound_part (peer, &m->u.sound_part);
+      break;
+    default:
+      bb_conn_close (c, "unexpected type of message");
+    }
+}
+
+static void
+on_close (struct bb_conn *c, const char *why)
+{
+  struct peer *peer = bb_conn_user (c);
+  struct bb_peers *p = peer->owner;
+
+  (void)why;
+  DL_DELETE (p->peers, peer);
+  if (peer->hello_received)
+    p->ops->on_connection_change (peer->name, false, p->user);
+  g_free (peer->connect_address);
+  g_free (peer->listen_address);
+  g_free (peer->name);
+  g_free (peer);
+}
+
+static void on_accept (struct bb_conn *c);
+
+const struct bb_conn_ops peer_connect_ops = { on_message, on_open, on_close };
+const struct bb_conn_ops peer_accept_ops = { on_message, on_accept, on_close };
+
+static void
+on_accept (struct bb_conn *c)
+{
+  struct peer *peer = peer_add (bb_conn_user (c));
+
+  peer->conn = c;
+  bb_conn_set_user (c, peer);
+  on_open (c);
+}
+
+void
+peer_close_idle (struct bb_peers *p)
+{
+  struct peer *peer;
+  struct peer *next;
+
+  DL_FOREACH_SAFE (p->peers, peer, next)
+  {
+    bb_ms max = peer->open ? IDLE_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
+    if (peer_now_ms (p) - peer->received_ms > max)
+      bb_conn_close (peer->conn, "silent");
+  }
+}
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -1,7 +1,19 @@
 #ifndef PEER_INTERNAL_H
 #define PEER_INTERNAL_H
 
-/* The connections to peers, and what libpeer's files share.  */
+/* The connections to peers, and what libpeer's files share.
+
+   peer.c        start and regular work
+   connect.c     opens connections
+   connection.c  hello, messages and end of a connection
+   state.c       states of the processes
+   items.c       items of the store
+   tell.c        requests that crash upstreams, to and from peers
+   endpoints.c   known addresses
+   suspect.c     messages about requests that crash upstreams
+
+   Apart from peer_now_ms, each file calls only functions of the files listed
+   after it.  */
 
 #include "bilberry/peer.h"
 
@@ -68,9 +80,38 @@
   struct peer *peers;
 };
 
-/* Returns the time of the event loop.  */
-bb_ms peer_now_ms (const struct bb_peers *p);
+/* connect.c */
+/* Connects to each known address that has no connection.  */
+void peer_connect_to_all (struct bb_peers *p);
+/* Connects to one known address if there is no connection.  */
+void peer_connect_to_one (struct bb_peers *p);
+
+/* connection.c */
+/* Callbacks of connections that this process opened, with the peer as user,
+   and that it accepted, with struct bb_peers.  */
+extern const struct bb_conn_ops peer_connect_ops;
+extern const struct bb_conn_ops peer_accept_ops;
+/* Adds a peer without a connection.  */
+struct peer *peer_add (struct bb_peers *p);
+/* Closes connections that are silent for too long.  */
+void peer_close_idle (struct bb_peers *p);
+
+/* state.c */
+/* Sends the own state to PEER.  */
+void peer_send_state (struct peer *peer);
+/* Sends the own state to all peers for which it is due in this tick.  */
+void peer_send_due_states (struct bb_peers *p);
+/* Takes the state M of PEER.  */
+void peer_on_state (struct peer *peer, const struct bb_peer_state *m);
 
+/* items.c */
+/* Sends PEER all items of the view.  */
+void peer_send_all_items (struct peer *peer);
+/* Sends the missing items to peers that lack any that this process had
+   RESEND_DELAY_TICKS ago.  */
+void peer_resend_missing (struct bb_peers *p);
+
+/* tell.c */
 /* Handle the message M that FROM sent: record it, and forward what is new to
    all peers but FROM.  */
 void peer_on_suspect (struct peer *from, const struct bb_suspect *m);
@@ -84,4 +125,11 @@
 void peer_send_to_all (struct bb_peers *p, const struct peer *except,
                        msgpack_sbuffer *frames);
 
+/* endpoints.c */
+/* Adds ADDRESS unless it is known, is the own one, or there is no room.  */
+void peer_add_endpoint (struct bb_peers *p, struct bb_bytes address);
+
+/* Returns the time of the event loop.  */
+bb_ms peer_now_ms (const struct bb_peers *p);
+
 #endif
