--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -82,9 +82,8 @@
   bb_counter ("bilberry_store_failures_total", "")->value++;
   if (r->failed_calls == 0)
     bb_log_event ("store_lost", "{s:s, s:s, s:I, s:I}", "call", name, "why",
-                  bb_store_result_name (result), "era",
-                  (json_int_t)bb_revision_era (e->view->revision), "revision",
-                  (json_int_t)bb_revision_number (e->view->revision));
+                  bb_store_result_name (result),
+                  BB_LOG_REVISION (e->view->revision));
   r->failed_calls++;
   e->store_ok = false;
   bb_log_event ("store_call_failed", "{s:s, s:s, s:I, s:i}", "call", name,
@@ -107,11 +106,9 @@
   store_calls_cancel ();
   if (!was_ok)
     {
-      bb_log_event ("store_back", "{s:I, s:I, s:I, s:i}", "era",
-                    (json_int_t)bb_revision_era (e->view->revision),
-                    "revision",
-                    (json_int_t)bb_revision_number (e->view->revision),
-                    "away_ms", (json_int_t)(edge_now (e) - r->response_ms),
+      bb_log_event ("store_back", "{s:I, s:I, s:I, s:i}",
+                    BB_LOG_REVISION (e->view->revision), "away_ms",
+                    (json_int_t)(edge_now (e) - r->response_ms),
                     "failed_calls", (int)r->failed_calls);
       e->store_recovered_ms = edge_now (e);
     }
@@ -280,9 +277,8 @@
   struct edge *e = r->edge;
 
   if (!r->standby)
-    bb_log_event ("store_rests", "{s:I, s:I}", "era",
-                  (json_int_t)bb_revision_era (e->view->revision), "revision",
-                  (json_int_t)bb_revision_number (e->view->revision));
+    bb_log_event ("store_rests", "{s:I, s:I}",
+                  BB_LOG_REVISION (e->view->revision));
   r->standby = true;
   r->takes_over = false;
   if (!e->store_ok)
@@ -296,10 +292,8 @@
 static void
 leave_standby (struct reader *r)
 {
-  bb_log_event ("store_watched", "{s:I, s:I}", "era",
-                (json_int_t)bb_revision_era (r->edge->view->revision),
-                "revision",
-                (json_int_t)bb_revision_number (r->edge->view->revision));
+  bb_log_event ("store_watched", "{s:I, s:I}",
+                BB_LOG_REVISION (r->edge->view->revision));
   r->standby = false;
   r->revision = r->edge->view->revision;
 }
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -15,9 +15,8 @@
 
   if (!c)
     {
-      bb_log_event ("config_unusable", "{s:I, s:I, s:s}", "era",
-                    (json_int_t)bb_revision_era (revision), "revision",
-                    (json_int_t)bb_revision_number (revision), "why",
+      bb_log_event ("config_unusable", "{s:I, s:I, s:s}",
+                    BB_LOG_REVISION (revision), "why",
                     why ? why : "it was removed");
       return;
     }
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -19,6 +19,12 @@
 /* The number that the store gave out in that era.  */
 uint64_t bb_revision_number (bb_revision r);
 
+/* The arguments of bb_log_event, for "s:I, s:I", that name revision R.  Needs
+   jansson.h.  */
+#define BB_LOG_REVISION(r)                                                    \
+  "era", (json_int_t)bb_revision_era (r), "revision",                         \
+      (json_int_t)bb_revision_number (r)
+
 /* Whether a request may run more than once.  */
 enum bb_call_kind
 {
