--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -20,7 +20,7 @@
                     why ? why : "it was removed");
       return;
     }
-  if (a->config && c->version < a->config->version)
+  if (!bb_config_may_replace (c, a->config))
     {
       bb_config_unref (c);
       return;
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -136,6 +136,12 @@
 /* Drops a reference to C and frees C with the last one.  C may be NULL.  */
 void bb_config_unref (struct bb_config *c);
 
+/* Whether C may replace IN_FORCE, the configuration in force, which may be
+   NULL.  A lower version may not: the store has it again after it came back
+   from an older copy.  */
+bool bb_config_may_replace (const struct bb_config *c,
+                            const struct bb_config *in_force);
+
 /* Adds R to a configuration under construction, which takes ownership.  */
 void bb_config_add_route (struct bb_config *c, struct bb_route *r);
 
--- a/libfleet/config.c
+++ b/libfleet/config.c
@@ -79,6 +79,17 @@
   g_free (c);
 }
 
+bool
+bb_config_may_replace (const struct bb_config *c,
+                       const struct bb_config *in_force)
+{
+#ifndef BB_MUTANT_config_back
+  if (in_force && c->version < in_force->version)
+    return false;
+#endif
+  return true;
+}
+
 void
 bb_config_add_route (struct bb_config *c, struct bb_route *r)
 {
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -59,6 +59,26 @@
   g_assert_cmpuint (bb_revision_of (0, 900), ==, 900);
 }
 
+/* A configuration of a lower version replaces none, one of the same or a
+   higher version does.  */
+static void
+test_config_back (void)
+{
+  struct bb_config *in_force = bb_config_new ();
+  struct bb_config *next = bb_config_new ();
+
+  in_force->version = 7;
+  next->version = 6;
+  g_assert_true (bb_config_may_replace (next, NULL));
+  g_assert_false (bb_config_may_replace (next, in_force));
+  next->version = 7;
+  g_assert_true (bb_config_may_replace (next, in_force));
+  next->version = 8;
+  g_assert_true (bb_config_may_replace (next, in_force));
+  bb_config_unref (next);
+  bb_config_unref (in_force);
+}
+
 /* What the copy has does not replace what is newer; what is written in the new
    era does, at a number that was given out before.  */
 static void
@@ -278,6 +298,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/view/revision", test_revision);
+  g_test_add_func ("/view/config-back", test_config_back);
   g_test_add_func ("/view/copy", test_copy);
   g_test_add_func ("/view/removed", test_removed);
   g_test_add_func ("/view/release", test_release);
