libnet: bb_http_fetch collects a response

The configuration service, the VM list, the agent's engine calls and bilberry stat each collected status and body of a response in callbacks of their own. bb_http_fetch does it for all four.

--- a/cmd/agent/rank_engine.c
+++ b/cmd/agent/rank_engine.c
@@ -25,31 +25,9 @@
 {
   struct rank *rank;
   enum engine_request_kind kind;
-  uint64_t hash;   /* hash of the map, for REQUEST_LOAD_WEIGHTS */
-  uint16_t status; /* HTTP status of the response */
-  GString *body;
+  uint64_t hash; /* hash of the map, for REQUEST_LOAD_WEIGHTS */
 };
 
-static void
-on_head (struct bb_http_call *c, uint16_t status,
-         const struct bb_header *headers, uint32_t count)
-{
-  struct engine_request *q = bb_http_call_user (c);
-
-  (void)headers;
-  (void)count;
-  q->status = status;
-}
-
-static void
-on_data (struct bb_http_call *c, struct bb_bytes piece)
-{
-  struct engine_request *q = bb_http_call_user (c);
-
-  if (q->body->len + piece.size <= RESPONSE_MAX_BYTES)
-    g_string_append_len (q->body, piece.ptr, piece.size);
-}
-
 static void
 on_retry (uv_timer_t *t)
 {
@@ -57,7 +35,7 @@
 }
 
 static void
-on_save_response (struct rank *r, const struct engine_request *q, bool good,
+on_save_response (struct rank *r, uint16_t status, bool good,
                   const struct bb_switch_saved_state *m)
 {
   enum
@@ -66,12 +44,12 @@
     FENCED = 412
   };
 
-  if (good && (q->status == 200 || q->status == STEP_STARTED))
+  if (good && (status == 200 || status == STEP_STARTED))
     {
-      rank_on_state_saved (r, q->status == 200, m);
+      rank_on_state_saved (r, status == 200, m);
       return;
     }
-  if (good && q->status == FENCED)
+  if (good && status == FENCED)
     {
       r->refused_orders++;
       bb_log (BB_LOG_WARN, "rank",
@@ -81,25 +59,25 @@
 }
 
 static void
-on_end (struct bb_http_call *c, const char *error, enum bb_run run)
+on_response (const char *error, uint16_t status, struct bb_bytes body,
+             void *user)
 {
   static const struct bb_switch_saved_state none;
-  struct engine_request *q = bb_http_call_user (c);
+  struct engine_request *q = user;
   struct rank *r = q->rank;
   struct bb_switch_saved_state m = none;
   bool good = !error;
 
-  (void)run;
   if (q->kind == REQUEST_READ_STATE || q->kind == REQUEST_SAVE_STATE)
-    good = good && bb_switch_saved_state_parse (q->body->str, &m);
+    good = good && bb_switch_saved_state_parse (body.ptr, &m);
   if (q->kind == REQUEST_SAVE_STATE)
-    on_save_response (r, q, good, &m);
+    on_save_response (r, status, good, &m);
   else if (q->kind == REQUEST_READ_STATE && good)
     rank_on_state_read (r, &m);
   else if (q->kind == REQUEST_READ_STATE)
     r->engine_busy = false;
   else if (q->kind == REQUEST_READ_COUNTS && good)
-    rank_on_counts (r, q->body->str);
+    rank_on_counts (r, body.ptr);
   else if (q->kind == REQUEST_LOAD_WEIGHTS)
     {
       struct rank_event e = { .kind = RANK_EVENT_LOADED, .hash = q->hash };
@@ -107,7 +85,6 @@
       if (good)
         rank_post_event (r, &e);
     }
-  g_string_free (q->body, TRUE);
   free (q);
 }
 
@@ -115,17 +92,14 @@
 send_request (struct rank *r, enum engine_request_kind kind, uint64_t hash,
               const char *method, const char *path, const char *body)
 {
-  static const struct bb_http_call_ops ops
-      = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
   struct engine_request *q = calloc (1, sizeof *q);
 
   q->rank = r;
   q->kind = kind;
   q->hash = hash;
-  q->body = g_string_new ("");
-  bb_http_client_send (r->engine_client, bb_bytes_of (method),
-                       bb_bytes_of (path), NULL, 0,
-                       bb_bytes_of (body ? body : ""), &ops, q);
+  bb_http_fetch (r->engine_client, method, path,
+                 bb_bytes_of (body ? body : ""), RESPONSE_MAX_BYTES,
+                 on_response, q);
 }
 
 void
--- a/cmd/bilberry/stat.c
+++ b/cmd/bilberry/stat.c
@@ -14,7 +14,7 @@
   TIMEOUT_MS = 5000
 };
 
-/* The response to the request, as received so far.  */
+/* The response to the request.  */
 struct fetch
 {
   uint16_t status;
@@ -24,42 +24,19 @@
 };
 
 static void
-on_head (struct bb_http_call *c, uint16_t status,
-         const struct bb_header *headers, uint32_t headers_count)
+on_response (const char *error, uint16_t status, struct bb_bytes body,
+             void *user)
 {
-  struct fetch *f = bb_http_call_user (c);
+  struct fetch *f = user;
 
-  (void)headers;
-  (void)headers_count;
   f->status = status;
-}
-
-static void
-on_data (struct bb_http_call *c, struct bb_bytes piece)
-{
-  struct fetch *f = bb_http_call_user (c);
-
-  f->body = realloc (f->body, f->size + piece.size + 1);
-  if (!f->body)
-    abort ();
-  memcpy (f->body + f->size, piece.ptr, piece.size);
-  f->size += piece.size;
-}
-
-static void
-on_end (struct bb_http_call *c, const char *error, enum bb_run run)
-{
-  struct fetch *f = bb_http_call_user (c);
-
-  (void)run;
+  f->body = bb_bytes_strdup (body);
+  f->size = body.size;
   if (error)
     snprintf (f->error, sizeof f->error, "%s", error);
   uv_stop (uv_default_loop ());
 }
 
-static const struct bb_http_call_ops ops
-    = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
-
 static bool
 fetch_status (const char *address, struct fetch *f)
 {
@@ -74,8 +51,8 @@
       return false;
     }
   client = bb_http_client_new (uv_default_loop (), &addr, address, TIMEOUT_MS);
-  bb_http_client_send (client, bb_bytes_of ("GET"), bb_bytes_of ("/status"),
-                       NULL, 0, bb_bytes_of (NULL), &ops, f);
+  bb_http_fetch (client, "GET", "/status", bb_bytes_of (NULL), UINT32_MAX,
+                 on_response, f);
   uv_run (uv_default_loop (), UV_RUN_DEFAULT);
   if (f->status == 200 && !*f->error)
     return true;
--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -2,7 +2,7 @@
 #define BILBERRY_NET_H
 
 /* libnet - framed connections, HTTP server and HTTP client on one libuv loop.
-   Link with -lnet -lproto -lh2o -luv -lssl -lcrypto.  */
+   Link with -lnet -lproto -lh2o -luv -lssl -lcrypto -lglib-2.0.  */
 
 #include "bilberry/base.h"
 #include "bilberry/wire.h"
@@ -183,4 +183,17 @@
 void bb_http_call_cancel (struct bb_http_call *c);
 void *bb_http_call_user (const struct bb_http_call *c);
 
+/* The end of a fetch.  The response is complete if ERROR is NULL; otherwise
+   ERROR is a phrase for the log.  STATUS is 0 if no head has arrived.  BODY is
+   what has arrived, valid during the call and followed by a null byte.  */
+typedef void bb_http_fetch_fn (const char *error, uint16_t status,
+                               struct bb_bytes body, void *user);
+
+/* Sends a request without headers and collects the response; FN is called once
+   at its end.  Pieces of the response's body that would make it longer than
+   BODY_MAX_BYTES, at most 4 GB, are left out.  */
+void bb_http_fetch (struct bb_http_client *client, const char *method,
+                    const char *path, struct bb_bytes body,
+                    size_t body_max_bytes, bb_http_fetch_fn *fn, void *user);
+
 #endif
--- a/libdaemon/service.c
+++ b/libdaemon/service.c
@@ -52,8 +52,6 @@
   GArray *previous_files;     /* files of the revision read before, as struct
                                  listed_file */
   guint read_index;           /* index in FILES of the file being read */
-  uint16_t status;
-  GString *body;
 };
 
 static struct service service;
@@ -88,25 +86,6 @@
   g_array_set_size (files, 0);
 }
 
-static void
-on_head (struct bb_http_call *c, uint16_t status,
-         const struct bb_header *headers, uint32_t headers_count)
-{
-  struct service *s = bb_http_call_user (c);
-
-  (void)headers;
-  (void)headers_count;
-  s->status = status;
-}
-
-static void
-on_data (struct bb_http_call *c, struct bb_bytes piece)
-{
-  struct service *s = bb_http_call_user (c);
-
-  g_string_append_len (s->body, piece.ptr, piece.size);
-}
-
 /* Returns the highest revision that was activated or rejected; 0 for none.  */
 static uint64_t
 known_revision (const struct service *s)
@@ -235,25 +214,25 @@
 }
 
 static void
-on_read_response (struct service *s)
+on_read_response (struct service *s, struct bb_bytes body)
 {
   struct listed_file *file
       = &g_array_index (s->files, struct listed_file, s->read_index);
 
-  if (XXH64 (s->body->str, s->body->len, 0) != file->hash)
+  if (XXH64 (body.ptr, body.size, 0) != file->hash)
     {
       handle_failure (s, "a file changed between the list and its read");
       return;
     }
-  file->data = g_string_new_len (s->body->str, (gssize)s->body->len);
+  file->data = g_string_new_len (body.ptr, (gssize)body.size);
   read_next_file (s);
 }
 
 static void
-on_json_response (struct service *s)
+on_json_response (struct service *s, struct bb_bytes body)
 {
   json_error_t e;
-  json_t *json = json_loadb (s->body->str, s->body->len, 0, &e);
+  json_t *json = json_loadb (body.ptr, body.size, 0, &e);
 
   if (!json)
     handle_failure (s, "the response is not JSON");
@@ -265,32 +244,27 @@
 }
 
 static void
-on_end (struct bb_http_call *c, const char *error, enum bb_run run)
+on_response (const char *error, uint16_t status, struct bb_bytes body,
+             void *user)
 {
-  struct service *s = bb_http_call_user (c);
+  struct service *s = user;
 
-  (void)run;
-  if (error || s->status != 200)
+  if (error || status != 200)
     handle_failure (s, error ? error : "the response status is not 200");
   else if (s->state == STATE_READ)
-    on_read_response (s);
+    on_read_response (s, body);
   else
-    on_json_response (s);
+    on_json_response (s, body);
 }
 
 static void
 send_request (struct service *s, enum request_state state, const char *path)
 {
-  static const struct bb_http_call_ops ops
-      = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
   struct bb_bytes no_body = { 0 };
 
   s->state = state;
-  s->status = 0;
-  g_string_truncate (s->body, 0);
   bb_counter ("bilberry_service_calls_total", "")->value++;
-  bb_http_client_send (s->client, bb_bytes_of ("GET"), bb_bytes_of (path),
-                       NULL, 0, no_body, &ops, s);
+  bb_http_fetch (s->client, "GET", path, no_body, UINT32_MAX, on_response, s);
 }
 
 static void
@@ -359,7 +333,6 @@
   s->d = d;
   s->files = g_array_new (FALSE, FALSE, sizeof (struct listed_file));
   s->previous_files = g_array_new (FALSE, FALSE, sizeof (struct listed_file));
-  s->body = g_string_new ("");
   s->client = bb_http_client_new (d->loop, &addr, address, IO_TIMEOUT_MS);
   uv_timer_init (d->loop, &s->timer);
   s->timer.data = s;
--- a/libdaemon/vms.c
+++ b/libdaemon/vms.c
@@ -18,31 +18,10 @@
   struct bb_http_client *client;
   uv_timer_t timer;
   bool request_pending;
-  uint16_t status;
-  GString *body;
 };
 
 static struct vms vms;
 
-static void
-on_head (struct bb_http_call *c, uint16_t status,
-         const struct bb_header *headers, uint32_t headers_count)
-{
-  struct vms *v = bb_http_call_user (c);
-
-  (void)headers;
-  (void)headers_count;
-  v->status = status;
-}
-
-static void
-on_data (struct bb_http_call *c, struct bb_bytes piece)
-{
-  struct vms *v = bb_http_call_user (c);
-
-  g_string_append_len (v->body, piece.ptr, piece.size);
-}
-
 /* Compares the members of the settings with the VM list, the object "vms" of
    JSON, which has a member for each VM.  */
 static void
@@ -62,16 +41,16 @@
 }
 
 static void
-on_end (struct bb_http_call *c, const char *error, enum bb_run run)
+on_response (const char *error, uint16_t status, struct bb_bytes body,
+             void *user)
 {
-  struct vms *v = bb_http_call_user (c);
+  struct vms *v = user;
   json_error_t e;
   json_t *json = NULL;
 
-  (void)run;
   v->request_pending = false;
-  if (!error && v->status == 200)
-    json = json_loadb (v->body->str, v->body->len, 0, &e);
+  if (!error && status == 200)
+    json = json_loadb (body.ptr, body.size, 0, &e);
   if (json)
     check_members (v, json);
   else
@@ -82,19 +61,15 @@
 static void
 on_poll (uv_timer_t *t)
 {
-  static const struct bb_http_call_ops ops
-      = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
   struct vms *v = t->data;
   struct bb_bytes no_body = { 0 };
 
   if (v->request_pending || !bb_members_stats (v->d->members)->reader)
     return;
   v->request_pending = true;
-  v->status = 0;
-  g_string_truncate (v->body, 0);
   bb_counter ("bilberry_vms_calls_total", "")->value++;
-  bb_http_client_send (v->client, bb_bytes_of ("GET"), bb_bytes_of ("/v1/vms"),
-                       NULL, 0, no_body, &ops, v);
+  bb_http_fetch (v->client, "GET", "/v1/vms", no_body, UINT32_MAX, on_response,
+                 v);
 }
 
 bool
@@ -109,7 +84,6 @@
   if (!bb_address_parse (address, &addr))
     return false;
   v->d = d;
-  v->body = g_string_new ("");
   v->client = bb_http_client_new (d->loop, &addr, address, IO_TIMEOUT_MS);
   uv_timer_init (d->loop, &v->timer);
   v->timer.data = v;
