--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -154,11 +154,21 @@
   return NULL;
 }
 
-static void
-await_run (struct fleet *f, const char *key)
+/* Starts a fleet whose services take DELAY_MS, and an order T to it in THREAD.
+   Returns the upstream that runs the order.  */
+static struct fleet_upstream *
+start_slow_order (struct fleet *f, const char *delay_ms,
+                  struct order_thread *t, pthread_t *thread)
 {
-  while (count_runs (f, key) == 0)
+  fleet_init (f, harness_build_dir (), 0, 3, 2);
+  f->service_options[0] = "--delay-ms";
+  f->service_options[1] = delay_ms;
+  fleet_start (f);
+  await_settled (f);
+  pthread_create (thread, NULL, send_order_thread, t);
+  while (count_runs (f, t->key) == 0)
     harness_sleep_ms (10);
+  return find_upstream_that_ran (f, t->key);
 }
 
 /* The agent is killed while its upstream runs an order.  The outcome is lost:
@@ -172,14 +182,7 @@
   struct order_thread t = { .f = &f, .key = "k3" };
   pthread_t thread;
 
-  fleet_init (&f, harness_build_dir (), 0, 3, 2);
-  f.service_options[0] = "--delay-ms";
-  f.service_options[1] = "1500";
-  fleet_start (&f);
-  await_settled (&f);
-  pthread_create (&thread, NULL, send_order_thread, &t);
-  await_run (&f, "k3");
-  u = find_upstream_that_ran (&f, "k3");
+  u = start_slow_order (&f, "1500", &t, &thread);
   kill_agent (&f, u);
   pthread_join (thread, NULL);
   assert_answer (t.answer, 502, "\"run\":\"maybe\"");
@@ -205,13 +208,7 @@
   struct order_thread t = { .f = &f, .key = "k4" };
   pthread_t thread;
 
-  fleet_init (&f, harness_build_dir (), 0, 3, 2);
-  f.service_options[0] = "--delay-ms";
-  f.service_options[1] = "700";
-  fleet_start (&f);
-  await_settled (&f);
-  pthread_create (&thread, NULL, send_order_thread, &t);
-  await_run (&f, "k4");
+  start_slow_order (&f, "700", &t, &thread);
   assert_answer (send_order (&f, 1, "k4", "crate"), 201, "\"ran\":1");
   pthread_join (thread, NULL);
   assert_answer (t.answer, 201, "\"ran\":1");
@@ -255,14 +252,7 @@
   struct order_thread t = { .f = &f, .key = "k6" };
   pthread_t thread;
 
-  fleet_init (&f, harness_build_dir (), 0, 3, 2);
-  f.service_options[0] = "--delay-ms";
-  f.service_options[1] = "700";
-  fleet_start (&f);
-  await_settled (&f);
-  pthread_create (&thread, NULL, send_order_thread, &t);
-  await_run (&f, "k6");
-  u = find_upstream_that_ran (&f, "k6");
+  u = start_slow_order (&f, "700", &t, &thread);
   harness_signal (f.h, u->agent_pid, SIGTERM);
   g_assert_cmpint (harness_wait (f.h, u->agent_pid), ==, 0);
   pthread_join (thread, NULL);
@@ -283,14 +273,7 @@
   struct order_thread t = { .f = &f, .key = "k7" };
   pthread_t thread;
 
-  fleet_init (&f, harness_build_dir (), 0, 3, 2);
-  f.service_options[0] = "--delay-ms";
-  f.service_options[1] = "500";
-  fleet_start (&f);
-  await_settled (&f);
-  pthread_create (&thread, NULL, send_order_thread, &t);
-  await_run (&f, "k7");
-  u = find_upstream_that_ran (&f, "k7");
+  u = start_slow_order (&f, "500", &t, &thread);
   harness_signal (f.h, u->agent_pid, SIGSTOP);
   harness_sleep_ms (3000);
   harness_signal (f.h, u->agent_pid, SIGCONT);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -244,6 +244,30 @@
   fleet_free (&f);
 }
 
+/* Starts a fleet of ENTRIES in which the customer has LIMIT, and two streams D
+   at the first entry.  Returns the response to a third request there, which
+   must be refused.  */
+static struct http_response
+start_at_limit (struct fleet *f, uint32_t entries, const char *limit,
+                struct streamed_request *d)
+{
+  g_autofree char *settings
+      = g_strdup_printf ("customers:\n  customer-1: %s\n", limit);
+  struct http_response a;
+
+  fleet_init (f, harness_build_dir (), 1, 1, entries);
+  harness_write (f->h, "50-limit.yaml", settings);
+  fleet_start (f);
+  start_request (&d[0], f, 0, TOKENS);
+  start_request (&d[1], f, 1, TOKENS);
+  g_assert_true (harness_await (f->upstreams[0].port, "/metrics",
+                                "engine_sequences 2", AWAIT_MS));
+  a = harness_http (f->entries[0].port, "GET", "/stock/1", fleet_auth_header,
+                    "");
+  g_assert_cmpint (a.status, ==, 429);
+  return a;
+}
+
 static void
 test_customer_limit (void)
 {
@@ -251,17 +275,7 @@
   struct streamed_request d[3];
   struct http_response a;
 
-  fleet_init (&f, harness_build_dir (), 1, 1, 1);
-  harness_write (f.h, "50-limit.yaml",
-                 "customers:\n  customer-1: {limit: 2}\n");
-  fleet_start (&f);
-  start_request (&d[0], &f, 0, TOKENS);
-  start_request (&d[1], &f, 1, TOKENS);
-  g_assert_true (harness_await (f.upstreams[0].port, "/metrics",
-                                "engine_sequences 2", AWAIT_MS));
-  a = harness_http (f.entries[0].port, "GET", "/stock/1", fleet_auth_header,
-                    "");
-  g_assert_cmpint (a.status, ==, 429);
+  a = start_at_limit (&f, 1, "{limit: 2}", d);
   g_assert_nonnull (strstr (a.body, "customer_limit"));
   g_assert_nonnull (strstr (a.headers, "retry-after: "));
   http_response_free (&a);
@@ -282,17 +296,7 @@
   struct streamed_request d[2];
   struct http_response a;
 
-  fleet_init (&f, harness_build_dir (), 1, 1, 2);
-  harness_write (f.h, "50-limit.yaml",
-                 "customers:\n  customer-1: {fleet_limit: 4}\n");
-  fleet_start (&f);
-  start_request (&d[0], &f, 0, TOKENS);
-  start_request (&d[1], &f, 1, TOKENS);
-  g_assert_true (harness_await (f.upstreams[0].port, "/metrics",
-                                "engine_sequences 2", AWAIT_MS));
-  a = harness_http (f.entries[0].port, "GET", "/stock/1", fleet_auth_header,
-                    "");
-  g_assert_cmpint (a.status, ==, 429);
+  a = start_at_limit (&f, 2, "{fleet_limit: 4}", d);
   http_response_free (&a);
   a = harness_http (f.entries[1].port, "GET", "/stock/1", fleet_auth_header,
                     "");
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -543,6 +543,24 @@
     }
 }
 
+static struct simulation *
+simulation_new (uint32_t seed)
+{
+  struct simulation *sim = g_new0 (struct simulation, 1);
+
+  sim->rand = g_rand_new_with_seed (seed);
+  sim->epoch = 1;
+  sim->now = 1000;
+  return sim;
+}
+
+static void
+simulation_free (struct simulation *sim)
+{
+  g_rand_free (sim->rand);
+  g_free (sim);
+}
+
 /* Runs a group for RUN_MS with random faults, drawn from SEED.  Fails where
    ranks use different maps in one pass, where no switch completes, where the
    group stalls, or where a hold is too long although no agent freezes.  */
@@ -550,11 +568,9 @@
 run_simulation (uint32_t seed, double late_share, bool freezes,
                 bool has_idle_periods)
 {
-  struct simulation *sim = g_new0 (struct simulation, 1);
+  struct simulation *sim = simulation_new (seed);
   uint32_t switches = 0;
 
-  sim->rand = g_rand_new_with_seed (seed);
-  sim->epoch = 1;
   sim->late_share = late_share;
   sim->has_idle_periods = has_idle_periods;
   for (sim->now = TICK_MS; sim->now < RUN_MS; sim->now += TICK_MS)
@@ -586,8 +602,7 @@
   g_assert_cmpuint (switches, >, 0);
   /* The group must not stall.  */
   g_assert_cmpuint (sim->step, >, has_idle_periods ? 20 : 50);
-  g_rand_free (sim->rand);
-  g_free (sim);
+  simulation_free (sim);
 }
 
 static void
@@ -635,12 +650,9 @@
 static void
 test_epoch_ends_switch (void)
 {
-  struct simulation *sim = g_new0 (struct simulation, 1);
+  struct simulation *sim = simulation_new (1);
   uint16_t next[SETS * RANKS * PLACES];
 
-  sim->rand = g_rand_new_with_seed (1);
-  sim->epoch = 1;
-  sim->now = 1000;
   sim->is_leader[0] = true;
   bb_group_switch_init (&sim->group_switches[0], &size, 0, send_order, sim);
   for (uint32_t r = 0; r < RANKS; r++)
@@ -656,8 +668,7 @@
   g_assert_false (
       bb_group_switch_is_ready (&sim->group_switches[0], sim->now));
   bb_group_switch_free (&sim->group_switches[0]);
-  g_rand_free (sim->rand);
-  g_free (sim);
+  simulation_free (sim);
 }
 
 /* A leader that wakes while the other agents follow another leader still gets
@@ -667,11 +678,9 @@
 static void
 test_detached_ranks (void)
 {
-  struct simulation *sim = g_new0 (struct simulation, 1);
+  struct simulation *sim = simulation_new (1);
   struct bb_group_switch *sw = &sim->group_switches[0];
 
-  sim->rand = g_rand_new_with_seed (1);
-  sim->epoch = 1;
   sim->is_leader[0] = true;
   bb_group_switch_init (sw, &size, 0, send_order, sim);
   for (uint32_t r = 0; r < RANKS; r++)
@@ -699,8 +708,7 @@
   bb_group_switch_tick (sw, sim->now);
   g_assert_cmpint (sw->phase, ==, BB_GROUP_SWITCH_FORWARDING);
   bb_group_switch_free (sw);
-  g_rand_free (sim->rand);
-  g_free (sim);
+  simulation_free (sim);
 }
 
 /* Two agents that lead at the same time, with the same knowledge, must not use
@@ -708,12 +716,9 @@
 static void
 test_two_leaders (void)
 {
-  struct simulation *sim = g_new0 (struct simulation, 1);
+  struct simulation *sim = simulation_new (1);
   uint16_t next[SETS * RANKS * PLACES];
 
-  sim->rand = g_rand_new_with_seed (1);
-  sim->epoch = 1;
-  sim->now = 1000;
   fill_round_robin (next, &size);
   for (uint32_t leader = 0; leader < 2; leader++)
     {
@@ -730,8 +735,7 @@
                     sim->group_switches[1].version);
   for (uint32_t leader = 0; leader < 2; leader++)
     bb_group_switch_free (&sim->group_switches[leader]);
-  g_rand_free (sim->rand);
-  g_free (sim);
+  simulation_free (sim);
 }
 
 static void
