libpeer: a peer is gone when its last connection is closed

Where two processes connected to each other, each closed one of the two connections and then told its owner that the peer was gone, although the other connection stayed: an edge dropped the loads of that edge, and what it had claimed for isolated requests, until its next message.

on_close reported each closed connection that had a hello. It does so now only where no other connection to the same incarnation is left, as the report that a peer connected is made only for the first one.

/peer/duplicate starts two processes that connect to each other at once.

--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -42,9 +42,7 @@
      taking and reads.  Not called for a peer that is known to be an agent.
      Optional.  */
   void (*fill_state) (struct bb_peer_state *m, void *user);
-  /* The peer NAME connected, or a connection to it was closed.  Where two
-     processes connected to each other, one of the two connections is closed:
-     this is called with CONNECTED false although the peer stays connected.  */
+  /* The peer NAME connected, or its last connection was closed.  */
   void (*on_connection_change) (const char *name, bool connected, void *user);
   /* The peer NAME told how it uses an upstream for an isolated request.
      Optional.  */
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -50,6 +50,31 @@
   peer_send_state (peer);
 }
 
+/* Returns another connection to the process of PEER, or NULL.  */
+static struct peer *
+find_duplicate (const struct peer *peer)
+{
+  struct peer *other;
+
+  DL_FOREACH (peer->owner->peers, other)
+  if (other != peer && other->hello_received
+      && other->incarnation == peer->incarnation)
+    return other;
+  return NULL;
+}
+
+/* Where two processes have connected to each other, both close the connection
+   that the higher incarnation opened.  */
+static void
+close_duplicate (struct peer *peer, struct peer *other)
+{
+  bool keep_own = peer->owner->incarnation < peer->incarnation;
+  struct peer *duplicate
+      = (peer->connect_address != NULL) == keep_own ? other : peer;
+
+  bb_conn_close (duplicate->conn, "doubled");
+}
+
 static void
 on_hello (struct peer *peer, const struct bb_peer_hello *m)
 {
@@ -69,19 +94,11 @@
   peer->listen_address
       = m->address.size > 0 ? bb_bytes_strdup (m->address) : NULL;
   peer_add_endpoint (p, m->address);
-  /* Where two processes have connected to each other, both close the
-     connection that the higher incarnation opened.  */
-  DL_FOREACH (p->peers, other)
-  if (other != peer && other->hello_received
-      && other->incarnation == peer->incarnation)
-    {
-      bool keep_own = p->incarnation < peer->incarnation;
-      struct peer *duplicate
-          = (peer->connect_address != NULL) == keep_own ? other : peer;
-      bb_conn_close (duplicate->conn, "doubled");
-      return;
-    }
-  p->ops->on_connection_change (peer->name, true, p->user);
+  other = find_duplicate (peer);
+  if (other)
+    close_duplicate (peer, other);
+  else
+    p->ops->on_connection_change (peer->name, true, p->user);
 }
 
 static void
@@ -140,7 +157,7 @@
 
   (void)why;
   DL_DELETE (p->peers, peer);
-  if (peer->hello_received)
+  if (peer->hello_received && !find_duplicate (peer))
     p->ops->on_connection_change (peer->name, false, p->user);
   g_free (peer->connect_address);
   g_free (peer->listen_address);
--- /dev/null
+++ b/test/test_peer.c
@@ -0,0 +1,124 @@
+/* Tests of the connections between peers, in one process.  */
+
+#include "harness/harness.h"
+
+#include "bilberry/peer.h"
+
+#include <glib.h>
+
+enum
+{
+  PEERS = 2,
+  RUN_MS = 1000 /* several ticks; shorter than an idle connection lives */
+};
+
+/* A process, and how often it was told that the other one connected or was
+   gone.  */
+struct process
+{
+  char *address;
+  struct bb_view *view;
+  struct bb_peers *peers;
+  uint32_t connected;
+  uint32_t gone;
+};
+
+static void
+on_item (const char *key, GBytes *value, bb_revision revision, void *user)
+{
+  (void)key;
+  (void)value;
+  (void)revision;
+  (void)user;
+}
+
+static void
+on_change (const char *name, bool connected, void *user)
+{
+  struct process *p = user;
+
+  (void)name;
+  if (connected)
+    p->connected++;
+  else
+    p->gone++;
+}
+
+static const struct bb_peers_ops ops
+    = { .on_item = on_item, .on_connection_change = on_change };
+
+static void
+process_start (struct process *p, uv_loop_t *loop, const char *name,
+               char *const *seeds, uint32_t seeds_count, uint64_t incarnation)
+{
+  struct bb_peers_options o = { .name = name,
+                                .address = p->address,
+                                .seeds = seeds,
+                                .seeds_count = seeds_count,
+                                .connect_all = true,
+                                .incarnation = incarnation,
+                                .poison = bb_poison_new (),
+                                .parts = bb_parts_new () };
+  int error;
+
+  p->view = bb_view_new ();
+  p->peers = bb_peers_new (loop, &o, p->view, &ops, p, &error);
+  g_assert_nonnull (p->peers);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  uv_stop (t->loop);
+}
+
+static void
+run_for (uv_loop_t *loop, bb_ms ms)
+{
+  uv_timer_t timer;
+
+  uv_timer_init (loop, &timer);
+  uv_timer_start (&timer, on_timer, (uint64_t)ms, 0);
+  uv_run (loop, UV_RUN_DEFAULT);
+  uv_close ((uv_handle_t *)&timer, NULL);
+  uv_run (loop, UV_RUN_NOWAIT);
+}
+
+/* Two processes connect to each other at the same time.  The end of the second
+   connection must not be taken for the end of the peer.  */
+static void
+test_duplicate (void)
+{
+  struct harness *h = harness_new (harness_build_dir ());
+  static uv_loop_t loop;
+  static struct process processes[PEERS];
+  char *seeds[PEERS];
+
+  uv_loop_init (&loop);
+  for (uint32_t i = 0; i < PEERS; i++)
+    {
+      processes[i].address
+          = g_strdup_printf ("127.0.0.1:%u", harness_port (h));
+      seeds[i] = processes[i].address;
+    }
+  for (uint32_t i = 0; i < PEERS; i++)
+    process_start (&processes[i], &loop, i == 0 ? "a" : "b", seeds, PEERS,
+                   i + 1);
+  run_for (&loop, RUN_MS);
+  for (uint32_t i = 0; i < PEERS; i++)
+    {
+      g_test_message ("process %u: connected %u, gone %u", i,
+                      processes[i].connected, processes[i].gone);
+      g_assert_cmpuint (processes[i].connected, ==, 1);
+      g_assert_cmpuint (processes[i].gone, ==, 0);
+    }
+  harness_free (h);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/peer/duplicate", test_duplicate);
+  return g_test_run ();
+}
