--- /dev/null
+++ b/libh1/connection.c
@@ -0,0 +1,148 @@
+/* Sending on the connections of the server, and closing them.  */
+
+#include "server.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+bb_ms
+h1_connection_now (const struct connection *c)
+{
+  return (bb_ms)uv_now (c->server->loop);
+}
+
+static void
+on_closed (uv_handle_t *h)
+{
+  struct connection *c = h->data;
+
+  h1_reader_free (&c->reader);
+  h1_buffer_free (&c->body);
+  h1_buffer_free (&c->input);
+  free (c);
+}
+
+/* Counts connections that the server closes without having told the caller in
+   a response.  */
+static void
+count_close (const char *labels)
+{
+  bb_counter ("bilberry_channels_closed_total", labels)->value++;
+}
+
+void
+h1_connection_close (struct connection *c)
+{
+  if (c->closing)
+    return;
+  c->closing = true;
+  DL_DELETE (c->server->connections, c);
+  c->server->connections_count--;
+  uv_close ((uv_handle_t *)&c->tcp, on_closed);
+}
+
+void
+h1_connection_reset (struct connection *c)
+{
+  c->closing = true;
+  DL_DELETE (c->server->connections, c);
+  c->server->connections_count--;
+  if (uv_tcp_close_reset (&c->tcp, on_closed) < 0)
+    uv_close ((uv_handle_t *)&c->tcp, on_closed);
+}
+
+static void
+on_shutdown (uv_shutdown_t *req, int status)
+{
+  struct connection *c = req->data;
+
+  (void)status;
+  free (req);
+  if (status != UV_ECANCELED)
+    c->state_since_ms = h1_connection_now (c);
+}
+
+void
+h1_connection_linger (struct connection *c)
+{
+  uv_shutdown_t *req;
+
+  if (c->closing || c->lingering)
+    return;
+  c->lingering = true;
+  c->state_since_ms = h1_connection_now (c);
+  req = calloc (1, sizeof *req);
+  if (!req)
+    abort ();
+  req->data = c;
+  if (uv_shutdown (req, (uv_stream_t *)&c->tcp, on_shutdown) < 0)
+    {
+      free (req);
+      h1_connection_close (c);
+    }
+}
+
+bool
+h1_connection_has_input (const struct connection *c)
+{
+#ifndef BB_MUTANT_h1_unread
+  char byte;
+  uv_os_fd_t fd;
+
+  return uv_fileno ((const uv_handle_t *)&c->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+#else
+  return false;
+#endif
+}
+
+bool
+h1_connection_is_idle (const struct connection *c)
+{
+  return !c->responding && !c->lingering && !c->closing && !c->reader.started
+         && !h1_connection_has_input (c);
+}
+
+void
+h1_connection_close_idle (struct connection *c, const char *reason)
+{
+  count_close (reason);
+#ifdef BB_MUTANT_h1_crossing
+  h1_connection_linger (c);
+  return;
+#endif
+  /* The caller has not taken all of the last response yet.  */
+  if (c->queued_bytes > 0)
+    h1_connection_linger (c);
+  else
+    h1_connection_close (c);
+}
+
+void
+h1_connection_lost (struct connection *c)
+{
+  if (c->responding)
+    {
+      c->responding = false;
+      if (c->exchange.on_disconnect)
+        c->exchange.on_disconnect (&c->exchange);
+    }
+  h1_connection_close (c);
+}
+
+void
+h1_connection_send (struct connection *c, const char *data, size_t size)
+{
+  if (!c->closing
+      && h1_write ((uv_stream_t *)&c->tcp, data, size, &c->queued_bytes) < 0)
+    c->close_after_response = true;
+}
+
+void
+h1_connection_begin_idling (struct connection *c)
+{
+  c->state_since_ms = h1_connection_now (c);
+  c->idle_timeout_ms = c->server->limits.idle_timeout_ms;
+}
--- /dev/null
+++ b/libh1/server.h
@@ -0,0 +1,100 @@
+#ifndef LIBH1_SERVER_H
+#define LIBH1_SERVER_H
+
+/* Internals of the HTTP server: server.c accepts connections and bounds their
+   time and number, connection.c sends on and closes them, request.c reads
+   requests, and response.c sends what the handler responds.  */
+
+#include "h1.h"
+
+/* A connection from a client.  */
+struct connection
+{
+  uv_tcp_t tcp;
+  struct bb_h1_server *server;
+  struct h1_reader reader;
+  struct h1_buffer body;          /* body of the current request */
+  struct h1_buffer input;         /* received bytes that were not parsed yet */
+  struct bb_h1_exchange exchange; /* the current request */
+  bool responding;                /* the handler has the exchange */
+  bool chunked;                   /* the response body is sent in chunks */
+  bool response_started;          /* the head of the response was sent */
+  bool close_after_response;
+  bool closing;     /* the socket handle is being closed */
+  bool lingering;   /* start_lingering_close was called */
+  bool discarded;   /* input was discarded */
+  bool read_paused; /* too much input came during a response */
+  bool over_limit;  /* beyond the limit on connections when it was accepted */
+  size_t queued_bytes;
+  bb_ms idle_timeout_ms; /* limit on idling, as it was when idling began */
+  bb_ms state_since_ms;  /* start of the current request, of idling, or of a
+                            phase of the lingering close */
+  struct connection *prev;
+  struct connection *next;
+};
+
+struct bb_h1_server
+{
+  uv_tcp_t tcp;
+  uv_timer_t sweep_timer;
+  uv_check_t stop_check; /* runs after the loop has read what had arrived */
+  uv_loop_t *loop;
+  struct bb_h1_limits limits;
+  bb_h1_handler *handler;
+  bb_h1_error_handler *on_error;
+  void *arg;
+  bool draining;
+  bool stopping; /* bb_h1_server_close was called */
+  bool listener_closed;
+  uint32_t connections_count;
+  struct connection *connections;
+};
+
+/* connection.c */
+
+/* Returns the time of the loop.  */
+bb_ms h1_connection_now (const struct connection *c);
+/* Closes C at once.  */
+void h1_connection_close (struct connection *c);
+/* Closes C with a TCP reset.  */
+void h1_connection_reset (struct connection *c);
+/* Closes C once the client has received a response that announced the close:
+   sends what is queued, shuts down the write side, and waits for the client to
+   close.  check_timeouts in server.c bounds both phases.  An immediate close
+   with unread input would reset the connection, and the client could lose the
+   end of the response.  */
+void h1_connection_linger (struct connection *c);
+/* Whether the socket holds bytes that have not been read.  Timers run before
+   reads, so after a stall a request may have been waiting there for long.  */
+bool h1_connection_has_input (const struct connection *c);
+/* Whether C has no request and may be closed.  */
+bool h1_connection_is_idle (const struct connection *c);
+/* Closes C, which is idle, without a word to the client.  Nothing more is
+   read: a request that crosses the close is answered by a reset, which tells
+   its caller that it was not read.  REASON is the label of the counter.  */
+void h1_connection_close_idle (struct connection *c, const char *reason);
+/* The client closed C, or it failed.  */
+void h1_connection_lost (struct connection *c);
+void h1_connection_send (struct connection *c, const char *data, size_t size);
+/* C waits for its next request.  A lower limit that comes later does not hold
+   for it, since the caller goes by the one that it knows.  */
+void h1_connection_begin_idling (struct connection *c);
+
+/* request.c */
+
+void h1_connection_init_reader (struct connection *c);
+/* Starts to read from C.  Returns a negative uv error on failure.  */
+int h1_connection_read (struct connection *c);
+/* Reads on if too much input had come during a response.  */
+void h1_connection_resume_reading (struct connection *c);
+/* Parses the buffered input, unless a request is being handled.  */
+void h1_connection_process_input (struct connection *c);
+/* Sends STATUS in response to a request that is not complete, and closes the
+   connection.  */
+void h1_connection_reject (struct connection *c, uint16_t status);
+
+/* response.c */
+
+const char *h1_reason_phrase (uint16_t status);
+
+#endif
