--- a/Makefile
+++ b/Makefile
@@ -122,6 +122,7 @@
 	$(MAKE) check-built
 
 check-built: all $(TEST_PROGRAMS) $(FUZZ:%=$(B)/fuzz/%)
+	test/check-proof docs/PROOF.md test/mutants.txt $(TEST_PROGRAMS)
 	test/run $(B) $(TEST_PROGRAMS)
 
 # Runs the randomised simulation of libonce on further seeds for SECONDS seconds.
