test_edge_middle: orders at a replica that is frozen and runs them later

The rule that a refused order never runs later had no test. fake-recorder is a stand-in that records the bytes of what arrives; test/harness/recorder.h starts it and has callers that keep their connections.

--- /dev/null
+++ b/test/test_edge_middle.c
@@ -0,0 +1,90 @@
+/* Tests of bilberry-edge with real processes: kills, freezes and planned work
+   in the middle of requests.  */
+
+#include "harness/recorder.h"
+
+#include "bilberry/base.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+enum
+{
+  ORDERS = 6,
+  EDGES = 3,
+  ORDER_TIMEOUT_MS = 700, /* of the route of orders */
+  SLOW_MS = 400,          /* of fake-recorder */
+  SETTLE_MS = 500,
+  DRAIN_MS = 2000, /* after which nothing may reach a replica that leaves */
+  OBSERVE_MS = 2000,
+  RECOVER_MS = 12000, /* until an edge serves again after its end */
+  READ_MAX_MS = 5000,
+  KEPT = 60, /* connections, on which orders are sent from KEPT_FIRST_MS after
+                a SIGTERM until all that is idle is closed */
+  KEPT_FIRST_MS = 2000,
+  KEPT_INTERVAL_MS = 20,
+  COLD_PER_S = 30, /* what a cold replica bears, for half of it more and
+                     COLD_SLACK */
+  COLD_SLACK = 5,
+  COLD_CALLERS = 30,
+  COLD_ROUNDS = 4,
+  COLD_ROUND_MS = 1500
+};
+
+/* Asserts that order ID ran at most once, and not at all where STATUS promises
+   that.  */
+static void
+check_order (struct testbed *t, const char *id, int status)
+{
+  uint32_t runs = testbed_count_runs (t, id);
+
+  g_test_message ("%s: status %d, %u runs", id, status, runs);
+  g_assert_cmpuint (runs, <=, 1);
+  if (status == 503 || status == 429 || status == 408 || status == 421)
+    g_assert_cmpuint (runs, ==, 0);
+  if (status == 200)
+    g_assert_cmpuint (runs, ==, 1);
+}
+
+/* A replica is frozen when it gets orders, and runs them when it wakes, after
+   their callers have got their answers.  */
+static void
+test_frozen_replica (void)
+{
+  struct testbed t;
+  struct recorder frozen;
+  int statuses[ORDERS];
+
+  testbed_init (&t);
+  frozen = recorder_start (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_check_status (&t, "POST", "/order/1", "first", 200);
+  harness_signal (t.harness, frozen.pid, SIGSTOP);
+  for (uint32_t i = 0; i < ORDERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("o%u", i);
+      struct http_response a;
+      if (i == ORDERS / 2)
+        recorder_start (&t, "i-2", "app", "");
+      a = testbed_request (&t, 0, "POST", "/order/1", id, "key-1");
+      statuses[i] = a.status;
+      http_response_free (&a);
+    }
+  harness_signal (t.harness, frozen.pid, SIGCONT);
+  harness_sleep_ms (SETTLE_MS);
+  for (uint32_t i = 0; i < ORDERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("o%u", i);
+      check_order (&t, id, statuses[i]);
+    }
+  testbed_free (&t);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/middle/frozen-replica", test_frozen_replica);
+  return g_test_run ();
+}
