--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -81,10 +81,44 @@
   testbed_free (&t);
 }
 
+/* A replica is killed while it works on an order and a check, and another one
+   is ready: the order does not run again and is not refused as not run; the
+   check is answered.  */
+static void
+test_killed_replica (void)
+{
+  struct testbed t;
+  struct recorder killed;
+  struct recorder other;
+  struct caller order;
+  struct caller check;
+
+  testbed_init (&t);
+  killed = recorder_start (&t, "i-1", "app", "silent");
+  testbed_start_edge (&t, 0);
+  caller_connect (&order, &t, 0);
+  caller_connect (&check, &t, 0);
+  caller_send (&order, "POST", "/order/1", "o1", "body");
+  caller_send (&check, "GET", "/check/1", "c1", NULL);
+  g_assert_true (recorder_await (&t, killed, "X-Attempt-Id: o1"));
+  g_assert_true (recorder_await (&t, killed, "X-Attempt-Id: c1"));
+  other = recorder_start (&t, "i-2", "app", "");
+  harness_signal (t.harness, killed.pid, SIGKILL);
+  g_assert_cmpint (caller_read_response (&order), ==, 502);
+  g_assert_cmpint (caller_read_response (&check), ==, 200);
+  t.replica_ports[killed.replica] = t.replica_ports[other.replica];
+  harness_sleep_ms (SETTLE_MS);
+  g_assert_cmpuint (testbed_count_runs (&t, "o1"), ==, 0);
+  caller_free (&order);
+  caller_free (&check);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/middle/frozen-replica", test_frozen_replica);
+  g_test_add_func ("/middle/killed-replica", test_killed_replica);
   return g_test_run ();
 }
