--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -114,11 +114,50 @@
   testbed_free (&t);
 }
 
+/* An edge is killed while an order runs: it runs no second time, neither by
+   another edge nor by the same one when it is back, and the caller's
+   connection ends without an answer that looks complete.  */
+static void
+test_killed_edge (void)
+{
+  struct testbed t;
+  struct caller c;
+
+  testbed_init (&t);
+  recorder_start (&t, "i-1", "app", "");
+  recorder_start (&t, "i-2", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < ORDERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("o%u", i);
+      g_autofree char *again = g_strdup_printf ("r%u", i);
+      struct http_response a;
+      caller_connect (&c, &t, 0);
+      caller_send (&c, "POST", "/order/slow", id, "body");
+      harness_sleep_ms ((int)i * SLOW_MS / 4);
+      testbed_kill_edge (&t, 0);
+      g_assert_true (caller_read (&c, "no such text", READ_MAX_MS));
+      g_assert_true (!strstr (c.in->str, "HTTP/1.1 ")
+                     || caller_read_response (&c) == 200);
+      caller_free (&c);
+      a = testbed_request (&t, 1, "POST", "/order/1", again, "key-1");
+      g_assert_cmpint (a.status, ==, 200);
+      http_response_free (&a);
+      testbed_restart_edge (&t, 0);
+      harness_sleep_ms (SLOW_MS);
+      g_assert_cmpuint (testbed_count_runs (&t, id), <=, 1);
+      g_assert_cmpuint (testbed_count_runs (&t, again), ==, 1);
+    }
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/middle/frozen-replica", test_frozen_replica);
   g_test_add_func ("/middle/killed-replica", test_killed_replica);
+  g_test_add_func ("/middle/killed-edge", test_killed_edge);
   return g_test_run ();
 }
