--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -152,6 +152,37 @@
   testbed_free (&t);
 }
 
+/* An edge is frozen while an order runs and another one waits to be read, past
+   their timeouts.  What it says when it wakes is true.  */
+static void
+test_frozen_edge (void)
+{
+  struct testbed t;
+  struct recorder r;
+  struct caller runs;
+  struct caller unread;
+
+  testbed_init (&t);
+  r = recorder_start (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  caller_connect (&runs, &t, 0);
+  caller_connect (&unread, &t, 0);
+  caller_send (&runs, "POST", "/order/slow", "o1", "body");
+  g_assert_true (recorder_await (&t, r, "X-Attempt-Id: o1"));
+  harness_signal (t.harness, t.edges[0].pid, SIGSTOP);
+  caller_send (&unread, "POST", "/order/1", "o2", "body");
+  harness_sleep_ms (2 * ORDER_TIMEOUT_MS);
+  harness_signal (t.harness, t.edges[0].pid, SIGCONT);
+  check_order (&t, "o1", caller_read_response (&runs));
+  check_order (&t, "o2", caller_read_response (&unread));
+  harness_sleep_ms (SETTLE_MS);
+  g_assert_cmpuint (testbed_count_runs (&t, "o1"), ==, 1);
+  g_assert_cmpuint (testbed_count_runs (&t, "o2"), <=, 1);
+  caller_free (&runs);
+  caller_free (&unread);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -159,5 +190,6 @@
   g_test_add_func ("/middle/frozen-replica", test_frozen_replica);
   g_test_add_func ("/middle/killed-replica", test_killed_replica);
   g_test_add_func ("/middle/killed-edge", test_killed_edge);
+  g_test_add_func ("/middle/frozen-edge", test_frozen_edge);
   return g_test_run ();
 }
