--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -183,6 +183,87 @@
   testbed_free (&t);
 }
 
+/* What is planned while requests are under way.  */
+enum work
+{
+  WORK_STOP,
+  WORK_RELOAD,
+  WORK_CONFIG, /* the route of one is removed */
+  WORK_DRAIN   /* their replica leaves */
+};
+
+static void
+start_work (struct testbed *t, struct recorder r, enum work w)
+{
+  switch (w)
+    {
+    case WORK_STOP:
+      harness_signal (t->harness, t->edges[0].pid, SIGTERM);
+      break;
+    case WORK_RELOAD:
+      harness_signal (t->harness, t->edges[0].pid, SIGHUP);
+      break;
+    case WORK_CONFIG:
+      testbed_put_config (t, 3, "", "");
+      break;
+    case WORK_DRAIN:
+      recorder_register (t, r, "i-1", "app", RECORDER_LEAVES);
+      break;
+    }
+}
+
+/* Requests under way around planned work are answered completely: one that
+   runs, one that waits for an upstream, and one of which half is sent.  */
+static void
+check_work (enum work w)
+{
+  static const char half[]
+      = "POST /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: half\r\n"
+        "Authorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbo";
+  struct testbed t;
+  struct recorder r;
+  struct caller runs;
+  struct caller waits;
+  struct caller sends;
+
+  testbed_init (&t);
+  testbed_put_config (
+      &t, 2,
+      ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":\"/new/\","
+      "\"route-kind\":\"non_idempotent\",\"service\":\"app\",\"timeout-ms\":"
+      "2000,\"slo-ms\":500,\"max-attempts\":1}",
+      "");
+  r = recorder_start (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  g_assert_true (testbed_await_status (&t, 0, "/new/1", "key-1", 200));
+  caller_connect (&runs, &t, 0);
+  caller_connect (&waits, &t, 0);
+  caller_connect (&sends, &t, 0);
+  caller_send (&runs, "POST", "/new/slow", "o1", "body");
+  caller_send (&waits, "GET", "/other/1", "c1", NULL);
+  caller_write (&sends, half, strlen (half));
+  g_assert_true (recorder_await (&t, r, "X-Attempt-Id: o1"));
+  start_work (&t, r, w);
+  harness_sleep_ms (SLOW_MS / 4);
+  caller_write (&sends, "dy", 2);
+  recorder_start (&t, "i-2", "other", "");
+  recorder_start (&t, "i-3", "app", "");
+  g_assert_cmpint (caller_read_response (&runs), ==, 200);
+  g_assert_cmpint (caller_read_response (&waits), ==, 200);
+  g_assert_cmpint (caller_read_response (&sends), ==, 200);
+  g_assert_cmpuint (testbed_count_runs (&t, "o1"), ==, 1);
+  caller_free (&runs);
+  caller_free (&waits);
+  caller_free (&sends);
+  testbed_free (&t);
+}
+
+static void
+test_stop (void)
+{
+  check_work (WORK_STOP);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -191,5 +272,6 @@
   g_test_add_func ("/middle/killed-replica", test_killed_replica);
   g_test_add_func ("/middle/killed-edge", test_killed_edge);
   g_test_add_func ("/middle/frozen-edge", test_frozen_edge);
+  g_test_add_func ("/middle/stop", test_stop);
   return g_test_run ();
 }
