--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -264,6 +264,12 @@
   check_work (WORK_STOP);
 }
 
+static void
+test_reload (void)
+{
+  check_work (WORK_RELOAD);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -273,5 +279,6 @@
   g_test_add_func ("/middle/killed-edge", test_killed_edge);
   g_test_add_func ("/middle/frozen-edge", test_frozen_edge);
   g_test_add_func ("/middle/stop", test_stop);
+  g_test_add_func ("/middle/reload", test_reload);
   return g_test_run ();
 }
