--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -270,6 +270,12 @@
   check_work (WORK_RELOAD);
 }
 
+static void
+test_config (void)
+{
+  check_work (WORK_CONFIG);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -280,5 +286,6 @@
   g_test_add_func ("/middle/frozen-edge", test_frozen_edge);
   g_test_add_func ("/middle/stop", test_stop);
   g_test_add_func ("/middle/reload", test_reload);
+  g_test_add_func ("/middle/config", test_config);
   return g_test_run ();
 }
