--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -276,6 +276,12 @@
   check_work (WORK_CONFIG);
 }
 
+static void
+test_drain (void)
+{
+  check_work (WORK_DRAIN);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -287,5 +293,6 @@
   g_test_add_func ("/middle/stop", test_stop);
   g_test_add_func ("/middle/reload", test_reload);
   g_test_add_func ("/middle/config", test_config);
+  g_test_add_func ("/middle/drain", test_drain);
   return g_test_run ();
 }
