--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -282,6 +282,45 @@
   check_work (WORK_DRAIN);
 }
 
+/* Callers send orders on kept connections, one after the other, while their
+   edge is stopped and closes what is idle: each is answered, or has reached no
+   replica and never will.  */
+static void
+test_kept_connections (void)
+{
+  struct testbed t;
+  struct caller c[KEPT];
+
+  testbed_init (&t);
+  recorder_start (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < KEPT; i++)
+    {
+      caller_connect (&c[i], &t, 0);
+      caller_send (&c[i], "POST", "/order/1", "first", "body");
+      g_assert_cmpint (caller_read_response (&c[i]), ==, 200);
+    }
+  harness_signal (t.harness, t.edges[0].pid, SIGTERM);
+  harness_sleep_ms (KEPT_FIRST_MS);
+  for (uint32_t i = 0; i < KEPT; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("k%u", i);
+      caller_send (&c[i], "POST", i % 4 == 0 ? "/order/slow" : "/order/1", id,
+                   "body");
+      harness_sleep_ms (KEPT_INTERVAL_MS);
+    }
+  for (uint32_t i = 0; i < KEPT; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("k%u", i);
+      int status = caller_read_response (&c[i]);
+      check_order (&t, id, status);
+      if (status == 0)
+        g_assert_cmpuint (testbed_count_runs (&t, id), ==, 0);
+      caller_free (&c[i]);
+    }
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -294,5 +333,6 @@
   g_test_add_func ("/middle/reload", test_reload);
   g_test_add_func ("/middle/config", test_config);
   g_test_add_func ("/middle/drain", test_drain);
+  g_test_add_func ("/middle/kept-connections", test_kept_connections);
   return g_test_run ();
 }
