--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -321,6 +321,59 @@
   testbed_free (&t);
 }
 
+/* Asserts that nothing reaches LEAVING from any edge, while the store fails
+   and one edge is killed and started again: it learns from the others what it
+   may not use.  */
+static void
+check_unused (struct testbed *t, struct recorder leaving)
+{
+  g_autofree char *before = recorder_arrived (t, leaving);
+  g_autofree char *after = NULL;
+  bb_ms end;
+
+  testbed_set_store_mode (t, "silent");
+  testbed_kill_edge (t, 0);
+  testbed_restart_edge (t, 0);
+  end = bb_clock_now () + OBSERVE_MS;
+  for (uint32_t i = 0; bb_clock_now () < end; i++)
+    {
+      struct http_response a
+          = testbed_request (t, i % EDGES, "GET", "/check/1", "d1", "key-1");
+      g_assert_cmpint (a.status, ==, 200);
+      http_response_free (&a);
+    }
+  after = recorder_arrived (t, leaving);
+  g_assert_cmpstr (after, ==, before);
+}
+
+static struct recorder
+start_two_zones (struct testbed *t)
+{
+  struct recorder r;
+
+  testbed_init (t);
+  r = recorder_start (t, "i-1", "app", "");
+  recorder_register (t, r, "i-1", "app",
+                     "\"zone\":\"z2\",\"state\":\"ready\","
+                     "\"cold-left-ms\":0");
+  testbed_start_replica (t, "i-2", "app", "");
+  for (uint32_t e = 0; e < EDGES; e++)
+    testbed_start_edge (t, 0);
+  return r;
+}
+
+static void
+test_leaving_known (void)
+{
+  struct testbed t;
+  struct recorder leaving = start_two_zones (&t);
+
+  recorder_register (&t, leaving, "i-1", "app", RECORDER_LEAVES);
+  harness_sleep_ms (DRAIN_MS);
+  check_unused (&t, leaving);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -334,5 +387,6 @@
   g_test_add_func ("/middle/config", test_config);
   g_test_add_func ("/middle/drain", test_drain);
   g_test_add_func ("/middle/kept-connections", test_kept_connections);
+  g_test_add_func ("/middle/leaving-known", test_leaving_known);
   return g_test_run ();
 }
