--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -374,6 +374,19 @@
   testbed_free (&t);
 }
 
+/* The same, for a zone that is evacuated.  */
+static void
+test_evacuated_known (void)
+{
+  struct testbed t;
+  struct recorder out = start_two_zones (&t);
+
+  testbed_put_item (&t, "op/evacuate/z2", "{}");
+  harness_sleep_ms (DRAIN_MS);
+  check_unused (&t, out);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -388,5 +401,6 @@
   g_test_add_func ("/middle/drain", test_drain);
   g_test_add_func ("/middle/kept-connections", test_kept_connections);
   g_test_add_func ("/middle/leaving-known", test_leaving_known);
+  g_test_add_func ("/middle/evacuated-known", test_evacuated_known);
   return g_test_run ();
 }
