--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -387,6 +387,51 @@
   testbed_free (&t);
 }
 
+/* All edges are killed at once, again and again, while orders run: they serve
+   again, and no order has run twice.  */
+static void
+test_all_killed (void)
+{
+  struct testbed t;
+  struct caller c[EDGES];
+
+  testbed_init (&t);
+  recorder_start (&t, "i-1", "app", "");
+  recorder_start (&t, "i-2", "app", "");
+  for (uint32_t e = 0; e < EDGES; e++)
+    testbed_start_edge (&t, 0);
+  for (uint32_t round = 0; round < 3; round++)
+    {
+      bb_ms end;
+      for (uint32_t e = 0; e < EDGES; e++)
+        {
+          g_autofree char *id = g_strdup_printf ("o%u-%u", round, e);
+          caller_connect (&c[e], &t, e);
+          caller_send (&c[e], "POST", "/order/slow", id, "body");
+        }
+      harness_sleep_ms (SLOW_MS / 4);
+      for (uint32_t e = 0; e < EDGES; e++)
+        harness_signal (t.harness, t.edges[e].pid, SIGKILL);
+      for (uint32_t e = 0; e < EDGES; e++)
+        {
+          harness_wait (t.harness, t.edges[e].pid);
+          caller_free (&c[e]);
+        }
+      end = bb_clock_now () + RECOVER_MS;
+      for (uint32_t e = 0; e < EDGES; e++)
+        testbed_restart_edge (&t, e);
+      for (uint32_t e = 0; e < EDGES; e++)
+        g_assert_true (testbed_await_status (&t, e, "/check/1", "key-1", 200));
+      g_assert_cmpint (bb_clock_now (), <=, end);
+      for (uint32_t e = 0; e < EDGES; e++)
+        {
+          g_autofree char *id = g_strdup_printf ("o%u-%u", round, e);
+          g_assert_cmpuint (testbed_count_runs (&t, id), <=, 1);
+        }
+    }
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -402,5 +447,6 @@
   g_test_add_func ("/middle/kept-connections", test_kept_connections);
   g_test_add_func ("/middle/leaving-known", test_leaving_known);
   g_test_add_func ("/middle/evacuated-known", test_evacuated_known);
+  g_test_add_func ("/middle/all-killed", test_all_killed);
   return g_test_run ();
 }
