--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -432,6 +432,40 @@
   testbed_free (&t);
 }
 
+/* An edge starts while the store fails and no other edge is there: it knows no
+   configuration, and says so by a 503, not that routes or keys are unknown.
+   It serves once the store is back.  */
+static void
+test_knows_nothing (void)
+{
+  struct testbed t;
+  g_autofree char *settings = NULL;
+  uint32_t refused = 0;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_kill_edge (&t, 0);
+  testbed_set_store_mode (&t, "silent");
+  settings
+      = g_strdup_printf ("%s/edge-0.yaml", harness_config_dir (t.harness));
+  t.edges[0].pid = harness_spawn (t.harness, "edge-0", "bilberry-edge",
+                                  "--settings", settings, NULL);
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      struct http_response a
+          = testbed_request (&t, 0, "GET", "/check/1", "n1", "key-1");
+      refused += a.status == 503;
+      g_assert_true (a.status == 503 || a.status == 0);
+      http_response_free (&a);
+      harness_sleep_ms (50);
+    }
+  g_assert_cmpuint (refused, >, 0);
+  testbed_set_store_mode (&t, "ok");
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-1", 200));
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -448,5 +482,6 @@
   g_test_add_func ("/middle/leaving-known", test_leaving_known);
   g_test_add_func ("/middle/evacuated-known", test_evacuated_known);
   g_test_add_func ("/middle/all-killed", test_all_killed);
+  g_test_add_func ("/middle/knows-nothing", test_knows_nothing);
   return g_test_run ();
 }
