--- a/test/test_edge_middle.c
+++ b/test/test_edge_middle.c
@@ -466,6 +466,96 @@
   testbed_free (&t);
 }
 
+/* Returns the largest number of requests that R got in a second.  */
+static uint32_t
+most_in_a_second (struct testbed *t, struct recorder r)
+{
+  struct http_response a
+      = harness_http (t->replica_ports[r.replica], "GET", "/ran", "", "");
+  g_auto (GStrv) lines = g_strsplit (a.body, "\n", -1);
+  uint32_t n = g_strv_length (lines) - 1;
+  g_autoptr (GArray) at_ms = g_array_new (FALSE, FALSE, sizeof (gint64));
+  uint32_t most = 0;
+  uint32_t first = 0;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      gint64 ms = g_ascii_strtoll (strstr (lines[i], " at ") + 4, NULL, 10);
+      g_array_append_val (at_ms, ms);
+      while (g_array_index (at_ms, gint64, first) <= ms - 1000)
+        first++;
+      most = MAX (most, i + 1 - first);
+    }
+  g_test_message ("%u requests, %u in a second", n, most);
+  g_assert_cmpuint (n, >, 0);
+  http_response_free (&a);
+  return most;
+}
+
+static void
+put_cold_limit (struct testbed *t)
+{
+  g_autofree char *text = testbed_config (2, "", "");
+  g_auto (GStrv) parts
+      = g_strsplit (text, "\"cold-start-s\":0,\"cold-per-s\":0", 2);
+  g_autofree char *limited
+      = g_strdup_printf ("%s\"cold-start-s\":10,\"cold-per-s\":%d%s", parts[0],
+                         COLD_PER_S, parts[1]);
+
+  testbed_put_item (t, "op/config", limited);
+}
+
+/* A round of callers, who give up soon.  */
+static void
+press (struct testbed *t, uint32_t round, uint32_t n)
+{
+  struct caller c[COLD_CALLERS];
+
+  for (uint32_t i = 0; i < COLD_CALLERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("f%u-%u-%u", round, n, i);
+      caller_connect (&c[i], t, i % EDGES);
+      caller_send (&c[i], "GET", "/check/1", id, NULL);
+    }
+  harness_sleep_ms (SLOW_MS / 2);
+  for (uint32_t i = 0; i < COLD_CALLERS; i++)
+    caller_free (&c[i]);
+}
+
+/* Callers press on a cold replica while all edges are killed at once and
+   started again: it gets no more in any second than it bears, from all of them
+   together.  */
+static void
+test_cold_killed (void)
+{
+  struct testbed t;
+  struct recorder cold;
+
+  testbed_init (&t);
+  put_cold_limit (&t);
+  cold = recorder_start (&t, "i-1", "app", "");
+  recorder_register (&t, cold, "i-1", "app",
+                     "\"zone\":\"z1\",\"state\":\"ready\","
+                     "\"cold-left-ms\":60000");
+  for (uint32_t e = 0; e < EDGES; e++)
+    testbed_start_edge (&t, 0);
+  for (uint32_t round = 0; round < COLD_ROUNDS; round++)
+    {
+      bb_ms end = bb_clock_now () + COLD_ROUND_MS;
+      for (uint32_t n = 0; bb_clock_now () < end; n++)
+        press (&t, round, n);
+      for (uint32_t e = 0; e < EDGES; e++)
+        harness_signal (t.harness, t.edges[e].pid, SIGKILL);
+      for (uint32_t e = 0; e < EDGES; e++)
+        harness_wait (t.harness, t.edges[e].pid);
+      for (uint32_t e = 0; e < EDGES; e++)
+        testbed_restart_edge (&t, e);
+    }
+  g_assert_cmpuint (most_in_a_second (&t, cold), <=,
+                    COLD_PER_S * 3 / 2 + COLD_SLACK);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -483,5 +573,6 @@
   g_test_add_func ("/middle/evacuated-known", test_evacuated_known);
   g_test_add_func ("/middle/all-killed", test_all_killed);
   g_test_add_func ("/middle/knows-nothing", test_knows_nothing);
+  g_test_add_func ("/middle/cold-killed", test_cold_killed);
   return g_test_run ();
 }
