--- /dev/null
+++ b/test/test_edge_answers.c
@@ -0,0 +1,50 @@
+/* Tests of bilberry-edge with real processes: what callers get is the answer
+   of a replica, and what replicas get is the request of a caller.  */
+
+#include "harness/recorder.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SETTLE_MS = 300,
+  HIDDEN_WAIT_MS = 50, /* until a hidden request would have arrived */
+  STREAM_MAX_MS = 5000,
+  LARGE_BODY_BYTES = 700 * 1024 /* more than the buffers of a connection */
+};
+
+/* A replica sends a second answer after each: a caller that keeps its
+   connection gets one answer to each request, and nothing between them.  */
+static void
+test_one_each (void)
+{
+  struct testbed t;
+  struct caller c;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "extra");
+  testbed_start_edge (&t, 0);
+  caller_connect (&c, &t, 0);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("one-%u", i);
+      caller_send (&c, "GET", "/check/1", id, NULL);
+      g_assert_true (caller_read (&c, id, STREAM_MAX_MS));
+      g_assert_nonnull (strstr (c.in->str, id));
+      g_assert_cmpint (caller_read_response (&c), ==, 200);
+      g_assert_false (caller_read (&c, "HTTP", SETTLE_MS));
+      g_assert_cmpstr (c.in->str, ==, "");
+    }
+  caller_free (&c);
+  testbed_free (&t);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/answers/one-each", test_one_each);
+  return g_test_run ();
+}
