--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -41,10 +41,43 @@
   testbed_free (&t);
 }
 
+/* An answer with a replica's signature has that replica's status; an answer of
+   the edge's own has no signature.  */
+static void
+test_own_failures (void)
+{
+  static const struct
+  {
+    const char *fault;
+    int status;
+    bool is_signed;
+  } cases[] = { { "fail", 500, true },     { "reset", 502, false },
+                { "cut", 502, false },     { "garbage", 502, false },
+                { "silent", 504, false },  { "not-run", 503, false },
+                { "other-id", 502, false } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct testbed t;
+      struct http_response a;
+      g_test_message ("%s", cases[i].fault);
+      testbed_init (&t);
+      testbed_start_replica (&t, "i-1", "app", cases[i].fault);
+      testbed_start_edge (&t, 0);
+      a = testbed_request (&t, 0, "POST", "/order/1", "o1", "key-1");
+      g_assert_cmpint (a.status, ==, cases[i].status);
+      g_assert_cmpint (strstr (a.headers, "X-Replica-Signature: ") != NULL, ==,
+                       cases[i].is_signed);
+      http_response_free (&a);
+      testbed_free (&t);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/answers/one-each", test_one_each);
+  g_test_add_func ("/answers/own-failures", test_own_failures);
   return g_test_run ();
 }
