--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -73,11 +73,27 @@
     }
 }
 
+/* An answer without length whose connection is reset is not complete, however
+   much of it arrived.  */
+static void
+test_reset_end (void)
+{
+  struct testbed t;
+
+  testbed_init (&t);
+  recorder_start (&t, "i-1", "app", "reset");
+  testbed_start_edge (&t, 0);
+  testbed_check_status (&t, "POST", "/order/1", "o1", 502);
+  g_assert_cmpuint (testbed_count_runs (&t, "o1"), ==, 1);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/answers/one-each", test_one_each);
   g_test_add_func ("/answers/own-failures", test_own_failures);
+  g_test_add_func ("/answers/reset-end", test_reset_end);
   return g_test_run ();
 }
