--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -88,6 +88,42 @@
   testbed_free (&t);
 }
 
+/* A stream breaks off within an event and cannot be resumed: the caller can
+   tell that it is not complete, and gets nothing of a second run.  */
+static void
+check_broken_stream (const char *fault)
+{
+  struct testbed t;
+  struct caller c;
+
+  testbed_init (&t);
+  testbed_put_config (
+      &t, 2,
+      ",{\"name\":\"live\",\"host\":\"127.0.0.1\",\"prefix\":\"/live/\","
+      "\"route-kind\":\"streaming\",\"service\":\"app\",\"timeout-ms\":3000,"
+      "\"slo-ms\":400,\"max-attempts\":2,\"priority\":1}",
+      "");
+  recorder_start (&t, "i-1", "app", fault);
+  recorder_start (&t, "i-2", "app", fault);
+  testbed_start_edge (&t, 0);
+  caller_connect (&c, &t, 0);
+  caller_send (&c, "GET", "/live/1", "s1", NULL);
+  g_assert_true (caller_read (&c, "no such text", STREAM_MAX_MS));
+  g_assert_nonnull (strstr (c.in->str, "piece 3"));
+  g_assert_null (strstr (c.in->str, "\r\n0\r\n\r\n"));
+  if (!strstr (c.in->str, "Transfer-Encoding: chunked"))
+    g_assert_cmpint (c.state, ==, CALLER_RESET);
+  g_assert_cmpuint (testbed_count_runs (&t, "s1"), ==, 1);
+  caller_free (&c);
+  testbed_free (&t);
+}
+
+static void
+test_broken_stream (void)
+{
+  check_broken_stream ("halved");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -95,5 +131,6 @@
   g_test_add_func ("/answers/one-each", test_one_each);
   g_test_add_func ("/answers/own-failures", test_own_failures);
   g_test_add_func ("/answers/reset-end", test_reset_end);
+  g_test_add_func ("/answers/broken-stream", test_broken_stream);
   return g_test_run ();
 }
