--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -124,6 +124,13 @@
   check_broken_stream ("halved");
 }
 
+/* The same, where the connection is all that ends the stream.  */
+static void
+test_broken_bare_stream (void)
+{
+  check_broken_stream ("bare");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -132,5 +139,6 @@
   g_test_add_func ("/answers/own-failures", test_own_failures);
   g_test_add_func ("/answers/reset-end", test_reset_end);
   g_test_add_func ("/answers/broken-stream", test_broken_stream);
+  g_test_add_func ("/answers/broken-bare-stream", test_broken_bare_stream);
   return g_test_run ();
 }
