--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -131,6 +131,38 @@
   check_broken_stream ("bare");
 }
 
+/* A stream is resumed at a replica that answers with a failure: nothing of
+   that failure gets into the stream, which ends as incomplete.  */
+static void
+test_resumed_fails (void)
+{
+  struct testbed t;
+  struct caller c;
+  uint32_t begun = 0;
+
+  testbed_init (&t);
+  recorder_start (&t, "i-1", "app", "halved");
+  recorder_start (&t, "i-2", "app", "fail");
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s%u", i);
+      caller_connect (&c, &t, 0);
+      caller_send (&c, "GET", "/stream/1", id, NULL);
+      g_assert_true (caller_read (&c, "Content-Length", STREAM_MAX_MS));
+      g_assert_null (strstr (c.in->str, "\r\n0\r\n\r\n"));
+      if (strstr (c.in->str, "piece 3"))
+        {
+          begun++;
+          g_assert_null (strstr (c.in->str, "500"));
+          g_assert_cmpint (c.state, ==, CALLER_CLOSED);
+        }
+      caller_free (&c);
+    }
+  g_assert_cmpuint (begun, >, 0);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -140,5 +172,6 @@
   g_test_add_func ("/answers/reset-end", test_reset_end);
   g_test_add_func ("/answers/broken-stream", test_broken_stream);
   g_test_add_func ("/answers/broken-bare-stream", test_broken_bare_stream);
+  g_test_add_func ("/answers/resumed-fails", test_resumed_fails);
   return g_test_run ();
 }
