--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -163,6 +163,74 @@
   testbed_free (&t);
 }
 
+/* The method, path, query, body and the headers about the prompt arrive as the
+   caller sent them, the body in chunks too.  */
+static void
+test_unchanged (void)
+{
+  static const char head[]
+      = " /check/a%20b//../%2e?x=1&y=%0d%0aX-Attempt-Id:%20other&&z=?#"
+        " HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer key-1\r\n"
+        "X-Model: m:v,1\r\nX-Token-Counts: 1460,80\r\n"
+        "X-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+        "Connection: close\r\n";
+  static const char *const methods[]
+      = { "GET", "POST", "PUT", "PATCH", "DELETE" };
+  static const char body[] = "\r\n\r\n0\r\n\r\nGET / HTTP/1.1\xff\x01";
+  struct testbed t;
+  struct recorder r;
+  g_autofree char *arrived = NULL;
+
+  testbed_init (&t);
+  r = recorder_start (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (methods); i++)
+    for (int chunks = 0; chunks < 2; chunks++)
+      {
+        g_autofree char *text
+            = chunks ? g_strdup_printf (
+                  "%s%sX-Attempt-Id: %s-c\r\nTransfer-Encoding: chunked\r\n"
+                  "\r\n4\r\n%.4s\r\n%zx;a=b\r\n%s\r\n0\r\n\r\n",
+                  methods[i], head, methods[i], body, strlen (body) - 4,
+                  body + 4)
+                     : g_strdup_printf ("%s%sX-Attempt-Id: %s-l\r\n"
+                                        "Content-Length: %zu\r\n\r\n%s",
+                                        methods[i], head, methods[i],
+                                        strlen (body), body);
+        char *got = harness_send_raw (t.edges[0].front_port, text,
+                                      strlen (text), STREAM_MAX_MS);
+        g_test_message ("%s", text);
+        g_assert_true (g_str_has_prefix (got, "HTTP/1.1 200 "));
+        free (got);
+      }
+  arrived = recorder_arrived (&t, r);
+  for (size_t i = 0; i < G_N_ELEMENTS (methods); i++)
+    {
+      g_autofree char *line = g_strdup_printf (
+          "%s /check/a%%20b//../%%2e?x=1&y=%%0d%%0aX-Attempt-Id:%%20other&&z=?"
+          "# HTTP/1.1\r\n",
+          methods[i]);
+      const char *at = strstr (arrived, line);
+      for (int n = 0; n < 2; n++)
+        {
+          const char *end;
+          g_assert_nonnull (at);
+          end = strstr (at, "\r\n\r\n");
+          g_assert_nonnull (end);
+          g_assert_true (g_str_has_prefix (end + 4, body));
+          g_assert_nonnull (
+              g_strstr_len (at, end - at, "\r\nX-Model: m:v,1\r\n"));
+          g_assert_nonnull (
+              g_strstr_len (at, end - at, "\r\nX-Token-Counts: 1460,80\r\n"));
+          g_assert_nonnull (g_strstr_len (
+              at, end - at,
+              "\r\nX-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250"));
+          at = strstr (end, line);
+        }
+    }
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -173,5 +241,6 @@
   g_test_add_func ("/answers/broken-stream", test_broken_stream);
   g_test_add_func ("/answers/broken-bare-stream", test_broken_bare_stream);
   g_test_add_func ("/answers/resumed-fails", test_resumed_fails);
+  g_test_add_func ("/answers/unchanged", test_unchanged);
   return g_test_run ();
 }
