--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -231,6 +231,72 @@
   testbed_free (&t);
 }
 
+/* A request hidden in another one never runs, by whatever means its caller
+   tries to have the edge and a replica disagree on where the first one ends.
+   %s is the length of what is hidden.  */
+static const char *const smuggling_frames[] = {
+  "Content-Length: %s\r\n",
+  "Content-Length: %s\r\nTransfer-Encoding: chunked\r\n",
+  "Transfer-Encoding: chunked\r\nContent-Length: %s\r\n",
+  "Content-Length: %s\r\nTransfer-Encoding : chunked\r\n",
+  "Content-Length: %s\r\nTransfer-Encoding: xchunked\r\n",
+  "Content-Length: %s\r\nTransfer-Encoding:\tchunked\r\n",
+  "Content-Length: %s\r\nTransfer-Encoding: identity\r\n",
+  "Content-Length: %s\r\nX-A: b\r\n Transfer-Encoding: chunked\r\n",
+  "Content-Length: 0\r\nContent-Length: %s\r\n",
+  "Content-Length: %s\r\nConnection: Content-Length\r\n",
+  "Content-Length: 0%s\r\n",
+  "Content-Length: +%s\r\n",
+  "Content-Length: %s\r\nExpect: 100-continue\r\n",
+  "Content-Length: %s\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n",
+};
+
+/* Sends a request that hides another one as attempt ID in its body.  ZERO: a
+   last chunk is before it.  */
+static void
+send_smuggled (struct testbed *t, const char *frame, const char *id, bool zero)
+{
+  g_autofree char *hidden = g_strdup_printf (
+      "%sGET /check/2 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: %s\r\n"
+      "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n",
+      zero ? "0\r\n\r\n" : "", id);
+  g_autofree char *length = g_strdup_printf ("%zu", strlen (hidden));
+  g_auto (GStrv) parts = g_strsplit (frame, "%s", 2);
+  g_autofree char *headers = g_strjoinv (length, parts);
+  g_autofree char *text = g_strdup_printf (
+      "POST /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: outer\r\n"
+      "Authorization: Bearer key-1\r\n%s\r\n%s",
+      headers, hidden);
+  struct caller c;
+
+  g_test_message ("%s", text);
+  caller_connect (&c, t, 0);
+  caller_write (&c, text, strlen (text));
+  g_assert_true (caller_read (&c, "HTTP/1.1 ", STREAM_MAX_MS));
+  g_assert_nonnull (strstr (c.in->str, "HTTP/1.1 "));
+  caller_read (&c, "no such text", HIDDEN_WAIT_MS);
+  caller_free (&c);
+}
+
+static void
+test_smuggled (void)
+{
+  struct testbed t;
+
+  testbed_init (&t);
+  recorder_start (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (smuggling_frames); i++)
+    for (int zero = 0; zero < 2; zero++)
+      {
+        g_autofree char *id = g_strdup_printf ("inner-%zu-%d", i, zero);
+        send_smuggled (&t, smuggling_frames[i], id, zero);
+        g_assert_cmpuint (testbed_count_runs (&t, id), ==, 0);
+      }
+  testbed_check_status (&t, "GET", "/check/1", "after", 200);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -242,5 +308,6 @@
   g_test_add_func ("/answers/broken-bare-stream", test_broken_bare_stream);
   g_test_add_func ("/answers/resumed-fails", test_resumed_fails);
   g_test_add_func ("/answers/unchanged", test_unchanged);
+  g_test_add_func ("/answers/smuggled", test_smuggled);
   return g_test_run ();
 }
