--- a/test/test_edge_answers.c
+++ b/test/test_edge_answers.c
@@ -297,6 +297,52 @@
   testbed_free (&t);
 }
 
+static void
+put_large_limit (struct testbed *t)
+{
+  g_autofree char *text = testbed_config (2, "", "");
+  g_auto (GStrv) parts = g_strsplit (text, "\"max-body-bytes\":4096", 2);
+  g_autofree char *larger = g_strjoinv ("\"max-body-bytes\":2097152", parts);
+
+  testbed_put_item (t, "op/config", larger);
+}
+
+/* A replica answers before it has read a long body, and reads on: it gets the
+   rest of that body or the end of the connection, and nothing else.  */
+static void
+test_early_answer (void)
+{
+  struct testbed t;
+  struct recorder r;
+  g_autofree char *arrived = NULL;
+  g_autofree char *large = g_strnfill (LARGE_BODY_BYTES, 'x');
+  const char *at;
+
+  testbed_init (&t);
+  put_large_limit (&t);
+  r = recorder_start (&t, "i-1", "app", "early");
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct caller c;
+      g_autofree char *id = g_strdup_printf ("e%u", i);
+      caller_connect (&c, &t, 0);
+      caller_send (&c, "POST", "/check/1", id, large);
+      g_assert_cmpint (caller_read_response (&c), ==, 200);
+      caller_send (&c, "POST", "/check/1", "next", "y");
+      caller_read_response (&c);
+      caller_free (&c);
+    }
+  harness_sleep_ms (2 * SETTLE_MS);
+  arrived = recorder_arrived (&t, r);
+  for (at = arrived; (at = strstr (at, "X-Attempt-Id: e")); at++)
+    {
+      const char *body = strstr (at, "\r\n\r\n");
+      g_assert_cmpuint (strspn (body + 4, "x"), ==, LARGE_BODY_BYTES);
+    }
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -309,5 +355,6 @@
   g_test_add_func ("/answers/resumed-fails", test_resumed_fails);
   g_test_add_func ("/answers/unchanged", test_unchanged);
   g_test_add_func ("/answers/smuggled", test_smuggled);
+  g_test_add_func ("/answers/early-answer", test_early_answer);
   return g_test_run ();
 }
