--- a/test/test_edge_limits.c
+++ b/test/test_edge_limits.c
@@ -51,10 +51,69 @@
   testbed_free (&t);
 }
 
+/* Asserts what deadlines the runs of attempt ID got at replica R: none longer
+   than FIRST_MS.  Returns the shortest, or BEST where R did not run it.  */
+static int
+check_deadlines (struct testbed *t, uint32_t r, const char *id, int first_ms,
+                 int best)
+{
+  struct http_response a
+      = harness_http (t->replica_ports[r], "GET", "/ran", "", "");
+  g_autofree char *start = g_strdup_printf ("%s by maker within ", id);
+
+  for (const char *at = a.body; at && (at = strstr (at, start));)
+    {
+      int ms;
+      at += strlen (start);
+      ms = atoi (at);
+      g_assert_cmpint (ms, >, 0);
+      g_assert_cmpint (ms, <=, first_ms);
+      best = ms < best ? ms : best;
+    }
+  http_response_free (&a);
+  return best;
+}
+
+/* A replica is told the time that the caller or the route has left, and a
+   retry the time that is left by then.  */
+static void
+test_deadline (void)
+{
+  static const char unlimited[]
+      = "GET /check/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: u1\r\n"
+        "Authorization: Bearer key-1\r\nConnection: close\r\n\r\n";
+  struct testbed t;
+  int shortest = CALLER_DEADLINE_MS;
+  char *got;
+
+  testbed_init (&t);
+  for (uint32_t i = 0; i < ATTEMPTS_MAX; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+      recorder_start (&t, id, "app", "pause");
+    }
+  testbed_start_edge (&t, 0);
+  testbed_check_status (&t, "GET", "/check/1", "c1", 502);
+  g_assert_cmpuint (testbed_count_runs (&t, "c1"), ==, ATTEMPTS_MAX);
+  for (uint32_t r = 0; r < ATTEMPTS_MAX; r++)
+    shortest = check_deadlines (&t, r, "c1", CALLER_DEADLINE_MS, shortest);
+  g_assert_cmpint (shortest, <=,
+                   CALLER_DEADLINE_MS - (ATTEMPTS_MAX - 1) * PAUSE_MS
+                       + DEADLINE_SLACK_MS);
+  got = harness_send_raw (t.edges[0].front_port, unlimited, strlen (unlimited),
+                          TIMEOUT_MS);
+  free (got);
+  g_assert_cmpuint (testbed_count_runs (&t, "u1"), >, 0);
+  for (uint32_t r = 0; r < ATTEMPTS_MAX; r++)
+    check_deadlines (&t, r, "u1", 2000, 2000);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/limits/attempts", test_attempts);
+  g_test_add_func ("/limits/deadline", test_deadline);
   return g_test_run ();
 }
