--- a/test/test_edge_limits.c
+++ b/test/test_edge_limits.c
@@ -109,11 +109,40 @@
   testbed_free (&t);
 }
 
+/* A caller leaves while its request waits for a replica: the request reaches
+   none later.  */
+static void
+test_leaves_queue (void)
+{
+  struct testbed t;
+  struct caller c;
+  struct caller stays;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-0", "other", "");
+  testbed_start_edge (&t, 0);
+  caller_connect (&c, &t, 0);
+  caller_connect (&stays, &t, 0);
+  caller_send (&c, "GET", "/check/1", "gone", NULL);
+  caller_send (&stays, "GET", "/stream/1", "stays", NULL);
+  harness_sleep_ms (50);
+  caller_free (&c);
+  harness_sleep_ms (50);
+  testbed_start_replica (&t, "i-1", "app", "");
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-1", 200));
+  g_assert_true (caller_read (&stays, "HTTP/1.1 200 ", TIMEOUT_MS));
+  g_assert_cmpuint (testbed_count_runs (&t, "gone"), ==, 0);
+  g_assert_cmpuint (testbed_count_runs (&t, "stays"), ==, 1);
+  caller_free (&stays);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/limits/attempts", test_attempts);
   g_test_add_func ("/limits/deadline", test_deadline);
+  g_test_add_func ("/limits/leaves-queue", test_leaves_queue);
   return g_test_run ();
 }
