--- a/test/test_edge_limits.c
+++ b/test/test_edge_limits.c
@@ -137,6 +137,58 @@
   testbed_free (&t);
 }
 
+/* Asserts that R does not work on ID any more, in time after its caller has
+   left.  */
+static void
+check_left (struct testbed *t, struct recorder r, const char *id)
+{
+  g_autofree char *line = g_strdup_printf ("left %s\n", id);
+  g_autofree char *arrived = NULL;
+
+  harness_sleep_ms (LEFT_MAX_MS);
+  arrived = recorder_arrived (t, r);
+  g_assert_nonnull (strstr (arrived, line));
+}
+
+/* A caller leaves while a replica works on its request, before and after the
+   response has begun: the replica is told, by the end of its connection, and
+   no other replica gets the request.  */
+static void
+test_leaves_work (void)
+{
+  struct testbed t;
+  struct caller c;
+  struct recorder silent;
+  struct recorder events;
+
+  testbed_init (&t);
+  testbed_put_config (
+      &t, 2,
+      ",{\"name\":\"long\",\"host\":\"127.0.0.1\",\"prefix\":\"/long/\","
+      "\"route-kind\":\"non_idempotent\",\"service\":\"other\","
+      "\"timeout-ms\":9000,\"slo-ms\":3000,\"max-attempts\":1}",
+      "");
+  silent = recorder_start (&t, "i-silent", "other", "silent");
+  events = recorder_start (&t, "i-events", "app", "events");
+  testbed_start_edge (&t, 0);
+  caller_connect (&c, &t, 0);
+  caller_send (&c, "POST", "/long/1", "w1", "body");
+  g_assert_true (recorder_await (&t, silent, "X-Attempt-Id: w1"));
+  caller_free (&c);
+  check_left (&t, silent, "w1");
+  caller_connect (&c, &t, 0);
+  caller_send (&c, "GET", "/stream/1", "w2", NULL);
+  g_assert_true (caller_read (&c, "id: 2\n", TIMEOUT_MS));
+  caller_free (&c);
+  check_left (&t, events, "w2");
+  recorder_start (&t, "i-2", "other", "");
+  recorder_start (&t, "i-3", "app", "");
+  harness_sleep_ms (LEFT_MAX_MS);
+  g_assert_cmpuint (testbed_count_runs (&t, "w1"), ==, 1);
+  g_assert_cmpuint (testbed_count_runs (&t, "w2"), ==, 1);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -144,5 +196,6 @@
   g_test_add_func ("/limits/attempts", test_attempts);
   g_test_add_func ("/limits/deadline", test_deadline);
   g_test_add_func ("/limits/leaves-queue", test_leaves_queue);
+  g_test_add_func ("/limits/leaves-work", test_leaves_work);
   return g_test_run ();
 }
