--- a/test/test_edge_limits.c
+++ b/test/test_edge_limits.c
@@ -189,6 +189,39 @@
   testbed_free (&t);
 }
 
+/* A stream that goes on and a replica that stays silent: the caller, who would
+   wait longer, has its final answer soon after the route's timeout.  The
+   stream does not look complete.  */
+static void
+test_timeout (void)
+{
+  struct testbed t;
+  struct caller stream;
+  struct caller order;
+  bb_ms began_ms;
+
+  testbed_init (&t);
+  recorder_start (&t, "i-1", "app", "events");
+  testbed_start_edge (&t, 0);
+  caller_connect (&stream, &t, 0);
+  began_ms = bb_clock_now ();
+  caller_send (&stream, "GET", "/stream/1", "s1", NULL);
+  caller_read (&stream, "no such text", STREAM_TIMEOUT_MS + ANSWER_SLACK_MS);
+  g_assert_cmpint (stream.state, !=, CALLER_CONNECTED);
+  g_assert_cmpint (bb_clock_now () - began_ms, <=,
+                   STREAM_TIMEOUT_MS + ANSWER_SLACK_MS);
+  g_assert_nonnull (strstr (stream.in->str, "id: 5\n"));
+  g_assert_null (strstr (stream.in->str, "\r\n0\r\n\r\n"));
+  if (!strstr (stream.in->str, "Transfer-Encoding: chunked"))
+    g_assert_cmpint (stream.state, ==, CALLER_RESET);
+  caller_connect (&order, &t, 0);
+  caller_send (&order, "POST", "/order/1", "o1", "body");
+  g_assert_cmpint (caller_read_response (&order), ==, 504);
+  caller_free (&stream);
+  caller_free (&order);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -197,5 +230,6 @@
   g_test_add_func ("/limits/deadline", test_deadline);
   g_test_add_func ("/limits/leaves-queue", test_leaves_queue);
   g_test_add_func ("/limits/leaves-work", test_leaves_work);
+  g_test_add_func ("/limits/timeout", test_timeout);
   return g_test_run ();
 }
