--- a/test/test_edge_limits.c
+++ b/test/test_edge_limits.c
@@ -222,6 +222,42 @@
   testbed_free (&t);
 }
 
+/* Many routes are added, and a key: the last are served as the first, from the
+   moment at which they are in force.  */
+static void
+test_later_routes (void)
+{
+  GString *routes = g_string_new ("");
+  struct testbed t;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < ROUTES; i++)
+    g_string_append_printf (
+        routes,
+        ",{\"name\":\"r%u\",\"host\":\"127.0.0.1\",\"prefix\":\"/check/r%u/\","
+        "\"route-kind\":\"idempotent\",\"service\":\"app\",\"timeout-ms\":900,"
+        "\"slo-ms\":100,\"max-attempts\":1}",
+        i, i);
+  g_string_append (routes,
+                   ",{\"name\":\"late\",\"host\":\"127.0.0.1\",\"prefix\":"
+                   "\"/late/\",\"route-kind\":\"idempotent\",\"service\":"
+                   "\"app\",\"timeout-ms\":900,\"slo-ms\":100,"
+                   "\"max-attempts\":1}");
+  testbed_put_config (&t, 2, routes->str, ",\"key-2\"");
+  g_assert_true (testbed_await_status (&t, 0, "/late/1", "key-2", 200));
+  for (uint32_t i = 0; i <= ROUTES; i += ROUTES / 20)
+    {
+      g_autofree char *path = i < ROUTES ? g_strdup_printf ("/check/r%u/1", i)
+                                         : g_strdup ("/late/1");
+      testbed_check_status (&t, "GET", path, "l1", 200);
+      testbed_check_status (&t, "POST", "/order/1", "l2", 200);
+    }
+  g_string_free (routes, TRUE);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -231,5 +267,6 @@
   g_test_add_func ("/limits/leaves-queue", test_leaves_queue);
   g_test_add_func ("/limits/leaves-work", test_leaves_work);
   g_test_add_func ("/limits/timeout", test_timeout);
+  g_test_add_func ("/limits/later-routes", test_later_routes);
   return g_test_run ();
 }
