test: replicas that send bytes without end, and streams that end inside an event

harness_http now takes a response that has neither length nor chunks for complete only if its connection was closed, not if it was reset.

--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -36,7 +36,11 @@
      break     closes a stream within event 4 if the caller has seen no event
      not-run   responds with 503 and X-Not-Executed instead of executing
      broken    as not-run, and GET /v1/report says that the group is broken
-     mute      responds with 503 to GET /v1/report  */
+     mute      responds with 503 to GET /v1/report
+
+   Faults in the bytes of responses: see bytes.h.  */
+
+#include "bytes.h"
 
 #include "bilberry/settings.h"
 
@@ -59,8 +63,9 @@
 {
   uv_tcp_t tcp;
   uv_timer_t slow_timer;
-  GString *in;      /* bytes received and not yet handled */
-  char *attempt_id; /* of the request that gets a slow response */
+  GString *in;                /* bytes received and not yet handled */
+  char *attempt_id;           /* of the request that gets a slow response */
+  struct bytes_sender *bytes; /* NULL: none */
   uint32_t open_handles;
 };
 
@@ -90,6 +95,8 @@
   if (uv_is_closing ((uv_handle_t *)&c->tcp))
     return;
   g_ptr_array_remove_fast (connections, c);
+  if (c->bytes)
+    bytes_sender_free (c->bytes);
   uv_close ((uv_handle_t *)&c->tcp, on_closed);
   uv_close ((uv_handle_t *)&c->slow_timer, on_closed);
 }
@@ -313,6 +320,24 @@
   return false;
 }
 
+static void
+close_by_fault (void *user)
+{
+  close_connection (user);
+}
+
+/* Responds with a fault of bytes.h.  */
+static void
+respond_bytes (struct connection *c, const char *head, const char *attempt_id)
+{
+  g_autofree char *last = get_header (head, "Last-Event-Id");
+
+  if (!c->bytes)
+    c->bytes = bytes_sender_new (&c->tcp, fault, id, close_by_fault, c);
+  bytes_respond (c->bytes, attempt_id, strstr (head, " /stream/") != NULL,
+                 atoi (last));
+}
+
 static void
 handle_request (struct connection *c, const char *head)
 {
@@ -367,6 +392,8 @@
         crash ();
       else if (has_fault ("silent"))
         ;
+      else if (bytes_is_fault (fault))
+        respond_bytes (c, head, attempt_id);
       else if (path_contains (head, "slow"))
         respond_slowly (c, attempt_id);
       else if (strstr (head, " /stream/"))
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -84,7 +84,8 @@
   char *body;    /* with chunked encoding removed; followed by a null byte */
   size_t body_size; /* bytes of BODY, without the null byte */
   /* The body has the length of Content-Length or ends with the last chunk;
-     also true where the headers have neither.  */
+     where the headers have neither, the connection was closed and not
+     reset.  */
   bool complete;
 };
 
--- a/test/harness/http.c
+++ b/test/harness/http.c
@@ -42,23 +42,27 @@
   return true;
 }
 
+/* Sets *RESET if the connection ended by a reset.  */
 static char *
-read_all (int fd, size_t *size, int timeout_ms)
+read_all (int fd, size_t *size, int timeout_ms, bool *reset)
 {
   char *text = NULL;
   FILE *out = open_memstream (&text, size);
   struct pollfd p = { .fd = fd, .events = POLLIN };
   char buf[65536];
-  ssize_t n;
+  ssize_t n = 0;
 
   while (poll (&p, 1, timeout_ms) > 0 && (n = read (fd, buf, sizeof buf)) > 0)
     fwrite (buf, 1, (size_t)n, out);
+  *reset = n < 0;
   fclose (out);
   return text;
 }
 
-char *
-harness_send_raw (uint16_t port, const char *data, size_t size, int timeout_ms)
+/* As harness_send_raw; sets *RESET if the connection ended by a reset.  */
+static char *
+exchange (uint16_t port, const char *data, size_t size, int timeout_ms,
+          bool *reset)
 {
   int fd = harness_connect (port);
   size_t received_bytes = 0;
@@ -67,11 +71,19 @@
   if (fd < 0)
     return strdup ("");
   send_all (fd, data, size);
-  text = read_all (fd, &received_bytes, timeout_ms);
+  text = read_all (fd, &received_bytes, timeout_ms, reset);
   close (fd);
   return text;
 }
 
+char *
+harness_send_raw (uint16_t port, const char *data, size_t size, int timeout_ms)
+{
+  bool reset = false;
+
+  return exchange (port, data, size, timeout_ms, &reset);
+}
+
 int
 harness_send_unread (uint16_t port, const char *data, size_t size)
 {
@@ -119,7 +131,7 @@
 }
 
 static void
-parse_response (struct http_response *r, char *text, size_t size)
+parse_response (struct http_response *r, char *text, size_t size, bool reset)
 {
   char *body = strstr (text, "\r\n\r\n");
   const char *length;
@@ -141,7 +153,7 @@
   else if (strcasestr (r->headers, "\r\ntransfer-encoding: chunked"))
     r->complete = decode_chunks (r->body, &r->body_size);
   else
-    r->complete = true;
+    r->complete = !reset;
 }
 
 struct http_response
@@ -152,6 +164,7 @@
   char *request = NULL;
   size_t size = 0;
   FILE *out = open_memstream (&request, &size);
+  bool reset = false;
   char *text;
 
   fprintf (out, "%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n%s",
@@ -160,8 +173,8 @@
     fprintf (out, "Content-Length: %zu\r\n", strlen (body));
   fprintf (out, "\r\n%s", body);
   fclose (out);
-  text = harness_send_raw (port, request, size, RESPONSE_TIMEOUT_MS);
-  parse_response (&r, text, strlen (text));
+  text = exchange (port, request, size, RESPONSE_TIMEOUT_MS, &reset);
+  parse_response (&r, text, strlen (text), reset);
   free (text);
   free (request);
   return r;
--- /dev/null
+++ b/test/test_edge_ends.c
@@ -0,0 +1,177 @@
+/* Tests of bilberry-edge with real processes and replicas whose responses end
+   with their connection, inside an event, or after the deadline.  */
+
+#include "harness/testbed.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const char stream_text[]
+    = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+      "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+      "id: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n";
+
+/* A stream that may not be resumed.  */
+static const char fixed_route[]
+    = ",{\"name\":\"fixed\",\"host\":\"127.0.0.1\",\"prefix\":"
+      "\"/stream/fixed/\",\"route-kind\":\"streaming\",\"service\":\"app\","
+      "\"timeout-ms\":1000,\"slo-ms\":400,\"max-attempts\":2,\"priority\":1}";
+
+static void
+start (struct testbed *t, const char *fault)
+{
+  testbed_init (t);
+  testbed_put_config (t, 2, fixed_route, "");
+  testbed_start_replica (t, "i-1", "app", fault);
+  testbed_start_edge (t, 0);
+}
+
+/* A stream without length and chunks that is closed after its last event is
+   complete.  */
+static void
+test_whole (void)
+{
+  static const char *const paths[] = { "/stream/1", "/stream/fixed/1" };
+  struct testbed t;
+
+  start (&t, "close-whole");
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      struct http_response a
+          = testbed_request (&t, 0, "GET", paths[i], "s1", "key-1");
+      g_assert_cmpint (a.status, ==, 200);
+      g_assert_true (a.complete);
+      g_assert_cmpstr (a.body, ==, stream_text);
+      http_response_free (&a);
+    }
+  g_assert_cmpuint (testbed_count_runs (&t, "s1"), ==, 2);
+  testbed_free (&t);
+}
+
+/* A stream that ends before its last event with FAULT is continued where it
+   may be, and else ended as incomplete.  */
+static void
+test_broken (gconstpointer fault)
+{
+  struct testbed t;
+  struct http_response a;
+
+  start (&t, fault);
+  a = testbed_request (&t, 0, "GET", "/stream/1", "s1", "key-1");
+  g_assert_cmpint (a.status, ==, 200);
+  g_assert_true (a.complete);
+  g_assert_cmpstr (a.body, ==, stream_text);
+  http_response_free (&a);
+  g_assert_cmpuint (testbed_count_runs (&t, "s1"), ==, 2);
+  a = testbed_request (&t, 0, "GET", "/stream/fixed/1", "s2", "key-1");
+  g_assert_cmpint (a.status, ==, 200);
+  g_assert_false (a.complete);
+  g_assert_true (g_str_has_prefix (stream_text, a.body));
+  http_response_free (&a);
+  g_assert_cmpuint (testbed_count_runs (&t, "s2"), ==, 1);
+  testbed_free (&t);
+}
+
+/* A body without length and chunks whose connection is reset is not
+   complete.  */
+static void
+test_reset_body (void)
+{
+  struct testbed t;
+
+  start (&t, "reset-body");
+  testbed_check_status (&t, "POST", "/order/1", "o1", 502);
+  g_assert_cmpuint (testbed_count_runs (&t, "o1"), ==, 1);
+  testbed_start_replica (&t, "i-2", "app", "");
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-1", 200));
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      struct http_response a
+          = testbed_request (&t, 0, "GET", "/check/1", "c1", "key-1");
+      g_assert_cmpint (a.status, ==, 200);
+      g_assert_true (a.complete);
+      g_assert_cmpstr (a.body, ==, "answer of i-2");
+      http_response_free (&a);
+    }
+  testbed_free (&t);
+}
+
+/* A response whose head arrives after the deadline of its request is given to
+   no caller.  */
+static void
+test_late_head (void)
+{
+  struct testbed t;
+  char *log;
+
+  start (&t, "late-head");
+  testbed_check_status (&t, "POST", "/order/1", "o1", 504);
+  testbed_start_replica (&t, "i-2", "app", "");
+  harness_sleep_ms (600);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("c%u", i);
+      struct http_response a
+          = testbed_request (&t, 0, "GET", "/check/1", id, "key-1");
+      g_autofree char *echo = g_strdup_printf ("X-Attempt-Id: %s\r\n", id);
+      g_assert_cmpint (a.status, ==, 200);
+      g_assert_nonnull (strstr (a.headers, echo));
+      http_response_free (&a);
+    }
+  log = testbed_read_log (&t, "edge-0");
+  g_assert_null (strstr (log, "\"event\":\"answer\",\"id\":\"o1\""));
+  g_free (log);
+  g_assert_cmpuint (testbed_count_runs (&t, "o1"), ==, 1);
+  testbed_free (&t);
+}
+
+/* A caller whose own deadline comes before the timeout of the route gets its
+   verdict before that deadline.  */
+static void
+test_own_deadline (void)
+{
+  static const char *const faults[]
+      = { "silent", "new-slow:value", "new-slow:length" };
+  enum
+  {
+    DEADLINE_MS = 600
+  };
+  g_autofree char *headers
+      = g_strdup_printf ("X-Attempt-Id: o1\r\nX-Deadline-Ms: %d\r\n"
+                         "Authorization: Bearer key-1\r\n",
+                         DEADLINE_MS);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      struct testbed t;
+      struct http_response a;
+      gint64 start_us;
+      gint64 took_us;
+      start (&t, faults[i]);
+      start_us = g_get_monotonic_time ();
+      a = harness_http (t.edges[0].front_port, "POST", "/order/1", headers,
+                        "body");
+      took_us = g_get_monotonic_time () - start_us;
+      g_test_message ("%s: status %d after %.1f ms", faults[i], a.status,
+                      (double)took_us / 1000);
+      g_assert_cmpint (a.status, ==, 504);
+      g_assert_cmpint (took_us, <, DEADLINE_MS * 1000);
+      http_response_free (&a);
+      testbed_free (&t);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/ends/whole", test_whole);
+  g_test_add_data_func ("/ends/close-inside", "close-inside", test_broken);
+  g_test_add_data_func ("/ends/chunk-inside", "chunk-inside", test_broken);
+  g_test_add_data_func ("/ends/reset-inside", "reset-inside", test_broken);
+  g_test_add_data_func ("/ends/reset-between", "reset-between", test_broken);
+  g_test_add_func ("/ends/reset-body", test_reset_body);
+  g_test_add_func ("/ends/late-head", test_late_head);
+  g_test_add_func ("/ends/own-deadline", test_own_deadline);
+  return g_test_run ();
+}
