edge: a stream that ends inside an event is continued or ended as broken

Callers of a stream got part of an event as its last bytes, and the end of a complete response after it, where the upstream had closed its connection, or sent its last chunk, inside an event: whatever was left after the last whole event was forwarded when the response ended without an error of HTTP.

Such a response is now lost like one that is cut: another upstream continues it where the route allows that, else the caller sees it broken off.

/ends/close-inside and /ends/chunk-inside failed before: the body ended with "id: 4\nda" and was complete. They pass now, as does /ends/chunk-first; all three fail with MUTANT=stream_inside. The harness decodes the chunks of an incomplete body too; the last chunk is asked for as before.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -154,8 +154,9 @@
   /* The response.  */
   bool response_started; /* the head of the response was sent to the caller */
   bool framed; /* the end of the response body is marked without a close */
-  bool ends_by_close; /* the response of the current try has no other end */
-  bool streaming;     /* the response is forwarded event by event */
+  bool ends_by_close;   /* the response of the current try has no other end */
+  bool streaming;       /* the response is forwarded event by event */
+  bool typed_as_events; /* its media type is that of event streams */
   uint16_t status;
   struct bb_response_info reply;
   struct bb_header headers[BB_H1_HEADERS_MAX]; /* headers of the response */
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -4,9 +4,12 @@
 
 #include "edge.h"
 
+#include "bilberry/net.h"
+
 #include <jansson.h>
 
 #include <string.h>
+#include <strings.h>
 
 enum
 {
@@ -43,6 +46,17 @@
     }
 }
 
+static bool
+is_typed_as_events (const struct bb_h1_message *head)
+{
+  static const char type[] = "text/event-stream";
+  struct bb_bytes v
+      = bb_header_find (head->headers, head->headers_count, "content-type");
+
+  return v.size >= strlen (type)
+         && strncasecmp (v.ptr, type, strlen (type)) == 0;
+}
+
 static bool
 is_success (uint16_t status)
 {
@@ -90,6 +104,7 @@
       return;
     }
   r->streaming = r->route->kind == BB_CALL_STREAM;
+  r->typed_as_events = is_typed_as_events (head);
   if (!r->response_started)
     save_headers (r, head);
 }
@@ -264,20 +279,42 @@
   return is_success (r->status) ? BB_OUTCOME_ANSWERED : BB_OUTCOME_FAILED;
 }
 
+/* Whether the bytes after the last whole event are part of another.  Line ends
+   alone are none, and a body whose length is marked and that is no stream of
+   events has none.  */
+static bool
+ends_inside_event (const struct request *r)
+{
+#ifdef BB_MUTANT_stream_inside
+  return false;
+#endif
+  if (!r->streaming
+      || !(r->typed_as_events || r->ends_by_close || r->first_event_seen))
+    return false;
+  for (guint i = 0; i < r->body->len; i++)
+    if (r->body->data[i] != '\r' && r->body->data[i] != '\n')
+      return true;
+  return false;
+}
+
 static void
 on_end (struct bb_h1_call *c, enum bb_h1_result how, void *user)
 {
   struct request *r = user;
-  enum bb_outcome outcome = outcome_of (r, how);
+  /* A stream that ends inside an event has been broken off, however its
+     connection ended.  */
+  bool broken = how == BB_H1_WHOLE && ends_inside_event (r);
+  enum bb_outcome outcome = broken ? BB_OUTCOME_LOST : outcome_of (r, how);
 
   (void)c;
   r->call = NULL;
   if (how != BB_H1_UNSENT && (how != BB_H1_WHOLE || r->ends_by_close))
-    crash_check_upstream (r, how == BB_H1_WHOLE);
+    crash_check_upstream (r, how == BB_H1_WHOLE && !broken);
   if (outcome == BB_OUTCOME_ANSWERED)
     finish_response (r);
   else
-    failure_handle (r, outcome, bb_h1_result_name (how));
+    failure_handle (r, outcome,
+                    broken ? "inside an event" : bb_h1_result_name (how));
 }
 
 const struct bb_h1_call_ops response_ops = { on_head, on_data, on_end };
--- a/fake/replica/bytes.c
+++ b/fake/replica/bytes.c
@@ -46,8 +46,8 @@
 };
 
 static const char *const other_faults[]
-    = { "close-whole",   "close-inside", "chunk-inside", "reset-inside",
-        "reset-between", "reset-body",   "late-head" };
+    = { "chunk-first",  "close-whole",   "close-inside", "chunk-inside",
+        "reset-inside", "reset-between", "reset-body",   "late-head" };
 
 struct bytes_sender
 {
@@ -255,8 +255,15 @@
 send_events (struct bytes_sender *s, const char *attempt_id, int last,
              bool in_chunks, const char *part)
 {
-  send_head (s, attempt_id, in_chunks ? chunked : "");
-  for (int i = last + 1; i <= (part ? WHOLE_EVENTS : EVENTS); i++)
+  int end = part ? WHOLE_EVENTS : EVENTS;
+
+  if (strcmp (s->fault, "chunk-first") == 0)
+    end = 0;
+  send_head (s, attempt_id,
+             in_chunks ? "Content-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n"
+                       : "Content-Type: text/event-stream\r\n");
+  for (int i = last + 1; i <= end; i++)
     {
       char event[64];
       g_snprintf (event, sizeof event, "id: %d\ndata: piece %d\n\n", i, i);
@@ -272,9 +279,14 @@
 static void
 send_stream (struct bytes_sender *s, const char *attempt_id, int last)
 {
-  bool in_chunks = strcmp (s->fault, "chunk-inside") == 0;
+  bool in_chunks = g_str_has_prefix (s->fault, "chunk-");
   bool whole = last > 0 || strcmp (s->fault, "close-whole") == 0;
-  const char *part = g_str_has_suffix (s->fault, "-inside") ? "id: 4\nda" : "";
+  const char *part = "";
+
+  if (g_str_has_suffix (s->fault, "-inside"))
+    part = "id: 4\nda";
+  else if (g_str_has_suffix (s->fault, "-first"))
+    part = "id: 1\nda";
 
   send_events (s, attempt_id, last, in_chunks, whole ? NULL : part);
   if (in_chunks)
--- a/fake/replica/bytes.h
+++ b/fake/replica/bytes.h
@@ -31,6 +31,7 @@
      close-whole   closes a stream after its last event
      close-inside  closes a stream inside event 4 if the caller has no event
      chunk-inside  ends a stream in chunks, by the last chunk, likewise
+     chunk-first   likewise inside event 1
      reset-inside  resets a stream likewise
      reset-between resets a stream after event 3 if the caller has no event
      reset-body    resets a body
--- a/test/harness/http.c
+++ b/test/harness/http.c
@@ -100,34 +100,37 @@
   return fd;
 }
 
-/* Decodes the chunked encoding of BODY in place and updates *SIZE.  Returns
-   false when the last chunk is missing.  */
+/* Decodes the chunked encoding of BODY in place, also of a part of it, and
+   updates *SIZE.  Returns false when the last chunk is missing.  */
 static bool
 decode_chunks (char *body, size_t *size)
 {
   char *in = body;
   char *out = body;
   char *end = body + *size;
+  bool complete = false;
 
   for (;;)
     {
       char *rest;
       size_t n = strtoul (in, &rest, 16);
-      if (rest == in || rest + 2 > end)
-        return false;
-      in = strstr (rest, "\r\n");
-      if (!in || (size_t)(end - in) < n + 2)
-        return false;
+      if (rest == in || rest + 2 > end || !(in = strstr (rest, "\r\n")))
+        break;
       in += 2;
+      complete = n == 0 && end - in >= 2;
       if (n == 0)
         break;
+      if (n > (size_t)(end - in))
+        n = (size_t)(end - in);
       memmove (out, in, n);
       out += n;
       in += n + 2;
+      if (in > end)
+        break;
     }
   *size = (size_t)(out - body);
   *out = '\0';
-  return true;
+  return complete;
 }
 
 static void
--- a/test/test_edge_ends.c
+++ b/test/test_edge_ends.c
@@ -72,6 +72,20 @@
   testbed_free (&t);
 }
 
+/* A stream in chunks that ends inside its first event is no answer.  */
+static void
+test_broken_first (void)
+{
+  struct testbed t;
+
+  start (&t, "chunk-first");
+  testbed_check_status (&t, "GET", "/stream/fixed/1", "s1", 502);
+  g_assert_cmpuint (testbed_count_runs (&t, "s1"), ==, 1);
+  testbed_check_status (&t, "GET", "/stream/1", "s2", 502);
+  g_assert_cmpuint (testbed_count_runs (&t, "s2"), ==, 2);
+  testbed_free (&t);
+}
+
 /* A body without length and chunks whose connection is reset is not
    complete.  */
 static void
@@ -170,6 +184,7 @@
   g_test_add_data_func ("/ends/chunk-inside", "chunk-inside", test_broken);
   g_test_add_data_func ("/ends/reset-inside", "reset-inside", test_broken);
   g_test_add_data_func ("/ends/reset-between", "reset-between", test_broken);
+  g_test_add_func ("/ends/chunk-first", test_broken_first);
   g_test_add_func ("/ends/reset-body", test_reset_body);
   g_test_add_func ("/ends/late-head", test_late_head);
   g_test_add_func ("/ends/own-deadline", test_own_deadline);
