edge: bytes without an end of an event are read once, up to a limit

An upstream that sent small chunks without an end of an event, or empty lines without end, kept the edge from serving anyone: requests got their verdicts after up to 3.6 s instead of before their deadline of 1.5 s, and a request to another pool took 3.0 s. With each chunk the edge searched all of an incomplete event again, up to 32 MB of it, twice; for each event it searched the rest of what it had read, and wrote to the caller once.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -163,6 +163,7 @@
   uint32_t headers_count;
   GStringChunk *headers_text; /* memory of the headers */
   GByteArray *body;           /* the response so far, or an incomplete event */
+  size_t scanned_bytes;       /* of the body; no event ends there */
   uint64_t last_event_id;     /* id of the last event that the caller has */
   bool event_sent;            /* an event with an id was forwarded */
   bool out_of_order;          /* an event id skips some after last_event_id */
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -14,6 +14,8 @@
 enum
 {
   BODY_MAX_BYTES = 32 * 1024 * 1024,
+  EVENT_MAX_BYTES = 1024 * 1024,
+  EVENT_END_BYTES = 4, /* of the longest end of an event */
   /* Limit on unsent bytes; a slower caller is disconnected.  */
   BACKLOG_MAX_BYTES = 1024 * 1024
 };
@@ -109,19 +111,34 @@
     save_headers (r, head);
 }
 
-/* Forwards EVENT if it is the next one.  One that the caller already has is
-   skipped; one that skips ids marks the stream as out of order.  */
-static void
-forward_event (struct request *r, struct bb_bytes event)
+/* Decides whether EVENT is the next one, which is forwarded.  One that the
+   caller already has is skipped; one that skips ids marks the stream as out of
+   order.  */
+static bool
+accept_event (struct request *r, struct bb_bytes event)
 {
   uint64_t id = 0;
   bool has_id = bb_sse_event_id (event, &id);
 
   if (has_id && r->event_sent && id <= r->last_event_id)
-    return;
+    return false;
   if (has_id && r->event_sent && id > r->last_event_id + 1)
     r->out_of_order = true;
   if (r->out_of_order)
+    return false;
+  if (has_id)
+    {
+      r->last_event_id = id;
+      r->event_sent = true;
+    }
+  return true;
+}
+
+/* Forwards EVENTS, of which there may be none.  */
+static void
+write_events (struct request *r, struct bb_bytes events)
+{
+  if (events.size == 0)
     return;
   if (!r->response_started)
     {
@@ -130,12 +147,7 @@
       r->response_started = true;
       latency_record (LATENCY_FIRST_EVENT, r->received_ms, edge_now (r->edge));
     }
-  bb_h1_write (r->exchange, event);
-  if (has_id)
-    {
-      r->last_event_id = id;
-      r->event_sent = true;
-    }
+  bb_h1_write (r->exchange, events);
 }
 
 static void
@@ -154,34 +166,55 @@
   r->progress_ms = now;
 }
 
-/* Returns the size of the first complete event in DATA, or 0.  */
+/* Returns the size of the first complete event in the SIZE bytes at DATA, or
+   0.  There is no end of an event in the first SCANNED of them.  */
 static size_t
-event_size (const char *data, size_t size)
+event_size (const char *data, size_t size, size_t scanned)
 {
-  const char *end = memmem (data, size, "\n\n", 2);
-  const char *crlf = memmem (data, size, "\r\n\r\n", 4);
+  const char *at
+      = data + (scanned > EVENT_END_BYTES ? scanned - EVENT_END_BYTES : 0);
+  const char *end = data + size;
 
-  if (crlf && (!end || crlf < end))
-    return (size_t)(crlf - data) + 4;
-  return end ? (size_t)(end - data) + 2 : 0;
+  while (at < end && (at = memchr (at, '\n', (size_t)(end - at))))
+    {
+      at++;
+      if (at < end && *at == '\n')
+        return (size_t)(at - data) + 1;
+      if (at - data >= 2 && at[-2] == '\r' && end - at >= 2 && at[0] == '\r'
+          && at[1] == '\n')
+        return (size_t)(at - data) + 2;
+    }
+  return 0;
 }
 
+/* Forwards the complete events of the body, those next to each other at
+   once.  */
 static void
 forward_events (struct request *r)
 {
+  const char *data = (const char *)r->body->data;
+  size_t size = r->body->len;
+  struct bb_bytes run = { data, 0 };
   size_t offset = 0;
   size_t n;
 
-  while (
-      (n = event_size ((char *)r->body->data + offset, r->body->len - offset))
-      > 0)
+  while ((n = event_size (data + offset, size - offset, r->scanned_bytes)) > 0)
     {
-      struct bb_bytes event = { (char *)r->body->data + offset, (uint32_t)n };
+      struct bb_bytes event = { data + offset, (uint32_t)n };
       record_event (r);
-      forward_event (r, event);
       offset += n;
+      r->scanned_bytes = 0;
+      if (accept_event (r, event))
+        {
+          run.size += event.size;
+          continue;
+        }
+      write_events (r, run);
+      run = (struct bb_bytes){ data + offset, 0 };
     }
+  write_events (r, run);
   g_byte_array_remove_range (r->body, 0, (guint)offset);
+  r->scanned_bytes = r->body->len;
 }
 
 static void
@@ -202,6 +235,10 @@
   forward_events (r);
   if (r->out_of_order)
     abandon_try (r, BB_OUTCOME_LOST, "events out of order");
+#ifndef BB_MUTANT_event_max
+  else if (r->body->len > EVENT_MAX_BYTES)
+    abandon_try (r, BB_OUTCOME_LOST, "an event is too large");
+#endif
   else if (r->response_started
            && bb_h1_backlog_bytes (r->exchange) > BACKLOG_MAX_BYTES)
     abandon_try (r, BB_OUTCOME_LOST, "the caller reads too slowly");
--- a/test/test_edge_bytes.c
+++ b/test/test_edge_bytes.c
@@ -335,6 +335,25 @@
   testbed_free (&t);
 }
 
+/* An event without end is given up when it is too large, not when its upstream
+   has been silent for too long.  */
+static void
+test_event_max (void)
+{
+  struct testbed t;
+  char *log;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "bad", "app", "new-fast:event");
+  testbed_start_edge (&t, 0);
+  testbed_check_status (&t, "GET", "/stream/1", "s1", 502);
+  log = testbed_read_log (&t, "edge-0");
+  g_assert_nonnull (strstr (log, "\"how\":\"an event is too large\""));
+  g_assert_null (strstr (log, "\"how\":\"silent\""));
+  g_free (log);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -343,5 +362,6 @@
   g_test_set_nonfatal_assertions ();
   for (size_t i = 0; i < G_N_ELEMENTS (plays); i++)
     g_test_add_data_func (plays[i].path, &plays[i], test_play);
+  g_test_add_func ("/bytes/event-max", test_event_max);
   return g_test_run ();
 }
