edge: empty lines are no progress of a stream

Its caller saw the first event, then nothing until the deadline, though another upstream could have continued it.

An event without a field, of empty lines and comments alone, is no longer progress, and over 1 MB of them since the last event with a field is no answer. They are forwarded as before.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -164,12 +164,13 @@
   GStringChunk *headers_text; /* memory of the headers */
   GByteArray *body;           /* the response so far, or an incomplete event */
   size_t scanned_bytes;       /* of the body; no event ends there */
-  uint64_t last_event_id;     /* id of the last event that the caller has */
-  bool event_sent;            /* an event with an id was forwarded */
-  bool out_of_order;          /* an event id skips some after last_event_id */
-  bool first_event_seen;      /* the current try has sent its first event */
-  double prompt_tokens;       /* part of target->prompt_tokens that is of this
-                                 request */
+  size_t empty_bytes; /* of events without a field since the last with one */
+  uint64_t last_event_id; /* id of the last event that the caller has */
+  bool event_sent;        /* an event with an id was forwarded */
+  bool out_of_order;      /* an event id skips some after last_event_id */
+  bool first_event_seen;  /* the current try has sent its first event */
+  double prompt_tokens;   /* part of target->prompt_tokens that is of this
+                             request */
 };
 
 struct edge
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -150,11 +150,37 @@
   bb_h1_write (r->exchange, events);
 }
 
+/* Whether EVENT has a field: it is more than empty lines and comments.  */
+static bool
+has_field (struct bb_bytes event)
+{
+  bool line_starts = true;
+
+  for (uint32_t i = 0; i < event.size; i++)
+    {
+      char c = event.ptr[i];
+      if (line_starts && c != '\r' && c != '\n' && c != ':')
+        return true;
+      line_starts = c == '\n';
+    }
+  return false;
+}
+
+/* An event without a field is no progress.  */
 static void
-record_event (struct request *r)
+record_event (struct request *r, struct bb_bytes event)
 {
   bb_ms now = edge_now (r->edge);
 
+#ifndef BB_MUTANT_event_empty
+  if (!has_field (event))
+    {
+      r->empty_bytes += event.size;
+      return;
+    }
+#endif
+  r->empty_bytes = 0;
+
   if (r->group)
     bb_group_record_progress (&r->group->health, now);
   if (!r->first_event_seen)
@@ -201,7 +227,7 @@
   while ((n = event_size (data + offset, size - offset, r->scanned_bytes)) > 0)
     {
       struct bb_bytes event = { data + offset, (uint32_t)n };
-      record_event (r);
+      record_event (r, event);
       offset += n;
       r->scanned_bytes = 0;
       if (accept_event (r, event))
@@ -236,7 +262,7 @@
   if (r->out_of_order)
     abandon_try (r, BB_OUTCOME_LOST, "events out of order");
 #ifndef BB_MUTANT_event_max
-  else if (r->body->len > EVENT_MAX_BYTES)
+  else if (r->body->len + r->empty_bytes > EVENT_MAX_BYTES)
     abandon_try (r, BB_OUTCOME_LOST, "an event is too large");
 #endif
   else if (r->response_started
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -84,6 +84,7 @@
   r->headers_count = 0;
   g_byte_array_set_size (r->body, 0);
   r->scanned_bytes = 0;
+  r->empty_bytes = 0;
   r->call = bb_h1_call (t->connections, &out, &response_ops, r);
   if (r->tries > 1)
     bb_count_retry (BB_REASON_UPSTREAM_FAILED);
