--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -159,20 +159,23 @@
   /* The response.  */
   bool response_started; /* the head of the response was sent to the caller */
   bool framed; /* the end of the response body is marked without a close */
-  bool ends_by_close; /* the response of the current try has no other end */
-  bool streaming;     /* the response is forwarded event by event */
+  bool ends_by_close;   /* the response of the current try has no other end */
+  bool streaming;       /* the response is forwarded event by event */
+  bool typed_as_events; /* its media type is that of event streams */
   uint16_t status;
   struct bb_response_info reply;
   struct bb_header headers[BB_H1_HEADERS_MAX]; /* headers of the response */
   uint32_t headers_count;
   GStringChunk *headers_text; /* memory of the headers */
   GByteArray *body;           /* the response so far, or an incomplete event */
-  uint64_t last_event_id;     /* id of the last event that the caller has */
-  bool event_sent;            /* an event with an id was forwarded */
-  bool out_of_order;          /* an event id skips some after last_event_id */
-  bool first_event_seen;      /* the current try has sent its first event */
-  double prompt_tokens;       /* part of target->prompt_tokens that is of this
-                                 request */
+  size_t scanned_bytes;       /* of the body; no event ends there */
+  size_t empty_bytes; /* of events without a field since the last with one */
+  uint64_t last_event_id; /* id of the last event that the caller has */
+  bool event_sent;        /* an event with an id was forwarded */
+  bool out_of_order;      /* an event id skips some after last_event_id */
+  bool first_event_seen;  /* the current try has sent its first event */
+  double prompt_tokens;   /* part of target->prompt_tokens that is of this
+                             request */
 };
 
 struct edge
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -4,13 +4,18 @@
 
 #include "edge.h"
 
+#include "bilberry/net.h"
+
 #include <jansson.h>
 
 #include <string.h>
+#include <strings.h>
 
 enum
 {
   BODY_MAX_BYTES = 32 * 1024 * 1024,
+  EVENT_MAX_BYTES = 1024 * 1024,
+  EVENT_END_BYTES = 4, /* of the longest end of an event */
   /* Limit on unsent bytes; a slower caller is disconnected.  */
   BACKLOG_MAX_BYTES = 1024 * 1024
 };
@@ -43,6 +48,17 @@
     }
 }
 
+static bool
+is_typed_as_events (const struct bb_h1_message *head)
+{
+  static const char type[] = "text/event-stream";
+  struct bb_bytes v
+      = bb_header_find (head->headers, head->headers_count, "content-type");
+
+  return v.size >= strlen (type)
+         && strncasecmp (v.ptr, type, strlen (type)) == 0;
+}
+
 static bool
 is_success (uint16_t status)
 {
@@ -91,23 +107,39 @@
       return;
     }
   r->streaming = r->route->kind == BB_CALL_STREAM;
+  r->typed_as_events = is_typed_as_events (head);
   if (!r->response_started)
     save_headers (r, head);
 }
 
-/* Forwards EVENT if it is the next one.  One that the caller already has is
-   skipped; one that skips ids marks the stream as out of order.  */
-static void
-forward_event (struct request *r, struct bb_bytes event)
+/* Decides whether EVENT is the next one, which is forwarded.  One that the
+   caller already has is skipped; one that skips ids marks the stream as out of
+   order.  */
+static bool
+accept_event (struct request *r, struct bb_bytes event)
 {
   uint64_t id = 0;
   bool has_id = bb_sse_event_id (event, &id);
 
   if (has_id && r->event_sent && id <= r->last_event_id)
-    return;
+    return false;
   if (has_id && r->event_sent && id > r->last_event_id + 1)
     r->out_of_order = true;
   if (r->out_of_order)
+    return false;
+  if (has_id)
+    {
+      r->last_event_id = id;
+      r->event_sent = true;
+    }
+  return true;
+}
+
+/* Forwards EVENTS, of which there may be none.  */
+static void
+write_events (struct request *r, struct bb_bytes events)
+{
+  if (events.size == 0)
     return;
   if (!r->response_started)
     {
@@ -116,19 +148,40 @@
       r->response_started = true;
       latency_record (LATENCY_FIRST_EVENT, r->received_ms, edge_now (r->edge));
     }
-  bb_h1_write (r->exchange, event);
-  if (has_id)
+  bb_h1_write (r->exchange, events);
+}
+
+/* Whether EVENT has a field: it is more than empty lines and comments.  */
+static bool
+has_field (struct bb_bytes event)
+{
+  bool line_starts = true;
+
+  for (uint32_t i = 0; i < event.size; i++)
     {
-      r->last_event_id = id;
-      r->event_sent = true;
+      char c = event.ptr[i];
+      if (line_starts && c != '\r' && c != '\n' && c != ':')
+        return true;
+      line_starts = c == '\n';
     }
+  return false;
 }
 
+/* An event without a field is no progress.  */
 static void
-record_event (struct request *r)
+record_event (struct request *r, struct bb_bytes event)
 {
   bb_ms now = edge_now (r->edge);
 
+#ifndef BB_MUTANT_event_empty
+  if (!has_field (event))
+    {
+      r->empty_bytes += event.size;
+      return;
+    }
+#endif
+  r->empty_bytes = 0;
+
   if (r->group)
     bb_group_record_progress (&r->group->health, now);
   if (!r->first_event_seen)
@@ -140,34 +193,55 @@
   r->progress_ms = now;
 }
 
-/* Returns the size of the first complete event in DATA, or 0.  */
+/* Returns the size of the first complete event in the SIZE bytes at DATA, or
+   0.  There is no end of an event in the first SCANNED of them.  */
 static size_t
-event_size (const char *data, size_t size)
+event_size (const char *data, size_t size, size_t scanned)
 {
-  const char *end = memmem (data, size, "\n\n", 2);
-  const char *crlf = memmem (data, size, "\r\n\r\n", 4);
+  const char *at
+      = data + (scanned > EVENT_END_BYTES ? scanned - EVENT_END_BYTES : 0);
+  const char *end = data + size;
 
-  if (crlf && (!end || crlf < end))
-    return (size_t)(crlf - data) + 4;
-  return end ? (size_t)(end - data) + 2 : 0;
+  while (at < end && (at = memchr (at, '\n', (size_t)(end - at))))
+    {
+      at++;
+      if (at < end && *at == '\n')
+        return (size_t)(at - data) + 1;
+      if (at - data >= 2 && at[-2] == '\r' && end - at >= 2 && at[0] == '\r'
+          && at[1] == '\n')
+        return (size_t)(at - data) + 2;
+    }
+  return 0;
 }
 
+/* Forwards the complete events of the body, those next to each other at
+   once.  */
 static void
 forward_events (struct request *r)
 {
+  const char *data = (const char *)r->body->data;
+  size_t size = r->body->len;
+  struct bb_bytes run = { data, 0 };
   size_t offset = 0;
   size_t n;
 
-  while (
-      (n = event_size ((char *)r->body->data + offset, r->body->len - offset))
-      > 0)
+  while ((n = event_size (data + offset, size - offset, r->scanned_bytes)) > 0)
     {
-      struct bb_bytes event = { (char *)r->body->data + offset, (uint32_t)n };
-      record_event (r);
-      forward_event (r, event);
+      struct bb_bytes event = { data + offset, (uint32_t)n };
+      record_event (r, event);
       offset += n;
+      r->scanned_bytes = 0;
+      if (accept_event (r, event))
+        {
+          run.size += event.size;
+          continue;
+        }
+      write_events (r, run);
+      run = (struct bb_bytes){ data + offset, 0 };
     }
+  write_events (r, run);
   g_byte_array_remove_range (r->body, 0, (guint)offset);
+  r->scanned_bytes = r->body->len;
 }
 
 static void
@@ -188,6 +262,10 @@
   forward_events (r);
   if (r->out_of_order)
     abandon_try (r, BB_OUTCOME_LOST, "events out of order");
+#ifndef BB_MUTANT_event_max
+  else if (r->body->len + r->empty_bytes > EVENT_MAX_BYTES)
+    abandon_try (r, BB_OUTCOME_LOST, "an event is too large");
+#endif
   else if (r->response_started
            && bb_h1_backlog_bytes (r->exchange) > BACKLOG_MAX_BYTES)
     abandon_try (r, BB_OUTCOME_LOST, "the caller reads too slowly");
@@ -266,20 +344,42 @@
   return is_success (r->status) ? BB_OUTCOME_ANSWERED : BB_OUTCOME_FAILED;
 }
 
+/* Whether the bytes after the last whole event are part of another.  Line ends
+   alone are none, and a body whose length is marked and that is no stream of
+   events has none.  */
+static bool
+ends_inside_event (const struct request *r)
+{
+#ifdef BB_MUTANT_stream_inside
+  return false;
+#endif
+  if (!r->streaming
+      || !(r->typed_as_events || r->ends_by_close || r->first_event_seen))
+    return false;
+  for (guint i = 0; i < r->body->len; i++)
+    if (r->body->data[i] != '\r' && r->body->data[i] != '\n')
+      return true;
+  return false;
+}
+
 static void
 on_end (struct bb_h1_call *c, enum bb_h1_result how, void *user)
 {
   struct request *r = user;
-  enum bb_outcome outcome = outcome_of (r, how);
+  /* A stream that ends inside an event has been broken off, however its
+     connection ended.  */
+  bool broken = how == BB_H1_WHOLE && ends_inside_event (r);
+  enum bb_outcome outcome = broken ? BB_OUTCOME_LOST : outcome_of (r, how);
 
   (void)c;
   r->call = NULL;
   if (how != BB_H1_UNSENT && (how != BB_H1_WHOLE || r->ends_by_close))
-    crash_check_upstream (r, how == BB_H1_WHOLE);
+    crash_check_upstream (r, how == BB_H1_WHOLE && !broken);
   if (outcome == BB_OUTCOME_ANSWERED)
     finish_response (r);
   else
-    failure_handle (r, outcome, bb_h1_result_name (how));
+    failure_handle (r, outcome,
+                    broken ? "inside an event" : bb_h1_result_name (how));
 }
 
 const struct bb_h1_call_ops response_ops = { on_head, on_data, on_end };
