libh1: a request whose end has arrived does not time out

Callers saw: 408 after a stall of the process, although the whole request had arrived in time. The same cause as for idle connections: timers run before reads. The timeout waits until the socket is empty; the limits on head and body bound what can come.

--- a/libh1/server.c
+++ b/libh1/server.c
@@ -99,7 +99,8 @@
     h1_connection_close (c);
   else if (c->responding || c->lingering)
     return;
-  else if (c->reader.started && age > limits->read_timeout_ms)
+  else if (c->reader.started && age > limits->read_timeout_ms
+           && !h1_connection_has_input (c))
     h1_connection_reject (c, 408);
   else if (age > c->idle_timeout_ms && age > limits->idle_timeout_ms
            && h1_connection_is_idle (c))
