libh1: a lingering close cuts off only callers that take nothing

Cause: the second that a lingering close waits for the caller's own close ran from the end of the handler's response, also while its bytes were still queued, and a stall of the process counted.

The second runs once all is sent, and not over unread input, since closing then would reset what is on its way.

--- a/libh1/server.c
+++ b/libh1/server.c
@@ -8,7 +8,7 @@
 enum
 {
   SWEEP_INTERVAL_MS = 100, /* time between checks for timeouts */
-  LINGER_MAX_MS = 1000,    /* maximum of each phase of a lingering close */
+  LINGER_MAX_MS = 1000,    /* longest wait for the caller's close */
   /* Connections beyond the limit on which a request is refused, as a part of
      the limit.  */
   OVER_LIMIT_DIVISOR = 8
@@ -89,15 +89,37 @@
     h1_connection_close (c);
 }
 
+/* Ends a lingering close.  While a response is still being sent, only a caller
+   that takes nothing is cut off, and by a reset, so that the response does not
+   look complete.  That is counted in sweeps: between two of them the loop has
+   tried to write, also after a stall.  */
+static void
+check_lingering (struct connection *c, bb_ms age)
+{
+  bb_ms stuck_ms;
+
+  if (c->queued_bytes > 0)
+    {
+      c->stuck_sweeps
+          = c->queued_bytes == c->swept_bytes ? c->stuck_sweeps + 1 : 0;
+      c->swept_bytes = c->queued_bytes;
+      stuck_ms = (bb_ms)c->stuck_sweeps * SWEEP_INTERVAL_MS;
+      if (stuck_ms > c->server->limits.read_timeout_ms)
+        h1_connection_reset (c);
+    }
+  else if (age > LINGER_MAX_MS && !h1_connection_has_input (c))
+    h1_connection_close (c);
+}
+
 static void
 check_timeouts (struct connection *c, bb_ms now)
 {
   const struct bb_h1_limits *limits = &c->server->limits;
   bb_ms age = now - c->state_since_ms;
 
-  if (c->lingering && age > LINGER_MAX_MS)
-    h1_connection_close (c);
-  else if (c->responding || c->lingering)
+  if (c->lingering)
+    check_lingering (c, age);
+  else if (c->responding)
     return;
   else if (c->reader.started && age > limits->read_timeout_ms
            && !h1_connection_has_input (c))
--- a/libh1/server.h
+++ b/libh1/server.h
@@ -26,6 +26,8 @@
   bool read_paused; /* too much input came during a response */
   bool over_limit;  /* beyond the limit on connections when it was accepted */
   size_t queued_bytes;
+  size_t swept_bytes; /* queued_bytes at the last sweep of a lingering close */
+  uint32_t stuck_sweeps; /* sweeps since queued_bytes last changed */
   bb_ms idle_timeout_ms; /* limit on idling, as it was when idling began */
   bb_ms state_since_ms;  /* start of the current request, of idling, or of a
                             phase of the lingering close */
@@ -60,7 +62,7 @@
 void h1_connection_reset (struct connection *c);
 /* Closes C once the client has received a response that announced the close:
    sends what is queued, shuts down the write side, and waits for the client to
-   close.  check_timeouts in server.c bounds both phases.  An immediate close
+   close.  check_lingering in server.c bounds both phases.  An immediate close
    with unread input would reset the connection, and the client could lose the
    end of the response.  */
 void h1_connection_linger (struct connection *c);
