--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -59,8 +59,8 @@
   void *user;        /* for use by the handler */
   /* Called when the connection is lost before the response has ended; X is
      invalid after the call.  Not called after bb_h1_respond, bb_h1_end or
-     bb_h1_abort, nor while a large next request of the connection waits to be
-     read.  NULL: no callback.  */
+     bb_h1_abort.  While a large next request of the connection waits to be
+     read, the loss is noticed only by what is sent.  NULL: no callback.  */
   void (*on_disconnect) (struct bb_h1_exchange *x);
 };
 
--- a/libh1/connection.c
+++ b/libh1/connection.c
@@ -137,7 +137,10 @@
 {
   if (!c->closing
       && h1_write ((uv_stream_t *)&c->tcp, data, size, &c->queued_bytes) < 0)
-    c->close_after_response = true;
+    {
+      c->close_after_response = true;
+      c->broken = true;
+    }
 }
 
 void
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -117,7 +117,9 @@
   const struct bb_h1_limits *limits = &c->server->limits;
   bb_ms age = now - c->state_since_ms;
 
-  if (c->lingering)
+  if (c->broken && !c->closing)
+    h1_connection_lost (c);
+  else if (c->lingering)
     check_lingering (c, age);
   else if (c->responding)
     return;
--- a/libh1/server.h
+++ b/libh1/server.h
@@ -23,6 +23,7 @@
   bool closing;     /* the socket handle is being closed */
   bool lingering;   /* start_lingering_close was called */
   bool discarded;   /* input was discarded */
+  bool broken;      /* a write has failed */
   bool read_paused; /* too much input came during a response */
   bool over_limit;  /* beyond the limit on connections when it was accepted */
   size_t queued_bytes;
@@ -77,6 +78,8 @@
 void h1_connection_close_idle (struct connection *c, const char *reason);
 /* The client closed C, or it failed.  */
 void h1_connection_lost (struct connection *c);
+/* Sends DATA, which is copied.  Where that fails, the next sweep finds that
+   the client is gone, since the handler may be in the middle of a response. */
 void h1_connection_send (struct connection *c, const char *data, size_t size);
 /* C waits for its next request.  A lower limit that comes later does not hold
    for it, since the caller goes by the one that it knows.  */
