--- a/libh1/request.c
+++ b/libh1/request.c
@@ -110,6 +110,9 @@
   c->exchange.request.body.ptr = c->body.data;
   c->exchange.request.body.size = (uint32_t)c->body.size;
   c->exchange.received_ms = h1_connection_now (c);
+  c->over_limit
+      = c->over_limit
+        && c->server->connections_count > c->server->limits.connections_max;
   c->exchange.over_limit = c->over_limit;
   c->responding = true;
   c->server->handler (&c->exchange, c->server->arg);
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -53,7 +53,7 @@
 #ifdef BB_MUTANT_h1_over_limit
   return s->connections_count >= max;
 #endif
-  return s->connections_count >= max + max / OVER_LIMIT_DIVISOR;
+  return s->connections_count >= max + max / OVER_LIMIT_DIVISOR + 1;
 }
 
 static void
