--- a/test/test_load_rest.c
+++ b/test/test_load_rest.c
@@ -122,7 +122,8 @@
 {
   struct replay p = { .rand = g_rand_new_with_seed (5) };
 
-  bb_retry_window_init (&p.budget, RETRY_WINDOW_MS, -RETRY_WINDOW_MS * 2);
+  bb_retry_window_init (&p.budget, RETRY_WINDOW_MS,
+                        -(bb_ms)RETRY_WINDOW_MS * 2);
   for (uint32_t i = 0; i < UPSTREAMS; i++)
     p.upstreams[i].refusals = g_array_new (FALSE, FALSE, sizeof (bb_ms));
   for (bb_ms now = 0; now < SHED_TO_MS; now += ARRIVAL_MS)
