--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -208,6 +208,7 @@
       argc, argv, "bilberry-edge", settings_error, &e->settings_path, &status);
   if (!e->settings)
     return status;
+  start_signals (e);
   g_file_get_contents (e->settings_path, &e->settings_text, NULL, NULL);
   e->started_ms = e->settings->first_start ? INT64_MIN / 2 : edge_now (e);
   bb_log_event ("start", "{s:b, s:s, s:s, s:s}", "first",
@@ -219,7 +220,6 @@
   suspect_init (e);
   isolate_init (e);
   crash_init (e);
-  start_signals (e);
   if (!open_front (e) || !status_start (e) || !peers_start (e)
       || !bb_metrics_listen (e->loop, e->settings))
     return EXIT_FAILURE;
