--- a/fake/store/store.c
+++ b/fake/store/store.c
@@ -16,9 +16,9 @@
      GET /calls          returns how many reads came so far
      POST /drop-watches  never responds to the watches that wait now
 
-   The modes are ok, busy (429), unavailable (503), garbage (malformed JSON)
-   and silent (no response, not even to a watch that waits already; calls that
-   fall into it get none afterwards either).  */
+   The modes are ok, busy (429), unavailable (503), garbage (malformed JSON),
+   silent (no response, not even to a watch that waits already; calls that fall
+   into it get none afterwards either) and slow (responds SLOW_MS later).  */
 
 #include "../lib/fake.h"
 
@@ -29,7 +29,8 @@
 enum
 {
   PAGE_ITEMS = 4,
-  WATCH_INTERVAL_MS = 10
+  WATCH_INTERVAL_MS = 10,
+  SLOW_MS = 600
 };
 
 struct item
@@ -288,6 +289,53 @@
   g_free (wait);
 }
 
+static void
+respond_read (struct bb_http_request *r)
+{
+  if (g_str_has_prefix (r->path.ptr, "/v1/kv-watch"))
+    on_watch (r);
+  else
+    on_range (r);
+}
+
+/* A read that is answered late.  */
+struct late_read
+{
+  struct bb_http_request *r;
+  uv_timer_t timer;
+};
+
+static void
+on_late_timer (uv_timer_t *t)
+{
+  struct late_read *l = t->data;
+
+  l->r->on_done = NULL;
+  respond_read (l->r);
+  uv_close ((uv_handle_t *)t, on_watch_closed);
+}
+
+static void
+on_late_done (struct bb_http_request *r)
+{
+  struct late_read *l = r->user;
+
+  uv_close ((uv_handle_t *)&l->timer, on_watch_closed);
+}
+
+static void
+respond_late (struct bb_http_request *r)
+{
+  struct late_read *l = g_new0 (struct late_read, 1);
+
+  l->r = r;
+  r->user = l;
+  r->on_done = on_late_done;
+  uv_timer_init (uv_default_loop (), &l->timer);
+  l->timer.data = l;
+  uv_timer_start (&l->timer, on_late_timer, SLOW_MS, 0);
+}
+
 static void
 on_read (struct bb_http_request *r)
 {
@@ -300,10 +348,10 @@
     fake_respond_text (r, 200, "{\"items\":[{\"key\":7}], nonsense");
   else if (strcmp (mode, "silent") == 0)
     return;
-  else if (g_str_has_prefix (r->path.ptr, "/v1/kv-watch"))
-    on_watch (r);
+  else if (strcmp (mode, "slow") == 0)
+    respond_late (r);
   else
-    on_range (r);
+    respond_read (r);
 }
 
 static void
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -76,6 +76,10 @@
    number of the signal that ended it.  */
 int harness_wait (struct harness *h, pid_t pid);
 
+/* Whether the process PID has ended; if so, sets *STATUS as harness_wait
+   returns it.  */
+bool harness_has_ended (struct harness *h, pid_t pid, int *status);
+
 /* Response to an HTTP request.  */
 struct http_response
 {
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -67,6 +67,8 @@
 
   current = h;
   signal (SIGABRT, on_abort);
+  /* By this g_error ends a process.  */
+  signal (SIGTRAP, on_abort);
 
   signal (SIGPIPE, SIG_IGN);
   snprintf (h->build_dir, sizeof h->build_dir, "%s", build);
@@ -248,6 +250,9 @@
 static pid_t
 add_process (struct harness *h, pid_t pid)
 {
+  for (uint32_t i = 0; i < h->processes_count; i++)
+    if (h->processes[i] == 0)
+      return h->processes[i] = pid;
   if (h->processes_count == HARNESS_PROCESSES_MAX)
     fail ("too many processes");
   h->processes[h->processes_count++] = pid;
@@ -320,13 +325,11 @@
     fail ("kill");
 }
 
-int
-harness_wait (struct harness *h, pid_t pid)
+/* Records that the process PID has ended with STATUS.  Returns that as
+   harness_wait does.  */
+static int
+record_end (struct harness *h, pid_t pid, int status)
 {
-  int status = 0;
-
-  if (waitpid (pid, &status, 0) != pid)
-    fail ("waitpid");
   for (uint32_t i = 0; i < h->processes_count; i++)
     if (h->processes[i] == pid)
       h->processes[i] = 0;
@@ -335,6 +338,29 @@
   return WEXITSTATUS (status);
 }
 
+int
+harness_wait (struct harness *h, pid_t pid)
+{
+  int status = 0;
+
+  if (waitpid (pid, &status, 0) != pid)
+    fail ("waitpid");
+  return record_end (h, pid, status);
+}
+
+bool
+harness_has_ended (struct harness *h, pid_t pid, int *status)
+{
+  int raw = 0;
+  pid_t ended = waitpid (pid, &raw, WNOHANG);
+
+  if (ended < 0)
+    fail ("waitpid");
+  if (ended == pid)
+    *status = record_end (h, pid, raw);
+  return ended == pid;
+}
+
 void
 harness_sha256 (const char *key, char out[65])
 {
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -182,8 +182,7 @@
   g_error ("edge did not become ready in time");
 }
 
-/* Starts edge N with the settings file that it has, and waits until it is
-   ready.  */
+/* Starts edge N with the settings file that it has.  */
 static void
 spawn_edge (struct testbed *t, uint32_t n)
 {
@@ -196,7 +195,6 @@
   g_snprintf (name, sizeof name, "edge-%u", n);
   e->pid = harness_spawn (t->harness, name, "bilberry-edge", "--settings",
                           path, "--metrics", metrics, NULL);
-  await_ready (e);
   g_free (metrics);
   g_free (path);
 }
@@ -236,6 +234,7 @@
   e->store_port = store ? store : t->store_port;
   write_edge_settings (t, n, true);
   spawn_edge (t, n);
+  await_ready (e);
   return n;
 }
 
@@ -247,12 +246,19 @@
 }
 
 void
-testbed_restart_edge (struct testbed *t, uint32_t e)
+testbed_spawn_edge (struct testbed *t, uint32_t e)
 {
   write_edge_settings (t, e, false);
   spawn_edge (t, e);
 }
 
+void
+testbed_restart_edge (struct testbed *t, uint32_t e)
+{
+  testbed_spawn_edge (t, e);
+  await_ready (&t->edges[e]);
+}
+
 pid_t
 testbed_start_rank (struct testbed *t, uint32_t r)
 {
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -77,8 +77,10 @@
 /* Kills edge E and waits for its end.  */
 void testbed_kill_edge (struct testbed *t, uint32_t e);
 /* Starts edge E, which was killed, with its settings of before, and waits
-   until it is ready.  Its log begins anew.  */
+   until it is ready.  Its log is continued.  */
 void testbed_restart_edge (struct testbed *t, uint32_t e);
+/* Likewise, but does not wait.  */
+void testbed_spawn_edge (struct testbed *t, uint32_t e);
 
 /* Starts bilberry-rank, the agent of replica R.  Returns its process id.  */
 pid_t testbed_start_rank (struct testbed *t, uint32_t r);
