edge: the bodies of all responses together are bounded

A body without end was kept up to 32 MB for each request, with no limit over all of them: 24 requests at three such upstreams took the edge to 577, 584 and 585 MB (three runs without the guard), where its VM has 260 MB; with eight requests at one upstream the code before took 206 MB once and 93 MB once. The process would have been killed with all its requests.

Once the bodies that are kept exceed 64 MB together, a response larger than 1 MB is given up when it grows. It fails with MUTANT=bodies_max (the first figures).

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -206,6 +206,7 @@
   /* Server for readiness checks and metrics.  */
   struct bb_h1_server *ready_server;
   bool draining;
+  size_t bodies_bytes; /* of responses that are kept, over all requests */
   uint64_t last_request_number;
   GRand *rand;
   struct bb_pause_detector pause_detector;
@@ -429,6 +430,11 @@
 void request_free (struct request *r);
 /* Has send_on_timer called at AT_MS of the loop's time.  */
 void request_set_timer (struct request *r, bb_ms at_ms);
+/* Appends DATA to the body of R, removes the first SIZE bytes of it, or all of
+   it with its memory; bodies_bytes of the edge follows.  */
+void request_append_body (struct request *r, struct bb_bytes data);
+void request_shorten_body (struct request *r, size_t size);
+void request_clear_body (struct request *r);
 /* Counts R as in flight at T and its group, and its prompt tokens as waiting
    for prefill there.  */
 void request_assign (struct request *r, struct target *t);
--- a/cmd/edge/request.c
+++ b/cmd/edge/request.c
@@ -26,6 +26,30 @@
   return r;
 }
 
+void
+request_append_body (struct request *r, struct bb_bytes data)
+{
+  g_byte_array_append (r->body, (const guint8 *)data.ptr, data.size);
+  r->edge->bodies_bytes += data.size;
+}
+
+void
+request_shorten_body (struct request *r, size_t size)
+{
+  g_byte_array_remove_range (r->body, 0, (guint)size);
+  r->edge->bodies_bytes -= size;
+}
+
+void
+request_clear_body (struct request *r)
+{
+  r->edge->bodies_bytes -= r->body->len;
+  g_byte_array_unref (r->body);
+  r->body = g_byte_array_new ();
+  r->scanned_bytes = 0;
+  r->empty_bytes = 0;
+}
+
 static void
 on_timer_closed (uv_handle_t *h)
 {
@@ -39,6 +63,7 @@
   isolate_release (r);
   if (r->headers_text)
     g_string_chunk_free (r->headers_text);
+  r->edge->bodies_bytes -= r->body->len;
   g_byte_array_unref (r->body);
   bb_config_unref (r->config);
   g_free (r->pool);
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -14,6 +14,8 @@
 enum
 {
   BODY_MAX_BYTES = 32 * 1024 * 1024,
+  BODIES_MAX_BYTES = 64 * 1024 * 1024, /* of all bodies together */
+  BODY_SHARE_BYTES = 1024 * 1024,      /* a smaller body is kept beyond that */
   EVENT_MAX_BYTES = 1024 * 1024,
   EVENT_END_BYTES = 4, /* of the longest end of an event */
   /* Limit on unsent bytes; a slower caller is disconnected.  */
@@ -71,6 +73,7 @@
 {
   bb_h1_call_cancel (r->call);
   r->call = NULL;
+  request_clear_body (r);
   failure_handle (r, outcome, detail);
 }
 
@@ -239,7 +242,7 @@
       run = (struct bb_bytes){ data + offset, 0 };
     }
   write_events (r, run);
-  g_byte_array_remove_range (r->body, 0, (guint)offset);
+  request_shorten_body (r, offset);
   r->scanned_bytes = r->body->len;
 }
 
@@ -250,12 +253,20 @@
 
   (void)c;
   r->target->last_activity_ms = edge_now (r->edge);
-  g_byte_array_append (r->body, (const guint8 *)piece.ptr, piece.size);
+  request_append_body (r, piece);
   if (r->body->len > BODY_MAX_BYTES)
     {
       abandon_try (r, BB_OUTCOME_LOST, "the answer is too large");
       return;
     }
+#ifndef BB_MUTANT_bodies_max
+  if (r->edge->bodies_bytes > BODIES_MAX_BYTES
+      && r->body->len > BODY_SHARE_BYTES)
+    {
+      abandon_try (r, BB_OUTCOME_LOST, "the answers are too large together");
+      return;
+    }
+#endif
   if (!r->streaming)
     return;
   forward_events (r);
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -82,9 +82,7 @@
   r->first_event_seen = false;
   r->ends_by_close = false;
   r->headers_count = 0;
-  g_byte_array_set_size (r->body, 0);
-  r->scanned_bytes = 0;
-  r->empty_bytes = 0;
+  request_clear_body (r);
   r->call = bb_h1_call (t->connections, &out, &response_ops, r);
   if (r->tries > 1)
     bb_count_retry (BB_REASON_UPSTREAM_FAILED);
--- a/test/test_edge_bytes.c
+++ b/test/test_edge_bytes.c
@@ -13,6 +13,7 @@
 {
   DEADLINE_MS = 1500,        /* of orders and checks */
   STREAM_DEADLINE_MS = 2900, /* of streams */
+  LARGE_DEADLINE_MS = 9000,  /* of requests that read large bodies */
   OTHERS_DEADLINE_MS = 500,  /* of callers of another pool */
   OTHERS_INTERVAL_MS = 20,
   REGISTERED_MS = 300,        /* time until an edge knows a new replica */
@@ -81,7 +82,8 @@
 {
   struct testbed *testbed;
   const char *kind; /* of the bytes of its replica */
-  char type;        /* o: an order, c: a check, s: a stream */
+  char type;        /* o: an order, c: a check, s: a stream, l: a large
+                       body */
   bool must_be_whole;
   bool must_fail;
   char id[32];
@@ -126,13 +128,22 @@
   return g_str_has_prefix (a->body, "answer of ") && a->body_size < 32;
 }
 
+static int
+deadline_of (const struct request *r)
+{
+  return r->type == 's'   ? STREAM_DEADLINE_MS
+         : r->type == 'l' ? LARGE_DEADLINE_MS
+                          : DEADLINE_MS;
+}
+
 static void
 send_request (struct request *r)
 {
   const char *folder = r->type == 'o'   ? "order"
                        : r->type == 'c' ? "check"
+                       : r->type == 'l' ? "large"
                                         : "stream";
-  int deadline_ms = r->type == 's' ? STREAM_DEADLINE_MS : DEADLINE_MS;
+  int deadline_ms = deadline_of (r);
   g_autofree char *path = g_strdup_printf ("/%s/%s/1", folder, r->kind);
   g_autofree char *headers
       = g_strdup_printf ("X-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n"
@@ -153,7 +164,7 @@
 static void
 check_request (struct request *r)
 {
-  int deadline_ms = r->type == 's' ? STREAM_DEADLINE_MS : DEADLINE_MS;
+  int deadline_ms = deadline_of (r);
   uint32_t runs = testbed_count_runs (r->testbed, r->id);
 
   g_test_message ("%s %s: status %d%s, %s, %d ms, runs %u", r->kind, r->id,
@@ -354,6 +365,53 @@
   testbed_free (&t);
 }
 
+/* Bodies without end of many requests at a time, which are read until they are
+   too large, do not exhaust the memory.  */
+static void
+test_memory (void)
+{
+  static const char route[]
+      = ",{\"name\":\"large\",\"host\":\"127.0.0.1\",\"prefix\":"
+        "\"/large/\",\"route-kind\":\"non_idempotent\",\"service\":"
+        "\"app\",\"timeout-ms\":10000,\"slo-ms\":150,"
+        "\"max-attempts\":1,\"priority\":1}";
+  enum
+  {
+    REPLICAS = 3,
+    CALLERS = 24 /* as many as the upstreams take at a time */
+  };
+  GThread *threads[CALLERS];
+  struct request requests[CALLERS] = { 0 };
+  struct testbed t;
+
+  /* Freed memory counts where it is kept to find faults.  */
+  g_setenv ("ASAN_OPTIONS", "quarantine_size_mb=1", FALSE);
+  testbed_init (&t);
+  testbed_put_config (&t, 2, route, "");
+  for (uint32_t i = 0; i < REPLICAS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("bad-%u", i);
+      testbed_start_replica (&t, id, "app", "new-fast:length");
+    }
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      requests[i] = (struct request){
+        .testbed = &t, .type = 'l', .kind = "length", .must_fail = true
+      };
+      g_snprintf (requests[i].id, sizeof requests[i].id, "l%u", i);
+      threads[i] = g_thread_new ("caller", request_thread, &requests[i]);
+    }
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      g_thread_join (threads[i]);
+      check_request (&requests[i]);
+      g_assert_cmpint (requests[i].status, ==, 502);
+    }
+  check_memory (&t);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -362,6 +420,7 @@
   g_test_set_nonfatal_assertions ();
   for (size_t i = 0; i < G_N_ELEMENTS (plays); i++)
     g_test_add_data_func (plays[i].path, &plays[i], test_play);
+  g_test_add_func ("/bytes/memory", test_memory);
   g_test_add_func ("/bytes/event-max", test_event_max);
   return g_test_run ();
 }
