edge: a try that gets no head is logged with no status

The event try_failed of a try that got no head had the status of the try before it (500 after an upstream's failure), which misled whoever read why a request failed.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -157,7 +157,7 @@
   bool ends_by_close;   /* the response of the current try has no other end */
   bool streaming;       /* the response is forwarded event by event */
   bool typed_as_events; /* its media type is that of event streams */
-  uint16_t status;
+  uint16_t status;      /* of the response of the current try; 0: none yet */
   struct bb_response_info reply;
   struct bb_header headers[BB_H1_HEADERS_MAX]; /* headers of the response */
   uint32_t headers_count;
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -81,6 +81,7 @@
   r->progress_ms = now;
   r->first_event_seen = false;
   r->ends_by_close = false;
+  r->status = 0;
   r->headers_count = 0;
   request_clear_body (r);
   r->call = bb_h1_call (t->connections, &out, &response_ops, r);
--- a/test/test_edge_ends.c
+++ b/test/test_edge_ends.c
@@ -175,6 +175,37 @@
     }
 }
 
+/* A try that gets no head is logged with no status, not with that of the try
+   before it.  */
+static void
+test_failed_status (void)
+{
+  struct testbed t;
+  char *log;
+  char **lines;
+  uint32_t after_another = 0;
+
+  start (&t, "fail");
+  testbed_start_replica (&t, "i-2", "app", "reset");
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-1", 502)
+                 || testbed_await_status (&t, 0, "/check/1", "key-1", 500));
+  log = testbed_read_log (&t, "edge-0");
+  lines = g_strsplit (log, "\n", -1);
+  for (uint32_t i = 0; lines[i]; i++)
+    {
+      if (!strstr (lines[i], "\"event\":\"try_failed\"")
+          || !strstr (lines[i], "\"how\":\"unanswered\""))
+        continue;
+      g_test_message ("%s", lines[i]);
+      g_assert_nonnull (strstr (lines[i], "\"status\":0,"));
+      after_another += !strstr (lines[i], "\"runs\":1,");
+    }
+  g_assert_cmpuint (after_another, >, 0);
+  g_strfreev (lines);
+  g_free (log);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -188,5 +219,6 @@
   g_test_add_func ("/ends/reset-body", test_reset_body);
   g_test_add_func ("/ends/late-head", test_late_head);
   g_test_add_func ("/ends/own-deadline", test_own_deadline);
+  g_test_add_func ("/ends/failed-status", test_failed_status);
   return g_test_run ();
 }
