libfleet: a host that is an IPv6 address matches its route

Requests to [fd00::1] or [fd00::1]:8080 got 404 though a route names that host: the host was cut at its first colon, within the address. The port is now what follows the brackets. /platform/route-host failed before and passes.

--- a/libfleet/config.c
+++ b/libfleet/config.c
@@ -147,11 +147,26 @@
   return text;
 }
 
+/* Returns HOST, the value of a Host header, without its port.  An IPv6 address
+   stands in brackets.  Returns all of HOST where its brackets are malformed,
+   so that it matches no route.  */
+static struct bb_bytes
+strip_port (struct bb_bytes host)
+{
+  struct bb_bytes address = host;
+  uint32_t size = truncate_at (host, ']').size + 1;
+
+  if (host.size == 0 || host.ptr[0] != '[')
+    return truncate_at (host, ':');
+  address.size = size;
+  return size < host.size && host.ptr[size] == ':' ? address : host;
+}
+
 const struct bb_route *
 bb_config_find_route (const struct bb_config *c, struct bb_bytes host,
                       struct bb_bytes target)
 {
-  host = truncate_at (host, ':');
+  host = strip_port (host);
   target = truncate_at (target, '?');
   for (guint i = 0; i < c->routes->len; i++)
     {
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -255,6 +255,41 @@
   g_assert_cmpint (bb_pause_detector_check (&d, 4150, 11150, 400), ==, 3000);
 }
 
+static bool
+finds_route (struct bb_config *c, const char *host)
+{
+  return bb_config_find_route (c, bb_bytes_of (host), bb_bytes_of ("/a/1"))
+         != NULL;
+}
+
+/* A host that is an IPv6 address matches its route, with a port or without
+   one.  */
+static void
+test_route_host (void)
+{
+  static const char *const hosts[] = { "[fd00::1]", "example.org" };
+  struct bb_config *c = bb_config_new ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (hosts); i++)
+    {
+      struct bb_route *r = g_new0 (struct bb_route, 1);
+      r->name = g_strdup ("r");
+      r->host = g_strdup (hosts[i]);
+      r->prefix = g_strdup ("/a/");
+      bb_config_add_route (c, r);
+    }
+  g_assert_true (finds_route (c, "[fd00::1]"));
+  g_assert_true (finds_route (c, "[FD00::1]:8080"));
+  g_assert_true (finds_route (c, "example.org"));
+  g_assert_true (finds_route (c, "example.org:80"));
+  g_assert_false (finds_route (c, "[fd00::2]:8080"));
+  g_assert_false (finds_route (c, "[fd00::1]8080"));
+  g_assert_false (finds_route (c, "[fd00::1"));
+  g_assert_false (finds_route (c, "["));
+  g_assert_false (finds_route (c, ""));
+  bb_config_unref (c);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -269,5 +304,6 @@
   g_test_add_func ("/platform/order", test_order);
   g_test_add_func ("/platform/view", test_view);
   g_test_add_func ("/platform/wake", test_pause_detector);
+  g_test_add_func ("/platform/route-host", test_route_host);
   return g_test_run ();
 }
