test_h1_client: kept connections that the upstream has closed or written to

The client of libh1 does not look at a kept connection before it sends on it.

/h1-client/reuse passes: a sound connection is reused.

--- /dev/null
+++ b/test/test_h1_client.c
@@ -0,0 +1,426 @@
+/* Tests of the HTTP client of libh1 in this process.  The loop runs only where
+   a test says so, which plays a process that was stalled: what the upstream
+   does to a kept connection lies unread when the next call begins.  */
+
+#include "bilberry/h1.h"
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 20000,
+  IDLE_MAX_MS = 60000,
+  WAIT_MS = 5000 /* longest wait for what must come */
+};
+
+/* A response to no request, as servers send it before they close an idle
+   connection.  */
+static const char stray[] = "HTTP/1.1 408 Request Timeout\r\n"
+                            "Content-Length: 5\r\n\r\nstray";
+
+struct fixture
+{
+  uv_loop_t loop;
+  struct bb_h1_pool *pool;
+  int listener; /* the upstream's */
+  bool ended;   /* the last call */
+  enum bb_h1_result result;
+  uint16_t status;
+  GString *body;
+};
+
+static void
+on_head (struct bb_h1_call *c, const struct bb_h1_message *head, void *user)
+{
+  struct fixture *f = user;
+
+  (void)c;
+  f->status = head->status;
+}
+
+static void
+on_data (struct bb_h1_call *c, struct bb_bytes data, void *user)
+{
+  struct fixture *f = user;
+
+  (void)c;
+  g_string_append_len (f->body, data.ptr, data.size);
+}
+
+static void
+on_end (struct bb_h1_call *c, enum bb_h1_result result, void *user)
+{
+  struct fixture *f = user;
+
+  (void)c;
+  g_assert_false (f->ended);
+  f->ended = true;
+  f->result = result;
+}
+
+static void
+set_up (struct fixture *f)
+{
+  struct sockaddr_storage addr = { 0 };
+  struct sockaddr_in *in = (struct sockaddr_in *)&addr;
+  socklen_t size = sizeof *in;
+
+  memset (f, 0, sizeof *f);
+  in->sin_family = AF_INET;
+  in->sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  f->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  g_assert_cmpint (bind (f->listener, (struct sockaddr *)in, size), ==, 0);
+  g_assert_cmpint (listen (f->listener, 8), ==, 0);
+  g_assert_cmpint (getsockname (f->listener, (struct sockaddr *)in, &size), ==,
+                   0);
+  uv_loop_init (&f->loop);
+  f->pool = bb_h1_pool_new (&f->loop, &addr, CONNECT_TIMEOUT_MS);
+  f->body = g_string_new ("");
+}
+
+/* Also checks that no handle is left in the loop.  */
+static void
+tear_down (struct fixture *f)
+{
+  bb_h1_pool_free (f->pool);
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  g_assert_cmpint (uv_loop_close (&f->loop), ==, 0);
+  g_string_free (f->body, TRUE);
+  close (f->listener);
+}
+
+static void
+start_call (struct fixture *f)
+{
+  static const struct bb_h1_call_ops ops = { on_head, on_data, on_end };
+  struct bb_h1_request request = { .method = bb_bytes_of ("POST"),
+                                   .target = bb_bytes_of ("/"),
+                                   .host = bb_bytes_of ("a"),
+                                   .body = bb_bytes_of ("asked"),
+                                   .idle_max_ms = IDLE_MAX_MS };
+
+  f->ended = false;
+  f->status = 0;
+  g_string_truncate (f->body, 0);
+  bb_h1_call (f->pool, &request, &ops, f);
+}
+
+/* Runs the loop until the upstream has a connection, which it returns, or the
+   call has ended: -1.  */
+static int
+accept_next (struct fixture *f)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+
+  while (g_get_monotonic_time () < end)
+    {
+      int fd = accept4 (f->listener, NULL, NULL, SOCK_NONBLOCK);
+      if (fd >= 0 || f->ended)
+        return fd;
+      uv_run (&f->loop, UV_RUN_NOWAIT);
+      g_usleep (1000);
+    }
+  return -1;
+}
+
+/* Runs the loop until the upstream has the whole request on FD.  */
+static bool
+gets_request (struct fixture *f, int fd)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+  g_autoptr (GString) got = g_string_new ("");
+
+  while (!strstr (got->str, "\r\n\r\nasked") && !f->ended
+         && g_get_monotonic_time () < end)
+    {
+      char buf[4096];
+      ssize_t n;
+      uv_run (&f->loop, UV_RUN_NOWAIT);
+      n = recv (fd, buf, sizeof buf, 0);
+      if (n > 0)
+        g_string_append_len (got, buf, n);
+      else
+        g_usleep (1000);
+    }
+  return g_str_has_prefix (got->str, "POST / HTTP/1.1\r\n")
+         && g_str_has_suffix (got->str, "\r\n\r\nasked");
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  size_t size = strlen (text);
+
+  g_assert_cmpint ((int)send (fd, text, size, MSG_NOSIGNAL), ==, (int)size);
+}
+
+/* The upstream responds on FD, and the call gets that.  */
+static void
+assert_response (struct fixture *f, int fd)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+
+  g_string_truncate (f->body, 0);
+  send_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
+                 "Keep-Alive: timeout=60\r\n\r\nserved");
+  while (!f->ended && g_get_monotonic_time () < end)
+    {
+      uv_run (&f->loop, UV_RUN_NOWAIT);
+      g_usleep (1000);
+    }
+  g_assert_true (f->ended);
+  g_assert_cmpstr (bb_h1_result_name (f->result), ==, "whole");
+  g_assert_cmpuint (f->status, ==, 200);
+  g_assert_cmpstr (f->body->str, ==, "served");
+}
+
+/* The upstream gets the request on FD, and the call its response.  */
+static void
+assert_served (struct fixture *f, int fd)
+{
+  g_assert_true (gets_request (f, fd));
+  assert_response (f, fd);
+}
+
+/* The call that was started is served on a new connection, which is
+   returned.  */
+static int
+assert_served_on_new (struct fixture *f)
+{
+  int fd = accept_next (f);
+
+  if (f->ended)
+    g_test_message ("ended: %s, status %u", bb_h1_result_name (f->result),
+                    f->status);
+  g_assert_cmpint (fd, >=, 0);
+  assert_served (f, fd);
+  return fd;
+}
+
+/* Returns a kept connection, on which one call was served.  */
+static int
+connect_used (struct fixture *f)
+{
+  start_call (f);
+  return assert_served_on_new (f);
+}
+
+static void
+count_readable (uv_handle_t *h, void *arg)
+{
+  int *count = arg;
+  struct pollfd p = { .events = POLLIN };
+
+  if (h->type == UV_TCP && !uv_is_closing (h) && uv_fileno (h, &p.fd) == 0
+      && poll (&p, 1, 0) == 1)
+    (*count)++;
+}
+
+/* Waits, without running the loop, until a connection of the client has
+   something to read.  */
+static void
+await_unread (struct fixture *f)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+  int count = 0;
+
+  while (count == 0 && g_get_monotonic_time () < end)
+    {
+      uv_walk (&f->loop, count_readable, &count);
+      g_usleep (1000);
+    }
+  g_assert_cmpint (count, ==, 1);
+}
+
+static void
+reset (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  g_assert_cmpint (
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), ==, 0);
+  close (fd);
+}
+
+/* A call does not go to a connection that the upstream has closed.  */
+static void
+test_closed_idle (void)
+{
+  static struct fixture f;
+
+  set_up (&f);
+  close (connect_used (&f));
+  await_unread (&f);
+  start_call (&f);
+  close (assert_served_on_new (&f));
+  tear_down (&f);
+}
+
+/* Nor to one that the upstream has reset.  */
+static void
+test_reset_idle (void)
+{
+  static struct fixture f;
+
+  set_up (&f);
+  reset (connect_used (&f));
+  await_unread (&f);
+  start_call (&f);
+  close (assert_served_on_new (&f));
+  tear_down (&f);
+}
+
+/* Nor to one that the upstream closes after the call took it and before the
+   request is sent.  */
+static void
+test_closed_before_send (void)
+{
+  static struct fixture f;
+  int fd;
+
+  set_up (&f);
+  fd = connect_used (&f);
+  start_call (&f);
+  close (fd);
+  await_unread (&f);
+  close (assert_served_on_new (&f));
+  tear_down (&f);
+}
+
+/* A response that came before the request is not taken for its response.  */
+static void
+test_stray_idle (void)
+{
+  static struct fixture f;
+  int fd;
+
+  set_up (&f);
+  fd = connect_used (&f);
+  send_text (fd, stray);
+  await_unread (&f);
+  start_call (&f);
+  close (assert_served_on_new (&f));
+  close (fd);
+  tear_down (&f);
+}
+
+static void
+on_prepare (uv_prepare_t *p)
+{
+  start_call (p->data);
+  uv_close ((uv_handle_t *)p, NULL);
+}
+
+/* Starts a call in the loop, just before the loop reads what has arrived; the
+   request is sent after that.  */
+static void
+start_call_before_read (struct fixture *f)
+{
+  static uv_prepare_t prepare;
+
+  uv_prepare_init (&f->loop, &prepare);
+  prepare.data = f;
+  uv_prepare_start (&prepare, on_prepare);
+  uv_run (&f->loop, UV_RUN_NOWAIT);
+}
+
+/* Nor is one that the client reads after the call took the connection.  */
+static void
+test_stray_before_send (void)
+{
+  static struct fixture f;
+  int fd;
+
+  set_up (&f);
+  fd = connect_used (&f);
+  send_text (fd, stray);
+  await_unread (&f);
+  start_call_before_read (&f);
+  close (assert_served_on_new (&f));
+  close (fd);
+  tear_down (&f);
+}
+
+/* A call whose connection turns out to be closed when it is read, before the
+   request is sent, is served on another.  */
+static void
+test_closed_read_before_send (void)
+{
+  static struct fixture f;
+
+  set_up (&f);
+  close (connect_used (&f));
+  await_unread (&f);
+  start_call_before_read (&f);
+  close (assert_served_on_new (&f));
+  tear_down (&f);
+}
+
+/* A call goes to the kept connection that is sound, not to the one that was
+   closed, nor to a new one.  */
+static void
+test_other_kept (void)
+{
+  static struct fixture f;
+  int sound;
+  int closed;
+
+  set_up (&f);
+  /* Two calls at once, so that there are two connections; the one that is
+     closed was used last.  */
+  start_call (&f);
+  closed = accept_next (&f);
+  g_assert_true (gets_request (&f, closed));
+  start_call (&f);
+  sound = accept_next (&f);
+  assert_served (&f, sound);
+  f.ended = false;
+  assert_response (&f, closed);
+  close (closed);
+  await_unread (&f);
+  start_call (&f);
+  assert_served (&f, sound);
+  g_assert_cmpint (accept4 (f.listener, NULL, NULL, SOCK_NONBLOCK), <, 0);
+  close (sound);
+  tear_down (&f);
+}
+
+/* A sound connection is reused.  */
+static void
+test_reuse (void)
+{
+  static struct fixture f;
+  int fd;
+
+  set_up (&f);
+  fd = connect_used (&f);
+  for (int i = 0; i < 3; i++)
+    {
+      start_call (&f);
+      assert_served (&f, fd);
+    }
+  g_assert_cmpint (accept4 (f.listener, NULL, NULL, SOCK_NONBLOCK), <, 0);
+  close (fd);
+  tear_down (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/h1-client/closed-idle", test_closed_idle);
+  g_test_add_func ("/h1-client/reset-idle", test_reset_idle);
+  g_test_add_func ("/h1-client/closed-before-send", test_closed_before_send);
+  g_test_add_func ("/h1-client/stray-idle", test_stray_idle);
+  g_test_add_func ("/h1-client/stray-before-send", test_stray_before_send);
+  g_test_add_func ("/h1-client/closed-read-before-send",
+                   test_closed_read_before_send);
+  g_test_add_func ("/h1-client/other-kept", test_other_kept);
+  g_test_add_func ("/h1-client/reuse", test_reuse);
+  return g_test_run ();
+}
