libh1: the client looks at a kept connection before it sends on it

Callers saw: a call was sent on a connection that the upstream had closed or reset, and ended "unanswered", although nobody read the request: an edge counts that as an execution, spends a retry on it, or answers 502 for a stream that may not be resumed. A response that the upstream sent to no request, such as the 408 of a server that closes an idle connection, was passed on as the response of the next call.

Cause: the close, or the bytes, lay unread in the socket. Timers run before reads, and the request is sent by a timer.

Change: right before the request is sent on a kept connection, the client looks into the socket (h1_look_unread). Unless there is nothing, it closes the connection and moves the call to the next idle one, on which the same look is taken, or to a new one. Nothing was sent, so nothing can have been executed. What arrives between the look and the send cannot be told apart: such a call still ends "unanswered".

--- a/libh1/client.c
+++ b/libh1/client.c
@@ -1,6 +1,7 @@
 /* The HTTP client: a pool of keep-alive connections to one server, and the
    calls on them.  A connection is reused only after a complete response that
-   allows it and that no further bytes follow.  */
+   allows it and that no further bytes follow, also none that lie unread when
+   the next request is sent.  */
 
 #include "bilberry/net.h"
 #include "h1.h"
@@ -29,6 +30,7 @@
   void *user;
   struct h1_buffer request_text;
   bool is_head_request; /* no body follows the response */
+  bb_ms idle_max_ms;
 };
 
 /* A connection to the server.  */
@@ -291,6 +293,8 @@
   return conn->reader.started ? BB_H1_MALFORMED : BB_H1_UNANSWERED;
 }
 
+static void move_call (struct connection *conn);
+
 static void
 on_read (uv_stream_t *s, ssize_t size, const uv_buf_t *buf)
 {
@@ -449,40 +453,66 @@
     uv_timer_start (&conn->timer, on_timer, 0, 0);
 }
 
-/* Sends the request on a reused connection.  A timer defers this until
-   bb_h1_call has returned, so that no callback precedes its return.  */
+/* Sends the request on a reused connection, unless that is of no use any more:
+   the upstream closed it, or sent bytes that belong to no request.  A timer
+   defers this until bb_h1_call has returned, so that no callback precedes its
+   return.  */
 static void
 on_reuse_timer (uv_timer_t *t)
 {
   struct connection *conn = t->data;
 
+#ifndef BB_MUTANT_h1_reuse_unread
+  if (h1_look_unread (&conn->tcp) != H1_UNREAD_NOTHING)
+    {
+      move_call (conn);
+      return;
+    }
+#endif
   send_call (conn);
 }
 
+/* Gives C an idle connection of P, or a new one.  */
+static void
+assign_connection (struct bb_h1_pool *p, struct bb_h1_call *c)
+{
+  struct connection *idle = take_idle (p, c->idle_max_ms);
+  struct connection *conn = idle ? idle : connection_new (p);
+
+  c->connection = conn;
+  conn->call = c;
+  if (idle)
+    uv_timer_start (&conn->timer, on_reuse_timer, 0, 0);
+  else
+    start_connect (conn);
+}
+
+/* Closes CONN, on which nothing of its call was sent, and gives the call
+   another connection.  */
+static void
+move_call (struct connection *conn)
+{
+  struct bb_h1_call *c = conn->call;
+
+  conn->call = NULL;
+  close_connection (conn);
+  assign_connection (conn->pool, c);
+}
+
 struct bb_h1_call *
 bb_h1_call (struct bb_h1_pool *p, const struct bb_h1_request *request,
             const struct bb_h1_call_ops *ops, void *user)
 {
   struct bb_h1_call *c = calloc (1, sizeof *c);
-  struct connection *conn = take_idle (p, request->idle_max_ms);
 
   if (!c)
     abort ();
   c->ops = ops;
   c->user = user;
   c->is_head_request = bb_bytes_equal (request->method, "HEAD");
+  c->idle_max_ms = request->idle_max_ms;
   format_request (c, request);
-  if (conn)
-    {
-      c->connection = conn;
-      conn->call = c;
-      uv_timer_start (&conn->timer, on_reuse_timer, 0, 0);
-      return c;
-    }
-  conn = connection_new (p);
-  c->connection = conn;
-  conn->call = c;
-  start_connect (conn);
+  assign_connection (p, c);
   return c;
 }
 
--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -1,8 +1,9 @@
 #ifndef LIBH1_H1_H
 #define LIBH1_H1_H
 
-/* Internals of libh1: the message reader (reader.c) and socket writes
-   (write.c), which server.c and client.c call; fetch.c calls client.c.  */
+/* Internals of libh1: the message reader (reader.c), socket writes (write.c)
+   and a look at what lies unread in a socket (unread.c), which server.c and
+   client.c call; fetch.c calls client.c.  */
 
 #include "bilberry/h1.h"
 
@@ -85,6 +86,17 @@
 int h1_write (uv_stream_t *s, const char *data, size_t size,
               size_t *queued_bytes);
 
+enum h1_unread
+{
+  H1_UNREAD_NOTHING,
+  H1_UNREAD_BYTES,
+  H1_UNREAD_END /* the peer closed the connection, or it failed */
+};
+
+/* Returns what the next read of TCP would get, without reading it.  Timers run
+   before reads, so after a stall it may have been there for long.  */
+enum h1_unread h1_look_unread (const uv_tcp_t *tcp);
+
 /* Returns the loop of P.  */
 uv_loop_t *h1_pool_loop (const struct bb_h1_pool *p);
 /* Returns the address of the server of P.  */
