libh1: a call moves when its kept connection is read before the request is sent

Callers saw: when a call had taken a kept connection and the loop read that before the request was sent, bytes that belonged to no request were passed on as the response, and a close ended the call "unsent" although another connection would have served it.

Cause: what is read while a connection has a call was taken for the response to that call, also before the request was sent.

Change: before the request is sent, anything that is read moves the call to another connection, as the look before the send does.

Evidence: /h1-client/stray-before-send and closed-read-before-send failed before (committed so; this takes the last entries of test_h1_client from KNOWN-RED.txt) and pass; they fail again without the guard h1_read_early.

--- a/libh1/client.c
+++ b/libh1/client.c
@@ -309,6 +309,13 @@
       fail_connection (conn, BB_H1_UNANSWERED);
       return;
     }
+#ifndef BB_MUTANT_h1_read_early
+  if (!conn->request_sent)
+    {
+      move_call (conn);
+      return;
+    }
+#endif
   if (size > 0)
     {
       parse_response (conn, buf->base, (size_t)size);
