--- a/libh1/connection.c
+++ b/libh1/connection.c
@@ -4,7 +4,6 @@
 
 #include <jansson.h>
 #include <stdlib.h>
-#include <sys/socket.h>
 #include <utlist.h>
 
 bb_ms
@@ -87,15 +86,10 @@
 bool
 h1_connection_has_input (const struct connection *c)
 {
-#ifndef BB_MUTANT_h1_unread
-  char byte;
-  uv_os_fd_t fd;
-
-  return uv_fileno ((const uv_handle_t *)&c->tcp, &fd) == 0
-         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-#else
+#ifdef BB_MUTANT_h1_unread
   return false;
 #endif
+  return h1_look_unread (&c->tcp) == H1_UNREAD_BYTES;
 }
 
 bool
