--- a/test/test_edge_rest.c
+++ b/test/test_edge_rest.c
@@ -365,6 +365,52 @@
   testbed_free (&t);
 }
 
+/* Returns how many requests replica 0 ran.  */
+static uint32_t
+count_runs (struct testbed *t)
+{
+  struct http_response a
+      = harness_http (t->replica_ports[0], "GET", "/ran", "", "");
+  uint32_t n = 0;
+
+  for (const char *at = a.body; (at = strstr (at, " by ")); at++)
+    n++;
+  http_response_free (&a);
+  return n;
+}
+
+/* An upstream that was slow is not passed over once it has started anew.  */
+static void
+test_restart_slow (void)
+{
+  enum
+  {
+    PASSED_OVER = 20 /* requests in a row that go elsewhere */
+  };
+  struct testbed t;
+  uint32_t runs;
+  uint32_t elsewhere = 0;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  put_upstream (&t, "i-1", 2, 1000);
+  testbed_start_edge (&t, 0);
+  testbed_check_status (&t, "POST", "/order/slow", "o1", 200);
+  testbed_start_replica (&t, "i-2", "app", "");
+  for (uint32_t n = 0; n < 500 && elsewhere < PASSED_OVER; n++)
+    {
+      runs = count_runs (&t);
+      send_requests (&t, "/check/1", 1);
+      elsewhere = count_runs (&t) == runs ? elsewhere + 1 : 0;
+    }
+  g_assert_cmpuint (elsewhere, ==, PASSED_OVER);
+  runs = count_runs (&t);
+  put_upstream (&t, "i-1", 1, 2000);
+  send_requests (&t, "/check/1", OBSERVE_MS);
+  g_assert_cmpuint (count_runs (&t), >, runs);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -374,6 +420,7 @@
   g_test_add_func ("/rest/held-while-all-rest", test_all);
   g_test_add_func ("/rest/group", test_group);
   g_test_add_func ("/rest/restarted-kept-away", test_restart);
+  g_test_add_func ("/rest/restarted-judged-as-before", test_restart_slow);
   g_test_add_func ("/rest/sent-to-leaving", test_leaving);
   g_test_add_func ("/rest/sent-to-leaving-that-registers",
                    test_leaving_registers_again);
