--- a/cmd/edge/targets.c
+++ b/cmd/edge/targets.c
@@ -136,10 +136,6 @@
       bb_h1_pool_drop_idle (t->connections);
       memset (&t->ejection, 0, sizeof t->ejection);
     }
-#ifndef BB_MUTANT_edge_latency_start
-  if (new_start)
-    t->latency_ms = 0;
-#endif
   bb_upstream_free (t->record);
   t->record = u;
   t->retire_at_ms = 0;
