libpeer: bb_peers_new frees all of it on failure

Where a process could not listen for peers, its name, its address and the addresses of its seeds were lost. Read in the source; programs end there, so operators saw nothing.

/peer/failure fails to start 200 times with a name of 4 KB.

--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -31,6 +31,16 @@
   p->ticks++;
 }
 
+static void
+free_peers (struct bb_peers *p)
+{
+  for (uint32_t i = 0; i < p->endpoints_count; i++)
+    g_free (p->endpoints[i].address);
+  g_free (p->address);
+  g_free (p->name);
+  g_free (p);
+}
+
 struct bb_peers *
 bb_peers_new (uv_loop_t *loop, const struct bb_peers_options *o,
               struct bb_view *view, const struct bb_peers_ops *ops, void *user,
@@ -61,7 +71,7 @@
             = bb_listener_open (loop, &addr, &peer_accept_ops, p, error);
       if (!p->listener)
         {
-          g_free (p);
+          free_peers (p);
           return NULL;
         }
     }
--- a/test/test_peer.c
+++ b/test/test_peer.c
@@ -5,11 +5,15 @@
 #include "bilberry/peer.h"
 
 #include <glib.h>
+#include <malloc.h>
 
 enum
 {
   PEERS = 2,
-  RUN_MS = 1000 /* several ticks; shorter than an idle connection lives */
+  RUN_MS = 1000, /* several ticks; shorter than an idle connection lives */
+  FAILURES = 200,
+  NAME_BYTES = 4096,
+  LEAK_MAX_BYTES = FAILURES * NAME_BYTES / 10
 };
 
 /* A process, and how often it was told that the other one connected or was
@@ -115,10 +119,38 @@
   harness_free (h);
 }
 
+/* A process that cannot listen keeps nothing of what it allocated.  */
+static void
+test_failure (void)
+{
+  g_autofree char *name = g_strnfill (NAME_BYTES, 'n');
+  char *seeds[] = { "127.0.0.1:1" };
+  static uv_loop_t loop;
+  size_t before;
+
+  uv_loop_init (&loop);
+  before = mallinfo2 ().uordblks;
+  for (uint32_t i = 0; i < FAILURES; i++)
+    {
+      struct bb_peers_options o
+          = { .name = name,
+              .address = i % 2 == 0 ? "no address" : "192.0.2.1:1",
+              .seeds = seeds,
+              .seeds_count = 1 };
+      int error = 0;
+      g_assert_null (bb_peers_new (&loop, &o, NULL, &ops, NULL, &error));
+      g_assert_cmpint (error, <, 0);
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  g_assert_cmpuint (mallinfo2 ().uordblks, <, before + LEAK_MAX_BYTES);
+  g_assert_cmpint (uv_loop_close (&loop), ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/peer/duplicate", test_duplicate);
+  g_test_add_func ("/peer/failure", test_failure);
   return g_test_run ();
 }
