libsettings: the port of an address is 1 to 65535 in digits alone

Settings with a port such as ' 80', '+80' or 0 were accepted, and processes then listened or connected where nobody expected it. strtoul skips spaces and takes a sign, and only an upper bound was checked.

The first character must be a digit now, and the number above 0. bench/transport asked for any port by that parser and sets the address itself.

/settings/port failed before at '127.0.0.1: 80'.

--- a/bench/transport.c
+++ b/bench/transport.c
@@ -119,12 +119,13 @@
 static void
 udp_open (uv_udp_t *udp, void *client, struct sockaddr_storage *address)
 {
+  struct sockaddr_in any_port = { .sin_family = AF_INET };
   int size = sizeof *address;
 
+  any_port.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   uv_udp_init (loop, udp);
   udp->data = client;
-  bb_address_parse ("127.0.0.1:0", address);
-  uv_udp_bind (udp, (struct sockaddr *)address, 0);
+  uv_udp_bind (udp, (struct sockaddr *)&any_port, 0);
   uv_udp_getsockname (udp, (struct sockaddr *)address, &size);
   uv_udp_recv_start (udp, on_alloc, on_datagram);
 }
--- a/include/bilberry/settings.h
+++ b/include/bilberry/settings.h
@@ -111,7 +111,7 @@
 struct sockaddr_storage;
 
 /* Parses TEXT, "IPV4:PORT" or "[IPV6]:PORT" with a numeric address, into OUT.
-   Returns false if TEXT has another form.  */
+   Returns false if TEXT has another form, or PORT is not from 1 to 65535.  */
 bool bb_address_parse (const char *text, struct sockaddr_storage *out);
 
 #endif
--- a/libsettings/lookup.c
+++ b/libsettings/lookup.c
@@ -3,6 +3,7 @@
 #include "table.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -83,6 +84,22 @@
   return best;
 }
 
+/* Reads the number of digits at TEXT into *PORT.  Returns false where it is
+   not a port that a server can listen on.  */
+static bool
+parse_port (const char *text, uint16_t *port)
+{
+  unsigned long n;
+  char *end;
+
+  /* strtoul alone would accept spaces and a sign.  */
+  if (!isdigit ((unsigned char)*text))
+    return false;
+  n = strtoul (text, &end, 10);
+  *port = (uint16_t)n;
+  return *end == '\0' && n > 0 && n <= UINT16_MAX;
+}
+
 bool
 bb_address_parse (const char *text, struct sockaddr_storage *out)
 {
@@ -91,13 +108,10 @@
   size_t size = colon ? (size_t)(colon - text) : 0;
   struct sockaddr_in *v4 = (struct sockaddr_in *)out;
   struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
-  char *end;
-  unsigned long port;
+  uint16_t port;
 
-  if (!colon || size == 0 || size >= sizeof host)
-    return false;
-  port = strtoul (colon + 1, &end, 10);
-  if (end == colon + 1 || *end || colon[1] == '-' || port > UINT16_MAX)
+  if (!colon || size == 0 || size >= sizeof host
+      || !parse_port (colon + 1, &port))
     return false;
   memset (out, 0, sizeof *out);
   memcpy (host, text, size);
@@ -106,10 +120,10 @@
     {
       host[size - 1] = '\0';
       v6->sin6_family = AF_INET6;
-      v6->sin6_port = htons ((uint16_t)port);
+      v6->sin6_port = htons (port);
       return inet_pton (AF_INET6, host + 1, &v6->sin6_addr) == 1;
     }
   v4->sin_family = AF_INET;
-  v4->sin_port = htons ((uint16_t)port);
+  v4->sin_port = htons (port);
   return inet_pton (AF_INET, host, &v4->sin_addr) == 1;
 }
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 static void
 add_file (GArray *files, const char *name, const char *data, size_t size)
@@ -212,6 +213,31 @@
   g_string_free (nested_aliases, TRUE);
 }
 
+/* An address is refused unless its port is a number from 1 to 65535 in digits
+   alone.  */
+static void
+test_port (void)
+{
+  static const char *const good[]
+      = { "127.0.0.1:1", "127.0.0.1:65535", "[::1]:8080", "127.0.0.1:0080" };
+  static const char *const bad[]
+      = { "127.0.0.1:",     "127.0.0.1: 80",
+          "127.0.0.1:+80",  "127.0.0.1:-80",
+          "127.0.0.1:\t80", "127.0.0.1:0",
+          "127.0.0.1:000",  "127.0.0.1:65536",
+          "127.0.0.1:80 ",  "127.0.0.1:80000000000000000000",
+          "[::1]:0",        "127.0.0.1:0x50" };
+  struct sockaddr_storage addr;
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (good); i++)
+    g_assert_true (bb_address_parse (good[i], &addr));
+  for (uint32_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      g_test_message ("'%s'", bad[i]);
+      g_assert_false (bb_address_parse (bad[i], &addr));
+    }
+}
+
 static void
 add_cases (const char *folder)
 {
@@ -239,5 +265,6 @@
   add_cases ("test/settings");
   g_test_add_func ("/settings/round-trip", test_round_trip);
   g_test_add_func ("/settings/large", test_large);
+  g_test_add_func ("/settings/port", test_port);
   return g_test_run ();
 }
