libbase: a counter with long labels is one counter

Labels over 95 bytes were cut when they were kept, and compared whole when they were looked up: each call made a further counter, with labels that no scraper can read, and the list grew without end. No caller has such labels today.

The labels are copied whole. /counter/long-labels failed before: two lines with cut labels and 1 each, in place of one line with 2.

--- a/include/bilberry/base.h
+++ b/include/bilberry/base.h
@@ -48,14 +48,14 @@
 struct bb_counter
 {
   const char *name;
-  char labels[96];
+  const char *labels;
   uint64_t value;
   struct bb_counter *next;
 };
 
 /* Returns the counter with NAME and LABELS and creates it at the first call.
-   LABELS, of at most 95 bytes, is copied.  NAME must stay valid until the
-   program ends.  Never returns NULL.  */
+   LABELS is copied.  NAME must stay valid until the program ends.  Never
+   returns NULL.  */
 struct bb_counter *bb_counter (const char *name, const char *labels);
 
 /* Increments bilberry_refusals_total for REASON, an enum bb_reason.  */
--- a/libbase/counter.c
+++ b/libbase/counter.c
@@ -24,10 +24,11 @@
     if (strcmp ((*at)->name, name) == 0 && strcmp ((*at)->labels, labels) == 0)
       return *at;
   c = calloc (1, sizeof *c);
-  if (!c)
+  if (c)
+    c->labels = strdup (labels);
+  if (!c || !c->labels)
     abort ();
   c->name = name;
-  snprintf (c->labels, sizeof c->labels, "%s", labels);
   *at = c;
   return c;
 }
