cmd/rank: an accepted ARM is matched by its epoch too

An agent that relayed an ARM of one epoch, then one of the same version in the next epoch, took the engine's acceptance of the first for that of the second and reported it: the next leader could complete a switch for a rank that was never armed. Versions begin anew in an epoch, and the result was matched by version alone.

The pending order keeps its epoch. /rank/relayed-epoch plays a leader and the two engines; it failed before ('state.gave_taken' should be FALSE).

--- a/cmd/rank/follower.c
+++ b/cmd/rank/follower.c
@@ -34,6 +34,7 @@
   uint64_t id;
   bool relayed;     /* it was sent to another rank's engine */
   uint64_t version; /* map version of a relayed order */
+  uint64_t epoch;   /* epoch of a relayed order */
 };
 
 static void
@@ -44,7 +45,7 @@
   struct engine *engine = &follower.agent->engine;
 
   if (o->relayed && o->version == engine->relayed_version
-      && (status == 200 || status == 202))
+      && o->epoch == engine->relayed_epoch && (status == 200 || status == 202))
     engine->relayed_accepted = true;
 
   if (follower.leader == o->peer && o->peer)
@@ -92,6 +93,7 @@
       follower.agent->engine.relayed_accepted = false;
       order->relayed = true;
       order->version = m->version;
+      order->epoch = m->epoch;
       remote_send_order (follower.agent, address, &o, on_result, order);
       g_free (address);
     }
--- a/test/test_rank.c
+++ b/test/test_rank.c
@@ -4,11 +4,13 @@
 #include "harness/testbed.h"
 
 #include "bilberry/base.h"
+#include "bilberry/platform.h"
 
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 /* Returns whether replica R receives a request for its counts within five
    seconds.  */
@@ -192,6 +194,149 @@
   testbed_free (&testbed);
 }
 
+enum
+{
+  RELAYS = 3,
+  STATES_AFTER = 20
+};
+
+/* A leader that the test plays, on the first host, and an agent on the second
+   one, which follows it.  */
+struct played_leader
+{
+  struct testbed testbed;
+  int listener;
+  struct frame_peer *follower;
+  uint64_t last_order_id;
+};
+
+static void
+send_hello (struct frame_peer *p)
+{
+  struct bb_rank_hello hello = { .group = bb_bytes_of ("g") };
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&out);
+  bb_put_rank_hello (&out, &hello);
+  frame_send (p, &out);
+  msgpack_sbuffer_destroy (&out);
+}
+
+static void
+accept_follower (struct played_leader *l)
+{
+  l->follower = frame_accept (l->listener);
+  send_hello (l->follower);
+}
+
+static void
+lead (struct played_leader *l)
+{
+  struct testbed *t = &l->testbed;
+
+  testbed_init (t);
+  testbed_start_replica_on (t, "127.0.0.1", "i-1", "draft", "");
+  testbed_start_replica_on (t, "127.0.0.3", "i-2", "draft", "");
+  testbed_start_edge (t, 0);
+  testbed_start_rank (t, 1);
+  l->listener = frame_listen (t->agent_port);
+  l->last_order_id = 0;
+  accept_follower (l);
+}
+
+static void
+lead_no_more (struct played_leader *l)
+{
+  frame_close (l->follower);
+  close (l->listener);
+  testbed_free (&l->testbed);
+}
+
+/* Answers COUNT states of the follower and returns the last one.  */
+static struct bb_rank_state
+await_states (struct played_leader *l, uint32_t count)
+{
+  struct bb_rank_state state = { 0 };
+  struct bb_message m;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      g_assert_true (
+          frame_await (l->follower, BB_MSG_RANK_STATE, &m, CLOSED_MS * 10));
+      state = m.u.rank_state;
+      bb_message_free (&m);
+      send_hello (l->follower);
+    }
+  return state;
+}
+
+/* Appends an ARM of VERSION and EPOCH for the engine at PORT to OUT.  */
+static void
+put_relayed_arm (struct played_leader *l, msgpack_sbuffer *out, uint16_t port,
+                 uint64_t version, uint64_t epoch)
+{
+  g_autofree char *target = g_strdup_printf ("127.0.0.1:%u", port);
+  struct bb_rank_order m = { .id = ++l->last_order_id,
+                             .op = BB_ORDER_ARM,
+                             .version = version,
+                             .step = 1000,
+                             .epoch = epoch,
+                             .fence = 1,
+                             .target = bb_bytes_of (target),
+                             .target_rank = 2 };
+
+  bb_put_rank_order (out, &m);
+}
+
+/* Accepts the connection of the agent at the engine LISTENER and responds to
+   its order.  Returns the connection.  */
+static struct frame_peer *
+accept_order (int listener)
+{
+  static const char response[]
+      = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+  struct frame_peer *p = frame_accept (listener);
+
+  g_assert_cmpint (write (p->fd, response, strlen (response)), ==,
+                   (gssize)strlen (response));
+  return p;
+}
+
+/* An engine accepts a relayed ARM of one epoch after the agent relayed one of
+   the same version in the next epoch, which gets no response.  The agent must
+   not report that the latter was accepted.  */
+static void
+test_relayed_epoch (void)
+{
+  struct played_leader l;
+
+  lead (&l);
+  for (uint64_t version = 5; version < 5 + RELAYS; version++)
+    {
+      uint16_t ports[2] = { harness_port (l.testbed.harness),
+                            harness_port (l.testbed.harness) };
+      int listeners[2] = { frame_listen (ports[0]), frame_listen (ports[1]) };
+      struct frame_peer *engine;
+      struct bb_rank_state state;
+      msgpack_sbuffer out;
+
+      msgpack_sbuffer_init (&out);
+      put_relayed_arm (&l, &out, ports[0], version, 1);
+      put_relayed_arm (&l, &out, ports[1], version, 2);
+      frame_send (l.follower, &out);
+      msgpack_sbuffer_destroy (&out);
+      engine = accept_order (listeners[0]);
+      state = await_states (&l, STATES_AFTER);
+      g_assert_cmpuint (state.gave_version, ==, version);
+      g_assert_cmpuint (state.gave_epoch, ==, 2);
+      g_assert_false (state.gave_taken);
+      frame_close (engine);
+      close (listeners[0]);
+      close (listeners[1]);
+    }
+  lead_no_more (&l);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -202,5 +347,6 @@
                    test_first_agent_without_report);
   g_test_add_func ("/rank/leader-stops", test_leader_stopped);
   g_test_add_func ("/rank/orders-lost", test_orders_lost);
+  g_test_add_func ("/rank/relayed-epoch", test_relayed_epoch);
   return g_test_run ();
 }
