cmd/rank: the result of an order goes back on its own connection alone

An agent whose leader's connection ended while an engine had its order could send the result to the next leader, whose orders have the same ids: that leader took it for the result of an order of its own. The pending order was compared by the pointer of its connection, which is freed, and the next connection often gets the same memory.

--- a/cmd/rank/follower.c
+++ b/cmd/rank/follower.c
@@ -14,6 +14,7 @@
 {
   struct bb_conn *conn;
   char *host;
+  uint64_t number; /* of all connections, which one */
 };
 
 struct follower
@@ -23,6 +24,7 @@
   struct agent_peer *leader;
   /* Connection to the candidate, which has not answered yet; NULL: none.  */
   struct agent_peer *candidate;
+  uint64_t last_number;
 };
 
 static struct follower follower;
@@ -30,7 +32,8 @@
 /* An order that was sent to an engine and has no result yet.  */
 struct pending_order
 {
-  struct agent_peer *peer; /* the leader that sent it; may be gone */
+  uint64_t connection; /* number of the connection that it came on, which may
+                          have ended */
   uint64_t id;
   bool relayed;     /* it was sent to another rank's engine */
   uint64_t version; /* map version of a relayed order */
@@ -48,8 +51,8 @@
       && o->epoch == engine->relayed_epoch && (status == 200 || status == 202))
     engine->relayed_accepted = true;
 
-  if (follower.leader == o->peer && o->peer)
-    bb_put_rank_result (bb_conn_out (o->peer->conn), &m);
+  if (follower.leader && follower.leader->number == o->connection)
+    bb_put_rank_result (bb_conn_out (follower.leader->conn), &m);
   g_free (o);
 }
 
@@ -80,7 +83,7 @@
       o.map = map;
     }
   order = g_new0 (struct pending_order, 1);
-  order->peer = p;
+  order->connection = p->number;
   order->id = m->id;
   if (m->target.size > 0)
     {
@@ -197,6 +200,7 @@
     {
       p = g_new0 (struct agent_peer, 1);
       p->host = g_strdup (host);
+      p->number = ++follower.last_number;
       follower.candidate = p;
       p->conn = bb_conn_connect (a->loop, &addr, &conn_ops, p);
     }
--- a/test/test_rank.c
+++ b/test/test_rank.c
@@ -197,7 +197,10 @@
 enum
 {
   RELAYS = 3,
-  STATES_AFTER = 20
+  LOST_LEADERS = 8,
+  LEAD_MS = 1100, /* longer than an agent waits before it connects again */
+  STATES_AFTER = 20,
+  REPLY_MS = 150 /* longer than an agent waits for an engine's response */
 };
 
 /* A leader that the test plays, on the first host, and an agent on the second
@@ -337,6 +340,42 @@
   lead_no_more (&l);
 }
 
+/* The result of an order that a leader sent before its connection ended does
+   not go to the next one, whose orders have the same ids.  */
+static void
+test_result_of_lost_leader (void)
+{
+  struct played_leader l;
+
+  lead (&l);
+  for (uint32_t i = 0; i < LOST_LEADERS; i++)
+    {
+      uint16_t port = harness_port (l.testbed.harness);
+      int listener = frame_listen (port);
+      struct frame_peer *engine;
+      struct bb_message m;
+      msgpack_sbuffer out;
+      bb_ms end = bb_clock_now () + LEAD_MS;
+
+      while (bb_clock_now () < end)
+        await_states (&l, 1);
+      msgpack_sbuffer_init (&out);
+      put_relayed_arm (&l, &out, port, 5, 1);
+      frame_send (l.follower, &out);
+      msgpack_sbuffer_destroy (&out);
+      engine = frame_accept (listener);
+      frame_close (l.follower);
+      accept_follower (&l);
+      g_assert_false (
+          frame_await (l.follower, BB_MSG_RANK_RESULT, &m, REPLY_MS));
+      frame_close (l.follower);
+      accept_follower (&l);
+      frame_close (engine);
+      close (listener);
+    }
+  lead_no_more (&l);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -348,5 +387,6 @@
   g_test_add_func ("/rank/leader-stops", test_leader_stopped);
   g_test_add_func ("/rank/orders-lost", test_orders_lost);
   g_test_add_func ("/rank/relayed-epoch", test_relayed_epoch);
+  g_test_add_func ("/rank/result-of-lost-leader", test_result_of_lost_leader);
   return g_test_run ();
 }
