--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -95,9 +95,8 @@
   struct bb_config *c
       = value ? bb_config_decode (value, revision, &error) : NULL;
 
-  if (c && e->config && c->version < e->config->version)
+  if (c && !bb_config_may_replace (c, e->config))
     {
-      /* As the store's copy has it, after the store came back.  */
       bb_log_event ("config_older", "{s:s, s:I, s:I}", "source", source,
                     "version", (json_int_t)c->version, "in_force",
                     (json_int_t)e->config->version);
@@ -108,16 +107,14 @@
     {
       bb_counter ("bilberry_items_unusable_total", "kind=\"config\"")->value++;
       bb_log_event ("config_unusable", "{s:s, s:I, s:I, s:s}", "source",
-                    source, "era", (json_int_t)bb_revision_era (revision),
-                    "revision", (json_int_t)bb_revision_number (revision),
-                    "why", error ? error : "it was removed");
+                    source, BB_LOG_REVISION (revision), "why",
+                    error ? error : "it was removed");
       return;
     }
   bb_log_event ("config", "{s:s, s:I, s:I, s:I, s:i, s:i}", "source", source,
-                "version", (json_int_t)c->version, "era",
-                (json_int_t)bb_revision_era (revision), "revision",
-                (json_int_t)bb_revision_number (revision), "routes",
-                (int)c->routes->len, "customers", (int)c->customers->len);
+                "version", (json_int_t)c->version, BB_LOG_REVISION (revision),
+                "routes", (int)c->routes->len, "customers",
+                (int)c->customers->len);
   bb_config_unref (e->config);
   e->config = c;
   update_queues (e);
@@ -180,8 +177,7 @@
         g_hash_table_remove (e->evacuated_domains, name);
       bb_log_event ("evacuation", "{s:s, s:b, s:s, s:I, s:I}",
                     "failure_domain", name, "out", value != NULL, "source",
-                    source, "era", (json_int_t)bb_revision_era (revision),
-                    "revision", (json_int_t)bb_revision_number (revision));
+                    source, BB_LOG_REVISION (revision));
       break;
     case BB_ITEM_OTHER:
       break;
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -98,9 +98,8 @@
                 "left_ms", (json_int_t)s.remaining_ms, "own",
                 (int)t->in_flight, "others", (int)t->peers_in_flight,
                 "waiting", (int)r->queue->waiting.length, "version",
-                (json_int_t)r->config->version, "era",
-                (json_int_t)bb_revision_era (t->record->revision), "revision",
-                (json_int_t)bb_revision_number (t->record->revision));
+                (json_int_t)r->config->version,
+                BB_LOG_REVISION (t->record->revision));
   set_timer (r);
 }
 
--- a/cmd/edge/targets.c
+++ b/cmd/edge/targets.c
@@ -163,9 +163,8 @@
       bb_counter ("bilberry_items_unusable_total", "kind=\"upstream\"")
           ->value++;
       bb_log_event ("upstream_unusable", "{s:s, s:s, s:I, s:I, s:s}",
-                    "upstream", id, "source", source, "era",
-                    (json_int_t)bb_revision_era (revision), "revision",
-                    (json_int_t)bb_revision_number (revision), "why", error);
+                    "upstream", id, "source", source,
+                    BB_LOG_REVISION (revision), "why", error);
       if (t)
         t->retire_at_ms = edge_now (e);
       return;
@@ -173,9 +172,7 @@
   bb_log_event ("upstream", "{s:s, s:s, s:s, s:s, s:b, s:i, s:I, s:I}",
                 "upstream", id, "source", source, "pool", u->pool, "address",
                 u->address, "draining", u->draining, "cold_left_ms",
-                (int)u->cold_left_ms, "era",
-                (json_int_t)bb_revision_era (revision), "revision",
-                (json_int_t)bb_revision_number (revision));
+                (int)u->cold_left_ms, BB_LOG_REVISION (revision));
   if (t && bb_upstream_is_same_process (t->record, u))
     {
       renew_target (t, u);
@@ -207,9 +204,8 @@
   if (t->retire_at_ms < 1)
     t->retire_at_ms = 1;
   bb_log_event ("upstream_gone", "{s:s, s:s, s:I, s:I, s:b}", "upstream", id,
-                "source", source, "era",
-                (json_int_t)bb_revision_era (revision), "revision",
-                (json_int_t)bb_revision_number (revision), "lapsed", lapsed);
+                "source", source, BB_LOG_REVISION (revision), "lapsed",
+                lapsed);
 }
 
 void
