libh1: what a caller takes is seen within a large write too

The count of queued bytes changes only with whole writes; libuv's size of the queue changes with each part.

Evidence: /h1-server/steady-taker failed before (8,979,930 of 16,777,216 bytes) and passes.

--- a/libh1/server.c
+++ b/libh1/server.c
@@ -96,13 +96,13 @@
 static void
 check_lingering (struct connection *c, bb_ms age)
 {
+  size_t left = uv_stream_get_write_queue_size ((uv_stream_t *)&c->tcp);
   bb_ms stuck_ms;
 
-  if (c->queued_bytes > 0)
+  if (left > 0)
     {
-      c->stuck_sweeps
-          = c->queued_bytes == c->swept_bytes ? c->stuck_sweeps + 1 : 0;
-      c->swept_bytes = c->queued_bytes;
+      c->stuck_sweeps = left == c->left_bytes ? c->stuck_sweeps + 1 : 0;
+      c->left_bytes = left;
       stuck_ms = (bb_ms)c->stuck_sweeps * SWEEP_INTERVAL_MS;
       if (stuck_ms > c->server->limits.read_timeout_ms)
         h1_connection_reset (c);
--- a/libh1/server.h
+++ b/libh1/server.h
@@ -21,14 +21,14 @@
   bool response_started;          /* the head of the response was sent */
   bool close_after_response;
   bool closing;     /* the socket handle is being closed */
-  bool lingering;   /* start_lingering_close was called */
+  bool lingering;   /* h1_connection_linger was called */
   bool discarded;   /* input was discarded */
   bool broken;      /* a write has failed */
   bool read_paused; /* too much input came during a response */
   bool over_limit;  /* beyond the limit on connections when it was accepted */
   size_t queued_bytes;
-  size_t swept_bytes; /* queued_bytes at the last sweep of a lingering close */
-  uint32_t stuck_sweeps; /* sweeps since queued_bytes last changed */
+  size_t left_bytes;     /* not sent at the last sweep of a lingering close */
+  uint32_t stuck_sweeps; /* sweeps since left_bytes last changed */
   bb_ms idle_timeout_ms; /* limit on idling, as it was when idling began */
   bb_ms state_since_ms;  /* start of the current request, of idling, or of a
                             phase of the lingering close */
--- a/test/test_h1_server.c
+++ b/test/test_h1_server.c
@@ -458,6 +458,40 @@
   tear_down (&f);
 }
 
+/* A caller that takes a large response steadily gets all of it, however long
+   that takes.  */
+static void
+test_steady_taker (void)
+{
+  static struct fixture f;
+  g_autofree char *body = g_strnfill (LARGE_BYTES, 'b');
+  g_autofree char *buf = g_malloc (LARGE_BYTES / 64);
+  size_t got = 0;
+  ssize_t n = 1;
+  int fd;
+
+  set_up (&f);
+  f.limits.read_timeout_ms = SHORT_READ_TIMEOUT_MS;
+  bb_h1_server_set_limits (f.server, &f.limits);
+  f.holds = true;
+  bb_h1_server_drain (f.server);
+  fd = harness_connect (f.port);
+  send_request (fd);
+  while (f.held_count == 0)
+    run_for (&f, 1);
+  bb_h1_respond (f.held[0], 200, NULL, 0, bb_bytes_of (body));
+  while (got < LARGE_BYTES && n != 0)
+    {
+      run_for (&f, SHORT_READ_TIMEOUT_MS / 10);
+      n = recv (fd, buf, LARGE_BYTES / 64, MSG_DONTWAIT);
+      g_assert_true (n >= 0 || errno == EAGAIN);
+      got += n > 0 ? (size_t)n : 0;
+    }
+  g_assert_cmpuint (got, >=, LARGE_BYTES);
+  close (fd);
+  tear_down (&f);
+}
+
 static uint32_t disconnects;
 
 static void
@@ -550,6 +584,7 @@
   g_test_add_func ("/h1-server/large-next-request", test_large_next_request);
   g_test_add_func ("/h1-server/stalled-part", test_stalled_part);
   g_test_add_func ("/h1-server/slow-taker", test_slow_taker);
+  g_test_add_func ("/h1-server/steady-taker", test_steady_taker);
   g_test_add_func ("/h1-server/gone-after-large-request",
                    test_gone_after_large_request);
   g_test_add_func ("/h1-server/limit-is-past", test_limit_is_past);
