Logs: why a connection to a peer ended, and what had arrived on it

The line peer has the reason and the bytes of an incomplete message, the line config its bytes and the time that its decoding took; bilberry_peer_item_bytes_total counts what peers send, receive and receive again.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -258,9 +258,9 @@
 /* Applies the state that peer NAME sent.  */
 void fleet_apply_peer_state (struct edge *e, const char *name,
                              const struct bb_peer_state *m);
-/* Peer NAME connected, or its connection ended.  */
+/* Peer NAME connected, or its connection ended as END tells.  */
 void fleet_apply_peer_change (struct edge *e, const char *name,
-                              bool connected);
+                              const struct bb_peer_end *end);
 /* Recomputes peers_in_flight of all targets if a peer's loads changed and the
    last sum is old enough.  */
 void fleet_sum_peer_loads (struct edge *e);
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -92,6 +92,7 @@
               const char *source)
 {
   const char *error = NULL;
+  bb_ms start_ms = bb_clock_now ();
   struct bb_config *c
       = value ? bb_config_decode (value, revision, &error) : NULL;
 
@@ -111,10 +112,12 @@
                     error ? error : "it was removed");
       return;
     }
-  bb_log_event ("config", "{s:s, s:I, s:I, s:I, s:i, s:i}", "source", source,
-                "version", (json_int_t)c->version, BB_LOG_REVISION (revision),
-                "routes", (int)c->routes->len, "customers",
-                (int)c->customers->len);
+  bb_log_event ("config", "{s:s, s:I, s:I, s:I, s:i, s:i, s:I, s:I}", "source",
+                source, "version", (json_int_t)c->version,
+                BB_LOG_REVISION (revision), "routes", (int)c->routes->len,
+                "customers", (int)c->customers->len, "bytes",
+                (json_int_t)g_bytes_get_size (value), "decode_ms",
+                (json_int_t)(bb_clock_now () - start_ms));
   bb_config_unref (e->config);
   e->config = c;
   update_queues (e);
@@ -261,12 +264,19 @@
 }
 
 void
-fleet_apply_peer_change (struct edge *e, const char *name, bool connected)
+fleet_apply_peer_change (struct edge *e, const char *name,
+                         const struct bb_peer_end *end)
 {
-  bb_log_event ("peer", "{s:s, s:b, s:i}", "name", name, "here", connected,
-                "members", (int)fleet_edge_count (e));
-  if (connected)
-    return;
+  if (!end)
+    {
+      bb_log_event ("peer", "{s:s, s:b, s:i}", "name", name, "here", 1,
+                    "members", (int)fleet_edge_count (e));
+      return;
+    }
+  bb_log_event ("peer", "{s:s, s:b, s:i, s:s, s:I, s:I}", "name", name, "here",
+                0, "members", (int)fleet_edge_count (e), "why", end->why,
+                "partial_bytes", (json_int_t)end->partial_bytes,
+                "unsent_bytes", (json_int_t)end->unsent_bytes);
   g_hash_table_remove (e->peer_loads, name);
   e->peer_loads_changed = true;
 }
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -28,10 +28,10 @@
 }
 
 static void
-on_change (const char *name, bool connected, void *user)
+on_change (const char *name, const struct bb_peer_end *end, void *user)
 {
-  fleet_apply_peer_change (user, name, connected);
-  if (!connected)
+  fleet_apply_peer_change (user, name, end);
+  if (end)
     isolate_remove_edge (user, name);
 }
 
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -70,10 +70,15 @@
 }
 
 static void
-on_change (const char *name, bool here, void *user)
+on_change (const char *name, const struct bb_peer_end *end, void *user)
 {
   (void)user;
-  bb_log_event ("entry", "{s:s, s:b}", "name", name, "here", here);
+  if (end)
+    bb_log_event ("entry", "{s:s, s:b, s:s, s:I}", "name", name, "here", 0,
+                  "why", end->why, "partial_bytes",
+                  (json_int_t)end->partial_bytes);
+  else
+    bb_log_event ("entry", "{s:s, s:b}", "name", name, "here", 1);
 }
 
 /* What is told of requests and parts that crash upstreams is only kept, for
--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -39,6 +39,9 @@
 /* Returns the number of bytes that wait to be sent.  */
 size_t bb_conn_backlog_bytes (const struct bb_conn *c);
 
+/* Returns the number of bytes received of a frame that is not complete.  */
+size_t bb_conn_partial_bytes (const struct bb_conn *c);
+
 /* Closes C.  on_close is called in a later iteration of the loop, with REASON,
    which must be valid until then.  Does nothing if C is closing already.  */
 void bb_conn_close (struct bb_conn *c, const char *reason);
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -23,6 +23,14 @@
 /* The connections of one process to its peers.  */
 struct bb_peers;
 
+/* How a connection to a peer ended.  */
+struct bb_peer_end
+{
+  const char *why;      /* phrase for the log */
+  size_t partial_bytes; /* received of a message that was not complete */
+  size_t unsent_bytes;  /* not passed to the kernel */
+};
+
 /* Callbacks to the owner, with the USER of bb_peers_new.  Those that are
    marked as optional may be NULL.  Strings and messages are valid during the
    call.
@@ -42,8 +50,10 @@
      taking and reads.  Not called for a peer that is known to be an agent.
      Optional.  */
   void (*fill_state) (struct bb_peer_state *m, void *user);
-  /* The peer NAME connected, or its last connection was closed.  */
-  void (*on_connection_change) (const char *name, bool connected, void *user);
+  /* The peer NAME connected, or its last connection ended as END tells; END is
+     NULL where it connected.  */
+  void (*on_connection_change) (const char *name,
+                                const struct bb_peer_end *end, void *user);
   /* The peer NAME told how it uses an upstream for an isolated request.
      Optional.  */
   void (*on_isolated) (const char *name, const struct bb_peer_isolated *m,
--- a/libnet/conn.c
+++ b/libnet/conn.c
@@ -148,6 +148,12 @@
   return c->writing_bytes + c->output.size;
 }
 
+size_t
+bb_conn_partial_bytes (const struct bb_conn *c)
+{
+  return c->input_size;
+}
+
 /* The read buffer of connections that hold no incomplete frame.  They can
    share it, because the single event loop reads one connection at a time.  */
 static char shared_read_buffer[READ_BUFFER_BYTES];
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -98,7 +98,23 @@
   if (other)
     close_duplicate (peer, other);
   else
-    p->ops->on_connection_change (peer->name, true, p->user);
+    p->ops->on_connection_change (peer->name, NULL, p->user);
+}
+
+/* Counts the bytes received of item M, and those of them for an item that is
+   in the view already.  */
+static void
+count_item (const struct peer *peer, const char *key,
+            const struct bb_peer_item *m)
+{
+  const struct bb_item *known
+      = g_hash_table_lookup (peer->owner->view->items, key);
+
+  bb_counter ("bilberry_peer_item_bytes_total", "kind=\"received\"")->value
+      += m->value.size;
+  if (known && known->revision >= m->revision)
+    bb_counter ("bilberry_peer_item_bytes_total", "kind=\"known\"")->value
+        += m->value.size;
 }
 
 static void
@@ -109,6 +125,7 @@
   GBytes *value
       = m->removed ? NULL : g_bytes_new (m->value.ptr, m->value.size);
 
+  count_item (peer, key, m);
   p->ops->on_item (key, value, m->revision, p->user);
   if (value)
     g_bytes_unref (value);
@@ -154,11 +171,12 @@
 {
   struct peer *peer = bb_conn_user (c);
   struct bb_peers *p = peer->owner;
+  struct bb_peer_end end
+      = { why, bb_conn_partial_bytes (c), bb_conn_backlog_bytes (c) };
 
-  (void)why;
   DL_DELETE (p->peers, peer);
   if (peer->hello_received && !find_duplicate (peer))
-    p->ops->on_connection_change (peer->name, false, p->user);
+    p->ops->on_connection_change (peer->name, &end, p->user);
   g_free (peer->connect_address);
   g_free (peer->listen_address);
   g_free (peer->name);
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -120,6 +120,9 @@
 void peer_on_sound_part (struct peer *from, const struct bb_sound_part *m);
 void peer_on_isolated (struct peer *from, const struct bb_peer_isolated *m);
 
+/* Returns how many connections are established.  */
+uint32_t peer_count_open (const struct bb_peers *p);
+
 /* Sends FRAMES, encoded messages, to all connected peers but EXCEPT, which may
    be NULL, and frees FRAMES.  */
 void peer_send_to_all (struct bb_peers *p, const struct peer *except,
--- a/libpeer/items.c
+++ b/libpeer/items.c
@@ -4,8 +4,9 @@
 
 #include <utlist.h>
 
+/* Appends I to OUT, which is sent to COPIES peers.  */
 static void
-put_item (msgpack_sbuffer *out, const struct bb_item *i)
+put_item (msgpack_sbuffer *out, const struct bb_item *i, uint32_t copies)
 {
   struct bb_peer_item m = { .key = bb_bytes_of (i->key),
                             .revision = i->revision,
@@ -16,6 +17,8 @@
       gsize size;
       m.value.ptr = g_bytes_get_data (i->value, &size);
       m.value.size = (uint32_t)size;
+      bb_counter ("bilberry_peer_item_bytes_total", "kind=\"sent\"")->value
+          += size * copies;
     }
   bb_put_peer_item (out, &m);
 }
@@ -29,7 +32,7 @@
 
   g_hash_table_iter_init (&it, v->items);
   while (g_hash_table_iter_next (&it, NULL, &item))
-    put_item (bb_conn_out (peer->conn), item);
+    put_item (bb_conn_out (peer->conn), item, 1);
   peer->sent_revision = v->revision;
 }
 
@@ -47,7 +50,7 @@
     {
       const struct bb_item *i = value;
       if (i->revision > peer->sent_revision)
-        put_item (bb_conn_out (peer->conn), i);
+        put_item (bb_conn_out (peer->conn), i, 1);
     }
   peer->sent_revision = v->revision;
 }
@@ -70,7 +73,7 @@
   msgpack_sbuffer frame;
 
   msgpack_sbuffer_init (&frame);
-  put_item (&frame, i);
+  put_item (&frame, i, peer_count_open (p));
   peer_send_to_all (p, NULL, &frame);
 }
 
--- a/libpeer/tell.c
+++ b/libpeer/tell.c
@@ -6,6 +6,17 @@
 
 #include <utlist.h>
 
+uint32_t
+peer_count_open (const struct bb_peers *p)
+{
+  const struct peer *peer;
+  uint32_t n = 0;
+
+  DL_FOREACH (p->peers, peer)
+  n += peer->open;
+  return n;
+}
+
 void
 peer_send_to_all (struct bb_peers *p, const struct peer *except,
                   msgpack_sbuffer *frames)
--- a/test/test_peer.c
+++ b/test/test_peer.c
@@ -37,12 +37,12 @@
 }
 
 static void
-on_change (const char *name, bool connected, void *user)
+on_change (const char *name, const struct bb_peer_end *end, void *user)
 {
   struct process *p = user;
 
   (void)name;
-  if (connected)
+  if (!end)
     p->connected++;
   else
     p->gone++;
