--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -210,8 +210,10 @@
   char *text;
 
   for (uint32_t i = 0; i <= n; i++)
-    g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
-                            t->edges[i].control_port);
+    if (n >= t->links.edges || i != n)
+      g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
+                              n < t->links.edges ? t->links.peer_ports[n][i]
+                                                 : t->edges[i].control_port);
   text = g_strdup_printf (
       settings_text, n, e->front_port, e->ready_port, e->control_port,
       seeds->str, first ? "true" : "false", t->drain_ms, e->store_port);
@@ -221,6 +223,35 @@
   g_free (text);
 }
 
+void
+testbed_start_links (struct testbed *t, uint32_t edges, uint32_t rate)
+{
+  g_autoptr (GString) routes = g_string_new ("");
+  g_autofree char *rate_text = g_strdup_printf ("%u", rate);
+  g_autofree char *path
+      = g_build_filename (harness_config_dir (t->harness), "links", NULL);
+
+  g_assert_cmpuint (edges, <=, TESTBED_LINKED_MAX);
+  t->links.edges = edges;
+  for (uint32_t n = 0; n < edges; n++)
+    {
+      t->edges[n].control_port = harness_port (t->harness);
+      t->links.store_ports[n] = harness_port (t->harness);
+      g_string_append_printf (routes, "%u %u %u 0\n", t->links.store_ports[n],
+                              t->store_port, n + 1);
+      for (uint32_t i = 0; i < n; i++)
+        {
+          t->links.peer_ports[n][i] = harness_port (t->harness);
+          g_string_append_printf (routes, "%u %u %u %u\n",
+                                  t->links.peer_ports[n][i],
+                                  t->edges[i].control_port, n + 1, i + 1);
+        }
+    }
+  harness_write_file (harness_config_dir (t->harness), "links", routes->str);
+  harness_start (t->harness, "links", "fake-link", "--rate", rate_text,
+                 "--routes", path, NULL);
+}
+
 uint32_t
 testbed_start_edge (struct testbed *t, uint16_t store)
 {
@@ -229,9 +260,12 @@
 
   e->front_port = harness_port (t->harness);
   e->ready_port = harness_port (t->harness);
-  e->control_port = harness_port (t->harness);
+  if (n >= t->links.edges)
+    e->control_port = harness_port (t->harness);
   e->metrics_port = harness_port (t->harness);
   e->store_port = store ? store : t->store_port;
+  if (!store && n < t->links.edges)
+    e->store_port = t->links.store_ports[n];
   write_edge_settings (t, n, true);
   spawn_edge (t, n);
   await_ready (e);
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -9,7 +9,8 @@
 enum
 {
   TESTBED_MAX = 32,
-  TESTBED_TEXT_SIZE = 16
+  TESTBED_TEXT_SIZE = 16,
+  TESTBED_LINKED_MAX = 9 /* edges with links; settings hold 8 seeds */
 };
 
 struct testbed_edge
@@ -22,12 +23,21 @@
   pid_t pid;
 };
 
+/* Links of limited speed between edges, and from edges to the store.  */
+struct testbed_links
+{
+  uint32_t edges; /* edges that have a link; 0: there are no links */
+  uint16_t peer_ports[TESTBED_LINKED_MAX][TESTBED_LINKED_MAX]; /* from, to */
+  uint16_t store_ports[TESTBED_LINKED_MAX];
+};
+
 struct testbed
 {
   struct harness *harness;
   uint16_t store_port;
   pid_t store_pid;
   struct testbed_edge edges[TESTBED_MAX];
+  struct testbed_links links;
   uint32_t edges_count;
   uint16_t replica_ports[TESTBED_MAX];
   pid_t replica_pids[TESTBED_MAX];
@@ -69,6 +79,12 @@
 /* Removes the registration of ID.  */
 void testbed_unregister (struct testbed *t, const char *id);
 
+/* Gives the EDGES edges that are started next a link each, which carries RATE
+   bytes a second in each direction to other edges and to the store.  Callers
+   and replicas are connected directly.  Call it before the first edge is
+   started.  */
+void testbed_start_links (struct testbed *t, uint32_t edges, uint32_t rate);
+
 /* Starts an edge and waits until it is ready; aborts if it is not.  STORE is
    the port of its store; 0 means the testbed's.  Returns the index of the
    edge.  */
--- /dev/null
+++ b/test/test_edge_growth.c
@@ -0,0 +1,216 @@
+/* Tests of bilberry-edge with real processes: a configuration that is large
+   for the links of the edges.  */
+
+#include "harness/frame.h"
+#include "harness/testbed.h"
+
+#include "bilberry/base.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  ROUTES = 4450, /* with these a configuration has 0.9 MB */
+  READY_POLL_MS = 20,
+  CONFIG_DEADLINE_MS = 3000,
+
+  /* Edges of which two do not watch the store, on links over which a copy for
+     each edge takes 0.5 s.  */
+  LINKED_EDGES = 6,
+  LINK_RATE = 2 * 1000 * 1000,
+
+  SLOW_PARTS = 24,
+  SLOW_PART_MS = 100
+};
+
+/* Returns JSON of N further routes, each with a comma before it.  */
+static char *
+further_routes (uint32_t n)
+{
+  GString *s = g_string_new ("");
+
+  for (uint32_t i = 0; i < n; i++)
+    g_string_append_printf (
+        s,
+        ",{\"name\":\"r-%08x\",\"host\":\"127.0.0.1\",\"prefix\":\"/%08x/\","
+        "\"route-kind\":\"idempotent\",\"service\":\"app\",\"timeout-ms\":"
+        "2000,\"slo-ms\":150,\"max-attempts\":3,\"priority\":2,"
+        "\"split\":[{\"service\":\"app\",\"weight\":1}]}",
+        i * 2654435761U, i * 2246822519U);
+  return g_string_free (s, FALSE);
+}
+
+static void
+put_large_config (struct testbed *t, int version, const char *keys)
+{
+  g_autofree char *routes = further_routes (ROUTES);
+
+  testbed_put_config (t, version, routes, keys);
+}
+
+/* Returns how many of the first EDGES edges do not have KEY in force
+   DEADLINE_MS after now.  */
+static uint32_t
+count_without_key (struct testbed *t, uint32_t edges, const char *key,
+                   bb_ms deadline_ms)
+{
+  bb_ms start = bb_clock_now ();
+  bool in_force[TESTBED_MAX] = { false };
+  uint32_t left = edges;
+
+  while (left > 0 && bb_clock_now () - start < deadline_ms)
+    {
+      for (uint32_t e = 0; e < edges; e++)
+        {
+          struct http_response a;
+          if (in_force[e])
+            continue;
+          a = testbed_request (t, e, "GET", "/check/1", "c1", key);
+          in_force[e] = a.status == 200;
+          left -= in_force[e];
+          http_response_free (&a);
+        }
+      harness_sleep_ms (READY_POLL_MS);
+    }
+  g_test_message ("%s: %u of %u edges without it after %d ms", key, left,
+                  edges, (int)(bb_clock_now () - start));
+  return left;
+}
+
+static uint64_t
+received_bytes (struct testbed *t, uint32_t e)
+{
+  return harness_counter (t->edges[e].metrics_port,
+                          "bilberry_peer_item_bytes_total",
+                          "kind=\"received\"");
+}
+
+/* A peer sends an item so slowly that it takes longer than a peer may be
+   silent.  It is not silent: the item arrives.  */
+static void
+test_slow_item (void)
+{
+  struct testbed t;
+  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *config = testbed_config (2, routes, ",\"key-2\"");
+  struct bb_peer_hello hello
+      = { .incarnation = 7, .name = bb_bytes_of ("slow") };
+  struct bb_peer_item item = { .key = bb_bytes_of ("op/config"),
+                               .value = bb_bytes_of (config),
+                               .revision = 1000 };
+  struct frame_peer *p;
+  msgpack_sbuffer out;
+  msgpack_sbuffer part;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_set_store_mode (&t, "silent");
+  p = frame_connect (t.edges[0].control_port);
+  msgpack_sbuffer_init (&out);
+  bb_put_peer_hello (&out, &hello);
+  bb_put_peer_item (&out, &item);
+  for (size_t i = 0; i < SLOW_PARTS; i++)
+    {
+      size_t start = out.size * i / SLOW_PARTS;
+      msgpack_sbuffer_init (&part);
+      msgpack_sbuffer_write (&part, out.data + start,
+                             out.size * (i + 1) / SLOW_PARTS - start);
+      frame_send (p, &part);
+      msgpack_sbuffer_destroy (&part);
+      harness_sleep_ms (SLOW_PART_MS);
+    }
+  g_assert_cmpuint (count_without_key (&t, 1, "key-2", 1000), ==, 0);
+  msgpack_sbuffer_destroy (&out);
+  frame_close (p);
+  testbed_free (&t);
+}
+
+/* The store's response takes longer than a call may wait for its first byte.
+   It advances, so it arrives.  */
+static void
+test_slow_store (void)
+{
+  struct testbed t;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_links (&t, 1, 300 * 1000);
+  testbed_start_edge (&t, 0);
+  put_large_config (&t, 2, ",\"key-2\"");
+  g_assert_cmpuint (count_without_key (&t, 1, "key-2", 8000), ==, 0);
+  testbed_free (&t);
+}
+
+/* An edge without the store connects to several that all have a large
+   configuration: one of them sends it.  */
+static void
+test_one_copy (void)
+{
+  struct testbed t;
+  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *config = testbed_config (2, routes, "");
+  uint64_t bytes;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_put_item (&t, "op/config", config);
+  for (uint32_t e = 0; e < LINKED_EDGES - 1; e++)
+    testbed_start_edge (&t, 0);
+  testbed_start_edge (&t, harness_port (t.harness));
+  harness_sleep_ms (1000);
+  bytes = received_bytes (&t, LINKED_EDGES - 1);
+  g_test_message ("%u bytes received, configuration of %u", (unsigned)bytes,
+                  (unsigned)strlen (config));
+  g_assert_cmpuint (bytes, <, 2 * strlen (config));
+  testbed_free (&t);
+}
+
+/* Large versions follow one another on slow links.  Each is in force in time,
+   and an edge gets each about once, not once from each of its peers.  */
+static void
+test_slow_links (void)
+{
+  enum
+  {
+    VERSIONS = 3
+  };
+  struct testbed t;
+  g_autofree char *routes = further_routes (ROUTES);
+  uint64_t size = strlen (routes);
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_links (&t, LINKED_EDGES, LINK_RATE);
+  for (uint32_t e = 0; e < LINKED_EDGES; e++)
+    testbed_start_edge (&t, 0);
+  harness_sleep_ms (500);
+  for (uint32_t v = 0; v < VERSIONS; v++)
+    {
+      g_autofree char *key = g_strdup_printf ("key-%u", v + 2);
+      g_autofree char *keys = g_strdup_printf (",\"%s\"", key);
+      testbed_put_config (&t, (int)v + 2, routes, keys);
+      g_assert_cmpuint (
+          count_without_key (&t, LINKED_EDGES, key, CONFIG_DEADLINE_MS), ==,
+          0);
+    }
+  for (uint32_t e = 0; e < LINKED_EDGES; e++)
+    {
+      g_test_message ("edge %u: %u bytes received", e,
+                      (unsigned)received_bytes (&t, e));
+      g_assert_cmpuint (received_bytes (&t, e), <, 2 * VERSIONS * size);
+    }
+  testbed_free (&t);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/growth/slow-item", test_slow_item);
+  g_test_add_func ("/growth/slow-store", test_slow_store);
+  g_test_add_func ("/growth/one-copy", test_one_copy);
+  g_test_add_func ("/growth/slow-links", test_slow_links);
+  return g_test_run ();
+}
