libpeer: a peer whose message is on its way is not silent

Callers saw answers by an old configuration (CONFIG): connections between edges ended after 1.2 s without a complete message. A configuration of 3,000 routes that comes from many peers at once takes longer on 40 Mbit/s, so no copy ever arrived, and each new connection asked for the whole again.

/growth/slow-links is not mended by this alone: it now misses the time, since its edges no longer leave the slow links by a new connection.

--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -7,7 +7,7 @@
    Edges connect to all other edges; an agent connects to one edge.  On a new
    connection each side sends all items of its view.  Later it sends the items
    that the other side lacks, and at regular intervals its state, which tells
-   the revision up to which it has all items.  A connection on which nothing
+   the revision up to which it has all items.  A connection on which no byte
    arrives for some time is closed.
 
    Requests and parts of prompts that crash upstreams are told like items: all
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -6,8 +6,8 @@
 
 enum
 {
-  IDLE_TIMEOUT_MS = 1200, /* time without a message after which a connection
-                             is closed */
+  IDLE_TIMEOUT_MS = 1200, /* time without a byte after which a connection is
+                             closed */
   CONNECT_TIMEOUT_MS = 800
 };
 
@@ -198,6 +198,17 @@
   on_open (c);
 }
 
+/* A large message may take longer to arrive than a peer may be silent.  */
+static void
+note_partial_message (struct peer *peer)
+{
+  size_t bytes = bb_conn_partial_bytes (peer->conn);
+
+  if (bytes != peer->partial_bytes)
+    peer->received_ms = peer_now_ms (peer->owner);
+  peer->partial_bytes = bytes;
+}
+
 void
 peer_close_idle (struct bb_peers *p)
 {
@@ -207,6 +218,7 @@
   DL_FOREACH_SAFE (p->peers, peer, next)
   {
     bb_ms max = peer->open ? IDLE_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
+    note_partial_message (peer);
     if (peer_now_ms (p) - peer->received_ms > max)
       bb_conn_close (peer->conn, "silent");
   }
--- a/test/test_edge_growth.c
+++ b/test/test_edge_growth.c
@@ -4,7 +4,7 @@
 #include "harness/frame.h"
 #include "harness/testbed.h"
 
-#include "bilberry/base.h"
+#include "bilberry/fleet.h"
 
 #include <glib.h>
 #include <string.h>
@@ -98,7 +98,7 @@
       = { .incarnation = 7, .name = bb_bytes_of ("slow") };
   struct bb_peer_item item = { .key = bb_bytes_of ("op/config"),
                                .value = bb_bytes_of (config),
-                               .revision = 1000 };
+                               .revision = bb_revision_of (1, 1000) };
   struct frame_peer *p;
   msgpack_sbuffer out;
   msgpack_sbuffer part;
