libpeer: a large item is offered, and asked of one peer at a time

Callers saw answers by an old configuration (CONFIG): each peer sent its own copy of a large configuration, on each new connection and to each peer that had lacked it for 200 ms. 15 edges with 3,000 routes on 40 Mbit/s: 14 copies take 1.7 s, and answers to callers wait behind them.

An item of 16 KB or more is offered with its revision, size and hash. A process that lacks it asks one peer at random, and another only when that one has sent no byte for 300 ms; an edge sends two copies at a time and turns others away, who then find more that have it. One that watches the store waits 1 s for it first. A value that is known already is not sent again. Until it has what was offered, a process does not tell that it has all items up to that revision.

An edge now tells its peers the address of its VM (ip) with the port that it listens on, so that a relay can stand before it; the test has nine edges, and waits until few of them watch the store.

--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -153,6 +153,16 @@
   return knows_items;
 }
 
+/* Sends I, which came from the store, to the peers.  */
+static void
+tell_peers (struct edge *e, const struct bb_item *i)
+{
+  if (fleet_forwards_items (e))
+    bb_peers_broadcast_item (e->peers, i);
+  else if (e->peers)
+    bb_peers_offer_item (e->peers, i);
+}
+
 bool
 fleet_apply_item (struct edge *e, const char *key, GBytes *value,
                   bb_revision revision, const char *source)
@@ -162,9 +172,8 @@
   fleet_note_era (e, revision, source);
   if (!bb_view_put (e->view, key, value, revision))
     return false;
-  if (strcmp (source, "store") == 0 && fleet_forwards_items (e))
-    bb_peers_broadcast_item (e->peers,
-                             g_hash_table_lookup (e->view->items, key));
+  if (strcmp (source, "store") == 0)
+    tell_peers (e, g_hash_table_lookup (e->view->items, key));
   switch (bb_item_kind_of (key, &name))
     {
     case BB_ITEM_CONFIG:
@@ -247,6 +256,7 @@
 {
   GHashTable *loads
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  bb_revision complete;
 
   for (uint32_t i = 0; i < m->loads_count; i++)
     {
@@ -259,8 +269,9 @@
   e->peer_loads_changed = true;
   fleet_sum_peer_loads (e);
   fleet_note_era (e, m->revision, "peer");
-  if (m->sent > e->view->revision)
-    e->view->revision = m->sent;
+  complete = bb_peers_complete_revision (e->peers, m->sent);
+  if (complete > e->view->revision)
+    e->view->revision = complete;
 }
 
 void
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -2,6 +2,8 @@
 
 #include "edge.h"
 
+#include <string.h>
+
 static void
 on_item (const char *key, GBytes *value, bb_revision revision, void *user)
 {
@@ -27,6 +29,12 @@
   m->reads = reader_is_watching (user);
 }
 
+static bool
+is_reading (void *user)
+{
+  return reader_is_watching (user);
+}
+
 static void
 on_change (const char *name, const struct bb_peer_end *end, void *user)
 {
@@ -62,18 +70,32 @@
 static const struct bb_peers_ops ops = { .on_item = on_item,
                                          .on_state = on_state,
                                          .fill_state = fill_state,
+                                         .is_reading = is_reading,
                                          .on_connection_change = on_change,
                                          .on_isolated = on_isolated,
                                          .on_suspect = on_suspect,
                                          .on_part_crash = on_part_crash,
                                          .on_sound_part = on_sound_part };
 
+/* Returns the address that peers connect to: the VM's own with the port that
+   is listened on.  NULL: this process accepts no peers.  */
+static char *
+told_address (const struct bb_process_settings *s)
+{
+  const char *port
+      = s->control_address ? strrchr (s->control_address, ':') : NULL;
+
+  return port ? g_strconcat (s->ip, port, NULL) : NULL;
+}
+
 bool
 peers_start (struct edge *e)
 {
+  g_autofree char *address = told_address (e->settings);
   struct bb_peers_options o
       = { .name = e->settings->name,
-          .address = e->settings->control_address,
+          .address = address,
+          .listen_address = e->settings->control_address,
           .seeds = e->settings->seeds,
           .seeds_count = e->settings->seeds_count,
           .connect_all = true,
--- a/fake/link/link.c
+++ b/fake/link/link.c
@@ -2,12 +2,14 @@
 
    Usage: fake-link --rate BYTES --routes FILE
 
-   Each line of FILE is a route, LISTEN TARGET FROM TO: it listens on port
-   LISTEN and connects to port TARGET, both of 127.0.0.1.  FROM is the number
-   of the VM that connects and TO that of the VM that accepts, from 1 to
-   VMS_MAX - 1; all routes that name a VM share its link, which carries BYTES a
-   second in each direction.  0 is a VM with an unlimited link.  */
-
+   Each line of FILE is a route, IP PORT TARGET FROM TO: it listens on IP:PORT
+   and connects to port TARGET of 127.0.0.1.  FROM is the number of the VM that
+   connects and TO that of the VM that accepts, from 1 to VMS_MAX - 1; all
+   routes that name a VM share its link, which carries BYTES a second in each
+   direction.  0 is a VM with an unlimited link.  Where FROM is "edge", the
+   name edge-N in the first bytes of a connection tells VM N + 1.  */
+
+#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -45,6 +47,7 @@
 {
   int listener;
   uint16_t target;
+  bool by_name; /* the first bytes tell FROM */
   uint32_t from;
   uint32_t to;
 };
@@ -58,7 +61,8 @@
   struct link_vm *receiver;
   char data[CHUNK_BYTES]; /* read and not written yet */
   size_t size;
-  bool ended; /* the source has no more data */
+  bool ended;   /* the source has no more data */
+  bool by_name; /* the next bytes tell the sender */
 };
 
 static struct link_vm vms[VMS_MAX];
@@ -92,24 +96,28 @@
 static bool
 add_route (const char *text)
 {
-  unsigned listen_port;
+  char ip[16];
+  char from[8];
+  unsigned port;
   unsigned target;
-  unsigned from;
   unsigned to;
   struct sockaddr_in a;
   struct route *r = &routes[routes_count];
 
   if (routes_count == ROUTES_MAX
-      || sscanf (text, "%u %u %u %u", /* NOLINT(cert-err34-c) */
-                 &listen_port, &target, &from, &to)
-             != 4
-      || from >= VMS_MAX || to >= VMS_MAX)
+      || sscanf (text, "%15s %u %u %7s %u", /* NOLINT(cert-err34-c) */
+                 ip, &port, &target, from, &to)
+             != 5
+      || to >= VMS_MAX)
     return false;
   r->listener = new_socket ();
   r->target = (uint16_t)target;
-  r->from = from;
+  r->by_name = strcmp (from, "edge") == 0;
+  r->from = r->by_name ? 0 : (uint32_t)strtoul (from, NULL, 10) % VMS_MAX;
   r->to = to;
-  a = loopback ((uint16_t)listen_port);
+  a = loopback ((uint16_t)port);
+  if (inet_pton (AF_INET, ip, &a.sin_addr) != 1)
+    return false;
   fcntl (r->listener, F_SETFL, O_NONBLOCK);
   routes_count++;
   return bind (r->listener, (struct sockaddr *)&a, sizeof a) == 0
@@ -148,6 +156,7 @@
   p->receiver = &vms[to];
   p->size = 0;
   p->ended = false;
+  p->by_name = false;
 }
 
 static void
@@ -170,6 +179,7 @@
       fcntl (out, F_SETFL, O_NONBLOCK);
       pipe_start (&pair[0], fd, out, r->from, r->to);
       pipe_start (&pair[1], out, fd, r->to, r->from);
+      pair[0].by_name = r->by_name;
     }
 }
 
@@ -192,6 +202,26 @@
          && (receiver == &vms[0] || receiver->in_bytes > 0);
 }
 
+/* Sets the VM that opened the connection of pipe I by its first bytes.  */
+static void
+identify (uint32_t i)
+{
+  struct pipe *p = &pipes[i];
+  const char *name = memmem (p->data, p->size, "edge-", 5);
+  char digits[4] = "";
+
+  p->by_name = false;
+  if (!name)
+    return;
+  name += 5;
+  for (uint32_t k = 0; k < 3 && name + k < p->data + p->size && name[k] >= '0'
+                       && name[k] <= '9';
+       k++)
+    digits[k] = name[k];
+  p->sender = &vms[(strtoul (digits, NULL, 10) + 1) % VMS_MAX];
+  pipes[i ^ 1U].receiver = p->sender;
+}
+
 /* Moves up to CHUNK_BYTES through pipe I.  Returns whether any were moved.  */
 static bool
 move (uint32_t i)
@@ -214,6 +244,8 @@
       if (n <= 0)
         return false;
       p->size = (size_t)n;
+      if (p->by_name)
+        identify (i);
       p->sender->out_bytes -= n;
       p->receiver->in_bytes -= n;
     }
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -336,6 +336,50 @@
    keeps entries from calling at the same time.  */
 bb_ms bb_store_next_call_ms (const struct bb_store_call_state *s, double draw);
 
+/* A peer that a large item could be asked of.  */
+struct bb_item_source
+{
+  bool offers;       /* it is connected and has the item */
+  bool is_agent;     /* its link is slow; entries are asked before it */
+  bool asked;        /* it was asked since it connected */
+  bb_ms progress_ms; /* when it was asked, or its last byte came */
+};
+
+/* A large item that this process lacks.  */
+struct bb_item_need
+{
+  bb_ms start_ms;   /* when to ask for it at the earliest; spread a little, so
+                       that not all processes ask the first that has it */
+  bool store_sends; /* this process watches the store, which should send it */
+};
+
+/* Returns the index in SOURCES, an array of COUNT, of the peer to ask now, or
+   BB_BALANCE_NONE.  A copy that advances is waited for, however long it takes;
+   while one stalls, a further peer is asked.  DRAW is a uniform random number
+   from 0 to 1.  */
+uint32_t bb_item_choose_source (const struct bb_item_source *sources,
+                                uint32_t count,
+                                const struct bb_item_need *need, bb_ms now,
+                                double draw);
+
+/* A copy of a large item on its way to a peer, which has not told yet that it
+   has it.  */
+struct bb_item_send
+{
+  bool to_agent;
+  bb_ms start_ms;
+};
+
+/* Returns whether a further copy may be sent now, beside SENDS, an array of
+   COUNT: few at a time, so that each arrives soon and its receiver sends it
+   on. Agents, whose links are slow, do not hold up entries.  */
+bool bb_item_may_send (const struct bb_item_send *sends, uint32_t count,
+                       bool to_agent, bb_ms now);
+
+/* Returns how long a process waits that was turned away, before it asks again.
+   DRAW is a uniform random number from 0 to 1.  */
+bb_ms bb_item_retry_ms (double draw);
+
 /* How an attempt ended.  */
 enum bb_outcome
 {
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -282,6 +282,29 @@
   bool reads;
 };
 
+/* The sender has an item that is too large to be sent unasked.  */
+struct bb_peer_offer
+{
+  struct bb_bytes key;
+  uint64_t revision;
+  uint32_t size;
+  uint64_t hash;
+};
+
+/* Asks the receiver, which has offered it, for an item. It is sent as of the
+ * latest revision that the receiver has.  */
+struct bb_peer_want
+{
+  struct bb_bytes key;
+};
+
+/* The sender was asked for an item and does not send it now, as it sends
+ * others.  */
+struct bb_peer_busy
+{
+  struct bb_bytes key;
+};
+
 /* How the sender uses an upstream, or a part of prompts, for a request that is
  * isolated since it may crash upstreams.  */
 struct bb_peer_isolated
@@ -639,9 +662,12 @@
   BB_PEER_HELLO_NAME_MAX_BYTES = 128,
   BB_PEER_HELLO_ADDRESS_MAX_BYTES = 64,
   BB_PEER_ITEM_KEY_MAX_BYTES = 256,
-  BB_PEER_ITEM_VALUE_MAX_BYTES = 2097152,
+  BB_PEER_ITEM_VALUE_MAX_BYTES = 16777216,
   BB_PEER_STATE_MEMBERS_MAX = 64,
   BB_PEER_STATE_LOADS_MAX = 256,
+  BB_PEER_OFFER_KEY_MAX_BYTES = 256,
+  BB_PEER_WANT_KEY_MAX_BYTES = 256,
+  BB_PEER_BUSY_KEY_MAX_BYTES = 256,
   BB_MAP_SWITCH_GROUP_MAX_BYTES = 128,
   BB_MAP_SWITCH_MAP_MAX_BYTES = 16777216,
   BB_SEALED_BODY_MAX_BYTES = 1400,
@@ -690,6 +716,9 @@
   BB_MSG_PEER_HELLO = 50,
   BB_MSG_PEER_ITEM = 51,
   BB_MSG_PEER_STATE = 52,
+  BB_MSG_PEER_OFFER = 80,
+  BB_MSG_PEER_WANT = 81,
+  BB_MSG_PEER_BUSY = 82,
   BB_MSG_PEER_ISOLATED = 53,
   BB_MSG_MAP_SWITCH = 40,
   BB_MSG_SEALED = 30,
@@ -734,6 +763,9 @@
     struct bb_peer_hello peer_hello;
     struct bb_peer_item peer_item;
     struct bb_peer_state peer_state;
+    struct bb_peer_offer peer_offer;
+    struct bb_peer_want peer_want;
+    struct bb_peer_busy peer_busy;
     struct bb_peer_isolated peer_isolated;
     struct bb_map_switch map_switch;
     struct bb_sealed sealed;
@@ -778,6 +810,12 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_peer_state (msgpack_sbuffer *buf, const struct bb_peer_state *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_peer_offer (msgpack_sbuffer *buf, const struct bb_peer_offer *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_peer_want (msgpack_sbuffer *buf, const struct bb_peer_want *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_peer_busy (msgpack_sbuffer *buf, const struct bb_peer_busy *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_peer_isolated (msgpack_sbuffer *buf,
                            const struct bb_peer_isolated *v);
 /* Appends a frame that holds V to BUF.  */
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -2,13 +2,14 @@
 #define BILBERRY_PEER_H
 
 /* libpeer - replication of the fleet's state between edges and to agents.
-   Link with -lpeer -lfleet -ladmit -lnet -lproto.
+   Link with -lpeer -lload -lfleet -ladmit -lnet -lproto.
 
    Edges connect to all other edges; an agent connects to one edge.  On a new
    connection each side sends all items of its view.  Later it sends the items
    that the other side lacks, and at regular intervals its state, which tells
-   the revision up to which it has all items.  A connection on which no byte
-   arrives for some time is closed.
+   the revision up to which it has all items.  A large item is only offered;
+   a process that lacks it asks one peer at a time for it.  A connection on
+   which no byte arrives for some time is closed.
 
    Requests and parts of prompts that crash upstreams are told like items: all
    that are known on a new connection, and each change at once to all peers.
@@ -50,6 +51,9 @@
      taking and reads.  Not called for a peer that is known to be an agent.
      Optional.  */
   void (*fill_state) (struct bb_peer_state *m, void *user);
+  /* Returns whether the store is expected to send what the view lacks, so that
+     peers are asked for large items only later.  Optional.  */
+  bool (*is_reading) (void *user);
   /* The peer NAME connected, or its last connection ended as END tells; END is
      NULL where it connected.  */
   void (*on_connection_change) (const char *name,
@@ -69,9 +73,10 @@
 
 struct bb_peers_options
 {
-  const char *name;    /* name of this process, sent to its peers */
-  const char *address; /* host:port to listen on for peers; NULL: none */
-  char *const *seeds;  /* addresses of the first peers to connect to */
+  const char *name;           /* name of this process, sent to its peers */
+  const char *address;        /* host:port that peers connect to; NULL: none */
+  const char *listen_address; /* host:port to listen on; NULL: ADDRESS */
+  char *const *seeds;         /* addresses of the first peers to connect to */
   uint32_t seeds_count;
   bool connect_all;         /* connect to all known addresses, not to one */
   uint64_t incarnation;     /* random; identifies this run of the process */
@@ -96,6 +101,16 @@
    item later from any peer that has it.  */
 void bb_peers_broadcast_item (struct bb_peers *p, const struct bb_item *i);
 
+/* Offers item I, which came from the store, to all connected peers if it is
+   large.  For a process that does not broadcast what it reads.  */
+void bb_peers_offer_item (struct bb_peers *p, const struct bb_item *i);
+
+/* Returns the highest revision, REVISION at most, up to which no large item is
+   missing that a peer has offered.  A process that was sent all items up to
+   REVISION has all items up to the result.  */
+bb_revision bb_peers_complete_revision (const struct bb_peers *p,
+                                        bb_revision revision);
+
 /* Tells P that all items of the view after revision SINCE were given to
    bb_peers_broadcast_item, so that they are not sent once more to the peers
    that have all items up to SINCE.  */
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -18,6 +18,7 @@
 
   peer->owner = p;
   peer->received_ms = peer_now_ms (p);
+  peer_exchanges_init (peer);
   DL_APPEND (p->peers, peer);
   return peer;
 }
@@ -127,6 +128,7 @@
 
   count_item (peer, key, m);
   p->ops->on_item (key, value, m->revision, p->user);
+  peer_on_asked_item (peer, key);
   if (value)
     g_bytes_unref (value);
   g_free (key);
@@ -146,6 +148,15 @@
     case BB_MSG_PEER_ITEM:
       on_item (peer, &m->u.peer_item);
       break;
+    case BB_MSG_PEER_OFFER:
+      peer_on_offer (peer, &m->u.peer_offer);
+      break;
+    case BB_MSG_PEER_WANT:
+      peer_on_want (peer, &m->u.peer_want);
+      break;
+    case BB_MSG_PEER_BUSY:
+      peer_on_busy (peer, &m->u.peer_busy);
+      break;
     case BB_MSG_PEER_STATE:
       peer_on_state (peer, &m->u.peer_state);
       break;
@@ -177,6 +188,7 @@
   DL_DELETE (p->peers, peer);
   if (peer->hello_received && !find_duplicate (peer))
     p->ops->on_connection_change (peer->name, &end, p->user);
+  g_hash_table_unref (peer->exchanges);
   g_free (peer->connect_address);
   g_free (peer->listen_address);
   g_free (peer->name);
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -8,6 +8,7 @@
    connection.c  hello, messages and end of a connection
    state.c       states of the processes
    items.c       items of the store
+   large.c       those of them that are large
    tell.c        requests that crash upstreams, to and from peers
    endpoints.c   known addresses
    suspect.c     messages about requests that crash upstreams
@@ -44,6 +45,7 @@
   uint64_t sent_revision; /* the peer was sent, or has, all items up to it */
   bb_ms received_ms;      /* time of the last byte, as far as known, or of the
                              start of the connection */
+  GHashTable *exchanges;  /* of large items, by key */
   size_t partial_bytes;   /* received of an incomplete message, at the last
                              tick */
   struct peer *prev;
@@ -80,6 +82,8 @@
      indexed by tick.  */
   uint64_t past_revisions[RESEND_DELAY_TICKS];
   struct peer *peers;
+  GHashTable *needs;      /* large items that this process lacks, by key */
+  uv_timer_t large_timer; /* active while there are any of them */
 };
 
 /* connect.c */
@@ -99,6 +103,9 @@
 void peer_close_idle (struct bb_peers *p);
 
 /* state.c */
+/* Returns whether PEER is an agent: only agents have no address to listen
+   on.  */
+bool peer_is_agent (const struct peer *peer);
 /* Sends the own state to PEER.  */
 void peer_send_state (struct peer *peer);
 /* Sends the own state to all peers for which it is due in this tick.  */
@@ -113,6 +120,28 @@
    RESEND_DELAY_TICKS ago.  */
 void peer_resend_missing (struct bb_peers *p);
 
+/* Appends I to OUT, which is sent to COPIES peers.  */
+void peer_put_item (msgpack_sbuffer *out, const struct bb_item *i,
+                    uint32_t copies);
+
+/* large.c */
+void peer_large_init (struct bb_peers *p);
+void peer_exchanges_init (struct peer *peer);
+/* Whether I is not sent to peers that have not asked for it.  */
+bool peer_is_large (const struct bb_item *i);
+/* Appends an offer of I, which has a value, to OUT.  */
+void peer_put_offer (msgpack_sbuffer *out, const struct bb_item *i);
+/* Offers I to all connected peers.  */
+void peer_offer_to_all (struct bb_peers *p, const struct bb_item *i);
+/* Handle the message M of PEER.  */
+void peer_on_offer (struct peer *peer, const struct bb_peer_offer *m);
+void peer_on_want (struct peer *peer, const struct bb_peer_want *m);
+void peer_on_busy (struct peer *peer, const struct bb_peer_busy *m);
+/* PEER sent the item KEY, which is in the view now.  */
+void peer_on_asked_item (struct peer *peer, const char *key);
+/* The item KEY of the view may have changed.  */
+void peer_note_item (struct bb_peers *p, const char *key);
+
 /* tell.c */
 /* Handle the message M that FROM sent: record it, and forward what is new to
    all peers but FROM.  */
--- a/libpeer/items.c
+++ b/libpeer/items.c
@@ -4,9 +4,8 @@
 
 #include <utlist.h>
 
-/* Appends I to OUT, which is sent to COPIES peers.  */
-static void
-put_item (msgpack_sbuffer *out, const struct bb_item *i, uint32_t copies)
+void
+peer_put_item (msgpack_sbuffer *out, const struct bb_item *i, uint32_t copies)
 {
   struct bb_peer_item m = { .key = bb_bytes_of (i->key),
                             .revision = i->revision,
@@ -23,6 +22,21 @@
   bb_put_peer_item (out, &m);
 }
 
+/* Appends I to OUT, which is sent to COPIES peers, or an offer of it where it
+   is large.  */
+static void
+put_or_offer (msgpack_sbuffer *out, const struct bb_item *i, uint32_t copies)
+{
+#ifndef BB_MUTANT_item_offers
+  if (peer_is_large (i))
+    {
+      peer_put_offer (out, i);
+      return;
+    }
+#endif
+  peer_put_item (out, i, copies);
+}
+
 void
 peer_send_all_items (struct peer *peer)
 {
@@ -32,7 +46,7 @@
 
   g_hash_table_iter_init (&it, v->items);
   while (g_hash_table_iter_next (&it, NULL, &item))
-    put_item (bb_conn_out (peer->conn), item, 1);
+    put_or_offer (bb_conn_out (peer->conn), item, 1);
   peer->sent_revision = v->revision;
 }
 
@@ -50,7 +64,7 @@
     {
       const struct bb_item *i = value;
       if (i->revision > peer->sent_revision)
-        put_item (bb_conn_out (peer->conn), i, 1);
+        put_or_offer (bb_conn_out (peer->conn), i, 1);
     }
   peer->sent_revision = v->revision;
 }
@@ -73,7 +87,7 @@
   msgpack_sbuffer frame;
 
   msgpack_sbuffer_init (&frame);
-  put_item (&frame, i, peer_count_open (p));
+  put_or_offer (&frame, i, peer_count_open (p));
   peer_send_to_all (p, NULL, &frame);
 }
 
--- /dev/null
+++ b/libpeer/large.c
@@ -0,0 +1,338 @@
+/* Items that are too large to be sent to all peers unasked: each process
+   offers them to its peers, and asks one peer at a time for those that it
+   lacks.  */
+
+#include "internal.h"
+
+#include "bilberry/load.h"
+
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+enum
+{
+  LARGE_MIN_BYTES = 16384,
+  INTERVAL_MS = 20,    /* between looks at what is lacking */
+  ASK_SPREAD_MS = 60,  /* offers of the first few that have an item come within
+                          it */
+  EXCHANGES_MAX = 256, /* keys of a peer */
+  NEEDS_MAX = 256
+};
+
+/* An item that this process lacks.  */
+struct need
+{
+  bb_revision revision;
+  bb_ms start_ms; /* when to ask for it at the earliest */
+};
+
+/* What this process and one peer told each other of an item.  */
+struct exchange
+{
+  bb_revision offered; /* the peer has the item as of it; 0: it offered none */
+
+  bool asked; /* this process asked the peer for it */
+  bb_ms progress_ms;
+  size_t partial_bytes; /* of the message that was incomplete at PROGRESS_MS */
+
+  bool sending; /* it was sent as of SENT, and the peer did not offer it yet */
+  bb_revision sent;
+  bb_ms sent_ms;
+};
+
+bool
+peer_is_large (const struct bb_item *i)
+{
+  return i->value && g_bytes_get_size (i->value) >= LARGE_MIN_BYTES;
+}
+
+static uint64_t
+hash_of (GBytes *value)
+{
+  gsize size;
+  const void *data = g_bytes_get_data (value, &size);
+
+  return XXH64 (data, size, 0);
+}
+
+void
+peer_put_offer (msgpack_sbuffer *out, const struct bb_item *i)
+{
+  struct bb_peer_offer m = { .key = bb_bytes_of (i->key),
+                             .revision = i->revision,
+                             .size = (uint32_t)g_bytes_get_size (i->value),
+                             .hash = hash_of (i->value) };
+
+  bb_put_peer_offer (out, &m);
+}
+
+void
+peer_offer_to_all (struct bb_peers *p, const struct bb_item *i)
+{
+  msgpack_sbuffer frame;
+
+  msgpack_sbuffer_init (&frame);
+  peer_put_offer (&frame, i);
+  peer_send_to_all (p, NULL, &frame);
+}
+
+void
+bb_peers_offer_item (struct bb_peers *p, const struct bb_item *i)
+{
+  if (peer_is_large (i))
+    peer_offer_to_all (p, i);
+}
+
+/* Returns what PEER and this process told each other of KEY, or NULL where
+   there is no room for it.  */
+static struct exchange *
+exchange_of (struct peer *peer, const char *key)
+{
+  struct exchange *x = g_hash_table_lookup (peer->exchanges, key);
+
+  if (!x && g_hash_table_size (peer->exchanges) < EXCHANGES_MAX)
+    {
+      x = g_new0 (struct exchange, 1);
+      g_hash_table_insert (peer->exchanges, g_strdup (key), x);
+    }
+  return x;
+}
+
+static bool
+is_met (const struct bb_peers *p, const char *key, const struct need *need)
+{
+  const struct bb_item *known = g_hash_table_lookup (p->view->items, key);
+
+  return known && known->revision >= need->revision;
+}
+
+/* Asks the peer that is due for KEY, which NEED tells.  */
+static void
+ask_peer (struct bb_peers *p, const char *key, const struct need *need)
+{
+  uint32_t count = 0;
+  uint32_t chosen;
+  struct peer *peer;
+  struct bb_item_need n
+      = { need->start_ms, p->ops->is_reading && p->ops->is_reading (p->user) };
+  g_autofree struct bb_item_source *sources = NULL;
+
+  DL_COUNT (p->peers, peer, count);
+  sources = g_new0 (struct bb_item_source, count + 1);
+  count = 0;
+  DL_FOREACH (p->peers, peer)
+  {
+    struct exchange *x = g_hash_table_lookup (peer->exchanges, key);
+    struct bb_item_source *s = &sources[count++];
+    size_t partial_bytes = bb_conn_partial_bytes (peer->conn);
+    if (!x || !peer->open)
+      continue;
+    if (x->partial_bytes != partial_bytes)
+      x->progress_ms = peer_now_ms (p);
+    x->partial_bytes = partial_bytes;
+    s->offers = x->offered >= need->revision;
+    s->is_agent = peer_is_agent (peer);
+    s->asked = x->asked;
+    s->progress_ms = x->progress_ms;
+  }
+  chosen = bb_item_choose_source (sources, count, &n, peer_now_ms (p),
+                                  g_random_double ());
+  if (chosen == BB_BALANCE_NONE)
+    return;
+  DL_FOREACH (p->peers, peer)
+  if (chosen-- == 0)
+    {
+      struct exchange *x = exchange_of (peer, key);
+      struct bb_peer_want m = { .key = bb_bytes_of (key) };
+      x->asked = true;
+      x->progress_ms = peer_now_ms (p);
+      bb_put_peer_want (bb_conn_out (peer->conn), &m);
+      return;
+    }
+}
+
+static void
+ask_for_needs (struct bb_peers *p)
+{
+  GHashTableIter it;
+  void *key;
+  void *need;
+
+  g_hash_table_iter_init (&it, p->needs);
+  while (g_hash_table_iter_next (&it, &key, &need))
+    if (is_met (p, key, need))
+      g_hash_table_iter_remove (&it);
+    else
+      ask_peer (p, key, need);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct bb_peers *p = t->data;
+
+  ask_for_needs (p);
+  if (g_hash_table_size (p->needs) == 0)
+    uv_timer_stop (t);
+}
+
+static void
+add_need (struct bb_peers *p, const char *key, bb_revision revision)
+{
+  struct need *need = g_hash_table_lookup (p->needs, key);
+
+  if (!need && g_hash_table_size (p->needs) == NEEDS_MAX)
+    return;
+  if (!need)
+    {
+      need = g_new0 (struct need, 1);
+      need->start_ms = peer_now_ms (p) + g_random_int_range (0, ASK_SPREAD_MS);
+      g_hash_table_insert (p->needs, g_strdup (key), need);
+    }
+  if (revision > need->revision)
+    need->revision = revision;
+  if (!uv_is_active ((uv_handle_t *)&p->large_timer))
+    uv_timer_start (&p->large_timer, on_timer, INTERVAL_MS, INTERVAL_MS);
+}
+
+void
+peer_on_offer (struct peer *peer, const struct bb_peer_offer *m)
+{
+  struct bb_peers *p = peer->owner;
+  g_autofree char *key = bb_bytes_strdup (m->key);
+  struct exchange *x = exchange_of (peer, key);
+  const struct bb_item *known = g_hash_table_lookup (p->view->items, key);
+
+  if (!x)
+    return;
+  x->offered = m->revision;
+  if (x->sending && m->revision >= x->sent)
+    x->sending = false;
+  if (known && known->revision >= m->revision)
+    return;
+  if (known && known->value && g_bytes_get_size (known->value) == m->size
+      && hash_of (known->value) == m->hash)
+    {
+      g_autoptr (GBytes) value = g_bytes_ref (known->value);
+      p->ops->on_item (key, value, m->revision, p->user);
+      peer_note_item (p, key);
+      return;
+    }
+  add_need (p, key, m->revision);
+}
+
+/* Returns whether a further copy may be sent now, to an agent or not.  */
+static bool
+may_send (const struct bb_peers *p, bool to_agent)
+{
+  g_autoptr (GArray) sends
+      = g_array_new (FALSE, FALSE, sizeof (struct bb_item_send));
+  struct peer *peer;
+
+  DL_FOREACH (p->peers, peer)
+  {
+    GHashTableIter it;
+    void *value;
+    g_hash_table_iter_init (&it, peer->exchanges);
+    while (g_hash_table_iter_next (&it, NULL, &value))
+      {
+        const struct exchange *x = value;
+        struct bb_item_send send = { peer_is_agent (peer), x->sent_ms };
+        if (x->sending)
+          g_array_append_val (sends, send);
+      }
+  }
+  return bb_item_may_send ((struct bb_item_send *)(void *)sends->data,
+                           sends->len, to_agent, peer_now_ms (p));
+}
+
+void
+peer_on_want (struct peer *peer, const struct bb_peer_want *m)
+{
+  struct bb_peers *p = peer->owner;
+  g_autofree char *key = bb_bytes_strdup (m->key);
+  struct exchange *x = exchange_of (peer, key);
+  const struct bb_item *i = g_hash_table_lookup (p->view->items, key);
+  struct bb_peer_busy busy = { .key = m->key };
+
+  if (!x || !i)
+    return;
+  if (!may_send (p, peer_is_agent (peer)))
+    {
+      bb_put_peer_busy (bb_conn_out (peer->conn), &busy);
+      return;
+    }
+  peer_put_item (bb_conn_out (peer->conn), i, 1);
+  x->sending = true;
+  x->sent = i->revision;
+  x->sent_ms = peer_now_ms (p);
+}
+
+void
+peer_on_busy (struct peer *peer, const struct bb_peer_busy *m)
+{
+  struct bb_peers *p = peer->owner;
+  g_autofree char *key = bb_bytes_strdup (m->key);
+  struct exchange *x = g_hash_table_lookup (peer->exchanges, key);
+  struct need *need = g_hash_table_lookup (p->needs, key);
+
+  if (x)
+    x->asked = false;
+  if (need)
+    need->start_ms = peer_now_ms (p) + bb_item_retry_ms (g_random_double ());
+}
+
+void
+peer_on_asked_item (struct peer *peer, const char *key)
+{
+  struct exchange *x = g_hash_table_lookup (peer->exchanges, key);
+
+  if (x)
+    x->asked = false;
+  peer_note_item (peer->owner, key);
+}
+
+void
+peer_note_item (struct bb_peers *p, const char *key)
+{
+  const struct bb_item *i = g_hash_table_lookup (p->view->items, key);
+  const struct need *need = g_hash_table_lookup (p->needs, key);
+
+  if (i && peer_is_large (i))
+    peer_offer_to_all (p, i);
+  if (need && is_met (p, key, need))
+    g_hash_table_remove (p->needs, key);
+}
+
+bb_revision
+bb_peers_complete_revision (const struct bb_peers *p, bb_revision revision)
+{
+  GHashTableIter it;
+  void *key;
+  void *value;
+
+  g_hash_table_iter_init (&it, p->needs);
+  while (g_hash_table_iter_next (&it, &key, &value))
+    {
+      const struct need *need = value;
+      if (!is_met (p, key, need) && need->revision <= revision)
+        revision = need->revision - 1;
+    }
+  return revision;
+}
+
+void
+peer_large_init (struct bb_peers *p)
+{
+  p->needs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  uv_timer_init (p->loop, &p->large_timer);
+  p->large_timer.data = p;
+}
+
+void
+peer_exchanges_init (struct peer *peer)
+{
+  peer->exchanges
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -66,7 +66,8 @@
   if (p->address)
     {
       *error = UV_EINVAL;
-      if (bb_address_parse (p->address, &addr))
+      if (bb_address_parse (o->listen_address ? o->listen_address : p->address,
+                            &addr))
         p->listener
             = bb_listener_open (loop, &addr, &peer_accept_ops, p, error);
       if (!p->listener)
@@ -75,6 +76,7 @@
           return NULL;
         }
     }
+  peer_large_init (p);
   uv_timer_init (loop, &p->timer);
   p->timer.data = p;
   uv_timer_start (&p->timer, on_timer, 0, STATE_INTERVAL_MS);
--- a/libpeer/state.c
+++ b/libpeer/state.c
@@ -15,10 +15,8 @@
   MEMBERS_INTERVAL_TICKS = 10
 };
 
-/* Returns whether PEER is an agent: only agents have no address to listen
-   on.  */
-static bool
-is_agent (const struct peer *peer)
+bool
+peer_is_agent (const struct peer *peer)
 {
   return peer->hello_received && !peer->listen_address;
 }
@@ -35,7 +33,7 @@
        i < p->endpoints_count && p->ticks % MEMBERS_INTERVAL_TICKS == 0; i++)
     m->members[m->members_count++].address
         = bb_bytes_of (p->endpoints[i].address);
-  if (!is_agent (peer) && p->ops->fill_state)
+  if (!peer_is_agent (peer) && p->ops->fill_state)
     p->ops->fill_state (m, p->user);
   bb_put_peer_state (bb_conn_out (peer->conn), m);
   g_free (m);
@@ -73,7 +71,7 @@
 
   DL_FOREACH (p->peers, peer)
   if (peer->open
-      && (!is_agent (peer) || p->ticks % AGENT_STATE_INTERVAL_TICKS == 0))
+      && (!peer_is_agent (peer) || p->ticks % AGENT_STATE_INTERVAL_TICKS == 0))
     peer_send_state (peer);
 }
 
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -1024,7 +1024,7 @@
           seen |= UINT64_C (1) << 3;
           break;
         case 4:
-          if (!bb_wire_get_bin (o, 2097152, &v->value, "value", e))
+          if (!bb_wire_get_bin (o, 16777216, &v->value, "value", e))
             return false;
           seen |= UINT64_C (1) << 4;
           break;
@@ -1128,6 +1128,142 @@
   return true;
 }
 
+static void
+put_peer_offer (msgpack_packer *pk, const struct bb_peer_offer *v)
+{
+  msgpack_pack_map (pk, 4);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->key);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->revision);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->size);
+  msgpack_pack_uint8 (pk, 4);
+  msgpack_pack_uint64 (pk, v->hash);
+}
+
+static bool
+get_peer_offer (const msgpack_object *obj, struct bb_peer_offer *v,
+                struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_offer", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 256, &v->key, "key", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "revision", e))
+            return false;
+          v->revision = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "size", e))
+            return false;
+          v->size = (uint32_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        case 4:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "hash", e))
+            return false;
+          v->hash = (uint64_t)n;
+          seen |= UINT64_C (1) << 4;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_offer", "key", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("peer_offer", "revision", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("peer_offer", "size", e);
+  if (!(seen & (UINT64_C (1) << 4)))
+    return bb_wire_missing ("peer_offer", "hash", e);
+  return true;
+}
+
+static void
+put_peer_want (msgpack_packer *pk, const struct bb_peer_want *v)
+{
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->key);
+}
+
+static bool
+get_peer_want (const msgpack_object *obj, struct bb_peer_want *v,
+               struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_want", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 256, &v->key, "key", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_want", "key", e);
+  return true;
+}
+
+static void
+put_peer_busy (msgpack_packer *pk, const struct bb_peer_busy *v)
+{
+  msgpack_pack_map (pk, 1);
+  msgpack_pack_uint8 (pk, 1);
+  bb_wire_put_str (pk, v->key);
+}
+
+static bool
+get_peer_busy (const msgpack_object *obj, struct bb_peer_busy *v,
+               struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_busy", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_str (o, 256, &v->key, "key", e))
+            return false;
+          seen |= UINT64_C (1) << 1;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_busy", "key", e);
+  return true;
+}
+
 static void
 put_peer_isolated (msgpack_packer *pk, const struct bb_peer_isolated *v)
 {
@@ -3536,6 +3672,33 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_peer_offer (msgpack_sbuffer *buf, const struct bb_peer_offer *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_OFFER);
+  put_peer_offer (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_peer_want (msgpack_sbuffer *buf, const struct bb_peer_want *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_WANT);
+  put_peer_want (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_peer_busy (msgpack_sbuffer *buf, const struct bb_peer_busy *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_BUSY);
+  put_peer_busy (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_peer_isolated (msgpack_sbuffer *buf, const struct bb_peer_isolated *v)
 {
@@ -3823,6 +3986,12 @@
       return get_peer_item (obj, &m->u.peer_item, e);
     case BB_MSG_PEER_STATE:
       return get_peer_state (obj, &m->u.peer_state, e);
+    case BB_MSG_PEER_OFFER:
+      return get_peer_offer (obj, &m->u.peer_offer, e);
+    case BB_MSG_PEER_WANT:
+      return get_peer_want (obj, &m->u.peer_want, e);
+    case BB_MSG_PEER_BUSY:
+      return get_peer_busy (obj, &m->u.peer_busy, e);
     case BB_MSG_PEER_ISOLATED:
       return get_peer_isolated (obj, &m->u.peer_isolated, e);
     case BB_MSG_MAP_SWITCH:
@@ -3908,6 +4077,15 @@
     case BB_MSG_PEER_STATE:
       bb_put_peer_state (buf, &m->u.peer_state);
       break;
+    case BB_MSG_PEER_OFFER:
+      bb_put_peer_offer (buf, &m->u.peer_offer);
+      break;
+    case BB_MSG_PEER_WANT:
+      bb_put_peer_want (buf, &m->u.peer_want);
+      break;
+    case BB_MSG_PEER_BUSY:
+      bb_put_peer_busy (buf, &m->u.peer_busy);
+      break;
     case BB_MSG_PEER_ISOLATED:
       bb_put_peer_isolated (buf, &m->u.peer_isolated);
       break;
@@ -4020,6 +4198,12 @@
   { BB_MSG_PEER_STATE, 4, false, "taking" },
   { BB_MSG_PEER_STATE, 6, false, "sent" },
   { BB_MSG_PEER_STATE, 5, false, "reads" },
+  { BB_MSG_PEER_OFFER, 1, true, "key" },
+  { BB_MSG_PEER_OFFER, 2, true, "revision" },
+  { BB_MSG_PEER_OFFER, 3, true, "size" },
+  { BB_MSG_PEER_OFFER, 4, true, "hash" },
+  { BB_MSG_PEER_WANT, 1, true, "key" },
+  { BB_MSG_PEER_BUSY, 1, true, "key" },
   { BB_MSG_PEER_ISOLATED, 1, true, "upstream" },
   { BB_MSG_PEER_ISOLATED, 2, true, "use" },
   { BB_MSG_MAP_SWITCH, 1, true, "type" },
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -40,7 +40,7 @@
       "\"tenants\":[{\"name\":\"maker\",\"api-keys\":[\"key-1\"%s]}]}";
 
 static const char settings_text[]
-    = "node: \"edge-%u\"\nip: \"127.0.0.1\"\nzone: \"z1\"\n"
+    = "node: \"edge-%u\"\nip: \"127.0.%u.%u\"\nzone: \"z1\"\n"
       "zones:\n  z1: \"r\"\nlisten:\n  front: \"127.0.0.1:%u\"\n"
       "  ready: \"127.0.0.1:%u\"\n  control: \"127.0.0.1:%u\"\n"
       "internal-ports:\n  - 1\n  - 2\nseeds:\n%s"
@@ -210,13 +210,13 @@
   char *text;
 
   for (uint32_t i = 0; i <= n; i++)
-    if (n >= t->links.edges || i != n)
-      g_string_append_printf (seeds, "  - \"127.0.0.1:%u\"\n",
-                              n < t->links.edges ? t->links.peer_ports[n][i]
-                                                 : t->edges[i].control_port);
+    g_string_append_printf (seeds, "  - \"127.0.%u.%u:%u\"\n",
+                            i < t->links.edges, i < t->links.edges ? i + 1 : 1,
+                            t->edges[i].control_port);
   text = g_strdup_printf (
-      settings_text, n, e->front_port, e->ready_port, e->control_port,
-      seeds->str, first ? "true" : "false", t->drain_ms, e->store_port);
+      settings_text, n, n < t->links.edges, n < t->links.edges ? n + 1 : 1,
+      e->front_port, e->ready_port, e->control_port, seeds->str,
+      first ? "true" : "false", t->drain_ms, e->store_port);
   g_snprintf (name, sizeof name, "edge-%u.yaml", n);
   harness_write_file (harness_config_dir (t->harness), name, text);
   g_string_free (seeds, TRUE);
@@ -231,21 +231,16 @@
   g_autofree char *path
       = g_build_filename (harness_config_dir (t->harness), "links", NULL);
 
-  g_assert_cmpuint (edges, <=, TESTBED_LINKED_MAX);
   t->links.edges = edges;
   for (uint32_t n = 0; n < edges; n++)
     {
       t->edges[n].control_port = harness_port (t->harness);
       t->links.store_ports[n] = harness_port (t->harness);
-      g_string_append_printf (routes, "%u %u %u 0\n", t->links.store_ports[n],
-                              t->store_port, n + 1);
-      for (uint32_t i = 0; i < n; i++)
-        {
-          t->links.peer_ports[n][i] = harness_port (t->harness);
-          g_string_append_printf (routes, "%u %u %u %u\n",
-                                  t->links.peer_ports[n][i],
-                                  t->edges[i].control_port, n + 1, i + 1);
-        }
+      g_string_append_printf (routes, "127.0.0.1 %u %u %u 0\n",
+                              t->links.store_ports[n], t->store_port, n + 1);
+      g_string_append_printf (routes, "127.0.1.%u %u %u edge %u\n", n + 1,
+                              t->edges[n].control_port,
+                              t->edges[n].control_port, n + 1);
     }
   harness_write_file (harness_config_dir (t->harness), "links", routes->str);
   harness_start (t->harness, "links", "fake-link", "--rate", rate_text,
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -9,8 +9,7 @@
 enum
 {
   TESTBED_MAX = 32,
-  TESTBED_TEXT_SIZE = 16,
-  TESTBED_LINKED_MAX = 9 /* edges with links; settings hold 8 seeds */
+  TESTBED_TEXT_SIZE = 16
 };
 
 struct testbed_edge
@@ -27,8 +26,7 @@
 struct testbed_links
 {
   uint32_t edges; /* edges that have a link; 0: there are no links */
-  uint16_t peer_ports[TESTBED_LINKED_MAX][TESTBED_LINKED_MAX]; /* from, to */
-  uint16_t store_ports[TESTBED_LINKED_MAX];
+  uint16_t store_ports[TESTBED_MAX];
 };
 
 struct testbed
--- a/test/test_edge_growth.c
+++ b/test/test_edge_growth.c
@@ -8,16 +8,18 @@
 
 #include <glib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
   ROUTES = 4450, /* with these a configuration has 0.9 MB */
   READY_POLL_MS = 20,
   CONFIG_DEADLINE_MS = 3000,
+  STANDBY_MS = 1500, /* until few edges watch the store */
 
-  /* Edges of which two do not watch the store, on links over which a copy for
+  /* Edges of which five do not watch the store, on links over which a copy for
      each edge takes 0.5 s.  */
-  LINKED_EDGES = 6,
+  LINKED_EDGES = 9,
   LINK_RATE = 2 * 1000 * 1000,
 
   SLOW_PARTS = 24,
@@ -49,6 +51,21 @@
   testbed_put_config (t, version, routes, keys);
 }
 
+/* Prints the lines of the log of edge E that tell where it got its
+   configuration from.  */
+static void
+print_log (struct testbed *t, uint32_t e)
+{
+  g_autofree char *name = g_strdup_printf ("edge-%u", e);
+  g_autofree char *log = testbed_read_log (t, name);
+  g_auto (GStrv) lines = g_strsplit (log, "\n", -1);
+
+  for (uint32_t i = 0; lines[i]; i++)
+    if (strstr (lines[i], "\"config") || strstr (lines[i], "\"peer\"")
+        || strstr (lines[i], "\"store_"))
+      g_test_message ("%s: %s", name, lines[i]);
+}
+
 /* Returns how many of the first EDGES edges do not have KEY in force
    DEADLINE_MS after now.  */
 static uint32_t
@@ -73,6 +90,9 @@
         }
       harness_sleep_ms (READY_POLL_MS);
     }
+  for (uint32_t e = 0; e < edges && left > 0; e++)
+    if (!in_force[e])
+      print_log (t, e);
   g_test_message ("%s: %u of %u edges without it after %d ms", key, left,
                   edges, (int)(bb_clock_now () - start));
   return left;
@@ -81,7 +101,7 @@
 static uint64_t
 received_bytes (struct testbed *t, uint32_t e)
 {
-  return harness_counter (t->edges[e].metrics_port,
+  return harness_counter (t->edges[e].ready_port,
                           "bilberry_peer_item_bytes_total",
                           "kind=\"received\"");
 }
@@ -185,7 +205,7 @@
   testbed_start_links (&t, LINKED_EDGES, LINK_RATE);
   for (uint32_t e = 0; e < LINKED_EDGES; e++)
     testbed_start_edge (&t, 0);
-  harness_sleep_ms (500);
+  harness_sleep_ms (STANDBY_MS);
   for (uint32_t v = 0; v < VERSIONS; v++)
     {
       g_autofree char *key = g_strdup_printf ("key-%u", v + 2);
@@ -204,6 +224,96 @@
   testbed_free (&t);
 }
 
+/* Returns a peer NAME that has told edge E that it has the configuration
+   CONFIG.  */
+static struct frame_peer *
+connect_offering (struct testbed *t, uint32_t e, const char *name,
+                  uint64_t incarnation, const char *config)
+{
+  struct frame_peer *p = frame_connect (t->edges[e].control_port);
+  struct bb_peer_hello hello = { .incarnation = incarnation,
+                                 .name = bb_bytes_of (name),
+                                 .address = bb_bytes_of ("127.0.0.1:1") };
+  struct bb_peer_offer offer = { .key = bb_bytes_of ("op/config"),
+                                 .revision = bb_revision_of (1, 1000),
+                                 .size = (uint32_t)strlen (config),
+                                 .hash = XXH64 (config, strlen (config), 0) };
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&out);
+  bb_put_peer_hello (&out, &hello);
+  bb_put_peer_offer (&out, &offer);
+  frame_send (p, &out);
+  msgpack_sbuffer_destroy (&out);
+  return p;
+}
+
+/* Whether P is asked for an item within TIMEOUT_MS.  */
+static bool
+is_asked (struct frame_peer *p, int timeout_ms)
+{
+  struct bb_message m;
+
+  if (!frame_await (p, BB_MSG_PEER_WANT, &m, timeout_ms))
+    return false;
+  bb_message_free (&m);
+  return true;
+}
+
+/* Of two peers that offer an item, one is asked.  It never sends it, so that
+   the other one is asked too.  */
+static void
+test_silent_sender (void)
+{
+  struct testbed t;
+  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *config = testbed_config (2, routes, ",\"key-2\"");
+  struct frame_peer *first;
+  struct frame_peer *second;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_start_edge (&t, harness_port (t.harness));
+  first = connect_offering (&t, 1, "first", 7, config);
+  second = connect_offering (&t, 1, "second", 8, config);
+  g_assert_true (is_asked (first, 2000) || is_asked (second, 100));
+  g_assert_true (is_asked (second, 1000) || is_asked (first, 100));
+  frame_close (first);
+  frame_close (second);
+  testbed_free (&t);
+}
+
+/* A peer offers an item that the edge has, as of a later revision: the edge
+   takes the revision without a copy.  */
+static void
+test_same_value (void)
+{
+  struct testbed t;
+  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *config = testbed_config (2, routes, "");
+  struct frame_peer *p;
+  struct bb_message m;
+  uint64_t revision = 0;
+
+  testbed_init (&t);
+  testbed_put_item (&t, "op/config", config);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_set_store_mode (&t, "silent");
+  p = connect_offering (&t, 0, "peer", 7, config);
+  while (revision != bb_revision_of (1, 1000)
+         && frame_await (p, BB_MSG_PEER_OFFER, &m, 2000))
+    {
+      revision = m.u.peer_offer.revision;
+      bb_message_free (&m);
+    }
+  g_assert_cmpuint (revision, ==, bb_revision_of (1, 1000));
+  g_assert_false (is_asked (p, 500));
+  frame_close (p);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -212,5 +322,7 @@
   g_test_add_func ("/growth/slow-store", test_slow_store);
   g_test_add_func ("/growth/one-copy", test_one_copy);
   g_test_add_func ("/growth/slow-links", test_slow_links);
+  g_test_add_func ("/growth/silent-sender", test_silent_sender);
+  g_test_add_func ("/growth/same-value", test_same_value);
   return g_test_run ();
 }
