--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -46,9 +46,12 @@
 
    Faults in the bytes of responses: see bytes.h.
 
-   With the faults "rest", "weary", "leaving" and "left", GET /ran also has a
-   line "reached ATTEMPT-ID at MS" for each request that is not answered with
-   421; MS is a time of bb_clock_now.  */
+   GET /limit/VALUE makes it name VALUE as Server-Limit in its responses; GET
+   /limit/ ends that.
+
+   With the faults "rest", "weary", "leaving" and "left", or once a limit was
+   named, GET /ran also has a line "reached ATTEMPT-ID at MS" for each request
+   that is not answered with 421; MS is a time of bb_clock_now.  */
 
 #include "bytes.h"
 
@@ -68,11 +71,15 @@
   TRAILER_BYTES = 30000,
   SLOW_MS = 400,
   DOWN_MS = 300,
-  SHED_MS = 4000
+  SHED_MS = 4000,
+  LIMIT_TEXT_SIZE = 32
 };
 
 #define REST_S "2"
 
+static char limit[LIMIT_TEXT_SIZE]; /* Server-Limit in responses; "": none */
+static bool has_named_limit;
+
 struct connection
 {
   uv_tcp_t tcp;
@@ -180,11 +187,27 @@
   g_free (text);
 }
 
-/* Returns the header that says that the replica leaves, "" if it does not.  */
+/* Returns the headers that say that the replica leaves, and what it takes; ""
+   where it says neither.  */
 static const char *
-leaving_header (void)
+state_headers (void)
+{
+  static char text[LIMIT_TEXT_SIZE + 64];
+
+  g_snprintf (text, sizeof text, "%s%s%s%s",
+              has_fault ("leaving") ? "Server-Leaving: 1\r\n" : "",
+              *limit ? "Server-Limit: " : "", limit, *limit ? "\r\n" : "");
+  return text;
+}
+
+/* Takes the limit of HEAD, a request for /limit/VALUE.  */
+static void
+set_limit (const char *head)
 {
-  return has_fault ("leaving") ? "Server-Leaving: 1\r\n" : "";
+  sscanf (head, "GET /limit/%31[^ ]", limit); /* NOLINT(cert-err34-c) */
+  if (g_str_has_prefix (head, "GET /limit/ "))
+    *limit = '\0';
+  has_named_limit = true;
 }
 
 /* Sends the events after Last-Event-Id, each in a chunk of its own.  */
@@ -197,7 +220,7 @@
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s\r\n"
       "%sContent-Type: text/event-stream\r\nTransfer-Encoding: "
       "chunked\r\n\r\n",
-      attempt_id, id, leaving_header ());
+      attempt_id, id, state_headers ());
 
   write_text (c, start);
   for (int i = from; i <= EVENTS; i++)
@@ -242,7 +265,7 @@
 respond_executed (struct connection *c, const char *attempt_id)
 {
   char *signature = g_strdup_printf ("X-Replica-Signature: %s\r\n%s", id,
-                                     leaving_header ());
+                                     state_headers ());
   char *body = g_strdup_printf ("answer of %s", id);
 
   if (has_fault ("reset"))
@@ -352,7 +375,7 @@
   bb_ms now = bb_clock_now ();
 
   if (has_fault ("rest") || has_fault ("weary") || has_fault ("leaving")
-      || has_fault ("left"))
+      || has_fault ("left") || has_named_limit)
     g_string_append_printf (request_log, "reached %s at %lld\n", attempt_id,
                             (long long)now);
   if (has_fault ("rest") || has_fault ("weary"))
@@ -411,6 +434,12 @@
                request_log->str);
       close_connection (c);
     }
+  else if (g_str_has_prefix (head, "GET /limit/"))
+    {
+      set_limit (head);
+      respond (c, "200 OK", attempt_id, "Connection: close\r\n", "");
+      close_connection (c);
+    }
   else if (g_str_has_prefix (head, "GET /v1/report ") && has_fault ("mute"))
     respond (c, "503 Starting", attempt_id, "", "");
   else if (g_str_has_prefix (head, "GET /v1/report "))
