--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -64,7 +64,8 @@
                              send after idling */
   struct bb_rate_limiter rate_limiter;
   struct bb_ejection ejection;
-  struct bb_rest rest; /* asked for by its present start */
+  struct bb_rest rest;   /* asked for by its present start */
+  struct bb_limit limit; /* named by its present start */
   /* Group of the upstream; NULL: none, or not looked up yet.  */
   struct group *group;
   bool leaving; /* its present start has said that it leaves, in an answer or
@@ -369,6 +370,8 @@
 bool isolate_may_use (const struct request *r, const struct target *t);
 /* Whether this edge may send suspect requests to T without a claim.  */
 bool isolate_owns (const struct edge *e, const struct target *t);
+/* Returns the XXH64 hash of the name of the edge that owns T.  */
+uint64_t isolate_owner (const struct edge *e, const struct target *t);
 /* Returns whether R, which is suspect, is to be sent to T now: no other
    suspect request is in flight there, and none with the same suspect part
    anywhere. Otherwise it has to wait; the other edges are told that it is to
@@ -382,6 +385,18 @@
 void isolate_apply (struct edge *e, const char *name,
                     const struct bb_peer_isolated *m);
 
+/* limit.c: upstreams that limit the requests that they take.  */
+void limit_init (void);
+/* Records what the response of R, whose head has arrived, says of it.  */
+void limit_record_answer (struct request *r);
+/* Asks for a time at which a request may be sent to T, which names a limit;
+   one later than WAIT_MAX_MS from now is of no use.  */
+void limit_ask (struct edge *e, struct target *t, bb_ms wait_max_ms);
+/* A peer sent M, which is answered with REPLY.  */
+void limit_on_ask (struct edge *e, const struct bb_peer_slot_ask *m,
+                   struct bb_peer_slot *reply);
+void limit_on_slot (struct edge *e, const struct bb_peer_slot *m);
+
 /* rest.c: what upstreams ask for in their answers.  */
 /* The upstream of R has sent the head of its response.  */
 void rest_record_answer (struct request *r);
@@ -389,8 +404,8 @@
    a registration may be older than an answer, unless NEW_START.  */
 void rest_apply_record (struct target *t, bool new_start);
 /* Returns in how many milliseconds the first upstream of Q takes requests
-   again, where all rest or leave; UNKNOWN_MS where all leave, 0 where one does
-   neither or none is registered.  */
+   again, where all rest, leave or take no more by their limit; UNKNOWN_MS
+   where all leave, 0 where one does neither or none is registered.  */
 bb_ms rest_wait_ms (const struct pool_queue *q, bb_ms unknown_ms, bb_ms now);
 
 /* groups.c: the engine groups of upstreams and their health.  */
--- a/cmd/edge/isolate.c
+++ b/cmd/edge/isolate.c
@@ -34,6 +34,12 @@
   return bb_isolation_is_own (e->isolation, t->id_hash);
 }
 
+uint64_t
+isolate_owner (const struct edge *e, const struct target *t)
+{
+  return bb_isolation_owner (e->isolation, t->id_hash);
+}
+
 static void
 release_claim (struct edge *e, struct isolation_claim *c)
 {
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -219,6 +219,7 @@
   targets_init (e);
   suspect_init (e);
   isolate_init (e);
+  limit_init ();
   crash_init (e);
   if (!open_front (e) || !status_start (e) || !peers_start (e)
       || !bb_metrics_listen (e->loop, e->settings))
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -49,6 +49,19 @@
   isolate_apply (user, name, m);
 }
 
+static void
+on_slot_ask (const struct bb_peer_slot_ask *m, struct bb_peer_slot *reply,
+             void *user)
+{
+  limit_on_ask (user, m, reply);
+}
+
+static void
+on_slot (const struct bb_peer_slot *m, void *user)
+{
+  limit_on_slot (user, m);
+}
+
 static void
 on_suspect (const struct bb_suspect *m, void *user)
 {
@@ -73,6 +86,8 @@
                                          .is_reading = is_reading,
                                          .on_connection_change = on_change,
                                          .on_isolated = on_isolated,
+                                         .on_slot_ask = on_slot_ask,
+                                         .on_slot = on_slot,
                                          .on_suspect = on_suspect,
                                          .on_part_crash = on_part_crash,
                                          .on_sound_part = on_sound_part };
--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -24,13 +24,26 @@
   return false;
 }
 
+/* Whether T may get a request by its limit, or by a slot that can be asked for
+   where ASKS.  */
+static bool
+is_within_limit (const struct target *t, bool asks, bb_ms now)
+{
+#ifdef BB_MUTANT_limit_read
+  return true;
+#endif
+  return bb_limit_allows (&t->limit, now)
+         || (asks && bb_limit_may_ask (&t->limit, now));
+}
+
 static void
 fill_candidate (struct bb_balance_candidate *c, struct pool_queue *q,
-                struct target *t, uint32_t cold_share)
+                struct target *t, uint32_t cold_share, bool asks)
 {
   bb_ms now = edge_now (q->edge);
 
   c->usable = fleet_may_send (q->edge, t, now)
+              && is_within_limit (t, asks, now)
               && groups_is_up (groups_find (q->edge, t), now)
               && bb_rate_limiter_allows (&t->rate_limiter, now, cold_share);
   c->unresponsive
@@ -88,8 +101,10 @@
   return false;
 }
 
+/* Returns the upstream for R, NULL if there is none.  ASKS: also one of which
+   a slot has to be asked for first.  */
 static struct target *
-choose_target (struct pool_queue *q, const struct request *r)
+choose_target (struct pool_queue *q, const struct request *r, bool asks)
 {
   struct edge *e = q->edge;
   const struct bb_pool *pool = bb_config_find_pool (e->config, q->pool);
@@ -108,7 +123,7 @@
       struct target *t = g_ptr_array_index (e->target_list, k);
       if (strcmp (t->record->pool, q->pool) != 0)
         continue;
-      fill_candidate (&candidates[n], q, t, cold_share);
+      fill_candidate (&candidates[n], q, t, cold_share, asks);
 #ifndef BB_MUTANT_edge_isolate
       if (isolated && !isolate_may_use (r, t))
         candidates[n].usable = false;
@@ -169,6 +184,52 @@
   return chosen;
 }
 
+/* Returns how long R, which waits, may wait still.  */
+static bb_ms
+patience_ms (const struct request *r, bb_ms now)
+{
+  bb_ms give_up = r->queued_ms + r->route->slo_ms * QUEUE_WAIT_SLOS;
+  bb_ms left = (give_up < r->deadline_ms ? give_up : r->deadline_ms) - now;
+
+  return left > 0 ? left : 0;
+}
+
+/* Returns how many slots of all upstreams of Q can still be used, or are asked
+   for.  */
+static uint32_t
+slots_expected (const struct pool_queue *q, bb_ms now)
+{
+  const struct edge *e = q->edge;
+  uint32_t n = 0;
+
+  for (guint k = 0; k < e->target_list->len; k++)
+    {
+      const struct target *t = g_ptr_array_index (e->target_list, k);
+      if (t->limit.milli > 0 && strcmp (t->record->pool, q->pool) == 0)
+        n += bb_limit_expected (&t->limit, now);
+    }
+  return n;
+}
+
+/* Returns the upstream that R can be sent to now, NULL if there is none.  If
+   the best one takes no more without a slot, asks for one; a slot comes for
+   each request that waits, not more.  */
+static struct target *
+find_target (struct pool_queue *q, const struct request *r)
+{
+  bb_ms now = edge_now (q->edge);
+  struct target *t = choose_target (q, r, true);
+
+  while (t && !is_within_limit (t, false, now)
+         && slots_expected (q, now) < q->waiting.length)
+    {
+      limit_ask (q->edge, t, patience_ms (r, now));
+      t = choose_target (q, r, true);
+    }
+  return t && is_within_limit (t, false, now) ? t
+                                              : choose_target (q, r, false);
+}
+
 /* Charges R to the retry budget if it was sent before.  If the budget is
    spent, refuses R and returns false.  */
 static bool
@@ -230,7 +291,7 @@
       route_again (r);
       return true;
     }
-  t = choose_target (q, r);
+  t = find_target (q, r);
   if (!t && refuse_at_rest (q, r))
     return true;
   if (suspect_is_suspect (r) && (!t || !isolate_claim (r, t)))
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -99,6 +99,7 @@
     }
 #endif
   rest_record_answer (r);
+  limit_record_answer (r);
   if (!is_success (head->status))
     {
       save_headers (r, head);
--- a/cmd/edge/rest.c
+++ b/cmd/edge/rest.c
@@ -1,5 +1,6 @@
 /* What upstreams ask for in their answers, and requests that find all
-   upstreams of their pool at rest.  The decisions are those of libload.  */
+   upstreams of their pool at rest or at the end of what they take.  The
+   decisions are those of libload.  */
 
 #include "edge.h"
 
@@ -48,6 +49,7 @@
   if (new_start)
     {
       memset (&t->rest, 0, sizeof t->rest);
+      memset (&t->limit, 0, sizeof t->limit);
       t->leaving = false;
     }
   t->leaving = t->leaving || t->record->draining;
@@ -64,8 +66,12 @@
   for (guint i = 0; i < e->target_list->len && !o.is_open; i++)
     {
       const struct target *t = g_ptr_array_index (e->target_list, i);
-      if (strcmp (t->record->pool, q->pool) == 0 && !fleet_is_gone (t, now))
-        bb_pool_opening_add (&o, fleet_is_leaving (e, t), &t->rest, now);
+      struct bb_rest closed = t->rest;
+      if (strcmp (t->record->pool, q->pool) != 0 || fleet_is_gone (t, now))
+        continue;
+      bb_rest_ask (&closed, bb_limit_closed_until_ms (&t->limit, now) - now,
+                   now);
+      bb_pool_opening_add (&o, fleet_is_leaving (e, t), &closed, now);
     }
   wait_ms = bb_pool_opening_wait_ms (&o, unknown_ms, now);
   if (wait_ms == 0)
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -72,6 +72,7 @@
   request_assign (r, t);
   r->prior_crash = bb_poison_event (e->poison, r->identity.fingerprint, now);
   bb_rate_limiter_record (&t->rate_limiter, now);
+  bb_limit_use (&t->limit, now);
   bb_ejection_sent (&t->ejection, now);
   r->state = REQUEST_SENT;
   r->tries++;
--- a/include/bilberry/load.h
+++ b/include/bilberry/load.h
@@ -93,6 +93,10 @@
 bool bb_isolation_add_member (struct bb_isolation *s, uint64_t member);
 void bb_isolation_remove_member (struct bb_isolation *s, uint64_t member);
 
+/* Returns the entry that owns UPSTREAM: of all, the own one included.  Entries
+   that know the same entries agree on it.  */
+uint64_t bb_isolation_owner (const struct bb_isolation *s, uint64_t upstream);
+
 /* Returns whether this entry owns UPSTREAM.  */
 bool bb_isolation_is_own (const struct bb_isolation *s, uint64_t upstream);
 
@@ -387,6 +391,83 @@
    beside it.  */
 bool bb_store_should_await (bb_ms started_ms, bb_ms advanced_ms, bb_ms now);
 
+enum
+{
+  BB_LIMIT_NONE = -1,       /* an answer names no limit */
+  BB_LIMIT_UNREADABLE = -2, /* it names something that is no limit */
+  BB_LIMIT_SLOTS_MAX = 16
+};
+
+/* What an entry knows of the limit of an upstream: the requests a second that
+   it takes from all entries.  A request is sent in a slot, a time that the
+   entry has asked of the one that gives them out for this upstream.  Zeroed:
+   no limit.  */
+struct bb_limit
+{
+  int64_t milli; /* in thousandths; 0: no limit */
+  bb_ms named_ms;
+  bb_ms slots_ms[BB_LIMIT_SLOTS_MAX]; /* from when on each may be used */
+  uint32_t slots_count;
+  uint32_t asked;         /* slots asked for, without a reply yet */
+  bb_ms asked_ms;         /* time of the last such question */
+  bb_ms refused_until_ms; /* no slot is to be had before */
+};
+
+/* Records what an answer to a request that was sent at SENT_MS says: a limit
+   in thousandths of a request a second, BB_LIMIT_NONE or BB_LIMIT_UNREADABLE.
+   A limit holds as long as answers name it.  Returns whether it changed.  */
+bool bb_limit_note_answer (struct bb_limit *l, int64_t milli, bb_ms sent_ms,
+                           bb_ms now);
+
+/* Returns whether a request may be sent now.  */
+bool bb_limit_allows (const struct bb_limit *l, bb_ms now);
+
+/* Records that a request is sent now.  */
+void bb_limit_use (struct bb_limit *l, bb_ms now);
+
+/* Returns how many slots can still be used, or are asked for.  */
+uint32_t bb_limit_expected (const struct bb_limit *l, bb_ms now);
+
+/* Returns whether a further slot may be had.  */
+bool bb_limit_may_ask (const struct bb_limit *l, bb_ms now);
+
+/* Records that a slot was asked for, and the reply: a slot in WAIT_MS, or none
+   before.  */
+void bb_limit_asked (struct bb_limit *l, bb_ms now);
+void bb_limit_answered (struct bb_limit *l, bool granted, bb_ms wait_ms,
+                        bb_ms now);
+
+/* Returns until when no request can be sent, as far as is known; 0: that is
+   not known.  */
+bb_ms bb_limit_closed_until_ms (const struct bb_limit *l, bb_ms now);
+
+/* How many entries there are, and were a short time ago.  */
+struct bb_limit_members
+{
+  uint32_t count;
+  uint32_t most; /* since MOST_MS */
+  bb_ms most_ms;
+};
+
+/* Records that COUNT entries are connected, the own one included.  */
+void bb_limit_note_members (struct bb_limit_members *m, uint32_t count,
+                            bb_ms now);
+
+/* The slots of an upstream, of the entry that gives them out.  Zeroed: none
+   given out yet.  */
+struct bb_limit_schedule
+{
+  double next_ms; /* time of the next one */
+};
+
+/* Gives out the next slot of an upstream that takes MILLI thousandths of a
+   request a second, if it is not later than WAIT_MAX_MS from now.  Returns the
+   time until it in either case.  Where entries have gone lately, only a part
+   of the limit is given out: they may be on the other side of a partition.  */
+bb_ms bb_limit_reserve (struct bb_limit_schedule *s, int64_t milli,
+                        const struct bb_limit_members *m, bb_ms wait_max_ms,
+                        bb_ms now);
+
 /* How an attempt ended.  */
 enum bb_outcome
 {
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -124,7 +124,8 @@
                                  large */
   BB_REASON_SLOW_CLIENT,      /* the caller is too slow */
   BB_REASON_CONNECTION_LIMIT, /* callers have too many connections */
-  BB_REASON_UPSTREAMS_REST,   /* all upstreams rest or leave */
+  BB_REASON_UPSTREAMS_REST,   /* all upstreams rest, leave or take no more
+                                 requests */
   BB_REASON_COUNT
 };
 
@@ -305,6 +306,23 @@
   struct bb_bytes key;
 };
 
+/* Asks the receiver for a time at which a request may be sent to an upstream
+ * that limits its requests.  */
+struct bb_peer_slot_ask
+{
+  uint64_t upstream;
+  uint64_t limit_milli;
+  uint32_t wait_max_ms;
+};
+
+/* The reply to peer_slot_ask.  */
+struct bb_peer_slot
+{
+  uint64_t upstream;
+  bool granted;
+  uint32_t wait_ms;
+};
+
 /* How the sender uses an upstream, or a part of prompts, for a request that is
  * isolated since it may crash upstreams.  */
 struct bb_peer_isolated
@@ -719,6 +737,8 @@
   BB_MSG_PEER_OFFER = 80,
   BB_MSG_PEER_WANT = 81,
   BB_MSG_PEER_BUSY = 82,
+  BB_MSG_PEER_SLOT_ASK = 83,
+  BB_MSG_PEER_SLOT = 84,
   BB_MSG_PEER_ISOLATED = 53,
   BB_MSG_MAP_SWITCH = 40,
   BB_MSG_SEALED = 30,
@@ -766,6 +786,8 @@
     struct bb_peer_offer peer_offer;
     struct bb_peer_want peer_want;
     struct bb_peer_busy peer_busy;
+    struct bb_peer_slot_ask peer_slot_ask;
+    struct bb_peer_slot peer_slot;
     struct bb_peer_isolated peer_isolated;
     struct bb_map_switch map_switch;
     struct bb_sealed sealed;
@@ -816,6 +838,11 @@
 /* Appends a frame that holds V to BUF.  */
 void bb_put_peer_busy (msgpack_sbuffer *buf, const struct bb_peer_busy *v);
 /* Appends a frame that holds V to BUF.  */
+void bb_put_peer_slot_ask (msgpack_sbuffer *buf,
+                           const struct bb_peer_slot_ask *v);
+/* Appends a frame that holds V to BUF.  */
+void bb_put_peer_slot (msgpack_sbuffer *buf, const struct bb_peer_slot *v);
+/* Appends a frame that holds V to BUF.  */
 void bb_put_peer_isolated (msgpack_sbuffer *buf,
                            const struct bb_peer_isolated *v);
 /* Appends a frame that holds V to BUF.  */
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -62,6 +62,11 @@
      Optional.  */
   void (*on_isolated) (const char *name, const struct bb_peer_isolated *m,
                        void *user);
+  /* A peer asks for M, and gets REPLY, which is zeroed.  Optional.  */
+  void (*on_slot_ask) (const struct bb_peer_slot_ask *m,
+                       struct bb_peer_slot *reply, void *user);
+  /* A peer replied M to bb_peers_ask_slot.  Optional.  */
+  void (*on_slot) (const struct bb_peer_slot *m, void *user);
   /* A peer sent M, which was new and is in POISON now.  Optional.  */
   void (*on_suspect) (const struct bb_suspect *m, void *user);
   /* A peer told of C, which was new and is in PARTS now.  Optional.  */
@@ -133,6 +138,11 @@
 void bb_peers_broadcast_isolated (struct bb_peers *p,
                                   const struct bb_peer_isolated *m);
 
+/* Sends M to the peer whose name has the XXH64 hash NAME_HASH, if it is
+   connected.  */
+void bb_peers_ask_slot (struct bb_peers *p, uint64_t name_hash,
+                        const struct bb_peer_slot_ask *m);
+
 /* Sends the own state to all connected peers now, in addition to the regular
    times.  */
 void bb_peers_send_state (struct bb_peers *p);
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -218,6 +218,8 @@
 {
   /* Longest rest that an upstream can ask for.  One damaged header must not
      remove an upstream for good; one that is away for longer drains.  */
+  /* A limit above it, a million requests a second, is none in practice.  */
+  BB_LIMIT_MAX_MILLI = 1000 * 1000 * 1000,
   BB_REST_MAX_MS = 600000
 };
 
@@ -238,6 +240,11 @@
      at most BB_REST_MAX_MS.  0: no time given, or anything else, such as a
      date or a negative number, which says nothing.  */
   bb_ms rest_ms;
+  /* The upstream names how many requests a second it takes from all processes
+     together: a number with or without a fraction, in thousandths, rounded
+     down and at most BB_LIMIT_MAX_MILLI.  -1: it names something else.  */
+  bool names_limit;
+  int64_t limit_milli;
   /* Id of the upstream that made the request fail; empty: not given.  */
   struct bb_bytes failed_upstream;
 };
--- a/libload/isolation.c
+++ b/libload/isolation.c
@@ -94,15 +94,21 @@
   return XXH64 (&upstream, sizeof upstream, member);
 }
 
-bool
-bb_isolation_is_own (const struct bb_isolation *s, uint64_t upstream)
+uint64_t
+bb_isolation_owner (const struct bb_isolation *s, uint64_t upstream)
 {
-  uint64_t weight = weight_of (s->own, upstream);
+  uint64_t owner = s->own;
 
   for (uint32_t i = 0; i < s->members_count; i++)
-    if (weight_of (s->members[i], upstream) > weight)
-      return false;
-  return true;
+    if (weight_of (s->members[i], upstream) > weight_of (owner, upstream))
+      owner = s->members[i];
+  return owner;
+}
+
+bool
+bb_isolation_is_own (const struct bb_isolation *s, uint64_t upstream)
+{
+  return bb_isolation_owner (s, upstream) == s->own;
 }
 
 static struct claim *
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -160,6 +160,12 @@
     case BB_MSG_PEER_STATE:
       peer_on_state (peer, &m->u.peer_state);
       break;
+    case BB_MSG_PEER_SLOT_ASK:
+      peer_on_slot_ask (peer, &m->u.peer_slot_ask);
+      break;
+    case BB_MSG_PEER_SLOT:
+      peer_on_slot (peer, &m->u.peer_slot);
+      break;
     case BB_MSG_PEER_ISOLATED:
       peer_on_isolated (peer, &m->u.peer_isolated);
       break;
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -9,6 +9,7 @@
    state.c       states of the processes
    items.c       items of the store
    large.c       those of them that are large
+   slot.c        requests to upstreams that limit them
    tell.c        requests that crash upstreams, to and from peers
    endpoints.c   known addresses
    suspect.c     messages about requests that crash upstreams
@@ -142,6 +143,11 @@
 /* The item KEY of the view may have changed.  */
 void peer_note_item (struct bb_peers *p, const char *key);
 
+/* slot.c */
+/* Handle the message M of PEER.  */
+void peer_on_slot_ask (struct peer *peer, const struct bb_peer_slot_ask *m);
+void peer_on_slot (struct peer *peer, const struct bb_peer_slot *m);
+
 /* tell.c */
 /* Handle the message M that FROM sent: record it, and forward what is new to
    all peers but FROM.  */
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -202,7 +202,7 @@
     "the path or the headers of the request are too large",
     "the caller is too slow",
     "callers have too many connections",
-    "all upstreams rest or leave",
+    "all upstreams rest, leave or take no more requests",
   };
   if (value >= BB_REASON_COUNT)
     return "unknown";
@@ -1264,6 +1264,117 @@
   return true;
 }
 
+static void
+put_peer_slot_ask (msgpack_packer *pk, const struct bb_peer_slot_ask *v)
+{
+  msgpack_pack_map (pk, 3);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->upstream);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->limit_milli);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->wait_max_ms);
+}
+
+static bool
+get_peer_slot_ask (const msgpack_object *obj, struct bb_peer_slot_ask *v,
+                   struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_slot_ask", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "upstream", e))
+            return false;
+          v->upstream = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "limit_milli", e))
+            return false;
+          v->limit_milli = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "wait_max_ms", e))
+            return false;
+          v->wait_max_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_slot_ask", "upstream", e);
+  if (!(seen & (UINT64_C (1) << 2)))
+    return bb_wire_missing ("peer_slot_ask", "limit_milli", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("peer_slot_ask", "wait_max_ms", e);
+  return true;
+}
+
+static void
+put_peer_slot (msgpack_packer *pk, const struct bb_peer_slot *v)
+{
+  msgpack_pack_map (pk, 3);
+  msgpack_pack_uint8 (pk, 1);
+  msgpack_pack_uint64 (pk, v->upstream);
+  msgpack_pack_uint8 (pk, 2);
+  bb_wire_put_bool (pk, v->granted);
+  msgpack_pack_uint8 (pk, 3);
+  msgpack_pack_uint64 (pk, v->wait_ms);
+}
+
+static bool
+get_peer_slot (const msgpack_object *obj, struct bb_peer_slot *v,
+               struct bb_decode_error *e)
+{
+  uint64_t seen = 0;
+  uint64_t n = 0;
+  memset (v, 0, sizeof *v);
+  if (!bb_wire_is_map (obj, "peer_slot", e))
+    return false;
+  for (uint32_t k = 0; k < obj->via.map.size; k++)
+    {
+      const msgpack_object *o = &obj->via.map.ptr[k].val;
+      switch (bb_wire_field (&obj->via.map.ptr[k].key))
+        {
+        case 1:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "upstream", e))
+            return false;
+          v->upstream = (uint64_t)n;
+          seen |= UINT64_C (1) << 1;
+          break;
+        case 2:
+          if (!bb_wire_get_bool (o, &v->granted, "granted", e))
+            return false;
+          seen |= UINT64_C (1) << 2;
+          break;
+        case 3:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "wait_ms", e))
+            return false;
+          v->wait_ms = (uint32_t)n;
+          seen |= UINT64_C (1) << 3;
+          break;
+        default:
+          break;
+        }
+    }
+  if (!(seen & (UINT64_C (1) << 1)))
+    return bb_wire_missing ("peer_slot", "upstream", e);
+  if (!(seen & (UINT64_C (1) << 3)))
+    return bb_wire_missing ("peer_slot", "wait_ms", e);
+  return true;
+}
+
 static void
 put_peer_isolated (msgpack_packer *pk, const struct bb_peer_isolated *v)
 {
@@ -3699,6 +3810,24 @@
   bb_wire_end (buf, start);
 }
 
+void
+bb_put_peer_slot_ask (msgpack_sbuffer *buf, const struct bb_peer_slot_ask *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_SLOT_ASK);
+  put_peer_slot_ask (&pk, v);
+  bb_wire_end (buf, start);
+}
+
+void
+bb_put_peer_slot (msgpack_sbuffer *buf, const struct bb_peer_slot *v)
+{
+  msgpack_packer pk;
+  size_t start = bb_wire_begin (buf, &pk, BB_MSG_PEER_SLOT);
+  put_peer_slot (&pk, v);
+  bb_wire_end (buf, start);
+}
+
 void
 bb_put_peer_isolated (msgpack_sbuffer *buf, const struct bb_peer_isolated *v)
 {
@@ -3992,6 +4121,10 @@
       return get_peer_want (obj, &m->u.peer_want, e);
     case BB_MSG_PEER_BUSY:
       return get_peer_busy (obj, &m->u.peer_busy, e);
+    case BB_MSG_PEER_SLOT_ASK:
+      return get_peer_slot_ask (obj, &m->u.peer_slot_ask, e);
+    case BB_MSG_PEER_SLOT:
+      return get_peer_slot (obj, &m->u.peer_slot, e);
     case BB_MSG_PEER_ISOLATED:
       return get_peer_isolated (obj, &m->u.peer_isolated, e);
     case BB_MSG_MAP_SWITCH:
@@ -4086,6 +4219,12 @@
     case BB_MSG_PEER_BUSY:
       bb_put_peer_busy (buf, &m->u.peer_busy);
       break;
+    case BB_MSG_PEER_SLOT_ASK:
+      bb_put_peer_slot_ask (buf, &m->u.peer_slot_ask);
+      break;
+    case BB_MSG_PEER_SLOT:
+      bb_put_peer_slot (buf, &m->u.peer_slot);
+      break;
     case BB_MSG_PEER_ISOLATED:
       bb_put_peer_isolated (buf, &m->u.peer_isolated);
       break;
@@ -4204,6 +4343,12 @@
   { BB_MSG_PEER_OFFER, 4, true, "hash" },
   { BB_MSG_PEER_WANT, 1, true, "key" },
   { BB_MSG_PEER_BUSY, 1, true, "key" },
+  { BB_MSG_PEER_SLOT_ASK, 1, true, "upstream" },
+  { BB_MSG_PEER_SLOT_ASK, 2, true, "limit_milli" },
+  { BB_MSG_PEER_SLOT_ASK, 3, true, "wait_max_ms" },
+  { BB_MSG_PEER_SLOT, 1, true, "upstream" },
+  { BB_MSG_PEER_SLOT, 2, false, "granted" },
+  { BB_MSG_PEER_SLOT, 3, true, "wait_ms" },
   { BB_MSG_PEER_ISOLATED, 1, true, "upstream" },
   { BB_MSG_PEER_ISOLATED, 2, true, "use" },
   { BB_MSG_MAP_SWITCH, 1, true, "type" },
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -236,6 +236,60 @@
     }
 }
 
+struct limit_case
+{
+  uint16_t status;
+  const char *limit; /* NULL: none is named */
+  bool names;
+  int64_t milli; /* -1: unreadable */
+};
+
+/* A limit is a decimal number, whatever the status; what is none says nothing,
+   and a large one is bounded.  */
+static void
+test_limit (void)
+{
+  static const struct limit_case cases[] = {
+    { 200, "2.1", true, 2100 },
+    { 503, "2.1", true, 2100 },
+    { 500, " 3\t", true, 3000 },
+    { 200, "0", true, 0 },
+    { 200, "0.0009", true, 0 },
+    { 200, "0.05", true, 50 },
+    { 200, "1.23456789", true, 1234 },
+    { 200, "999999999999999999999999", true, BB_LIMIT_MAX_MILLI },
+    { 200, "-1", true, -1 },
+    { 200, "+1", true, -1 },
+    { 200, "1e9", true, -1 },
+    { 200, "nan", true, -1 },
+    { 200, "inf", true, -1 },
+    { 200, "0x10", true, -1 },
+    { 200, "1,5", true, -1 },
+    { 200, "1.2.3", true, -1 },
+    { 200, ".5", true, -1 },
+    { 200, "5.", true, -1 },
+    { 200, "1 2", true, -1 },
+    { 200, "", true, -1 },
+    { 421, "2.1", false, -1 },
+    { 200, NULL, false, -1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct limit_case *c = &cases[i];
+      struct bb_h1_message m
+          = { .status = c->status, .headers_count = c->limit ? 1 : 0 };
+      struct bb_response_info info;
+      m.headers[0]
+          = (struct bb_header){ bb_bytes_of ("server-limit"),
+                                bb_bytes_of (c->limit ? c->limit : "") };
+      g_test_message ("%u \"%s\"", c->status, c->limit);
+      bb_response_info_decode (&m, bb_bytes_of (""), &info);
+      g_assert_cmpint (info.names_limit, ==, c->names);
+      g_assert_cmpint (info.limit_milli, ==, c->milli);
+    }
+}
+
 /* An upstream leaves if it says so in any answer of its own.  */
 static void
 test_leaving (void)
@@ -384,6 +438,7 @@
   g_test_add_func ("/platform/newer-item", test_newer_item);
   g_test_add_func ("/platform/retry-after", test_retry_after);
   g_test_add_func ("/platform/rest", test_rest);
+  g_test_add_func ("/platform/limit", test_limit);
   g_test_add_func ("/platform/leaving", test_leaving);
   g_test_add_func ("/platform/event-id", test_event_id);
   g_test_add_func ("/platform/order", test_order);
