--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 PACKAGES = gcc clang clang-format clang-tidy make pkg-config libc6-dev \
 	libuv1-dev libh2o-dev libssl-dev libmsgpack-dev libyaml-dev \
-	libargtable2-dev libglib2.0-dev uthash-dev libxxhash-dev \
+	libargtable2-dev libglib2.0-dev uthash-dev libxxhash-dev libzstd-dev \
 	libjansson-dev libhttp-parser-dev libclang-rt-14-dev mandoc gnuplot-nox python3 python3-yaml
 
 CC = gcc
@@ -32,7 +32,7 @@
 CPPFLAGS = -D_GNU_SOURCE -DBB_VERSION='"0.1.0"' -Iinclude $(GLIB_CFLAGS)
 CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(MUTANT_FLAGS)
 LDLIBS = -lh2o -luv -lssl -lcrypto -lmsgpackc -lyaml -largtable2 -lglib-2.0 \
-	-lxxhash -ljansson -lhttp_parser -lm
+	-lxxhash -lzstd -ljansson -lhttp_parser -lm
 
 LIBDIRS := $(sort $(filter-out libharness/,$(wildcard lib*/)) platform/)
 CMDS := $(patsubst cmd/%/,%,$(wildcard cmd/*/))
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -267,6 +267,10 @@
   uint64_t revision;
   bool removed;
   struct bb_bytes value;
+  bool packed;
+  uint32_t size;
+  uint64_t base;
+  uint64_t hash;
 };
 
 /* How far the view of the sender reaches, the members that it knows and its
@@ -297,6 +301,7 @@
 struct bb_peer_want
 {
   struct bb_bytes key;
+  uint64_t base;
 };
 
 /* The sender was asked for an item and does not send it now, as it sends
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -123,11 +123,13 @@
 {
   struct bb_peers *p = peer->owner;
   char *key = bb_bytes_strdup (m->key);
-  GBytes *value
-      = m->removed ? NULL : g_bytes_new (m->value.ptr, m->value.size);
+  GBytes *value = m->removed  ? NULL
+                  : m->packed ? peer_unpack_item (peer, key, m)
+                              : g_bytes_new (m->value.ptr, m->value.size);
 
   count_item (peer, key, m);
-  p->ops->on_item (key, value, m->revision, p->user);
+  if (value || m->removed)
+    p->ops->on_item (key, value, m->revision, p->user);
   peer_on_asked_item (peer, key);
   if (value)
     g_bytes_unref (value);
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -9,6 +9,8 @@
    state.c       states of the processes
    items.c       items of the store
    large.c       those of them that are large
+   past.c        the values that these had before
+   pack.c        their packing
    slot.c        requests to upstreams that limit them
    tell.c        requests that crash upstreams, to and from peers
    endpoints.c   known addresses
@@ -83,6 +85,7 @@
      indexed by tick.  */
   uint64_t past_revisions[RESEND_DELAY_TICKS];
   struct peer *peers;
+  GHashTable *past;       /* values of large items, by key; see past.c */
   GHashTable *needs;      /* large items that this process lacks, by key */
   uv_timer_t large_timer; /* active while there are any of them */
 };
@@ -131,18 +134,43 @@
 /* Whether I is not sent to peers that have not asked for it.  */
 bool peer_is_large (const struct bb_item *i);
 /* Appends an offer of I, which has a value, to OUT.  */
-void peer_put_offer (msgpack_sbuffer *out, const struct bb_item *i);
+void peer_put_offer (struct bb_peers *p, msgpack_sbuffer *out,
+                     const struct bb_item *i);
 /* Offers I to all connected peers.  */
 void peer_offer_to_all (struct bb_peers *p, const struct bb_item *i);
 /* Handle the message M of PEER.  */
 void peer_on_offer (struct peer *peer, const struct bb_peer_offer *m);
 void peer_on_want (struct peer *peer, const struct bb_peer_want *m);
 void peer_on_busy (struct peer *peer, const struct bb_peer_busy *m);
+/* Returns the value of M, a packed item KEY that PEER sent, which the caller
+   frees; NULL where it cannot be unpacked.  */
+GBytes *peer_unpack_item (struct peer *peer, const char *key,
+                          const struct bb_peer_item *m);
 /* PEER sent the item KEY, which is in the view now.  */
 void peer_on_asked_item (struct peer *peer, const char *key);
 /* The item KEY of the view may have changed.  */
 void peer_note_item (struct bb_peers *p, const char *key);
 
+/* past.c */
+GHashTable *peer_past_new (void);
+/* Returns the XXH64 hash of VALUE, or of the value of I, which is kept as one
+   that peers may have.  */
+uint64_t peer_hash (GBytes *value);
+uint64_t peer_past_note (struct bb_peers *p, const struct bb_item *i);
+/* Returns the packed value of I, which the caller frees: as the difference
+   against the value with the hash *BASE, which is set to 0 if that is not
+   known.  NULL where it cannot be packed.  */
+GBytes *peer_past_pack (struct bb_peers *p, const struct bb_item *i,
+                        uint64_t *base);
+
+/* pack.c */
+/* Returns VALUE packed, as the difference against BASE if that is not NULL, or
+   NULL where that fails.  The caller frees it.  */
+GBytes *peer_pack (GBytes *value, GBytes *base);
+/* Returns the value of SIZE bytes that PACKED holds, or NULL where it is
+   damaged, has another size or another base.  The caller frees it.  */
+GBytes *peer_unpack (struct bb_bytes packed, size_t size, GBytes *base);
+
 /* slot.c */
 /* Handle the message M of PEER.  */
 void peer_on_slot_ask (struct peer *peer, const struct bb_peer_slot_ask *m);
--- a/libpeer/items.c
+++ b/libpeer/items.c
@@ -25,12 +25,13 @@
 /* Appends I to OUT, which is sent to COPIES peers, or an offer of it where it
    is large.  */
 static void
-put_or_offer (msgpack_sbuffer *out, const struct bb_item *i, uint32_t copies)
+put_or_offer (struct bb_peers *p, msgpack_sbuffer *out,
+              const struct bb_item *i, uint32_t copies)
 {
 #ifndef BB_MUTANT_item_offers
   if (peer_is_large (i))
     {
-      peer_put_offer (out, i);
+      peer_put_offer (p, out, i);
       return;
     }
 #endif
@@ -46,7 +47,7 @@
 
   g_hash_table_iter_init (&it, v->items);
   while (g_hash_table_iter_next (&it, NULL, &item))
-    put_or_offer (bb_conn_out (peer->conn), item, 1);
+    put_or_offer (peer->owner, bb_conn_out (peer->conn), item, 1);
   peer->sent_revision = v->revision;
 }
 
@@ -64,7 +65,7 @@
     {
       const struct bb_item *i = value;
       if (i->revision > peer->sent_revision)
-        put_or_offer (bb_conn_out (peer->conn), i, 1);
+        put_or_offer (peer->owner, bb_conn_out (peer->conn), i, 1);
     }
   peer->sent_revision = v->revision;
 }
@@ -87,7 +88,7 @@
   msgpack_sbuffer frame;
 
   msgpack_sbuffer_init (&frame);
-  put_or_offer (&frame, i, peer_count_open (p));
+  put_or_offer (p, &frame, i, peer_count_open (p));
   peer_send_to_all (p, NULL, &frame);
 }
 
--- a/libpeer/large.c
+++ b/libpeer/large.c
@@ -8,7 +8,6 @@
 
 #include <string.h>
 #include <utlist.h>
-#include <xxhash.h>
 
 enum
 {
@@ -17,7 +16,8 @@
   ASK_SPREAD_MS = 60,  /* offers of the first few that have an item come within
                           it */
   EXCHANGES_MAX = 256, /* keys of a peer */
-  NEEDS_MAX = 256
+  NEEDS_MAX = 256,
+  VALUE_MAX_BYTES = 16 * 1024 * 1024 /* as a message may have unpacked */
 };
 
 /* An item that this process lacks.  */
@@ -32,7 +32,8 @@
 {
   bb_revision offered; /* the peer has the item as of it; 0: it offered none */
 
-  bool asked; /* this process asked the peer for it */
+  bool asked;        /* this process asked the peer for it */
+  bool refuses_base; /* what the peer sent could not be unpacked */
   bb_ms progress_ms;
   size_t partial_bytes; /* of the message that was incomplete at PROGRESS_MS */
 
@@ -47,22 +48,14 @@
   return i->value && g_bytes_get_size (i->value) >= LARGE_MIN_BYTES;
 }
 
-static uint64_t
-hash_of (GBytes *value)
-{
-  gsize size;
-  const void *data = g_bytes_get_data (value, &size);
-
-  return XXH64 (data, size, 0);
-}
-
 void
-peer_put_offer (msgpack_sbuffer *out, const struct bb_item *i)
+peer_put_offer (struct bb_peers *p, msgpack_sbuffer *out,
+                const struct bb_item *i)
 {
   struct bb_peer_offer m = { .key = bb_bytes_of (i->key),
                              .revision = i->revision,
                              .size = (uint32_t)g_bytes_get_size (i->value),
-                             .hash = hash_of (i->value) };
+                             .hash = peer_past_note (p, i) };
 
   bb_put_peer_offer (out, &m);
 }
@@ -73,7 +66,7 @@
   msgpack_sbuffer frame;
 
   msgpack_sbuffer_init (&frame);
-  peer_put_offer (&frame, i);
+  peer_put_offer (p, &frame, i);
   peer_send_to_all (p, NULL, &frame);
 }
 
@@ -144,7 +137,10 @@
   if (chosen-- == 0)
     {
       struct exchange *x = exchange_of (peer, key);
+      const struct bb_item *known = g_hash_table_lookup (p->view->items, key);
       struct bb_peer_want m = { .key = bb_bytes_of (key) };
+      if (known && known->value && !x->refuses_base)
+        m.base = peer_hash (known->value);
       x->asked = true;
       x->progress_ms = peer_now_ms (p);
       bb_put_peer_want (bb_conn_out (peer->conn), &m);
@@ -212,7 +208,7 @@
   if (known && known->revision >= m->revision)
     return;
   if (known && known->value && g_bytes_get_size (known->value) == m->size
-      && hash_of (known->value) == m->hash)
+      && peer_past_note (p, known) == m->hash)
     {
       g_autoptr (GBytes) value = g_bytes_ref (known->value);
       p->ops->on_item (key, value, m->revision, p->user);
@@ -247,6 +243,55 @@
                            sends->len, to_agent, peer_now_ms (p));
 }
 
+/* Sends I to PEER, as the difference against its value with the hash BASE, if
+   that is known here.  */
+static void
+put_packed_item (struct peer *peer, const struct bb_item *i, uint64_t base)
+{
+  struct bb_peers *p = peer->owner;
+  g_autoptr (GBytes) packed = i->value ? peer_past_pack (p, i, &base) : NULL;
+  struct bb_peer_item m = { .key = bb_bytes_of (i->key),
+                            .revision = i->revision,
+                            .packed = true,
+                            .base = base };
+  gsize size;
+
+  if (!packed)
+    {
+      peer_put_item (bb_conn_out (peer->conn), i, 1);
+      return;
+    }
+  m.value.ptr = g_bytes_get_data (packed, &size);
+  m.value.size = (uint32_t)size;
+  m.size = (uint32_t)g_bytes_get_size (i->value);
+  m.hash = peer_past_note (p, i);
+  bb_counter ("bilberry_peer_item_bytes_total", "kind=\"sent\"")->value
+      += size;
+  bb_put_peer_item (bb_conn_out (peer->conn), &m);
+}
+
+GBytes *
+peer_unpack_item (struct peer *peer, const char *key,
+                  const struct bb_peer_item *m)
+{
+  struct bb_peers *p = peer->owner;
+  const struct bb_item *known = g_hash_table_lookup (p->view->items, key);
+  struct exchange *x = exchange_of (peer, key);
+  GBytes *base = m->base != 0 && known ? known->value : NULL;
+  GBytes *value = NULL;
+
+  if (m->size <= VALUE_MAX_BYTES
+      && (m->base == 0 || (base && peer_hash (base) == m->base)))
+    value = peer_unpack (m->value, m->size, base);
+  if (value && peer_hash (value) != m->hash)
+    g_clear_pointer (&value, g_bytes_unref);
+  if (x)
+    x->refuses_base = !value;
+  if (!value)
+    bb_counter ("bilberry_peer_items_damaged_total", "")->value++;
+  return value;
+}
+
 void
 peer_on_want (struct peer *peer, const struct bb_peer_want *m)
 {
@@ -263,7 +308,7 @@
       bb_put_peer_busy (bb_conn_out (peer->conn), &busy);
       return;
     }
-  peer_put_item (bb_conn_out (peer->conn), i, 1);
+  put_packed_item (peer, i, m->base);
   x->sending = true;
   x->sent = i->revision;
   x->sent_ms = peer_now_ms (p);
@@ -325,6 +370,7 @@
 void
 peer_large_init (struct bb_peers *p)
 {
+  p->past = peer_past_new ();
   p->needs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   uv_timer_init (p->loop, &p->large_timer);
   p->large_timer.data = p;
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -982,7 +982,7 @@
 static void
 put_peer_item (msgpack_packer *pk, const struct bb_peer_item *v)
 {
-  msgpack_pack_map (pk, 4);
+  msgpack_pack_map (pk, 8);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->key);
   msgpack_pack_uint8 (pk, 2);
@@ -991,6 +991,14 @@
   bb_wire_put_bool (pk, v->removed);
   msgpack_pack_uint8 (pk, 4);
   bb_wire_put_bin (pk, v->value);
+  msgpack_pack_uint8 (pk, 5);
+  bb_wire_put_bool (pk, v->packed);
+  msgpack_pack_uint8 (pk, 6);
+  msgpack_pack_uint64 (pk, v->size);
+  msgpack_pack_uint8 (pk, 7);
+  msgpack_pack_uint64 (pk, v->base);
+  msgpack_pack_uint8 (pk, 8);
+  msgpack_pack_uint64 (pk, v->hash);
 }
 
 static bool
@@ -1028,6 +1036,29 @@
             return false;
           seen |= UINT64_C (1) << 4;
           break;
+        case 5:
+          if (!bb_wire_get_bool (o, &v->packed, "packed", e))
+            return false;
+          seen |= UINT64_C (1) << 5;
+          break;
+        case 6:
+          if (!bb_wire_get_uint (o, U32_MAX, &n, "size", e))
+            return false;
+          v->size = (uint32_t)n;
+          seen |= UINT64_C (1) << 6;
+          break;
+        case 7:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "base", e))
+            return false;
+          v->base = (uint64_t)n;
+          seen |= UINT64_C (1) << 7;
+          break;
+        case 8:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "hash", e))
+            return false;
+          v->hash = (uint64_t)n;
+          seen |= UINT64_C (1) << 8;
+          break;
         default:
           break;
         }
@@ -1197,9 +1228,11 @@
 static void
 put_peer_want (msgpack_packer *pk, const struct bb_peer_want *v)
 {
-  msgpack_pack_map (pk, 1);
+  msgpack_pack_map (pk, 2);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->key);
+  msgpack_pack_uint8 (pk, 2);
+  msgpack_pack_uint64 (pk, v->base);
 }
 
 static bool
@@ -1207,6 +1240,7 @@
                struct bb_decode_error *e)
 {
   uint64_t seen = 0;
+  uint64_t n = 0;
   memset (v, 0, sizeof *v);
   if (!bb_wire_is_map (obj, "peer_want", e))
     return false;
@@ -1220,6 +1254,12 @@
             return false;
           seen |= UINT64_C (1) << 1;
           break;
+        case 2:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "base", e))
+            return false;
+          v->base = (uint64_t)n;
+          seen |= UINT64_C (1) << 2;
+          break;
         default:
           break;
         }
@@ -4331,6 +4371,10 @@
   { BB_MSG_PEER_ITEM, 2, true, "revision" },
   { BB_MSG_PEER_ITEM, 3, false, "removed" },
   { BB_MSG_PEER_ITEM, 4, false, "value" },
+  { BB_MSG_PEER_ITEM, 5, false, "packed" },
+  { BB_MSG_PEER_ITEM, 6, false, "size" },
+  { BB_MSG_PEER_ITEM, 7, false, "base" },
+  { BB_MSG_PEER_ITEM, 8, false, "hash" },
   { BB_MSG_PEER_STATE, 1, true, "revision" },
   { BB_MSG_PEER_STATE, 2, false, "members" },
   { BB_MSG_PEER_STATE, 3, false, "loads" },
@@ -4342,6 +4386,7 @@
   { BB_MSG_PEER_OFFER, 3, true, "size" },
   { BB_MSG_PEER_OFFER, 4, true, "hash" },
   { BB_MSG_PEER_WANT, 1, true, "key" },
+  { BB_MSG_PEER_WANT, 2, false, "base" },
   { BB_MSG_PEER_BUSY, 1, true, "key" },
   { BB_MSG_PEER_SLOT_ASK, 1, true, "upstream" },
   { BB_MSG_PEER_SLOT_ASK, 2, true, "limit_milli" },
--- a/test/test_edge_growth.c
+++ b/test/test_edge_growth.c
@@ -189,6 +189,49 @@
   testbed_free (&t);
 }
 
+/* Returns how many bytes of items all edges have received from peers.  */
+static uint64_t
+received_by_all (struct testbed *t)
+{
+  uint64_t n = 0;
+
+  for (uint32_t e = 0; e < t->edges_count; e++)
+    n += received_bytes (t, e);
+  return n;
+}
+
+/* A small change of a large configuration costs little between edges.  */
+static void
+test_small_change (void)
+{
+  struct testbed t;
+  g_autofree char *routes = further_routes (ROUTES);
+  uint64_t before;
+  uint64_t after;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  for (uint32_t e = 0; e < LINKED_EDGES; e++)
+    testbed_start_edge (&t, 0);
+  harness_sleep_ms (STANDBY_MS);
+  testbed_put_config (&t, 2, routes, ",\"key-2\"");
+  g_assert_cmpuint (
+      count_without_key (&t, LINKED_EDGES, "key-2", CONFIG_DEADLINE_MS), ==,
+      0);
+  harness_sleep_ms (STANDBY_MS);
+  before = received_by_all (&t);
+  testbed_put_config (&t, 3, routes, ",\"key-3\"");
+  g_assert_cmpuint (
+      count_without_key (&t, LINKED_EDGES, "key-3", CONFIG_DEADLINE_MS), ==,
+      0);
+  harness_sleep_ms (STANDBY_MS);
+  after = received_by_all (&t);
+  g_test_message ("%u bytes for %u", (unsigned)(after - before),
+                  (unsigned)strlen (routes));
+  g_assert_cmpuint (after - before, <, strlen (routes) / 100);
+  testbed_free (&t);
+}
+
 /* Large versions follow one another on slow links.  Each is in force in time,
    and an edge gets each about once, not once from each of its peers.  */
 static void
@@ -262,6 +305,44 @@
   return true;
 }
 
+/* What a peer sends cannot be unpacked: it is asked again, for the whole
+   value, and nothing of what came is in force.  */
+static void
+test_damaged (void)
+{
+  struct testbed t;
+  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *config = testbed_config (2, routes, ",\"key-2\"");
+  struct bb_peer_item item
+      = { .key = bb_bytes_of ("op/config"),
+          .value = bb_bytes_of ("neither packed nor a configuration"),
+          .revision = bb_revision_of (1, 1000),
+          .packed = true,
+          .size = 1 << 20 };
+  struct frame_peer *p;
+  struct bb_message m;
+  msgpack_sbuffer out;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_start_edge (&t, harness_port (t.harness));
+  p = connect_offering (&t, 1, "damaged", 7, config);
+  g_assert_true (frame_await (p, BB_MSG_PEER_WANT, &m, 2000));
+  g_assert_cmpuint (m.u.peer_want.base, !=, 0);
+  bb_message_free (&m);
+  msgpack_sbuffer_init (&out);
+  bb_put_peer_item (&out, &item);
+  frame_send (p, &out);
+  msgpack_sbuffer_destroy (&out);
+  g_assert_true (frame_await (p, BB_MSG_PEER_WANT, &m, 1000));
+  g_assert_cmpuint (m.u.peer_want.base, ==, 0);
+  bb_message_free (&m);
+  g_assert_cmpuint (count_without_key (&t, 2, "key-1", 1000), ==, 0);
+  frame_close (p);
+  testbed_free (&t);
+}
+
 /* Of two peers that offer an item, one is asked.  It never sends it, so that
    the other one is asked too.  */
 static void
@@ -324,7 +405,9 @@
   g_test_add_func ("/growth/slow-store", test_slow_store);
   g_test_add_func ("/growth/one-copy", test_one_copy);
   g_test_add_func ("/growth/slow-links", test_slow_links);
+  g_test_add_func ("/growth/small-change", test_small_change);
   g_test_add_func ("/growth/silent-sender", test_silent_sender);
   g_test_add_func ("/growth/same-value", test_same_value);
+  g_test_add_func ("/growth/damaged", test_damaged);
   return g_test_run ();
 }
