--- /dev/null
+++ b/bench/config_growth.c
@@ -0,0 +1,137 @@
+/* config_growth - time until all edges have a large configuration, and then
+   one with a small change, on links of 40 Mbit/s, and what that costs between
+   them.  Real processes on one machine.
+
+   Usage: config_growth [ROUTES EDGES]  */
+
+#include "../test/harness/testbed.h"
+
+#include "bilberry/base.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LINK_RATE = 5 * 1000 * 1000, /* bytes a second */
+  STANDBY_MS = 1500,           /* until few edges watch the store */
+  POLL_MS = 5,
+  TIMEOUT_MS = 20000
+};
+
+/* Returns the time until KEY works at all edges; TIMEOUT_MS: it does not.  */
+static bb_ms
+await_key (struct testbed *t, const char *key)
+{
+  bb_ms start = bb_clock_now ();
+  uint32_t e = 0;
+
+  while (e < t->edges_count && bb_clock_now () - start < TIMEOUT_MS)
+    {
+      struct http_response a
+          = testbed_request (t, e, "GET", "/check/1", "c1", key);
+      if (a.status == 200)
+        e++;
+      else
+        harness_sleep_ms (POLL_MS);
+      http_response_free (&a);
+    }
+  return e == t->edges_count ? bb_clock_now () - start : TIMEOUT_MS;
+}
+
+/* Returns the bytes of items that edge E has received from peers.  */
+static uint64_t
+received (struct testbed *t, uint32_t e)
+{
+  return harness_counter (t->edges[e].ready_port,
+                          "bilberry_peer_item_bytes_total",
+                          "kind=\"received\"");
+}
+
+/* Returns the longest time in ms that an edge needed to decode a
+   configuration.  */
+static uint32_t
+longest_decode_ms (struct testbed *t)
+{
+  uint32_t longest = 0;
+
+  for (uint32_t e = 0; e < t->edges_count; e++)
+    {
+      g_autofree char *name = g_strdup_printf ("edge-%u", e);
+      g_autofree char *log = testbed_read_log (t, name);
+      for (const char *at = log; (at = strstr (at, "\"decode_ms\":")); at++)
+        longest = MAX (longest, (uint32_t)strtoul (
+                                    at + strlen ("\"decode_ms\":"), NULL, 10));
+    }
+  return longest;
+}
+
+/* Writes a configuration with ROUTES routes and KEY as VERSION, and prints the
+   rest of a row about it.  */
+static void
+put_and_measure (struct testbed *t, int version, uint32_t routes,
+                 const char *key)
+{
+  g_autofree char *text = testbed_routes (routes);
+  g_autofree char *keys = g_strdup_printf (",\"%s\"", key);
+  uint64_t before[TESTBED_MAX];
+  uint64_t most = 0;
+  uint64_t sum = 0;
+  bb_ms took;
+
+  for (uint32_t e = 0; e < t->edges_count; e++)
+    before[e] = received (t, e);
+  testbed_put_config (t, version, text, keys);
+  took = await_key (t, key);
+  harness_sleep_ms (STANDBY_MS);
+  for (uint32_t e = 0; e < t->edges_count; e++)
+    {
+      uint64_t n = received (t, e) - before[e];
+      most = MAX (most, n);
+      sum += n;
+    }
+  printf (" %9" G_GINT64_FORMAT " %9.1f %9.1f", (gint64)took,
+          (double)most / 1000, (double)sum / 1000);
+}
+
+static void
+play (uint32_t routes, uint32_t edges)
+{
+  struct testbed t;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_links (&t, edges, LINK_RATE);
+  for (uint32_t e = 0; e < edges; e++)
+    testbed_start_edge (&t, 0);
+  await_key (&t, "key-1");
+  harness_sleep_ms (STANDBY_MS);
+  printf ("%6u %5u", routes, edges);
+  put_and_measure (&t, 2, routes, "key-2");
+  put_and_measure (&t, 3, routes + 1, "key-3");
+  printf (" %9u\n", longest_decode_ms (&t));
+  fflush (stdout);
+  testbed_free (&t);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const uint32_t routes[] = { 250, 1650, 4450, 20000 };
+  static const uint32_t edges[] = { 3, 15, 30 };
+
+  printf ("%12s %29s %29s\n", "", "new: in force ms, most KB,",
+          "one route more: the same;");
+  printf ("%6s %5s %9s %9s %9s %9s %9s %9s %9s\n", "routes", "edges", "ms",
+          "most KB", "all KB", "ms", "most KB", "all KB", "decode ms");
+  if (argc == 3)
+    {
+      play ((uint32_t)atoi (argv[1]), (uint32_t)atoi (argv[2]));
+      return 0;
+    }
+  for (uint32_t i = 0; i < G_N_ELEMENTS (routes); i++)
+    for (uint32_t k = 0; k < G_N_ELEMENTS (edges); k++)
+      play (routes[i], edges[k]);
+  return 0;
+}
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -79,6 +79,22 @@
   G_GNUC_END_IGNORE_DEPRECATIONS
 }
 
+char *
+testbed_routes (uint32_t n)
+{
+  GString *s = g_string_new ("");
+
+  for (uint32_t i = 0; i < n; i++)
+    g_string_append_printf (
+        s,
+        ",{\"name\":\"r-%08x\",\"host\":\"127.0.0.1\",\"prefix\":\"/%08x/\","
+        "\"route-kind\":\"idempotent\",\"service\":\"app\",\"timeout-ms\":"
+        "2000,\"slo-ms\":150,\"max-attempts\":3,\"priority\":2,"
+        "\"split\":[{\"service\":\"app\",\"weight\":1}]}",
+        i * 2654435761U, i * 2246822519U);
+  return g_string_free (s, FALSE);
+}
+
 void
 testbed_put_config (struct testbed *t, int version, const char *routes,
                     const char *keys)
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -108,6 +108,9 @@
    keys of the customer.  ROUTES and KEYS are JSON array elements that begin
    with a comma, or "".  The caller frees it.  */
 char *testbed_config (int version, const char *routes, const char *keys);
+/* Returns JSON of N routes to pool app for testbed_config, some 200 bytes
+   each. The caller frees it.  */
+char *testbed_routes (uint32_t n);
 /* Writes that configuration to the store.  */
 void testbed_put_config (struct testbed *t, int version, const char *routes,
                          const char *keys);
--- a/test/test_edge_growth.c
+++ b/test/test_edge_growth.c
@@ -26,27 +26,10 @@
   SLOW_PART_MS = 100
 };
 
-/* Returns JSON of N further routes, each with a comma before it.  */
-static char *
-further_routes (uint32_t n)
-{
-  GString *s = g_string_new ("");
-
-  for (uint32_t i = 0; i < n; i++)
-    g_string_append_printf (
-        s,
-        ",{\"name\":\"r-%08x\",\"host\":\"127.0.0.1\",\"prefix\":\"/%08x/\","
-        "\"route-kind\":\"idempotent\",\"service\":\"app\",\"timeout-ms\":"
-        "2000,\"slo-ms\":150,\"max-attempts\":3,\"priority\":2,"
-        "\"split\":[{\"service\":\"app\",\"weight\":1}]}",
-        i * 2654435761U, i * 2246822519U);
-  return g_string_free (s, FALSE);
-}
-
 static void
 put_large_config (struct testbed *t, int version, const char *keys)
 {
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
 
   testbed_put_config (t, version, routes, keys);
 }
@@ -112,7 +95,7 @@
 test_slow_item (void)
 {
   struct testbed t;
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
   g_autofree char *config = testbed_config (2, routes, ",\"key-2\"");
   struct bb_peer_hello hello
       = { .incarnation = 7, .name = bb_bytes_of ("slow") };
@@ -171,7 +154,7 @@
 test_one_copy (void)
 {
   struct testbed t;
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
   g_autofree char *config = testbed_config (2, routes, "");
   uint64_t bytes;
 
@@ -205,7 +188,7 @@
 test_small_change (void)
 {
   struct testbed t;
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
   uint64_t before;
   uint64_t after;
 
@@ -242,7 +225,7 @@
     VERSIONS = 3
   };
   struct testbed t;
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
   uint64_t size = strlen (routes);
 
   testbed_init (&t);
@@ -311,7 +294,7 @@
 test_damaged (void)
 {
   struct testbed t;
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
   g_autofree char *config = testbed_config (2, routes, ",\"key-2\"");
   struct bb_peer_item item
       = { .key = bb_bytes_of ("op/config"),
@@ -349,7 +332,7 @@
 test_silent_sender (void)
 {
   struct testbed t;
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
   g_autofree char *config = testbed_config (2, routes, ",\"key-2\"");
   struct frame_peer *first;
   struct frame_peer *second;
@@ -373,7 +356,7 @@
 test_same_value (void)
 {
   struct testbed t;
-  g_autofree char *routes = further_routes (ROUTES);
+  g_autofree char *routes = testbed_routes (ROUTES);
   g_autofree char *config = testbed_config (2, routes, "");
   struct frame_peer *p;
   struct bb_message m;
