--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -108,14 +108,18 @@
                        applies */
 };
 
-/* One accepted configuration.  Immutable after bb_config_sort_routes, and
-   shared by reference count.  */
+/* Routes by host and prefix.  */
+struct bb_route_index;
+
+/* One accepted configuration.  Immutable once it is complete, and shared by
+   reference count.  */
 struct bb_config
 {
   uint32_t reference_count;
   bb_revision revision; /* at which it was written */
   uint64_t version;     /* version number that the operator set */
-  GPtrArray *routes;    /* struct bb_route, longest prefix first */
+  GPtrArray *routes;    /* struct bb_route, as the operator listed them */
+  struct bb_route_index *index;
   GHashTable *pools;    /* struct bb_pool by name */
   GPtrArray *customers; /* struct bb_fleet_customer; owns them */
   GHashTable *keys;     /* bearer key to struct bb_fleet_customer */
@@ -159,12 +163,9 @@
                                                   const char *name,
                                                   int32_t priority);
 
-/* Sorts the routes by length of prefix, longest first, as bb_config_find_route
-   needs.  Call it once, after the last route was added.  */
-void bb_config_sort_routes (struct bb_config *c);
-
 /* Returns the route of HOST with the longest prefix of TARGET, a request
-   target, or NULL where there is none.  HOST is compared without regard to
+   target, or NULL where there is none; the first one added of several with the
+   same prefix.  HOST is compared without regard to
    case and without its port, TARGET without its query.  */
 const struct bb_route *bb_config_find_route (const struct bb_config *c,
                                              struct bb_bytes host,
--- a/libfleet/config.c
+++ b/libfleet/config.c
@@ -1,7 +1,4 @@
-#include "bilberry/fleet.h"
-
-#include <string.h>
-#include <strings.h>
+#include "index.h"
 
 enum
 {
@@ -50,6 +47,7 @@
 
   c->reference_count = 1;
   c->routes = g_ptr_array_new_with_free_func (free_route);
+  c->index = route_index_new ();
   c->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
   c->customers = g_ptr_array_new_with_free_func (free_customer);
   c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -72,6 +70,7 @@
 {
   if (!c || --c->reference_count > 0)
     return;
+  route_index_free (c->index);
   g_ptr_array_unref (c->routes);
   g_hash_table_unref (c->pools);
   g_hash_table_unref (c->keys);
@@ -94,6 +93,7 @@
 bb_config_add_route (struct bb_config *c, struct bb_route *r)
 {
   g_ptr_array_add (c->routes, r);
+  route_index_add (c->index, r);
 }
 
 void
@@ -122,74 +122,6 @@
   return customer;
 }
 
-static int
-compare_prefix_lengths (const void *a, const void *b)
-{
-  const struct bb_route *x = *(struct bb_route *const *)a;
-  const struct bb_route *y = *(struct bb_route *const *)b;
-  size_t n = strlen (x->prefix);
-  size_t m = strlen (y->prefix);
-
-  return n < m ? 1 : n > m ? -1 : 0;
-}
-
-void
-bb_config_sort_routes (struct bb_config *c)
-{
-  g_ptr_array_sort (c->routes, compare_prefix_lengths);
-}
-
-static bool
-has_prefix (struct bb_bytes target, const char *prefix)
-{
-  size_t n = strlen (prefix);
-
-  return n <= target.size && memcmp (target.ptr, prefix, n) == 0;
-}
-
-/* Returns the part of TEXT before the first C, or all of TEXT.  */
-static struct bb_bytes
-truncate_at (struct bb_bytes text, char c)
-{
-  const char *found = text.size > 0 ? memchr (text.ptr, c, text.size) : NULL;
-
-  if (found)
-    text.size = (uint32_t)(found - text.ptr);
-  return text;
-}
-
-/* Returns HOST, the value of a Host header, without its port.  An IPv6 address
-   stands in brackets.  Returns all of HOST where its brackets are malformed,
-   so that it matches no route.  */
-static struct bb_bytes
-strip_port (struct bb_bytes host)
-{
-  struct bb_bytes address = host;
-  uint32_t size = truncate_at (host, ']').size + 1;
-
-  if (host.size == 0 || host.ptr[0] != '[')
-    return truncate_at (host, ':');
-  address.size = size;
-  return size < host.size && host.ptr[size] == ':' ? address : host;
-}
-
-const struct bb_route *
-bb_config_find_route (const struct bb_config *c, struct bb_bytes host,
-                      struct bb_bytes target)
-{
-  host = strip_port (host);
-  target = truncate_at (target, '?');
-  for (guint i = 0; i < c->routes->len; i++)
-    {
-      const struct bb_route *r = g_ptr_array_index (c->routes, i);
-      if (host.size == strlen (r->host)
-          && strncasecmp (host.ptr, r->host, host.size) == 0
-          && has_prefix (target, r->prefix))
-        return r;
-    }
-  return NULL;
-}
-
 const struct bb_pool *
 bb_config_find_pool (const struct bb_config *c, const char *name)
 {
