--- a/bench/config_growth.c
+++ b/bench/config_growth.c
@@ -49,10 +49,9 @@
                           "kind=\"received\"");
 }
 
-/* Returns the longest time in ms that an edge needed to decode a
-   configuration.  */
+/* Returns the highest value of FIELD in the logs of the edges.  */
 static uint32_t
-longest_decode_ms (struct testbed *t)
+highest (struct testbed *t, const char *field)
 {
   uint32_t longest = 0;
 
@@ -60,9 +59,9 @@
     {
       g_autofree char *name = g_strdup_printf ("edge-%u", e);
       g_autofree char *log = testbed_read_log (t, name);
-      for (const char *at = log; (at = strstr (at, "\"decode_ms\":")); at++)
-        longest = MAX (longest, (uint32_t)strtoul (
-                                    at + strlen ("\"decode_ms\":"), NULL, 10));
+      for (const char *at = log; (at = strstr (at, field)); at++)
+        longest
+            = MAX (longest, (uint32_t)strtoul (at + strlen (field), NULL, 10));
     }
   return longest;
 }
@@ -110,7 +109,8 @@
   printf ("%6u %5u", routes, edges);
   put_and_measure (&t, 2, routes, "key-2");
   put_and_measure (&t, 3, routes + 1, "key-3");
-  printf (" %9u\n", longest_decode_ms (&t));
+  printf (" %9u %9u\n", highest (&t, "\"decode_ms\":"),
+          highest (&t, "\"step_ms\":"));
   fflush (stdout);
   testbed_free (&t);
 }
@@ -123,8 +123,9 @@
 
   printf ("%12s %29s %29s\n", "", "new: in force ms, most KB,",
           "one route more: the same;");
-  printf ("%6s %5s %9s %9s %9s %9s %9s %9s %9s\n", "routes", "edges", "ms",
-          "most KB", "all KB", "ms", "most KB", "all KB", "decode ms");
+  printf ("%6s %5s %9s %9s %9s %9s %9s %9s %9s %9s\n", "routes", "edges", "ms",
+          "most KB", "all KB", "ms", "most KB", "all KB", "decode ms",
+          "step ms");
   if (argc == 3)
     {
       play ((uint32_t)atoi (argv[1]), (uint32_t)atoi (argv[2]));
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -234,7 +234,7 @@
 void target_hold (struct target *t);
 void target_release (struct target *t);
 
-/* fleet.c: the configuration and evacuations in force, and the loads of the
+/* fleet.c: the items of the store, evacuations in force, and the loads of the
    other edges.  */
 
 /* Returns the queue of POOL, which is made on first use.  */
@@ -397,6 +397,13 @@
                    struct bb_peer_slot *reply);
 void limit_on_slot (struct edge *e, const struct bb_peer_slot *m);
 
+/* config.c: the configuration in force.  */
+void config_init (struct edge *e);
+/* Takes VALUE, written at REVISION, as the configuration; NULL: it was
+   removed. A large one is in force a little later.  SOURCE is "store" or
+   "peer".  */
+void config_apply (GBytes *value, bb_revision revision, const char *source);
+
 /* rest.c: what upstreams ask for in their answers.  */
 /* The upstream of R has sent the head of its response.  */
 void rest_record_answer (struct request *r);
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -50,80 +50,12 @@
   return q;
 }
 
-/* Updates the queues from the pools of the configuration.  */
-static void
-update_queues (struct edge *e)
-{
-  GHashTableIter it;
-  void *value;
-
-  g_hash_table_iter_init (&it, e->config->pools);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct bb_pool *p = value;
-      struct pool_queue *q = fleet_queue (e, p->name);
-      q->grouped = p->has_engine && p->engine.sets > 0;
-    }
-}
-
 uint32_t
 fleet_caller_connections_max (const struct edge *e)
 {
   return e->settings->descriptors_max * CALLER_CONNECTIONS_PERCENT / 100;
 }
 
-static void
-update_limits (struct edge *e)
-{
-  const struct bb_config *c = e->config;
-  struct bb_h1_limits limits
-      = { .head_max_bytes = c->head_max_bytes,
-          .body_max_bytes = c->body_max_bytes,
-          .read_timeout_ms = c->head_timeout_ms,
-          .idle_timeout_ms = c->idle_timeout_ms,
-          .connections_max = fleet_caller_connections_max (e) };
-
-  if (e->front_server)
-    bb_h1_server_set_limits (e->front_server, &limits);
-}
-
-static void
-apply_config (struct edge *e, GBytes *value, bb_revision revision,
-              const char *source)
-{
-  const char *error = NULL;
-  bb_ms start_ms = bb_clock_now ();
-  struct bb_config *c
-      = value ? bb_config_decode (value, revision, &error) : NULL;
-
-  if (c && !bb_config_may_replace (c, e->config))
-    {
-      bb_log_event ("config_older", "{s:s, s:I, s:I}", "source", source,
-                    "version", (json_int_t)c->version, "in_force",
-                    (json_int_t)e->config->version);
-      bb_config_unref (c);
-      return;
-    }
-  if (!c)
-    {
-      bb_counter ("bilberry_items_unusable_total", "kind=\"config\"")->value++;
-      bb_log_event ("config_unusable", "{s:s, s:I, s:I, s:s}", "source",
-                    source, BB_LOG_REVISION (revision), "why",
-                    error ? error : "it was removed");
-      return;
-    }
-  bb_log_event ("config", "{s:s, s:I, s:I, s:I, s:i, s:i, s:I, s:I}", "source",
-                source, "version", (json_int_t)c->version,
-                BB_LOG_REVISION (revision), "routes", (int)c->routes->len,
-                "customers", (int)c->customers->len, "bytes",
-                (json_int_t)g_bytes_get_size (value), "decode_ms",
-                (json_int_t)(bb_clock_now () - start_ms));
-  bb_config_unref (e->config);
-  e->config = c;
-  update_queues (e);
-  update_limits (e);
-}
-
 bool
 fleet_forwards_items (const struct edge *e)
 {
@@ -177,7 +109,7 @@
   switch (bb_item_kind_of (key, &name))
     {
     case BB_ITEM_CONFIG:
-      apply_config (e, value, revision, source);
+      config_apply (value, revision, source);
       break;
     case BB_ITEM_UPSTREAM:
       targets_apply (e, name, value, revision, source);
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -220,6 +220,7 @@
   suspect_init (e);
   isolate_init (e);
   limit_init ();
+  config_init (e);
   crash_init (e);
   if (!open_front (e) || !status_start (e) || !peers_start (e)
       || !bb_metrics_listen (e->loop, e->settings))
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -62,6 +62,8 @@
   bool is_public;        /* needs no bearer key */
   bool resumable;        /* another upstream can continue a stream after its
                             last event */
+  uint64_t text_hash;    /* of what it was decoded from; 0: not known */
+  uint32_t other_owners; /* configurations that have it too, beside one */
 };
 
 /* Performance model of a pool's inference engine, and the dimensions of its
@@ -120,10 +122,11 @@
   uint64_t version;     /* version number that the operator set */
   GPtrArray *routes;    /* struct bb_route, as the operator listed them */
   struct bb_route_index *index;
-  GHashTable *pools;    /* struct bb_pool by name */
-  GPtrArray *customers; /* struct bb_fleet_customer; owns them */
-  GHashTable *keys;     /* bearer key to struct bb_fleet_customer */
-  bool has_customers;   /* requests to routes that are not public need a key */
+  GHashTable *routes_by_text; /* struct bb_route by text_hash */
+  GHashTable *pools;          /* struct bb_pool by name */
+  GPtrArray *customers;       /* struct bb_fleet_customer; owns them */
+  GHashTable *keys;           /* bearer key to struct bb_fleet_customer */
+  bool has_customers; /* requests to routes that are not public need a key */
   uint32_t head_max_bytes;
   uint32_t body_max_bytes;
   bb_ms head_timeout_ms; /* longest time for a request to arrive completely */
@@ -149,6 +152,14 @@
 /* Adds R to a configuration under construction, which takes ownership.  */
 void bb_config_add_route (struct bb_config *c, struct bb_route *r);
 
+/* Removes all routes of a configuration under construction.  */
+void bb_config_clear_routes (struct bb_config *c);
+
+/* Returns the route of C that was decoded from a text with the hash TEXT_HASH,
+   to be added to another configuration too, or NULL.  */
+struct bb_route *bb_config_reuse_route (struct bb_config *c,
+                                        uint64_t text_hash);
+
 /* Adds P to a configuration under construction, which takes ownership.  A pool
    of the same name is replaced and freed.  */
 void bb_config_add_pool (struct bb_config *c, struct bb_pool *p);
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -79,6 +79,24 @@
                                         bb_revision revision,
                                         const char **why);
 
+/* Decodes a configuration in steps, as a large one takes long.  */
+struct bb_config_decoder;
+
+/* Starts to decode VALUE, which was written at REVISION.  Routes whose text is
+   the same in BEFORE, which may be NULL, are taken over from there.  */
+struct bb_config_decoder *bb_config_decoder_new (GBytes *value,
+                                                 bb_revision revision,
+                                                 struct bb_config *before);
+
+/* Decodes a further part, by parsing about BYTES bytes.  Returns whether all
+   is done.  */
+bool bb_config_decoder_step (struct bb_config_decoder *d, size_t bytes);
+
+/* Frees D and returns the configuration, or NULL with a constant sentence in
+ *WHY.  */
+struct bb_config *bb_config_decoder_end (struct bb_config_decoder *d,
+                                         const char **why);
+
 /* Returns whether VALUE of the item KEY was written after KNOWN, by the
    version of a configuration, or by the start, the state or the count of
    changes of an upstream.  False also where they do not tell.  */
--- a/libfleet/config.c
+++ b/libfleet/config.c
@@ -13,6 +13,11 @@
 {
   struct bb_route *r = p;
 
+  if (r->other_owners > 0)
+    {
+      r->other_owners--;
+      return;
+    }
   for (uint32_t i = 0; i < r->split_count; i++)
     g_free (r->split[i].pool);
   g_free (r->name);
@@ -48,6 +53,7 @@
   c->reference_count = 1;
   c->routes = g_ptr_array_new_with_free_func (free_route);
   c->index = route_index_new ();
+  c->routes_by_text = g_hash_table_new (g_int64_hash, g_int64_equal);
   c->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
   c->customers = g_ptr_array_new_with_free_func (free_customer);
   c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -71,6 +77,7 @@
   if (!c || --c->reference_count > 0)
     return;
   route_index_free (c->index);
+  g_hash_table_unref (c->routes_by_text);
   g_ptr_array_unref (c->routes);
   g_hash_table_unref (c->pools);
   g_hash_table_unref (c->keys);
@@ -94,6 +101,27 @@
 {
   g_ptr_array_add (c->routes, r);
   route_index_add (c->index, r);
+  if (r->text_hash != 0)
+    g_hash_table_insert (c->routes_by_text, &r->text_hash, r);
+}
+
+void
+bb_config_clear_routes (struct bb_config *c)
+{
+  route_index_free (c->index);
+  c->index = route_index_new ();
+  g_hash_table_remove_all (c->routes_by_text);
+  g_ptr_array_set_size (c->routes, 0);
+}
+
+struct bb_route *
+bb_config_reuse_route (struct bb_config *c, uint64_t text_hash)
+{
+  struct bb_route *r = g_hash_table_lookup (c->routes_by_text, &text_hash);
+
+  if (r)
+    r->other_owners++;
+  return r;
 }
 
 void
