--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -9,8 +9,10 @@
 
 enum
 {
-  QUEUE_WAIT_SLOS = 3, /* longest wait, as a multiple of the route's SLO */
-  BUSY_RETRY_MS = 500, /* Retry-After when the retry budget is spent */
+  QUEUE_WAIT_SLOS = 3,   /* longest wait, as a multiple of the route's SLO */
+  COLD_LEAST = 1,        /* requests a second of all edges that start */
+  COLD_WINDOW_MS = 1000, /* in which a cold upstream's requests count */
+  BUSY_RETRY_MS = 500,   /* Retry-After when the retry budget is spent */
   PREFILL_TOKENS_PER_DECODE = 700 /* prompt tokens whose prefill loads a rank
                                      like one decoding request */
 };
@@ -101,6 +103,24 @@
   return false;
 }
 
+/* Returns how many requests a second this edge may send to an upstream of
+   POOL, which may be cold.  */
+static uint32_t
+cold_share (const struct edge *e, const struct bb_pool *pool)
+{
+  double requests_per_s = pool ? pool->cold_requests_per_s : 0;
+  bool starts = edge_now (e) - e->started_ms < COLD_WINDOW_MS;
+
+  /* What the processes before may have sent in this second is not known: only
+     what is allowed beyond the limit is left.  */
+#ifndef BB_MUTANT_cold_start
+  if (starts && requests_per_s > 0)
+    requests_per_s
+        = MAX (requests_per_s * (e->settings->cold_overage - 1), COLD_LEAST);
+#endif
+  return bb_cold_start_share (requests_per_s, fleet_edge_count (e));
+}
+
 /* Returns the upstream for R, NULL if there is none.  ASKS: also one of which
    a slot has to be asked for first.  */
 static struct target *
@@ -108,8 +128,7 @@
 {
   struct edge *e = q->edge;
   const struct bb_pool *pool = bb_config_find_pool (e->config, q->pool);
-  uint32_t cold_share = bb_cold_start_share (
-      pool ? pool->cold_requests_per_s : 0, fleet_edge_count (e));
+  uint32_t share = cold_share (e, pool);
   bool isolated = suspect_is_suspect (r);
   struct bb_balance_candidate candidates[UPSTREAMS_MAX] = { 0 };
   struct target *targets[UPSTREAMS_MAX];
@@ -123,7 +142,7 @@
       struct target *t = g_ptr_array_index (e->target_list, k);
       if (strcmp (t->record->pool, q->pool) != 0)
         continue;
-      fill_candidate (&candidates[n], q, t, cold_share, asks);
+      fill_candidate (&candidates[n], q, t, share, asks);
 #ifndef BB_MUTANT_edge_isolate
       if (isolated && !isolate_may_use (r, t))
         candidates[n].usable = false;
