--- a/cmd/edge/input.c
+++ b/cmd/edge/input.c
@@ -11,7 +11,9 @@
   /* Time until there is likely to be a configuration.  */
   NO_CONFIG_RETRY_MS = 300,
   FULL_RETRY_MS = 400, /* time until a connection has probably become idle */
-  TIMEOUT_DEFAULT_MS = 30000
+  TIMEOUT_DEFAULT_MS = 30000,
+  /* The request and its answer travel within the time of the caller.  */
+  ANSWER_MARGIN_MS = 10
 };
 
 static void
@@ -86,6 +88,8 @@
       = r->route->timeout_ms > 0 ? r->route->timeout_ms : TIMEOUT_DEFAULT_MS;
   bb_ms left = r->info.timeout_ms > 0 ? (bb_ms)r->info.timeout_ms : timeout;
 
+  if (left > ANSWER_MARGIN_MS * 2)
+    left -= ANSWER_MARGIN_MS;
   r->deadline_ms = r->received_ms + (left < timeout ? left : timeout);
   r->slo_deadline_ms = r->received_ms + r->route->slo_ms;
 }
