libonce: calls that wait, and grants given to other agents, in files of their own

The functions are the same; those that other files use have the names of their files. All tests of once, agents and entries pass.

--- a/libonce/internal.h
+++ b/libonce/internal.h
@@ -14,6 +14,10 @@
   TABLE_KEY_MAX_BYTES = 512
 };
 
+/* Set in the id of a message once_ask that requests the outcome of a key, not
+   a grant.  */
+#define ONCE_QUERY_BIT (UINT64_C (1) << 63)
+
 /* A call that waits for the outcome of another call of the same key.  */
 struct waiter
 {
@@ -213,6 +217,30 @@
 void sync_assume_new (struct bb_once *o);
 void sync_free (struct bb_once *o);
 
+/* waiters.c */
+/* Links R to the busy records, or removes it from them.  */
+void record_set_busy (struct bb_once *o, struct record *r, bool busy);
+/* Refuses CALL, unless it is 0.  */
+void waiter_refuse (struct bb_once *o, uint64_t call, enum bb_run run,
+                    enum bb_reason reason);
+/* Answers CALL with the outcome stored in R, or refuses it if there is none or
+   it has been cut.  Does nothing if CALL is 0.  */
+void waiter_replay (struct bb_once *o, const struct record *r, uint64_t call,
+                    bb_ms now);
+/* Lets the call C wait for the outcome of R until DEADLINE; refuses it if too
+   many wait.  */
+void waiters_add (struct bb_once *o, struct record *r,
+                  const struct bb_once_call *c, bb_ms deadline);
+/* Removes CALL from the waiters of its key.  */
+void waiters_cancel (struct bb_once *o, uint64_t call);
+/* Refuses the waiting calls of R whose deadline has passed.  */
+void waiters_expire (struct bb_once *o, struct record *r, bb_ms now);
+/* Refuse, and answer, all waiting calls of R.  */
+void waiters_refuse (struct bb_once *o, struct record *r, enum bb_run run,
+                     enum bb_reason reason);
+void waiters_replay (struct bb_once *o, struct record *r, bb_ms now);
+void waiters_free (struct record *r);
+
 /* once.c */
 /* Merges the record of a key that another agent sent.  Returns false if the
    table is full.  */
--- a/libonce/once.c
+++ b/libonce/once.c
@@ -1,5 +1,5 @@
-/* Requests and gives the grants of keys, and answers repeated calls from the
-   stored outcome.  */
+/* Requests the grants of keys, and answers repeated calls from the stored
+   outcome.  */
 
 #include "internal.h"
 
@@ -10,16 +10,10 @@
 
 enum
 {
-  RETRY_AFTER_MS = 1000,
   /* A request unanswered for longer is sent at every tick.  */
-  ASK_RETRY_MS = 200,
-  WAITERS_MAX = 16 /* most waiting calls of one key */
+  ASK_RETRY_MS = 200
 };
 
-/* Set in the id of a message once_ask that requests the outcome of a key, not
-   a grant.  */
-static const uint64_t query_bit = UINT64_C (1) << 63;
-
 struct bb_once *
 bb_once_new (const char *name, uint64_t incarnation,
              const struct bb_once_ops *ops, void *user, bb_ms now)
@@ -45,31 +39,11 @@
   o->limits = *l;
 }
 
-static void
-set_busy (struct bb_once *o, struct record *r, bool busy)
-{
-  if (r->in_busy_list != busy)
-    record_link_busy (o, r, busy);
-  r->in_busy_list = busy;
-}
-
-static void
-free_waiters (struct record *r)
-{
-  while (r->waiters)
-    {
-      struct waiter *w = r->waiters;
-      r->waiters = w->next;
-      free (w);
-    }
-  r->waiters_count = 0;
-}
-
 static void
 remove_record (struct bb_once *o, struct record *r)
 {
-  set_busy (o, r, false);
-  free_waiters (r);
+  record_set_busy (o, r, false);
+  waiters_free (r);
   record_delete (o, r);
 }
 
@@ -83,61 +57,6 @@
   free (o);
 }
 
-static void
-refuse (struct bb_once *o, uint64_t call, enum bb_run run,
-        enum bb_reason reason)
-{
-  struct bb_request_result v = { .run = (uint8_t)run,
-                                 .reason = (uint8_t)reason,
-                                 .retry_after_ms = RETRY_AFTER_MS };
-
-  if (reason == BB_REASON_KEY_REUSED)
-    v.retry_after_ms = 0;
-  if (call != 0)
-    o->ops->refuse (o->user, call, &v);
-}
-
-static void
-refuse_waiters (struct bb_once *o, struct record *r, enum bb_run run,
-                enum bb_reason reason)
-{
-  struct waiter *w;
-
-  LL_FOREACH (r->waiters, w) refuse (o, w->call, run, reason);
-  free_waiters (r);
-}
-
-/* Answers CALL with the outcome stored in R, or refuses it if there is none or
-   it has been cut.  Does nothing if CALL is 0.  */
-static void
-replay (struct bb_once *o, const struct record *r, uint64_t call, bb_ms now)
-{
-  struct bb_once_note n;
-  struct bb_message frame;
-
-  if (call == 0)
-    return;
-  if (!record_note (r, now, &n, &frame))
-    {
-      refuse (o, call, BB_RUN_RAN, BB_REASON_IN_DOUBT);
-      return;
-    }
-  if (n.cut)
-    refuse (o, call, BB_RUN_RAN, BB_REASON_IN_DOUBT);
-  else
-    o->ops->answer (o->user, call, &n);
-  bb_message_free (&frame);
-}
-
-static void
-replay_waiters (struct bb_once *o, struct record *r, bb_ms now)
-{
-  struct waiter *w;
-
-  LL_FOREACH (r->waiters, w) replay (o, r, w->call, now);
-  free_waiters (r);
-}
-
 /* Sends M to the other candidates of R; with ONLY_MISSING to those that have
    not granted the key.  */
 static void
@@ -208,8 +127,8 @@
                  enum bb_reason reason)
 {
   send_release (o, r);
-  refuse (o, r->call, run, reason);
-  refuse_waiters (o, r, run, reason);
+  waiter_refuse (o, r->call, run, reason);
+  waiters_refuse (o, r, run, reason);
   remove_record (o, r);
 }
 
@@ -295,43 +214,24 @@
     }
 }
 
-static void
-add_waiter (struct bb_once *o, struct record *r, const struct bb_once_call *c,
-            bb_ms deadline)
-{
-  struct waiter *w;
-
-  if (r->waiters_count >= WAITERS_MAX)
-    {
-      refuse (o, c->id, BB_RUN_MAYBE_RUN, BB_REASON_IN_PROGRESS);
-      return;
-    }
-  w = calloc (1, sizeof *w);
-  w->call = c->id;
-  w->deadline = deadline < c->deadline ? deadline : c->deadline;
-  LL_APPEND (r->waiters, w);
-  r->waiters_count++;
-  set_busy (o, r, true);
-}
-
 /* Handles a call whose key has the record R.  */
 static void
 begin_repeat (struct bb_once *o, struct record *r,
               const struct bb_once_call *c, bb_ms now)
 {
   if (r->request_hash != c->request_hash)
-    refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_KEY_REUSED);
+    waiter_refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_KEY_REUSED);
   else if (r->state == BB_ONCE_STATE_DONE)
-    replay (o, r, c->id, now);
+    waiter_replay (o, r, c->id, now);
   else if (r->state == BB_ONCE_STATE_HELD)
     {
       /* Ask the other candidates, which may know the outcome by now.  */
-      r->query_id = query_bit | ++o->last_id;
-      add_waiter (o, r, c, now + o->limits.grant_timeout_ms);
+      r->query_id = ONCE_QUERY_BIT | ++o->last_id;
+      waiters_add (o, r, c, now + o->limits.grant_timeout_ms);
       send_ask (o, r, r->query_id, now);
     }
   else
-    add_waiter (o, r, c, c->deadline);
+    waiters_add (o, r, c, c->deadline);
 }
 
 void
@@ -349,14 +249,14 @@
     }
   if (!find_candidates (o, c->customer, c->key, candidates, &count))
     {
-      refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_OTHER_SETTINGS);
+      waiter_refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_OTHER_SETTINGS);
       return;
     }
   r = record_add (o, c->customer, c->key, c->request_hash, now);
   if (!r)
     {
       o->refused_full++;
-      refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
+      waiter_refuse (o, c->id, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
       return;
     }
   r->state = BB_ONCE_STATE_ASKING;
@@ -367,7 +267,7 @@
   r->key_time_known = c->age_ms > 0;
   r->key_created_at = now - c->age_ms;
   r->deadline = c->deadline < now + longest ? c->deadline : now + longest;
-  set_busy (o, r, true);
+  record_set_busy (o, r, true);
   send_ask (o, r, r->id, now);
   evaluate_request (o, r, now);
 }
@@ -390,23 +290,6 @@
   return NULL;
 }
 
-/* Removes CALL from the waiters of its key.  */
-static void
-cancel_waiter (struct bb_once *o, uint64_t call)
-{
-  for (struct record *r = o->busy; r; r = r->busy_next)
-    {
-      struct waiter *w;
-      LL_SEARCH_SCALAR (r->waiters, w, call, call);
-      if (!w)
-        continue;
-      LL_DELETE (r->waiters, w);
-      r->waiters_count--;
-      free (w);
-      return;
-    }
-}
-
 void
 bb_once_cancel (struct bb_once *o, uint64_t call)
 {
@@ -415,7 +298,7 @@
 
   if (!r)
     {
-      cancel_waiter (o, call);
+      waiters_cancel (o, call);
       return;
     }
   if (r->state != BB_ONCE_STATE_ASKING)
@@ -448,101 +331,17 @@
     {
       record_store_outcome (o, r, outcome);
       send_note (o, r, now);
-      replay_waiters (o, r, now);
-      set_busy (o, r, false);
+      waiters_replay (o, r, now);
+      record_set_busy (o, r, false);
     }
   else if (run == BB_RUN_NOT_RUN)
     abandon_request (o, r, BB_RUN_NOT_RUN, BB_REASON_UPSTREAM_REFUSED);
   else
     {
       r->state = BB_ONCE_STATE_HELD;
-      refuse_waiters (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_DOUBT);
-      set_busy (o, r, false);
-    }
-}
-
-/* Returns the reply to request M for a key that has the record R.  A grant is
-   repeated only to the process that holds it.  */
-static enum bb_once_word
-reply_for_record (struct bb_once *o, struct record *r,
-                  const struct bb_once_ask *m, bb_ms now)
-{
-  if (r->request_hash != m->print)
-    return BB_ONCE_WORD_REUSED;
-  if (r->state != BB_ONCE_STATE_HELD)
-    return BB_ONCE_WORD_BUSY;
-#ifndef BB_MUTANT_once_grant_twice
-  if (r->runner != m->runner || r->runner == o->incarnation)
-    return BB_ONCE_WORD_HELD;
-#endif
-  if (m->id < r->id || m->id & query_bit)
-    return BB_ONCE_WORD_HELD;
-#ifndef BB_MUTANT_once_learned
-  if (!r->granted_here
-      && !are_grants_known (o, m->customer, m->key, m->age_ms, now))
-    return BB_ONCE_WORD_UNSURE;
-#endif
-  r->granted_here = true;
-  r->id = m->id;
-  return BB_ONCE_WORD_GRANTED;
-}
-
-/* Returns the reply to request M for a key without a record, and records the
-   grant if it gives one.  */
-static enum bb_once_word
-reply_for_new_key (struct bb_once *o, const struct bb_once_ask *m, bb_ms now)
-{
-  struct record *r;
-
-  if (m->id & query_bit)
-    return BB_ONCE_WORD_UNSURE;
-  if (!replica_set_has_candidate (o, replica_set_current (o), o->name,
-                                  m->customer, m->key))
-    return BB_ONCE_WORD_OTHER_SET;
-  if (!are_grants_known (o, m->customer, m->key, m->age_ms, now))
-    return BB_ONCE_WORD_UNSURE;
-  r = record_add (o, m->customer, m->key, m->print, now);
-  if (!r)
-    {
-      o->refused_full++;
-      return BB_ONCE_WORD_FULL;
+      waiters_refuse (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_DOUBT);
+      record_set_busy (o, r, false);
     }
-  r->state = BB_ONCE_STATE_HELD;
-  r->granted_here = true;
-  r->runner = m->runner;
-  r->id = m->id;
-  return BB_ONCE_WORD_GRANTED;
-}
-
-void
-bb_once_on_ask (struct bb_once *o, const struct bb_once_ask *m, bb_ms now)
-{
-  struct bb_once_say a = { .id = m->id, .member = bb_bytes_of (o->name) };
-  struct record *r = record_find (o, m->customer, m->key);
-  struct bb_once_note n;
-  struct bb_message frame;
-  char member[NAME_MAX_BYTES + 1] = { 0 };
-
-  memcpy (member, m->member.ptr,
-          m->member.size < NAME_MAX_BYTES ? m->member.size : NAME_MAX_BYTES);
-  if (r && r->state == BB_ONCE_STATE_DONE && r->request_hash == m->print)
-    {
-      if (record_note (r, now, &n, &frame))
-        {
-          o->ops->send (o->user, member, BB_MSG_ONCE_NOTE, &n);
-          bb_message_free (&frame);
-        }
-      return;
-    }
-  if (replica_sets_merge (o, m->sets, m->sets_count, now))
-    a.word = BB_ONCE_WORD_UNSURE;
-  else if (!replica_sets_match (o, m->sets, m->sets_count, now))
-    a.word = BB_ONCE_WORD_OTHER_SET;
-  else
-    a.word = (uint8_t)(r ? reply_for_record (o, r, m, now)
-                         : reply_for_new_key (o, m, now));
-  a.sets_count = replica_sets_export (o, now, a.sets);
-  o->ops->send (o->user, member, BB_MSG_ONCE_SAY, &a);
 }
 
 /* Stores the reply M of a candidate of R.  */
@@ -576,8 +375,8 @@
       break;
   if (!r || r->state != BB_ONCE_STATE_HELD)
     return;
-  refuse_waiters (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_PROGRESS);
-  set_busy (o, r, false);
+  waiters_refuse (o, r, BB_RUN_MAYBE_RUN, BB_REASON_IN_PROGRESS);
+  record_set_busy (o, r, false);
 }
 
 void
@@ -586,7 +385,7 @@
   struct record *r;
 
   replica_sets_merge (o, m->sets, m->sets_count, now);
-  if (m->id & query_bit)
+  if (m->id & ONCE_QUERY_BIT)
     {
       on_query_reply (o, m);
       return;
@@ -615,9 +414,9 @@
   record_store_outcome (o, r, m);
   if (was_asking)
     send_note (o, r, now);
-  replay (o, r, call, now);
-  replay_waiters (o, r, now);
-  set_busy (o, r, false);
+  waiter_replay (o, r, call, now);
+  waiters_replay (o, r, now);
+  record_set_busy (o, r, false);
 }
 
 bool
@@ -664,41 +463,15 @@
   if (r && r->state == BB_ONCE_STATE_HELD && r->runner == m->runner
       && r->runner != o->incarnation && r->id == m->id)
     {
-      refuse_waiters (o, r, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
+      waiters_refuse (o, r, BB_RUN_NOT_RUN, BB_REASON_IN_DOUBT);
       remove_record (o, r);
     }
 }
 
-/* Refuses the waiting calls of R whose deadline has passed.  */
-static void
-expire_waiters (struct bb_once *o, struct record *r, bb_ms now)
-{
-  struct waiter **at = &r->waiters;
-  enum bb_reason reason = r->state == BB_ONCE_STATE_HELD
-                              ? BB_REASON_IN_DOUBT
-                              : BB_REASON_IN_PROGRESS;
-
-  while (*at)
-    {
-      struct waiter *w = *at;
-      if (now < w->deadline)
-        {
-          at = &w->next;
-          continue;
-        }
-      refuse (o, w->call, BB_RUN_MAYBE_RUN, reason);
-      *at = w->next;
-      r->waiters_count--;
-      free (w);
-    }
-  if (r->state == BB_ONCE_STATE_HELD && !r->waiters)
-    set_busy (o, r, false);
-}
-
 static void
 tick_record (struct bb_once *o, struct record *r, bb_ms now)
 {
-  expire_waiters (o, r, now);
+  waiters_expire (o, r, now);
   if (r->state != BB_ONCE_STATE_ASKING)
     return;
   if (now - r->requested_at >= ASK_RETRY_MS)
