--- a/cmd/edge/config.c
+++ b/cmd/edge/config.c
@@ -111,7 +111,8 @@
     put_in_force (edge, c, &current);
   else
     log_unusable (&current, why);
-  g_clear_pointer (&current.value, g_bytes_unref);
+  g_bytes_unref (current.value);
+  current.value = NULL;
 }
 
 /* Decodes a part.  Returns whether there is nothing more to decode.  */
--- a/cmd/edge/input.c
+++ b/cmd/edge/input.c
@@ -88,7 +88,7 @@
       = r->route->timeout_ms > 0 ? r->route->timeout_ms : TIMEOUT_DEFAULT_MS;
   bb_ms left = r->info.timeout_ms > 0 ? (bb_ms)r->info.timeout_ms : timeout;
 
-  if (left > ANSWER_MARGIN_MS * 2)
+  if (left > 2 * (bb_ms)ANSWER_MARGIN_MS)
     left -= ANSWER_MARGIN_MS;
   r->deadline_ms = r->received_ms + (left < timeout ? left : timeout);
   r->slo_deadline_ms = r->received_ms + r->route->slo_ms;
--- a/libpeer/large.c
+++ b/libpeer/large.c
@@ -100,52 +100,67 @@
   return known && known->revision >= need->revision;
 }
 
-/* Asks the peer that is due for KEY, which NEED tells.  */
-static void
-ask_peer (struct bb_peers *p, const char *key, const struct need *need)
+/* Returns what PEER is as a source of the item that NEED tells, of which X
+   tells.  */
+static struct bb_item_source
+source_of (const struct peer *peer, struct exchange *x,
+           const struct need *need)
 {
-  uint32_t count = 0;
-  uint32_t chosen;
-  struct peer *peer;
+  size_t partial_bytes = bb_conn_partial_bytes (peer->conn);
+  struct bb_item_source s = { .offers = x->offered >= need->revision,
+                              .is_agent = peer_is_agent (peer),
+                              .asked = x->asked };
+
+  if (x->partial_bytes != partial_bytes)
+    x->progress_ms = peer_now_ms (peer->owner);
+  x->partial_bytes = partial_bytes;
+  s.progress_ms = x->progress_ms;
+  return s;
+}
+
+/* Returns the peer to ask for KEY, which NEED tells, or NULL.  */
+static struct peer *
+choose_peer (struct bb_peers *p, const char *key, const struct need *need)
+{
+  GPtrArray *peers = g_ptr_array_new ();
+  GArray *sources = g_array_new (FALSE, FALSE, sizeof (struct bb_item_source));
   struct bb_item_need n
       = { need->start_ms, p->ops->is_reading && p->ops->is_reading (p->user) };
-  g_autofree struct bb_item_source *sources = NULL;
+  struct peer *peer;
+  uint32_t chosen;
 
-  DL_COUNT (p->peers, peer, count);
-  sources = g_new0 (struct bb_item_source, count + 1);
-  count = 0;
   DL_FOREACH (p->peers, peer)
   {
     struct exchange *x = g_hash_table_lookup (peer->exchanges, key);
-    struct bb_item_source *s = &sources[count++];
-    size_t partial_bytes = bb_conn_partial_bytes (peer->conn);
-    if (!x || !peer->open)
-      continue;
-    if (x->partial_bytes != partial_bytes)
-      x->progress_ms = peer_now_ms (p);
-    x->partial_bytes = partial_bytes;
-    s->offers = x->offered >= need->revision;
-    s->is_agent = peer_is_agent (peer);
-    s->asked = x->asked;
-    s->progress_ms = x->progress_ms;
+    if (x && peer->open)
+      {
+        struct bb_item_source s = source_of (peer, x, need);
+        g_array_append_val (sources, s);
+        g_ptr_array_add (peers, peer);
+      }
   }
-  chosen = bb_item_choose_source (sources, count, &n, peer_now_ms (p),
-                                  g_random_double ());
-  if (chosen == BB_BALANCE_NONE)
-    return;
-  DL_FOREACH (p->peers, peer)
-  if (chosen-- == 0)
-    {
-      struct exchange *x = exchange_of (peer, key);
-      const struct bb_item *known = g_hash_table_lookup (p->view->items, key);
-      struct bb_peer_want m = { .key = bb_bytes_of (key) };
-      if (known && known->value && !x->refuses_base)
-        m.base = peer_hash (known->value);
-      x->asked = true;
-      x->progress_ms = peer_now_ms (p);
-      bb_put_peer_want (bb_conn_out (peer->conn), &m);
-      return;
-    }
+  chosen = bb_item_choose_source (
+      (struct bb_item_source *)(void *)sources->data, sources->len, &n,
+      peer_now_ms (p), g_random_double ());
+  peer = chosen == BB_BALANCE_NONE ? NULL : g_ptr_array_index (peers, chosen);
+  g_ptr_array_unref (peers);
+  g_array_unref (sources);
+  return peer;
+}
+
+static void
+ask_peer (struct peer *peer, const char *key)
+{
+  struct bb_peers *p = peer->owner;
+  struct exchange *x = g_hash_table_lookup (peer->exchanges, key);
+  const struct bb_item *known = g_hash_table_lookup (p->view->items, key);
+  struct bb_peer_want m = { .key = bb_bytes_of (key) };
+
+  if (known && known->value && !x->refuses_base)
+    m.base = peer_hash (known->value);
+  x->asked = true;
+  x->progress_ms = peer_now_ms (p);
+  bb_put_peer_want (bb_conn_out (peer->conn), &m);
 }
 
 static void
@@ -160,7 +175,11 @@
     if (is_met (p, key, need))
       g_hash_table_iter_remove (&it);
     else
-      ask_peer (p, key, need);
+      {
+        struct peer *peer = choose_peer (p, key, need);
+        if (peer)
+          ask_peer (peer, key);
+      }
 }
 
 static void
@@ -284,7 +303,10 @@
       && (m->base == 0 || (base && peer_hash (base) == m->base)))
     value = peer_unpack (m->value, m->size, base);
   if (value && peer_hash (value) != m->hash)
-    g_clear_pointer (&value, g_bytes_unref);
+    {
+      g_bytes_unref (value);
+      value = NULL;
+    }
   if (x)
     x->refuses_base = !value;
   if (!value)
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -129,4 +129,7 @@
 
 void harness_sleep_ms (int ms);
 
+/* Returns the number in the environment variable NAME, or FALLBACK.  */
+uint32_t harness_number (const char *name, uint32_t fallback);
+
 #endif
--- a/test/harness/process.c
+++ b/test/harness/process.c
@@ -380,3 +380,11 @@
   while (nanosleep (&ts, &ts) < 0 && errno == EINTR)
     ;
 }
+
+uint32_t
+harness_number (const char *name, uint32_t fallback)
+{
+  const char *text = getenv (name);
+
+  return text ? (uint32_t)strtoul (text, NULL, 10) : fallback;
+}
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -1,5 +1,7 @@
 #include "testbed.h"
 
+#include "bilberry/base.h"
+
 #include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -9,6 +11,7 @@
 {
   AWAIT_TIMEOUT_MS = 5000,
   POLL_INTERVAL_MS = 25,
+  KEY_POLL_INTERVAL_MS = 5,
   DRAIN_DEFAULT_MS = 2000
 };
 
@@ -469,3 +472,22 @@
     }
   g_error ("%s does not log %s", process, text);
 }
+
+int64_t
+testbed_await_key (struct testbed *t, const char *key, int64_t timeout_ms)
+{
+  bb_ms start = bb_clock_now ();
+  uint32_t e = 0;
+
+  while (e < t->edges_count && bb_clock_now () - start < timeout_ms)
+    {
+      struct http_response a
+          = testbed_request (t, e, "GET", "/check/1", "c1", key);
+      if (a.status == 200)
+        e++;
+      else
+        harness_sleep_ms (KEY_POLL_INTERVAL_MS);
+      http_response_free (&a);
+    }
+  return bb_clock_now () - start;
+}
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -138,6 +138,11 @@
 bool testbed_await_status (struct testbed *t, uint32_t e, const char *path,
                            const char *key, int status);
 
+/* Waits until a request with KEY is answered with 200 at each edge, TIMEOUT_MS
+   at most.  Returns how long that took.  */
+int64_t testbed_await_key (struct testbed *t, const char *key,
+                           int64_t timeout_ms);
+
 /* Returns the log of PROCESS, such as "edge-0" or "side-0" (the agent of
    replica 0).  The caller frees it.  */
 char *testbed_read_log (struct testbed *t, const char *process);
