test_edge_capped: tries after the first count for a limit too

/capped/retries has one upstream that turns requests away and one that fails them, both with limits: 5 and 9 requests in 4 s, 11 and 17 allowed. It was written after the fix and is no test of a fault.

--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -454,7 +454,11 @@
   else if (*expected_id && strcmp (expected_id, id) != 0)
     respond (c, "421 Elsewhere", attempt_id, "X-Not-Executed: 1\r\n", "");
   else if (turns_away (attempt_id, &headers))
-    respond (c, "503 Full", attempt_id, headers, "");
+    {
+      g_autofree char *all
+          = g_strconcat (headers, *limit ? state_headers () : "", NULL);
+      respond (c, "503 Full", attempt_id, all, "");
+    }
   else
     {
       char *customer = get_header (head, "X-Tenant");
--- a/test/test_edge_capped.c
+++ b/test/test_edge_capped.c
@@ -207,6 +207,35 @@
   check_one ("draft", "/draft/1", 3, "2");
 }
 
+/* One of two upstreams turns requests away and names a limit in its refusals;
+   they are served by the other one.  Tries of a request that go there later
+   count too.  */
+static void
+test_retries (void)
+{
+  struct testbed t;
+  struct counts c;
+  bb_ms start;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "not-run");
+  testbed_start_replica (&t, "i-2", "app", "fail");
+  testbed_start_replica (&t, "i-3", "app", "");
+  start_edges (&t, 3);
+  set_limit (&t, 0, "1");
+  set_limit (&t, 1, "2");
+  start = bb_clock_now ();
+  c = send_to_all (&t, 3, "/check/1", SETTLED_MS + 2 * (bb_ms)WINDOW_MS);
+  g_test_message ("%u answered, %u refused, %u other", c.ok, c.refused,
+                  c.other);
+  g_assert_cmpuint (c.ok, >, 9 * (c.refused + c.other));
+  g_assert_cmpuint (largest_window (&t, 0, start + SETTLED_MS, INT64_MAX), <=,
+                    allowed (1));
+  g_assert_cmpuint (largest_window (&t, 1, start + SETTLED_MS, INT64_MAX), <=,
+                    allowed (2));
+  testbed_free (&t);
+}
+
 /* All upstreams name a limit: what they do not take is refused at once, and
    what they take is served.  */
 static void
@@ -349,6 +378,7 @@
   g_test_add_func ("/capped/one-edge", test_one_edge);
   g_test_add_func ("/capped/many-edges", test_many_edges);
   g_test_add_func ("/capped/group", test_group);
+  g_test_add_func ("/capped/retries", test_retries);
   g_test_add_func ("/capped/all", test_all);
   g_test_add_func ("/capped/changes", test_changes);
   g_test_add_func ("/capped/ends", test_ends);
