--- a/test/test_edge_capped.c
+++ b/test/test_edge_capped.c
@@ -228,7 +228,7 @@
   c = send_to_all (&t, 3, "/check/1", SETTLED_MS + 2 * (bb_ms)WINDOW_MS);
   g_test_message ("%u answered, %u refused, %u other", c.ok, c.refused,
                   c.other);
-  g_assert_cmpuint (c.ok, >, 9 * (c.refused + c.other));
+  g_assert_cmpuint (c.ok, >, 9 * (uint64_t)(c.refused + c.other));
   g_assert_cmpuint (largest_window (&t, 0, start + SETTLED_MS, INT64_MAX), <=,
                     allowed (1));
   g_assert_cmpuint (largest_window (&t, 1, start + SETTLED_MS, INT64_MAX), <=,
