cmd/edge: a choice that finds no upstream is made once; one time to give up

Where no upstream could take a request, the choice was made a second time without those of which a slot may be asked for. These are a part of the first, so the second could find none either; it ran on each dispatch of a full pool, with a limit or without. The time until which a request waits stood in queue_add and again for the limits; give_up_ms serves both.

--- a/cmd/edge/queue.c
+++ b/cmd/edge/queue.c
@@ -203,14 +203,13 @@
   return chosen;
 }
 
-/* Returns how long R, which waits, may wait still.  */
+/* Returns until when R, which waits, may wait.  */
 static bb_ms
-patience_ms (const struct request *r, bb_ms now)
+give_up_ms (const struct request *r)
 {
   bb_ms give_up = r->queued_ms + r->route->slo_ms * QUEUE_WAIT_SLOS;
-  bb_ms left = (give_up < r->deadline_ms ? give_up : r->deadline_ms) - now;
 
-  return left > 0 ? left : 0;
+  return give_up < r->deadline_ms ? give_up : r->deadline_ms;
 }
 
 /* Returns how many slots of all upstreams of Q can still be used, or are asked
@@ -237,16 +236,18 @@
 find_target (struct pool_queue *q, const struct request *r)
 {
   bb_ms now = edge_now (q->edge);
+  bb_ms patience_ms = MAX (give_up_ms (r) - now, 0);
   struct target *t = choose_target (q, r, true);
 
   while (t && !is_within_limit (t, false, now)
          && slots_expected (q, now) < q->waiting.length)
     {
-      limit_ask (q->edge, t, patience_ms (r, now));
+      limit_ask (q->edge, t, patience_ms);
       t = choose_target (q, r, true);
     }
-  return t && is_within_limit (t, false, now) ? t
-                                              : choose_target (q, r, false);
+  if (t && !is_within_limit (t, false, now))
+    t = choose_target (q, r, false);
+  return t;
 }
 
 /* Charges R to the retry budget if it was sent before.  If the budget is
@@ -354,9 +355,6 @@
 {
   struct edge *e = r->edge;
   struct pool_queue *q = r->queue;
-  bb_ms now = edge_now (e);
-  bb_ms wait_max = r->route->slo_ms * QUEUE_WAIT_SLOS;
-  bb_ms give_up = now + wait_max;
 
   if (suspect_is_quarantined (r))
     {
@@ -364,8 +362,8 @@
       return;
     }
   r->state = REQUEST_WAITING;
-  r->queued_ms = now;
-  request_set_timer (r, give_up < r->deadline_ms ? give_up : r->deadline_ms);
+  r->queued_ms = edge_now (e);
+  request_set_timer (r, give_up_ms (r));
   g_queue_push_tail (&q->waiting, r);
   queue_dispatch (q);
 }
