--- a/libload/isolation.c
+++ b/libload/isolation.c
@@ -98,10 +98,17 @@
 bb_isolation_owner (const struct bb_isolation *s, uint64_t upstream)
 {
   uint64_t owner = s->own;
+  uint64_t highest = weight_of (owner, upstream);
 
   for (uint32_t i = 0; i < s->members_count; i++)
-    if (weight_of (s->members[i], upstream) > weight_of (owner, upstream))
-      owner = s->members[i];
+    {
+      uint64_t weight = weight_of (s->members[i], upstream);
+      if (weight > highest)
+        {
+          highest = weight;
+          owner = s->members[i];
+        }
+    }
   return owner;
 }
 
