libnet: a connection knows when it last received bytes

libpeer kept a time of the last message for each peer, set in three places, and beside it compared the size of an incomplete message at each tick, so that a large one counts too. The connection sees every read and keeps that time itself; a peer is silent by it alone.

--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -39,6 +39,10 @@
 /* Returns the number of bytes that wait to be sent.  */
 size_t bb_conn_backlog_bytes (const struct bb_conn *c);
 
+/* Returns the time of the loop at which C last received bytes, or was
+   established or begun if it has received none.  */
+bb_ms bb_conn_received_ms (const struct bb_conn *c);
+
 /* Returns the number of bytes received of a frame that is not complete.  */
 size_t bb_conn_partial_bytes (const struct bb_conn *c);
 
--- a/libnet/conn.c
+++ b/libnet/conn.c
@@ -21,6 +21,7 @@
   const struct bb_conn_ops *ops;
   void *user;
   msgpack_sbuffer output;
+  bb_ms received_ms;    /* time of the last read, or of the start */
   size_t writing_bytes; /* bytes passed to uv_write and not sent yet */
   char *input;          /* received part of an incomplete frame; NULL: none */
   size_t input_size;
@@ -148,6 +149,12 @@
   return c->writing_bytes + c->output.size;
 }
 
+bb_ms
+bb_conn_received_ms (const struct bb_conn *c)
+{
+  return c->received_ms;
+}
+
 size_t
 bb_conn_partial_bytes (const struct bb_conn *c)
 {
@@ -192,6 +199,12 @@
   return offset;
 }
 
+static void
+note_received (struct bb_conn *c)
+{
+  c->received_ms = (bb_ms)uv_now (c->tcp.loop);
+}
+
 /* Grows the input buffer of C to hold at least CAPACITY bytes.  */
 static void
 reserve_input (struct bb_conn *c, size_t capacity)
@@ -257,6 +270,8 @@
                                     : uv_strerror ((int)n));
       return;
     }
+  if (n > 0)
+    note_received (c);
   size += (size_t)n;
   consumed = dispatch_frames (c, data, size);
   store_partial_frame (c, data + consumed, size - consumed);
@@ -274,6 +289,7 @@
       bb_conn_close (c, uv_strerror (status));
       return;
     }
+  note_received (c);
   uv_tcp_nodelay (&c->tcp, 1);
   uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
   if (c->ops->on_open)
@@ -296,6 +312,7 @@
   c->tcp.data = c;
   c->flush.data = c;
   c->connect.data = c;
+  note_received (c);
   return c;
 }
 
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -17,7 +17,6 @@
   struct peer *peer = g_new0 (struct peer, 1);
 
   peer->owner = p;
-  peer->received_ms = peer_now_ms (p);
   peer_exchanges_init (peer);
   DL_APPEND (p->peers, peer);
   return peer;
@@ -46,7 +45,6 @@
   struct peer *peer = bb_conn_user (c);
 
   peer->open = true;
-  peer->received_ms = peer_now_ms (peer->owner);
   send_hello (peer);
   peer_send_state (peer);
 }
@@ -141,7 +139,6 @@
 {
   struct peer *peer = bb_conn_user (c);
 
-  peer->received_ms = peer_now_ms (peer->owner);
   switch (m->type)
     {
     case BB_MSG_PEER_HELLO:
@@ -218,17 +215,6 @@
   on_open (c);
 }
 
-/* A large message may take longer to arrive than a peer may be silent.  */
-static void
-note_partial_message (struct peer *peer)
-{
-  size_t bytes = bb_conn_partial_bytes (peer->conn);
-
-  if (bytes != peer->partial_bytes)
-    peer->received_ms = peer_now_ms (peer->owner);
-  peer->partial_bytes = bytes;
-}
-
 void
 peer_close_idle (struct bb_peers *p)
 {
@@ -238,8 +224,7 @@
   DL_FOREACH_SAFE (p->peers, peer, next)
   {
     bb_ms max = peer->open ? IDLE_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
-    note_partial_message (peer);
-    if (peer_now_ms (p) - peer->received_ms > max)
+    if (peer_now_ms (p) - bb_conn_received_ms (peer->conn) > max)
       bb_conn_close (peer->conn, "silent");
   }
 }
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -46,11 +46,7 @@
   bool accepting;         /* the peer accepts requests of callers */
   bool reads_store;       /* the peer watches the store */
   uint64_t sent_revision; /* the peer was sent, or has, all items up to it */
-  bb_ms received_ms;      /* time of the last byte, as far as known, or of the
-                             start of the connection */
   GHashTable *exchanges;  /* of large items, by key */
-  size_t partial_bytes;   /* received of an incomplete message, at the last
-                             tick */
   struct peer *prev;
   struct peer *next;
 };
