libpeer: one function offers an item; hashes of known values are kept ones

peer_offer_to_all stood beside bb_peers_offer_item, with the same question before each call. A value that this process has was hashed again each time it asked for the next one and when that came; peer_past_note has its hash.

--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -132,8 +132,6 @@
 /* Appends an offer of I, which has a value, to OUT.  */
 void peer_put_offer (struct bb_peers *p, msgpack_sbuffer *out,
                      const struct bb_item *i);
-/* Offers I to all connected peers.  */
-void peer_offer_to_all (struct bb_peers *p, const struct bb_item *i);
 /* Handle the message M of PEER.  */
 void peer_on_offer (struct peer *peer, const struct bb_peer_offer *m);
 void peer_on_want (struct peer *peer, const struct bb_peer_want *m);
--- a/libpeer/large.c
+++ b/libpeer/large.c
@@ -61,22 +61,17 @@
 }
 
 void
-peer_offer_to_all (struct bb_peers *p, const struct bb_item *i)
+bb_peers_offer_item (struct bb_peers *p, const struct bb_item *i)
 {
   msgpack_sbuffer frame;
 
+  if (!peer_is_large (i))
+    return;
   msgpack_sbuffer_init (&frame);
   peer_put_offer (p, &frame, i);
   peer_send_to_all (p, NULL, &frame);
 }
 
-void
-bb_peers_offer_item (struct bb_peers *p, const struct bb_item *i)
-{
-  if (peer_is_large (i))
-    peer_offer_to_all (p, i);
-}
-
 /* Returns what PEER and this process told each other of KEY, or NULL where
    there is no room for it.  */
 static struct exchange *
@@ -157,7 +152,7 @@
   struct bb_peer_want m = { .key = bb_bytes_of (key) };
 
   if (known && known->value && !x->refuses_base)
-    m.base = peer_hash (known->value);
+    m.base = peer_past_note (p, known);
   x->asked = true;
   x->progress_ms = peer_now_ms (p);
   bb_put_peer_want (bb_conn_out (peer->conn), &m);
@@ -300,7 +295,7 @@
   GBytes *value = NULL;
 
   if (m->size <= VALUE_MAX_BYTES
-      && (m->base == 0 || (base && peer_hash (base) == m->base)))
+      && (m->base == 0 || (base && peer_past_note (p, known) == m->base)))
     value = peer_unpack (m->value, m->size, base);
   if (value && peer_hash (value) != m->hash)
     {
@@ -366,8 +361,8 @@
   const struct bb_item *i = g_hash_table_lookup (p->view->items, key);
   const struct need *need = g_hash_table_lookup (p->needs, key);
 
-  if (i && peer_is_large (i))
-    peer_offer_to_all (p, i);
+  if (i)
+    bb_peers_offer_item (p, i);
   if (need && is_met (p, key, need))
     g_hash_table_remove (p->needs, key);
 }
--- a/libpeer/past.c
+++ b/libpeer/past.c
@@ -100,12 +100,10 @@
 GBytes *
 peer_past_pack (struct bb_peers *p, const struct bb_item *i, uint64_t *base)
 {
-  struct past *x;
+  struct past *x = past_of (p, i->key);
   uint64_t hash = peer_past_note (p, i);
-  GBytes *from;
+  GBytes *from = x && *base != 0 ? find_value (x, *base) : NULL;
 
-  x = past_of (p, i->key);
-  from = x && *base != 0 ? find_value (x, *base) : NULL;
   if (!from)
     *base = 0;
   if (!x)
