--- a/libfleet/routes.c
+++ b/libfleet/routes.c
@@ -5,10 +5,17 @@
 
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
+
+enum
+{
+  HOST_HASHED_BYTES = 256 /* longer names differ in the comparison alone */
+};
 
 struct route_key
 {
   struct bb_bytes host; /* in any case */
+  uint64_t host_hash;
   struct bb_bytes prefix;
 };
 
@@ -20,17 +27,24 @@
   GPtrArray *others;    /* struct bb_route */
 };
 
+/* Returns a hash of HOST that does not depend on its case.  */
+static uint64_t
+hash_host (struct bb_bytes host)
+{
+  char lower[HOST_HASHED_BYTES];
+  uint32_t n = MIN (host.size, HOST_HASHED_BYTES);
+
+  for (uint32_t i = 0; i < n; i++)
+    lower[i] = g_ascii_tolower (host.ptr[i]);
+  return XXH64 (lower, n, 0);
+}
+
 static guint
 hash_key (const void *p)
 {
   const struct route_key *k = p;
-  guint h = 5381;
 
-  for (uint32_t i = 0; i < k->host.size; i++)
-    h = h * 33 + (guint)g_ascii_tolower (k->host.ptr[i]);
-  for (uint32_t i = 0; i < k->prefix.size; i++)
-    h = h * 33 + (guchar)k->prefix.ptr[i];
-  return h;
+  return (guint)XXH64 (k->prefix.ptr, k->prefix.size, k->host_hash);
 }
 
 static bool
@@ -97,6 +111,7 @@
       g_ptr_array_add (index->others, r);
       return;
     }
+  k.host_hash = hash_host (k.host);
   if (!g_hash_table_contains (index->routes, &k))
     g_hash_table_insert (index->routes, g_memdup2 (&k, sizeof k), r);
   if (slashes > index->slashes_max)
@@ -158,6 +173,7 @@
   struct route_key k = { .host = strip_port (host) };
   const struct bb_route *found;
 
+  k.host_hash = hash_host (k.host);
   target = truncate_at (target, '?');
   found = find_indexed (c->index, &k, target);
   for (guint i = 0; i < c->index->others->len; i++)
