--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -10,15 +10,9 @@
 update_config (struct agent *a, GBytes *value, bb_revision revision)
 {
   const char *why = NULL;
-  struct bb_config *c = NULL;
-
-  if (value)
-    {
-      struct bb_config_decoder *d
-          = bb_config_decoder_new (value, revision, a->config);
-      bb_config_decoder_step (d, SIZE_MAX);
-      c = bb_config_decoder_end (d, &why);
-    }
+  struct bb_config *c
+      = value ? bb_config_decode_next (value, revision, a->config, &why)
+              : NULL;
 
   if (!c)
     {
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -97,6 +97,11 @@
 struct bb_config *bb_config_decoder_end (struct bb_config_decoder *d,
                                          const char **why);
 
+/* Decodes VALUE after BEFORE in one step.  */
+struct bb_config *bb_config_decode_next (GBytes *value, bb_revision revision,
+                                         struct bb_config *before,
+                                         const char **why);
+
 /* Returns whether VALUE of the item KEY was written after KNOWN, by the
    version of a configuration, or by the start, the state or the count of
    changes of an upstream.  False also where they do not tell.  */
