--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -119,11 +119,17 @@
         return text.decode("latin-1")
 
     def take(self, n):
-        while len(self.data) < n:
-            if not self.fill():
+        if len(self.data) >= n:
+            out, self.data = self.data[:n], self.data[n:]
+            return out
+        out = bytearray(self.data)
+        self.data = b""
+        while len(out) < n:
+            more = self.channel.recv(min(n - len(out), 1 << 20))
+            if not more:
                 return None
-        out, self.data = self.data[:n], self.data[n:]
-        return out
+            out += more
+        return bytes(out)
 
     def head(self):
         """Returns the first line and the headers, by lower-case name."""
