--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 import stand  # noqa: E402
 
-BODY = bytes(65 + n % 26 for n in range(1024 * 1024))
+BODY = bytes(65 + n % 26 for n in range(8 * 1024 * 1024))
 CUT_S = 5.5  # node_cut of qila-kiosk
 
 
