--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,8 @@
-"""An edge is killed while it passes on streams that end with their channel."""
+"""Replicas break off answers that have no length, by a reset."""
 
 import os
-import signal
+import queue
+import random
 import sys
 import threading
 import time
@@ -10,81 +11,111 @@
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 import stand  # noqa: E402
 
-STREAMS = 8
-EVENTS = 28  # of a stream, as on the sheet of qila-kiosk
-GAP_S = 0.08  # between two events; the sheet allows 120 ms
-KILL_AFTER_EVENTS = 10
-
-
-def event(n):
-    return f"id: {n}\ndata: piece {n} of the summary\n\n".encode()
-
-
-WHOLE = b"".join(event(n) for n in range(1, EVENTS + 1))
+REPLICAS = 4
+FAULTY = 2  # garble: share 0.5 of the replicas
+BROKEN_OFF = 0.05  # and x = 0.05 of their answers
+PER_S = 64  # requests a second, as on the sheet of qila-kiosk
+LENGTH_S = 40
+CONSUMERS = 16
+SIZE = 4000  # bytes of an answer; the site has up to 4800
+SENT = 1500  # of one that is broken off
 
 
 def case(record):
     broken = []
     platform = stand.Platform(record)
-    enough = threading.Event()
-
-    def run(channel, method, target, headers, body):
-        # An answer without length or chunks, which ends with its channel.
-        first = int(headers.get("last-event-id", "0")) + 1
-        channel.sendall(replica.head(headers, "Connection: close",
-                                     "Content-Type: text/event-stream"))
-        for n in range(first, EVENTS + 1):
-            channel.sendall(event(n))
-            time.sleep(GAP_S)
-        record.add(replica.name, f"has answered {headers['x-attempt-id']} "
-                   f"to its end, event {EVENTS}")
-        return False
-
-    replica = stand.Replica(record, "i-7f3a91c2",
-                            ("127.0.0.1", stand.free_port(["127.0.0.1"])), run)
-
-    def watch(answer):
-        if answer.body.count(b"\n\n") >= KILL_AFTER_EVENTS:
-            enough.set()
-
-    def consume(n, answers):
-        attempt = f"9c41d07be2a35f{n:02x}"
-        channel = stand.socket.create_connection((edge.ip, platform.front))
-        record.add("consumer", f"sends {attempt} to {edge.name}")
-        channel.sendall(stand.request_text("POST", "/shelf/summary", attempt,
-                                           8000, b"draft it", close=False))
-        answers[n] = stand.Answer()
-        stand.read_answer(channel, answers[n], watch)
-        record.add("consumer", f"{attempt}: {answers[n]}, "
-                   f"{answers[n].body.count(bytes([10, 10]))} events")
-        channel.close()
+    draws = random.Random(39)
+    lock = threading.Lock()
+    broken_off = {}  # how often, by attempt id
+    whole = set()
+
+    def body_of(attempt):
+        return (attempt.encode() + b" ") * (SIZE // (len(attempt) + 1))
+
+    def run_at(me, faulty):
+        def run(channel, method, target, headers, body):
+            attempt = headers["x-attempt-id"]
+            text = body_of(attempt)
+            time.sleep(0.005)
+            # An answer without length or chunks, which ends with its channel.
+            head = me[0].head(headers, "Connection: close")
+            with lock:
+                breaks = (stand.TROUBLE and faulty
+                          and draws.random() < BROKEN_OFF)
+                if breaks:
+                    broken_off[attempt] = broken_off.get(attempt, 0) + 1
+                else:
+                    whole.add(attempt)
+            if breaks:
+                record.add(me[0].name, f"breaks off the answer to {attempt}: "
+                           f"{SENT} of {len(text)} bytes, then a reset")
+                channel.sendall(head + text[:SENT])
+                stand.reset(channel)
+            else:
+                channel.sendall(head + text)
+            return False
+        return run
+
+    replicas = []
+    for n in range(REPLICAS):
+        me = []
+        me.append(stand.Replica(
+            record, f"i-{n:02x}",
+            ("127.0.0.1", stand.free_port(["127.0.0.1"])),
+            run_at(me, n < FAULTY)))
+        replicas.append(me[0])
+    answers = {}
+    work = queue.Queue()
+
+    def consume():
+        while True:
+            n = work.get()
+            if n is None:
+                return
+            attempt = f"9c41d07be2a3{n:04x}"
+            edge = platform.edges[n % len(platform.edges)]
+            answer = stand.Answer()
+            channel = stand.socket.create_connection((edge.ip, platform.front))
+            channel.settimeout(5)
+            channel.sendall(stand.request_text("GET", "/stock/levels", attempt,
+                                               1500, close=False))
+            stand.read_answer(channel, answer)
+            channel.close()
+            with lock:
+                answers[attempt] = answer
 
     try:
         platform.start(
             stand.configuration(
-                [stand.route("shelf", "/shelf/", "streaming", "draft",
-                             sticky=True, resumable=True, itl_target_ms=120)],
-                ["draft"]),
-            [(replica, "draft")])
-        edge = platform.edges[0]
-        answers = [None] * STREAMS
-        threads = [threading.Thread(target=consume, args=(n, answers))
-                   for n in range(STREAMS)]
+                [stand.route("stock", "/stock/", "idempotent", "depot",
+                             timeout_ms=800, slo_ms=150)], ["depot"]),
+            [(r, "depot") for r in replicas])
+        threads = [threading.Thread(target=consume) for _ in range(CONSUMERS)]
         for t in threads:
             t.start()
-        if not enough.wait(10):
-            raise stand.CannotRun("the streams do not begin")
-        if stand.TROUBLE:
-            edge.send_signal(signal.SIGKILL, "kills")
+        start = time.monotonic()
+        for n in range(PER_S * LENGTH_S):
+            time.sleep(max(0, start + n / PER_S - time.monotonic()))
+            work.put(n)
+        for _ in threads:
+            work.put(None)
         for t in threads:
-            t.join(15)
-        for n, a in enumerate(answers):
-            if a.status == 200 and a.end == "whole" and a.body != WHOLE:
-                broken.append(
-                    f"MIXED: stream {n} ended early, after "
-                    f"{len(a.body)} of {len(WHOLE)} bytes, and looks complete")
-        if not stand.TROUBLE and any(a.body != WHOLE for a in answers):
-            broken.append("a stream is not whole without the disruption")
+            t.join(20)
+        served = 0
+        for attempt, a in sorted(answers.items()):
+            if attempt in broken_off or a.status != 200 or a.end != "whole":
+                record.add("consumer", f"{attempt}: {a}")
+            if a.status != 200 or a.end != "whole":
+                continue
+            served += 1
+            if a.body != body_of(attempt):
+                broken.append(f"MIXED: {attempt} got {len(a.body)} of "
+                              f"{len(body_of(attempt))} bytes, which look "
+                              f"complete")
+        record.add("consumers", f"{served} of {len(answers)} requests were "
+                   f"answered with success; replicas broke off "
+                   f"{sum(broken_off.values())} answers, and {len(broken)} of "
+                   f"these looked complete")
     finally:
         platform.close()
     return broken
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,73 +1,88 @@
-"""A link stands still while an edge sends an answer that ends with its
-channel."""
+"""Orders to arm are carried out late, and the leader that gave them is killed
+meanwhile, in a group that has nothing to do for some seconds."""
 
+import asyncio
 import os
 import sys
-import threading
-import time
 
 HERE = os.path.dirname(os.path.realpath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 import stand  # noqa: E402
+import group as engines  # noqa: E402
 
-BODY = bytes(65 + n % 26 for n in range(8 * 1024 * 1024))
-CUT_S = 5.5  # node_cut of qila-kiosk
+RANKS = 4
+LATE_S = (2.5, 5.0, 8.0)  # applied_late: 2 to 12 s later
+IDLE_S = 2.55  # from the orders to arm to the next requests
+RESTART_S = 0.5  # "restarted after a short delay"
+SWITCHES_BEFORE = 2
+WAIT_S = 30
 
 
-def case(record):
-    broken = []
-    platform = stand.Platform(record)
-    begun = threading.Event()
+async def play(record, platform, sides):
+    loop = asyncio.get_running_loop()
+    armed_late = []  # ranks whose order to arm came late
+    watched = {"on": False}
+    ended = asyncio.Event()
+
+    def is_late(k, o):
+        if (watched["on"] and stand.TROUBLE and o["op"] == "arm"
+                and len(armed_late) < RANKS - 1):
+            armed_late.append(k.number)
+            return LATE_S[len(armed_late) - 1]
+        return None
 
-    def run(channel, method, target, headers, body):
-        # An answer without length or chunks, which ends with its channel.
-        channel.sendall(replica.head(headers, "Connection: close") + BODY)
-        record.add(replica.name, f"has answered {headers['x-attempt-id']} "
-                   f"with all {len(BODY)} bytes")
-        return False
+    def on_order(k, o):
+        if not watched["on"] or ended.is_set():
+            return
+        if o["op"] == "prepare" and group.busy and group.passes_left is None:
+            group.passes_left = 1  # the last requests are nearly done
+        if stand.TROUBLE and len(armed_late) == RANKS - 1:
+            # The machine that gave the last order ("giver").
+            ended.set()
+            leader = sides.sides[0]
+            leader.kill()
+            loop.call_later(RESTART_S, leader.start, False)
+        elif not stand.TROUBLE and o["op"] == "go":
+            ended.set()
 
-    replica = stand.Replica(record, "i-7f3a91c2",
-                            ("127.0.0.1", stand.free_port(["127.0.0.1"])), run)
+    group = engines.Group(record, RANKS, is_late, on_order)
+    await sides.start(group)
+    group.busy = True
+    record.add("consumers", "requests run")
+    for _ in range(SWITCHES_BEFORE):
+        maps = group.maps
+        for _ in range(WAIT_S * 10):
+            await asyncio.sleep(0.1)
+            if group.maps > maps:
+                break
+        else:
+            raise stand.CannotRun("the map is not changed")
+        await asyncio.sleep(1)
+        group.shift()
+        record.add("consumers", "other experts are in demand")
+    watched["on"] = True
+    try:
+        await asyncio.wait_for(ended.wait(), WAIT_S)
+    except asyncio.TimeoutError:
+        raise stand.CannotRun("there is no switch to disturb") from None
+    await asyncio.sleep(IDLE_S)
+    group.busy = True
+    record.add("consumers", "requests run again")
+    await asyncio.sleep(10)
+    record.add("group", f"{group.late} of {group.orders} orders were carried "
+               f"out late; {group.step} passes, {group.maps} changes of map, "
+               f"{group.mixed} passes with different maps")
+    return group.broken
 
-    def on_data(answer):
-        if not begun.is_set():
-            begun.set()
 
+def case(record):
+    platform = stand.Platform(record)
+    sides = engines.Sides(platform, RANKS)
     try:
-        platform.start(
-            stand.configuration(
-                [stand.route("stock", "/stock/", "idempotent", "depot")],
-                ["depot"]),
-            [(replica, "depot")])
-        edge = platform.edges[0]
-        link = stand.Link(edge, platform.front)
-        channel = stand.socket.create_connection(link.address)
-        answer = stand.Answer()
-        if stand.TROUBLE:
-            # What is on its way when the cut begins fits into the window.
-            link.open.clear()
-            record.add("link", f"of {edge.name} is cut")
-        record.add("consumer", f"sends 9c41d07be2a35f68 to {edge.name}")
-        channel.sendall(stand.request_text("GET", "/stock/levels",
-                                           "9c41d07be2a35f68", 8000,
-                                           close=False))
-        if stand.TROUBLE:
-            time.sleep(CUT_S)
-            record.add("link", f"of {edge.name} is back after {CUT_S} s")
-            link.open.set()
-        channel.settimeout(20)
-        stand.read_answer(channel, answer, on_data)
-        record.add("consumer", f"9c41d07be2a35f68: {answer}")
-        if (answer.status == 200 and answer.end == "whole"
-                and answer.body != BODY):
-            broken.append(f"MIXED: the answer ended early, after "
-                          f"{len(answer.body)} of {len(BODY)} bytes, and "
-                          f"looks complete")
-        if not stand.TROUBLE and answer.body != BODY:
-            broken.append("the answer is not whole without the disruption")
+        return asyncio.run(play(record, platform, sides))
     finally:
+        sides.close()
         platform.close()
-    return broken
 
 
 stand.run_case(HERE, case)
