--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,7 +11,7 @@
 import stand  # noqa: E402
 
 MEMORY_MB = 260  # limits.memory-mb of the settings
-BODY = b"b" * 2097152  # limits.max-body-bytes of the configuration is 4194304
+BODY = b"b" * 2621440  # limits.max-body-bytes of the configuration is 4194304
 PER_S = 21  # requests a second of one edge, as on the sheet: 63.8 / 3
 BURST = 1.7  # burst of qila-kiosk, for 3 s
 BURST_S = 3
