--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -472,13 +472,18 @@
 
 
 class Link:
-    """A link from consumers to an edge that can stand still, as while the
-    machine is cut off: nothing is taken from the edge meanwhile, and no
-    channel is closed.  What the edge sent is passed on afterwards, and so is
-    the way in which its channel ended."""
+    """A link between a consumer and an edge that is cut once, for CUT_S
+    seconds, after CUT_AFTER bytes of an answer (None: never): nothing passes
+    meanwhile, in either direction, and no channel is closed.  What was sent is
+    passed on afterwards, and so is the way in which a channel ended."""
 
-    def __init__(self, edge, port, segment=1448, window=65536):
+    def __init__(self, record, edge, port, cut_after, cut_s, segment=1448,
+                 window=65536):
+        self.record = record
+        self.edge = edge
         self.target = (edge.ip, port)
+        self.cut_after = cut_after
+        self.cut_s = cut_s
         self.open = threading.Event()
         self.open.set()
         self.segment = segment
@@ -497,10 +502,19 @@
                          daemon=True).start()
         self.pass_on(s, c, True)
 
-    def pass_on(self, source, sink, held):
+    def cut(self):
+        self.cut_after = None
+        self.open.clear()
+        self.record.add("link", f"of {self.edge.name} is cut")
+        time.sleep(self.cut_s)
+        self.record.add("link", f"of {self.edge.name} is back after "
+                        f"{self.cut_s} s")
+        self.open.set()
+
+    def pass_on(self, source, sink, answers):
+        passed = 0
         while True:
-            if held:
-                self.open.wait()
+            self.open.wait()
             try:
                 data = source.recv(16384)
             except ConnectionResetError:
@@ -508,6 +522,7 @@
                 return
             except OSError:
                 return
+            self.open.wait()
             try:
                 if data:
                     sink.sendall(data)
@@ -516,6 +531,10 @@
                     return
             except OSError:
                 return
+            passed += len(data)
+            if (answers and self.cut_after is not None
+                    and passed >= self.cut_after):
+                self.cut()
 
 
 def reset(channel):
