--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -25,6 +25,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "shop.example"
 KEY = "key-of-the-tenant"
+CASE_MAX_S = 110  # a script may run for 120 s
 
 
 class CannotRun(Exception):
@@ -623,16 +624,27 @@
 
 def run_case(folder, case):
     """Runs CASE (record), which returns a list of what broke the rule, and
-    exits as the review's page says."""
+    exits as the review's page says.  What goes wrong in the case itself, a
+    signal and the end of its time count as a case that could not run; the case
+    ends its processes on its way out."""
     record = Record(folder)
     status = 2
+
+    def stop(number, frame):
+        for n in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+            signal.signal(n, signal.SIG_IGN)
+        raise CannotRun(f"ended by signal {number}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(CASE_MAX_S)
     try:
         broken = case(record)
         for text in broken:
             record.add("BROKEN", text)
         status = 1 if broken else 0
-    except CannotRun as e:
-        record.add("cannot run", str(e))
+    except Exception as e:
+        record.add("cannot run", f"{type(e).__name__}: {e}")
     record.add("result", {0: "the rule held", 1: "the rule was broken",
                           2: "the case could not run"}[status])
     with open(record.file.name) as f:
