libh1: an answer without length that is reset is not complete

Cause: where a reset arrives together with the last bytes, libuv reports UV_EOF for the hang-up after them, and the client took that for the orderly end that completes an answer without length. A reset that is found by itself is UV_ECONNRESET; so the older tests, which reset 50 ms later, passed.

Change: at UV_EOF the client asks the socket what the next read would get. An end in order is 0 bytes; a reset or a time-out is an error. This works for each way in which libuv may find the hang-up, and leaves the other framings alone.

--- a/libh1/client.c
+++ b/libh1/client.c
@@ -316,6 +316,17 @@
   uv_timer_start (&conn->timer, on_resume_timer, 0, 0);
 }
 
+/* Whether the peer has closed CONN in order.  Where a reset arrives together
+   with the last bytes, libuv reports UV_EOF after them.  */
+static bool
+ends_in_order (const struct connection *conn)
+{
+#ifdef BB_MUTANT_h1_reset_end
+  return true;
+#endif
+  return h1_look_unread (&conn->tcp) == H1_UNREAD_END;
+}
+
 static void move_call (struct connection *conn);
 
 static void
@@ -345,7 +356,7 @@
       yield_to_others (conn, (size_t)size);
       return;
     }
-  if (size == UV_EOF && conn->head_received
+  if (size == UV_EOF && conn->head_received && ends_in_order (conn)
       && h1_reader_finish (&conn->reader))
     {
       finish_response (conn, true);
--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -90,7 +90,8 @@
 {
   H1_UNREAD_NOTHING,
   H1_UNREAD_BYTES,
-  H1_UNREAD_END /* the peer closed the connection, or it failed */
+  H1_UNREAD_END,    /* the peer closed the connection in order */
+  H1_UNREAD_FAILURE /* it was reset, or has failed */
 };
 
 /* Returns what the next read of TCP would get, without reading it.  Timers run
--- a/libh1/unread.c
+++ b/libh1/unread.c
@@ -13,9 +13,11 @@
   ssize_t n;
 
   if (uv_fileno ((const uv_handle_t *)tcp, &fd) < 0)
-    return H1_UNREAD_END;
+    return H1_UNREAD_FAILURE;
   n = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0)
     return H1_UNREAD_BYTES;
-  return n < 0 && errno == EAGAIN ? H1_UNREAD_NOTHING : H1_UNREAD_END;
+  if (n == 0)
+    return H1_UNREAD_END;
+  return errno == EAGAIN ? H1_UNREAD_NOTHING : H1_UNREAD_FAILURE;
 }
--- a/test/test_h1_client.c
+++ b/test/test_h1_client.c
@@ -15,7 +15,8 @@
 {
   CONNECT_TIMEOUT_MS = 20000,
   IDLE_MAX_MS = 60000,
-  WAIT_MS = 5000 /* longest wait for what must come */
+  WAIT_MS = 5000,    /* longest wait for what must come */
+  ARRIVAL_US = 20000 /* time for all that was sent to arrive */
 };
 
 /* A response to no request, as servers send it before they close an idle
@@ -409,10 +410,101 @@
   tear_down (&f);
 }
 
+/* How an upstream ends its connection after the bytes of a response.  */
+enum ending
+{
+  END_IN_ORDER,
+  END_RESET,
+  END_THEN_RESET /* in order, and reset afterwards */
+};
+
+struct end_case
+{
+  const char *name;
+  const char *text; /* what the upstream sends before the end */
+  size_t filler;    /* bytes after it */
+  enum ending ending;
+  const char *result;
+};
+
+/* Plays C: the loop finds the bytes of the response and the end of the
+   connection at the same time.  */
+static void
+play_end (const struct end_case *c)
+{
+  static struct fixture f;
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  g_autofree char *filler = g_strnfill (c->filler, 'x');
+  gint64 end;
+  int fd;
+
+  g_test_message ("%s", c->name);
+  set_up (&f);
+  start_call (&f);
+  fd = accept_next (&f);
+  g_assert_true (gets_request (&f, fd));
+  send_text (fd, c->text);
+  send_text (fd, filler);
+  if (c->ending == END_THEN_RESET)
+    shutdown (fd, SHUT_WR);
+  if (c->ending != END_IN_ORDER)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+  await_unread (&f);
+  g_usleep (ARRIVAL_US);
+  end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+  while (!f.ended && g_get_monotonic_time () < end)
+    uv_run (&f.loop, UV_RUN_NOWAIT);
+  g_assert_true (f.ended);
+  g_assert_cmpstr (bb_h1_result_name (f.result), ==, c->result);
+  tear_down (&f);
+}
+
+/* A response without length that is reset is cut, also where the reset is
+   found together with its last bytes (review/1); one whose connection ends in
+   order is whole.  */
+static void
+test_reset_with_last_bytes (void)
+{
+  static const char none[] = "HTTP/1.1 200 OK\r\n\r\npart";
+  static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+  static const char length[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+  static const char chunks[]
+      = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart";
+  static const char interim[]
+      = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n\r\npart";
+  static const struct end_case cases[] = {
+    { "no length, in order", none, 0, END_IN_ORDER, "whole" },
+    { "no length, reset", none, 0, END_RESET, "cut" },
+    { "no length, after its end", none, 0, END_THEN_RESET, "whole" },
+    { "head alone, reset", head, 0, END_RESET, "cut" },
+    { "after an interim response", interim, 0, END_RESET, "cut" },
+    { "one full read", head, 16384 - 19, END_RESET, "cut" },
+    { "several reads", head, 40000, END_RESET, "cut" },
+    { "several reads, in order", head, 40000, END_IN_ORDER, "whole" },
+    { "length, reset", length, 0, END_RESET, "cut" },
+    { "length, in order", length, 0, END_IN_ORDER, "cut" },
+    { "chunks, reset", chunks, 0, END_RESET, "cut" },
+    { "chunks, in order", chunks, 0, END_IN_ORDER, "cut" },
+    { "in the head", "HTTP/1.1 200 O", 0, END_RESET, "malformed" },
+    { "in the headers", "HTTP/1.1 200 OK\r\nContent-L", 0, END_IN_ORDER,
+      "malformed" },
+    { "after the last header", "HTTP/1.1 200 OK\r\nX: 1\r\n", 0, END_IN_ORDER,
+      "malformed" },
+    { "nothing", "", 0, END_RESET, "unanswered" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    play_end (&cases[i]);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/h1-client/reset-with-last-bytes",
+                   test_reset_with_last_bytes);
   g_test_add_func ("/h1-client/closed-idle", test_closed_idle);
   g_test_add_func ("/h1-client/reset-idle", test_reset_idle);
   g_test_add_func ("/h1-client/closed-before-send", test_closed_before_send);
