libnet: a reset ends no body without length

The cause of the fault before, at agents, entries and what reads the configuration service: the client of h2o reports each end of a connection as the end of a body without length, a reset too, at whatever moment it is found. Nobody has reported it; a caller of an entry would have got a part of a plain upstream's answer as a whole one.

Change: such a body is whole only where the kernel says that the peer has closed the connection in order and nothing has reset it. The error of the socket is no help, since libuv has read it by then. bb_http_client_free, which nothing called and which freed timers that were still being closed, is gone.

Evidence: /net-client/reset-response failed before at its second play; /net-client/ended-head shows that a head that ends in its middle gives no status, before and after.

--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -170,12 +170,11 @@
 
 /* Makes a client for the server at ADDR.  HOST is the value of the Host
    header.  IO_TIMEOUT_MS limits each wait for the server: to connect, to take
-   data or to send some.  */
+   data or to send some.  It lives as long as the process.  */
 struct bb_http_client *bb_http_client_new (uv_loop_t *loop,
                                            const struct sockaddr_storage *addr,
                                            const char *host,
                                            bb_ms io_timeout_ms);
-void bb_http_client_free (struct bb_http_client *client);
 
 /* Sends a request, whose parts are copied.  Hop-by-hop HEADERS are left out,
    and Host and Content-Length are added.  */
--- a/libnet/http_client.c
+++ b/libnet/http_client.c
@@ -1,6 +1,7 @@
 /* The HTTP client, on that of h2o.  */
 
 #include "bilberry/net.h"
+#include "tcp_info.h"
 
 #include <h2o.h>
 #include <stdlib.h>
@@ -30,7 +31,8 @@
   size_t request_size;
   h2o_iovec_t request_iovec;
   bool is_head_request;
-  bool chunked; /* the response body has chunked encoding */
+  bool chunked;       /* the response body has chunked encoding */
+  bool ends_by_close; /* the end of the connection ends the response body */
 };
 
 static void
@@ -47,12 +49,15 @@
   free_call (c);
 }
 
-/* Returns whether the connection was closed before the last chunk.  The client
-   of h2o reports this like the end of a complete body, but then the last read
+/* Returns whether the connection was closed before the last chunk, or was
+   reset where its end is that of the body.  The client of h2o reports both
+   like the end of a complete body.  Before the last chunk the last read
    was at the end of the stream and returned no bytes.  */
 static bool
 is_truncated (const struct bb_http_call *c, const h2o_http1client_t *client)
 {
+  if (c->ends_by_close)
+    return !tcp_is_closed_in_order (h2o_socket_get_fd (client->sock));
   return c->chunked && client->sock->bytes_read == 0;
 }
 
@@ -114,6 +119,8 @@
     }
   n = copy_headers (copy, headers, count);
   c->chunked = bb_header_find (copy, n, "transfer-encoding").size > 0;
+  c->ends_by_close
+      = !c->chunked && bb_header_find (copy, n, "content-length").size == 0;
   c->ops->on_head (c, (uint16_t)status, copy, n);
   if (!error)
     return on_body;
@@ -157,14 +164,6 @@
   return client;
 }
 
-void
-bb_http_client_free (struct bb_http_client *client)
-{
-  h2o_socketpool_dispose (&client->pool);
-  h2o_timeout_dispose (client->ctx.loop, &client->io_timeout);
-  free (client);
-}
-
 static void
 format_request (struct bb_http_call *c, const char *host,
                 struct bb_bytes method, struct bb_bytes path,
--- a/libnet/tcp_info.c
+++ b/libnet/tcp_info.c
@@ -7,6 +7,11 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+enum
+{
+  STATE_CLOSE_WAIT = 8 /* TCP_CLOSE_WAIT of <netinet/tcp.h> */
+};
+
 uint64_t
 tcp_bytes_received (int fd)
 {
@@ -17,3 +22,16 @@
     return 0;
   return info.tcpi_bytes_received;
 }
+
+bool
+tcp_is_closed_in_order (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+
+#ifdef BB_MUTANT_net_reset_end
+  return true;
+#endif
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+         && info.tcpi_state == STATE_CLOSE_WAIT;
+}
--- /dev/null
+++ b/test/test_net_client.c
@@ -0,0 +1,200 @@
+/* Tests of the HTTP client of libnet in this process: how a response ends
+   whose end its head does not mark.  */
+
+#include "bilberry/net.h"
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  IO_TIMEOUT_MS = 5000,
+  WAIT_MS = 8000,
+  ARRIVAL_US = 20000 /* time for all that was sent to arrive */
+};
+
+struct fixture
+{
+  uv_loop_t *loop;
+  struct bb_http_client *client;
+  int listener;
+  bool ended;
+  bool whole;
+  bool has_head;
+  GString *body;
+};
+
+static void
+on_head (struct bb_http_call *c, uint16_t status,
+         const struct bb_header *headers, uint32_t count)
+{
+  struct fixture *f = bb_http_call_user (c);
+
+  (void)headers;
+  (void)count;
+  f->has_head = true;
+  g_assert_cmpuint (status, ==, 200);
+}
+
+static void
+on_data (struct bb_http_call *c, struct bb_bytes data)
+{
+  struct fixture *f = bb_http_call_user (c);
+
+  g_string_append_len (f->body, data.ptr, data.size);
+}
+
+static void
+on_end (struct bb_http_call *c, const char *error, enum bb_run run)
+{
+  struct fixture *f = bb_http_call_user (c);
+
+  f->ended = true;
+  f->whole = error == NULL;
+  g_assert_cmpint (run, ==, error ? BB_RUN_MAYBE_RUN : BB_RUN_RAN);
+}
+
+/* Makes the listener and a client of it, once for all plays.  */
+static void
+set_up (struct fixture *f)
+{
+  struct sockaddr_storage addr = { 0 };
+  struct sockaddr_in *in = (struct sockaddr_in *)&addr;
+  socklen_t size = sizeof *in;
+
+  in->sin_family = AF_INET;
+  in->sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  f->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  g_assert_cmpint (bind (f->listener, (struct sockaddr *)in, size), ==, 0);
+  g_assert_cmpint (listen (f->listener, 8), ==, 0);
+  g_assert_cmpint (getsockname (f->listener, (struct sockaddr *)in, &size), ==,
+                   0);
+  f->loop = uv_default_loop ();
+  f->client = bb_http_client_new (f->loop, &addr, "a", IO_TIMEOUT_MS);
+  f->body = g_string_new ("");
+}
+
+/* Runs the loop until FD, or a new connection where it is -1, can be read.
+   Returns the connection.  */
+static int
+await_request (struct fixture *f)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+  char buf[1024];
+  int fd = -1;
+
+  while (g_get_monotonic_time () < end)
+    {
+      uv_run (f->loop, UV_RUN_NOWAIT);
+      if (fd < 0)
+        fd = accept4 (f->listener, NULL, NULL, SOCK_NONBLOCK);
+      else if (recv (fd, buf, sizeof buf, 0) > 0)
+        return fd;
+      g_usleep (1000);
+    }
+  g_assert_not_reached ();
+}
+
+static void
+run_until_ended (struct fixture *f, bool wanted)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+
+  while (!f->ended && g_get_monotonic_time () < end)
+    {
+      uv_run (f->loop, UV_RUN_NOWAIT);
+      g_usleep (1000);
+    }
+  g_assert_true (f->ended);
+  g_assert_cmpint (f->whole, ==, wanted);
+}
+
+/* The upstream sends TEXT and ends the connection,
+   with RESET by a reset, LATER after the client has read the part.  */
+static void
+play_end (struct fixture *f, const char *text, bool reset, bool later,
+          bool wanted)
+{
+  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  int fd;
+
+  g_test_message ("%s, reset %d, later %d", text, reset, later);
+  f->ended = false;
+  f->has_head = false;
+  g_string_truncate (f->body, 0);
+  bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"), NULL,
+                       0, bb_bytes_of (""), &ops, f);
+  fd = await_request (f);
+  g_assert_cmpint ((int)send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
+                   (int)strlen (text));
+  for (int i = 0; later && i < 5; i++)
+    {
+      uv_run (f->loop, UV_RUN_NOWAIT);
+      g_usleep (ARRIVAL_US / 5);
+    }
+  if (reset)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+  g_usleep (ARRIVAL_US);
+  run_until_ended (f, wanted);
+  g_assert_true (g_str_has_prefix ("part", f->body->str));
+}
+
+/* A response with neither length nor chunks that is reset is incomplete, at
+   whatever moment the reset is found (the cause of review/1, at agents).  */
+static void
+test_reset_response (void)
+{
+  static const char none[] = "HTTP/1.1 200 OK\r\n\r\npart";
+  static const char length[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+  static const char chunks[]
+      = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart";
+
+  static struct fixture f;
+
+  set_up (&f);
+  for (int later = 0; later < 2; later++)
+    {
+      play_end (&f, none, false, later, true);
+      play_end (&f, none, true, later, false);
+      play_end (&f, length, false, later, false);
+      play_end (&f, length, true, later, false);
+      play_end (&f, chunks, false, later, false);
+      play_end (&f, chunks, true, later, false);
+    }
+  g_string_free (f.body, TRUE);
+  close (f.listener);
+}
+
+/* A head that ends in its middle is no response with that status.  */
+static void
+test_ended_head (void)
+{
+  static const char *const heads[]
+      = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: 1",
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" };
+  static struct fixture f;
+
+  set_up (&f);
+  for (size_t i = 0; i < 4 * G_N_ELEMENTS (heads); i++)
+    {
+      play_end (&f, heads[i / 4], i % 2, i / 2 % 2, false);
+      g_assert_false (f.has_head);
+    }
+  g_string_free (f.body, TRUE);
+  close (f.listener);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/net-client/reset-response", test_reset_response);
+  g_test_add_func ("/net-client/ended-head", test_ended_head);
+  return g_test_run ();
+}
