libgroup: a hold without an armed rank is cleared before the group goes on

Cause: the next leader found the hold of a killed leader and no armed rank, and let the group go at once. Orders to arm of the old leader were still under way; ranks carry them out as long as the version is prepared and the pass has not begun, which in an idle group is for ever.

Change: where a rank has a version prepared that it does not use, all ranks prepare the map in use under a newer version first, as after a disarm. The rows of one rank may be unknown: it holds what no other rank holds.

--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -121,6 +121,112 @@
   return n;
 }
 
+/* Whether the rows of RANK in the map in use are known.  */
+static bool
+is_row_known (const struct bb_group_switch *sw, uint32_t rank)
+{
+  const struct bb_group_switch_rank *k = &sw->ranks[rank];
+
+  return rank != sw->missing_rank && k->row_epoch == sw->epoch
+         && k->row_version == k->map_version;
+}
+
+/* Returns the first rank from FIRST on whose rows are not known, or the number
+   of ranks.  */
+static uint32_t
+find_unknown_row (const struct bb_group_switch *sw, uint32_t first)
+{
+  while (first < sw->size.ranks && is_row_known (sw, first))
+    first++;
+  return first;
+}
+
+/* Whether the rows of the map in use are known for all ranks but one: that one
+   holds the experts that no other rank holds.  */
+static bool
+current_map_is_known (const struct bb_group_switch *sw)
+{
+  uint32_t unknown = find_unknown_row (sw, 0);
+
+  return unknown == sw->size.ranks
+         || find_unknown_row (sw, unknown + 1) == sw->size.ranks;
+}
+
+/* Fills the rows of rank UNKNOWN with the experts that no other rank holds, as
+   a map must hold all experts.  This one is only prepared, never armed.  */
+static void
+fill_unknown_rows (const struct bb_group_switch *sw, uint32_t unknown,
+                   uint16_t *map)
+{
+  const struct bb_group_size *s = &sw->size;
+  bool *held = calloc (s->experts, sizeof *held);
+
+  if (!held)
+    abort ();
+  for (uint32_t set = 0; set < s->sets; set++)
+    {
+      uint16_t *rows = map + (size_t)set * s->ranks * s->places;
+      uint16_t *row = rows + (size_t)unknown * s->places;
+      uint32_t n = 0;
+      memset (held, 0, s->experts * sizeof *held);
+      for (uint32_t r = 0; r < s->ranks; r++)
+        for (uint32_t p = 0; p < s->places && r != unknown; p++)
+          {
+            uint16_t e = rows[(size_t)r * s->places + p];
+            if (e < s->experts)
+              held[e] = true;
+          }
+      memset (row, 0xff, s->places * sizeof *row);
+      for (uint32_t e = 0; e < s->experts && n < s->places; e++)
+        if (!held[e])
+          row[n++] = (uint16_t)e;
+    }
+  free (held);
+}
+
+void
+switch_begin_clearing (struct bb_group_switch *sw, bb_ms now)
+{
+  uint32_t unknown = find_unknown_row (sw, 0);
+
+  memcpy (sw->next_map, sw->current_map,
+          bb_group_places (&sw->size) * sizeof *sw->next_map);
+  if (unknown < sw->size.ranks)
+    fill_unknown_rows (sw, unknown, sw->next_map);
+  bb_group_sort_rows (&sw->size, sw->next_map);
+  sw->version = switch_next_version (sw);
+  switch_enter_phase (sw, BB_GROUP_SWITCH_CLEARING, now);
+  if (sw->missing_rank < sw->size.ranks)
+    sw->ranks[sw->missing_rank].done = true;
+  switch_send_due_orders (sw, BB_GROUP_SWITCH_PREPARE,
+                          switch_round_retry_ms (sw), now);
+}
+
+/* Whether a rank would carry out a late ARM: it has a version prepared that it
+   does not use.  */
+static bool
+may_be_armed_late (const struct bb_group_switch *sw)
+{
+#ifdef BB_MUTANT_switch_late_arm
+  return false;
+#endif
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    if (sw->ranks[r].prepared_version > sw->ranks[r].map_version)
+      return true;
+  return false;
+}
+
+/* Ends a hold for which no rank is armed.  The leader before may have sent
+   orders to arm that are yet to be carried out.  */
+static void
+end_hold (struct bb_group_switch *sw, bb_ms now)
+{
+  if (!may_be_armed_late (sw))
+    switch_begin_going (sw, now);
+  else if (current_map_is_known (sw))
+    switch_begin_clearing (sw, now);
+}
+
 void
 switch_settle (struct bb_group_switch *sw, bb_ms now)
 {
@@ -159,7 +265,7 @@
     }
   if (armed == sw->size.ranks)
     {
-      switch_begin_going (sw, now);
+      end_hold (sw, now);
       return;
     }
   if (is_disarmed (sw, sw->version))
@@ -173,54 +279,6 @@
   switch_continue_forwarding (sw, now);
 }
 
-/* Fills the rows of the missing rank with the experts that no other rank
-   holds, as a map must hold all experts.  This one is only prepared, never
-   armed.  */
-static void
-fill_missing_rows (const struct bb_group_switch *sw, uint16_t *map)
-{
-  const struct bb_group_size *s = &sw->size;
-  bool *held = calloc (s->experts, sizeof *held);
-
-  if (!held)
-    abort ();
-  for (uint32_t set = 0; set < s->sets; set++)
-    {
-      uint16_t *rows = map + (size_t)set * s->ranks * s->places;
-      uint16_t *row = rows + (size_t)sw->missing_rank * s->places;
-      uint32_t n = 0;
-      memset (held, 0, s->experts * sizeof *held);
-      for (uint32_t r = 0; r < s->ranks; r++)
-        for (uint32_t p = 0; p < s->places && r != sw->missing_rank; p++)
-          {
-            uint16_t e = rows[(size_t)r * s->places + p];
-            if (e < s->experts)
-              held[e] = true;
-          }
-      memset (row, 0xff, s->places * sizeof *row);
-      for (uint32_t e = 0; e < s->experts && n < s->places; e++)
-        if (!held[e])
-          row[n++] = (uint16_t)e;
-    }
-  free (held);
-}
-
-void
-switch_begin_clearing (struct bb_group_switch *sw, bb_ms now)
-{
-  memcpy (sw->next_map, sw->current_map,
-          bb_group_places (&sw->size) * sizeof *sw->next_map);
-  if (sw->missing_rank < sw->size.ranks)
-    fill_missing_rows (sw, sw->next_map);
-  bb_group_sort_rows (&sw->size, sw->next_map);
-  sw->version = switch_next_version (sw);
-  switch_enter_phase (sw, BB_GROUP_SWITCH_CLEARING, now);
-  if (sw->missing_rank < sw->size.ranks)
-    sw->ranks[sw->missing_rank].done = true;
-  switch_send_due_orders (sw, BB_GROUP_SWITCH_PREPARE,
-                          switch_round_retry_ms (sw), now);
-}
-
 void
 switch_continue_clearing (struct bb_group_switch *sw, bb_ms now)
 {
@@ -238,19 +296,6 @@
                             switch_round_retry_ms (sw), now);
 }
 
-/* Whether the rows of the map in use are known for all ranks but the missing
-   one.  */
-static bool
-current_map_is_known (const struct bb_group_switch *sw)
-{
-  for (uint32_t r = 0; r < sw->size.ranks; r++)
-    if (r != sw->missing_rank
-        && (sw->ranks[r].row_epoch != sw->epoch
-            || sw->ranks[r].row_version != sw->ranks[r].map_version))
-      return false;
-  return true;
-}
-
 void
 switch_continue_disarming (struct bb_group_switch *sw, bb_ms now)
 {
--- /dev/null
+++ b/test/test_group_late.c
@@ -0,0 +1,78 @@
+/* Tests of libgroup's switch of expert maps with orders that are carried out
+   late, after their leader was killed, by each leader that can follow: another
+   agent, or the same one, which starts again with nothing.  */
+
+#include "harness/group_sim.h"
+
+#include <glib.h>
+
+enum
+{
+  PLAY_MAX_MS = 30000,
+  ARM_LATE_MS = 2500
+};
+
+/* Runs the first switch up to the orders to arm, which get no answer and are
+   carried out ARM_LATE_MS later, and kills the leader.  The group has nothing
+   to do until then, and begins its next pass when the first of them has been
+   carried out.  DOWN_MS is how long the leader is away: where it is back
+   before the others have noticed, it is the next leader itself.  */
+static void
+play_late_arm (uint32_t seed, bb_ms down_ms)
+{
+  const struct sim_options o = {
+    .seed = seed, .run_ms = PLAY_MAX_MS, .repeat_ok = true, .quiet_idle = true
+  };
+  struct simulation *sim = simulation_new (&o);
+  bb_ms killed_ms = 0;
+  bb_ms armed_ms = 0;
+
+  for (sim->now = SIM_TICK_MS; sim->now < PLAY_MAX_MS; sim->now += SIM_TICK_MS)
+    {
+      const struct sim_agent *leader = &sim->agents[0];
+      if (killed_ms == 0 && leader->is_leader
+          && leader->group_switch.phase == BB_GROUP_SWITCH_ARMING)
+        {
+          sim->next_pass_ms = PLAY_MAX_MS;
+          sim->step = leader->group_switch.step - 1;
+          for (uint32_t i = 0; i < sim->orders_end; i++)
+            if (sim->orders[i].used
+                && sim->orders[i].command.op == BB_GROUP_SWITCH_ARM)
+              {
+                sim->orders[i].answered = false;
+                sim->orders[i].due_ms
+                    = sim->now + (bb_ms)(i + 1) * ARM_LATE_MS;
+                if (armed_ms == 0 || sim->orders[i].due_ms < armed_ms)
+                  armed_ms = sim->orders[i].due_ms;
+              }
+          if (armed_ms > 0)
+            {
+              simulation_kill (sim, 0, down_ms);
+              killed_ms = sim->now;
+            }
+        }
+      if (killed_ms > 0 && sim->now == armed_ms + SIM_TICK_MS)
+        sim->next_pass_ms = sim->now;
+      simulation_tick (sim);
+    }
+  g_assert_cmpint (killed_ms, >, 0);
+  g_assert_cmpuint (sim->step, >, 100);
+  simulation_free (sim);
+}
+
+/* An order to arm of a killed leader is carried out after the next leader has
+   let an idle group go on: the next pass begins with two maps (review/2).  */
+static void
+test_late_arm (void)
+{
+  for (uint32_t seed = 1; seed <= 40; seed++)
+    play_late_arm (seed, 50 + (bb_ms)(seed % 4) * 400);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/group/late/arm", test_late_arm);
+  return g_test_run ();
+}
