libgroup: a version says which lead gave it

Engines could see: one version with different contents on two ranks, for good, after a leader was killed behind its first PREPARE (read in the review).

Cause: versions were the leader's rank and a counter above what ranks report; a rank that is still copying reports no version, so an agent that leads again without memory gives the same one to another map.

Change: a version carries a random number of the lead as well.

--- a/cmd/rank/leader_group.c
+++ b/cmd/rank/leader_group.c
@@ -36,6 +36,7 @@
                                  .places = p->engine.places,
                                  .spare = p->engine.spare };
   bb_group_switch_init (&l->map_switch, &size, self, leader_send_order, l);
+  l->map_switch.incarnation = (uint16_t)g_random_int ();
   l->logged_abandoned = 0;
   l->map_switch.order_link_ms = order_link_ms (l);
   bb_demand_init (&l->demand, size.sets * size.experts);
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -274,7 +274,9 @@
   struct bb_group_size size;
   struct bb_group_switch_rank ranks[BB_GROUP_RANKS_MAX];
   enum bb_group_switch_phase phase;
-  uint32_t self_rank; /* the leader's rank */
+  uint32_t self_rank;   /* the leader's rank */
+  uint16_t incarnation; /* random, other each time that an agent begins to
+                           lead; set by the owner */
   uint64_t epoch;
   uint64_t version;          /* map version of the present switch */
   uint64_t highest_version;  /* highest version seen or used in this epoch */
--- a/libgroup/ranks.c
+++ b/libgroup/ranks.c
@@ -131,9 +131,14 @@
 uint64_t
 switch_next_version (struct bb_group_switch *sw)
 {
+  const uint64_t stride = (uint64_t)BB_GROUP_RANKS_MAX << 16;
+  uint64_t giver = (uint64_t)sw->incarnation * BB_GROUP_RANKS_MAX;
+
+#ifdef BB_MUTANT_switch_giver
+  giver = 0;
+#endif
   sw->highest_version
-      = (sw->highest_version / BB_GROUP_RANKS_MAX + 1) * BB_GROUP_RANKS_MAX
-        + sw->self_rank;
+      = (sw->highest_version / stride + 1) * stride + giver + sw->self_rank;
   return sw->highest_version;
 }
 
--- a/libgroup/switch.h
+++ b/libgroup/switch.h
@@ -69,9 +69,9 @@
                              bb_ms now);
 /* Whether all ranks have carried out the order of this phase.  */
 bool switch_all_done (const struct bb_group_switch *sw);
-/* Returns a version above all known ones.  It is the leader's rank modulo
-   BB_GROUP_RANKS_MAX: two agents that lead at the same time must not use one
-   version for two maps.  */
+/* Returns a version above all known ones.  It carries the leader's rank and
+   incarnation: two agents that lead at the same time, or one that leads again
+   and has forgotten its versions, must not use one version for two maps.  */
 uint64_t switch_next_version (struct bb_group_switch *sw);
 /* Has the held rank go on.  */
 void switch_begin_going (struct bb_group_switch *sw, bb_ms now);
--- a/test/harness/group_sim.c
+++ b/test/harness/group_sim.c
@@ -388,6 +388,7 @@
 
   bb_group_switch_init (&a->group_switch, &sim_size, r, simulation_send_order,
                         sim);
+  a->group_switch.incarnation = (uint16_t)++a->leads;
   a->is_leader = true;
 }
 
--- a/test/test_group_late.c
+++ b/test/test_group_late.c
@@ -3,11 +3,15 @@
    agent, or the same one, which starts again with nothing.  */
 
 #include "harness/group_sim.h"
+#include "harness/harness.h"
 
 #include <glib.h>
 
 enum
 {
+  RUN_MS = 60000,
+  IDLE_MAX_MS = 16000, /* longer than an order can be late */
+  SEEDS = 250,
   PLAY_MAX_MS = 30000,
   ARM_LATE_MS = 2500
 };
@@ -69,10 +73,65 @@
     play_late_arm (seed, 50 + (bb_ms)(seed % 4) * 400);
 }
 
+/* Runs a group with late orders and agents that are killed, and frozen where
+   FREEZES.  Fails where ranks use different maps in one pass, or where no
+   switch completes.  */
+static void
+run_killed (uint32_t seed, bool freezes, bb_ms idle_max_ms)
+{
+  const struct sim_options o = { .seed = seed,
+                                 .late_share = seed % 3 == 0 ? 0.5 : 0.3,
+                                 .freezes = freezes,
+                                 .kills = true,
+                                 .repeat_ok = seed % 2 == 0,
+                                 .idle_max_ms = idle_max_ms,
+                                 .run_ms = RUN_MS };
+  struct simulation *sim = simulation_new (&o);
+  uint32_t switches;
+
+  g_test_message ("seed %u", seed);
+  switches = simulation_run (sim);
+  if (idle_max_ms == 0)
+    g_assert_cmpuint (switches, >, 0);
+  simulation_free (sim);
+}
+
+/* BILBERRY_SOAK_SEED and BILBERRY_SOAK_SEEDS choose other seeds.  */
+static uint32_t
+first_seed (void)
+{
+  return harness_number ("BILBERRY_SOAK_SEED", 1);
+}
+
+static uint32_t
+last_seed (void)
+{
+  return first_seed () + harness_number ("BILBERRY_SOAK_SEEDS", SEEDS) - 1;
+}
+
+/* Agents are killed while the group is busy.  */
+static void
+test_killed_busy (void)
+{
+  for (uint32_t seed = first_seed (); seed <= last_seed (); seed++)
+    run_killed (seed, false, 0);
+}
+
+/* Agents are killed, and the group has nothing to do at times for longer than
+   an order can be late.  */
+static void
+test_killed_idle (void)
+{
+  for (uint32_t seed = first_seed (); seed <= last_seed (); seed++)
+    run_killed (seed, false, seed % 2 ? IDLE_MAX_MS : IDLE_MAX_MS / 4);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/group/late/arm", test_late_arm);
+  g_test_add_func ("/group/late/killed-busy", test_killed_busy);
+  g_test_add_func ("/group/late/killed-idle", test_killed_idle);
   return g_test_run ();
 }
