libgroup, rank: agents know when the leader's own rank may be armed

Engines could see: two maps in one pass, where a leader completed the switch of another one and its VM then froze.

Cause: the next leader disarms the others where no agent has sent an order to arm to the frozen rank. A leader that completes a switch armed its own rank itself, and an agent that is killed forgets what it sent.

Change: such a leader arms its own rank last, and its orders to arm and to go on say that it may be armed (field own_armed of rank_order); agents report that like an order to arm of theirs without an answer, so that the next leader waits.

--- a/cmd/rank/leader_orders.c
+++ b/cmd/rank/leader_orders.c
@@ -96,7 +96,8 @@
                              .fence = l->fence,
                              .target = bb_bytes_of (address),
                              .target_rank = o->rank,
-                             .from_rank = l->map_switch.self_rank };
+                             .from_rank = l->map_switch.self_rank,
+                             .own_armed = o->order.own_armed };
 
   if (o->order.op == BB_GROUP_SWITCH_PREPARE)
     m.map_hash = l->sent_map.hash;
--- a/cmd/rank/orders.c
+++ b/cmd/rank/orders.c
@@ -66,21 +66,39 @@
                             .fence = m->fence };
 }
 
+/* Records that RANK may be armed as M says, whose result is not known.  If the
+   leader fails, the next one must know.  */
+static void
+note_arm (const struct bb_rank_order *m, uint32_t rank)
+{
+  struct engine *engine = &agent->engine;
+
+  engine->relayed_epoch = m->epoch;
+  engine->relayed_version = m->version;
+  engine->relayed_rank = rank;
+  engine->relayed_accepted = false;
+}
+
+/* Whether what M says of the rank of its sender is recorded already.  */
+static bool
+is_noted (const struct bb_rank_order *m)
+{
+  const struct engine *engine = &agent->engine;
+
+  return engine->relayed_epoch == m->epoch
+         && engine->relayed_version == m->version
+         && engine->relayed_rank == m->from_rank;
+}
+
 /* Sends M to the engine of another rank.  */
 static void
 relay (const struct bb_rank_order *m, uint64_t connection)
 {
-  struct engine *engine = &agent->engine;
   struct pending_order *pending = pending_of (m, connection);
   struct bb_order o = order_of (m);
   char *address = bb_bytes_strdup (m->target);
 
-  /* Recorded before it is sent: if the leader fails, the next one must know
-     that the other rank may be armed.  */
-  engine->relayed_epoch = m->epoch;
-  engine->relayed_version = m->version;
-  engine->relayed_rank = m->target_rank;
-  engine->relayed_accepted = false;
+  note_arm (m, m->target_rank); /* before it is sent */
   pending->relayed = true;
   pending->version = m->version;
   pending->epoch = m->epoch;
@@ -152,6 +170,8 @@
         }
     }
   waiting.exists = false;
+  if (m->own_armed && !is_noted (m))
+    note_arm (m, m->from_rank);
   carry_out (m, connection, map);
 }
 
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -198,6 +198,9 @@
   uint64_t epoch;      /* epoch of the group */
   const uint16_t *map; /* the map of a PREPARE; NULL for other orders */
   uint32_t via_rank;   /* rank whose agent sends the order */
+  bool own_armed; /* the leader's rank may be armed with VERSION; the agent
+                     that sends the order reports that like an ARM that it
+                     relayed and that got no answer */
 };
 
 enum
@@ -227,7 +230,8 @@
   uint64_t disarmed_version; /* version that its agent last had it disarm */
   uint64_t disarmed_epoch;   /* epoch of disarmed_version */
   uint64_t relayed_epoch;    /* epoch of the last ARM that its agent relayed,
-                                which means sent to another rank */
+                                which means sent to another rank; or of the
+                                last order with own_armed */
   uint64_t relayed_version;  /* version of the last ARM relayed */
   uint32_t relayed_rank;     /* rank that the last ARM was relayed to */
   bool relayed_accepted;     /* the rank accepted the last ARM relayed */
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -578,6 +578,7 @@
   uint32_t target_rank;
   uint32_t from_rank;
   uint64_t map_hash;
+  bool own_armed;
 };
 
 /* Result of an order; status is that of the HTTP response, 0 if there was
--- a/libgroup/ranks.c
+++ b/libgroup/ranks.c
@@ -81,8 +81,13 @@
           .step = sw->step,
           .epoch = sw->epoch,
           .map = op == BB_GROUP_SWITCH_PREPARE ? sw->next_map : NULL,
-          .via_rank = via };
+          .via_rank = via,
+          .own_armed = sw->phase == BB_GROUP_SWITCH_FORWARDING
+                       || sw->phase == BB_GROUP_SWITCH_GOING };
 
+#ifdef BB_MUTANT_switch_own_armed
+  o.own_armed = false;
+#endif
   sw->ranks[rank].order_sent_ms = now;
   sw->ranks[rank].orders_sent++;
   sw->send_order (rank, &o, sw->user);
--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -79,11 +79,24 @@
   sw->missing_rank = silent;
 }
 
-/* Sends the ARM to the ranks that are armed already, and to the others once
-   those have answered.  */
+/* Whether all ranks but the leader's have carried out the order of this
+   phase.  */
+static bool
+others_are_done (const struct bb_group_switch *sw)
+{
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    if (r != sw->self_rank && !sw->ranks[r].done)
+      return false;
+  return true;
+}
+
+/* Sends the ARM to the ranks that are armed already, to the others once those
+   have answered, and to the leader's own once all others have: by then their
+   agents know that it may be armed.  */
 void
 switch_continue_forwarding (struct bb_group_switch *sw, bb_ms now)
 {
+  bb_ms retry_ms = switch_round_retry_ms (sw);
   bool armed_pending = false;
 
   for (uint32_t r = 0; r < sw->size.ranks; r++)
@@ -93,9 +106,10 @@
         if (switch_order_is_due (sw, r, ORDER_RETRY_MS, now))
           switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
       }
-  if (!armed_pending)
-    switch_send_due_orders (sw, BB_GROUP_SWITCH_ARM,
-                            switch_round_retry_ms (sw), now);
+  for (uint32_t r = 0; r < sw->size.ranks && !armed_pending; r++)
+    if (switch_order_is_due (sw, r, retry_ms, now)
+        && (r != sw->self_rank || others_are_done (sw)))
+      switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
 }
 
 static void
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -3038,7 +3038,7 @@
 static void
 put_rank_order (msgpack_packer *pk, const struct bb_rank_order *v)
 {
-  msgpack_pack_map (pk, 10);
+  msgpack_pack_map (pk, 11);
   msgpack_pack_uint8 (pk, 1);
   msgpack_pack_uint64 (pk, v->id);
   msgpack_pack_uint8 (pk, 2);
@@ -3059,6 +3059,8 @@
   msgpack_pack_uint64 (pk, v->from_rank);
   msgpack_pack_uint8 (pk, 14);
   msgpack_pack_uint64 (pk, v->map_hash);
+  msgpack_pack_uint8 (pk, 15);
+  bb_wire_put_bool (pk, v->own_armed);
 }
 
 static bool
@@ -3134,6 +3136,11 @@
           v->map_hash = (uint64_t)n;
           seen |= UINT64_C (1) << 14;
           break;
+        case 15:
+          if (!bb_wire_get_bool (o, &v->own_armed, "own_armed", e))
+            return false;
+          seen |= UINT64_C (1) << 15;
+          break;
         default:
           break;
         }
@@ -4828,6 +4835,7 @@
   { BB_MSG_RANK_ORDER, 12, false, "target_rank" },
   { BB_MSG_RANK_ORDER, 13, false, "from_rank" },
   { BB_MSG_RANK_ORDER, 14, false, "map_hash" },
+  { BB_MSG_RANK_ORDER, 15, false, "own_armed" },
   { BB_MSG_RANK_RESULT, 1, true, "id" },
   { BB_MSG_RANK_RESULT, 2, true, "status" },
   { BB_MSG_RANK_HELLO, 1, false, "group" },
--- a/test/harness/group_sim.c
+++ b/test/harness/group_sim.c
@@ -72,6 +72,16 @@
       via->relayed_rank = rank;
       via->relayed_accepted = false;
     }
+  else if (o->own_armed && o->via_rank != sim->sending_leader
+           && (via->relayed_epoch != o->epoch
+               || via->relayed_version != o->version
+               || via->relayed_rank != sim->sending_leader))
+    {
+      via->relayed_epoch = o->epoch;
+      via->relayed_version = o->version;
+      via->relayed_rank = sim->sending_leader;
+      via->relayed_accepted = false;
+    }
   if (o->via_rank == rank)
     via->last_leader = sim->sending_leader;
   if (o->via_rank == rank && o->op == BB_GROUP_SWITCH_DISARM)
--- a/test/test_group_late.c
+++ b/test/test_group_late.c
@@ -126,6 +126,14 @@
     run_killed (seed, false, seed % 2 ? IDLE_MAX_MS : IDLE_MAX_MS / 4);
 }
 
+/* Agents are killed or freeze.  */
+static void
+test_killed_frozen (void)
+{
+  for (uint32_t seed = first_seed (); seed <= last_seed (); seed++)
+    run_killed (seed, true, seed % 2 ? 0 : IDLE_MAX_MS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -133,5 +141,6 @@
   g_test_add_func ("/group/late/arm", test_late_arm);
   g_test_add_func ("/group/late/killed-busy", test_killed_busy);
   g_test_add_func ("/group/late/killed-idle", test_killed_idle);
+  g_test_add_func ("/group/late/killed-frozen", test_killed_frozen);
   return g_test_run ();
 }
