libgroup: no pass is held twice

Engines could see: two maps in one pass, where an order to go on is carried out late, in an idle group, while the next switch holds the same pass.

Cause: the end of a hold names the pass alone, and in an idle group the next switch held the same one again.

Change: a leader begins a switch only when the passes have begun that it or a leader before it can have held.

Evidence: /group/late/go fails without the guard. In two tests of test_group_switch the group now makes two passes before the first switch; what they assert is the same.

--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -285,6 +285,8 @@
   uint64_t version;          /* map version of the present switch */
   uint64_t highest_version;  /* highest version seen or used in this epoch */
   uint64_t step;             /* number of the pass that is held */
+  uint64_t closed_step;      /* last pass that this leader or one before it may
+                                have held in this epoch */
   uint32_t missing_rank;     /* rank that cannot be asked; size.ranks: none */
   uint32_t held_rank;        /* rank at which the pass is held */
   uint16_t *current_map;     /* map in use, from the rows of the ranks */
--- a/libgroup/switch.c
+++ b/libgroup/switch.c
@@ -61,13 +61,27 @@
   sw->next_map = NULL;
 }
 
+/* Whether all passes have begun that were held before.  An order to go on that
+   is carried out late would end a hold of the same pass.  */
+static bool
+is_past_closed_step (const struct bb_group_switch *sw)
+{
+#ifdef BB_MUTANT_switch_closed_step
+  return true;
+#endif
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    if (sw->ranks[r].step >= sw->closed_step)
+      return true;
+  return false;
+}
+
 bool
 bb_group_switch_is_ready (const struct bb_group_switch *sw, bb_ms now)
 {
   if (sw->phase != BB_GROUP_SWITCH_IDLE || sw->size.ranks < 2
       || sw->missing_rank != sw->size.ranks
       || !switch_all_fresh (sw, STATE_MAX_AGE_MS, now)
-      || !switch_none_pending (sw))
+      || !switch_none_pending (sw) || !is_past_closed_step (sw))
     return false;
   for (uint32_t r = 0; r < sw->size.ranks; r++)
     {
@@ -89,6 +103,7 @@
     if (sw->ranks[r].step > sw->step)
       sw->step = sw->ranks[r].step;
   sw->step += HOLD_AHEAD_STEPS;
+  sw->closed_step = MAX (sw->closed_step, sw->step);
   switch_send_order (sw, sw->held_rank, BB_GROUP_SWITCH_HOLD, sw->self_rank,
                      now);
 }
@@ -150,6 +165,7 @@
   sw->epoch = epoch;
   sw->version = 0;
   sw->highest_version = 0;
+  sw->closed_step = 0;
   sw->missing_rank = sw->size.ranks;
   if (sw->phase != BB_GROUP_SWITCH_IDLE)
     abandon (sw, "the group formed anew", now);
@@ -169,6 +185,21 @@
     sw->highest_version = k->armed_version;
 }
 
+/* Takes the passes that were or may be held, as K tells, the FIRST state of
+   its rank or a later one.  A leader before this one held no pass further
+   ahead than this one would.  */
+static void
+update_closed_step (struct bb_group_switch *sw,
+                    const struct bb_group_switch_rank *k, bool first)
+{
+  if (k->epoch != sw->epoch)
+    return;
+  if (first)
+    sw->closed_step = MAX (sw->closed_step, k->step + HOLD_AHEAD_STEPS);
+  sw->closed_step = MAX (sw->closed_step, k->held_step);
+  sw->closed_step = MAX (sw->closed_step, k->armed_step);
+}
+
 /* Keeps in K what only the agent of a rank can report.  */
 static void
 keep_agent_report (struct bb_group_switch_rank *k,
@@ -215,6 +246,7 @@
     sw->missing_rank = sw->size.ranks;
   update_epoch (sw, k->epoch, now);
   update_highest_version (sw, k);
+  update_closed_step (sw, k, !before.known);
   if ((sw->phase == BB_GROUP_SWITCH_PREPARING
        || sw->phase == BB_GROUP_SWITCH_CLEARING)
       && k->prepared_version == sw->version)
--- a/test/test_group_late.c
+++ b/test/test_group_late.c
@@ -73,6 +73,72 @@
     play_late_arm (seed, 50 + (bb_ms)(seed % 4) * 400);
 }
 
+/* Has the orders OP to RANK that are under way get no answer, to be carried
+   out when the test says so.  Returns one of them, or NULL where there is
+   none. */
+static struct sim_order *
+delay_orders (struct simulation *sim, enum bb_group_switch_op op,
+              uint32_t rank)
+{
+  struct sim_order *found = NULL;
+
+  for (uint32_t i = 0; i < sim->orders_end; i++)
+    if (sim->orders[i].used && sim->orders[i].command.op == op
+        && sim->orders[i].rank == rank)
+      {
+        found = &sim->orders[i];
+        found->answered = false;
+        found->due_ms = INT64_MAX;
+      }
+  return found;
+}
+
+/* The first order to go on after a hold that a killed leader left is carried
+   out late, in an idle group: when the next switch has armed a part of the
+   ranks, if that holds the same pass again.  The group then gets work.  */
+static void
+play_late_go (uint32_t seed)
+{
+  const struct sim_options o
+      = { .seed = seed, .run_ms = PLAY_MAX_MS, .repeat_ok = true };
+  struct simulation *sim = simulation_new (&o);
+  const struct bb_group_switch *sw = &sim->agents[0].group_switch;
+  struct sim_order *go = NULL;
+  bb_ms work_ms = 0;
+
+  sim->step = 20;
+  sim->next_pass_ms = INT64_MAX;
+  for (uint32_t r = 0; r < SIM_RANKS; r++)
+    sim->ranks[r].prepared_version = sim->ranks[r].highest_version = 1;
+  sim->ranks[1].held_step = sim->step + 2;
+  for (sim->now = SIM_TICK_MS; sim->now < PLAY_MAX_MS; sim->now += SIM_TICK_MS)
+    {
+      simulation_tick (sim);
+      if (!go)
+        go = delay_orders (sim, BB_GROUP_SWITCH_GO, 1);
+      if (sw->phase == BB_GROUP_SWITCH_ARMING
+          && (work_ms == 0 || sim->now - work_ms < 3 * SIM_PASS_MS))
+        delay_orders (sim, BB_GROUP_SWITCH_ARM, 3);
+      if (work_ms == 0
+          && (sw->phase == BB_GROUP_SWITCH_ARMING
+              || sim->now > PLAY_MAX_MS / 2))
+        {
+          go->due_ms = sim->now + SIM_TICK_MS;
+          sim->next_pass_ms = work_ms = sim->now + SIM_TICK_MS;
+        }
+    }
+  g_assert_cmpint (work_ms, >, 0);
+  g_assert_cmpuint (sim->step, >, 100);
+  simulation_free (sim);
+}
+
+static void
+test_late_go (void)
+{
+  for (uint32_t seed = 1; seed <= 40; seed++)
+    play_late_go (seed);
+}
+
 /* Runs a group with late orders and agents that are killed, and frozen where
    FREEZES.  Fails where ranks use different maps in one pass, or where no
    switch completes.  */
@@ -139,6 +205,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/group/late/arm", test_late_arm);
+  g_test_add_func ("/group/late/go", test_late_go);
   g_test_add_func ("/group/late/killed-busy", test_killed_busy);
   g_test_add_func ("/group/late/killed-idle", test_killed_idle);
   g_test_add_func ("/group/late/killed-frozen", test_killed_frozen);
--- a/test/test_group_switch.c
+++ b/test/test_group_switch.c
@@ -80,6 +80,19 @@
     run_simulation (seed, 0.2, true, false);
 }
 
+/* Reports the states of all ranks to LEADER, once more after two passes: by
+   then no pass is to come that a leader before it may have held.  */
+static void
+make_ready (struct simulation *sim, uint32_t leader)
+{
+  for (uint32_t passes = 0; passes < 2; passes++)
+    {
+      sim->step += 2 * passes;
+      for (uint32_t r = 0; r < SIM_RANKS; r++)
+        simulation_report (sim, leader, r);
+    }
+}
+
 /* A new epoch ends the switch under way: the ranks have nothing prepared in
    it.  */
 static void
@@ -89,8 +102,7 @@
   uint16_t next[SIM_MAP_PLACES];
 
   simulation_start_leader (sim, 0);
-  for (uint32_t r = 0; r < SIM_RANKS; r++)
-    simulation_report (sim, 0, r);
+  make_ready (sim, 0);
   g_assert_true (
       bb_group_switch_is_ready (&sim->agents[0].group_switch, sim->now));
   group_map_fill (next, &sim_size);
@@ -156,8 +168,7 @@
   for (uint32_t leader = 0; leader < 2; leader++)
     {
       simulation_start_leader (sim, leader);
-      for (uint32_t r = 0; r < SIM_RANKS; r++)
-        simulation_report (sim, leader, r);
+      make_ready (sim, leader);
       g_assert_true (bb_group_switch_is_ready (
           &sim->agents[leader].group_switch, sim->now));
     }
