libgroup: clearing begins again where a rank has a higher version

Callers could see: a group held for 38.7 s, after two leaders in a row had cleared the same hold.

Cause: the second leader's version was below one that ranks had from the first and did not report yet; a refusal of an order that was sent again is ignored.

Change: a higher version is taken where a rank reports one above, or does not have the version 450 ms after it has refused it.

--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -292,6 +292,8 @@
   uint16_t *current_map;     /* map in use, from the rows of the ranks */
   uint16_t *next_map;        /* map to switch to */
   bb_ms phase_since_ms;      /* when the present phase began */
+  bb_ms refused_ms;          /* when a rank first refused the map of CLEARING,
+                                sent again; 0: none has */
   double order_link_ms;      /* time that the share of the link for orders
                                 takes for one; 0: none, set by the owner */
   uint32_t switches;         /* number of completed switches */
--- a/libgroup/ranks.c
+++ b/libgroup/ranks.c
@@ -8,6 +8,7 @@
 {
   sw->phase = phase;
   sw->phase_since_ms = now;
+  sw->refused_ms = 0;
   for (uint32_t r = 0; r < sw->size.ranks; r++)
     {
       sw->ranks[r].done = false;
--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -11,8 +11,11 @@
 {
   /* Time for states to show that the switch has ended.  */
   SETTLE_DELAY_MS = 150,
-  DETACHED_RANKS_MAX = 1,  /* ranks without an agent, or with a frozen one */
-  MISSING_TIMEOUT_MS = 300 /* a rank that is silent for longer is missing */
+  DETACHED_RANKS_MAX = 1,   /* ranks without an agent, or with a frozen one */
+  MISSING_TIMEOUT_MS = 300, /* a rank that is silent for longer is missing */
+  /* A rank that has refused the map of CLEARING and does not have it by then
+     has a higher version.  */
+  REFUSED_MAX_MS = 450
 };
 
 /* What is known of an ARM that another agent sent to the missing rank.  */
@@ -293,6 +296,20 @@
   switch_continue_forwarding (sw, now);
 }
 
+/* Whether a rank cannot prepare the version of CLEARING: it has a higher one,
+   which another leader gave it.  */
+static bool
+is_cleared_otherwise (const struct bb_group_switch *sw, bb_ms now)
+{
+#ifdef BB_MUTANT_switch_cleared_otherwise
+  return false;
+#endif
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    if (r != sw->missing_rank && sw->ranks[r].prepared_version > sw->version)
+      return true;
+  return sw->refused_ms != 0 && now - sw->refused_ms > REFUSED_MAX_MS;
+}
+
 void
 switch_continue_clearing (struct bb_group_switch *sw, bb_ms now)
 {
@@ -305,6 +322,8 @@
     }
   else if (switch_all_done (sw))
     switch_begin_going (sw, now);
+  else if (is_cleared_otherwise (sw, now))
+    switch_begin_clearing (sw, now);
   else
     switch_send_due_orders (sw, BB_GROUP_SWITCH_PREPARE,
                             switch_round_retry_ms (sw), now);
--- a/libgroup/switch.c
+++ b/libgroup/switch.c
@@ -296,9 +296,14 @@
     case BB_GROUP_SWITCH_PREPARE:
       /* A refusal counts only where the order was sent once: a rank may refuse
          a repetition because it is carrying out the first one.  */
-      if (o->version != sw->version || !refused
-          || sw->ranks[rank].orders_sent != 1)
+      if (o->version != sw->version || !refused)
         break;
+      if (sw->ranks[rank].orders_sent != 1)
+        {
+          if (sw->refused_ms == 0)
+            sw->refused_ms = now;
+          break;
+        }
       if (sw->phase == BB_GROUP_SWITCH_PREPARING)
         abandon (sw, "a rank refused the map", now);
       else if (sw->phase == BB_GROUP_SWITCH_CLEARING
--- a/test/test_group_late.c
+++ b/test/test_group_late.c
@@ -12,6 +12,10 @@
   RUN_MS = 60000,
   IDLE_MAX_MS = 16000, /* longer than an order can be late */
   SEEDS = 250,
+  /* Limits on a hold: an agent that is away for as long as it can be, and the
+     time to notice and to settle; and two freezes with a kill between them. */
+  HOLD_KILLED_MAX_MS = 3000,
+  HOLD_FROZEN_MAX_MS = 8000,
   PLAY_MAX_MS = 30000,
   ARM_LATE_MS = 2500
 };
@@ -140,8 +144,8 @@
 }
 
 /* Runs a group with late orders and agents that are killed, and frozen where
-   FREEZES.  Fails where ranks use different maps in one pass, or where no
-   switch completes.  */
+   FREEZES.  Fails where ranks use different maps in one pass, where no switch
+   completes, or where a hold is too long.  */
 static void
 run_killed (uint32_t seed, bool freezes, bb_ms idle_max_ms)
 {
@@ -159,6 +163,8 @@
   switches = simulation_run (sim);
   if (idle_max_ms == 0)
     g_assert_cmpuint (switches, >, 0);
+  g_assert_cmpint (sim->longest_hold_ms, <,
+                   freezes ? HOLD_FROZEN_MAX_MS : HOLD_KILLED_MAX_MS);
   simulation_free (sim);
 }
 
