libh1: a caller who takes nothing is reset, also during the shutdown

Cause: uv_tcp_close_reset returns UV_EINVAL while a uv_shutdown waits for queued bytes, and the server fell back to uv_close, an orderly close: always, in the one case for which it resets.

Change: the server sets SO_LINGER of 0 s on the socket, so that any close of it is a reset.

The fixture of test_h1_server is a part of the harness now; its tests are as before.

--- a/libh1/connection.c
+++ b/libh1/connection.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <utlist.h>
 
 bb_ms
@@ -42,14 +43,26 @@
   uv_close ((uv_handle_t *)&c->tcp, on_closed);
 }
 
+void
+h1_connection_set_reset_at_close (struct connection *c, bool reset)
+{
+  struct linger linger = { .l_onoff = reset, .l_linger = 0 };
+  uv_os_fd_t fd;
+
+#ifdef BB_MUTANT_h1_reset_at_close
+  return;
+#endif
+  if (uv_fileno ((uv_handle_t *)&c->tcp, &fd) == 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+/* uv_tcp_close_reset refuses to while the shutdown of a lingering close waits
+   for queued bytes.  */
 void
 h1_connection_reset (struct connection *c)
 {
-  c->closing = true;
-  DL_DELETE (c->server->connections, c);
-  c->server->connections_count--;
-  if (uv_tcp_close_reset (&c->tcp, on_closed) < 0)
-    uv_close ((uv_handle_t *)&c->tcp, on_closed);
+  h1_connection_set_reset_at_close (c, true);
+  h1_connection_close (c);
 }
 
 static void
@@ -57,10 +70,13 @@
 {
   struct connection *c = req->data;
 
-  (void)status;
   free (req);
-  if (status != UV_ECANCELED)
-    c->state_since_ms = h1_connection_now (c);
+  if (status == UV_ECANCELED)
+    return;
+  c->state_since_ms = h1_connection_now (c);
+  /* The kernel has all of the response, and the end of the connection.  */
+  if (status == 0)
+    h1_connection_set_reset_at_close (c, false);
 }
 
 void
--- a/libh1/server.h
+++ b/libh1/server.h
@@ -59,6 +59,9 @@
 bb_ms h1_connection_now (const struct connection *c);
 /* Closes C at once.  */
 void h1_connection_close (struct connection *c);
+/* Has the end of C be a TCP reset, or not, in whatever way it comes, also if
+   the process is killed: for a response that the end of C completes.  */
+void h1_connection_set_reset_at_close (struct connection *c, bool reset);
 /* Closes C with a TCP reset.  */
 void h1_connection_reset (struct connection *c);
 /* Closes C once the client has received a response that announced the close:
--- a/test/test_h1_server.c
+++ b/test/test_h1_server.c
@@ -2,154 +2,28 @@
    a test says so, which plays a process that was stalled: its timers run
    before it reads what has arrived.  */
 
-#include "bilberry/h1.h"
-#include "harness/harness.h"
+#include "harness/h1_server_fixture.h"
 
 #include <errno.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 enum
 {
-  IDLE_TIMEOUT_MS = 300,
-  READ_TIMEOUT_MS = 600000,
-  SHORT_READ_TIMEOUT_MS = 300,
-  WAIT_MS = 60000,                /* longest wait for what must come */
-  LARGE_BYTES = 16 * 1024 * 1024, /* more than the sockets hold */
-  PAUSE_MS = 1500,
-  BODY_MAX_BYTES = 512 * 1024,
-  CONNECTIONS_MAX = 8
+  PAUSE_MS = 1500
 };
 
-struct fixture
-{
-  struct harness *harness;
-  uv_loop_t loop;
-  struct bb_h1_server *server;
-  struct bb_h1_limits limits;
-  uint16_t port;
-  bool holds; /* requests get no response from the handler */
-  struct bb_h1_exchange *held[CONNECTIONS_MAX * 2];
-  uint32_t held_count;
-};
-
-static void
-on_request (struct bb_h1_exchange *x, void *arg)
-{
-  struct fixture *f = arg;
-
-  if (f->holds)
-    f->held[f->held_count++] = x;
-  else
-    bb_h1_respond (x, 200, NULL, 0, bb_bytes_of ("served"));
-}
-
-static void
-on_error (uint16_t status, void *arg)
-{
-  (void)status;
-  (void)arg;
-}
-
-static void
-set_up (struct fixture *f)
-{
-  struct sockaddr_storage addr = { 0 };
-  struct sockaddr_in *in = (struct sockaddr_in *)&addr;
-  int error = 0;
-
-  memset (f, 0, sizeof *f);
-  f->harness = harness_new (harness_build_dir ());
-  f->port = harness_port (f->harness);
-  uv_loop_init (&f->loop);
-  f->limits = (struct bb_h1_limits){ .head_max_bytes = 4096,
-                                     .body_max_bytes = BODY_MAX_BYTES,
-                                     .read_timeout_ms = READ_TIMEOUT_MS,
-                                     .idle_timeout_ms = IDLE_TIMEOUT_MS,
-                                     .connections_max = CONNECTIONS_MAX };
-  in->sin_family = AF_INET;
-  in->sin_port = htons (f->port);
-  in->sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  f->server = bb_h1_server_open (&f->loop, &addr, &f->limits, on_request,
-                                 on_error, f, &error);
-  g_assert_nonnull (f->server);
-}
-
-static void
-tear_down (struct fixture *f)
-{
-  harness_free (f->harness);
-}
-
-/* Runs the loop for MS.  */
-static void
-run_for (struct fixture *f, int ms)
-{
-  gint64 end = g_get_monotonic_time () + (gint64)ms * 1000;
-
-  while (g_get_monotonic_time () < end)
-    {
-      uv_run (&f->loop, UV_RUN_NOWAIT);
-      g_usleep (1000);
-    }
-}
-
-/* Lets MS pass in which the loop does not run.  */
-static void
-stall (int ms)
-{
-  g_usleep ((gulong)ms * 1000);
-}
-
-static void
-send_text (int fd, const char *text)
-{
-  size_t size = strlen (text);
-
-  g_assert_cmpint ((int)send (fd, text, size, MSG_NOSIGNAL), ==, (int)size);
-}
-
-static void
-send_request (int fd)
-{
-  send_text (fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-}
-
-/* Runs the loop until the server has sent TEXT on FD.  Returns whether it has,
-   before the connection ended.  GOT has what was received so far.  */
-static bool
-await_text (struct fixture *f, int fd, GString *got, const char *text)
-{
-  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
-
-  while (!strstr (got->str, text) && g_get_monotonic_time () < end)
-    {
-      char buf[4096];
-      ssize_t n;
-      uv_run (&f->loop, UV_RUN_NOWAIT);
-      n = recv (fd, buf, sizeof buf, MSG_DONTWAIT);
-      if (n > 0)
-        g_string_append_len (got, buf, n);
-      else if (n == 0 || (errno != EAGAIN && errno != EINTR))
-        break;
-      else
-        g_usleep (1000);
-    }
-  return strstr (got->str, text) != NULL;
-}
-
 /* Whether FD gets a whole response, of which GOT has what was received.  */
 static bool
-is_served (struct fixture *f, int fd, GString *got)
+is_served (struct h1_fixture *f, int fd, GString *got)
 {
-  return await_text (f, fd, got, "\r\n\r\nserved");
+  return h1_fixture_await (f, fd, got, "\r\n\r\nserved");
 }
 
 static bool
-gets_response (struct fixture *f, int fd)
+gets_response (struct h1_fixture *f, int fd)
 {
   g_autoptr (GString) got = g_string_new ("");
 
@@ -158,14 +32,14 @@
 
 /* Runs the loop until the server has closed FD.  */
 static void
-await_end (struct fixture *f, int fd)
+await_end (struct h1_fixture *f, int fd)
 {
   ssize_t n = -1;
   char byte;
 
   for (int spent = 0; spent < WAIT_MS && n != 0; spent += 10)
     {
-      run_for (f, 10);
+      h1_fixture_run (f, 10);
       n = recv (fd, &byte, 1, MSG_DONTWAIT);
     }
   g_assert_cmpint ((int)n, ==, 0);
@@ -173,12 +47,12 @@
 
 /* Returns a connection on which one request was served.  */
 static int
-connect_used (struct fixture *f)
+connect_used (struct h1_fixture *f)
 {
   int fd = harness_connect (f->port);
 
   g_assert_cmpint (fd, >=, 0);
-  send_request (fd);
+  h1_fixture_ask (fd);
   g_assert_true (gets_response (f, fd));
   return fd;
 }
@@ -188,17 +62,17 @@
 static void
 test_stalled_idle (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   fd = connect_used (&f);
-  stall (IDLE_TIMEOUT_MS / 3);
-  send_request (fd);
-  stall (IDLE_TIMEOUT_MS * 2);
+  h1_fixture_stall (IDLE_TIMEOUT_MS / 3);
+  h1_fixture_ask (fd);
+  h1_fixture_stall (IDLE_TIMEOUT_MS * 2);
   g_assert_true (gets_response (&f, fd));
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* Room for a new connection is not made at the cost of one whose request has
@@ -206,27 +80,27 @@
 static void
 test_stalled_room (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   int fds[CONNECTIONS_MAX];
   int added;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.limits.idle_timeout_ms = READ_TIMEOUT_MS;
   bb_h1_server_set_limits (f.server, &f.limits);
   for (uint32_t i = 0; i < CONNECTIONS_MAX; i++)
     {
       fds[i] = connect_used (&f);
-      run_for (&f, 5);
+      h1_fixture_run (&f, 5);
     }
   added = harness_connect (f.port);
-  send_request (fds[0]);
-  send_request (added);
+  h1_fixture_ask (fds[0]);
+  h1_fixture_ask (added);
   g_assert_true (gets_response (&f, fds[0]));
   g_assert_true (gets_response (&f, added));
   close (added);
   for (uint32_t i = 0; i < CONNECTIONS_MAX; i++)
     close (fds[i]);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A server that stops serves the requests that have arrived, also those of
@@ -234,25 +108,25 @@
 static void
 test_stalled_stop (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   int used;
   int added;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   used = connect_used (&f);
   bb_h1_server_drain (f.server);
-  send_request (used);
+  h1_fixture_ask (used);
   added = harness_connect (f.port);
-  send_request (added);
+  h1_fixture_ask (added);
   bb_h1_server_close (f.server);
   g_assert_cmpuint (bb_h1_server_active_connections (f.server), >, 0);
   g_assert_true (gets_response (&f, used));
   g_assert_true (gets_response (&f, added));
   close (used);
   close (added);
-  run_for (&f, 50);
+  h1_fixture_run (&f, 50);
   g_assert_cmpuint (bb_h1_server_active_connections (f.server), ==, 0);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A response that began before the drain could not announce the close: the
@@ -260,29 +134,29 @@
 static void
 test_unannounced_close (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   g_autoptr (GString) first = g_string_new ("");
   g_autoptr (GString) second = g_string_new ("");
   int fd = -1;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.holds = true;
   fd = harness_connect (f.port);
-  send_request (fd);
+  h1_fixture_ask (fd);
   while (f.held_count == 0)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   bb_h1_start (f.held[0], 200, NULL, 0, true);
   bb_h1_server_drain (f.server);
   bb_h1_write (f.held[0], bb_bytes_of ("long"));
   bb_h1_end (f.held[0]);
   f.holds = false;
-  g_assert_true (await_text (&f, fd, first, "\r\n0\r\n\r\n"));
+  g_assert_true (h1_fixture_await (&f, fd, first, "\r\n0\r\n\r\n"));
   g_assert_null (strstr (first->str, "Connection: close"));
-  send_request (fd);
+  h1_fixture_ask (fd);
   g_assert_true (is_served (&f, fd, second));
   g_assert_nonnull (strstr (second->str, "Connection: close"));
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A request that crosses the close of an idle connection is not read, and its
@@ -290,19 +164,19 @@
 static void
 test_crossing_is_unread (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   ssize_t n = 0;
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   fd = connect_used (&f);
   await_end (&f, fd);
-  send_request (fd);
-  run_for (&f, 50);
+  h1_fixture_ask (fd);
+  h1_fixture_run (&f, 50);
   n = send (fd, "G", 1, MSG_NOSIGNAL);
   g_assert_cmpint ((int)n, <, 0);
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A connection over the limit, while all others have a request, is not closed
@@ -310,23 +184,23 @@
 static void
 test_over_limit (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   int fds[CONNECTIONS_MAX];
   g_autoptr (GString) got = g_string_new ("");
   int added;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.holds = true;
   for (uint32_t i = 0; i < CONNECTIONS_MAX; i++)
     {
       fds[i] = harness_connect (f.port);
-      send_request (fds[i]);
+      h1_fixture_ask (fds[i]);
     }
   while (f.held_count < CONNECTIONS_MAX)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   f.holds = false;
   added = harness_connect (f.port);
-  send_request (added);
+  h1_fixture_ask (added);
   g_assert_true (is_served (&f, added, got));
   g_assert_nonnull (strstr (got->str, "Connection: close"));
   for (uint32_t i = 0; i < CONNECTIONS_MAX; i++)
@@ -336,7 +210,7 @@
       close (fds[i]);
     }
   close (added);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A lower limit on idling holds for a connection from its next response on:
@@ -344,21 +218,21 @@
 static void
 test_lowered_idle_limit (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.limits.idle_timeout_ms = READ_TIMEOUT_MS;
   bb_h1_server_set_limits (f.server, &f.limits);
   fd = connect_used (&f);
   f.limits.idle_timeout_ms = IDLE_TIMEOUT_MS;
   bb_h1_server_set_limits (f.server, &f.limits);
-  run_for (&f, IDLE_TIMEOUT_MS * 2);
-  send_request (fd);
+  h1_fixture_run (&f, IDLE_TIMEOUT_MS * 2);
+  h1_fixture_ask (fd);
   g_assert_true (gets_response (&f, fd));
   await_end (&f, fd);
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A caller that sends its next, large request during a response gets both
@@ -366,7 +240,7 @@
 static void
 test_large_next_request (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   g_autoptr (GString) got = g_string_new ("");
   g_autofree char *body = g_strnfill (BODY_MAX_BYTES / 2, 'b');
   g_autofree char *head = g_strdup_printf (
@@ -375,21 +249,21 @@
   size_t sent = 0;
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.holds = true;
   fd = harness_connect (f.port);
-  send_request (fd);
+  h1_fixture_ask (fd);
   while (f.held_count == 0)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   f.holds = false;
-  send_text (fd, head);
+  h1_fixture_send (fd, head);
   for (int turn = 0; turn < 400; turn++)
     {
       ssize_t n = send (fd, body + sent, strlen (body + sent),
                         MSG_NOSIGNAL | MSG_DONTWAIT);
       if (n > 0)
         sent += (size_t)n;
-      run_for (&f, 1);
+      h1_fixture_run (&f, 1);
       if (turn == 200)
         bb_h1_respond (f.held[0], 200, NULL, 0, bb_bytes_of ("first"));
     }
@@ -397,7 +271,7 @@
   g_assert_true (is_served (&f, fd, got));
   g_assert_nonnull (strstr (got->str, "\r\n\r\nfirst"));
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A request whose end arrived in time is served, although the server reads it
@@ -405,21 +279,21 @@
 static void
 test_stalled_part (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.limits.read_timeout_ms = SHORT_READ_TIMEOUT_MS;
   bb_h1_server_set_limits (f.server, &f.limits);
   fd = connect_used (&f);
-  send_text (fd, "GET / HTTP/1.1\r\nHost: ");
+  h1_fixture_send (fd, "GET / HTTP/1.1\r\nHost: ");
   uv_run (&f.loop, UV_RUN_NOWAIT);
   uv_run (&f.loop, UV_RUN_NOWAIT);
-  send_text (fd, "a\r\n\r\n");
-  stall (SHORT_READ_TIMEOUT_MS * 2);
+  h1_fixture_send (fd, "a\r\n\r\n");
+  h1_fixture_stall (SHORT_READ_TIMEOUT_MS * 2);
   g_assert_true (gets_response (&f, fd));
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A caller that pauses while it takes a large response gets all of it, also
@@ -427,22 +301,22 @@
 static void
 test_slow_taker (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   g_autofree char *body = g_strnfill (LARGE_BYTES, 'b');
   char buf[65536];
   size_t got = 0;
   gint64 end;
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.holds = true;
   bb_h1_server_drain (f.server);
   fd = harness_connect (f.port);
-  send_request (fd);
+  h1_fixture_ask (fd);
   while (f.held_count == 0)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   bb_h1_respond (f.held[0], 200, NULL, 0, bb_bytes_of (body));
-  run_for (&f, PAUSE_MS);
+  h1_fixture_run (&f, PAUSE_MS);
   end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
   while (got < LARGE_BYTES && g_get_monotonic_time () < end)
     {
@@ -455,7 +329,7 @@
     }
   g_assert_cmpuint (got, >=, LARGE_BYTES);
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A caller that takes a large response steadily gets all of it, however long
@@ -463,33 +337,33 @@
 static void
 test_steady_taker (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   g_autofree char *body = g_strnfill (LARGE_BYTES, 'b');
   g_autofree char *buf = g_malloc (LARGE_BYTES / 64);
   size_t got = 0;
   ssize_t n = 1;
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.limits.read_timeout_ms = SHORT_READ_TIMEOUT_MS;
   bb_h1_server_set_limits (f.server, &f.limits);
   f.holds = true;
   bb_h1_server_drain (f.server);
   fd = harness_connect (f.port);
-  send_request (fd);
+  h1_fixture_ask (fd);
   while (f.held_count == 0)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   bb_h1_respond (f.held[0], 200, NULL, 0, bb_bytes_of (body));
   while (got < LARGE_BYTES && n != 0)
     {
-      run_for (&f, SHORT_READ_TIMEOUT_MS / 10);
+      h1_fixture_run (&f, SHORT_READ_TIMEOUT_MS / 10);
       n = recv (fd, buf, LARGE_BYTES / 64, MSG_DONTWAIT);
       g_assert_true (n >= 0 || errno == EAGAIN);
       got += n > 0 ? (size_t)n : 0;
     }
   g_assert_cmpuint (got, >=, LARGE_BYTES);
   close (fd);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 static uint32_t disconnects;
@@ -506,33 +380,33 @@
 static void
 test_gone_after_large_request (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   g_autofree char *body = g_strnfill (BODY_MAX_BYTES / 2, 'b');
   int fd;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.holds = true;
   fd = harness_connect (f.port);
-  send_request (fd);
+  h1_fixture_ask (fd);
   while (f.held_count == 0)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   f.held[0]->on_disconnect = count_disconnect;
   bb_h1_start (f.held[0], 200, NULL, 0, true);
-  send_text (fd,
-             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 260000\r\n\r\n");
+  h1_fixture_send (
+      fd, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 260000\r\n\r\n");
   for (int i = 0; i < 50; i++)
     {
       send (fd, body, 4096, MSG_NOSIGNAL | MSG_DONTWAIT);
-      run_for (&f, 1);
+      h1_fixture_run (&f, 1);
     }
   close (fd);
   for (int spent = 0; spent < WAIT_MS && disconnects == 0; spent += 10)
     {
       bb_h1_write (f.held[0], bb_bytes_of ("event"));
-      run_for (&f, 10);
+      h1_fixture_run (&f, 10);
     }
   g_assert_cmpuint (disconnects, ==, 1);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 /* A connection that was over the limit when it came, but is not any more when
@@ -540,34 +414,34 @@
 static void
 test_limit_is_past (void)
 {
-  static struct fixture f;
+  static struct h1_fixture f;
   int fds[CONNECTIONS_MAX];
   int added;
 
-  set_up (&f);
+  h1_fixture_init (&f);
   f.holds = true;
   for (uint32_t i = 0; i < CONNECTIONS_MAX; i++)
     {
       fds[i] = harness_connect (f.port);
-      send_request (fds[i]);
+      h1_fixture_ask (fds[i]);
     }
   while (f.held_count < CONNECTIONS_MAX)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   added = harness_connect (f.port);
-  run_for (&f, 50);
+  h1_fixture_run (&f, 50);
   for (uint32_t i = 0; i < CONNECTIONS_MAX; i++)
     {
       bb_h1_respond (f.held[i], 200, NULL, 0, bb_bytes_of ("served"));
       g_assert_true (gets_response (&f, fds[i]));
       close (fds[i]);
     }
-  run_for (&f, 50);
-  send_request (added);
+  h1_fixture_run (&f, 50);
+  h1_fixture_ask (added);
   while (f.held_count < CONNECTIONS_MAX + 1)
-    run_for (&f, 1);
+    h1_fixture_run (&f, 1);
   g_assert_false (f.held[CONNECTIONS_MAX]->over_limit);
   close (added);
-  tear_down (&f);
+  h1_fixture_free (&f);
 }
 
 int
