libh1: a caller who acknowledges bytes is taking the response

Cause: progress was what left the queue of the process. The kernel accepts more only when a large part of its own queue is free, so that for seconds nothing left although the caller read.

Change: the bytes that the kernel has yet to send, or that are not acknowledged, count as well (SIOCOUTQ).

Evidence: /h1-ends/steady-taker failed before and fails without the guard.

--- a/libh1/server.c
+++ b/libh1/server.c
@@ -2,7 +2,9 @@
 
 #include "server.h"
 
+#include <linux/sockios.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <utlist.h>
 
 enum
@@ -89,10 +91,28 @@
     h1_connection_close (c);
 }
 
+/* Returns how many bytes the kernel has to send on C, or the caller has yet to
+   acknowledge; 0 where it is not known.  */
+static size_t
+kernel_queue_bytes (const struct connection *c)
+{
+  uv_os_fd_t fd;
+  int n = 0;
+
+#ifdef BB_MUTANT_h1_acknowledged
+  return 0;
+#endif
+  if (uv_fileno ((const uv_handle_t *)&c->tcp, &fd) < 0
+      || ioctl (fd, SIOCOUTQ, &n) < 0 || n < 0)
+    return 0;
+  return (size_t)n;
+}
+
 /* Ends a lingering close.  While a response is still being sent, only a caller
    that takes nothing is cut off, and by a reset, so that the response does not
-   look complete.  That is counted in sweeps: between two of them the loop has
-   tried to write, also after a stall.  */
+   look complete.  What it takes shows in the queue of the kernel: that accepts
+   more only when a large part is free.  It is counted in sweeps: between two
+   of them the loop has tried to write, also after a stall.  */
 static void
 check_lingering (struct connection *c, bb_ms age)
 {
@@ -101,6 +121,7 @@
 
   if (left > 0)
     {
+      left += kernel_queue_bytes (c);
       c->stuck_sweeps = left == c->left_bytes ? c->stuck_sweeps + 1 : 0;
       c->left_bytes = left;
       stuck_ms = (bb_ms)c->stuck_sweeps * SWEEP_INTERVAL_MS;
--- a/test/test_h1_ends.c
+++ b/test/test_h1_ends.c
@@ -10,6 +10,8 @@
 
 enum
 {
+  STEADY_PAUSE_MS = 250, /* below SHORT_READ_TIMEOUT_MS */
+  STEADY_READS = 14,
   READ_BYTES = 65536
 };
 
@@ -103,6 +105,28 @@
   h1_fixture_free (&f);
 }
 
+/* One who takes little at a time, with pauses, is not given up, although the
+   kernel accepts nothing more for so long.  */
+static void
+test_steady_taker (void)
+{
+  static struct h1_fixture f;
+  int fd = start_request (&f, request_10);
+  g_autofree char *buf = g_malloc (READ_BYTES);
+  bool reset;
+
+  respond_large (&f, true);
+  for (int i = 0; i < STEADY_READS; i++)
+    {
+      h1_fixture_run (&f, STEADY_PAUSE_MS);
+      g_assert_cmpint ((int)recv (fd, buf, READ_BYTES, MSG_DONTWAIT), >, 0);
+    }
+  g_assert_cmpuint (read_to_end (&f, fd, NULL, &reset), >, LARGE_BYTES / 2);
+  g_assert_false (reset);
+  close (fd);
+  h1_fixture_free (&f);
+}
+
 /* A response that was begun and is broken off shows it: in chunks by the
    missing last one, else by a reset.  */
 static void
@@ -150,6 +174,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/h1-ends/still-taker", test_still_taker);
+  g_test_add_func ("/h1-ends/steady-taker", test_steady_taker);
   g_test_add_func ("/h1-ends/broken-off", test_broken_off);
   g_test_add_func ("/h1-ends/whole", test_whole);
   return g_test_run ();
