edge: the framing of an answer depends on its caller alone

Cause: the edge passed on the framing of the upstream. Where that is the end of the connection, the end that the kernel gives to a killed process says that the stream is complete. Callers of HTTP/1.0 always got that.

Change: plain answers have a length, streams are in chunks. To a caller of HTTP/1.0 the connection is set to be reset by any end before that of the stream.

The relay of the tests passes on resets.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -175,7 +175,6 @@
   uv_timer_t *timer;
   /* The response.  */
   bool response_started; /* the head of the response was sent to the caller */
-  bool framed; /* the end of the response body is marked without a close */
   bool ends_by_close;   /* the response of the current try has no other end */
   bool streaming;       /* the response is forwarded event by event */
   bool typed_as_events; /* its media type is that of event streams */
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -91,7 +91,6 @@
 #ifndef BB_MUTANT_edge_unframed
   r->ends_by_close = !head->framed;
 #endif
-  r->framed = head->framed || (r->response_started && r->framed);
 #ifndef BB_MUTANT_edge_echo
   if (!r->reply.attempt_id_matches)
     {
@@ -177,8 +176,7 @@
     return;
   if (!r->response_started)
     {
-      bb_h1_start (r->exchange, r->status, r->headers, r->headers_count,
-                   r->framed);
+      bb_h1_start (r->exchange, r->status, r->headers, r->headers_count);
       r->response_started = true;
       latency_record (LATENCY_FIRST_EVENT, r->received_ms, edge_now (r->edge));
     }
@@ -342,15 +340,8 @@
       bb_h1_write (r->exchange, rest);
       bb_h1_end (r->exchange);
     }
-  else if (r->framed)
-    bb_h1_respond (r->exchange, r->status, r->headers, r->headers_count, rest);
   else
-    {
-      bb_h1_start (r->exchange, r->status, r->headers, r->headers_count,
-                   false);
-      bb_h1_write (r->exchange, rest);
-      bb_h1_end (r->exchange);
-    }
+    bb_h1_respond (r->exchange, r->status, r->headers, r->headers_count, rest);
   request_release (r);
   request_free (r);
   q->edge->queue_ops->dispatch (q);
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -107,14 +107,11 @@
                     const struct bb_header *headers, uint32_t count,
                     struct bb_bytes body);
 
-/* Sends the head of a response whose body follows by bb_h1_write.  If FRAMED
-   is true, the body is sent in chunked encoding; otherwise, or to an HTTP/1.0
-   client, the close of the connection ends it.  FRAMED is false where the end
-   of the source's body is not marked: chunked encoding would make a truncated
-   body look complete.  */
+/* Sends the head of a response whose body follows by bb_h1_write, in chunked
+   encoding.  For an HTTP/1.0 client the end of the connection ends the body;
+   it is a reset unless it comes after bb_h1_end.  */
 void bb_h1_start (struct bb_h1_exchange *x, uint16_t status,
-                  const struct bb_header *headers, uint32_t count,
-                  bool framed);
+                  const struct bb_header *headers, uint32_t count);
 
 /* Sends DATA, which is copied, as the next part of the body.  */
 void bb_h1_write (struct bb_h1_exchange *x, struct bb_bytes data);
--- a/libh1/response.c
+++ b/libh1/response.c
@@ -80,15 +80,19 @@
 
 void
 bb_h1_start (struct bb_h1_exchange *x, uint16_t status,
-             const struct bb_header *headers, uint32_t count, bool framed)
+             const struct bb_header *headers, uint32_t count)
 {
   struct connection *c = connection_of (x);
   struct h1_buffer out = { 0 };
 
-  /* An HTTP/1.0 client does not support chunked encoding.  */
-  c->chunked = framed && c->reader.parser.http_minor > 0;
+  /* An HTTP/1.0 client does not support chunked encoding: the end of the
+     connection ends the body.  */
+  c->chunked = c->reader.parser.http_minor > 0;
   if (!c->chunked)
-    c->close_after_response = true;
+    {
+      c->close_after_response = true;
+      h1_connection_set_reset_at_close (c, true);
+    }
   format_head (c, &out, status, headers, count);
   h1_buffer_printf (&out, c->chunked ? "Transfer-Encoding: chunked\r\n\r\n"
                                      : "\r\n");
--- a/test/harness/relay.c
+++ b/test/harness/relay.c
@@ -69,6 +69,16 @@
   r->pairs[r->pairs_count++].fds[1] = target;
 }
 
+/* Has the close of FD reset its connection: what was reset on one side must not
+   end in order on the other.  */
+static void
+reset_at_close (int fd)
+{
+  struct linger linger = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 /* Forwards the bytes available at FROM.  Returns false when either socket is
    closed.  */
 static bool
@@ -78,13 +88,18 @@
   ssize_t n = recv (from, buf, sizeof buf, MSG_DONTWAIT);
   ssize_t sent = 0;
 
+  if (n < 0)
+    reset_at_close (to);
   if (n <= 0)
     return false;
   while (sent < n)
     {
       ssize_t k = send (to, buf + sent, (size_t)(n - sent), MSG_NOSIGNAL);
       if (k <= 0)
-        return false;
+        {
+          reset_at_close (from);
+          return false;
+        }
       sent += k;
     }
   return true;
