edge, libh1: one account bounds what is held for callers and upstreams

Cause: a kept connection held the longest body that it had carried, at twice its size; a request in flight had a second copy, and a third of what the upstream had not read. Nothing bounded the sum; memory-mb was read and not used.

Change: bodies of requests, answers and what is queued on sockets count in one account, half of memory-mb. What does not fit waits at its sender, 400 ms at the most, and is then refused with the truth. Bodies are freed with their answers and are sent without a second copy; answers go to the socket without one.

--- a/cmd/edge/config.c
+++ b/cmd/edge/config.c
@@ -51,7 +51,8 @@
           .body_max_bytes = c->body_max_bytes,
           .read_timeout_ms = c->head_timeout_ms,
           .idle_timeout_ms = c->idle_timeout_ms,
-          .connections_max = fleet_caller_connections_max (e) };
+          .connections_max = fleet_caller_connections_max (e),
+          .memory = &e->memory };
 
   if (e->front_server)
     bb_h1_server_set_limits (e->front_server, &limits);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -175,10 +175,12 @@
   uv_timer_t *timer;
   /* The response.  */
   bool response_started; /* the head of the response was sent to the caller */
-  bool ends_by_close;   /* the response of the current try has no other end */
-  bool streaming;       /* the response is forwarded event by event */
-  bool typed_as_events; /* its media type is that of event streams */
-  uint16_t status;      /* of the response of the current try; 0: none yet */
+  bool ends_by_close;    /* the response of the current try has no other end */
+  bb_ms memory_since_ms; /* since when it waits for memory; 0: it does not */
+  bb_ms memory_waited_ms; /* how long it waited before that */
+  bool streaming;         /* the response is forwarded event by event */
+  bool typed_as_events;   /* its media type is that of event streams */
+  uint16_t status;        /* of the response of the current try; 0: none yet */
   struct bb_response_info reply;
   struct bb_header headers[BB_H1_HEADERS_MAX]; /* headers of the response */
   uint32_t headers_count;
@@ -230,7 +232,8 @@
   /* Server for readiness checks and metrics.  */
   struct bb_h1_server *ready_server;
   bool draining;
-  size_t bodies_bytes; /* of responses that are kept, over all requests */
+  struct bb_memory memory; /* held for callers and upstreams */
+  GQueue memory_waiting;   /* requests whose response waits for it */
   uint64_t last_request_number;
   GRand *rand;
   struct bb_pause_detector pause_detector;
@@ -489,6 +492,9 @@
 
 /* response.c: the callbacks of a try.  */
 extern const struct bb_h1_call_ops response_ops;
+/* Called every tick: reads responses on for which there is memory now, and
+   gives up those that have waited for it too long.  */
+void response_tick (struct edge *e);
 
 /* failure.c */
 /* Retries or ends R after a try without a usable response.  OUTCOME and DETAIL
@@ -530,10 +536,12 @@
 /* Has send_on_timer called at AT_MS of the loop's time.  */
 void request_set_timer (struct request *r, bb_ms at_ms);
 /* Appends DATA to the body of R, removes the first SIZE bytes of it, or all of
-   it with its memory; bodies_bytes of the edge follows.  */
+   it with its memory; the account of the edge follows.  */
 void request_append_body (struct request *r, struct bb_bytes data);
 void request_shorten_body (struct request *r, size_t size);
 void request_clear_body (struct request *r);
+/* Returns the body of R, which is empty then; the caller unrefs it.  */
+GBytes *request_take_body (struct request *r);
 /* Whether R may run more than once.  */
 bool request_is_idempotent (const struct request *r);
 /* Counts R as in flight at T and its group, and its prompt tokens as waiting
--- a/cmd/edge/failure.c
+++ b/cmd/edge/failure.c
@@ -77,7 +77,7 @@
 static void
 forward_failure (struct request *r)
 {
-  struct bb_bytes body = { (const char *)r->body->data, r->body->len };
+  GBytes *body;
 
   if (r->status == 503 || r->status == 429 || r->status == 408
       || r->status == 421)
@@ -85,7 +85,10 @@
       refuse_failed (r, BB_REASON_UPSTREAM_FAILED);
       return;
     }
-  bb_h1_respond (r->exchange, r->status, r->headers, r->headers_count, body);
+  body = request_take_body (r);
+  bb_h1_respond_bytes (r->exchange, r->status, r->headers, r->headers_count,
+                       body);
+  g_bytes_unref (body);
   request_free (r);
 }
 
--- a/cmd/edge/input.c
+++ b/cmd/edge/input.c
@@ -117,6 +117,11 @@
       refuse_not_run (r, BB_REASON_CONNECTION_LIMIT, FULL_RETRY_MS);
       return;
     }
+  if (!bb_memory_has_room (&e->memory, BB_MEMORY_SMALL_BYTES, 0))
+    {
+      refuse_not_run (r, BB_REASON_OVERLOAD, FULL_RETRY_MS);
+      return;
+    }
   if (!input_route (r))
     return;
   set_deadlines (r);
@@ -128,7 +133,8 @@
 input_fault (uint16_t status, void *arg)
 {
   (void)arg;
-  bb_count_refusal (status == 413   ? BB_REASON_BODY_TOO_LARGE
+  bb_count_refusal (status == 503   ? BB_REASON_OVERLOAD
+                    : status == 413 ? BB_REASON_BODY_TOO_LARGE
                     : status == 431 ? BB_REASON_HEAD_TOO_LARGE
                     : status == 408 ? BB_REASON_SLOW_CLIENT
                                     : BB_REASON_BAD_REQUEST);
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -8,6 +8,7 @@
 #include "bilberry/settings.h"
 #include "bilberry/start.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +22,9 @@
   DRAIN_CLOSE_MS = 2600, /* time after SIGTERM for callers to go elsewhere */
   /* How long before the end of the grace period to exit.  */
   GRACE_MARGIN_MS = 400,
+  /* The part of the process's memory that is held for callers and upstreams;
+     the rest is for code, state and connections.  */
+  MEMORY_DIVISOR = 2,
 
   /* Limits until there is a configuration.  */
   HEAD_TIMEOUT_MS = 3000,
@@ -96,7 +100,10 @@
 
   check_pause (e);
   fleet_sum_peer_loads (e);
+  response_tick (e);
   queue_tick (e);
+  bb_counter ("bilberry_memory_held_bytes", "")->value = e->memory.used_bytes;
+  bb_counter ("bilberry_memory_peak_bytes", "")->value = e->memory.peak_bytes;
   if (now - settings_checked_ms < SETTINGS_CHECK_INTERVAL_MS)
     return;
   settings_checked_ms = now;
@@ -174,7 +181,8 @@
           .body_max_bytes = BODY_MAX_BYTES,
           .read_timeout_ms = HEAD_TIMEOUT_MS,
           .idle_timeout_ms = IDLE_TIMEOUT_MS,
-          .connections_max = fleet_caller_connections_max (e) };
+          .connections_max = fleet_caller_connections_max (e),
+          .memory = &e->memory };
 
   e->front_server = status_listen (e, e->settings->front_address, &limits,
                                    input_request, input_fault);
@@ -195,6 +203,16 @@
   return NULL;
 }
 
+/* Bounds what is held for callers and upstreams.  Large buffers are mapped one
+   by one, so that each is given back when it is freed.  */
+static void
+init_memory (struct edge *e)
+{
+  e->memory.max_bytes
+      = (size_t)e->settings->memory_mb * 1024 * 1024 / MEMORY_DIVISOR;
+  mallopt (M_MMAP_THRESHOLD, BB_MEMORY_SMALL_BYTES);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -209,6 +227,7 @@
       argc, argv, "bilberry-edge", settings_error, &e->settings_path, &status);
   if (!e->settings)
     return status;
+  init_memory (e);
   start_signals (e);
   g_file_get_contents (e->settings_path, &e->settings_text, NULL, NULL);
   e->started_ms = e->settings->first_start ? INT64_MIN / 2 : edge_now (e);
--- a/cmd/edge/request.c
+++ b/cmd/edge/request.c
@@ -30,14 +30,14 @@
 request_append_body (struct request *r, struct bb_bytes data)
 {
   g_byte_array_append (r->body, (const guint8 *)data.ptr, data.size);
-  r->edge->bodies_bytes += data.size;
+  bb_memory_add (&r->edge->memory, data.size);
 }
 
 void
 request_shorten_body (struct request *r, size_t size)
 {
   g_byte_array_remove_range (r->body, 0, (guint)size);
-  r->edge->bodies_bytes -= size;
+  bb_memory_give (&r->edge->memory, size);
 }
 
 bool
@@ -52,13 +52,24 @@
 void
 request_clear_body (struct request *r)
 {
-  r->edge->bodies_bytes -= r->body->len;
+  bb_memory_give (&r->edge->memory, r->body->len);
   g_byte_array_unref (r->body);
   r->body = g_byte_array_new ();
   r->scanned_bytes = 0;
   r->empty_bytes = 0;
 }
 
+GBytes *
+request_take_body (struct request *r)
+{
+  GByteArray *body = r->body;
+
+  bb_memory_give (&r->edge->memory, body->len);
+  r->body = g_byte_array_new ();
+  r->scanned_bytes = 0;
+  return g_byte_array_free_to_bytes (body);
+}
+
 static void
 on_timer_closed (uv_handle_t *h)
 {
@@ -72,7 +83,7 @@
   isolate_release (r);
   if (r->headers_text)
     g_string_chunk_free (r->headers_text);
-  r->edge->bodies_bytes -= r->body->len;
+  bb_memory_give (&r->edge->memory, r->body->len);
   g_byte_array_unref (r->body);
   bb_config_unref (r->config);
   g_free (r->pool);
@@ -132,6 +143,9 @@
 request_release (struct request *r)
 {
   isolate_release (r);
+  if (r->memory_since_ms > 0)
+    g_queue_remove (&r->edge->memory_waiting, r);
+  r->memory_since_ms = 0;
   if (!r->target)
     return;
   request_prompt_processed (r);
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -14,8 +14,7 @@
 enum
 {
   BODY_MAX_BYTES = 32 * 1024 * 1024,
-  BODIES_MAX_BYTES = 64 * 1024 * 1024, /* of all bodies together */
-  BODY_SHARE_BYTES = 1024 * 1024,      /* a smaller body is kept beyond that */
+  MEMORY_WAIT_MS = 400, /* longest wait of a response for memory, in all */
   EVENT_MAX_BYTES = 1024 * 1024,
   EVENT_END_BYTES = 4, /* of the longest end of an event */
   /* Limit on unsent bytes; a slower caller is disconnected.  */
@@ -260,6 +259,44 @@
   r->scanned_bytes = r->body->len;
 }
 
+/* Has the upstream keep the rest of the response until there is memory.  */
+static void
+await_memory (struct request *r)
+{
+  if (r->memory_since_ms > 0)
+    return;
+  bb_counter ("bilberry_memory_waits_total", "")->value++;
+  r->memory_since_ms = edge_now (r->edge);
+  g_queue_push_tail (&r->edge->memory_waiting, r);
+  bb_h1_call_pause (r->call);
+}
+
+void
+response_tick (struct edge *e)
+{
+  bb_ms now = edge_now (e);
+
+  /* Those at the head have waited longest.  */
+  for (guint n = e->memory_waiting.length; n > 0; n--)
+    {
+      struct request *r = g_queue_pop_head (&e->memory_waiting);
+      bb_ms waited = r->memory_waited_ms + now - r->memory_since_ms;
+      bool has_room = bb_memory_has_room (&e->memory, BB_MEMORY_SMALL_BYTES,
+                                          r->body->len);
+      if (!has_room && waited <= MEMORY_WAIT_MS)
+        {
+          g_queue_push_tail (&e->memory_waiting, r);
+          continue;
+        }
+      r->memory_since_ms = 0;
+      r->memory_waited_ms = waited;
+      if (has_room)
+        bb_h1_call_resume (r->call);
+      else
+        abandon_try (r, BB_OUTCOME_LOST, "there is no memory for the answer");
+    }
+}
+
 static void
 on_data (struct bb_h1_call *c, struct bb_bytes piece, void *user)
 {
@@ -274,12 +311,8 @@
       return;
     }
 #ifndef BB_MUTANT_bodies_max
-  if (r->edge->bodies_bytes > BODIES_MAX_BYTES
-      && r->body->len > BODY_SHARE_BYTES)
-    {
-      abandon_try (r, BB_OUTCOME_LOST, "the answers are too large together");
-      return;
-    }
+  if (!bb_memory_has_room (&r->edge->memory, 0, r->body->len))
+    await_memory (r);
 #endif
   if (!r->streaming)
     return;
@@ -327,7 +360,7 @@
 finish_response (struct request *r)
 {
   struct pool_queue *q = r->queue;
-  struct bb_bytes rest = { (const char *)r->body->data, r->body->len };
+  GBytes *rest;
 
   record_success (r);
   if (!r->ends_by_close)
@@ -337,11 +370,17 @@
   bb_counter ("bilberry_answers_total", "")->value++;
   if (r->streaming && r->response_started)
     {
-      bb_h1_write (r->exchange, rest);
+      struct bb_bytes end = { (const char *)r->body->data, r->body->len };
+      bb_h1_write (r->exchange, end);
       bb_h1_end (r->exchange);
     }
   else
-    bb_h1_respond (r->exchange, r->status, r->headers, r->headers_count, rest);
+    {
+      rest = request_take_body (r);
+      bb_h1_respond_bytes (r->exchange, r->status, r->headers,
+                           r->headers_count, rest);
+      g_bytes_unref (rest);
+    }
   request_release (r);
   request_free (r);
   q->edge->queue_ops->dispatch (q);
--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -104,6 +104,7 @@
   r->progress_ms = now;
   r->first_event_seen = false;
   r->ends_by_close = false;
+  r->memory_waited_ms = 0;
   r->reply = (struct bb_response_info){ 0 };
   r->status = 0;
   r->headers_count = 0;
--- a/cmd/edge/targets.c
+++ b/cmd/edge/targets.c
@@ -63,6 +63,7 @@
   rest_apply_record (t, true);
   t->id_hash = XXH64 (u->id, strlen (u->id), 0);
   t->connections = bb_h1_pool_new (e->loop, &addr, CONNECT_TIMEOUT_MS);
+  bb_h1_pool_set_memory (t->connections, &e->memory);
   g_hash_table_insert (e->targets, t->id, t);
   g_ptr_array_add (e->target_list, t);
   e->peer_loads_changed = true;
--- a/include/bilberry/base.h
+++ b/include/bilberry/base.h
@@ -23,6 +23,31 @@
    while the machine is suspended.  */
 bb_ms bb_clock_boot (void);
 
+enum
+{
+  BB_MEMORY_SMALL_BYTES = 64 * 1024 /* a larger piece of memory is large */
+};
+
+/* An account of the memory that a process holds for its callers and upstreams:
+   bodies, answers, and what waits to be sent.  Large pieces leave an eighth of
+   it to small ones.  */
+struct bb_memory
+{
+  size_t max_bytes; /* 0: no limit */
+  size_t used_bytes;
+  size_t peak_bytes; /* most that was ever used */
+};
+
+/* Whether BYTES more fit, for a piece that has WHOLE_BYTES with them.  */
+bool bb_memory_has_room (const struct bb_memory *m, size_t bytes,
+                         size_t whole_bytes);
+/* Counts BYTES if they fit; returns whether they do.  */
+bool bb_memory_take (struct bb_memory *m, size_t bytes, size_t whole_bytes);
+/* Counts BYTES that are held already, whether or not they fit.  */
+void bb_memory_add (struct bb_memory *m, size_t bytes);
+/* BYTES that were counted are held no more.  */
+void bb_memory_give (struct bb_memory *m, size_t bytes);
+
 /* How a request ended: why it failed, and whether it may have run.  With
    BB_RUN_NOT_RUN no upstream has run it.  */
 struct bb_request_result
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -10,6 +10,7 @@
 
 #include "bilberry/base.h"
 
+#include <glib.h>
 #include <sys/socket.h>
 #include <uv.h>
 
@@ -45,6 +46,10 @@
                                one is served once, with over_limit set; an
                                eighth of the limit beyond it, new ones are
                                closed at once */
+  /* Counts what the server holds for its callers.  A body that does not fit is
+     read on when it does, and refused with 503 if that takes long.  NULL:
+     nothing counts.  */
+  struct bb_memory *memory;
 };
 
 struct bb_h1_server;
@@ -71,8 +76,8 @@
 typedef void bb_h1_handler (struct bb_h1_exchange *x, void *arg);
 
 /* Called when the server itself rejects a request before it is complete, with
-   STATUS 400, 408, 413 or 431.  The server sends that status with an empty
-   body and closes the connection.  */
+   STATUS 400, 408, 413, 431 or 503.  The server sends that status with an
+   empty body and closes the connection.  */
 typedef void bb_h1_error_handler (uint16_t status, void *arg);
 
 /* Listens on ADDR.  ARG is passed to HANDLER and ON_ERROR.  Returns NULL and
@@ -107,6 +112,11 @@
                     const struct bb_header *headers, uint32_t count,
                     struct bb_bytes body);
 
+/* The same with a reference to BODY, which is not copied.  */
+void bb_h1_respond_bytes (struct bb_h1_exchange *x, uint16_t status,
+                          const struct bb_header *headers, uint32_t count,
+                          GBytes *body);
+
 /* Sends the head of a response whose body follows by bb_h1_write, in chunked
    encoding.  For an HTTP/1.0 client the end of the connection ends the body;
    it is a reset unless it comes after bb_h1_end.  */
@@ -167,6 +177,10 @@
                                    const struct sockaddr_storage *addr,
                                    bb_ms connect_timeout_ms);
 
+/* Has MEMORY, which outlives P, count what waits to be sent on connections
+   that P opens from now on.  */
+void bb_h1_pool_set_memory (struct bb_h1_pool *p, struct bb_memory *memory);
+
 /* Closes the idle connections.  P is freed when its last call has ended and
    its last connection is closed.  */
 void bb_h1_pool_free (struct bb_h1_pool *p);
@@ -187,12 +201,19 @@
                         0: always opens a new one */
 };
 
-/* Sends REQUEST, which is copied, on an idle connection of P or a new one.
+/* Sends REQUEST on an idle connection of P or a new one.  All of it is copied
+   but a body of over 64 KiB, which must stay valid until the call has ended.
    No callback is called before it returns.  */
 struct bb_h1_call *bb_h1_call (struct bb_h1_pool *p,
                                const struct bb_h1_request *request,
                                const struct bb_h1_call_ops *ops, void *user);
 
+/* Reads no more of the response, which the upstream then has to keep.  */
+void bb_h1_call_pause (struct bb_h1_call *c);
+/* Reads on.  May call back before it returns, where the connection has
+   failed.  */
+void bb_h1_call_resume (struct bb_h1_call *c);
+
 /* Ends the call and closes its connection, without a callback.  C is
    freed.  */
 void bb_h1_call_cancel (struct bb_h1_call *c);
@@ -244,8 +265,8 @@
   bb_h1_fetch_head_fn *on_head; /* NULL: not called */
 };
 
-/* Sends REQUEST and passes the response to FN, which is called exactly once
-   unless the fetch is cancelled.  */
+/* Sends REQUEST, which is copied, and passes the response to FN, which is
+   called exactly once unless the fetch is cancelled.  */
 struct bb_h1_fetch *bb_h1_fetch (struct bb_h1_pool *p,
                                  const struct bb_h1_request *request,
                                  const struct bb_h1_fetch_limits *limits,
--- a/libh1/client.c
+++ b/libh1/client.c
@@ -28,8 +28,10 @@
   struct connection *connection;
   const struct bb_h1_call_ops *ops;
   void *user;
-  struct h1_buffer request_text;
-  bool is_head_request; /* no body follows the response */
+  struct h1_buffer request_head; /* with a body that is small */
+  struct bb_bytes body;          /* the rest of the body, not sent yet */
+  bool is_head_request;          /* no body follows the response */
+  bool paused;                   /* no more of the response is read */
   bb_ms idle_max_ms;
 };
 
@@ -42,7 +44,7 @@
   struct bb_h1_pool *pool;
   struct bb_h1_call *call;
   struct h1_reader reader;
-  size_t queued_bytes;
+  struct h1_out out;
   bool request_sent; /* the request of the current call was sent, possibly only
                         in part */
   bool head_received; /* the head of the final response was received, not only
@@ -60,6 +62,7 @@
   uv_loop_t *loop;
   struct sockaddr_storage addr;
   bb_ms connect_timeout_ms;
+  struct bb_memory *memory;            /* NULL: nothing counts */
   struct connection *idle_connections; /* connections without a call,
                                           most recently used first */
   uint32_t connections_count;
@@ -121,7 +124,7 @@
 static void
 free_call (struct bb_h1_call *c)
 {
-  h1_buffer_free (&c->request_text);
+  h1_buffer_free (&c->request_head);
   free (c);
 }
 
@@ -230,7 +233,8 @@
 finish_response (struct connection *conn, bool must_close)
 {
   bool reusable = !must_close && http_should_keep_alive (&conn->reader.parser)
-                  && conn->queued_bytes == 0 && !conn->pool->freed;
+                  && conn->out.queued_bytes == 0 && conn->call->body.size == 0
+                  && !conn->call->paused && !conn->pool->freed;
   struct bb_h1_call *c = conn->call;
 
   conn->keep_alive_ms = keep_alive_time_ms (&conn->reader);
@@ -295,13 +299,20 @@
 
 static void on_read (uv_stream_t *s, ssize_t size, const uv_buf_t *buf);
 
+static void
+read_on (struct connection *conn)
+{
+  if (uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read) < 0)
+    fail_connection (conn, result_of_close (conn));
+}
+
 static void
 on_resume_timer (uv_timer_t *t)
 {
   struct connection *conn = t->data;
 
-  if (uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read) < 0)
-    fail_connection (conn, result_of_close (conn));
+  if (!conn->call || !conn->call->paused)
+    read_on (conn);
 }
 
 /* Stops reading until the next iteration of the loop if the last read filled
@@ -366,16 +377,40 @@
     fail_connection (conn, result_of_close (conn));
 }
 
+static void
+send_bytes (struct connection *conn, const char *data, size_t size)
+{
+  if (h1_write ((uv_stream_t *)&conn->tcp, data, size, &conn->out) < 0)
+    fail_connection (conn, BB_H1_UNANSWERED);
+}
+
+/* Sends the body in small parts, until one is queued.  */
+static void
+send_body (void *user)
+{
+  struct connection *conn = user;
+
+  while (!conn->closing && conn->call && conn->call->body.size > 0
+         && conn->out.queued_bytes == 0)
+    {
+      struct bb_bytes *body = &conn->call->body;
+      struct bb_bytes part = *body;
+      if (part.size > BB_MEMORY_SMALL_BYTES)
+        part.size = BB_MEMORY_SMALL_BYTES;
+      body->ptr += part.size;
+      body->size -= part.size;
+      send_bytes (conn, part.ptr, part.size);
+    }
+}
+
 static void
 send_call (struct connection *conn)
 {
   struct bb_h1_call *c = conn->call;
 
   conn->request_sent = true;
-  if (h1_write ((uv_stream_t *)&conn->tcp, c->request_text.data,
-                c->request_text.size, &conn->queued_bytes)
-      < 0)
-    fail_connection (conn, BB_H1_UNANSWERED);
+  send_bytes (conn, c->request_head.data, c->request_head.size);
+  send_body (conn);
 }
 
 static void
@@ -435,6 +470,9 @@
   conn->tcp.data = conn;
   conn->timer.data = conn;
   conn->connect.data = conn;
+  conn->out.on_sent = send_body;
+  conn->out.user = conn;
+  conn->out.memory = p->memory;
   h1_reader_init (&conn->reader, HTTP_RESPONSE, &reader_ops, conn);
   uv_timer_start (&conn->timer, on_timer, (uint64_t)p->connect_timeout_ms, 0);
   return conn;
@@ -443,7 +481,7 @@
 static void
 format_request (struct bb_h1_call *c, const struct bb_h1_request *request)
 {
-  struct h1_buffer *text = &c->request_text;
+  struct h1_buffer *text = &c->request_head;
 
   h1_buffer_append (text, request->method.ptr, request->method.size);
   h1_buffer_append (text, " ", 1);
@@ -464,7 +502,10 @@
   if (request->body.size > 0 || !bb_bytes_equal (request->method, "GET"))
     h1_buffer_printf (text, "Content-Length: %u\r\n", request->body.size);
   h1_buffer_append (text, "\r\n", 2);
-  h1_buffer_append (text, request->body.ptr, request->body.size);
+  if (request->body.size > BB_MEMORY_SMALL_BYTES)
+    c->body = request->body;
+  else
+    h1_buffer_append (text, request->body.ptr, request->body.size);
 }
 
 /* Removes the most recently used connection from the idle ones and returns it;
@@ -558,6 +599,20 @@
   return c;
 }
 
+void
+bb_h1_call_pause (struct bb_h1_call *c)
+{
+  c->paused = true;
+  uv_read_stop ((uv_stream_t *)&c->connection->tcp);
+}
+
+void
+bb_h1_call_resume (struct bb_h1_call *c)
+{
+  c->paused = false;
+  read_on (c->connection);
+}
+
 void
 bb_h1_call_cancel (struct bb_h1_call *c)
 {
@@ -582,6 +637,12 @@
   return p;
 }
 
+void
+bb_h1_pool_set_memory (struct bb_h1_pool *p, struct bb_memory *memory)
+{
+  p->memory = memory;
+}
+
 void
 bb_h1_pool_drop_idle (struct bb_h1_pool *p)
 {
--- a/libh1/connection.c
+++ b/libh1/connection.c
@@ -13,13 +13,26 @@
   return (bb_ms)uv_now (c->server->loop);
 }
 
+void
+h1_connection_free_body (struct connection *c)
+{
+  if (c->out.memory)
+    bb_memory_give (c->out.memory, c->held_bytes);
+  c->held_bytes = 0;
+  c->wanted_bytes = 0;
+#ifndef BB_MUTANT_h1_body_kept
+  h1_buffer_free (&c->body);
+#endif
+  c->body.size = 0;
+}
+
 static void
 on_closed (uv_handle_t *h)
 {
   struct connection *c = h->data;
 
+  h1_connection_free_body (c);
   h1_reader_free (&c->reader);
-  h1_buffer_free (&c->body);
   h1_buffer_free (&c->input);
   free (c);
 }
@@ -124,7 +137,7 @@
   return;
 #endif
   /* The caller has not taken all of the last response yet.  */
-  if (c->queued_bytes > 0)
+  if (c->out.queued_bytes > 0)
     h1_connection_linger (c);
   else
     h1_connection_close (c);
@@ -146,7 +159,18 @@
 h1_connection_send (struct connection *c, const char *data, size_t size)
 {
   if (!c->closing
-      && h1_write ((uv_stream_t *)&c->tcp, data, size, &c->queued_bytes) < 0)
+      && h1_write ((uv_stream_t *)&c->tcp, data, size, &c->out) < 0)
+    {
+      c->close_after_response = true;
+      c->broken = true;
+    }
+}
+
+void
+h1_connection_send_bytes (struct connection *c, GBytes *body)
+{
+  if (!c->closing
+      && h1_write_bytes ((uv_stream_t *)&c->tcp, body, 0, &c->out) < 0)
     {
       c->close_after_response = true;
       c->broken = true;
--- a/libh1/fetch.c
+++ b/libh1/fetch.c
@@ -8,6 +8,7 @@
 {
   struct bb_h1_call *call;
   uv_timer_t timer;
+  void *sent; /* a copy of a large body of the request; NULL: none */
   GByteArray *body;
   uint32_t body_max_bytes;
   bb_ms silence_ms; /* 0: the timer runs from the start of the call */
@@ -23,6 +24,7 @@
   struct bb_h1_fetch *f = h->data;
 
   g_byte_array_unref (f->body);
+  g_free (f->sent);
   g_free (f);
 }
 
@@ -95,6 +97,7 @@
              void *user)
 {
   struct bb_h1_fetch *f = g_new0 (struct bb_h1_fetch, 1);
+  struct bb_h1_request copy;
 
   f->body = g_byte_array_new ();
   f->body_max_bytes = limits->body_max_bytes;
@@ -105,7 +108,10 @@
   uv_timer_init (h1_pool_loop (p), &f->timer);
   f->timer.data = f;
   uv_timer_start (&f->timer, on_timeout, (uint64_t)limits->timeout_ms, 0);
-  f->call = bb_h1_call (p, request, &ops, f);
+  copy = *request;
+  if (copy.body.size > BB_MEMORY_SMALL_BYTES)
+    copy.body.ptr = f->sent = g_memdup2 (copy.body.ptr, copy.body.size);
+  f->call = bb_h1_call (p, &copy, &ops, f);
   return f;
 }
 
--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -7,6 +7,7 @@
 
 #include "bilberry/h1.h"
 
+#include <glib.h>
 #include <http_parser.h>
 
 /* A byte buffer that grows as needed.  h1_buffer_append writes a NUL after the
@@ -19,6 +20,8 @@
 };
 
 void h1_buffer_append (struct h1_buffer *b, const char *data, size_t size);
+/* Makes room for SIZE bytes in all, where that is known before.  */
+void h1_buffer_reserve (struct h1_buffer *b, size_t size);
 void h1_buffer_printf (struct h1_buffer *b, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 void h1_buffer_free (struct h1_buffer *b);
@@ -80,11 +83,25 @@
    completes the message.  */
 bool h1_reader_finish (struct h1_reader *r);
 
+/* What waits to be sent on a socket.  */
+struct h1_out
+{
+  size_t queued_bytes;
+  struct bb_memory *memory; /* counts the queued bytes; NULL: nothing does */
+  /* Called with USER when the last queued byte was sent; NULL: no call.  */
+  void (*on_sent) (void *user);
+  void *user;
+};
+
 /* Writes the SIZE bytes at DATA to S; what the kernel does not accept at once
-   is copied and queued.  *QUEUED_BYTES counts the bytes queued on S; it must
-   stay valid until S is closed.  Returns 0 or a uv error.  */
+   is copied and queued.  OUT must stay valid until S is closed.  Returns 0 or
+   a uv error.  */
 int h1_write (uv_stream_t *s, const char *data, size_t size,
-              size_t *queued_bytes);
+              struct h1_out *out);
+/* The same for BODY from OFFSET on, of which a reference is kept and nothing
+   is copied.  */
+int h1_write_bytes (uv_stream_t *s, GBytes *body, size_t offset,
+                    struct h1_out *out);
 
 enum h1_unread
 {
--- a/libh1/reader.c
+++ b/libh1/reader.c
@@ -23,6 +23,17 @@
   b->data[b->size] = '\0';
 }
 
+void
+h1_buffer_reserve (struct h1_buffer *b, size_t size)
+{
+  if (size + 1 <= b->capacity)
+    return;
+  b->capacity = size + 1;
+  b->data = realloc (b->data, b->capacity);
+  if (!b->data)
+    abort ();
+}
+
 void
 h1_buffer_printf (struct h1_buffer *b, const char *format, ...)
 {
--- a/libh1/request.c
+++ b/libh1/request.c
@@ -11,8 +11,9 @@
 
 enum
 {
-  PIPELINED_MAX_BYTES = 64 * 1024 /* input buffered during a response; above,
-                                      no more is read until its end */
+  PIPELINED_MAX_BYTES = 64 * 1024, /* input buffered during a response; above,
+                                       no more is read until its end */
+  MEMORY_WAIT_MS = 400             /* longest wait of a caller for memory */
 };
 
 void
@@ -24,9 +25,10 @@
     return;
   c->server->on_error (status, c->server->arg);
   h1_buffer_printf (&out,
-                    "HTTP/1.1 %d %s\r\nConnection: close\r\n"
+                    "HTTP/1.1 %d %s\r\nConnection: close\r\n%s"
                     "Content-Length: 0\r\n\r\n",
-                    status, h1_reason_phrase (status));
+                    status, h1_reason_phrase (status),
+                    status == 503 ? "Retry-After: 1\r\n" : "");
   h1_connection_send (c, out.data, out.size);
   h1_buffer_free (&out);
   h1_connection_linger (c);
@@ -56,6 +58,59 @@
   return n;
 }
 
+/* Takes memory for the body of C to have SIZE bytes in all.  Where there is
+   none, no more is read until there is, with room for AHEAD more.  */
+static void
+take_memory (struct connection *c, size_t size, size_t ahead)
+{
+  struct bb_memory *m = c->out.memory;
+
+  if (!m || size <= c->held_bytes)
+    return;
+  if (bb_memory_take (m, size - c->held_bytes, size))
+    {
+      c->held_bytes = size;
+      return;
+    }
+  bb_counter ("bilberry_memory_waits_total", "")->value++;
+  c->wanted_bytes = size + ahead;
+  c->wanted_since_ms = h1_connection_now (c);
+  uv_read_stop ((uv_stream_t *)&c->tcp);
+}
+
+/* Counts what C has read while it waits for memory.  */
+static void
+count_memory (struct connection *c)
+{
+  if (!c->out.memory || c->body.size <= c->held_bytes)
+    return;
+  bb_memory_add (c->out.memory, c->body.size - c->held_bytes);
+  c->held_bytes = c->body.size;
+}
+
+void
+h1_connection_check_memory (struct connection *c)
+{
+  size_t wanted = c->wanted_bytes;
+
+  if (bb_memory_take (c->out.memory, wanted - c->held_bytes, wanted))
+    {
+      c->wanted_bytes = 0;
+      c->held_bytes = wanted;
+      if (h1_connection_read (c) < 0)
+        h1_connection_close (c);
+    }
+  else if (h1_connection_now (c) - c->wanted_since_ms > MEMORY_WAIT_MS)
+    {
+      c->wanted_bytes = 0;
+      h1_connection_reject (c, 503);
+      h1_connection_free_body (c);
+      /* What is still to come is discarded.  */
+      if (!c->closing && h1_connection_read (c) < 0)
+        h1_connection_close (c);
+    }
+}
+
 static bool
 on_head (struct h1_reader *r, void *user)
 {
@@ -73,6 +128,12 @@
   else if (expect.size == strlen ("100-continue")
            && strncasecmp (expect.ptr, "100-continue", expect.size) == 0)
     h1_connection_send (c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  if (!c->lingering && !c->closing && r->parser.content_length != UINT64_MAX)
+    {
+      take_memory (c, (size_t)r->parser.content_length, 0);
+      if (c->wanted_bytes == 0)
+        h1_buffer_reserve (&c->body, (size_t)r->parser.content_length);
+    }
   return false;
 }
 
@@ -87,7 +148,12 @@
   if (c->body.size + data.size > c->server->limits.body_max_bytes)
     h1_connection_reject (c, 413);
   else
-    h1_buffer_append (&c->body, data.ptr, data.size);
+    {
+      if (c->wanted_bytes == 0)
+        take_memory (c, c->body.size + data.size, BB_MEMORY_SMALL_BYTES);
+      h1_buffer_append (&c->body, data.ptr, data.size);
+      count_memory (c);
+    }
 }
 
 static void
@@ -104,6 +170,16 @@
       h1_connection_reject (c, 431);
       return;
     }
+  /* The rest of it was in the same read.  */
+  if (c->wanted_bytes > 0)
+    {
+      c->wanted_bytes = 0;
+      if (h1_connection_read (c) < 0)
+        {
+          h1_connection_close (c);
+          return;
+        }
+    }
   memset (&c->exchange, 0, sizeof c->exchange);
   c->exchange.on_disconnect = no_callback;
   c->exchange.request = r->message;
--- a/libh1/response.c
+++ b/libh1/response.c
@@ -46,6 +46,7 @@
 {
   c->responding = false;
   c->response_started = false;
+  h1_connection_free_body (c);
   h1_connection_resume_reading (c);
   if (c->close_after_response)
     {
@@ -54,27 +55,63 @@
     }
   h1_connection_begin_idling (c);
   h1_reader_reset (&c->reader);
-  c->body.size = 0;
   h1_connection_process_input (c);
   /* A response that began before the drain did not announce the close.  */
   if (c->server->listener_closed && h1_connection_is_idle (c))
     h1_connection_close_idle (c, "reason=\"stop\"");
 }
 
+/* Sends the head of a response of SIZE bytes, with BODY, a small one, if it is
+   not NULL.  */
+static void
+respond_head (struct connection *c, uint16_t status,
+              const struct bb_header *headers, uint32_t count, size_t size,
+              const char *body)
+{
+  struct h1_buffer out = { 0 };
+
+  format_head (c, &out, status, headers, count);
+  h1_buffer_printf (&out, "Content-Length: %zu\r\n\r\n", size);
+  if (body)
+    h1_buffer_append (&out, body, size);
+  h1_connection_send (c, out.data, out.size);
+  h1_buffer_free (&out);
+}
+
 void
 bb_h1_respond (struct bb_h1_exchange *x, uint16_t status,
                const struct bb_header *headers, uint32_t count,
                struct bb_bytes body)
 {
   struct connection *c = connection_of (x);
-  struct h1_buffer out = { 0 };
+  bool has_body = c->reader.parser.method != HTTP_HEAD;
+  bool small = body.size <= BB_MEMORY_SMALL_BYTES;
 
-  format_head (c, &out, status, headers, count);
-  h1_buffer_printf (&out, "Content-Length: %u\r\n\r\n", body.size);
+  respond_head (c, status, headers, count, body.size,
+                has_body && small ? body.ptr : NULL);
+  if (has_body && !small)
+    h1_connection_send (c, body.ptr, body.size);
+  finish_response (c);
+}
+
+void
+bb_h1_respond_bytes (struct bb_h1_exchange *x, uint16_t status,
+                     const struct bb_header *headers, uint32_t count,
+                     GBytes *body)
+{
+  struct connection *c = connection_of (x);
+  gsize size;
+  const char *data = g_bytes_get_data (body, &size);
+
+  if (size <= BB_MEMORY_SMALL_BYTES)
+    {
+      struct bb_bytes b = { data, (uint32_t)size };
+      bb_h1_respond (x, status, headers, count, b);
+      return;
+    }
+  respond_head (c, status, headers, count, size, NULL);
   if (c->reader.parser.method != HTTP_HEAD)
-    h1_buffer_append (&out, body.ptr, body.size);
-  h1_connection_send (c, out.data, out.size);
-  h1_buffer_free (&out);
+    h1_connection_send_bytes (c, body);
   finish_response (c);
 }
 
@@ -146,5 +183,5 @@
 size_t
 bb_h1_backlog_bytes (const struct bb_h1_exchange *x)
 {
-  return connection_of (x)->queued_bytes;
+  return connection_of (x)->out.queued_bytes;
 }
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -25,7 +25,7 @@
   struct connection *c;
 
   DL_FOREACH (s->connections, c)
-  if (c->queued_bytes == 0
+  if (c->out.queued_bytes == 0
       && (!oldest || c->state_since_ms < oldest->state_since_ms)
       && h1_connection_is_idle (c))
     oldest = c;
@@ -71,6 +71,7 @@
   if (!c)
     abort ();
   c->server = s;
+  c->out.memory = s->limits.memory;
   uv_tcp_init (s->loop, &c->tcp);
   c->tcp.data = c;
   h1_connection_init_reader (c);
@@ -144,6 +145,8 @@
     check_lingering (c, age);
   else if (c->responding)
     return;
+  else if (c->wanted_bytes > 0)
+    h1_connection_check_memory (c);
   else if (c->reader.started && age > limits->read_timeout_ms
            && !h1_connection_has_input (c))
     h1_connection_reject (c, 408);
@@ -248,7 +251,7 @@
   uint32_t n = 0;
 
   DL_FOREACH (s->connections, c)
-  if (c->responding || c->queued_bytes > 0 || c->reader.started
+  if (c->responding || c->out.queued_bytes > 0 || c->reader.started
       || (!c->lingering && h1_connection_has_input (c)))
     n++;
   return s->stopping && !s->listener_closed ? n + 1 : n;
--- a/libh1/server.h
+++ b/libh1/server.h
@@ -26,7 +26,11 @@
   bool broken;      /* a write has failed */
   bool read_paused; /* too much input came during a response */
   bool over_limit;  /* beyond the limit on connections when it was accepted */
-  size_t queued_bytes;
+  struct h1_out out;
+  /* The part of the memory that the body of the request takes.  */
+  size_t held_bytes;
+  size_t wanted_bytes;   /* more that it needs before it is read on; 0: none */
+  bb_ms wanted_since_ms; /* since when */
   size_t left_bytes;     /* not sent at the last sweep of a lingering close */
   uint32_t stuck_sweeps; /* sweeps since left_bytes last changed */
   bb_ms idle_timeout_ms; /* limit on idling, as it was when idling began */
@@ -84,6 +88,10 @@
 /* Sends DATA, which is copied.  Where that fails, the next sweep finds that
    the client is gone, since the handler may be in the middle of a response. */
 void h1_connection_send (struct connection *c, const char *data, size_t size);
+/* The same for BODY, of which a reference is kept.  */
+void h1_connection_send_bytes (struct connection *c, GBytes *body);
+/* Frees the body of the request.  */
+void h1_connection_free_body (struct connection *c);
 /* C waits for its next request.  A lower limit that comes later does not hold
    for it, since the caller goes by the one that it knows.  */
 void h1_connection_begin_idling (struct connection *c);
@@ -95,6 +103,9 @@
 int h1_connection_read (struct connection *c);
 /* Reads on if too much input had come during a response.  */
 void h1_connection_resume_reading (struct connection *c);
+/* Reads on if the memory that C waits for is there; refuses the request if it
+   has waited too long.  */
+void h1_connection_check_memory (struct connection *c);
 /* Parses the buffered input, unless a request is being handled.  */
 void h1_connection_process_input (struct connection *c);
 /* Sends STATUS in response to a request that is not complete, and closes the
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -47,7 +47,7 @@
       "zones:\n  z1: \"r\"\nlisten:\n  front: \"127.0.0.1:%u\"\n"
       "  ready: \"127.0.0.1:%u\"\n  control: \"127.0.0.1:%u\"\n"
       "internal-ports:\n  - 1\n  - 2\nseeds:\n%s"
-      "bootstrap: %s\nlimits:\n  max-fds: 500\nbounds:\n  budget-extra: "
+      "bootstrap: %s\nlimits:\n  max-fds: 500\n  memory-mb: 160\nbounds:\n  budget-extra: "
       "100\n  drain-ms: %u\nplatform:\n  "
       "address: \"127.0.0.1:%u\"\n"
       "later: {unknown: [1, 2]}\n";
