libh1: a request that takes over a connection is sent after a full read

Cause: a read that fills the buffer sets the connection's timer to read on later. If the response ended with that read and the next request took the connection, the timer that was to send the request was overwritten.

Change: the client yields only for the call that it has read for.

Evidence: /h1-client/after-full-read failed before.

--- a/libh1/client.c
+++ b/libh1/client.c
@@ -315,13 +315,20 @@
     read_on (conn);
 }
 
-/* Stops reading until the next iteration of the loop if the last read filled
-   the buffer: else libuv would read on, up to 32 times, before it serves
-   another connection.  */
+/* Stops reading until the next iteration of the loop if the last read, for
+   call C, filled the buffer: else libuv would read on, up to 32 times, before
+   it serves another connection.  */
 static void
-yield_to_others (struct connection *conn, size_t size)
+yield_to_others (struct connection *conn, const struct bb_h1_call *c,
+                 size_t size)
 {
-  if (size < READ_BUFFER_BYTES || conn->closing || !conn->call)
+  if (size < READ_BUFFER_BYTES || conn->closing)
+    return;
+#ifndef BB_MUTANT_h1_yield_same
+  if (conn->call != c)
+    return;
+#endif
+  if (!conn->call)
     return;
   uv_read_stop ((uv_stream_t *)&conn->tcp);
   uv_timer_start (&conn->timer, on_resume_timer, 0, 0);
@@ -344,6 +351,7 @@
 on_read (uv_stream_t *s, ssize_t size, const uv_buf_t *buf)
 {
   struct connection *conn = s->data;
+  const struct bb_h1_call *c;
 
   if (size == 0 || conn->closing)
     return;
@@ -363,8 +371,9 @@
 #endif
   if (size > 0)
     {
+      c = conn->call;
       parse_response (conn, buf->base, (size_t)size);
-      yield_to_others (conn, (size_t)size);
+      yield_to_others (conn, c, (size_t)size);
       return;
     }
   if (size == UV_EOF && conn->head_received && ends_in_order (conn)
--- a/test/test_h1_client.c
+++ b/test/test_h1_client.c
@@ -15,8 +15,9 @@
 {
   CONNECT_TIMEOUT_MS = 20000,
   IDLE_MAX_MS = 60000,
-  WAIT_MS = 5000,    /* longest wait for what must come */
-  ARRIVAL_US = 20000 /* time for all that was sent to arrive */
+  WAIT_MS = 5000,     /* longest wait for what must come */
+  READ_BYTES = 16384, /* that the client reads at a time */
+  ARRIVAL_US = 20000  /* time for all that was sent to arrive */
 };
 
 /* A response to no request, as servers send it before they close an idle
@@ -30,6 +31,7 @@
   struct bb_h1_pool *pool;
   int listener; /* the upstream's */
   bool ended;   /* the last call */
+  bool repeats; /* the end of a call starts another */
   enum bb_h1_result result;
   uint16_t status;
   GString *body;
@@ -53,6 +55,8 @@
   g_string_append_len (f->body, data.ptr, data.size);
 }
 
+static void start_call (struct fixture *f);
+
 static void
 on_end (struct bb_h1_call *c, enum bb_h1_result result, void *user)
 {
@@ -62,6 +66,11 @@
   g_assert_false (f->ended);
   f->ended = true;
   f->result = result;
+  if (f->repeats)
+    {
+      f->repeats = false;
+      start_call (f);
+    }
 }
 
 static void
@@ -499,10 +508,41 @@
     play_end (&cases[i]);
 }
 
+/* A call that takes the connection at the end of another one is sent, also
+   where the last read of that one filled the client's buffer.  */
+static void
+test_after_full_read (void)
+{
+  static const char head[]
+      = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: ";
+  static struct fixture f;
+  g_autofree char *text = NULL;
+  size_t size = READ_BYTES - strlen (head) - strlen ("16000\r\n\r\n");
+  g_autofree char *filler = g_strnfill (size, 'x');
+  int fd;
+
+  set_up (&f);
+  start_call (&f);
+  fd = accept_next (&f);
+  g_assert_true (gets_request (&f, fd));
+  f.repeats = true;
+  text = g_strdup_printf ("%s%zu\r\n\r\n%s", head, size, filler);
+  g_assert_cmpuint (strlen (text), ==, READ_BYTES);
+  send_text (fd, text);
+  await_unread (&f);
+  g_usleep (ARRIVAL_US);
+  uv_run (&f.loop, UV_RUN_NOWAIT);
+  g_assert_false (f.repeats);
+  assert_served (&f, fd);
+  close (fd);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/h1-client/after-full-read", test_after_full_read);
   g_test_add_func ("/h1-client/reset-with-last-bytes",
                    test_reset_with_last_bytes);
   g_test_add_func ("/h1-client/closed-idle", test_closed_idle);
