edge: an upstream of a pool that nobody names claims no address

Cause: of two upstreams at one address the one that started last has it; nothing asked whether its pool is known.

Change: an upstream claims its address only while the configuration in force names its pool. With a new configuration all claim again.

--- a/cmd/edge/address.c
+++ b/cmd/edge/address.c
@@ -7,10 +7,32 @@
 {
   char *text; /* host:port */
   uint32_t uses;
-  int64_t last_start_unix_ms; /* of the upstreams registered here; 0: not
+  int64_t last_start_unix_ms; /* of the upstreams that claim it; 0: not
                                  known */
 };
 
+void
+address_claim (const struct edge *e, struct address *a,
+               const struct bb_upstream *u)
+{
+#ifndef BB_MUTANT_address_unknown
+  if (!e->config || !bb_config_find_pool (e->config, u->pool))
+    return;
+#endif
+  a->last_start_unix_ms = MAX (a->last_start_unix_ms, u->started_unix_ms);
+}
+
+void
+address_forget_claims (struct edge *e)
+{
+  GHashTableIter it;
+  void *a;
+
+  g_hash_table_iter_init (&it, e->addresses);
+  while (g_hash_table_iter_next (&it, NULL, &a))
+    ((struct address *)a)->last_start_unix_ms = 0;
+}
+
 struct address *
 address_use (struct edge *e, const struct bb_upstream *u)
 {
@@ -23,7 +45,7 @@
       g_hash_table_insert (e->addresses, a->text, a);
     }
   a->uses++;
-  a->last_start_unix_ms = MAX (a->last_start_unix_ms, u->started_unix_ms);
+  address_claim (e, a, u);
   return a;
 }
 
--- a/cmd/edge/config.c
+++ b/cmd/edge/config.c
@@ -87,6 +87,7 @@
                 (json_int_t)longest_step_ms);
   bb_config_unref (e->config);
   e->config = c;
+  targets_apply_config (e);
   update_queues (e);
   update_limits (e);
   e->queue_ops->dispatch_all (e);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -264,6 +264,12 @@
 /* address.c */
 /* Returns the address of U, to be dropped after use.  */
 struct address *address_use (struct edge *e, const struct bb_upstream *u);
+/* U claims A by its start, if the configuration names its pool: other entries
+   name no upstream to use.  */
+void address_claim (const struct edge *e, struct address *a,
+                    const struct bb_upstream *u);
+/* Before the upstreams claim their addresses anew.  */
+void address_forget_claims (struct edge *e);
 void address_drop (struct edge *e, struct address *a);
 /* Whether an upstream that started later than U is registered at its address,
    A, so that U has ended.  */
@@ -276,6 +282,8 @@
 /* targets.c: the upstreams.  A pointer to a target is valid until the function
    that has it returns to the event loop, and while it is held.  */
 void targets_init (struct edge *e);
+/* A configuration was put in force, which names other pools.  */
+void targets_apply_config (struct edge *e);
 /* Returns the upstream ID, which may be removed and remembered; NULL if it is
    not known.  */
 struct target *targets_find (const struct edge *e, const char *id);
--- a/cmd/edge/targets.c
+++ b/cmd/edge/targets.c
@@ -222,6 +222,18 @@
     apply_removal (e, id, revision, source);
 }
 
+void
+targets_apply_config (struct edge *e)
+{
+  address_forget_claims (e);
+  for (guint i = 0; i < e->target_list->len; i++)
+    {
+      const struct target *t = g_ptr_array_index (e->target_list, i);
+      if (t->retire_at_ms == 0)
+        address_claim (e, t->address, t->record);
+    }
+}
+
 void
 targets_init (struct edge *e)
 {
