edge: what is under way at the end of the grace period gets the truth

Cause: the edge called exit with requests under way. One whose last byte came after the listener was closed was passed on with its own time limit.

Change: after the close of the listener, a request whose time limit reaches to the end is refused with 503 at once; what is taken after SIGTERM has its time limit cut to what is left; 500 ms before the end, what is still under way is ended with 502, or 503 where it cannot have run, and what has begun is broken off.

Evidence: /edge-stop/in-flight and /edge-stop/too-late failed before (no answer); /edge-stop/stream passed before and after.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -232,6 +232,8 @@
   /* Server for readiness checks and metrics.  */
   struct bb_h1_server *ready_server;
   bool draining;
+  bool stops_taking; /* requests are refused that could last to stop_ms */
+  bb_ms stop_ms;     /* when what is under way is ended */
   struct bb_memory memory; /* held for callers and upstreams */
   GQueue memory_waiting;   /* requests whose response waits for it */
   uint64_t last_request_number;
@@ -363,6 +365,9 @@
 /* input.c: the callbacks of the server for callers.  */
 void input_request (struct bb_h1_exchange *x, void *arg);
 void input_fault (uint16_t status, void *arg);
+/* The grace period is over: answers X with the truth about whether it may have
+   run, or breaks off its response.  */
+void input_stop (struct bb_h1_exchange *x);
 /* Finds the route, customer and pool of R in the current configuration.  If
    there is no route, or the key is missing or unknown, refuses R and returns
    false.  */
--- a/cmd/edge/input.c
+++ b/cmd/edge/input.c
@@ -16,6 +16,30 @@
   ANSWER_MARGIN_MS = 10
 };
 
+/* Takes R from where it waits, or ends its try.  */
+static void
+withdraw (struct request *r)
+{
+  if (r->state == REQUEST_WAITING && r->queue)
+    g_queue_remove (&r->queue->waiting, r);
+  if (r->call)
+    bb_h1_call_cancel (r->call);
+  r->call = NULL;
+  request_release (r);
+}
+
+void
+input_stop (struct bb_h1_exchange *x)
+{
+  struct request *r = x->user;
+
+  /* The upstream may run it.  */
+  if (r->call)
+    r->executions++;
+  withdraw (r);
+  refuse (r, BB_REASON_DRAINING, FULL_RETRY_MS);
+}
+
 static void
 on_caller_gone (struct bb_h1_exchange *x)
 {
@@ -26,11 +50,7 @@
                 r->info.attempt_id.ptr, (size_t)r->info.attempt_id.size,
                 "waited_ms", (json_int_t)(edge_now (r->edge) - r->received_ms),
                 "started", r->response_started);
-  if (r->state == REQUEST_WAITING && r->queue)
-    g_queue_remove (&r->queue->waiting, r);
-  if (r->call)
-    bb_h1_call_cancel (r->call);
-  request_release (r);
+  withdraw (r);
   request_free (r);
 }
 
@@ -91,6 +111,8 @@
   if (left > 2 * (bb_ms)ANSWER_MARGIN_MS)
     left -= ANSWER_MARGIN_MS;
   r->deadline_ms = r->received_ms + (left < timeout ? left : timeout);
+  if (r->edge->draining)
+    r->deadline_ms = MIN (r->deadline_ms, r->edge->stop_ms);
   r->slo_deadline_ms = r->received_ms + r->route->slo_ms;
 }
 
@@ -125,6 +147,17 @@
   if (!input_route (r))
     return;
   set_deadlines (r);
+  /* It could be cut at the end of the grace period; another edge has the time
+     for it.  */
+#ifndef BB_MUTANT_stop_takes
+  if (e->stops_taking && r->deadline_ms >= e->stop_ms)
+#else
+  if (false)
+#endif
+    {
+      refuse_not_run (r, BB_REASON_DRAINING, FULL_RETRY_MS);
+      return;
+    }
   bb_retry_window_add_request (&r->queue->retry_window, edge_now (e));
   e->queue_ops->add (r);
 }
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -20,8 +20,11 @@
   SETTINGS_CHECK_INTERVAL_MS = 2000,
   PAUSE_MIN_MS = 700,    /* a longer gap between ticks is a pause */
   DRAIN_CLOSE_MS = 2600, /* time after SIGTERM for callers to go elsewhere */
-  /* How long before the end of the grace period to exit.  */
-  GRACE_MARGIN_MS = 400,
+  DRAIN_DIVISOR = 3,     /* part of the grace period that this is at most */
+  /* How long before the end of the grace period to end what is under way, and
+     how long its callers have to take their answers.  */
+  GRACE_MARGIN_MS = 500,
+  STOP_FLUSH_MS = 100,
   /* The part of the process's memory that is held for callers and upstreams;
      the rest is for code, state and connections.  */
   MEMORY_DIVISOR = 2,
@@ -118,18 +121,31 @@
   exit (EXIT_SUCCESS);
 }
 
+/* Returns how long after SIGTERM requests are taken.  */
+static bb_ms
+drain_close_ms (const struct edge *e)
+{
+  return MIN ((bb_ms)DRAIN_CLOSE_MS, e->settings->grace_ms / DRAIN_DIVISOR);
+}
+
 static void
 on_drain_timer (uv_timer_t *t)
 {
   struct edge *e = t->data;
   bb_ms since = edge_now (e) - drain_started_ms;
 
-  if (since >= DRAIN_CLOSE_MS)
+  if (since >= drain_close_ms (e))
     bb_h1_server_close (e->front_server);
-  if (since >= DRAIN_CLOSE_MS
+  /* What had arrived before the close is read by then.  */
+  e->stops_taking = since >= drain_close_ms (e) + TICK_MS;
+  if (e->stops_taking
       && bb_h1_server_active_connections (e->front_server) == 0)
     stop (e, "drained");
-  if (since >= e->settings->grace_ms - GRACE_MARGIN_MS)
+#ifndef BB_MUTANT_stop_answers
+  if (edge_now (e) >= e->stop_ms)
+    bb_h1_server_end_exchanges (e->front_server, input_stop);
+#endif
+  if (edge_now (e) >= e->stop_ms + STOP_FLUSH_MS)
     stop (e, "grace is over");
 }
 
@@ -143,6 +159,7 @@
     return;
   e->draining = true;
   drain_started_ms = edge_now (e);
+  e->stop_ms = drain_started_ms + e->settings->grace_ms - GRACE_MARGIN_MS;
   bb_log_event ("drain", "{s:i}", "busy",
                 (int)bb_h1_server_active_connections (e->front_server));
   bb_h1_server_drain (e->front_server);
--- a/include/bilberry/h1.h
+++ b/include/bilberry/h1.h
@@ -101,6 +101,11 @@
    read what had arrived before the call.  Requests in progress continue.  */
 void bb_h1_server_close (struct bb_h1_server *s);
 
+/* Calls FN with each request that has been handed to the handler and has no
+   complete response.  FN ends it.  */
+void bb_h1_server_end_exchanges (struct bb_h1_server *s,
+                                 void (*fn) (struct bb_h1_exchange *x));
+
 /* Returns the number of connections on which a request is being received or
    handled, or has arrived, or response data is queued that the kernel has not
    accepted.  Not 0 while a bb_h1_server_close has yet to take effect.  */
--- a/libh1/server.c
+++ b/libh1/server.c
@@ -244,6 +244,18 @@
   uv_check_start (&s->stop_check, on_stop_check);
 }
 
+void
+bb_h1_server_end_exchanges (struct bb_h1_server *s,
+                            void (*fn) (struct bb_h1_exchange *x))
+{
+  struct connection *c;
+  struct connection *next;
+
+  DL_FOREACH_SAFE (s->connections, c, next)
+  if (c->responding)
+    fn (&c->exchange);
+}
+
 uint32_t
 bb_h1_server_active_connections (const struct bb_h1_server *s)
 {
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -12,7 +12,8 @@
   AWAIT_TIMEOUT_MS = 5000,
   POLL_INTERVAL_MS = 25,
   KEY_POLL_INTERVAL_MS = 5,
-  DRAIN_DEFAULT_MS = 2000
+  DRAIN_DEFAULT_MS = 2000,
+  GRACE_DEFAULT_S = 8
 };
 
 static const char config_text[]
@@ -47,8 +48,9 @@
       "zones:\n  z1: \"r\"\nlisten:\n  front: \"127.0.0.1:%u\"\n"
       "  ready: \"127.0.0.1:%u\"\n  control: \"127.0.0.1:%u\"\n"
       "internal-ports:\n  - 1\n  - 2\nseeds:\n%s"
-      "bootstrap: %s\nlimits:\n  max-fds: 500\n  memory-mb: 160\nbounds:\n  budget-extra: "
-      "100\n  drain-ms: %u\nplatform:\n  "
+      "bootstrap: %s\nlimits:\n  max-fds: 500\n  memory-mb: 160\nbounds:\n  "
+      "budget-extra: "
+      "100\n  drain-ms: %u\n  grace-s: %u\nplatform:\n  "
       "address: \"127.0.0.1:%u\"\n"
       "later: {unknown: [1, 2]}\n";
 
@@ -115,6 +117,7 @@
 
   memset (t, 0, sizeof *t);
   t->drain_ms = DRAIN_DEFAULT_MS;
+  t->grace_s = GRACE_DEFAULT_S;
   t->harness = harness_new (harness_build_dir ());
   t->store_port = harness_port (t->harness);
   g_snprintf (address, sizeof address, "127.0.0.1:%u", t->store_port);
@@ -235,7 +238,7 @@
   text = g_strdup_printf (
       settings_text, n, n < t->links.edges, n < t->links.edges ? n + 1 : 1,
       e->front_port, e->ready_port, e->control_port, seeds->str,
-      first ? "true" : "false", t->drain_ms, e->store_port);
+      first ? "true" : "false", t->drain_ms, t->grace_s, e->store_port);
   g_snprintf (name, sizeof name, "edge-%u.yaml", n);
   harness_write_file (harness_config_dir (t->harness), name, text);
   g_string_free (seeds, TRUE);
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -43,6 +43,7 @@
   char replica_pools[TESTBED_MAX][TESTBED_TEXT_SIZE];
   uint32_t replicas_count;
   uint32_t drain_ms;   /* bounds.drain-ms of edges started from now on */
+  uint32_t grace_s;    /* bounds.grace-s, likewise */
   uint64_t seq;        /* of the last registration by testbed_register */
   uint16_t agent_port; /* port of all agents; 0: no agent started yet */
   uint16_t agent_metrics_ports[TESTBED_MAX]; /* by replica */
