edge: the last try is not given up as silent

Cause: silence gives up a try so that another can follow; whether one can was judged before the try was counted as one.

Change: the last try that a route allows lasts to the time limit. A stream that has begun is broken off as before.

Evidence: /ends/slow-but-sound failed before (502).

--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -37,14 +37,28 @@
   return (bb_ms)((double)patience * patience_part);
 }
 
-/* Returns when the current try is given up as silent; INT64_MAX: never.  */
+/* Whether another try may follow the current one.  */
+static bool
+may_be_tried_again (const struct request *r)
+{
+#ifdef BB_MUTANT_last_try
+  return r->executions < r->route->attempts_max;
+#endif
+  return r->executions + 1 < r->route->attempts_max;
+}
+
+/* Returns when the current try is given up as silent; INT64_MAX: never.  A
+   stream that has begun and stands still is, also where nothing can follow:
+   its caller can resume it.  */
 static bb_ms
 silence_deadline_ms (const struct request *r)
 {
-  if (!request_is_idempotent (r) || r->executions >= r->route->attempts_max)
+  if (!request_is_idempotent (r))
     return INT64_MAX;
   if (r->route->kind == BB_CALL_STREAM && r->first_event_seen)
     return r->progress_ms + event_gap_max_ms (r->route);
+  if (!may_be_tried_again (r))
+    return INT64_MAX;
   return r->sent_ms + r->route->slo_ms * SILENT_SLOS;
 }
 
--- a/test/test_edge_ends.c
+++ b/test/test_edge_ends.c
@@ -255,6 +255,32 @@
   testbed_free (&t);
 }
 
+/* The last try that a route allows is not given up as silent, since nothing
+   can follow it: sound upstreams that are slower than the limit serve.  */
+static void
+test_slow_but_sound (void)
+{
+  struct testbed t;
+
+  testbed_init (&t);
+  testbed_put_config (
+      &t, 2,
+      ",{\"name\":\"calm\",\"host\":\"127.0.0.1\",\"prefix\":"
+      "\"/check/calm/\",\"route-kind\":\"idempotent\",\"service\":\"app\","
+      "\"timeout-ms\":9000,\"slo-ms\":50,\"max-attempts\":2,\"priority\":1}",
+      "");
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_replica (&t, "i-2", "app", "");
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("c%u", i);
+      testbed_check_status (&t, "GET", "/check/calm/slow", id, 200);
+      g_assert_cmpuint (testbed_count_runs (&t, id), <=, 2);
+    }
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -267,6 +293,7 @@
   g_test_add_func ("/ends/chunk-first", test_broken_first);
   g_test_add_func ("/ends/reset-body", test_reset_body);
   g_test_add_func ("/ends/slow-events", test_slow_events);
+  g_test_add_func ("/ends/slow-but-sound", test_slow_but_sound);
   g_test_add_func ("/ends/late-head", test_late_head);
   g_test_add_func ("/ends/own-deadline", test_own_deadline);
   g_test_add_func ("/ends/failed-status", test_failed_status);
