libh1: white space in a header name makes a message malformed

Cause: the parser keeps white space before the colon as a part of the name.

Change: such a request gets 400, such a response is malformed.

--- a/libh1/reader.c
+++ b/libh1/reader.c
@@ -168,6 +168,22 @@
          || p->status_code == HTTP_STATUS_NOT_MODIFIED;
 }
 
+/* Whether a header name has white space in it, as before its colon: others
+   might read such a name in another way.  */
+static bool
+has_spaced_name (const struct bb_h1_message *m)
+{
+#ifdef BB_MUTANT_h1_spaced_name
+  return false;
+#endif
+  for (uint32_t i = 0; i < m->headers_count; i++)
+    for (uint32_t k = 0; k < m->headers[i].name.size; k++)
+      if (m->headers[i].name.ptr[k] == ' '
+          || m->headers[i].name.ptr[k] == '\t')
+        return true;
+  return false;
+}
+
 static int
 on_headers (http_parser *p)
 {
@@ -175,6 +191,8 @@
 
   h1_buffer_append (&r->head, "", 0);
   fill_message (r);
+  if (has_spaced_name (&r->message))
+    return -1;
   r->head_complete = true;
   r->message.framed = is_framed (p);
   p->upgrade = 0;
--- a/test/test_h1_server.c
+++ b/test/test_h1_server.c
@@ -444,6 +444,33 @@
   h1_fixture_free (&f);
 }
 
+/* A request with a space in the name of a header is malformed: another reader
+   could take it for the header without the space.  */
+static void
+test_spaced_name (void)
+{
+  static const char *const lines[]
+      = { "X-Tenant : other",   "Authorization : Bearer key",
+          "Content-Length : 3", "Transfer-Encoding : chunked",
+          "X-Tenant\t: other",  "X Tenant: other" };
+  static struct h1_fixture f;
+
+  h1_fixture_init (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "POST / HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", lines[i]);
+      g_autoptr (GString) got = g_string_new ("");
+      int fd = harness_connect (f.port);
+      g_test_message ("%s", lines[i]);
+      h1_fixture_send (fd, text);
+      g_assert_true (h1_fixture_await (&f, fd, got, "\r\n\r\n"));
+      g_assert_true (g_str_has_prefix (got->str, "HTTP/1.1 400 "));
+      close (fd);
+    }
+  h1_fixture_free (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -462,5 +489,6 @@
   g_test_add_func ("/h1-server/gone-after-large-request",
                    test_gone_after_large_request);
   g_test_add_func ("/h1-server/limit-is-past", test_limit_is_past);
+  g_test_add_func ("/h1-server/spaced-name", test_spaced_name);
   return g_test_run ();
 }
--- a/test/test_input.c
+++ b/test/test_input.c
@@ -102,6 +102,8 @@
   { "POST /orders HTTP/1.1\r\n" HOST KEY "Content-Length: 1048577\r\n\r\n%s",
     1048577, 413, "body_too_large", false },
   { "GARBAGE\r\n\r\n", 0, 400, "bad_request", true },
+  { "GET /stock/7 HTTP/1.1\r\n" HOST KEY "X-Tenant : other\r\n\r\n", 0, 400,
+    "bad_request", true },
   { "GET /nowhere HTTP/1.1\r\n" HOST KEY "\r\n", 0, 404, "no_route", false },
   { "DELETE /orders HTTP/1.1\r\n" HOST KEY "\r\n", 0, 405, "bad_method",
     false },
