libh1, edge: smaller files, no circles

The refusal of a request that is not complete is in connection.c, so that request.c and response.c no longer call each other. The limits of the front server are made in one place, cmd/edge/config.c, so that fleet.c and config.c no longer call each other. Tests share one loop that sends.

--- a/cmd/edge/config.c
+++ b/cmd/edge/config.c
@@ -7,7 +7,15 @@
 
 enum
 {
-  STEP_BYTES = 16384 /* parsed in a step */
+  STEP_BYTES = 16384, /* parsed in a step */
+  /* Share of the descriptors; upstreams need the rest.  */
+  CALLER_CONNECTIONS_PERCENT = 60,
+
+  /* Limits until there is a configuration.  */
+  HEAD_TIMEOUT_MS = 3000,
+  IDLE_TIMEOUT_MS = 15000,
+  HEAD_MAX_BYTES = 16384,
+  BODY_MAX_BYTES = 4194304
 };
 
 /* A configuration that has arrived.  */
@@ -42,17 +50,26 @@
     }
 }
 
+struct bb_h1_limits
+config_front_limits (struct edge *e)
+{
+  const struct bb_config *c = e->config;
+
+  return (struct bb_h1_limits){
+    .head_max_bytes = c ? c->head_max_bytes : HEAD_MAX_BYTES,
+    .body_max_bytes = c ? c->body_max_bytes : BODY_MAX_BYTES,
+    .read_timeout_ms = c ? c->head_timeout_ms : HEAD_TIMEOUT_MS,
+    .idle_timeout_ms = c ? c->idle_timeout_ms : IDLE_TIMEOUT_MS,
+    .connections_max
+    = e->settings->descriptors_max * CALLER_CONNECTIONS_PERCENT / 100,
+    .memory = &e->memory
+  };
+}
+
 static void
 update_limits (struct edge *e)
 {
-  const struct bb_config *c = e->config;
-  struct bb_h1_limits limits
-      = { .head_max_bytes = c->head_max_bytes,
-          .body_max_bytes = c->body_max_bytes,
-          .read_timeout_ms = c->head_timeout_ms,
-          .idle_timeout_ms = c->idle_timeout_ms,
-          .connections_max = fleet_caller_connections_max (e),
-          .memory = &e->memory };
+  struct bb_h1_limits limits = config_front_limits (e);
 
   if (e->front_server)
     bb_h1_server_set_limits (e->front_server, &limits);
--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -314,8 +314,6 @@
 /* Returns how many edges are counted when a limit is divided among them: this
    one and its peers, but at least one for each failure domain.  */
 uint32_t fleet_edge_count (const struct edge *e);
-/* Returns how many connections callers may have.  */
-uint32_t fleet_caller_connections_max (const struct edge *e);
 /* Applies the state that peer NAME sent.  */
 void fleet_apply_peer_state (struct edge *e, const char *name,
                              const struct bb_peer_state *m);
@@ -451,6 +449,9 @@
 
 /* config.c: the configuration in force.  */
 void config_init (struct edge *e);
+/* Returns the limits of the server for callers, which the configuration gives
+   where there is one.  */
+struct bb_h1_limits config_front_limits (struct edge *e);
 /* Takes VALUE, written at REVISION, as the configuration; NULL: it was
    removed. A large one is in force a little later.  SOURCE is "store" or
    "peer".  */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -11,9 +11,7 @@
 {
   PEER_LOADS_MAX = 256,
   /* Time between sums of peers' loads, as peers may be many.  */
-  SUM_INTERVAL_MS = 20,
-  /* Share of the descriptors; upstreams need the rest.  */
-  CALLER_CONNECTIONS_PERCENT = 60
+  SUM_INTERVAL_MS = 20
 };
 
 uint32_t
@@ -25,12 +23,6 @@
   return n > least ? n : least;
 }
 
-uint32_t
-fleet_caller_connections_max (const struct edge *e)
-{
-  return e->settings->descriptors_max * CALLER_CONNECTIONS_PERCENT / 100;
-}
-
 bool
 fleet_forwards_items (const struct edge *e)
 {
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -27,13 +27,7 @@
   STOP_FLUSH_MS = 100,
   /* The part of the process's memory that is held for callers and upstreams;
      the rest is for code, state and connections.  */
-  MEMORY_DIVISOR = 2,
-
-  /* Limits until there is a configuration.  */
-  HEAD_TIMEOUT_MS = 3000,
-  IDLE_TIMEOUT_MS = 15000,
-  HEAD_MAX_BYTES = 16384,
-  BODY_MAX_BYTES = 4194304
+  MEMORY_DIVISOR = 2
 };
 
 static struct edge edge;
@@ -193,13 +187,7 @@
 static bool
 open_front (struct edge *e)
 {
-  struct bb_h1_limits limits
-      = { .head_max_bytes = HEAD_MAX_BYTES,
-          .body_max_bytes = BODY_MAX_BYTES,
-          .read_timeout_ms = HEAD_TIMEOUT_MS,
-          .idle_timeout_ms = IDLE_TIMEOUT_MS,
-          .connections_max = fleet_caller_connections_max (e),
-          .memory = &e->memory };
+  struct bb_h1_limits limits = config_front_limits (e);
 
   e->front_server = status_listen (e, e->settings->front_address, &limits,
                                    input_request, input_fault);
--- a/libh1/connection.c
+++ b/libh1/connection.c
@@ -183,3 +183,29 @@
   c->state_since_ms = h1_connection_now (c);
   c->idle_timeout_ms = c->server->limits.idle_timeout_ms;
 }
+
+const char *
+h1_reason_phrase (uint16_t status)
+{
+  const char *s = http_status_str ((enum http_status)status);
+
+  return s && *s != '<' ? s : "Status";
+}
+
+void
+h1_connection_reject (struct connection *c, uint16_t status)
+{
+  struct h1_buffer out = { 0 };
+
+  if (c->closing || c->lingering)
+    return;
+  c->server->on_error (status, c->server->arg);
+  h1_buffer_printf (&out,
+                    "HTTP/1.1 %d %s\r\nConnection: close\r\n%s"
+                    "Content-Length: 0\r\n\r\n",
+                    status, h1_reason_phrase (status),
+                    status == 503 ? "Retry-After: 1\r\n" : "");
+  h1_connection_send (c, out.data, out.size);
+  h1_buffer_free (&out);
+  h1_connection_linger (c);
+}
--- a/libh1/request.c
+++ b/libh1/request.c
@@ -16,24 +16,6 @@
   MEMORY_WAIT_MS = 400             /* longest wait of a caller for memory */
 };
 
-void
-h1_connection_reject (struct connection *c, uint16_t status)
-{
-  struct h1_buffer out = { 0 };
-
-  if (c->closing || c->lingering)
-    return;
-  c->server->on_error (status, c->server->arg);
-  h1_buffer_printf (&out,
-                    "HTTP/1.1 %d %s\r\nConnection: close\r\n%s"
-                    "Content-Length: 0\r\n\r\n",
-                    status, h1_reason_phrase (status),
-                    status == 503 ? "Retry-After: 1\r\n" : "");
-  h1_connection_send (c, out.data, out.size);
-  h1_buffer_free (&out);
-  h1_connection_linger (c);
-}
-
 /* Returns whether the request head, with the trailers, is larger than allowed.
    The body has a limit of its own.  */
 static bool
--- a/libh1/response.c
+++ b/libh1/response.c
@@ -4,14 +4,6 @@
 
 #include "bilberry/net.h"
 
-const char *
-h1_reason_phrase (uint16_t status)
-{
-  const char *s = http_status_str ((enum http_status)status);
-
-  return s && *s != '<' ? s : "Status";
-}
-
 static void
 format_head (struct connection *c, struct h1_buffer *out, uint16_t status,
              const struct bb_header *headers, uint32_t count)
--- a/libh1/server.h
+++ b/libh1/server.h
@@ -2,8 +2,9 @@
 #define LIBH1_SERVER_H
 
 /* Internals of the HTTP server: server.c accepts connections and bounds their
-   time and number, connection.c sends on and closes them, request.c reads
-   requests, and response.c sends what the handler responds.  */
+   time and number, response.c sends what the handler responds, request.c reads
+   requests, and connection.c sends on connections and closes them.  Each calls
+   only those after it.  */
 
 #include "h1.h"
 
@@ -96,6 +97,11 @@
    for it, since the caller goes by the one that it knows.  */
 void h1_connection_begin_idling (struct connection *c);
 
+/* Sends STATUS in response to a request that is not complete, and closes the
+   connection.  */
+void h1_connection_reject (struct connection *c, uint16_t status);
+const char *h1_reason_phrase (uint16_t status);
+
 /* request.c */
 
 void h1_connection_init_reader (struct connection *c);
@@ -108,12 +114,5 @@
 void h1_connection_check_memory (struct connection *c);
 /* Parses the buffered input, unless a request is being handled.  */
 void h1_connection_process_input (struct connection *c);
-/* Sends STATUS in response to a request that is not complete, and closes the
-   connection.  */
-void h1_connection_reject (struct connection *c, uint16_t status);
-
-/* response.c */
-
-const char *h1_reason_phrase (uint16_t status);
 
 #endif
--- a/test/harness/http.c
+++ b/test/harness/http.c
@@ -28,8 +28,8 @@
   return -1;
 }
 
-static bool
-send_all (int fd, const char *data, size_t size)
+bool
+harness_send_all (int fd, const char *data, size_t size)
 {
   while (size > 0)
     {
@@ -70,7 +70,7 @@
 
   if (fd < 0)
     return strdup ("");
-  send_all (fd, data, size);
+  harness_send_all (fd, data, size);
   text = read_all (fd, &received_bytes, timeout_ms, reset);
   close (fd);
   return text;
@@ -95,7 +95,7 @@
   addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
   if (connect (fd, (struct sockaddr *)&addr, sizeof addr) < 0
-      || !send_all (fd, data, size))
+      || !harness_send_all (fd, data, size))
     abort ();
   return fd;
 }
--- a/test/harness/relay.c
+++ b/test/harness/relay.c
@@ -69,8 +69,8 @@
   r->pairs[r->pairs_count++].fds[1] = target;
 }
 
-/* Has the close of FD reset its connection: what was reset on one side must not
-   end in order on the other.  */
+/* Has the close of FD reset its connection: what was reset on one side must
+   not end in order on the other.  */
 static void
 reset_at_close (int fd)
 {
--- a/test/harness/upstream.c
+++ b/test/harness/upstream.c
@@ -58,14 +58,7 @@
 static void
 send_bytes (const struct connection *c, const char *data, size_t size)
 {
-  while (size > 0)
-    {
-      ssize_t n = send (c->fd, data, size, MSG_NOSIGNAL);
-      if (n <= 0)
-        return;
-      data += n;
-      size -= (size_t)n;
-    }
+  harness_send_all (c->fd, data, size);
 }
 
 static void
--- a/test/test_edge_memory.c
+++ b/test/test_edge_memory.c
@@ -93,20 +93,6 @@
   return at ? atoi (at + strlen (field)) : -1;
 }
 
-static bool
-send_all (int fd, const char *data, size_t size)
-{
-  while (size > 0)
-    {
-      ssize_t n = send (fd, data, size, MSG_NOSIGNAL);
-      if (n <= 0)
-        return false;
-      data += n;
-      size -= (size_t)n;
-    }
-  return true;
-}
-
 static void
 send_request (struct caller *c)
 {
@@ -120,9 +106,9 @@
       "Authorization: Bearer key-1\r\nX-Deadline-Ms: 9000\r\n%s\r\n%s",
       c->path, c->id, length, c->chunked ? chunk : "");
 
-  if (send_all (c->fd, head, strlen (head))
-      && send_all (c->fd, body, c->body_bytes) && c->chunked)
-    send_all (c->fd, "\r\n0\r\n\r\n", 7);
+  if (harness_send_all (c->fd, head, strlen (head))
+      && harness_send_all (c->fd, body, c->body_bytes) && c->chunked)
+    harness_send_all (c->fd, "\r\n0\r\n\r\n", 7);
 }
 
 /* Reads one response and notes how it ended.  */
