--- a/test/harness/upstream.c
+++ b/test/harness/upstream.c
@@ -84,12 +84,11 @@
 read_request (struct connection *c)
 {
   size_t size = 0;
-  const char *end = NULL;
   g_autofree char *length = NULL;
   size_t left;
 
   memset (c->head, 0, sizeof c->head);
-  while (!(end = strstr (c->head, "\r\n\r\n")))
+  while (!strstr (c->head, "\r\n\r\n"))
     {
       ssize_t n
           = size + 1 < sizeof c->head ? recv (c->fd, c->head + size, 1, 0) : 0;
--- a/test/test_answer_matrix.c
+++ b/test/test_answer_matrix.c
@@ -223,7 +223,7 @@
   gint64 until = g_get_monotonic_time () + (gint64)READ_MAX_MS * 1000;
   size_t size = c->caller == CALLER_SLOW ? SLOW_BYTES : READ_BYTES;
   struct pollfd p = { .fd = fd, .events = POLLIN };
-  g_autofree char *buf = g_malloc (size);
+  char buf[READ_BYTES];
 
   while (!has_responses (c, wanted) && g_get_monotonic_time () < until
          && poll (&p, 1, READ_MAX_MS) > 0)
--- a/test/test_edge_memory.c
+++ b/test/test_edge_memory.c
@@ -117,7 +117,7 @@
 {
   GString *got = g_string_new ("");
   struct pollfd p = { .fd = c->fd, .events = POLLIN };
-  g_autofree char *buf = g_malloc (READER_STEP_BYTES);
+  char *buf = g_malloc (READER_STEP_BYTES);
   size_t paused_at = READER_STEP_BYTES;
   const char *head;
   const char *length;
@@ -143,6 +143,7 @@
   sscanf (got->str, "HTTP/1.1 %d", &c->status); /* NOLINT(cert-err34-c) */
   c->received = got->len;
   g_string_free (got, TRUE);
+  g_free (buf);
 }
 
 static gpointer
--- a/test/test_group_late.c
+++ b/test/test_group_late.c
@@ -121,7 +121,7 @@
       if (!go)
         go = delay_orders (sim, BB_GROUP_SWITCH_GO, 1);
       if (sw->phase == BB_GROUP_SWITCH_ARMING
-          && (work_ms == 0 || sim->now - work_ms < 3 * SIM_PASS_MS))
+          && (work_ms == 0 || sim->now - work_ms < (bb_ms)3 * SIM_PASS_MS))
         delay_orders (sim, BB_GROUP_SWITCH_ARM, 3);
       if (work_ms == 0
           && (sw->phase == BB_GROUP_SWITCH_ARMING
--- a/test/test_group_switch.c
+++ b/test/test_group_switch.c
@@ -85,7 +85,7 @@
 static void
 make_ready (struct simulation *sim, uint32_t leader)
 {
-  for (uint32_t passes = 0; passes < 2; passes++)
+  for (uint64_t passes = 0; passes < 2; passes++)
     {
       sim->step += 2 * passes;
       for (uint32_t r = 0; r < SIM_RANKS; r++)
--- a/test/test_memory.c
+++ b/test/test_memory.c
@@ -6,10 +6,11 @@
 
 enum
 {
-  MB = 1024 * 1024,
   TICK_MS = 5
 };
 
+static const size_t mb = (size_t)1024 * 1024;
+
 /* Requests with long bodies that come at a rate and stay for a while.  */
 struct load
 {
@@ -66,8 +67,8 @@
 static void
 test_burst (void)
 {
-  const struct load l = { .max_bytes = (size_t)130 * MB,
-                          .body_bytes = 5 * MB / 2,
+  const struct load l = { .max_bytes = 130 * mb,
+                          .body_bytes = 5 * mb / 2,
                           .interval_ms = 30,
                           .stay_ms = 1140,
                           .length_ms = 3000 };
@@ -83,15 +84,15 @@
 static void
 test_overload (void)
 {
-  const struct load l = { .max_bytes = (size_t)80 * MB,
-                          .body_bytes = 4 * MB,
+  const struct load l = { .max_bytes = 80 * mb,
+                          .body_bytes = 4 * mb,
                           .interval_ms = 10,
                           .stay_ms = 1000,
                           .length_ms = 5000 };
   struct outcome o = replay (&l);
 
   g_assert_cmpuint (o.refused, >, 300);
-  g_assert_cmpuint (o.taken, >=, 4 * 17);
+  g_assert_cmpuint (o.taken, >=, 68);
   g_assert_cmpuint (o.small_refused, ==, 0);
   g_assert_cmpuint (o.peak_bytes, <=, l.max_bytes);
 }
@@ -101,17 +102,17 @@
 static void
 test_over_limit (void)
 {
-  struct bb_memory m = { .max_bytes = MB };
+  struct bb_memory m = { .max_bytes = mb };
 
-  bb_memory_add (&m, 2 * MB);
+  bb_memory_add (&m, 2 * mb);
   g_assert_false (bb_memory_has_room (&m, 1, 1));
-  bb_memory_give (&m, MB + MB / 16);
+  bb_memory_give (&m, mb + mb / 16);
   g_assert_true (bb_memory_has_room (&m, 1, 1));
-  g_assert_false (bb_memory_has_room (&m, 1, MB));
-  bb_memory_give (&m, 2 * MB);
+  g_assert_false (bb_memory_has_room (&m, 1, mb));
+  bb_memory_give (&m, 2 * mb);
   g_assert_cmpuint (m.used_bytes, ==, 0);
   m.max_bytes = 0;
-  g_assert_true (bb_memory_take (&m, 8 * MB, 8 * MB));
+  g_assert_true (bb_memory_take (&m, 8 * mb, 8 * mb));
 }
 
 int
