--- a/test/test_group_late.c
+++ b/test/test_group_late.c
@@ -143,6 +143,44 @@
     play_late_go (seed);
 }
 
+/* The leader is killed behind its first orders to prepare, of which one alone
+   is carried out, and leads again with nothing while that rank copies: its
+   next map must not have the version of the first.  */
+static void
+play_version (uint32_t seed)
+{
+  const struct sim_options o
+      = { .seed = seed, .run_ms = PLAY_MAX_MS, .repeat_ok = true };
+  struct simulation *sim = simulation_new (&o);
+  bool killed = false;
+
+  for (sim->now = SIM_TICK_MS; sim->now < PLAY_MAX_MS; sim->now += SIM_TICK_MS)
+    {
+      const struct bb_group_switch *sw = &sim->agents[0].group_switch;
+      simulation_tick (sim);
+      if (killed || !sim->agents[0].is_leader
+          || sw->phase != BB_GROUP_SWITCH_PREPARING)
+        continue;
+      for (uint32_t r = 0; r < SIM_RANKS; r++)
+        if (r != 1)
+          delay_orders (sim, BB_GROUP_SWITCH_PREPARE, r);
+      if (sim->ranks[1].copying_version == 0)
+        continue;
+      simulation_kill (sim, 0, SIM_TICK_MS);
+      killed = true;
+    }
+  g_assert_true (killed);
+  g_assert_cmpuint (sim->step, >, 100);
+  simulation_free (sim);
+}
+
+static void
+test_version (void)
+{
+  for (uint32_t seed = 1; seed <= 40; seed++)
+    play_version (seed);
+}
+
 /* Runs a group with late orders and agents that are killed, and frozen where
    FREEZES.  Fails where ranks use different maps in one pass, where no switch
    completes, or where a hold is too long.  */
@@ -212,6 +250,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/group/late/arm", test_late_arm);
   g_test_add_func ("/group/late/go", test_late_go);
+  g_test_add_func ("/group/late/version", test_version);
   g_test_add_func ("/group/late/killed-busy", test_killed_busy);
   g_test_add_func ("/group/late/killed-idle", test_killed_idle);
   g_test_add_func ("/group/late/killed-frozen", test_killed_frozen);
