edge: the last try leaves its verdict time to reach the caller

Change: the last try of a request that may be repeated lasts for fifteen sixteenths of its time.

Evidence: /bytes/* and /ends/* pass at a load of 33.

--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -8,6 +8,7 @@
 
 enum
 {
+  VERDICT_DIVISOR = 16, /* part of a caller's time that its verdict may take */
   SILENT_SLOS = 3, /* longest wait for a response that may be tried again, in
                       SLOs of the route */
   /* Callers give up a stream after a pause of this length, or of so many SLOs
@@ -58,7 +59,8 @@
   if (r->route->kind == BB_CALL_STREAM && r->first_event_seen)
     return r->progress_ms + event_gap_max_ms (r->route);
   if (!may_be_tried_again (r))
-    return INT64_MAX;
+    return r->deadline_ms
+           - (r->deadline_ms - r->received_ms) / VERDICT_DIVISOR;
   return r->sent_ms + r->route->slo_ms * SILENT_SLOS;
 }
 
