libh1, edge, tests: from a last reading

The relay and the upstream of the tests wrote the same reset twice; the harness has it now. Behaviour is the same: test_h1_client, test_edge_ends, test_answer_matrix and the first tests of test_path pass, and the linter finds nothing in these files.

--- a/cmd/edge/send.c
+++ b/cmd/edge/send.c
@@ -48,9 +48,10 @@
   return r->executions + 1 < r->route->attempts_max;
 }
 
-/* Returns when the current try is given up as silent; INT64_MAX: never.  A
-   stream that has begun and stands still is, also where nothing can follow:
-   its caller can resume it.  */
+/* Returns when the current try is given up as silent; INT64_MAX: never.  The
+   last one may take nearly all of the caller's time; the rest is for the
+   verdict to reach the caller.  A stream that has begun and stands still is
+   given up sooner, also where nothing can follow: its caller can resume it. */
 static bb_ms
 silence_deadline_ms (const struct request *r)
 {
--- a/libh1/client.c
+++ b/libh1/client.c
@@ -75,13 +75,11 @@
 yield_to_others (struct connection *conn, const struct bb_h1_call *c,
                  size_t size)
 {
-  if (size < READ_BUFFER_BYTES || conn->closing)
-    return;
-#ifndef BB_MUTANT_h1_yield_same
-  if (conn->call != c)
-    return;
+#ifdef BB_MUTANT_h1_yield_same
+  c = conn->call;
 #endif
-  if (!conn->call)
+  if (size < READ_BUFFER_BYTES || conn->closing || !conn->call
+      || conn->call != c)
     return;
   uv_read_stop ((uv_stream_t *)&conn->tcp);
   uv_timer_start (&conn->timer, on_resume_timer, 0, 0);
--- a/test/harness/harness.h
+++ b/test/harness/harness.h
@@ -115,6 +115,9 @@
 /* Sends SIZE bytes at DATA on FD.  Returns false if the connection ends.  */
 bool harness_send_all (int fd, const char *data, size_t size);
 
+/* Has the close of FD reset its connection.  */
+void harness_reset_at_close (int fd);
+
 /* Returns a socket connected to 127.0.0.1:PORT; -1 on failure.  */
 int harness_connect (uint16_t port);
 
--- a/test/harness/http.c
+++ b/test/harness/http.c
@@ -42,6 +42,14 @@
   return true;
 }
 
+void
+harness_reset_at_close (int fd)
+{
+  struct linger linger = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 /* Sets *RESET if the connection ended by a reset.  */
 static char *
 read_all (int fd, size_t *size, int timeout_ms, bool *reset)
--- a/test/harness/relay.c
+++ b/test/harness/relay.c
@@ -69,16 +69,6 @@
   r->pairs[r->pairs_count++].fds[1] = target;
 }
 
-/* Has the close of FD reset its connection: what was reset on one side must
-   not end in order on the other.  */
-static void
-reset_at_close (int fd)
-{
-  struct linger linger = { 1, 0 };
-
-  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-}
-
 /* Forwards the bytes available at FROM.  Returns false when either socket is
    closed.  */
 static bool
@@ -88,8 +78,9 @@
   ssize_t n = recv (from, buf, sizeof buf, MSG_DONTWAIT);
   ssize_t sent = 0;
 
+  /* What was reset on one side must not end in order on the other.  */
   if (n < 0)
-    reset_at_close (to);
+    harness_reset_at_close (to);
   if (n <= 0)
     return false;
   while (sent < n)
@@ -97,7 +88,7 @@
       ssize_t k = send (to, buf + sent, (size_t)(n - sent), MSG_NOSIGNAL);
       if (k <= 0)
         {
-          reset_at_close (from);
+          harness_reset_at_close (from);
           return false;
         }
       sent += k;
--- a/test/harness/upstream.c
+++ b/test/harness/upstream.c
@@ -255,14 +255,6 @@
   return c->place == PLACE_END;
 }
 
-static void
-reset_at_close (const struct connection *c)
-{
-  struct linger linger = { 1, 0 };
-
-  setsockopt (c->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-}
-
 /* Ends the answer as its script says.  Returns whether the connection is
    kept.  */
 static bool
@@ -276,10 +268,10 @@
       return whole && c->framing != FRAMING_NONE;
     case ENDING_RESET_LATER:
       harness_sleep_ms (g_random_int_range (1, RESET_LATER_MAX_MS));
-      reset_at_close (c);
+      harness_reset_at_close (c->fd);
       return false;
     case ENDING_RESET:
-      reset_at_close (c);
+      harness_reset_at_close (c->fd);
       return false;
     case ENDING_SILENCE:
       poll (&p, 1, SILENCE_MS);
