--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -433,7 +433,7 @@
                  replica_class=Replica):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
-        net = "127.%d" % random.randint(20, 250)
+        net = self.pick_net()
         self.net = net
         ports = self.pick_ports(net, 6)
         self.front, self.ready, self.control = ports[:3]
@@ -452,6 +452,19 @@
         self.edges = [self.new_edge(n) for n in range(edges)]
         self.sides = [self.new_side(n) for n in range(sides)]
 
+    @staticmethod
+    def pick_net():
+        """Returns the first half of addresses on which no edge serves its
+        metrics, as that of another run would."""
+        while True:
+            net = "127.%d" % random.randint(20, 250)
+            try:
+                with socket.socket() as s:
+                    s.bind((net + ".1.1", 9464))
+                return net
+            except OSError:
+                pass
+
     @staticmethod
     def pick_ports(net, count):
         ports = []
