--- a/review/6/case.py
+++ b/review/6/case.py
@@ -26,13 +26,6 @@
 
 async def play(record, trouble):
     fleet = stand.Fleet(record)
-    try:
-        return await act(fleet, record, trouble)
-    finally:
-        fleet.end()
-
-
-async def act(fleet, record, trouble):
     await fleet.start()
     record.say("all edges are ready")
     stop = asyncio.Event()
--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -433,6 +433,7 @@
                  replica_class=Replica):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
+        CLEANUPS.append(self.end)
         net = self.pick_net()
         self.net = net
         ports = self.pick_ports(net, 6)
@@ -624,27 +625,43 @@
         return attempt, answer
 
 
+# Called with nothing, in turn, before the script exits.
+CLEANUPS = []
+
+
 def main(play):
     """Runs PLAY (record, trouble), which returns whether the rule held, and
-    ends with the exit status of a case."""
+    ends with the exit status of a case.  What was started is ended first, also
+    where the script is ended by SIGTERM or takes too long."""
     path = os.path.join(os.path.dirname(os.path.abspath(sys.argv[0])),
                         "record.txt")
     record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say("starts, %s the disruption" % ("with" if trouble else "without"))
 
+    def finish(status, text):
+        for cleanup in CLEANUPS:
+            cleanup()
+        record.say(text)
+        record.file.close()
+        sys.stdout.flush()
+        os._exit(status)
+
     async def run():
+        loop = asyncio.get_running_loop()
         # Channels that are open at the end are cut without a word.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, c: None)
-        return await asyncio.wait_for(play(record, trouble), 110)
-
-    try:
-        held = asyncio.run(run())
-    except CannotRun as e:
-        record.say("cannot run: %s" % e)
-        sys.exit(2)
-    except asyncio.TimeoutError:
-        record.say("cannot run: it took too long")
-        sys.exit(2)
-    record.say("the rule %s" % ("held" if held else "was broken"))
-    sys.exit(0 if held else 1)
+        loop.set_exception_handler(lambda loop, c: None)
+        loop.add_signal_handler(
+            signal.SIGTERM, lambda: finish(2, "cannot run: it was ended"))
+        loop.call_later(
+            112, lambda: finish(2, "cannot run: it took too long"))
+        try:
+            held = await play(record, trouble)
+        except CannotRun as e:
+            finish(2, "cannot run: %s" % e)
+        except Exception as e:
+            finish(2, "cannot run: %r" % e)
+        finish(0 if held else 1,
+               "the rule %s" % ("held" if held else "was broken"))
+
+    asyncio.run(run())
