libh1: an answer that is reset during the upload is not complete

Callers saw a 200 with a part of the body as a complete answer where the upstream answered a long upload at once, without length, and reset.

Cause: a queued write takes the error of the reset from the socket, which the kernel reports once; on_written dropped it, and the next read looked like an end in order. It runs before that read where the last one filled the buffer and the client let other connections go first.

Fix: h1_out keeps the error of the first failed write; with one, the end of the connection is not in order. EPIPE is what the kernel says where the peer had closed in order before its reset: such an answer stays whole, as does one whose length or chunks mark its end. A connection with a failed write is not kept.

--- a/fake/replica/bytes.c
+++ b/fake/replica/bytes.c
@@ -9,6 +9,8 @@
   SLOW_MS = 1000, /* interval between two bytes */
   RESET_MS = 50,  /* time until what was sent before a reset was read */
   LATE_MS = 900,
+  UPLOAD_MS = 100, /* time until an upload has filled the buffers */
+  PART_BYTES = 40000,
   EXTENSION_BYTES = 2000,
   EVENTS = 6,
   WHOLE_EVENTS = 3, /* events before the fault in a stream */
@@ -46,8 +48,9 @@
 };
 
 static const char *const other_faults[]
-    = { "chunk-first",  "close-whole",   "close-inside", "chunk-inside",
-        "reset-inside", "reset-between", "reset-body",   "late-head" };
+    = { "chunk-first",  "close-whole",  "close-inside",
+        "chunk-inside", "reset-inside", "reset-between",
+        "reset-body",   "reset-upload", "late-head" };
 
 struct bytes_sender
 {
@@ -89,6 +92,12 @@
   return find_kind (fault) != NULL;
 }
 
+bool
+bytes_answers_early (const char *fault)
+{
+  return strcmp (fault, "reset-upload") == 0;
+}
+
 static void
 free_if_unused (struct bytes_sender *s)
 {
@@ -240,6 +249,25 @@
   s->close (s->user);
 }
 
+/* Sends a part of a body to a peer that is still writing, and resets.  */
+static void
+on_upload_timer (uv_timer_t *t)
+{
+  struct bytes_sender *s = t->data;
+  g_autofree char *part = g_strnfill (PART_BYTES, 'x');
+
+  send_head (s, s->attempt_id, "");
+  send_text (s, part);
+  on_reset_timer (t);
+}
+
+static void
+keep_attempt_id (struct bytes_sender *s, const char *attempt_id)
+{
+  g_free (s->attempt_id);
+  s->attempt_id = g_strdup (attempt_id);
+}
+
 static void
 send_part_of_stream (struct bytes_sender *s, const char *text, bool in_chunks)
 {
@@ -329,10 +357,15 @@
     send_endless (s, attempt_id);
   else if (strcmp (s->fault, "late-head") == 0)
     {
-      g_free (s->attempt_id);
-      s->attempt_id = g_strdup (attempt_id);
+      keep_attempt_id (s, attempt_id);
       uv_timer_start (&s->timer, on_late_timer, LATE_MS, 0);
     }
+  else if (strcmp (s->fault, "reset-upload") == 0)
+    {
+      keep_attempt_id (s, attempt_id);
+      uv_read_stop ((uv_stream_t *)s->tcp);
+      uv_timer_start (&s->timer, on_upload_timer, UPLOAD_MS, 0);
+    }
   else if (strcmp (s->fault, "reset-body") == 0)
     {
       send_head (s, attempt_id, "");
--- a/fake/replica/bytes.h
+++ b/fake/replica/bytes.h
@@ -35,6 +35,8 @@
      reset-inside  resets a stream likewise
      reset-between resets a stream after event 3 if the caller has no event
      reset-body    resets a body
+     reset-upload  reads the first part of the body of a request and, UPLOAD_MS
+                   later, sends PART_BYTES of a body and resets at once
      late-head     sends a sound response LATE_MS after the request  */
 
 #include <stdbool.h>
@@ -45,6 +47,9 @@
 /* Whether FAULT is one of the above.  */
 bool bytes_is_fault (const char *fault);
 
+/* Whether FAULT answers requests whose bodies have not arrived.  */
+bool bytes_answers_early (const char *fault);
+
 /* Returns a sender of responses with FAULT of replica ID on TCP, on which
    CLOSE (USER) closes the connection.  */
 struct bytes_sender *bytes_sender_new (uv_tcp_t *tcp, const char *fault,
--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -81,7 +81,8 @@
 
 enum
 {
-  EVENTS = 6,      /* number of events in a stream */
+  EVENTS = 6,                       /* number of events in a stream */
+  RECEIVE_BUFFER_BYTES = 16 * 1024, /* of a replica that answers early */
   BREAK_AFTER = 3, /* number of events sent before the fault "break" */
   TRAILER_BYTES = 30000,
   SLOW_MS = 400,
@@ -651,7 +652,8 @@
   g_free (expected_id);
 }
 
-/* Handles each request that has been received completely.  */
+/* Handles each request that has been received completely, or earlier with a
+   fault that answers earlier.  */
 static void
 process_input (struct connection *c)
 {
@@ -667,10 +669,9 @@
       bool whole = c->in->len >= size;
       g_free (length);
       if (whole)
-        {
-          g_string_erase (c->in, 0, (gssize)size);
-          handle_request (c, head);
-        }
+        g_string_erase (c->in, 0, (gssize)size);
+      if (whole || bytes_answers_early (fault))
+        handle_request (c, head);
       g_free (head);
       if (!whole)
         return;
@@ -722,9 +723,14 @@
 static bool
 start_listening (void)
 {
+  int size = RECEIVE_BUFFER_BYTES;
+
   uv_tcp_init (uv_default_loop (), &listener);
-  return uv_tcp_bind (&listener, (const struct sockaddr *)&listen_addr, 0) == 0
-         && uv_listen ((uv_stream_t *)&listener, 64, on_connection) == 0;
+  if (uv_tcp_bind (&listener, (const struct sockaddr *)&listen_addr, 0) < 0)
+    return false;
+  if (bytes_answers_early (fault))
+    uv_recv_buffer_size ((uv_handle_t *)&listener, &size);
+  return uv_listen ((uv_stream_t *)&listener, 64, on_connection) == 0;
 }
 
 int
--- a/libh1/client.h
+++ b/libh1/client.h
@@ -79,7 +79,9 @@
 /* Returns how the current call of CONN ends if the connection closes now.  */
 enum bb_h1_result h1_client_result_of_close (const struct connection *conn);
 /* Whether the peer has closed CONN in order.  Where a reset arrives together
-   with the last bytes, libuv reports UV_EOF after them.  */
+   with the last bytes, libuv reports UV_EOF after them.  Where a write has
+   failed, the socket no longer tells; the error of that write does: it is
+   UV_EPIPE if the peer had closed in order before the reset.  */
 bool h1_client_ends_in_order (const struct connection *conn);
 
 #endif
--- a/libh1/client_response.c
+++ b/libh1/client_response.c
@@ -77,8 +77,9 @@
 h1_client_finish (struct connection *conn, bool must_close)
 {
   bool reusable = !must_close && http_should_keep_alive (&conn->reader.parser)
-                  && conn->out.queued_bytes == 0 && conn->call->body.size == 0
-                  && !conn->call->paused && !conn->pool->freed;
+                  && conn->out.queued_bytes == 0 && conn->out.error == 0
+                  && conn->call->body.size == 0 && !conn->call->paused
+                  && !conn->pool->freed;
   struct bb_h1_call *c = conn->call;
 
   conn->keep_alive_ms = keep_alive_time_ms (&conn->reader);
@@ -134,6 +135,10 @@
 {
 #ifdef BB_MUTANT_h1_reset_end
   return true;
+#endif
+#ifndef BB_MUTANT_h1_write_error
+  if (conn->out.error != 0 && conn->out.error != UV_EPIPE)
+    return false;
 #endif
   return h1_look_unread (&conn->tcp) == H1_UNREAD_END;
 }
--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -87,6 +87,8 @@
 struct h1_out
 {
   size_t queued_bytes;
+  int error; /* uv error of the first write that failed; 0: none.  The write
+                has taken it from the socket: a read no longer reports it */
   struct bb_memory *memory; /* counts the queued bytes; NULL: nothing does */
   /* Called with USER when the last queued byte was sent; NULL: no call.  */
   void (*on_sent) (void *user);
@@ -95,7 +97,7 @@
 
 /* Writes the SIZE bytes at DATA to S; what the kernel does not accept at once
    is copied and queued.  OUT must stay valid until S is closed.  Returns 0 or
-   a uv error.  */
+   a uv error, which OUT keeps.  */
 int h1_write (uv_stream_t *s, const char *data, size_t size,
               struct h1_out *out);
 /* The same for BODY from OFFSET on, of which a reference is kept and nothing
--- a/libh1/write.c
+++ b/libh1/write.c
@@ -27,6 +27,15 @@
   free (w);
 }
 
+/* Returns RC, the result of a write.  */
+static int
+keep_error (struct h1_out *out, int rc)
+{
+  if (rc < 0 && out->error == 0)
+    out->error = rc;
+  return rc;
+}
+
 static void
 on_written (uv_write_t *req, int status)
 {
@@ -35,7 +44,10 @@
 
   /* When the stream is closed, the owner of OUT may already be freed.  */
   if (status != UV_ECANCELED)
-    out->queued_bytes -= w->size;
+    {
+      out->queued_bytes -= w->size;
+      keep_error (out, status);
+    }
   free_pending (w);
   if (status == 0 && out->queued_bytes == 0 && out->on_sent)
     out->on_sent (out->user);
@@ -73,7 +85,7 @@
       out->queued_bytes -= w->size;
       free_pending (w);
     }
-  return rc;
+  return keep_error (out, rc);
 }
 
 static struct pending_write *
@@ -100,7 +112,7 @@
     return 0;
   n = write_now (s, data, size, out);
   if (n < 0)
-    return (int)n;
+    return keep_error (out, (int)n);
   if ((size_t)n == size)
     return 0;
   size -= (size_t)n;
@@ -122,7 +134,7 @@
     return 0;
   n = write_now (s, data + offset, size - offset, out);
   if (n < 0)
-    return (int)n;
+    return keep_error (out, (int)n);
   offset += (size_t)n;
   if (offset == size)
     return 0;
--- a/test/test_edge_ends.c
+++ b/test/test_edge_ends.c
@@ -110,6 +110,44 @@
   testbed_free (&t);
 }
 
+/* A body without length that is reset while the request is being written is
+   not complete.  */
+static void
+test_reset_upload (void)
+{
+  enum
+  {
+    UPLOAD_BYTES = 4 * 1024 * 1024 - 1,
+    REQUESTS = 12
+  };
+  g_autofree char *config = testbed_config (2, "", "");
+  g_autoptr (GString) text = g_string_new (config);
+  g_autofree char *upload = g_strnfill (UPLOAD_BYTES, 'u');
+  struct testbed t;
+  uint32_t whole = 0;
+
+  testbed_init (&t);
+  g_string_replace (text, "\"max-body-bytes\":4096",
+                    "\"max-body-bytes\":4194304", 1);
+  testbed_put_item (&t, "op/config", text->str);
+  testbed_start_replica (&t, "i-1", "app", "reset-upload");
+  testbed_start_edge (&t, 0);
+  for (uint32_t i = 0; i < REQUESTS; i++)
+    {
+      g_autofree char *headers = g_strdup_printf (
+          "X-Attempt-Id: u%u\r\nAuthorization: Bearer key-1\r\n", i);
+      struct http_response a = harness_http (t.edges[0].front_port, "POST",
+                                             "/order/1", headers, upload);
+      g_test_message ("status %d, %zu bytes, %s", a.status, a.body_size,
+                      a.complete ? "complete" : "incomplete");
+      whole += a.status == 200 && a.complete;
+      http_response_free (&a);
+    }
+  g_assert_cmpuint (whole, ==, 0);
+  g_assert_cmpuint (testbed_count_runs (&t, "u0"), ==, 1);
+  testbed_free (&t);
+}
+
 /* A response whose head arrives after the deadline of its request is given to
    no caller.  */
 static void
@@ -292,6 +330,7 @@
   g_test_add_data_func ("/ends/reset-between", "reset-between", test_broken);
   g_test_add_func ("/ends/chunk-first", test_broken_first);
   g_test_add_func ("/ends/reset-body", test_reset_body);
+  g_test_add_func ("/ends/reset-upload", test_reset_upload);
   g_test_add_func ("/ends/slow-events", test_slow_events);
   g_test_add_func ("/ends/slow-but-sound", test_slow_but_sound);
   g_test_add_func ("/ends/late-head", test_late_head);
--- a/test/test_h1_client.c
+++ b/test/test_h1_client.c
@@ -7,7 +7,9 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,7 +19,11 @@
   IDLE_MAX_MS = 60000,
   WAIT_MS = 5000,     /* longest wait for what must come */
   READ_BYTES = 16384, /* that the client reads at a time */
-  ARRIVAL_US = 20000  /* time for all that was sent to arrive */
+  ARRIVAL_US = 20000, /* time for all that was sent to arrive */
+  /* An upload that fills the buffers of the connection, where the upstream
+     reads none of it and receives RECEIVE_BUFFER_BYTES.  */
+  UPLOAD_BYTES = 4 * 1024 * 1024,
+  RECEIVE_BUFFER_BYTES = 16 * 1024
 };
 
 /* A response to no request, as servers send it before they close an idle
@@ -32,6 +38,8 @@
   int listener; /* the upstream's */
   bool ended;   /* the last call */
   bool repeats; /* the end of a call starts another */
+  const char
+      *upload; /* of UPLOAD_BYTES, body of the calls; NULL: a short one */
   enum bb_h1_result result;
   uint16_t status;
   GString *body;
@@ -114,6 +122,8 @@
                                    .body = bb_bytes_of ("asked"),
                                    .idle_max_ms = IDLE_MAX_MS };
 
+  if (f->upload)
+    request.body = (struct bb_bytes){ f->upload, UPLOAD_BYTES };
   f->ended = false;
   f->status = 0;
   g_string_truncate (f->body, 0);
@@ -436,22 +446,15 @@
   const char *result;
 };
 
-/* Plays C: the loop finds the bytes of the response and the end of the
-   connection at the same time.  */
+/* The upstream sends the response of C on FD and ends the connection, all
+   before the loop of F runs; then the call ends as C says.  */
 static void
-play_end (const struct end_case *c)
+play_end (struct fixture *f, int fd, const struct end_case *c)
 {
-  static struct fixture f;
   struct linger linger = { .l_onoff = 1, .l_linger = 0 };
   g_autofree char *filler = g_strnfill (c->filler, 'x');
   gint64 end;
-  int fd;
 
-  g_test_message ("%s", c->name);
-  set_up (&f);
-  start_call (&f);
-  fd = accept_next (&f);
-  g_assert_true (gets_request (&f, fd));
   send_text (fd, c->text);
   send_text (fd, filler);
   if (c->ending == END_THEN_RESET)
@@ -459,13 +462,70 @@
   if (c->ending != END_IN_ORDER)
     setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
   close (fd);
-  await_unread (&f);
+  await_unread (f);
   g_usleep (ARRIVAL_US);
   end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
-  while (!f.ended && g_get_monotonic_time () < end)
-    uv_run (&f.loop, UV_RUN_NOWAIT);
-  g_assert_true (f.ended);
-  g_assert_cmpstr (bb_h1_result_name (f.result), ==, c->result);
+  while (!f->ended && g_get_monotonic_time () < end)
+    uv_run (&f->loop, UV_RUN_NOWAIT);
+  g_assert_true (f->ended);
+  g_assert_cmpstr (bb_h1_result_name (f->result), ==, c->result);
+}
+
+/* Plays C after the upstream has got the whole request.  */
+static void
+play_end_of_request (const struct end_case *c)
+{
+  static struct fixture f;
+  int fd;
+
+  g_test_message ("%s", c->name);
+  set_up (&f);
+  start_call (&f);
+  fd = accept_next (&f);
+  g_assert_true (gets_request (&f, fd));
+  play_end (&f, fd, c);
+  tear_down (&f);
+}
+
+/* Runs the loop until the upload has filled the buffers of the connection FD:
+   the upstream gets nothing more.  */
+static void
+fill_buffers (struct fixture *f, int fd)
+{
+  int before = -1;
+  int now = 0;
+
+  while (now == 0 || now != before)
+    {
+      before = now;
+      for (int i = 0; i < 20; i++)
+        {
+          uv_run (&f->loop, UV_RUN_NOWAIT);
+          g_usleep (ARRIVAL_US / 20);
+        }
+      g_assert_cmpint (ioctl (fd, FIONREAD, &now), ==, 0);
+    }
+  g_assert_cmpint (now, <, UPLOAD_BYTES);
+}
+
+/* Plays C while the request is being written: the upstream reads none of
+   it.  */
+static void
+play_end_in_upload (const struct end_case *c)
+{
+  static struct fixture f;
+  g_autofree char *upload = g_strnfill (UPLOAD_BYTES, 'u');
+  int size = RECEIVE_BUFFER_BYTES;
+  int fd;
+
+  g_test_message ("%s", c->name);
+  set_up (&f);
+  setsockopt (f.listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  f.upload = upload;
+  start_call (&f);
+  fd = accept_next (&f);
+  fill_buffers (&f, fd);
+  play_end (&f, fd, c);
   tear_down (&f);
 }
 
@@ -505,7 +565,35 @@
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    play_end (&cases[i]);
+    play_end_of_request (&cases[i]);
+}
+
+/* The same while the request is being written.  A write that is queued then
+   fails with the reset, and no read reports it any more; after an end in order
+   the answer is whole all the same, and one whose length is marked always
+   is.  */
+static void
+test_reset_in_upload (void)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+  static const char length[]
+      = "HTTP/1.1 413 Too Large\r\nContent-Length: 40000\r\n\r\n";
+  static const struct end_case cases[] = {
+    { "head alone", head, 0, END_RESET, "cut" },
+    { "less than a read", head, 4000, END_RESET, "cut" },
+    { "one full read", head, READ_BYTES - 19, END_RESET, "cut" },
+    { "a full read and more", head, READ_BYTES, END_RESET, "cut" },
+    { "several reads", head, 40000, END_RESET, "cut" },
+    { "several reads, after the end", head, 40000, END_THEN_RESET, "whole" },
+    { "one full read, after the end", head, READ_BYTES - 19, END_THEN_RESET,
+      "whole" },
+    { "length", length, 40000, END_RESET, "whole" },
+    { "length, in part", length, 39999, END_RESET, "cut" },
+    { "nothing", "", 0, END_RESET, "unanswered" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    play_end_in_upload (&cases[i]);
 }
 
 /* A call that takes the connection at the end of another one is sent, also
@@ -541,10 +629,13 @@
 int
 main (int argc, char **argv)
 {
+  /* As in the daemons.  */
+  signal (SIGPIPE, SIG_IGN);
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/h1-client/after-full-read", test_after_full_read);
   g_test_add_func ("/h1-client/reset-with-last-bytes",
                    test_reset_with_last_bytes);
+  g_test_add_func ("/h1-client/reset-in-upload", test_reset_in_upload);
   g_test_add_func ("/h1-client/closed-idle", test_closed_idle);
   g_test_add_func ("/h1-client/reset-idle", test_reset_idle);
   g_test_add_func ("/h1-client/closed-before-send", test_closed_before_send);
--- a/test/test_net_client.c
+++ b/test/test_net_client.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,7 +14,10 @@
 {
   IO_TIMEOUT_MS = 5000,
   WAIT_MS = 8000,
-  ARRIVAL_US = 20000 /* time for all that was sent to arrive */
+  ARRIVAL_US = 20000, /* time for all that was sent to arrive */
+  UPLOAD_BYTES = 4 * 1024 * 1024,
+  RECEIVE_BUFFER_BYTES = 16 * 1024, /* of an upstream that reads no upload */
+  PART_BYTES = 40000
 };
 
 struct fixture
@@ -171,6 +175,40 @@
   close (f.listener);
 }
 
+/* Nor is one complete that is reset while the request is being written.  */
+static void
+test_reset_in_upload (void)
+{
+  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
+  static struct fixture f;
+  g_autofree char *upload = g_strnfill (UPLOAD_BYTES, 'u');
+  g_autofree char *part = g_strnfill (PART_BYTES, 'x');
+  g_autofree char *text = g_strconcat ("HTTP/1.1 200 OK\r\n\r\n", part, NULL);
+  struct bb_bytes body = { upload, UPLOAD_BYTES };
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  int size = RECEIVE_BUFFER_BYTES;
+  int fd;
+
+  set_up (&f);
+  setsockopt (f.listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  bb_http_client_send (f.client, bb_bytes_of ("POST"), bb_bytes_of ("/"), NULL,
+                       0, body, &ops, &f);
+  fd = await_request (&f);
+  for (int i = 0; i < 5; i++)
+    {
+      uv_run (f.loop, UV_RUN_NOWAIT);
+      g_usleep (ARRIVAL_US);
+    }
+  g_assert_cmpint ((int)send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
+                   (int)strlen (text));
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+  g_usleep (ARRIVAL_US);
+  run_until_ended (&f, false);
+  g_string_free (f.body, TRUE);
+  close (f.listener);
+}
+
 /* A head that ends in its middle is no response with that status.  */
 static void
 test_ended_head (void)
@@ -193,8 +231,11 @@
 int
 main (int argc, char **argv)
 {
+  /* As in the daemons.  */
+  signal (SIGPIPE, SIG_IGN);
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/net-client/reset-response", test_reset_response);
+  g_test_add_func ("/net-client/reset-in-upload", test_reset_in_upload);
   g_test_add_func ("/net-client/ended-head", test_ended_head);
   return g_test_run ();
 }
