libh1, libnet: a status outside of 100 to 599 is no answer

Callers of an edge got statuses 600 and 999 as answers, callers of an entry 000 too; a 000 without body made callers of an edge wait until the deadline.

Cause: the parsers take any number of up to three digits, and nothing behind them asked whether HTTP has it.

Evidence: before, /edge/faults got 600 in place of 502, /h1-client/status a status 600, /net-client/status a whole answer with 000. Guard status_range, seen red in both clients.

Fix: such a head is malformed, in the reader of libh1 and in the client of libnet, which shuts the connection down: h2o would keep it otherwise, with the body still to come.

--- a/fake/replica/replica.c
+++ b/fake/replica/replica.c
@@ -26,6 +26,8 @@
      other-id  sends another X-Attempt-Id
      unsigned  omits X-Replica-Signature
      fail      responds with 500
+     status:TEXT  has TEXT in the place of status and reason
+     header:LINE  has LINE, of any bytes, among its headers
      trailers  sends the body in chunks, followed by a long trailer
      unframed  omits Content-Length and closes the connection after the body;
                the head of a response to the part "dead" announces no chunks
@@ -437,6 +439,14 @@
     respond (c, "200 OK", attempt_id, "", body);
   else if (has_fault ("fail"))
     respond (c, "500 Failed", attempt_id, signature, "no");
+  else if (g_str_has_prefix (fault, "status:"))
+    respond (c, fault + strlen ("status:"), attempt_id, signature, body);
+  else if (g_str_has_prefix (fault, "header:"))
+    {
+      g_autofree char *headers
+          = g_strconcat (signature, fault + strlen ("header:"), "\r\n", NULL);
+      respond (c, "200 OK", attempt_id, headers, body);
+    }
   else if (has_fault ("unframed"))
     {
       write_text (c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: ");
--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -143,6 +143,9 @@
 struct bb_bytes bb_header_find (const struct bb_header *headers,
                                 uint32_t count, const char *name);
 
+/* Whether HTTP has STATUS: it is in the range of 100 to 599.  */
+bool bb_http_status_is_valid (uint32_t status);
+
 /* Whether header NAME must not be forwarded: it is a hop-by-hop header, or
    Content-Length or Host, which are set anew for each message sent.  */
 bool bb_header_is_hop_by_hop (struct bb_bytes name);
--- a/libh1/reader.c
+++ b/libh1/reader.c
@@ -1,5 +1,6 @@
 /* The message reader: HTTP parsing by http-parser, and byte buffers.  */
 
+#include "bilberry/net.h"
 #include "h1.h"
 
 #include <stdarg.h>
@@ -184,6 +185,15 @@
   return false;
 }
 
+static bool
+is_valid_head (const struct h1_reader *r)
+{
+  if (r->parser.type == HTTP_RESPONSE
+      && !bb_http_status_is_valid (r->parser.status_code))
+    return false;
+  return !has_spaced_name (&r->message);
+}
+
 static int
 on_headers (http_parser *p)
 {
@@ -191,7 +201,7 @@
 
   h1_buffer_append (&r->head, "", 0);
   fill_message (r);
-  if (has_spaced_name (&r->message))
+  if (!is_valid_head (r))
     return -1;
   r->head_complete = true;
   r->message.framed = is_framed (p);
--- a/libnet/header.c
+++ b/libnet/header.c
@@ -1,10 +1,25 @@
-/* Lookup and classification of HTTP headers.  */
+/* Lookup and classification of HTTP headers, and the range of statuses.  */
 
 #include "bilberry/net.h"
 
 #include <string.h>
 #include <strings.h>
 
+enum
+{
+  STATUS_MIN = 100,
+  STATUS_MAX = 599
+};
+
+bool
+bb_http_status_is_valid (uint32_t status)
+{
+#ifdef BB_MUTANT_status_range
+  return true;
+#endif
+  return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 struct bb_bytes
 bb_header_find (const struct bb_header *headers, uint32_t count,
                 const char *name)
--- a/libnet/http_client.c
+++ b/libnet/http_client.c
@@ -6,6 +6,7 @@
 #include <h2o.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 enum
 {
@@ -101,6 +102,16 @@
   return n;
 }
 
+/* Ends C because of a malformed head, with the text ERROR.  The connection is
+   shut down, so that the pool of h2o does not use it again: the body that
+   follows may be of any size.  */
+static void
+reject_head (struct bb_http_call *c, const char *error)
+{
+  shutdown (h2o_socket_get_fd (c->client->sock), SHUT_RDWR);
+  end_call (c, error, BB_RUN_MAYBE_RUN);
+}
+
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *client, const char *error, int minor, int status,
          h2o_iovec_t msg, h2o_header_t *headers, size_t count, int rlen)
@@ -117,6 +128,11 @@
       end_call (c, error, BB_RUN_MAYBE_RUN);
       return NULL;
     }
+  if (status < 0 || !bb_http_status_is_valid ((uint32_t)status))
+    {
+      reject_head (c, "the status is not one of HTTP");
+      return NULL;
+    }
   n = copy_headers (copy, headers, count);
   c->chunked = bb_header_find (copy, n, "transfer-encoding").size > 0;
   c->ends_by_close
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -94,11 +94,19 @@
 test_faults (void)
 {
   static const struct fault_case cases[] = {
-    { "reset", 502, 1, true },    { "cut", 502, 1, true },
-    { "garbage", 502, 1, true },  { "other-id", 502, 1, true },
-    { "unsigned", 502, 1, true }, { "not-run", 503, 0, true },
-    { "fail", 500, 1, true },     { "silent", 504, 1, true },
-    { "unframed", 200, 1, true }, { "extra", 200, 1, true },
+    { "reset", 502, 1, true },
+    { "cut", 502, 1, true },
+    { "garbage", 502, 1, true },
+    { "other-id", 502, 1, true },
+    { "unsigned", 502, 1, true },
+    { "not-run", 503, 0, true },
+    { "fail", 500, 1, true },
+    { "silent", 504, 1, true },
+    { "unframed", 200, 1, true },
+    { "extra", 200, 1, true },
+    { "status:000 None", 502, 1, true },
+    { "status:600 Odd", 502, 1, true },
+    { "status:999 Odd", 502, 1, true },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/test/test_h1_client.c
+++ b/test/test_h1_client.c
@@ -596,6 +596,67 @@
     play_end_in_upload (&cases[i]);
 }
 
+struct head_case
+{
+  const char *head; /* whole, or its first lines */
+  uint16_t status;  /* that the call gets; 0: the head is malformed */
+};
+
+/* Plays a response with the head of C, and with a body of two bytes unless
+   that head is whole.  The upstream keeps the connection.  */
+static void
+play_head (const struct head_case *c)
+{
+  static struct fixture f;
+  const char *rest = g_str_has_suffix (c->head, "\r\n\r\n")
+                         ? ""
+                         : "Content-Length: 2\r\n\r\nok";
+  g_autofree char *text = g_strconcat (c->head, rest, NULL);
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+  int fd;
+
+  g_test_message ("%s", c->head);
+  set_up (&f);
+  start_call (&f);
+  fd = accept_next (&f);
+  g_assert_true (gets_request (&f, fd));
+  send_text (fd, text);
+  while (!f.ended && g_get_monotonic_time () < end)
+    uv_run (&f.loop, UV_RUN_NOWAIT);
+  g_assert_true (f.ended);
+  g_assert_cmpuint (f.status, ==, c->status);
+  g_assert_cmpstr (bb_h1_result_name (f.result), ==,
+                   c->status > 0 ? "whole" : "malformed");
+  g_assert_cmpstr (f.body->str, ==, c->status > 0 ? "ok" : "");
+  close (fd);
+  tear_down (&f);
+}
+
+/* A status that HTTP does not have is no answer.  */
+static void
+test_status (void)
+{
+  static const struct head_case cases[] = {
+    { "HTTP/1.1 200 OK\r\n", 200 },
+    { "HTTP/1.1 599 Odd\r\n", 599 },
+    { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", 200 },
+    { "HTTP/1.1 000 None\r\n", 0 },
+    { "HTTP/1.1 000\r\n", 0 },
+    { "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", 0 },
+    { "HTTP/1.1 2 OK\r\n", 0 },
+    { "HTTP/1.1 20 OK\r\n", 0 },
+    { "HTTP/1.1 099 Low\r\n", 0 },
+    { "HTTP/1.1 600 High\r\n", 0 },
+    { "HTTP/1.1 999 High\r\n", 0 },
+    { "HTTP/1.1 1000 High\r\n", 0 },
+    { "HTTP/1.1 -200 OK\r\n", 0 },
+    { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 None\r\n", 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    play_head (&cases[i]);
+}
+
 /* A call that takes the connection at the end of another one is sent, also
    where the last read of that one filled the client's buffer.  */
 static void
@@ -636,6 +697,7 @@
   g_test_add_func ("/h1-client/reset-with-last-bytes",
                    test_reset_with_last_bytes);
   g_test_add_func ("/h1-client/reset-in-upload", test_reset_in_upload);
+  g_test_add_func ("/h1-client/status", test_status);
   g_test_add_func ("/h1-client/closed-idle", test_closed_idle);
   g_test_add_func ("/h1-client/reset-idle", test_reset_idle);
   g_test_add_func ("/h1-client/closed-before-send", test_closed_before_send);
--- a/test/test_net_client.c
+++ b/test/test_net_client.c
@@ -28,6 +28,7 @@
   bool ended;
   bool whole;
   bool has_head;
+  uint16_t status; /* of the head */
   GString *body;
 };
 
@@ -40,7 +41,7 @@
   (void)headers;
   (void)count;
   f->has_head = true;
-  g_assert_cmpuint (status, ==, 200);
+  f->status = status;
 }
 
 static void
@@ -145,6 +146,8 @@
   close (fd);
   g_usleep (ARRIVAL_US);
   run_until_ended (f, wanted);
+  if (f->has_head)
+    g_assert_cmpuint (f->status, ==, 200);
   g_assert_true (g_str_has_prefix ("part", f->body->str));
 }
 
@@ -228,6 +231,69 @@
   close (f.listener);
 }
 
+struct head_case
+{
+  const char *head; /* the first line, or the first lines */
+  uint16_t status;  /* that the call gets; 0: none, the head is malformed */
+};
+
+/* The upstream sends a response with the head of C and keeps the connection,
+   which serves another call only if that head is sound.  */
+static void
+play_head (struct fixture *f, const struct head_case *c)
+{
+  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
+  g_autofree char *text
+      = g_strconcat (c->head, "Content-Length: 2\r\n\r\nok", NULL);
+  char byte;
+  int fd;
+
+  g_test_message ("%s", c->head);
+  f->ended = false;
+  f->has_head = false;
+  g_string_truncate (f->body, 0);
+  bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"), NULL,
+                       0, bb_bytes_of (""), &ops, f);
+  fd = await_request (f);
+  g_assert_cmpint ((int)send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
+                   (int)strlen (text));
+  run_until_ended (f, c->status > 0);
+  g_assert_cmpint (f->has_head, ==, c->status > 0);
+  g_assert_cmpstr (f->body->str, ==, c->status > 0 ? "ok" : "");
+  if (c->status > 0)
+    g_assert_cmpuint (f->status, ==, c->status);
+  else
+    g_assert_cmpint ((int)recv (fd, &byte, 1, 0), ==, 0);
+  close (fd);
+  g_usleep (ARRIVAL_US);
+}
+
+/* A status that HTTP does not have is no answer.  */
+static void
+test_status (void)
+{
+  static const struct head_case cases[] = {
+    { "HTTP/1.1 200 OK\r\n", 200 },
+    { "HTTP/1.1 599 Odd\r\n", 599 },
+    { "HTTP/1.1 000 None\r\n", 0 },
+    { "HTTP/1.1 000\r\n", 0 },
+    { "HTTP/1.1 20 OK\r\n", 0 },
+    { "HTTP/1.1 099 Low\r\n", 0 },
+    { "HTTP/1.1 600 High\r\n", 0 },
+    { "HTTP/1.1 999 High\r\n", 0 },
+    { "HTTP/1.1 1000 High\r\n", 0 },
+    { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 None\r\n", 0 },
+    { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", 200 },
+  };
+  static struct fixture f;
+
+  set_up (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    play_head (&f, &cases[i]);
+  g_string_free (f.body, TRUE);
+  close (f.listener);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -236,6 +302,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/net-client/reset-response", test_reset_response);
   g_test_add_func ("/net-client/reset-in-upload", test_reset_in_upload);
+  g_test_add_func ("/net-client/status", test_status);
   g_test_add_func ("/net-client/ended-head", test_ended_head);
   return g_test_run ();
 }
