libnet: a folded header value is one value

Callers of an entry got each further line of a folded value as a header with an empty name.

Cause: the parser of h2o hands such lines on without a name, and copy_headers copied them so.

Evidence: /net-client/folded-value failed before ("x=1", "= Y: 2"); guard net_folded, seen red.

Fix: the line is joined to the value before it.

--- a/libnet/http_client.c
+++ b/libnet/http_client.c
@@ -86,6 +86,19 @@
   return 0;
 }
 
+/* Extends the value of H by LINE, on which it is continued in the same buffer.
+   The end of the line before becomes spaces.  */
+static void
+append_folded_line (struct bb_header *h, h2o_iovec_t line)
+{
+  char *end = (char *)h->value.ptr + h->value.size;
+
+  memset (end, ' ', (size_t)(line.base - end));
+  h->value.size = (uint32_t)(line.base + line.len - h->value.ptr);
+}
+
+/* A header without a name, which is never the first, is a line on which the
+   value of the header before it is continued.  */
 static uint32_t
 copy_headers (struct bb_header *out, const h2o_header_t *in, size_t count)
 {
@@ -93,6 +106,13 @@
 
   for (size_t i = 0; i < count && n < HEADERS_MAX; i++)
     {
+#ifndef BB_MUTANT_net_folded
+      if (in[i].name->len == 0 && n > 0)
+        {
+          append_folded_line (&out[n - 1], in[i].value);
+          continue;
+        }
+#endif
       out[n].name.ptr = in[i].name->base;
       out[n].name.size = (uint32_t)in[i].name->len;
       out[n].value.ptr = in[i].value.base;
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -107,6 +107,10 @@
     { "status:000 None", 502, 1, true },
     { "status:600 Odd", 502, 1, true },
     { "status:999 Odd", 502, 1, true },
+    { "header:X Odd: 1", 502, 1, true },
+    { "header:X-Odd : 1", 502, 1, true },
+    { "header:X-Odd\x01: 1", 502, 1, true },
+    { "header:Content-Length\x0b: 3", 502, 1, true },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/test/test_h1_client.c
+++ b/test/test_h1_client.c
@@ -611,11 +611,12 @@
   const char *rest = g_str_has_suffix (c->head, "\r\n\r\n")
                          ? ""
                          : "Content-Length: 2\r\n\r\nok";
+  g_autofree char *shown = g_strescape (c->head, NULL);
   g_autofree char *text = g_strconcat (c->head, rest, NULL);
   gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
   int fd;
 
-  g_test_message ("%s", c->head);
+  g_test_message ("%s", shown);
   set_up (&f);
   start_call (&f);
   fd = accept_next (&f);
@@ -657,6 +658,39 @@
     play_head (&cases[i]);
 }
 
+/* Nor is one in whose head a header name is not a token of HTTP.  */
+static void
+test_header_name (void)
+{
+  static const struct head_case cases[] = {
+    { "HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9a: 1\r\n", 200 },
+    { "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n", 200 }, /* a folded value */
+    { "HTTP/1.1 200 OK\r\nX Y: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\tY: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX : 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\t: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\n X: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\n\tX: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\x01: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\x0b: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\r: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\n: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\x7f: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\xa0: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX(Y: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\"Y: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\n: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nContent-Length\x01: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding\x0c: chunked\r\n", 0 },
+    { "HTTP/1.1 102 Processing\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n", 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    play_head (&cases[i]);
+}
+
 /* A call that takes the connection at the end of another one is sent, also
    where the last read of that one filled the client's buffer.  */
 static void
@@ -698,6 +732,7 @@
                    test_reset_with_last_bytes);
   g_test_add_func ("/h1-client/reset-in-upload", test_reset_in_upload);
   g_test_add_func ("/h1-client/status", test_status);
+  g_test_add_func ("/h1-client/header-name", test_header_name);
   g_test_add_func ("/h1-client/closed-idle", test_closed_idle);
   g_test_add_func ("/h1-client/reset-idle", test_reset_idle);
   g_test_add_func ("/h1-client/closed-before-send", test_closed_before_send);
--- a/test/test_net_client.c
+++ b/test/test_net_client.c
@@ -28,7 +28,8 @@
   bool ended;
   bool whole;
   bool has_head;
-  uint16_t status; /* of the head */
+  uint16_t status;  /* of the head */
+  GString *headers; /* NAME=VALUE, a line each */
   GString *body;
 };
 
@@ -38,8 +39,11 @@
 {
   struct fixture *f = bb_http_call_user (c);
 
-  (void)headers;
-  (void)count;
+  g_string_truncate (f->headers, 0);
+  for (uint32_t i = 0; i < count; i++)
+    g_string_append_printf (f->headers, "%.*s=%.*s\n",
+                            (int)headers[i].name.size, headers[i].name.ptr,
+                            (int)headers[i].value.size, headers[i].value.ptr);
   f->has_head = true;
   f->status = status;
 }
@@ -80,6 +84,15 @@
   f->loop = uv_default_loop ();
   f->client = bb_http_client_new (f->loop, &addr, "a", IO_TIMEOUT_MS);
   f->body = g_string_new ("");
+  f->headers = g_string_new ("");
+}
+
+static void
+tear_down (struct fixture *f)
+{
+  g_string_free (f->headers, TRUE);
+  g_string_free (f->body, TRUE);
+  close (f->listener);
 }
 
 /* Runs the loop until FD, or a new connection where it is -1, can be read.
@@ -174,8 +187,7 @@
       play_end (&f, chunks, false, later, false);
       play_end (&f, chunks, true, later, false);
     }
-  g_string_free (f.body, TRUE);
-  close (f.listener);
+  tear_down (&f);
 }
 
 /* Nor is one complete that is reset while the request is being written.  */
@@ -208,8 +220,7 @@
   close (fd);
   g_usleep (ARRIVAL_US);
   run_until_ended (&f, false);
-  g_string_free (f.body, TRUE);
-  close (f.listener);
+  tear_down (&f);
 }
 
 /* A head that ends in its middle is no response with that status.  */
@@ -227,8 +238,7 @@
       play_end (&f, heads[i / 4], i % 2, i / 2 % 2, false);
       g_assert_false (f.has_head);
     }
-  g_string_free (f.body, TRUE);
-  close (f.listener);
+  tear_down (&f);
 }
 
 struct head_case
@@ -243,12 +253,13 @@
 play_head (struct fixture *f, const struct head_case *c)
 {
   static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
+  g_autofree char *shown = g_strescape (c->head, NULL);
   g_autofree char *text
       = g_strconcat (c->head, "Content-Length: 2\r\n\r\nok", NULL);
   char byte;
   int fd;
 
-  g_test_message ("%s", c->head);
+  g_test_message ("%s", shown);
   f->ended = false;
   f->has_head = false;
   g_string_truncate (f->body, 0);
@@ -290,8 +301,54 @@
   set_up (&f);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     play_head (&f, &cases[i]);
-  g_string_free (f.body, TRUE);
-  close (f.listener);
+  tear_down (&f);
+}
+
+/* Nor is one in whose head a header name is not a token of HTTP, or empty.  */
+static void
+test_header_name (void)
+{
+  static const struct head_case cases[] = {
+    { "HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9a: 1\r\n", 200 },
+    { "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n", 200 }, /* a folded value */
+    { "HTTP/1.1 200 OK\r\nX Y: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\tY: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX : 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\n X: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\n\tX: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\x01: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\x0b: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\r: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\x7f: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\xa0: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX(Y: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\n: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nContent-Length\x01: 1\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding\x0c: chunked\r\n", 0 },
+  };
+  static struct fixture f;
+
+  set_up (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    play_head (&f, &cases[i]);
+  tear_down (&f);
+}
+
+/* A value that is folded over lines is one value: no line of it is passed on
+   as a header without a name.  */
+static void
+test_folded_value (void)
+{
+  static const struct head_case fold
+      = { "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n\tZ\r\nW: 3\r\n", 200 };
+  static struct fixture f;
+
+  set_up (&f);
+  play_head (&f, &fold);
+  g_assert_cmpstr (f.headers->str, ==,
+                   "x=1   Y: 2  \tZ\nw=3\ncontent-length=2\n");
+  tear_down (&f);
 }
 
 int
@@ -303,6 +360,8 @@
   g_test_add_func ("/net-client/reset-response", test_reset_response);
   g_test_add_func ("/net-client/reset-in-upload", test_reset_in_upload);
   g_test_add_func ("/net-client/status", test_status);
+  g_test_add_func ("/net-client/header-name", test_header_name);
+  g_test_add_func ("/net-client/folded-value", test_folded_value);
   g_test_add_func ("/net-client/ended-head", test_ended_head);
   return g_test_run ();
 }
