libnet: the head and the body of a response have limits

A fetch left out what did not fit and called the rest complete.

Cause: the client of h2o has no limit on a head and reports nothing before it is complete; libnet had none on a body.

Fix: after each poll of the loop, calls whose unfinished head is longer than 80 kB end with an error, as in libh1; so do bodies beyond 32 MB or what the caller sets, which is no limit for event streams. The probe, the fetches of settings and VMs, and `bilberry stat` have limits of their own.

Whether a response is an event stream was decided in two places; libnet has it now, for the agent too.

--- a/cmd/agent/call_run.c
+++ b/cmd/agent/call_run.c
@@ -102,6 +102,8 @@
   struct bb_head m = { .id = c->id, .status = status };
 
   c->agent->responded_since_crash = true;
+  if (bb_headers_are_of_events (headers, headers_count))
+    bb_http_call_limit_body (h, BB_HTTP_BODY_ANY);
 #ifndef BB_MUTANT_headers_fit
   c->headers_too_large = !headers_fit (headers, headers_count);
 #endif
--- a/cmd/agent/probe.c
+++ b/cmd/agent/probe.c
@@ -43,8 +43,6 @@
 {
   struct probe *p = bb_http_call_user (c);
 
-  if (p->size + piece.size > RESPONSE_MAX_BYTES)
-    return;
   p->response = realloc (p->response, p->size + piece.size + 1);
   if (!p->response)
     abort ();
@@ -105,13 +103,15 @@
   const struct bb_daemon *d = p->agent->daemon;
   const struct bb_upstream_settings *u
       = bb_settings_upstream (d->settings, d->name);
+  struct bb_http_call *call;
 
   if (p->running || !u || !u->probe || !*u->probe)
     return;
   p->running = true;
-  bb_http_client_send (p->agent->client, bb_bytes_of ("GET"),
-                       bb_bytes_of (u->probe), NULL, 0, bb_bytes_of (NULL),
-                       &probe_ops, p);
+  call = bb_http_client_send (p->agent->client, bb_bytes_of ("GET"),
+                              bb_bytes_of (u->probe), NULL, 0,
+                              bb_bytes_of (NULL), &probe_ops, p);
+  bb_http_call_limit_body (call, RESPONSE_MAX_BYTES);
 }
 
 void
--- a/cmd/bilberry/stat.c
+++ b/cmd/bilberry/stat.c
@@ -11,7 +11,8 @@
 
 enum
 {
-  TIMEOUT_MS = 5000
+  TIMEOUT_MS = 5000,
+  RESPONSE_MAX_BYTES = 64 * 1024 * 1024
 };
 
 /* The response to the request.  */
@@ -51,8 +52,8 @@
       return false;
     }
   client = bb_http_client_new (uv_default_loop (), &addr, address, TIMEOUT_MS);
-  bb_http_fetch (client, "GET", "/status", bb_bytes_of (NULL), UINT32_MAX,
-                 on_response, f);
+  bb_http_fetch (client, "GET", "/status", bb_bytes_of (NULL),
+                 RESPONSE_MAX_BYTES, on_response, f);
   uv_run (uv_default_loop (), UV_RUN_DEFAULT);
   if (f->status == 200 && !*f->error)
     return true;
--- a/cmd/edge/response.c
+++ b/cmd/edge/response.c
@@ -58,17 +58,6 @@
     }
 }
 
-static bool
-is_typed_as_events (const struct bb_h1_message *head)
-{
-  static const char type[] = "text/event-stream";
-  struct bb_bytes v
-      = bb_header_find (head->headers, head->headers_count, "content-type");
-
-  return v.size >= strlen (type)
-         && strncasecmp (v.ptr, type, strlen (type)) == 0;
-}
-
 static bool
 is_success (uint16_t status)
 {
@@ -118,7 +107,8 @@
       abandon_try (r, BB_OUTCOME_LOST, "an answer without proof");
       return;
     }
-  typed_as_events = is_typed_as_events (head);
+  typed_as_events
+      = bb_headers_are_of_events (head->headers, head->headers_count);
   r->continues = r->response_started;
 #ifndef BB_MUTANT_resume_typed
   if (r->continues && r->typed_as_events && !typed_as_events)
--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -143,6 +143,10 @@
 struct bb_bytes bb_header_find (const struct bb_header *headers,
                                 uint32_t count, const char *name);
 
+/* Whether Content-Type among the COUNT HEADERS is that of an event stream.  */
+bool bb_headers_are_of_events (const struct bb_header *headers,
+                               uint32_t count);
+
 /* Whether HTTP has STATUS: it is in the range of 100 to 599.  */
 bool bb_http_status_is_valid (uint32_t status);
 
@@ -156,6 +160,8 @@
 /* One request to the server and its response.  */
 struct bb_http_call;
 
+#define BB_HTTP_BODY_ANY UINT64_MAX
+
 /* Callbacks of a call.  Headers and data are valid during the callback.  */
 struct bb_http_call_ops
 {
@@ -180,13 +186,19 @@
                                            bb_ms io_timeout_ms);
 
 /* Sends a request, whose parts are copied.  Hop-by-hop HEADERS are left out,
-   and Host and Content-Length are added.  */
+   and Host and Content-Length are added.  The call ends with an error where
+   the head of the response is longer than 80 kB, or the body than 32 MB or
+   what bb_http_call_limit_body has set.  */
 struct bb_http_call *
 bb_http_client_send (struct bb_http_client *client, struct bb_bytes method,
                      struct bb_bytes path, const struct bb_header *headers,
                      uint32_t headers_count, struct bb_bytes body,
                      const struct bb_http_call_ops *ops, void *user);
 
+/* Sets the longest body of the response of C; BB_HTTP_BODY_ANY: any length.
+   May be called until the head has been passed to on_head.  */
+void bb_http_call_limit_body (struct bb_http_call *c, uint64_t max_bytes);
+
 /* Ends the call and closes its connection, without a callback.  C is
    freed.  */
 void bb_http_call_cancel (struct bb_http_call *c);
@@ -199,8 +211,8 @@
                                struct bb_bytes body, void *user);
 
 /* Sends a request without headers and collects the response; FN is called once
-   at its end.  Pieces of the response's body that would make it longer than
-   BODY_MAX_BYTES, at most 4 GB, are left out.  */
+   at its end.  A body longer than BODY_MAX_BYTES, at most 4 GB, ends it with
+   an error.  */
 void bb_http_fetch (struct bb_http_client *client, const char *method,
                     const char *path, struct bb_bytes body,
                     size_t body_max_bytes, bb_http_fetch_fn *fn, void *user);
--- a/libdaemon/service.c
+++ b/libdaemon/service.c
@@ -16,6 +16,7 @@
 {
   POLL_MS = 100, /* period of the check whether a request is due */
   IO_TIMEOUT_MS = 20000,
+  RESPONSE_MAX_BYTES = 64 * 1024 * 1024,
   /* Wait after a failure or a stale response, to which a random time of up to
      the same length is added.  */
   RETRY_MS = 1000,
@@ -264,7 +265,8 @@
 
   s->state = state;
   bb_counter ("bilberry_service_calls_total", "")->value++;
-  bb_http_fetch (s->client, "GET", path, no_body, UINT32_MAX, on_response, s);
+  bb_http_fetch (s->client, "GET", path, no_body, RESPONSE_MAX_BYTES,
+                 on_response, s);
 }
 
 static void
--- a/libdaemon/vms.c
+++ b/libdaemon/vms.c
@@ -9,7 +9,8 @@
 enum
 {
   POLL_MS = 5000,
-  IO_TIMEOUT_MS = 4000
+  IO_TIMEOUT_MS = 4000,
+  RESPONSE_MAX_BYTES = 64 * 1024 * 1024
 };
 
 struct vms
@@ -68,8 +69,8 @@
     return;
   v->request_pending = true;
   bb_counter ("bilberry_vms_calls_total", "")->value++;
-  bb_http_fetch (v->client, "GET", "/v1/vms", no_body, UINT32_MAX, on_response,
-                 v);
+  bb_http_fetch (v->client, "GET", "/v1/vms", no_body, RESPONSE_MAX_BYTES,
+                 on_response, v);
 }
 
 bool
--- a/libnet/header.c
+++ b/libnet/header.c
@@ -34,6 +34,16 @@
   return none;
 }
 
+bool
+bb_headers_are_of_events (const struct bb_header *headers, uint32_t count)
+{
+  static const char type[] = "text/event-stream";
+  struct bb_bytes v = bb_header_find (headers, count, "content-type");
+
+  return v.size >= strlen (type)
+         && strncasecmp (v.ptr, type, strlen (type)) == 0;
+}
+
 bool
 bb_header_is_hop_by_hop (struct bb_bytes name)
 {
--- a/libnet/http_client.c
+++ b/libnet/http_client.c
@@ -7,10 +7,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <utlist.h>
 
 enum
 {
   HEADERS_MAX = 64,
+  HEAD_MAX_BYTES = 80 * 1024,
+  BODY_MAX_BYTES = 32 * 1024 * 1024,
   POOL_CONNECTIONS_MAX = 256,
   POOL_IDLE_TIMEOUT_MS = 10000
 };
@@ -21,10 +24,13 @@
   h2o_timeout_t io_timeout;
   h2o_socketpool_t pool;
   char host[64];
+  struct bb_http_call *headless_calls; /* whose head has not arrived */
+  uv_check_t head_check;               /* active while there are such calls */
 };
 
 struct bb_http_call
 {
+  struct bb_http_client *owner;
   h2o_http1client_t *client;
   const struct bb_http_call_ops *ops;
   void *user;
@@ -34,11 +40,26 @@
   bool is_head_request;
   bool chunked;       /* the response body has chunked encoding */
   bool ends_by_close; /* the end of the connection ends the response body */
+  bool has_head;
+  uint64_t body_bytes; /* received */
+  uint64_t body_max_bytes;
+  struct bb_http_call *prev; /* in headless_calls */
+  struct bb_http_call *next;
 };
 
+static void
+note_head (struct bb_http_call *c)
+{
+  if (c->has_head)
+    return;
+  c->has_head = true;
+  DL_DELETE (c->owner->headless_calls, c);
+}
+
 static void
 free_call (struct bb_http_call *c)
 {
+  note_head (c);
   free (c->request);
   free (c);
 }
@@ -62,6 +83,57 @@
   return c->chunked && client->sock->bytes_read == 0;
 }
 
+/* Ends C, which has received a response that it does not take, with the text
+   ERROR.  The connection is shut down, so that the pool of h2o does not use it
+   again: more of that response may follow.  */
+static void
+reject_response (struct bb_http_call *c, const char *error)
+{
+  shutdown (h2o_socket_get_fd (c->client->sock), SHUT_RDWR);
+  end_call (c, error, BB_RUN_MAYBE_RUN);
+}
+
+/* Whether the response of C has a head that is too large.  The client of h2o
+   has no limit.  */
+static bool
+has_large_head (const struct bb_http_call *c)
+{
+#ifdef BB_MUTANT_net_head_max
+  return false;
+#endif
+  return c->client && c->client->sock
+         && c->client->sock->input->size > HEAD_MAX_BYTES;
+}
+
+static struct bb_http_call *
+find_large_head (const struct bb_http_client *client)
+{
+  struct bb_http_call *c;
+
+  DL_FOREACH (client->headless_calls, c)
+  {
+    if (has_large_head (c))
+      return c;
+  }
+  return NULL;
+}
+
+/* Called after each poll of the loop.  */
+static void
+on_head_check (uv_check_t *check)
+{
+  struct bb_http_client *client = check->data;
+  struct bb_http_call *c;
+
+  while ((c = find_large_head (client)))
+    {
+      h2o_http1client_cancel (c->client);
+      end_call (c, "the head is too large", BB_RUN_MAYBE_RUN);
+    }
+  if (!client->headless_calls)
+    uv_check_stop (check);
+}
+
 static int
 on_body (h2o_http1client_t *client, const char *error)
 {
@@ -74,6 +146,14 @@
       end_call (c, error, BB_RUN_MAYBE_RUN);
       return -1;
     }
+  c->body_bytes += data.size;
+#ifndef BB_MUTANT_net_body_max
+  if (c->body_bytes > c->body_max_bytes)
+    {
+      reject_response (c, "the body is too large");
+      return -1;
+    }
+#endif
   if (data.size > 0)
     {
       c->ops->on_data (c, data);
@@ -122,16 +202,6 @@
   return n;
 }
 
-/* Ends C because of a malformed head, with the text ERROR.  The connection is
-   shut down, so that the pool of h2o does not use it again: the body that
-   follows may be of any size.  */
-static void
-reject_head (struct bb_http_call *c, const char *error)
-{
-  shutdown (h2o_socket_get_fd (c->client->sock), SHUT_RDWR);
-  end_call (c, error, BB_RUN_MAYBE_RUN);
-}
-
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *client, const char *error, int minor, int status,
          h2o_iovec_t msg, h2o_header_t *headers, size_t count, int rlen)
@@ -150,9 +220,10 @@
     }
   if (status < 0 || !bb_http_status_is_valid ((uint32_t)status))
     {
-      reject_head (c, "the status is not one of HTTP");
+      reject_response (c, "the status is not one of HTTP");
       return NULL;
     }
+  note_head (c);
   n = copy_headers (copy, headers, count);
   c->chunked = bb_header_find (copy, n, "transfer-encoding").size > 0;
   c->ends_by_close
@@ -197,6 +268,9 @@
   h2o_socketpool_init_by_address (&client->pool, (struct sockaddr *)addr, size,
                                   0, POOL_CONNECTIONS_MAX);
   h2o_socketpool_set_timeout (&client->pool, loop, POOL_IDLE_TIMEOUT_MS);
+  uv_check_init (loop, &client->head_check);
+  uv_unref ((uv_handle_t *)&client->head_check);
+  client->head_check.data = client;
   return client;
 }
 
@@ -231,15 +305,25 @@
 {
   struct bb_http_call *c = calloc (1, sizeof *c);
 
+  c->owner = client;
   c->ops = ops;
   c->user = user;
+  c->body_max_bytes = BODY_MAX_BYTES;
   c->is_head_request = bb_bytes_equal (method, "HEAD");
   format_request (c, client->host, method, path, headers, headers_count, body);
+  DL_APPEND (client->headless_calls, c);
+  uv_check_start (&client->head_check, on_head_check);
   h2o_http1client_connect_with_pool (&c->client, c, &client->ctx,
                                      &client->pool, on_connect);
   return c;
 }
 
+void
+bb_http_call_limit_body (struct bb_http_call *c, uint64_t max_bytes)
+{
+  c->body_max_bytes = max_bytes;
+}
+
 void
 bb_http_call_cancel (struct bb_http_call *c)
 {
--- a/libnet/http_fetch.c
+++ b/libnet/http_fetch.c
@@ -8,7 +8,6 @@
 {
   uint16_t status;
   GString *body;
-  size_t body_max_bytes;
   bb_http_fetch_fn *fn;
   void *user;
 };
@@ -29,8 +28,7 @@
 {
   struct fetch *f = bb_http_call_user (c);
 
-  if (piece.size <= f->body_max_bytes - f->body->len)
-    g_string_append_len (f->body, piece.ptr, piece.size);
+  g_string_append_len (f->body, piece.ptr, piece.size);
 }
 
 static void
@@ -54,11 +52,12 @@
   static const struct bb_http_call_ops ops
       = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
   struct fetch *f = g_new0 (struct fetch, 1);
+  struct bb_http_call *c;
 
   f->body = g_string_new ("");
-  f->body_max_bytes = body_max_bytes;
   f->fn = fn;
   f->user = user;
-  bb_http_client_send (client, bb_bytes_of (method), bb_bytes_of (path), NULL,
-                       0, body, &ops, f);
+  c = bb_http_client_send (client, bb_bytes_of (method), bb_bytes_of (path),
+                           NULL, 0, body, &ops, f);
+  bb_http_call_limit_body (c, body_max_bytes);
 }
--- a/test/test_net_client.c
+++ b/test/test_net_client.c
@@ -17,7 +17,10 @@
   ARRIVAL_US = 20000, /* time for all that was sent to arrive */
   UPLOAD_BYTES = 4 * 1024 * 1024,
   RECEIVE_BUFFER_BYTES = 16 * 1024, /* of an upstream that reads no upload */
-  PART_BYTES = 40000
+  PART_BYTES = 40000,
+  BODY_MAX_BYTES = 1024 * 1024,
+  FILLER_BYTES = 64 * 1024,
+  ENDLESS_BYTES = 16 * 1024 * 1024 /* more than any limit */
 };
 
 struct fixture
@@ -351,6 +354,116 @@
   tear_down (&f);
 }
 
+/* Sends START and then 'x' without end, or SIZE bytes of them, as a response
+   whose body may have BODY_MAX_BYTES.  Returns how the call has ended.  */
+static bool
+play_long (struct fixture *f, const char *start, size_t size)
+{
+  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
+  g_autofree char *filler = g_strnfill (FILLER_BYTES, 'x');
+  gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
+  struct bb_http_call *c;
+  size_t sent = 0;
+  int fd;
+
+  g_test_message ("%s, %zu bytes", start, size);
+  f->ended = false;
+  f->has_head = false;
+  g_string_truncate (f->body, 0);
+  c = bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"),
+                           NULL, 0, bb_bytes_of (""), &ops, f);
+  bb_http_call_limit_body (c, BODY_MAX_BYTES);
+  fd = await_request (f);
+  g_assert_cmpint ((int)send (fd, start, strlen (start), MSG_NOSIGNAL), ==,
+                   (int)strlen (start));
+  while (!f->ended && sent < size && g_get_monotonic_time () < end)
+    {
+      ssize_t n = send (fd, filler, MIN (size - sent, FILLER_BYTES),
+                        MSG_NOSIGNAL | MSG_DONTWAIT);
+      sent += n > 0 ? (size_t)n : 0;
+      uv_run (f->loop, UV_RUN_NOWAIT);
+    }
+  close (fd);
+  while (!f->ended && g_get_monotonic_time () < end)
+    uv_run (f->loop, UV_RUN_NOWAIT);
+  g_assert_true (f->ended);
+  g_assert_cmpuint (f->body->len, <=, BODY_MAX_BYTES);
+  /* What is without end is not read for long.  */
+  g_assert_cmpuint (sent, <, ENDLESS_BYTES);
+  return f->whole;
+}
+
+/* A response without end, in its head or its body, ends its call before much
+   of it is kept; one that is as long as allowed is whole.  */
+static void
+test_long (void)
+{
+  static const char chunks[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                               "chunked\r\n\r\nfffffff\r\n";
+  static const char length[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n";
+  static struct fixture f;
+
+  set_up (&f);
+  g_assert_false (play_long (&f, "HTTP/1.1 200 ", ENDLESS_BYTES));
+  g_assert_false (f.has_head);
+  g_assert_false (play_long (&f, "HTTP/1.1 200 OK\r\nX: ", ENDLESS_BYTES));
+  g_assert_false (f.has_head);
+  g_assert_false (play_long (&f, chunks, ENDLESS_BYTES));
+  g_assert_false (play_long (&f, length, ENDLESS_BYTES));
+  g_assert_false (
+      play_long (&f, "HTTP/1.1 200 OK\r\n\r\n", BODY_MAX_BYTES + 1));
+  g_assert_true (play_long (&f, "HTTP/1.1 200 OK\r\n\r\n", BODY_MAX_BYTES));
+  g_assert_cmpuint (f.body->len, ==, BODY_MAX_BYTES);
+  tear_down (&f);
+}
+
+static void
+on_fetched (const char *error, uint16_t status, struct bb_bytes body,
+            void *user)
+{
+  struct fixture *f = user;
+
+  f->ended = true;
+  f->whole = error == NULL;
+  f->status = status;
+  g_string_append_len (f->body, body.ptr, body.size);
+}
+
+/* A body that is longer than a fetch takes is an error, not one with parts
+   left out.  */
+static void
+test_fetch (void)
+{
+  static const char text[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabcdefgh";
+  static struct fixture f;
+  int fd;
+
+  set_up (&f);
+  for (size_t max = 7; max <= 8; max++)
+    {
+      f.ended = false;
+      g_string_truncate (f.body, 0);
+      bb_http_fetch (f.client, "GET", "/", bb_bytes_of (""), max, on_fetched,
+                     &f);
+      fd = await_request (&f);
+      /* In two parts, of which the second fits alone.  */
+      g_assert_cmpint ((int)send (fd, text, sizeof text - 2, MSG_NOSIGNAL), >,
+                       0);
+      for (int i = 0; i < 5; i++)
+        {
+          uv_run (f.loop, UV_RUN_NOWAIT);
+          g_usleep (ARRIVAL_US / 5);
+        }
+      send (fd, text + sizeof text - 2, 1, MSG_NOSIGNAL);
+      run_until_ended (&f, max == 8);
+      g_assert_cmpstr (f.body->str, ==, max == 8 ? "abcdefgh" : "abcdefg");
+      close (fd);
+    }
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -362,6 +475,8 @@
   g_test_add_func ("/net-client/status", test_status);
   g_test_add_func ("/net-client/header-name", test_header_name);
   g_test_add_func ("/net-client/folded-value", test_folded_value);
+  g_test_add_func ("/net-client/long", test_long);
+  g_test_add_func ("/net-client/fetch", test_fetch);
   g_test_add_func ("/net-client/ended-head", test_ended_head);
   return g_test_run ();
 }
