entry: unfinished responses have a limit together

An entry kept each body that is not streamed, whatever its length: 770,060 kB for chunks without end in 5 s. Such an entry ends, and with it the requests of all its callers.

Fix: beyond 96 MB of unfinished bodies the attempt with the largest fails, so that one upstream's bytes do not end another's request.

--- a/cmd/entry/attempt.c
+++ b/cmd/entry/attempt.c
@@ -157,14 +157,6 @@
   link_close_if_unused (l);
 }
 
-static void
-free_buffer (struct request *q)
-{
-  free (q->buffer);
-  q->buffer = NULL;
-  q->buffer_size_bytes = 0;
-}
-
 void
 attempt_failed (struct request *q, const struct bb_request_result *v)
 {
@@ -182,7 +174,7 @@
       return;
     }
   end_attempt (q);
-  free_buffer (q);
+  request_free_buffer (q);
   bb_request_result_merge (&q->result, v);
   if (suspect_is_quarantined (q->entry, q->fingerprint, &quarantine))
     {
--- a/cmd/entry/entry.h
+++ b/cmd/entry/entry.h
@@ -123,6 +123,7 @@
   struct request *requests;   /* hash table by id */
   struct customer *customers; /* hash table by name */
   uint32_t open_responses;    /* responses not yet sent completely */
+  struct bb_memory memory;    /* of the buffers of requests */
   uint64_t last_attempt_id;
   GRand *rand;
   struct bb_retry_budget retry_budget;
@@ -232,6 +233,9 @@
 /* Handles a new HTTP request; ARG is the entry.  */
 void request_begin (struct bb_http_request *r, void *arg);
 
+/* Frees what has arrived of the response to Q.  */
+void request_free_buffer (struct request *q);
+
 /* Frees a request after its response or after its client disconnected.  */
 void request_end (struct request *q);
 
--- a/cmd/entry/request.c
+++ b/cmd/entry/request.c
@@ -12,17 +12,26 @@
   struct request *q = h->data;
 
   free (q->customer_name);
-  free (q->buffer);
   bb_stream_free (&q->stream);
   free (q);
 }
 
+void
+request_free_buffer (struct request *q)
+{
+  bb_memory_give (&q->entry->memory, q->buffer_size_bytes);
+  free (q->buffer);
+  q->buffer = NULL;
+  q->buffer_size_bytes = 0;
+}
+
 void
 request_end (struct request *q)
 {
   struct entry *e = q->entry;
   struct link *l = q->link;
 
+  request_free_buffer (q);
   q->link = NULL;
   if (l)
     {
--- a/cmd/entry/response.c
+++ b/cmd/entry/response.c
@@ -8,8 +8,10 @@
 
 enum
 {
-  BACKLOG_MAX_BYTES = 256 * 1024 /* unsent part of a stream, above which
-                                   the client counts as too slow */
+  BACKLOG_MAX_BYTES = 256 * 1024,      /* unsent part of a stream, above which
+                                          the client counts as too slow */
+  BUFFERS_MAX_BYTES = 96 * 1024 * 1024 /* of all responses that are not
+                                          complete */
 };
 
 /* Returns the request whose current attempt has ID and runs over L.  NULL for
@@ -38,17 +40,13 @@
     abort ();
   memcpy (q->buffer + q->buffer_size_bytes, data, size);
   q->buffer_size_bytes += size;
+  bb_memory_add (&q->entry->memory, size);
 }
 
 static bool
 is_event_stream (const struct bb_head *m)
 {
-  static const char type[] = "text/event-stream";
-  struct bb_bytes v
-      = bb_header_find (m->headers, m->headers_count, "content-type");
-
-  return v.size >= sizeof type - 1
-         && strncasecmp (v.ptr, type, sizeof type - 1) == 0;
+  return bb_headers_are_of_events (m->headers, m->headers_count);
 }
 
 /* Fails the current attempt because the upstream's response is unusable.  */
@@ -149,6 +147,46 @@
   request_end (q);
 }
 
+/* Returns the request of E with the largest buffer; NULL where all are
+   empty.  */
+static struct request *
+find_largest (const struct entry *e)
+{
+  struct request *largest = NULL;
+  struct request *q;
+  struct request *next;
+  size_t size = 0;
+
+  HASH_ITER (hh, e->requests, q, next)
+  {
+    if (q->buffer_size_bytes > size)
+      {
+        largest = q;
+        size = q->buffer_size_bytes;
+      }
+  }
+  return largest;
+}
+
+/* Fails the attempts with the largest responses until the others fit: a
+   response without end must not end the process, nor another request.  */
+static void
+limit_buffers (struct entry *e)
+{
+  struct request *q;
+
+#ifdef BB_MUTANT_entry_buffers
+  return;
+#endif
+  while (e->memory.used_bytes > BUFFERS_MAX_BYTES && (q = find_largest (e)))
+    {
+      bb_log (BB_LOG_WARN, "entry",
+              "Gave up a response of %zu bytes: there is no memory for it.",
+              q->buffer_size_bytes);
+      fail_attempt (q);
+    }
+}
+
 void
 response_on_data (struct link *l, const struct bb_data *m)
 {
@@ -159,6 +197,7 @@
   if (!q->streaming)
     {
       append_to_buffer (q, m->body.ptr, m->body.size);
+      limit_buffers (l->entry);
       return;
     }
   bb_stream_feed (&q->stream, m->body, write_event, q);
