libnet: a fetch sets its limit when the head has arrived

bb_http_client_send may end its call before it returns, where no socket can be opened; a limit set after it would be written to freed memory. Read, not run: no test exhausts descriptors there. The limits are set in on_head now.

--- a/cmd/agent/probe.c
+++ b/cmd/agent/probe.c
@@ -36,6 +36,7 @@
   (void)headers;
   (void)headers_count;
   p->agent->responded_since_crash = true;
+  bb_http_call_limit_body (c, RESPONSE_MAX_BYTES);
 }
 
 static void
@@ -103,15 +104,13 @@
   const struct bb_daemon *d = p->agent->daemon;
   const struct bb_upstream_settings *u
       = bb_settings_upstream (d->settings, d->name);
-  struct bb_http_call *call;
 
   if (p->running || !u || !u->probe || !*u->probe)
     return;
   p->running = true;
-  call = bb_http_client_send (p->agent->client, bb_bytes_of ("GET"),
-                              bb_bytes_of (u->probe), NULL, 0,
-                              bb_bytes_of (NULL), &probe_ops, p);
-  bb_http_call_limit_body (call, RESPONSE_MAX_BYTES);
+  bb_http_client_send (p->agent->client, bb_bytes_of ("GET"),
+                       bb_bytes_of (u->probe), NULL, 0, bb_bytes_of (NULL),
+                       &probe_ops, p);
 }
 
 void
--- a/include/bilberry/net.h
+++ b/include/bilberry/net.h
@@ -196,7 +196,7 @@
                      const struct bb_http_call_ops *ops, void *user);
 
 /* Sets the longest body of the response of C; BB_HTTP_BODY_ANY: any length.
-   May be called until the head has been passed to on_head.  */
+   To be called by on_head: until then C may end at any time.  */
 void bb_http_call_limit_body (struct bb_http_call *c, uint64_t max_bytes);
 
 /* Ends the call and closes its connection, without a callback.  C is
--- a/libnet/http_fetch.c
+++ b/libnet/http_fetch.c
@@ -8,6 +8,7 @@
 {
   uint16_t status;
   GString *body;
+  size_t body_max_bytes;
   bb_http_fetch_fn *fn;
   void *user;
 };
@@ -21,6 +22,7 @@
   (void)headers;
   (void)headers_count;
   f->status = status;
+  bb_http_call_limit_body (c, f->body_max_bytes);
 }
 
 static void
@@ -52,12 +54,11 @@
   static const struct bb_http_call_ops ops
       = { .on_head = on_head, .on_data = on_data, .on_end = on_end };
   struct fetch *f = g_new0 (struct fetch, 1);
-  struct bb_http_call *c;
 
   f->body = g_string_new ("");
+  f->body_max_bytes = body_max_bytes;
   f->fn = fn;
   f->user = user;
-  c = bb_http_client_send (client, bb_bytes_of (method), bb_bytes_of (path),
-                           NULL, 0, body, &ops, f);
-  bb_http_call_limit_body (c, body_max_bytes);
+  bb_http_client_send (client, bb_bytes_of (method), bb_bytes_of (path), NULL,
+                       0, body, &ops, f);
 }
--- a/test/test_net_client.c
+++ b/test/test_net_client.c
@@ -49,6 +49,7 @@
                             (int)headers[i].value.size, headers[i].value.ptr);
   f->has_head = true;
   f->status = status;
+  bb_http_call_limit_body (c, BODY_MAX_BYTES);
 }
 
 static void
@@ -362,7 +363,6 @@
   static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
   g_autofree char *filler = g_strnfill (FILLER_BYTES, 'x');
   gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
-  struct bb_http_call *c;
   size_t sent = 0;
   int fd;
 
@@ -370,9 +370,8 @@
   f->ended = false;
   f->has_head = false;
   g_string_truncate (f->body, 0);
-  c = bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"),
-                           NULL, 0, bb_bytes_of (""), &ops, f);
-  bb_http_call_limit_body (c, BODY_MAX_BYTES);
+  bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"), NULL,
+                       0, bb_bytes_of (""), &ops, f);
   fd = await_request (f);
   g_assert_cmpint ((int)send (fd, start, strlen (start), MSG_NOSIGNAL), ==,
                    (int)strlen (start));
