--- a/test/test_net_client.c
+++ b/test/test_net_client.c
@@ -120,6 +120,21 @@
   g_assert_not_reached ();
 }
 
+/* Starts a call without a body.  Returns its connection at the upstream, which
+   has got the request.  */
+static int
+start_call (struct fixture *f)
+{
+  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
+
+  f->ended = false;
+  f->has_head = false;
+  g_string_truncate (f->body, 0);
+  bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"), NULL,
+                       0, bb_bytes_of (""), &ops, f);
+  return await_request (f);
+}
+
 static void
 run_until_ended (struct fixture *f, bool wanted)
 {
@@ -140,17 +155,11 @@
 play_end (struct fixture *f, const char *text, bool reset, bool later,
           bool wanted)
 {
-  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
   struct linger linger = { .l_onoff = 1, .l_linger = 0 };
   int fd;
 
   g_test_message ("%s, reset %d, later %d", text, reset, later);
-  f->ended = false;
-  f->has_head = false;
-  g_string_truncate (f->body, 0);
-  bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"), NULL,
-                       0, bb_bytes_of (""), &ops, f);
-  fd = await_request (f);
+  fd = start_call (f);
   g_assert_cmpint ((int)send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
                    (int)strlen (text));
   for (int i = 0; later && i < 5; i++)
@@ -256,7 +265,6 @@
 static void
 play_head (struct fixture *f, const struct head_case *c)
 {
-  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
   g_autofree char *shown = g_strescape (c->head, NULL);
   g_autofree char *text
       = g_strconcat (c->head, "Content-Length: 2\r\n\r\nok", NULL);
@@ -264,12 +272,7 @@
   int fd;
 
   g_test_message ("%s", shown);
-  f->ended = false;
-  f->has_head = false;
-  g_string_truncate (f->body, 0);
-  bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"), NULL,
-                       0, bb_bytes_of (""), &ops, f);
-  fd = await_request (f);
+  fd = start_call (f);
   g_assert_cmpint ((int)send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
                    (int)strlen (text));
   run_until_ended (f, c->status > 0);
@@ -360,19 +363,13 @@
 static bool
 play_long (struct fixture *f, const char *start, size_t size)
 {
-  static const struct bb_http_call_ops ops = { on_head, on_data, on_end };
   g_autofree char *filler = g_strnfill (FILLER_BYTES, 'x');
   gint64 end = g_get_monotonic_time () + (gint64)WAIT_MS * 1000;
   size_t sent = 0;
   int fd;
 
   g_test_message ("%s, %zu bytes", start, size);
-  f->ended = false;
-  f->has_head = false;
-  g_string_truncate (f->body, 0);
-  bb_http_client_send (f->client, bb_bytes_of ("GET"), bb_bytes_of ("/"), NULL,
-                       0, bb_bytes_of (""), &ops, f);
-  fd = await_request (f);
+  fd = start_call (f);
   g_assert_cmpint ((int)send (fd, start, strlen (start), MSG_NOSIGNAL), ==,
                    (int)strlen (start));
   while (!f->ended && sent < size && g_get_monotonic_time () < end)
