libnet: calls that await their head are kept in an array

It does not follow the removal from a list of utlist; from an array of GLib it does, and the call is taken from it before it is ended.

The linter finds nothing in the file; /net-client/* pass, and the guard net_head_max is still red.

--- a/libnet/http_client.c
+++ b/libnet/http_client.c
@@ -3,11 +3,11 @@
 #include "bilberry/net.h"
 #include "tcp_info.h"
 
+#include <glib.h>
 #include <h2o.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <utlist.h>
 
 enum
 {
@@ -24,8 +24,8 @@
   h2o_timeout_t io_timeout;
   h2o_socketpool_t pool;
   char host[64];
-  struct bb_http_call *headless_calls; /* whose head has not arrived */
-  uv_check_t head_check;               /* active while there are such calls */
+  GPtrArray *headless_calls; /* calls whose head has not arrived */
+  uv_check_t head_check;     /* active while there are such calls */
 };
 
 struct bb_http_call
@@ -38,28 +38,26 @@
   size_t request_size;
   h2o_iovec_t request_iovec;
   bool is_head_request;
-  bool chunked;       /* the response body has chunked encoding */
-  bool ends_by_close; /* the end of the connection ends the response body */
-  bool has_head;
+  bool chunked;        /* the response body has chunked encoding */
+  bool ends_by_close;  /* the end of the connection ends the response body */
+  bool awaits_head;    /* it is in headless_calls */
   uint64_t body_bytes; /* received */
   uint64_t body_max_bytes;
-  struct bb_http_call *prev; /* in headless_calls */
-  struct bb_http_call *next;
 };
 
+/* The head of C has arrived, or no longer matters.  */
 static void
-note_head (struct bb_http_call *c)
+stop_awaiting_head (struct bb_http_call *c)
 {
-  if (c->has_head)
-    return;
-  c->has_head = true;
-  DL_DELETE (c->owner->headless_calls, c);
+  c->awaits_head = false;
+  g_ptr_array_remove_fast (c->owner->headless_calls, c);
 }
 
 static void
 free_call (struct bb_http_call *c)
 {
-  note_head (c);
+  if (c->awaits_head)
+    stop_awaiting_head (c);
   free (c->request);
   free (c);
 }
@@ -105,16 +103,20 @@
          && c->client->sock->input->size > HEAD_MAX_BYTES;
 }
 
+/* Takes a call with such a head from headless_calls.  NULL: there is none.  */
 static struct bb_http_call *
-find_large_head (const struct bb_http_client *client)
+take_large_head (struct bb_http_client *client)
 {
-  struct bb_http_call *c;
+  GPtrArray *calls = client->headless_calls;
 
-  DL_FOREACH (client->headless_calls, c)
-  {
-    if (has_large_head (c))
-      return c;
-  }
+  for (guint i = 0; i < calls->len; i++)
+    {
+      struct bb_http_call *c = calls->pdata[i];
+      if (!has_large_head (c))
+        continue;
+      c->awaits_head = false;
+      return g_ptr_array_remove_index_fast (calls, i);
+    }
   return NULL;
 }
 
@@ -125,12 +127,12 @@
   struct bb_http_client *client = check->data;
   struct bb_http_call *c;
 
-  while ((c = find_large_head (client)))
+  while ((c = take_large_head (client)))
     {
       h2o_http1client_cancel (c->client);
       end_call (c, "the head is too large", BB_RUN_MAYBE_RUN);
     }
-  if (!client->headless_calls)
+  if (client->headless_calls->len == 0)
     uv_check_stop (check);
 }
 
@@ -223,7 +225,7 @@
       reject_response (c, "the status is not one of HTTP");
       return NULL;
     }
-  note_head (c);
+  stop_awaiting_head (c);
   n = copy_headers (copy, headers, count);
   c->chunked = bb_header_find (copy, n, "transfer-encoding").size > 0;
   c->ends_by_close
@@ -268,6 +270,7 @@
   h2o_socketpool_init_by_address (&client->pool, (struct sockaddr *)addr, size,
                                   0, POOL_CONNECTIONS_MAX);
   h2o_socketpool_set_timeout (&client->pool, loop, POOL_IDLE_TIMEOUT_MS);
+  client->headless_calls = g_ptr_array_new ();
   uv_check_init (loop, &client->head_check);
   uv_unref ((uv_handle_t *)&client->head_check);
   client->head_check.data = client;
@@ -311,7 +314,8 @@
   c->body_max_bytes = BODY_MAX_BYTES;
   c->is_head_request = bb_bytes_equal (method, "HEAD");
   format_request (c, client->host, method, path, headers, headers_count, body);
-  DL_APPEND (client->headless_calls, c);
+  c->awaits_head = true;
+  g_ptr_array_add (client->headless_calls, c);
   uv_check_start (&client->head_check, on_head_check);
   h2o_http1client_connect_with_pool (&c->client, c, &client->ctx,
                                      &client->pool, on_connect);
