test_edge_ends: resets during an upload, for each kind of route

The test of the incident asked one route, of orders. It asks the one of requests that may be repeated and the one of streams as well; the replica sends whole events as its part, as a stream that ends inside one is refused already.

No product code changes.

--- a/fake/replica/bytes.c
+++ b/fake/replica/bytes.c
@@ -10,7 +10,7 @@
   RESET_MS = 50,  /* time until what was sent before a reset was read */
   LATE_MS = 900,
   UPLOAD_MS = 100, /* time until an upload has filled the buffers */
-  PART_BYTES = 40000,
+  PART_EVENTS = 4000,
   EXTENSION_BYTES = 2000,
   EVENTS = 6,
   WHOLE_EVENTS = 3, /* events before the fault in a stream */
@@ -249,15 +249,18 @@
   s->close (s->user);
 }
 
-/* Sends a part of a body to a peer that is still writing, and resets.  */
+/* Sends a part of a body, whole events, to a peer that is still writing, and
+   resets.  */
 static void
 on_upload_timer (uv_timer_t *t)
 {
   struct bytes_sender *s = t->data;
-  g_autofree char *part = g_strnfill (PART_BYTES, 'x');
+  g_autoptr (GString) part = g_string_new ("");
 
+  for (int i = 0; i < PART_EVENTS; i++)
+    g_string_append (part, "data: xy\n\n");
   send_head (s, s->attempt_id, "");
-  send_text (s, part);
+  send_text (s, part->str);
   on_reset_timer (t);
 }
 
--- a/fake/replica/bytes.h
+++ b/fake/replica/bytes.h
@@ -36,7 +36,8 @@
      reset-between resets a stream after event 3 if the caller has no event
      reset-body    resets a body
      reset-upload  reads the first part of the body of a request and, UPLOAD_MS
-                   later, sends PART_BYTES of a body and resets at once
+                   later, sends events as a part of a body and resets at
+                   once
      late-head     sends a sound response LATE_MS after the request  */
 
 #include <stdbool.h>
--- a/test/test_edge_ends.c
+++ b/test/test_edge_ends.c
@@ -110,11 +110,22 @@
   testbed_free (&t);
 }
 
+struct upload_case
+{
+  const char *path;
+  uint32_t runs; /* that the route allows; one where events were passed on */
+};
+
+static const struct upload_case upload_order = { "/order/1", 1 };
+static const struct upload_case upload_check = { "/check/1", 3 };
+static const struct upload_case upload_stream = { "/stream/1", 1 };
+
 /* A body without length that is reset while the request is being written is
    not complete.  */
 static void
-test_reset_upload (void)
+test_reset_upload (gconstpointer data)
 {
+  const struct upload_case *c = data;
   enum
   {
     UPLOAD_BYTES = 4 * 1024 * 1024 - 1,
@@ -137,14 +148,14 @@
       g_autofree char *headers = g_strdup_printf (
           "X-Attempt-Id: u%u\r\nAuthorization: Bearer key-1\r\n", i);
       struct http_response a = harness_http (t.edges[0].front_port, "POST",
-                                             "/order/1", headers, upload);
+                                             c->path, headers, upload);
       g_test_message ("status %d, %zu bytes, %s", a.status, a.body_size,
                       a.complete ? "complete" : "incomplete");
       whole += a.status == 200 && a.complete;
       http_response_free (&a);
     }
   g_assert_cmpuint (whole, ==, 0);
-  g_assert_cmpuint (testbed_count_runs (&t, "u0"), ==, 1);
+  g_assert_cmpuint (testbed_count_runs (&t, "u0"), ==, c->runs);
   testbed_free (&t);
 }
 
@@ -330,7 +341,12 @@
   g_test_add_data_func ("/ends/reset-between", "reset-between", test_broken);
   g_test_add_func ("/ends/chunk-first", test_broken_first);
   g_test_add_func ("/ends/reset-body", test_reset_body);
-  g_test_add_func ("/ends/reset-upload", test_reset_upload);
+  g_test_add_data_func ("/ends/reset-upload", &upload_order,
+                        test_reset_upload);
+  g_test_add_data_func ("/ends/reset-upload-check", &upload_check,
+                        test_reset_upload);
+  g_test_add_data_func ("/ends/reset-upload-stream", &upload_stream,
+                        test_reset_upload);
   g_test_add_func ("/ends/slow-events", test_slow_events);
   g_test_add_func ("/ends/slow-but-sound", test_slow_but_sound);
   g_test_add_func ("/ends/late-head", test_late_head);
