libfleet: what the store no longer has does not come back by a peer

Cause: agents send the items that they keep to each edge that they connect to, and an edge compared what a peer told with its own copy alone. One that has just started has no mark of a removal before its start. The watch begins after the removal, so nothing told it again.

Now the view keeps the revision up to which the store itself has told all, by a complete listing and the watches that follow without a gap. bb_view_judge decides on each item of each kind, from the store and from peers: what a peer tells as of such a revision is in the view already or is gone. The peer is told of the removal, and what a listing shows to be missing is told to all peers.

The guards view_settled, view_unsettled, gone_told and missing_told were seen red.

--- a/cmd/edge/edge.h
+++ b/cmd/edge/edge.h
@@ -296,6 +296,9 @@
   const struct queue_ops *queue_ops;
   /* Called when the store has returned from an older copy.  */
   void (*on_store_return) (void);
+  /* Called when the view holds an item that a peer told, and which the store
+     may have lost.  */
+  void (*on_unsettled_item) (void);
 };
 
 /* pool.c */
@@ -357,14 +360,18 @@
 /* fleet.c: the items of the store, evacuations in force, and the loads of the
    other edges.  */
 
-/* Applies the item of KEY, unless a newer one is known.  VALUE NULL removes
-   it.  SOURCE is "store" or "peer"; an item from the store is also sent to
-   the peers if fleet_forwards_items.  Returns whether the item is new.  */
-bool fleet_apply_item (struct edge *e, const char *key, GBytes *value,
-                       bb_revision revision, const char *source);
+/* Applies the item TOLD by SOURCE if the view takes it as news.  What the
+   store told is also sent to the peers if fleet_forwards_items.  Returns
+   whether it is news.  */
+bool fleet_apply_item (struct edge *e, const struct bb_item *told,
+                       enum bb_source source);
+/* Removes the item KEY, which a complete listing at REVISION lacks.  All peers
+   are told, since the watch of none tells of it.  */
+void fleet_remove_item (struct edge *e, const char *key, bb_revision revision);
 /* SOURCE told REVISION.  Returns whether it shows that the store has come back
    from an older copy; then the store is listed again.  */
-bool fleet_note_era (struct edge *e, bb_revision revision, const char *source);
+bool fleet_note_era (struct edge *e, bb_revision revision,
+                     enum bb_source source);
 /* Whether this edge sends changes from the store to its peers at once: it does
    if no peer of a lower incarnation watches the store.  */
 bool fleet_forwards_items (const struct edge *e);
@@ -409,6 +416,9 @@
 /* The store has come back from an older copy: lists it, and again once what
    the copy lacks must have been written again.  */
 void reader_store_returned (void);
+/* The view holds what the store may have lost: lists the store again once that
+   must have been written again.  */
+void reader_settle (void);
 /* A peer has told all its items: the first call need not wait for that.  */
 void reader_peer_told (void);
 /* Whether this edge watches the store itself and the last call succeeded.  */
--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -30,7 +30,7 @@
 }
 
 bool
-fleet_note_era (struct edge *e, bb_revision revision, const char *source)
+fleet_note_era (struct edge *e, bb_revision revision, enum bb_source source)
 {
   uint64_t era = bb_revision_era (revision);
   bool knows_items = g_hash_table_size (e->view->items) > 0;
@@ -41,9 +41,9 @@
     {
       bb_counter ("bilberry_store_returns_total", "")->value++;
       bb_log_event ("store_returned", "{s:s, s:I, s:I, s:I, s:I}", "source",
-                    source, "era", (json_int_t)era, "revision",
-                    (json_int_t)bb_revision_number (revision), "era_before",
-                    (json_int_t)e->store_era, "revision_before",
+                    bb_source_name (source), "era", (json_int_t)era,
+                    "revision", (json_int_t)bb_revision_number (revision),
+                    "era_before", (json_int_t)e->store_era, "revision_before",
                     (json_int_t)bb_revision_number (e->view->revision));
     }
   e->store_era = era;
@@ -62,40 +62,74 @@
     bb_peers_offer_item (e->peers, i);
 }
 
-bool
-fleet_apply_item (struct edge *e, const char *key, GBytes *value,
-                  bb_revision revision, const char *source)
+static void
+apply_evacuation (struct edge *e, const char *domain,
+                  const struct bb_item *told, enum bb_source source)
+{
+  if (told->value)
+    g_hash_table_add (e->evacuated_domains, g_strdup (domain));
+  else
+    g_hash_table_remove (e->evacuated_domains, domain);
+  bb_log_event ("evacuation", "{s:s, s:b, s:s, s:I, s:I}", "failure_domain",
+                domain, "out", told->value != NULL, "source",
+                bb_source_name (source), BB_LOG_REVISION (told->revision));
+}
+
+/* Puts TOLD, which is in the view now, in force.  */
+static void
+put_in_force (struct edge *e, const struct bb_item *told,
+              enum bb_source source)
 {
   const char *name;
 
-  fleet_note_era (e, revision, source);
-  if (!bb_view_put (e->view, key, value, revision))
-    return false;
-  if (strcmp (source, "store") == 0)
-    tell_peers (e, g_hash_table_lookup (e->view->items, key));
-  switch (bb_item_kind_of (key, &name))
+  switch (bb_item_kind_of (told->key, &name))
     {
     case BB_ITEM_CONFIG:
-      config_apply (value, revision, source);
+      config_apply (told->value, told->revision, bb_source_name (source));
       break;
     case BB_ITEM_UPSTREAM:
-      targets_apply (e, name, value, revision, source);
+      targets_apply (e, name, told->value, told->revision,
+                     bb_source_name (source));
       break;
     case BB_ITEM_EVACUATION:
-      if (value)
-        g_hash_table_add (e->evacuated_domains, g_strdup (name));
-      else
-        g_hash_table_remove (e->evacuated_domains, name);
-      bb_log_event ("evacuation", "{s:s, s:b, s:s, s:I, s:I}",
-                    "failure_domain", name, "out", value != NULL, "source",
-                    source, BB_LOG_REVISION (revision));
+      apply_evacuation (e, name, told, source);
       break;
     case BB_ITEM_OTHER:
       break;
     }
+}
+
+bool
+fleet_apply_item (struct edge *e, const struct bb_item *told,
+                  enum bb_source source)
+{
+  enum bb_verdict verdict;
+
+  fleet_note_era (e, told->revision, source);
+  verdict = bb_view_take (e->view, told, source);
+  if (verdict == BB_VERDICT_UNSETTLED)
+    e->on_unsettled_item ();
+  if (verdict != BB_VERDICT_NEWS && verdict != BB_VERDICT_UNSETTLED)
+    return false;
+  if (source == BB_SOURCE_STORE)
+    tell_peers (e, g_hash_table_lookup (e->view->items, told->key));
+  put_in_force (e, told, source);
   return true;
 }
 
+void
+fleet_remove_item (struct edge *e, const char *key, bb_revision revision)
+{
+  struct bb_item told = { .key = (char *)key, .revision = revision };
+
+  if (!fleet_apply_item (e, &told, BB_SOURCE_STORE))
+    return;
+#ifndef BB_MUTANT_missing_told
+  if (e->peers && !fleet_forwards_items (e))
+    bb_peers_broadcast_item (e->peers, &told);
+#endif
+}
+
 /* Loads of the other edges.  */
 
 void
@@ -146,7 +180,7 @@
   e->peer_loads_changed = true;
   fleet_sum_peer_loads (e);
   demand_apply_state (e, name, m);
-  fleet_note_era (e, m->revision, "peer");
+  fleet_note_era (e, m->revision, BB_SOURCE_PEER);
   complete = bb_peers_complete_revision (e->peers, m->sent);
   if (complete > e->view->revision)
     e->view->revision = complete;
--- a/cmd/edge/main.c
+++ b/cmd/edge/main.c
@@ -227,6 +227,7 @@
   e->loop = uv_default_loop ();
   e->queue_ops = &queue_functions;
   e->on_store_return = reader_store_returned;
+  e->on_unsettled_item = reader_settle;
   e->rand = g_rand_new ();
   e->settings = bb_start_parse_args (
       argc, argv, "bilberry-edge", settings_error, &e->settings_path, &status);
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -7,7 +7,10 @@
 static void
 on_item (const char *key, GBytes *value, bb_revision revision, void *user)
 {
-  fleet_apply_item (user, key, value, revision, "peer");
+  struct bb_item told
+      = { .key = (char *)key, .value = value, .revision = revision };
+
+  fleet_apply_item (user, &told, BB_SOURCE_PEER);
 }
 
 static void
--- a/cmd/edge/reader.c
+++ b/cmd/edge/reader.c
@@ -155,8 +155,7 @@
       bool is_new;
       if (g_hash_table_lookup (newest, item->key) != item)
         continue;
-      is_new = fleet_apply_item (r->edge, item->key, item->value,
-                                 item->revision, "store");
+      is_new = fleet_apply_item (r->edge, item, BB_SOURCE_STORE);
 #ifdef BB_MUTANT_items_known
       is_new = true;
 #endif
@@ -173,22 +172,25 @@
       = bb_view_missing (r->edge->view, r->listed_keys, r->revision);
 
   for (guint i = 0; i < missing->len; i++)
-    fleet_apply_item (r->edge, g_ptr_array_index (missing, i), NULL,
-                      r->revision, "store");
+    fleet_remove_item (r->edge, g_ptr_array_index (missing, i), r->revision);
   g_ptr_array_unref (missing);
 }
 
-/* Removes the items that the complete listing lacks, unless they are held.  */
+/* Removes the items that the complete listing lacks, unless they are held:
+   what was told in an earlier era may have been lost with the copy.  */
 static void
 finish_listing (struct reader *r)
 {
+  struct bb_view *v = r->edge->view;
+
   r->listed = true;
-  if (r->holds_missing)
-    bb_view_hold_missing (r->edge->view, r->listed_keys, r->revision);
-  else
+  if (bb_view_hold_missing (v, r->listed_keys, r->revision) > 0)
+    reader_settle ();
+  if (!r->holds_missing)
     remove_missing (r);
-  if (r->revision > r->edge->view->revision)
-    r->edge->view->revision = r->revision;
+  bb_view_settle (v, 0, r->revision);
+  if (r->revision > v->revision)
+    v->revision = r->revision;
 }
 
 static bool
@@ -212,7 +214,7 @@
       return;
     }
   record_success (c);
-  if (fleet_note_era (r->edge, page->revision, "store"))
+  if (fleet_note_era (r->edge, page->revision, BB_SOURCE_STORE))
     return;
   if (*r->last_key == '\0')
     r->revision = page->revision;
@@ -253,11 +255,12 @@
       return;
     }
   record_success (c);
-  if (fleet_note_era (r->edge, page->revision, "store"))
+  if (fleet_note_era (r->edge, page->revision, BB_SOURCE_STORE))
     return;
   all_new = apply_items (r, page);
   if (page->revision > r->revision)
     r->revision = page->revision;
+  bb_view_settle (r->edge->view, since, r->revision);
   if (r->revision > r->edge->view->revision)
     r->edge->view->revision = r->revision;
   if (page->items->len > 0)
@@ -392,16 +395,28 @@
   reader_restart ();
 }
 
-void
-reader_store_returned (void)
+/* Starts the time in which what the store lost is written again.  */
+static void
+await_rewrite (struct reader *r)
 {
-  struct reader *r = &reader;
-
   r->holds_missing = true;
   uv_timer_start (&r->settle_timer, on_settle_timer, REWRITE_MS, 0);
+}
+
+void
+reader_store_returned (void)
+{
+  await_rewrite (&reader);
   reader_restart ();
 }
 
+void
+reader_settle (void)
+{
+  if (!uv_is_active ((uv_handle_t *)&reader.settle_timer))
+    await_rewrite (&reader);
+}
+
 void
 reader_peer_told (void)
 {
--- a/cmd/rank/view.c
+++ b/cmd/rank/view.c
@@ -56,9 +56,11 @@
 on_item (const char *key, GBytes *value, bb_revision revision, void *user)
 {
   struct agent *a = user;
+  struct bb_item told
+      = { .key = (char *)key, .value = value, .revision = revision };
   const char *name;
 
-  if (!bb_view_put (a->view, key, value, revision))
+  if (bb_view_take (a->view, &told, BB_SOURCE_PEER) != BB_VERDICT_NEWS)
     return;
   switch (bb_item_kind_of (key, &name))
     {
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -263,10 +263,39 @@
 /* Frees ITEM, a struct bb_item.  Usable as a GDestroyNotify.  */
 void bb_item_free (void *item);
 
+/* What tells of an item.  */
+enum bb_source
+{
+  BB_SOURCE_STORE, /* a listing or a watch of the store */
+  BB_SOURCE_PEER,  /* another process, from its own copy */
+  BB_SOURCES
+};
+
+/* Returns the name of S for logs.  */
+const char *bb_source_name (enum bb_source s);
+
+/* What a view does with an item that it is told of.  */
+enum bb_verdict
+{
+  BB_VERDICT_NEWS,      /* stores it */
+  BB_VERDICT_UNSETTLED, /* stores it, held: the store may have lost it with its
+                           copy; to be settled by a listing some time later */
+  BB_VERDICT_KNOWN,     /* has it already, or something newer */
+  BB_VERDICT_OLDER,     /* keeps its own value, held: the store has told an
+                           older one since it came back from a copy */
+  BB_VERDICT_GONE       /* refuses it: the store has told that it no longer has
+                           it, and the peer did not learn of that */
+};
+
 /* Local copy of the store: items by key, each at the highest revision seen.
    Removed items stay, without a value, so that an older one that arrives late
    does not bring them back.
 
+   The store's word counts for all revisions up to SETTLED: what a peer tells
+   as of such a revision is in the view already, or is gone.  What the store
+   cannot tell yet is believed: items of a later revision, all items before the
+   first listing, and what the store may have lost with its copy.
+
    When the store has come back from an older copy, an item of the new era
    whose number is not higher than that of the one in the view is what the copy
    has: the view keeps its own item, held, at the new revision, unless the
@@ -277,6 +306,8 @@
   GHashTable *items; /* struct bb_item by key */
   /* All changes up to it are in ITEMS; kept by the caller.  */
   bb_revision revision;
+  /* The store itself has told all changes up to it; 0: nothing yet.  */
+  bb_revision settled;
   /* Returns whether VALUE of KEY was written after KNOWN, as far as they tell
      themselves; set by the caller, NULL: they never do.  */
   bool (*is_newer_value) (const char *key, GBytes *known, GBytes *value);
@@ -288,16 +319,37 @@
 /* Frees V and its items.  */
 void bb_view_free (struct bb_view *v);
 
-/* Stores VALUE for KEY at REVISION; NULL removes the key.  The key is copied
-   and the value referenced.  Returns whether the item changed: false where V
-   already has REVISION or a higher one of KEY.  */
+/* Returns what V does with the item TOLD by SOURCE.  All that V learns passes
+   this function.  */
+enum bb_verdict bb_view_judge (const struct bb_view *v,
+                               const struct bb_item *told,
+                               enum bb_source source);
+
+/* Whether the store has told V that it no longer has what a peer has of KEY as
+   of REVISION.  */
+bool bb_view_is_gone (const struct bb_view *v, const char *key,
+                      bb_revision revision);
+
+/* Does with the item TOLD by SOURCE what bb_view_judge returns, and returns
+   that.  The key is copied and the value referenced.  */
+enum bb_verdict bb_view_take (struct bb_view *v, const struct bb_item *told,
+                              enum bb_source source);
+
+/* Takes VALUE for KEY at REVISION, told by the store; NULL removes the key.
+   Returns whether it is news.  */
 bool bb_view_put (struct bb_view *v, const char *key, GBytes *value,
                   bb_revision revision);
 
-/* Holds the items that the store lacks after its return: KEYS is the set of
-   keys of the first complete listing in the new era, at REVISION.  */
-void bb_view_hold_missing (struct bb_view *v, GHashTable *keys,
-                           bb_revision revision);
+/* The store has told V all changes after SINCE up to REVISION: by a complete
+   listing, whose first page was at REVISION, where SINCE is 0, otherwise by a
+   watch from SINCE.  */
+void bb_view_settle (struct bb_view *v, bb_revision since,
+                     bb_revision revision);
+
+/* Holds the items of earlier eras that a complete listing at REVISION lacks;
+   KEYS is the set of its keys.  Returns how many values are held anew.  */
+uint32_t bb_view_hold_missing (struct bb_view *v, GHashTable *keys,
+                               bb_revision revision);
 
 /* Holds no item any more: the next listing replaces those that the store has
    otherwise.  */
--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -54,6 +54,15 @@
   g_free (v);
 }
 
+const char *
+bb_source_name (enum bb_source s)
+{
+  static const char *const names[BB_SOURCES]
+      = { [BB_SOURCE_STORE] = "store", [BB_SOURCE_PEER] = "peer" };
+
+  return names[s];
+}
+
 enum
 {
   REVISION_NUMBER_BITS = 48
@@ -84,55 +93,172 @@
   return a && b ? g_bytes_equal (a, b) : a == b;
 }
 
-/* Whether VALUE at REVISION, of a later era than I, is that of an older copy.
- */
+/* Whether TOLD, of a later era than KNOWN, is that of an older copy.  */
 static bool
-is_older_copy (const struct bb_view *v, const struct bb_item *i, GBytes *value,
-               bb_revision revision)
+is_older_copy (const struct bb_view *v, const struct bb_item *known,
+               const struct bb_item *told)
 {
-  if (bb_revision_era (i->revision) >= bb_revision_era (revision)
-      || bb_revision_number (revision) > bb_revision_number (i->revision))
+#ifdef BB_MUTANT_view_era
+  return false;
+#endif
+  if (bb_revision_era (known->revision) >= bb_revision_era (told->revision)
+      || bb_revision_number (told->revision)
+             > bb_revision_number (known->revision))
     return false;
-  return !v->is_newer_value || !i->value || !value
-         || !v->is_newer_value (i->key, i->value, value);
+  return !v->is_newer_value || !known->value || !told->value
+         || !v->is_newer_value (known->key, known->value, told->value);
 }
 
-bool
-bb_view_put (struct bb_view *v, const char *key, GBytes *value,
-             bb_revision revision)
+/* Whether KNOWN, which may be NULL, is as new as TOLD.  */
+static bool
+is_as_new (const struct bb_item *known, const struct bb_item *told)
 {
-  struct bb_item *i = g_hash_table_lookup (v->items, key);
+#ifdef BB_MUTANT_view_revision
+  return false;
+#endif
+  return known && known->revision >= told->revision;
+}
 
-#ifndef BB_MUTANT_view_revision
-  if (i && i->revision >= revision)
-    return false;
+/* Whether the store has told V all changes up to REVISION, of its era.  */
+static bool
+is_settled (const struct bb_view *v, bb_revision revision)
+{
+#ifdef BB_MUTANT_view_settled
+  return false;
 #endif
-#ifndef BB_MUTANT_view_era
-  if (i && is_older_copy (v, i, value, revision))
-    {
-      i->held = !values_equal (i->value, value);
-      i->revision = revision;
-      return false;
-    }
+  return revision <= v->settled
+         && bb_revision_era (revision) == bb_revision_era (v->settled);
+}
+
+/* Returns what V does with TOLD, which a peer told and which is newer than
+   KNOWN.  */
+static enum bb_verdict
+judge_peer (const struct bb_view *v, const struct bb_item *known,
+            const struct bb_item *told)
+{
+  bool earlier_era
+      = bb_revision_era (told->revision) < bb_revision_era (v->settled);
+
+  if (is_settled (v, told->revision))
+    return told->value ? BB_VERDICT_GONE : BB_VERDICT_KNOWN;
+#ifndef BB_MUTANT_view_unsettled
+  if (earlier_era && told->value)
+    return BB_VERDICT_UNSETTLED;
 #endif
+  return known && is_older_copy (v, known, told) ? BB_VERDICT_OLDER
+                                                 : BB_VERDICT_NEWS;
+}
+
+enum bb_verdict
+bb_view_judge (const struct bb_view *v, const struct bb_item *told,
+               enum bb_source source)
+{
+  const struct bb_item *known = g_hash_table_lookup (v->items, told->key);
+
+  if (is_as_new (known, told))
+    return BB_VERDICT_KNOWN;
+  if (source == BB_SOURCE_PEER)
+    return judge_peer (v, known, told);
+  return known && is_older_copy (v, known, told) ? BB_VERDICT_OLDER
+                                                 : BB_VERDICT_NEWS;
+}
+
+bool
+bb_view_is_gone (const struct bb_view *v, const char *key,
+                 bb_revision revision)
+{
+  const struct bb_item *known = g_hash_table_lookup (v->items, key);
+
+  return is_settled (v, revision) && (!known || known->revision < revision);
+}
+
+/* Returns the item of KEY, which is added where V has none.  */
+static struct bb_item *
+item_of (struct bb_view *v, const char *key)
+{
+  struct bb_item *i = g_hash_table_lookup (v->items, key);
+
   if (!i)
     {
       i = g_new0 (struct bb_item, 1);
       i->key = g_strdup (key);
       g_hash_table_insert (v->items, i->key, i);
     }
+  return i;
+}
+
+static void
+store (struct bb_view *v, const struct bb_item *told, bool held)
+{
+  struct bb_item *i = item_of (v, told->key);
+  GBytes *value = told->value ? g_bytes_ref (told->value) : NULL;
+
   if (i->value)
     g_bytes_unref (i->value);
-  i->value = value ? g_bytes_ref (value) : NULL;
-  i->revision = revision;
-  i->held = false;
-  return true;
+  i->value = value;
+  i->revision = told->revision;
+  i->held = held;
+  /* As hold_missing does with what it had before the store's return.  */
+  if (held && bb_revision_era (i->revision) < bb_revision_era (v->settled))
+    i->revision = v->settled;
+}
+
+/* Notes that the store has TOLD something older than V.  */
+static void
+keep_own (struct bb_view *v, const struct bb_item *told)
+{
+  struct bb_item *i = g_hash_table_lookup (v->items, told->key);
+
+  i->held = !values_equal (i->value, told->value);
+  i->revision = told->revision;
+}
+
+enum bb_verdict
+bb_view_take (struct bb_view *v, const struct bb_item *told,
+              enum bb_source source)
+{
+  enum bb_verdict verdict = bb_view_judge (v, told, source);
+
+  switch (verdict)
+    {
+    case BB_VERDICT_NEWS:
+      store (v, told, false);
+      break;
+    case BB_VERDICT_UNSETTLED:
+      store (v, told, true);
+      break;
+    case BB_VERDICT_OLDER:
+      keep_own (v, told);
+      break;
+    case BB_VERDICT_KNOWN:
+    case BB_VERDICT_GONE:
+      break;
+    }
+  return verdict;
+}
+
+bool
+bb_view_put (struct bb_view *v, const char *key, GBytes *value,
+             bb_revision revision)
+{
+  struct bb_item told
+      = { .key = (char *)key, .value = value, .revision = revision };
+
+  return bb_view_take (v, &told, BB_SOURCE_STORE) == BB_VERDICT_NEWS;
 }
 
 void
+bb_view_settle (struct bb_view *v, bb_revision since, bb_revision revision)
+{
+  if (since <= v->settled && revision > v->settled)
+    v->settled = revision;
+}
+
+uint32_t
 bb_view_hold_missing (struct bb_view *v, GHashTable *keys,
                       bb_revision revision)
 {
+  uint32_t held = 0;
   GHashTableIter it;
   void *value;
 
@@ -145,7 +271,9 @@
         continue;
       i->held = i->value != NULL;
       i->revision = revision;
+      held += i->held;
     }
+  return held;
 }
 
 void
--- a/libpeer/connection.c
+++ b/libpeer/connection.c
@@ -103,40 +103,6 @@
     p->ops->on_connection_change (peer->name, NULL, p->user);
 }
 
-/* Counts the bytes received of item M, and those of them for an item that is
-   in the view already.  */
-static void
-count_item (const struct peer *peer, const char *key,
-            const struct bb_peer_item *m)
-{
-  const struct bb_item *known
-      = g_hash_table_lookup (peer->owner->view->items, key);
-
-  bb_counter ("bilberry_peer_item_bytes_total", "kind=\"received\"")->value
-      += m->value.size;
-  if (known && known->revision >= m->revision)
-    bb_counter ("bilberry_peer_item_bytes_total", "kind=\"known\"")->value
-        += m->value.size;
-}
-
-static void
-on_item (struct peer *peer, const struct bb_peer_item *m)
-{
-  struct bb_peers *p = peer->owner;
-  char *key = bb_bytes_strdup (m->key);
-  GBytes *value = m->removed  ? NULL
-                  : m->packed ? peer_unpack_item (peer, key, m)
-                              : g_bytes_new (m->value.ptr, m->value.size);
-
-  count_item (peer, key, m);
-  if (value || m->removed)
-    p->ops->on_item (key, value, m->revision, p->user);
-  peer_on_asked_item (peer, key);
-  if (value)
-    g_bytes_unref (value);
-  g_free (key);
-}
-
 static void on_batch (struct bb_conn *c, const struct bb_peer_batch *m);
 
 static void
@@ -150,7 +116,7 @@
       on_hello (peer, &m->u.peer_hello);
       break;
     case BB_MSG_PEER_ITEM:
-      on_item (peer, &m->u.peer_item);
+      peer_on_item (peer, &m->u.peer_item);
       break;
     case BB_MSG_PEER_BATCH:
       on_batch (c, &m->u.peer_batch);
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -7,6 +7,7 @@
    connect.c     opens connections
    connection.c  hello, messages and end of a connection
    state.c       states of the processes
+   told.c        items that peers tell
    items.c       items of the store
    large.c       those of them that are large
    past.c        the values that these had before
@@ -123,6 +124,10 @@
 /* Takes the state M of PEER.  */
 void peer_on_state (struct peer *peer, const struct bb_peer_state *m);
 
+/* told.c */
+/* Handles the message M of PEER.  */
+void peer_on_item (struct peer *peer, const struct bb_peer_item *m);
+
 /* items.c */
 /* Sends PEER all items of the view.  */
 void peer_send_all_items (struct peer *peer);
@@ -134,6 +139,13 @@
 void peer_put_item (msgpack_sbuffer *out, const struct bb_item *i,
                     uint32_t copies);
 
+/* Tells PEER that KEY was removed, as of REVISION at the latest.  */
+void peer_tell_removal (struct peer *peer, const char *key,
+                        bb_revision revision);
+/* Tells PEER, which has KEY as of REVISION, that the store no longer has it.
+ */
+void peer_tell_gone (struct peer *peer, const char *key, bb_revision revision);
+
 /* large.c */
 void peer_large_init (struct bb_peers *p);
 void peer_exchanges_init (struct peer *peer);
--- a/libpeer/items.c
+++ b/libpeer/items.c
@@ -2,6 +2,7 @@
 
 #include "internal.h"
 
+#include <jansson.h>
 #include <utlist.h>
 
 enum
@@ -58,6 +59,29 @@
   bb_put_peer_item (out, &m);
 }
 
+void
+peer_tell_removal (struct peer *peer, const char *key, bb_revision revision)
+{
+  struct bb_item removal = { .key = (char *)key, .revision = revision };
+
+  peer_put_item (bb_conn_out (peer->conn), &removal, 1);
+}
+
+void
+peer_tell_gone (struct peer *peer, const char *key, bb_revision revision)
+{
+  const struct bb_view *v = peer->owner->view;
+
+  bb_counter ("bilberry_peer_items_gone_total", "")->value++;
+  bb_log_event ("item_gone", "{s:s, s:s, s:I, s:I, s:I}", "peer",
+                peer->name ? peer->name : "", "key", key,
+                BB_LOG_REVISION (revision), "settled",
+                (json_int_t)bb_revision_number (v->settled));
+#ifndef BB_MUTANT_gone_told
+  peer_tell_removal (peer, key, v->settled);
+#endif
+}
+
 /* Appends I to OUT, which is sent to COPIES peers, or an offer of it where it
    is large.  */
 static void
--- a/libpeer/large.c
+++ b/libpeer/large.c
@@ -88,12 +88,20 @@
   return x;
 }
 
+/* Whether the view has KEY as of REVISION or later, or the item is gone.  */
 static bool
-is_met (const struct bb_peers *p, const char *key, const struct need *need)
+is_known (const struct bb_peers *p, const char *key, bb_revision revision)
 {
   const struct bb_item *known = g_hash_table_lookup (p->view->items, key);
 
-  return known && known->revision >= need->revision;
+  return (known && known->revision >= revision)
+         || bb_view_is_gone (p->view, key, revision);
+}
+
+static bool
+is_met (const struct bb_peers *p, const char *key, const struct need *need)
+{
+  return is_known (p, key, need->revision);
 }
 
 /* Returns what PEER is as a source of the item that NEED tells, of which X
@@ -220,7 +228,9 @@
   x->offered = m->revision;
   if (x->sending && m->revision >= x->sent)
     x->sending = false;
-  if (known && known->revision >= m->revision)
+  if (bb_view_is_gone (p->view, key, m->revision))
+    peer_tell_gone (peer, key, m->revision);
+  if (is_known (p, key, m->revision))
     return;
   if (known && known->value && g_bytes_get_size (known->value) == m->size
       && peer_past_note (p, known) == m->hash)
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -168,6 +168,66 @@
   bb_view_free (v);
 }
 
+static enum bb_verdict
+tell (struct bb_view *v, const char *key, const char *text, uint64_t era,
+      uint64_t number)
+{
+  g_autoptr (GBytes) value = text ? g_bytes_new (text, strlen (text)) : NULL;
+  struct bb_item told = { .key = (char *)key,
+                          .value = value,
+                          .revision = bb_revision_of (era, number) };
+
+  return bb_view_take (v, &told, BB_SOURCE_PEER);
+}
+
+/* Guards against peers that bring back what the store has told to be gone, by
+   a listing or by a watch after it; what the store cannot have told yet is
+   believed.  */
+static void
+test_gone (void)
+{
+  struct bb_view *v = bb_view_new ();
+
+  g_assert_cmpint (tell (v, "before", "x", 1, 3), ==, BB_VERDICT_NEWS);
+  put (v, "k", "listed", 1, 9);
+  bb_view_settle (v, 0, bb_revision_of (1, 10));
+  g_assert_true (bb_view_is_gone (v, "a", bb_revision_of (1, 10)));
+  g_assert_false (bb_view_is_gone (v, "a", bb_revision_of (1, 11)));
+  g_assert_false (bb_view_is_gone (v, "k", bb_revision_of (1, 9)));
+  g_assert_cmpint (tell (v, "a", "x", 1, 10), ==, BB_VERDICT_GONE);
+  g_assert_cmpint (tell (v, "k", "x", 1, 10), ==, BB_VERDICT_GONE);
+  check (v, "a", "");
+  check (v, "k", "listed");
+  g_assert_cmpint (tell (v, "a", "x", 1, 11), ==, BB_VERDICT_NEWS);
+  g_assert_cmpint (tell (v, "k", NULL, 1, 12), ==, BB_VERDICT_NEWS);
+  /* A watch after a gap tells less than it seems.  */
+  bb_view_settle (v, bb_revision_of (1, 15), bb_revision_of (1, 20));
+  g_assert_cmpint (tell (v, "b", "x", 1, 13), ==, BB_VERDICT_NEWS);
+  bb_view_settle (v, bb_revision_of (1, 10), bb_revision_of (1, 20));
+  g_assert_cmpint (tell (v, "c", "x", 1, 20), ==, BB_VERDICT_GONE);
+  bb_view_free (v);
+}
+
+/* Guards against refusing what the store may have lost with its copy: it is
+   held until a later listing.  */
+static void
+test_unsettled (void)
+{
+  struct bb_view *v = bb_view_new ();
+  g_autoptr (GHashTable) keys = set_of (NULL);
+  g_autoptr (GPtrArray) missing = NULL;
+
+  bb_view_settle (v, 0, bb_revision_of (2, 10));
+  g_assert_cmpint (tell (v, "k", "lost", 1, 20), ==, BB_VERDICT_UNSETTLED);
+  check (v, "k", "lost");
+  g_assert_cmpint (tell (v, "k", "lost", 1, 20), ==, BB_VERDICT_KNOWN);
+  g_assert_cmpint (tell (v, "l", NULL, 1, 20), ==, BB_VERDICT_NEWS);
+  missing = bb_view_missing (v, keys, bb_revision_of (2, 11));
+  g_assert_cmpuint (missing->len, ==, 1);
+  g_assert_true (put (v, "k", NULL, 2, 11));
+  bb_view_free (v);
+}
+
 /* A store, the values of its keys counted up, and copies of it.  */
 struct store
 {
@@ -333,6 +393,8 @@
   g_test_add_func ("/view/removed", test_removed);
   g_test_add_func ("/view/release", test_release);
   g_test_add_func ("/view/twice", test_twice);
+  g_test_add_func ("/view/gone", test_gone);
+  g_test_add_func ("/view/unsettled", test_unsettled);
   g_test_add_func ("/view/runs", test_runs);
   g_test_add_func ("/view/same-process", test_same_process);
   return g_test_run ();
