test_edge_gone: an evacuation that ended while all edges were down

Callers saw: a failure domain was evacuated, all edges ended, the evacuation was taken back meanwhile, and after the start of the edges the upstreams of the domain got nothing; a pool that was there whole was answered 503.

No silence and no refusal removes an evacuation as it does an upstream, so it stayed in force until the next change of its key.

--- a/test/test_edge_gone.c
+++ b/test/test_edge_gone.c
@@ -155,6 +155,58 @@
   testbed_free (&t);
 }
 
+/* Guards against an evacuation that ended while all edges were down, and that
+   an agent remembers: the failure domain gets requests again.  */
+static void
+test_evacuation (void)
+{
+  struct testbed t;
+  uint32_t runs;
+
+  start (&t);
+  testbed_put_item (&t, "op/evacuate/z1", "{}");
+  await_status (&t, 503);
+  harness_sleep_ms (AGENT_KNOWS_MS);
+  kill_edges (&t);
+  testbed_put_item (&t, "op/evacuate/z1", NULL);
+  start_edges (&t);
+  await_status (&t, 200);
+  runs = count_runs_at (&t, LEAVER);
+  check_stays (&t, 200, OBSERVE_MS);
+  g_assert_cmpuint (count_runs_at (&t, LEAVER), >, runs);
+  testbed_free (&t);
+}
+
+/* Returns how often edges learned of i-1 from peers.  */
+static uint32_t
+count_told (struct testbed *t)
+{
+  static const char told[] = "\"upstream\":\"i-1\",\"source\":\"peer\"";
+
+  return testbed_count_log (t, "edge-0", told)
+         + testbed_count_log (t, "edge-1", told);
+}
+
+/* Guards against an upstream that left and whose address another one has: its
+   registration would come back beside that of the other.  */
+static void
+test_address (void)
+{
+  struct testbed t;
+  uint32_t n;
+
+  start (&t);
+  n = count_told (&t);
+  kill_edges (&t);
+  testbed_unregister (&t, "i-1");
+  testbed_register (&t, LEAVER, "i-3", 2);
+  start_edges (&t);
+  await_status (&t, 200);
+  check_stays (&t, 200, OBSERVE_MS);
+  g_assert_cmpuint (count_told (&t), ==, n);
+  testbed_free (&t);
+}
+
 /* Returns how often edges refused what was gone.  */
 static uint32_t
 count_refused (struct testbed *t)
@@ -285,6 +337,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/gone/upstream", test_upstream);
+  g_test_add_func ("/gone/evacuation", test_evacuation);
+  g_test_add_func ("/gone/address", test_address);
   g_test_add_func ("/gone/agent-told", test_agent_told);
   g_test_add_func ("/gone/frozen-edge", test_frozen_edge);
   g_test_add_func ("/gone/listing-tells", test_listing_tells);
