libpeer: what an agent tells one edge reaches the others

Callers saw: an edge that the store refuses sent to an upstream that had left, which an agent remembered, although another edge knew better; and after a start of all edges while the store was away, an edge to which no agent had connected was not ready.

Cause: an edge sends a peer the items above the revision that the peer names, up to its own. What an agent tells lies outside of that and was told to nobody.

Now what an agent told as news, and what a peer told at or below the own revision, is sent to all peers with the next tick, in one batch, unless the store has told it meanwhile. A peer that knows of a removal replies with it.

--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -8,6 +8,7 @@
    connection.c  hello, messages and end of a connection
    state.c       states of the processes
    told.c        items that peers tell
+   late.c        those of them that other peers may not get otherwise
    items.c       items of the store
    large.c       those of them that are large
    past.c        the values that these had before
@@ -84,6 +85,7 @@
      indexed by tick.  */
   uint64_t past_revisions[RESEND_DELAY_TICKS];
   struct peer *peers;
+  GHashTable *late;       /* keys of items that peers may lack; see late.c */
   GHashTable *past;       /* values of large items, by key; see past.c */
   GHashTable *needs;      /* large items that this process lacks, by key */
   uv_timer_t large_timer; /* active while there are any of them */
@@ -128,7 +130,16 @@
 /* Handles the message M of PEER.  */
 void peer_on_item (struct peer *peer, const struct bb_peer_item *m);
 
+/* late.c */
+void peer_late_init (struct bb_peers *p);
+/* FROM told the item TOLD, which is news.  */
+void peer_late_note (const struct peer *from, const struct bb_item *told);
+/* Sends all peers what was noted since the last time.  */
+void peer_late_send (struct bb_peers *p);
+
 /* items.c */
+/* Sends the items of ITEMS to all peers.  */
+void peer_send_items (struct bb_peers *p, const GPtrArray *items);
 /* Sends PEER all items of the view.  */
 void peer_send_all_items (struct peer *peer);
 /* Sends the missing items to peers that lack any that this process had
--- a/libpeer/items.c
+++ b/libpeer/items.c
@@ -13,12 +13,11 @@
   BATCH_MAX_BYTES = 256 * 1024
 };
 
-/* Sends the frames in FRAMES to PEER, packed where they are many: the items of
-   hundreds of upstreams are alike.  Empties FRAMES.  */
+/* Appends the frames in FRAMES to OUT, packed where they are many: the items
+   of hundreds of upstreams are alike.  Empties FRAMES.  */
 static void
-send_batch (struct peer *peer, msgpack_sbuffer *frames)
+put_batch (msgpack_sbuffer *out, msgpack_sbuffer *frames)
 {
-  msgpack_sbuffer *out = bb_conn_out (peer->conn);
   GBytes *value = g_bytes_new_static (frames->data, frames->size);
   GBytes *packed = NULL;
 
@@ -116,9 +115,9 @@
       if (all || i->revision > revision)
         put_or_offer (peer->owner, &frames, i, 1);
       if (frames.size >= BATCH_MAX_BYTES)
-        send_batch (peer, &frames);
+        put_batch (bb_conn_out (peer->conn), &frames);
     }
-  send_batch (peer, &frames);
+  put_batch (bb_conn_out (peer->conn), &frames);
   msgpack_sbuffer_destroy (&frames);
   peer->sent_revision = v->revision;
 }
@@ -141,6 +140,26 @@
   *past_revision = p->view->revision;
 }
 
+void
+peer_send_items (struct bb_peers *p, const GPtrArray *items)
+{
+  uint32_t copies = peer_count_open (p);
+  msgpack_sbuffer frames;
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&frames);
+  msgpack_sbuffer_init (&out);
+  for (guint i = 0; i < items->len; i++)
+    {
+      put_or_offer (p, &frames, g_ptr_array_index (items, i), copies);
+      if (frames.size >= BATCH_MAX_BYTES)
+        put_batch (&out, &frames);
+    }
+  put_batch (&out, &frames);
+  msgpack_sbuffer_destroy (&frames);
+  peer_send_to_all (p, NULL, &out);
+}
+
 void
 bb_peers_broadcast_item (struct bb_peers *p, const struct bb_item *i)
 {
--- a/libpeer/peer.c
+++ b/libpeer/peer.c
@@ -29,6 +29,7 @@
       peer_keep_one (p);
       peer_connect_to_one (p);
     }
+  peer_late_send (p);
   peer_resend_missing (p);
   peer_send_due_states (p);
   p->ticks++;
@@ -79,6 +80,7 @@
           return NULL;
         }
     }
+  peer_late_init (p);
   peer_large_init (p);
   uv_timer_init (loop, &p->timer);
   p->timer.data = p;
--- a/libpeer/told.c
+++ b/libpeer/told.c
@@ -36,6 +36,8 @@
 
   count_bytes (m, verdict);
   p->ops->on_item (told->key, told->value, told->revision, p->user);
+  if (verdict == BB_VERDICT_NEWS)
+    peer_late_note (peer, told);
   if (verdict == BB_VERDICT_GONE)
     peer_tell_gone (peer, told->key, told->revision);
   if (verdict == BB_VERDICT_KNOWN && told->value)
--- a/test/test_edge_gone.c
+++ b/test/test_edge_gone.c
@@ -20,6 +20,7 @@
   LEAVER = 1,
   STARTED_MS = 50, /* until an edge listens; it waits longer for a peer */
   TOLD_MS = 2000,
+  NO_STORE = 1,          /* port at which nothing listens */
   LISTED_MS = 700,       /* until edges that start have listed the store */
   AGENT_KNOWS_MS = 1000, /* until the agent has what edges have, and edges what
                             it has */
@@ -312,6 +313,62 @@
   testbed_free (&t);
 }
 
+/* Guards against an edge that the store refuses and that believes an agent,
+   although another edge knows better: both learn of the removal.  */
+static void
+test_edge_without_store (void)
+{
+  static const char key[] = "servers/i-9";
+  struct bb_peer_hello hello
+      = { .incarnation = 1, .name = bb_bytes_of ("agent") };
+  struct bb_peer_item item
+      = { .key = bb_bytes_of (key),
+          .value = bb_bytes_of (
+              "{\"service\":\"app\",\"address\":\"127.0.0.1:1\",\"zone\":"
+              "\"z1\",\"slots\":8,\"state\":\"ready\"}"),
+          .revision = bb_revision_of (1, 2) };
+  struct testbed t;
+  struct frame_peer *peer;
+  msgpack_sbuffer out;
+
+  testbed_init (&t);
+  testbed_start_replica (&t, "i-1", "app", "");
+  testbed_start_edge (&t, 0);
+  testbed_start_edge (&t, NO_STORE);
+  harness_sleep_ms (AGENT_KNOWS_MS);
+  peer = frame_connect (t.edges[1].control_port);
+  msgpack_sbuffer_init (&out);
+  bb_put_peer_hello (&out, &hello);
+  bb_put_peer_item (&out, &item);
+  frame_send (peer, &out);
+  msgpack_sbuffer_destroy (&out);
+  testbed_await_log (&t, "edge-1", "\"event\":\"upstream_gone\"", 0);
+  g_assert_true (await_removal (peer, key));
+  frame_close (peer);
+  testbed_free (&t);
+}
+
+/* Guards against refusing what an agent knows while the store is away: edges
+   that start then serve by it, also one that it does not tell, until the first
+   listing settles it.  */
+static void
+test_store_away (void)
+{
+  struct testbed t;
+
+  start (&t);
+  kill_edges (&t);
+  testbed_unregister (&t, "i-1");
+  testbed_set_store_mode (&t, "unavailable");
+  start_edges (&t);
+  await_status (&t, 200);
+  check_stays (&t, 200, OBSERVE_MS);
+  testbed_set_store_mode (&t, "ok");
+  harness_sleep_ms (OBSERVE_MS);
+  check_unused (&t);
+  testbed_free (&t);
+}
+
 /* Guards against refusing what is newer than a listing: an upstream that
    registers again after the edges have started is used.  */
 static void
@@ -342,6 +399,8 @@
   g_test_add_func ("/gone/agent-told", test_agent_told);
   g_test_add_func ("/gone/frozen-edge", test_frozen_edge);
   g_test_add_func ("/gone/listing-tells", test_listing_tells);
+  g_test_add_func ("/gone/edge-without-store", test_edge_without_store);
+  g_test_add_func ("/gone/store-away", test_store_away);
   g_test_add_func ("/gone/newer", test_newer);
   return g_test_run ();
 }
