libfleet: what an edge holds after a return of the store is held elsewhere too

Callers saw: the store came back from an older copy, an upstream that had registered after the copy did not register again, and an edge that started just then used it for good, while the others dropped it after two seconds.

Cause: the time in which lost items are held began only at an edge that knew items when it saw the new era. What one that starts hears after its listing was news without an end.

Now what a peer tells as of an earlier era than the listing is held, and what an edge holds it tells as held; either starts the time after which the store is listed again.

/gone/older-copy and /gone/held-elsewhere on: 200 for good where 503 is due after six seconds.

--- a/cmd/edge/fleet.c
+++ b/cmd/edge/fleet.c
@@ -227,6 +227,7 @@
 {
   e->view = bb_view_new ();
   e->view->is_newer_value = bb_item_is_newer;
+  e->view->tells_held = true;
   e->evacuated_domains
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   e->queues = g_hash_table_new (g_str_hash, g_str_equal);
--- a/cmd/edge/peers.c
+++ b/cmd/edge/peers.c
@@ -13,6 +13,16 @@
   fleet_apply_item (user, &told, BB_SOURCE_PEER);
 }
 
+static void
+on_held_item (const char *key, GBytes *value, bb_revision revision, void *user)
+{
+  struct bb_item told = {
+    .key = (char *)key, .value = value, .revision = revision, .held = true
+  };
+
+  fleet_apply_item (user, &told, BB_SOURCE_PEER);
+}
+
 static void
 on_state (const char *name, const struct bb_peer_state *m, void *user)
 {
@@ -84,6 +94,7 @@
 }
 
 static const struct bb_peers_ops ops = { .on_item = on_item,
+                                         .on_held_item = on_held_item,
                                          .on_state = on_state,
                                          .fill_state = fill_state,
                                          .is_reading = is_reading,
--- a/include/bilberry/fleet.h
+++ b/include/bilberry/fleet.h
@@ -308,6 +308,9 @@
   bb_revision revision;
   /* The store itself has told all changes up to it; 0: nothing yet.  */
   bb_revision settled;
+  /* Peers are told which items are held, since listings will settle them; set
+     by the caller.  */
+  bool tells_held;
   /* Returns whether VALUE of KEY was written after KNOWN, as far as they tell
      themselves; set by the caller, NULL: they never do.  */
   bool (*is_newer_value) (const char *key, GBytes *known, GBytes *value);
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -298,6 +298,7 @@
   uint32_t size;
   uint64_t base;
   uint64_t hash;
+  bool held;
 };
 
 /* Frames of a peer that are sent together, such as all items of a view, packed
--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -46,6 +46,10 @@
      removed.  The item may be known already, or older than the known one.  */
   void (*on_item) (const char *key, GBytes *value, bb_revision revision,
                    void *user);
+  /* Likewise, of an item that the peer holds, as the store may have lost it
+     with its copy.  Optional; without it, such items are given to on_item.  */
+  void (*on_held_item) (const char *key, GBytes *value, bb_revision revision,
+                        void *user);
   /* The peer NAME sent its state M.  It has all items up to M->revision, and
      this process has received or already had all items up to M->sent.
      Optional.  */
--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -130,6 +130,18 @@
          && bb_revision_era (revision) == bb_revision_era (v->settled);
 }
 
+/* Whether the peer that told TOLD holds it, and the store has not written the
+   key since.  */
+static bool
+is_held_news (const struct bb_item *known, const struct bb_item *told)
+{
+  if (!told->held || !told->value)
+    return false;
+  return !known
+         || (known->value && !known->held && known->revision <= told->revision
+             && !values_equal (known->value, told->value));
+}
+
 /* Returns what V does with TOLD, which a peer told and which is newer than
    KNOWN.  */
 static enum bb_verdict
@@ -155,6 +167,10 @@
 {
   const struct bb_item *known = g_hash_table_lookup (v->items, told->key);
 
+#ifndef BB_MUTANT_view_held
+  if (source == BB_SOURCE_PEER && is_held_news (known, told))
+    return BB_VERDICT_UNSETTLED;
+#endif
   if (is_as_new (known, told))
     return BB_VERDICT_KNOWN;
   if (source == BB_SOURCE_PEER)
--- a/libpeer/internal.h
+++ b/libpeer/internal.h
@@ -147,8 +147,10 @@
 void peer_resend_missing (struct bb_peers *p);
 
 /* Appends I to OUT, which is sent to COPIES peers.  */
-void peer_put_item (msgpack_sbuffer *out, const struct bb_item *i,
-                    uint32_t copies);
+void peer_put_item (const struct bb_peers *p, msgpack_sbuffer *out,
+                    const struct bb_item *i, uint32_t copies);
+/* Whether peers are told that I is held.  */
+bool peer_tells_held (const struct bb_peers *p, const struct bb_item *i);
 
 /* Tells PEER that KEY was removed, as of REVISION at the latest.  */
 void peer_tell_removal (struct peer *peer, const char *key,
--- a/libpeer/items.c
+++ b/libpeer/items.c
@@ -40,12 +40,20 @@
   msgpack_sbuffer_clear (frames);
 }
 
+bool
+peer_tells_held (const struct bb_peers *p, const struct bb_item *i)
+{
+  return i->held && p->view->tells_held;
+}
+
 void
-peer_put_item (msgpack_sbuffer *out, const struct bb_item *i, uint32_t copies)
+peer_put_item (const struct bb_peers *p, msgpack_sbuffer *out,
+               const struct bb_item *i, uint32_t copies)
 {
   struct bb_peer_item m = { .key = bb_bytes_of (i->key),
                             .revision = i->revision,
-                            .removed = !i->value };
+                            .removed = !i->value,
+                            .held = peer_tells_held (p, i) };
 
   if (i->value)
     {
@@ -63,7 +71,7 @@
 {
   struct bb_item removal = { .key = (char *)key, .revision = revision };
 
-  peer_put_item (bb_conn_out (peer->conn), &removal, 1);
+  peer_put_item (peer->owner, bb_conn_out (peer->conn), &removal, 1);
 }
 
 void
@@ -94,7 +102,7 @@
       return;
     }
 #endif
-  peer_put_item (out, i, copies);
+  peer_put_item (p, out, i, copies);
 }
 
 /* Sends PEER the items with a revision above REVISION, and advances its
--- a/libpeer/large.c
+++ b/libpeer/large.c
@@ -281,12 +281,13 @@
   struct bb_peer_item m = { .key = bb_bytes_of (i->key),
                             .revision = i->revision,
                             .packed = true,
+                            .held = peer_tells_held (p, i),
                             .base = base };
   gsize size;
 
   if (!packed)
     {
-      peer_put_item (bb_conn_out (peer->conn), i, 1);
+      peer_put_item (p, bb_conn_out (peer->conn), i, 1);
       return;
     }
   m.value.ptr = g_bytes_get_data (packed, &size);
--- a/libpeer/told.c
+++ b/libpeer/told.c
@@ -35,7 +35,10 @@
   enum bb_verdict verdict = bb_view_judge (p->view, told, BB_SOURCE_PEER);
 
   count_bytes (m, verdict);
-  p->ops->on_item (told->key, told->value, told->revision, p->user);
+  if (told->held)
+    p->ops->on_held_item (told->key, told->value, told->revision, p->user);
+  else
+    p->ops->on_item (told->key, told->value, told->revision, p->user);
   if (verdict == BB_VERDICT_NEWS)
     peer_late_note (peer, told);
   if (verdict == BB_VERDICT_GONE)
@@ -52,8 +55,10 @@
                              : m->packed
                                  ? peer_unpack_item (peer, key, m)
                                  : g_bytes_new (m->value.ptr, m->value.size);
-  struct bb_item told
-      = { .key = key, .value = value, .revision = m->revision };
+  struct bb_item told = { .key = key,
+                          .value = value,
+                          .revision = m->revision,
+                          .held = m->held && peer->owner->ops->on_held_item };
 
   if (value || m->removed)
     take (peer, &told, m);
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -1159,7 +1159,7 @@
 static void
 put_peer_item (msgpack_packer *pk, const struct bb_peer_item *v)
 {
-  msgpack_pack_map (pk, 8);
+  msgpack_pack_map (pk, 9);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->key);
   msgpack_pack_uint8 (pk, 2);
@@ -1176,6 +1176,8 @@
   msgpack_pack_uint64 (pk, v->base);
   msgpack_pack_uint8 (pk, 8);
   msgpack_pack_uint64 (pk, v->hash);
+  msgpack_pack_uint8 (pk, 9);
+  bb_wire_put_bool (pk, v->held);
 }
 
 static bool
@@ -1236,6 +1238,11 @@
           v->hash = (uint64_t)n;
           seen |= UINT64_C (1) << 8;
           break;
+        case 9:
+          if (!bb_wire_get_bool (o, &v->held, "held", e))
+            return false;
+          seen |= UINT64_C (1) << 9;
+          break;
         default:
           break;
         }
@@ -4943,6 +4950,7 @@
   { BB_MSG_PEER_ITEM, 6, false, "size" },
   { BB_MSG_PEER_ITEM, 7, false, "base" },
   { BB_MSG_PEER_ITEM, 8, false, "hash" },
+  { BB_MSG_PEER_ITEM, 9, false, "held" },
   { BB_MSG_PEER_BATCH, 1, true, "size" },
   { BB_MSG_PEER_BATCH, 2, true, "packed" },
   { BB_MSG_PEER_STATE, 1, true, "revision" },
--- a/test/test_edge_gone.c
+++ b/test/test_edge_gone.c
@@ -25,6 +25,8 @@
   AGENT_KNOWS_MS = 1000, /* until the agent has what edges have, and edges what
                             it has */
   OBSERVE_MS = 2000,
+  BELIEVED_MS = 600, /* shorter than what was lost has time to come again */
+  SETTLED_MS = 6000, /* after which the store's word counts for all items */
   POLL_MS = 20
 };
 
@@ -32,6 +34,15 @@
 
 static pid_t agent;
 
+static void
+post (struct testbed *t, const char *path)
+{
+  struct http_response a = harness_http (t->store_port, "POST", path, "", "");
+
+  g_assert_cmpint (a.status, ==, 200);
+  http_response_free (&a);
+}
+
 /* Starts the edges and the agent, and waits until each edge serves and the
    agent has its items.  */
 static void
@@ -389,6 +400,72 @@
   testbed_free (&t);
 }
 
+/* Starts a store whose copy lacks i-1, the only upstream of pool app, one edge
+   and the agent.  */
+static void
+start_before_return (struct testbed *t)
+{
+  testbed_init (t);
+  testbed_start_replica_on (t, "127.0.0.11", "i-0", "other", "");
+  post (t, "/save");
+  testbed_start_replica (t, "i-1", "app", "");
+  testbed_start_edge (t, 0);
+  agent = testbed_start_rank (t, AGENT);
+  g_assert_true (testbed_await_status (t, 0, "/check/1", "key-1", 200));
+  harness_sleep_ms (AGENT_KNOWS_MS);
+}
+
+/* Asserts that edge E uses i-1 for some time, and not for good: it has had
+   time to register again.  */
+static void
+check_settles (struct testbed *t, uint32_t e)
+{
+  bb_ms end = bb_clock_now () + BELIEVED_MS;
+
+  while (bb_clock_now () < end)
+    {
+      g_assert_cmpint (get_status (t, e), ==, 200);
+      harness_sleep_ms (POLL_MS);
+    }
+  harness_sleep_ms (SETTLED_MS);
+  g_assert_true (testbed_await_status (t, e, "/check/1", "key-1", 503));
+}
+
+/* Guards against refusing what an agent knows and the store lost, as it came
+   back from an older copy while all edges were down.  */
+static void
+test_older_copy (void)
+{
+  struct testbed t;
+
+  start_before_return (&t);
+  harness_signal (t.harness, agent, SIGSTOP);
+  testbed_kill_edge (&t, 0);
+  post (&t, "/restore");
+  testbed_restart_edge (&t, 0);
+  harness_sleep_ms (LISTED_MS);
+  harness_signal (t.harness, agent, SIGCONT);
+  g_assert_true (testbed_await_status (&t, 0, "/check/1", "key-1", 200));
+  check_settles (&t, 0);
+  testbed_free (&t);
+}
+
+/* Guards against refusing what an edge holds since the store came back from an
+   older copy: one that starts just then lists the store and believes it.  */
+static void
+test_held_elsewhere (void)
+{
+  struct testbed t;
+
+  start_before_return (&t);
+  post (&t, "/restore");
+  harness_sleep_ms (STARTED_MS);
+  testbed_start_edge (&t, 0);
+  g_assert_true (testbed_await_status (&t, 1, "/check/1", "key-1", 200));
+  check_settles (&t, 1);
+  testbed_free (&t);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -402,5 +479,7 @@
   g_test_add_func ("/gone/edge-without-store", test_edge_without_store);
   g_test_add_func ("/gone/store-away", test_store_away);
   g_test_add_func ("/gone/newer", test_newer);
+  g_test_add_func ("/gone/older-copy", test_older_copy);
+  g_test_add_func ("/gone/held-elsewhere", test_held_elsewhere);
   return g_test_run ();
 }
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -228,6 +228,39 @@
   bb_view_free (v);
 }
 
+/* Guards against refusing what a peer holds as the store may have lost it: a
+   listing in the new era, before or after, does not settle that.  */
+static void
+test_held_by_peer (void)
+{
+  struct bb_view *v = bb_view_new ();
+  g_autoptr (GBytes) value = g_bytes_new_static ("held", 4);
+  struct bb_item told = {
+    .key = "a", .value = value, .revision = bb_revision_of (2, 9), .held = true
+  };
+
+  put (v, "k", "copy", 2, 9);
+  put (v, "written", "again", 2, 10);
+  put (v, "removed", "x", 2, 5);
+  put (v, "removed", NULL, 2, 10);
+  bb_view_settle (v, 0, bb_revision_of (2, 10));
+  g_assert_cmpint (bb_view_take (v, &told, BB_SOURCE_PEER), ==,
+                   BB_VERDICT_UNSETTLED);
+  told.key = "k";
+  g_assert_cmpint (bb_view_take (v, &told, BB_SOURCE_PEER), ==,
+                   BB_VERDICT_UNSETTLED);
+  check (v, "k", "held");
+  g_assert_cmpint (bb_view_take (v, &told, BB_SOURCE_PEER), ==,
+                   BB_VERDICT_KNOWN);
+  told.key = "written";
+  g_assert_cmpint (bb_view_take (v, &told, BB_SOURCE_PEER), ==,
+                   BB_VERDICT_KNOWN);
+  told.key = "removed";
+  g_assert_cmpint (bb_view_take (v, &told, BB_SOURCE_PEER), ==,
+                   BB_VERDICT_KNOWN);
+  bb_view_free (v);
+}
+
 /* A store, the values of its keys counted up, and copies of it.  */
 struct store
 {
@@ -395,6 +428,7 @@
   g_test_add_func ("/view/twice", test_twice);
   g_test_add_func ("/view/gone", test_gone);
   g_test_add_func ("/view/unsettled", test_unsettled);
+  g_test_add_func ("/view/held-by-peer", test_held_by_peer);
   g_test_add_func ("/view/runs", test_runs);
   g_test_add_func ("/view/same-process", test_same_process);
   return g_test_run ();
