libfleet: a listing removes held items also at an unchanged revision

Cause: a held item has the revision of the listing that lacked it first. The next listing has the same one if nothing was written between, and a removal at the revision that the view has counted as known.

Now a removal at the revision of a value is news: the store gives out a revision once, so only a listing can tell it. /view/missing-unchanged failed before; test_view, test_platform, test_edge_return and /gone/older-copy, /gone/held-elsewhere pass. It fails without the guard view_missing.

--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -109,14 +109,22 @@
          || !v->is_newer_value (known->key, known->value, told->value);
 }
 
-/* Whether KNOWN, which may be NULL, is as new as TOLD.  */
+/* Whether KNOWN, which may be NULL, is as new as TOLD.  A removal that a
+   listing shows has the revision of the listing, which an item may have that
+   is held since an earlier one.  */
 static bool
 is_as_new (const struct bb_item *known, const struct bb_item *told)
 {
 #ifdef BB_MUTANT_view_revision
   return false;
 #endif
-  return known && known->revision >= told->revision;
+  if (!known || known->revision < told->revision)
+    return false;
+#ifndef BB_MUTANT_view_missing
+  if (known->revision == told->revision && known->value && !told->value)
+    return false;
+#endif
+  return true;
 }
 
 /* Whether the store has told V all changes up to REVISION, of its era.  */
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -261,6 +261,26 @@
   bb_view_free (v);
 }
 
+/* Guards against what stays held although a listing lacks it, since nothing
+   was written to the store between its listings.  */
+static void
+test_missing_unchanged (void)
+{
+  struct bb_view *v = bb_view_new ();
+  g_autoptr (GHashTable) keys = set_of (NULL);
+  g_autoptr (GPtrArray) missing = NULL;
+  bb_revision revision = bb_revision_of (2, 10);
+
+  put (v, "k", "lost", 1, 20);
+  g_assert_cmpuint (bb_view_hold_missing (v, keys, revision), ==, 1);
+  missing = bb_view_missing (v, keys, revision);
+  g_assert_cmpuint (missing->len, ==, 1);
+  g_assert_true (put (v, "k", NULL, 2, 10));
+  check (v, "k", "");
+  g_assert_false (put (v, "k", NULL, 2, 10));
+  bb_view_free (v);
+}
+
 /* A store, the values of its keys counted up, and copies of it.  */
 struct store
 {
@@ -429,6 +449,7 @@
   g_test_add_func ("/view/gone", test_gone);
   g_test_add_func ("/view/unsettled", test_unsettled);
   g_test_add_func ("/view/held-by-peer", test_held_by_peer);
+  g_test_add_func ("/view/missing-unchanged", test_missing_unchanged);
   g_test_add_func ("/view/runs", test_runs);
   g_test_add_func ("/view/same-process", test_same_process);
   return g_test_run ();
