libh1: a status with leading zeros is no answer

Callers of an edge got 200 and the body of an answer whose status was 0200, as of an upstream in trouble; an order so answered was called done.

Now the reader counts the digits; other than three make the head malformed. /edge/faults with 0200: 200 before, 502 now (checks go to another upstream); /h1-client/status failed before. The readers of answers: edges and rank agents read by libh1 (calls, and fetches of the store, reports, counts and orders: /h1-client/fetch-status, red without the guard); agents and bilberry stat by libnet, which refused 0200 already (/net-client/status, /net-client/fetch-status passed before). Entries read no HTTP answers, the check of a crash reads none. test_h1_client, test_h1_server, test_h1_ends, test_edge, test_edge_answers and test_answer_matrix pass. The guard status_digits was seen red by three tests.

--- a/libh1/h1.h
+++ b/libh1/h1.h
@@ -48,6 +48,14 @@
   uint32_t value_size;
 };
 
+/* What of a status line is read next.  */
+enum h1_status_line
+{
+  H1_STATUS_LINE_VERSION,
+  H1_STATUS_LINE_CODE,
+  H1_STATUS_LINE_REST
+};
+
 /* Reads the messages of a connection, one after the other.  */
 struct h1_reader
 {
@@ -64,6 +72,8 @@
                              points into the head buffer, which must not grow */
   bool started;           /* the first bytes of a message have arrived */
   bool complete;          /* the message is complete; the parser is paused */
+  enum h1_status_line status_line;
+  uint32_t status_digits; /* digits of the status, with leading zeros */
   bool overflow;          /* more headers than BB_H1_HEADERS_MAX */
   struct bb_h1_message message;
 };
--- a/libh1/reader.c
+++ b/libh1/reader.c
@@ -3,11 +3,17 @@
 #include "bilberry/net.h"
 #include "h1.h"
 
+#include <glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  STATUS_DIGITS = 3
+};
+
 void
 h1_buffer_append (struct h1_buffer *b, const char *data, size_t size)
 {
@@ -185,11 +191,22 @@
   return false;
 }
 
+/* Whether the status is one of HTTP.  The parser tells its number alone, and
+   takes 0200 for 200.  */
+static bool
+has_valid_status (const struct h1_reader *r)
+{
+#ifndef BB_MUTANT_status_digits
+  if (r->status_digits != STATUS_DIGITS)
+    return false;
+#endif
+  return bb_http_status_is_valid (r->parser.status_code);
+}
+
 static bool
 is_valid_head (const struct h1_reader *r)
 {
-  if (r->parser.type == HTTP_RESPONSE
-      && !bb_http_status_is_valid (r->parser.status_code))
+  if (r->parser.type == HTTP_RESPONSE && !has_valid_status (r))
     return false;
   return !has_spaced_name (&r->message);
 }
@@ -270,14 +287,37 @@
   r->head_complete = false;
   r->started = false;
   r->complete = false;
+  r->status_line = H1_STATUS_LINE_VERSION;
+  r->status_digits = 0;
+}
+
+/* Counts the digits of the status in DATA, of SIZE bytes, the next of a
+   response.  */
+static void
+count_status_digits (struct h1_reader *r, const char *data, size_t size)
+{
+  for (size_t i = 0; i < size && r->status_line != H1_STATUS_LINE_REST; i++)
+    if (r->status_line == H1_STATUS_LINE_VERSION)
+      {
+        if (data[i] == ' ')
+          r->status_line = H1_STATUS_LINE_CODE;
+      }
+    else if (g_ascii_isdigit (data[i]))
+      r->status_digits++;
+    else if (data[i] != ' ' || r->status_digits > 0)
+      r->status_line = H1_STATUS_LINE_REST;
 }
 
 ssize_t
 h1_reader_feed (struct h1_reader *r, const char *data, size_t size)
 {
-  size_t n = http_parser_execute (&r->parser, &callbacks, data, size);
-  enum http_errno e = HTTP_PARSER_ERRNO (&r->parser);
+  enum http_errno e;
+  size_t n;
 
+  if (r->parser.type == HTTP_RESPONSE)
+    count_status_digits (r, data, size);
+  n = http_parser_execute (&r->parser, &callbacks, data, size);
+  e = HTTP_PARSER_ERRNO (&r->parser);
   if (e == HPE_PAUSED && r->complete)
     {
       r->ops->on_complete (r, r->user);
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -107,6 +107,7 @@
     { "status:000 None", 502, 1, true },
     { "status:600 Odd", 502, 1, true },
     { "status:999 Odd", 502, 1, true },
+    { "status:0200 Odd", 502, 1, true },
     { "header:X Odd: 1", 502, 1, true },
     { "header:X-Odd : 1", 502, 1, true },
     { "header:X-Odd\x01: 1", 502, 1, true },
--- a/test/test_h1_client.c
+++ b/test/test_h1_client.c
@@ -651,6 +651,11 @@
     { "HTTP/1.1 999 High\r\n", 0 },
     { "HTTP/1.1 1000 High\r\n", 0 },
     { "HTTP/1.1 -200 OK\r\n", 0 },
+    { "HTTP/1.1 0200 OK\r\n", 0 },
+    { "HTTP/1.1 00200 OK\r\n", 0 },
+    { "HTTP/1.1 0200\r\n", 0 },
+    { "HTTP/1.1 0102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", 0 },
+    { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 0200 OK\r\n", 0 },
     { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 None\r\n", 0 },
   };
 
@@ -658,6 +663,53 @@
     play_head (&cases[i]);
 }
 
+static void
+on_fetched (enum bb_h1_fetch_result result, uint16_t status,
+            struct bb_bytes body, void *user)
+{
+  struct fixture *f = user;
+
+  f->ended = true;
+  f->status = result == BB_H1_FETCH_COMPLETE ? status : 0;
+  g_string_append_len (f->body, body.ptr, body.size);
+}
+
+/* Guards against fetches, as of the store and of engines' reports, that take
+   such a status for that of an answer.  */
+static void
+test_fetch_status (void)
+{
+  static const struct head_case cases[] = {
+    { "HTTP/1.1 200 OK\r\n", 200 },  { "HTTP/1.1 000 None\r\n", 0 },
+    { "HTTP/1.1 600 High\r\n", 0 },  { "HTTP/1.1 0200 OK\r\n", 0 },
+    { "HTTP/1.1 0503 Busy\r\n", 0 },
+  };
+  struct bb_h1_request request = { .method = bb_bytes_of ("POST"),
+                                   .target = bb_bytes_of ("/"),
+                                   .host = bb_bytes_of ("a"),
+                                   .body = bb_bytes_of ("asked") };
+  struct bb_h1_fetch_limits limits
+      = { .timeout_ms = WAIT_MS, .body_max_bytes = 100 };
+  static struct fixture f;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text
+          = g_strconcat (cases[i].head, "Content-Length: 2\r\n\r\nok", NULL);
+      int fd;
+      set_up (&f);
+      bb_h1_fetch (f.pool, &request, &limits, on_fetched, &f);
+      fd = accept_next (&f);
+      g_assert_true (gets_request (&f, fd));
+      send_text (fd, text);
+      while (!f.ended)
+        uv_run (&f.loop, UV_RUN_ONCE);
+      g_assert_cmpuint (f.status, ==, cases[i].status);
+      close (fd);
+      tear_down (&f);
+    }
+}
+
 /* Nor is one in whose head a header name is not a token of HTTP.  */
 static void
 test_header_name (void)
@@ -732,6 +784,7 @@
                    test_reset_with_last_bytes);
   g_test_add_func ("/h1-client/reset-in-upload", test_reset_in_upload);
   g_test_add_func ("/h1-client/status", test_status);
+  g_test_add_func ("/h1-client/fetch-status", test_fetch_status);
   g_test_add_func ("/h1-client/header-name", test_header_name);
   g_test_add_func ("/h1-client/closed-idle", test_closed_idle);
   g_test_add_func ("/h1-client/reset-idle", test_reset_idle);
--- a/test/test_net_client.c
+++ b/test/test_net_client.c
@@ -300,6 +300,11 @@
     { "HTTP/1.1 600 High\r\n", 0 },
     { "HTTP/1.1 999 High\r\n", 0 },
     { "HTTP/1.1 1000 High\r\n", 0 },
+    { "HTTP/1.1 0200 OK\r\n", 0 },
+    { "HTTP/1.1 00200 OK\r\n", 0 },
+    { "HTTP/1.1 0200\r\n", 0 },
+    { "HTTP/1.1 0102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", 0 },
+    { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 0200 OK\r\n", 0 },
     { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 None\r\n", 0 },
     { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", 200 },
   };
@@ -426,6 +431,39 @@
   g_string_append_len (f->body, body.ptr, body.size);
 }
 
+/* Guards against fetches, as of the configuration service and the list of VMs,
+   that take a status that HTTP does not have for that of an answer.  */
+static void
+test_fetch_status (void)
+{
+  static const struct head_case cases[] = {
+    { "HTTP/1.1 200 OK\r\n", 200 },
+    { "HTTP/1.1 000 None\r\n", 0 },
+    { "HTTP/1.1 600 High\r\n", 0 },
+    { "HTTP/1.1 0200 OK\r\n", 0 },
+  };
+  static struct fixture f;
+
+  set_up (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text
+          = g_strconcat (cases[i].head, "Content-Length: 2\r\n\r\nok", NULL);
+      int fd;
+      f.ended = false;
+      g_string_truncate (f.body, 0);
+      bb_http_fetch (f.client, "GET", "/", bb_bytes_of (""), 100, on_fetched,
+                     &f);
+      fd = await_request (&f);
+      g_assert_cmpint ((int)send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
+                       (int)strlen (text));
+      run_until_ended (&f, cases[i].status > 0);
+      g_assert_cmpuint (f.status, ==, cases[i].status);
+      close (fd);
+    }
+  tear_down (&f);
+}
+
 /* A body that is longer than a fetch takes is an error, not one with parts
    left out.  */
 static void
@@ -469,6 +507,7 @@
   g_test_add_func ("/net-client/reset-response", test_reset_response);
   g_test_add_func ("/net-client/reset-in-upload", test_reset_in_upload);
   g_test_add_func ("/net-client/status", test_status);
+  g_test_add_func ("/net-client/fetch-status", test_fetch_status);
   g_test_add_func ("/net-client/header-name", test_header_name);
   g_test_add_func ("/net-client/folded-value", test_folded_value);
   g_test_add_func ("/net-client/long", test_long);
