--- a/include/bilberry/peer.h
+++ b/include/bilberry/peer.h
@@ -7,7 +7,9 @@
    Edges connect to all other edges; an agent connects to one edge.  On a new
    connection each side sends all items of its view.  Later it sends the items
    that the other side lacks, and at regular intervals its state, which tells
-   the revision up to which it has all items.  A large item is only offered;
+   the revision up to which it has all items.  A process that is told a value
+   which its view takes for gone, or knows to be removed, replies with the
+   removal.  What an agent tells is passed on.  A large item is only offered;
    a process that lacks it asks one peer at a time for it.  A connection on
    which no byte arrives for some time is closed.
 
