libfleet: one function judges an item, without a second for peers

Cause: bb_view_judge and a function for peers named the same last two cases. Now each case stands once, in the order of the table in docs/design/0058. The counter of bytes that came for nothing counts refused items as well, as its page says. testbed_count_runs_at replaces the copies in test_edge_gone and test_edge_rest.

No other behaviour changes: test_view, test_view_explore, test_platform, test_edge_gone and test_edge_rest pass.

--- a/libfleet/view.c
+++ b/libfleet/view.c
@@ -138,6 +138,13 @@
          && bb_revision_era (revision) == bb_revision_era (v->settled);
 }
 
+/* Whether REVISION is of an era before that of which the store has told.  */
+static bool
+is_of_earlier_era (const struct bb_view *v, bb_revision revision)
+{
+  return bb_revision_era (revision) < bb_revision_era (v->settled);
+}
+
 /* Whether the peer that told TOLD holds it, and the store has not written the
    key since.  */
 static bool
@@ -150,41 +157,28 @@
              && !values_equal (known->value, told->value));
 }
 
-/* Returns what V does with TOLD, which a peer told and which is newer than
-   KNOWN.  */
-static enum bb_verdict
-judge_peer (const struct bb_view *v, const struct bb_item *known,
-            const struct bb_item *told)
-{
-  bool earlier_era
-      = bb_revision_era (told->revision) < bb_revision_era (v->settled);
-
-  if (is_settled (v, told->revision))
-    return told->value ? BB_VERDICT_GONE : BB_VERDICT_KNOWN;
-#ifndef BB_MUTANT_view_unsettled
-  if (earlier_era && told->value)
-    return BB_VERDICT_UNSETTLED;
-#endif
-  return known && is_older_copy (v, known, told) ? BB_VERDICT_OLDER
-                                                 : BB_VERDICT_NEWS;
-}
-
 enum bb_verdict
 bb_view_judge (const struct bb_view *v, const struct bb_item *told,
                enum bb_source source)
 {
   const struct bb_item *known = g_hash_table_lookup (v->items, told->key);
+  bool from_peer = source == BB_SOURCE_PEER;
 
 #ifndef BB_MUTANT_view_held
-  if (source == BB_SOURCE_PEER && is_held_news (known, told))
+  if (from_peer && is_held_news (known, told))
     return BB_VERDICT_UNSETTLED;
 #endif
   if (is_as_new (known, told))
     return BB_VERDICT_KNOWN;
-  if (source == BB_SOURCE_PEER)
-    return judge_peer (v, known, told);
-  return known && is_older_copy (v, known, told) ? BB_VERDICT_OLDER
-                                                 : BB_VERDICT_NEWS;
+  if (from_peer && is_settled (v, told->revision))
+    return told->value ? BB_VERDICT_GONE : BB_VERDICT_KNOWN;
+#ifndef BB_MUTANT_view_unsettled
+  if (from_peer && told->value && is_of_earlier_era (v, told->revision))
+    return BB_VERDICT_UNSETTLED;
+#endif
+  if (known && is_older_copy (v, known, told))
+    return BB_VERDICT_OLDER;
+  return BB_VERDICT_NEWS;
 }
 
 bool
@@ -222,8 +216,8 @@
   i->value = value;
   i->revision = told->revision;
   i->held = held;
-  /* As hold_missing does with what it had before the store's return.  */
-  if (held && bb_revision_era (i->revision) < bb_revision_era (v->settled))
+  /* As bb_view_hold_missing does with what was there before the return.  */
+  if (held && is_of_earlier_era (v, i->revision))
     i->revision = v->settled;
 }
 
--- a/libpeer/told.c
+++ b/libpeer/told.c
@@ -3,14 +3,14 @@
 
 #include "internal.h"
 
-/* Counts the bytes received of the item TOLD, and those of them for an item
-   that is in the view already.  */
+/* Counts the bytes received of the item M, and those of them that came for
+   nothing, as VERDICT says.  */
 static void
 count_bytes (const struct bb_peer_item *m, enum bb_verdict verdict)
 {
   bb_counter ("bilberry_peer_item_bytes_total", "kind=\"received\"")->value
       += m->value.size;
-  if (verdict == BB_VERDICT_KNOWN)
+  if (verdict == BB_VERDICT_KNOWN || verdict == BB_VERDICT_GONE)
     bb_counter ("bilberry_peer_item_bytes_total", "kind=\"known\"")->value
         += m->value.size;
 }
--- a/test/harness/testbed.c
+++ b/test/harness/testbed.c
@@ -418,6 +418,18 @@
   return n;
 }
 
+uint32_t
+testbed_count_runs_at (struct testbed *t, uint32_t r)
+{
+  struct http_response a = get_ran (t, r);
+  uint32_t n = 0;
+
+  for (const char *at = a.body; (at = strstr (at, " by ")); at++)
+    n++;
+  http_response_free (&a);
+  return n;
+}
+
 uint32_t
 testbed_count_ended (struct testbed *t)
 {
--- a/test/harness/testbed.h
+++ b/test/harness/testbed.h
@@ -131,6 +131,9 @@
 /* Returns how often requests with attempt id ID ran, over all replicas.  */
 uint32_t testbed_count_runs (struct testbed *t, const char *id);
 
+/* Returns how many requests replica R ran.  */
+uint32_t testbed_count_runs_at (struct testbed *t, uint32_t r);
+
 /* Returns how often replicas were ended by a request, over all replicas.  */
 uint32_t testbed_count_ended (struct testbed *t);
 
--- a/test/test_edge_gone.c
+++ b/test/test_edge_gone.c
@@ -125,28 +125,14 @@
     g_assert_true (testbed_await_status (t, e, "/check/1", "key-1", status));
 }
 
-/* Returns how many requests replica R ran.  */
-static uint32_t
-count_runs_at (struct testbed *t, uint32_t r)
-{
-  struct http_response a
-      = harness_http (t->replica_ports[r], "GET", "/ran", "", "");
-  uint32_t n = 0;
-
-  for (const char *at = a.body; (at = strstr (at, " by ")); at++)
-    n++;
-  http_response_free (&a);
-  return n;
-}
-
 /* Asserts that the edges serve while i-1 gets nothing.  */
 static void
 check_unused (struct testbed *t)
 {
-  uint32_t runs = count_runs_at (t, LEAVER);
+  uint32_t runs = testbed_count_runs_at (t, LEAVER);
 
   check_stays (t, 200, OBSERVE_MS);
-  g_assert_cmpuint (count_runs_at (t, LEAVER), ==, runs);
+  g_assert_cmpuint (testbed_count_runs_at (t, LEAVER), ==, runs);
 }
 
 /* Guards against requests to an upstream that left while all edges were down,
@@ -185,9 +171,9 @@
   testbed_put_item (&t, "op/evacuate/z1", NULL);
   start_edges (&t);
   await_status (&t, 200);
-  runs = count_runs_at (&t, LEAVER);
+  runs = testbed_count_runs_at (&t, LEAVER);
   check_stays (&t, 200, OBSERVE_MS);
-  g_assert_cmpuint (count_runs_at (&t, LEAVER), >, runs);
+  g_assert_cmpuint (testbed_count_runs_at (&t, LEAVER), >, runs);
   testbed_free (&t);
 }
 
@@ -396,9 +382,9 @@
   start_edges (&t);
   testbed_register (&t, LEAVER, "i-1", 1);
   await_status (&t, 200);
-  runs = count_runs_at (&t, LEAVER);
+  runs = testbed_count_runs_at (&t, LEAVER);
   check_stays (&t, 200, OBSERVE_MS);
-  g_assert_cmpuint (count_runs_at (&t, LEAVER), >, runs);
+  g_assert_cmpuint (testbed_count_runs_at (&t, LEAVER), >, runs);
   testbed_free (&t);
 }
 
--- a/test/test_edge_rest.c
+++ b/test/test_edge_rest.c
@@ -365,20 +365,6 @@
   testbed_free (&t);
 }
 
-/* Returns how many requests replica 0 ran.  */
-static uint32_t
-count_runs (struct testbed *t)
-{
-  struct http_response a
-      = harness_http (t->replica_ports[0], "GET", "/ran", "", "");
-  uint32_t n = 0;
-
-  for (const char *at = a.body; (at = strstr (at, " by ")); at++)
-    n++;
-  http_response_free (&a);
-  return n;
-}
-
 /* An upstream that was slow is not passed over once it has started anew.  */
 static void
 test_restart_slow (void)
@@ -399,15 +385,15 @@
   testbed_start_replica (&t, "i-2", "app", "");
   for (uint32_t n = 0; n < 500 && elsewhere < PASSED_OVER; n++)
     {
-      runs = count_runs (&t);
+      runs = testbed_count_runs_at (&t, 0);
       send_requests (&t, "/check/1", 1);
-      elsewhere = count_runs (&t) == runs ? elsewhere + 1 : 0;
+      elsewhere = testbed_count_runs_at (&t, 0) == runs ? elsewhere + 1 : 0;
     }
   g_assert_cmpuint (elsewhere, ==, PASSED_OVER);
-  runs = count_runs (&t);
+  runs = testbed_count_runs_at (&t, 0);
   put_upstream (&t, "i-1", 1, 2000);
   send_requests (&t, "/check/1", OBSERVE_MS);
-  g_assert_cmpuint (count_runs (&t), >, runs);
+  g_assert_cmpuint (testbed_count_runs_at (&t, 0), >, runs);
   testbed_free (&t);
 }
 
