--- a/test/test_edge_gone.c
+++ b/test/test_edge_gone.c
@@ -177,6 +177,34 @@
   testbed_free (&t);
 }
 
+/* Guards against an older configuration, with a key that was withdrawn while
+   all edges were down, by an agent that remembers it.  */
+static void
+test_config (void)
+{
+  struct testbed t;
+
+  start (&t);
+  testbed_put_config (&t, 2, "", ",\"key-2\"");
+  for (uint32_t e = 0; e < EDGES; e++)
+    g_assert_true (testbed_await_status (&t, e, "/check/1", "key-2", 200));
+  harness_sleep_ms (AGENT_KNOWS_MS);
+  kill_edges (&t);
+  testbed_put_config (&t, 3, "", "");
+  start_edges (&t);
+  for (uint32_t e = 0; e < EDGES; e++)
+    g_assert_true (testbed_await_status (&t, e, "/check/1", "key-2", 401));
+  check_stays (&t, 200, OBSERVE_MS);
+  for (uint32_t e = 0; e < EDGES; e++)
+    {
+      struct http_response a
+          = testbed_request (&t, e, "GET", "/check/1", "c2", "key-2");
+      g_assert_cmpint (a.status, ==, 401);
+      http_response_free (&a);
+    }
+  testbed_free (&t);
+}
+
 /* Returns how often edges learned of i-1 from peers.  */
 static uint32_t
 count_told (struct testbed *t)
@@ -460,6 +488,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/gone/upstream", test_upstream);
   g_test_add_func ("/gone/evacuation", test_evacuation);
+  g_test_add_func ("/gone/config", test_config);
   g_test_add_func ("/gone/address", test_address);
   g_test_add_func ("/gone/agent-told", test_agent_told);
   g_test_add_func ("/gone/frozen-edge", test_frozen_edge);
