Review case 11: a leader that was superseded resumes its switch

Seen: passes begin with two maps, or the group stands still for good, after the entry of the leader's replica has expired and come back. The leader stays leader while its followers follow another one, and trusts what it had counted before.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,9 +1,11 @@
 #!/bin/sh
 # Builds what the scripts of this review start besides the programs of the
-# deploy file.  The stand-ins are Python programs that need no build; this
-# checks that they can be run.
+# deploy file: the project's stand-in for a group of ranks.  The other
+# stand-ins are Python programs that need no build.
 set -e
-cd "$(dirname "$0")"
+cd "$(dirname "$0")/.."
+make -s -j6 build/fake-group
+cd review
 python3 - <<'END'
 import glob
 for path in sorted(glob.glob("stand-3/*.py") + glob.glob("1[1-5]/*.py")):
--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -86,6 +86,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self.history.append({"key": key, "revision": self.revision,
+                             "removed": True})
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def start(self):
         await asyncio.start_server(self.serve, self.ip, self.port)
 
