--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -404,13 +404,17 @@
                                                 for _ in range(3))
         self.addresses = ["%s.%d" % (net, i + 1) for i in range(count)]
 
-    def start(self):
+    def start(self, first=True):
+        """Starts the edges; after a kill of all it is not the FIRST time."""
+        self.processes = []
         seeds = "\n".join('  - "%s:%d"' % (a, self.control)
                           for a in self.addresses[:3])
         for i, ip in enumerate(self.addresses):
             path = os.path.join(self.folder, "edge-%d.yaml" % i)
+            text = SETTINGS if first else SETTINGS.replace(
+                "bootstrap: true", "bootstrap: false")
             with open(path, "w") as f:
-                f.write(SETTINGS % {
+                f.write(text % {
                     "name": "edge-%d" % i, "ip": ip,
                     "zone": "z-" + "abc"[i % 3], "front": self.front,
                     "ready": self.ready, "control": self.control,
@@ -537,10 +541,14 @@
         sys.exit(2)
     with tempfile.TemporaryDirectory(prefix="review-3-") as temporary:
         loop = asyncio.new_event_loop()
+        task = loop.create_task(asyncio.wait_for(case(record, temporary),
+                                                 112))
+        # A script that is ended ends its own processes first, by their ids.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            status = loop.run_until_complete(
-                asyncio.wait_for(case(record, temporary), 110))
-        except Exception as e:  # the case could not run
+            status = loop.run_until_complete(task)
+        except (Exception, asyncio.CancelledError) as e:
             record.add("could not run: %r" % e)
             status = 2
     record.add("exit %d" % status)
