test/harness: the model of a rank in a file of its own

Cause: the rank that takes orders, and what its agent records, stood inside the simulation of a group; a test that explores states needs both without it. Change: group_rank.c has them; the simulation calls it.

--- a/test/harness/group_sim.c
+++ b/test/harness/group_sim.c
@@ -57,37 +57,6 @@
          || sw->phase == BB_GROUP_SWITCH_GOING;
 }
 
-/* Records at the agent through which O goes what it knows of O.  */
-static void
-note_at_agent (struct simulation *sim, uint32_t rank,
-               const struct bb_group_switch_order *o)
-{
-  struct sim_agent *via = &sim->agents[o->via_rank];
-
-  if (o->op == BB_GROUP_SWITCH_ARM && o->via_rank != rank
-      && o->via_rank != sim->sending_leader)
-    {
-      via->relayed_epoch = o->epoch;
-      via->relayed_version = o->version;
-      via->relayed_rank = rank;
-      via->relayed_accepted = false;
-    }
-  else if (o->own_armed && o->via_rank != sim->sending_leader
-           && (via->relayed_epoch != o->epoch
-               || via->relayed_version != o->version
-               || via->relayed_rank != sim->sending_leader))
-    {
-      via->relayed_epoch = o->epoch;
-      via->relayed_version = o->version;
-      via->relayed_rank = sim->sending_leader;
-      via->relayed_accepted = false;
-    }
-  if (o->via_rank == rank)
-    via->last_leader = sim->sending_leader;
-  if (o->via_rank == rank && o->op == BB_GROUP_SWITCH_DISARM)
-    via->disarmed_version = o->version;
-}
-
 static struct sim_order *
 add_order (struct simulation *sim)
 {
@@ -123,7 +92,7 @@
   if (direct && !ends_switch (&sim->agents[leader].group_switch))
     return;
   if (!direct)
-    note_at_agent (sim, rank, o);
+    group_agent_note (&sim->agents[o->via_rank].notes, rank, leader, o);
   late = g_rand_double (sim->rand) < sim->options.late_share;
   sent = add_order (sim);
   *sent = (struct sim_order){
@@ -141,64 +110,19 @@
     memcpy (sent->map, o->map, sizeof sent->map);
 }
 
+/* Carries out ORDER and returns the status.  */
 static uint16_t
-handle_prepare (struct simulation *sim, struct sim_rank *k,
-                const struct sim_order *o)
+handle_order (struct simulation *sim, const struct sim_order *order)
 {
-  uint64_t version = o->command.version;
-
-  if (version == k->prepared_version
-      || (sim->options.repeat_ok && version == k->copying_version))
-    return 200;
-  if (version <= k->highest_version || k->armed_version > k->map_version)
-    return 409;
-  k->highest_version = version;
-  k->copying_version = version;
-  k->prepared_version = 0;
-  memcpy (k->next, o->map, sizeof k->next);
-  k->copy_end_ms = sim->now + g_rand_int_range (sim->rand, 50, 400);
-  return 202;
-}
-
-static uint16_t
-handle_order (struct simulation *sim, struct sim_rank *k,
-              const struct sim_order *order)
-{
-  const struct bb_group_switch_order *o = &order->command;
-
-  if (o->epoch != sim->epoch)
-    return 409;
-  switch (o->op)
-    {
-    case BB_GROUP_SWITCH_PREPARE:
-      return handle_prepare (sim, k, order);
-    case BB_GROUP_SWITCH_ARM:
-      if (k->armed_version == o->version && k->armed_step == o->step)
-        return 200;
-      if (k->prepared_version != o->version || o->step <= sim->step)
-        return 409;
-      k->armed_version = o->version;
-      k->armed_step = o->step;
-      return 202;
-    case BB_GROUP_SWITCH_HOLD:
-      if (k->held_step == o->step)
-        return 200;
-      if (k->held_step != 0 || o->step <= sim->step)
-        return 409;
-      k->held_step = o->step;
-      return 202;
-    case BB_GROUP_SWITCH_GO:
-      if (k->held_step == o->step)
-        k->held_step = 0;
-      return 200;
-    case BB_GROUP_SWITCH_DISARM:
-      if (k->map_version == o->version)
-        return 409;
-      if (k->armed_version == o->version)
-        k->armed_version = 0;
-      return 200;
-    }
-  return 400;
+  struct group_rank *k = &sim->ranks[order->rank];
+  uint16_t status
+      = group_rank_order (k, &sim->clock, &order->command, order->map,
+                          SIM_MAP_PLACES, sim->options.repeat_ok);
+
+  if (order->command.op == BB_GROUP_SWITCH_PREPARE
+      && status == GROUP_RANK_BEGUN)
+    k->copy_end_ms = sim->now + g_rand_int_range (sim->rand, 50, 400);
+  return status;
 }
 
 static void
@@ -213,12 +137,10 @@
       if (!o->used || o->due_ms > sim->now)
         continue;
       o->used = false;
-      status = handle_order (sim, &sim->ranks[o->rank], o);
+      status = handle_order (sim, o);
       sim->sending_leader = o->leader;
-      if (o->answered && o->command.op == BB_GROUP_SWITCH_ARM && status != 409
-          && o->command.version == via->relayed_version
-          && o->rank == via->relayed_rank)
-        via->relayed_accepted = true;
+      if (o->answered && status != GROUP_RANK_CONFLICT)
+        group_agent_note_accepted (&via->notes, o->rank, &o->command);
       if (o->answered && leader->is_leader && leader->life == o->life
           && !is_frozen (sim, o->leader))
         bb_group_switch_order_result (&leader->group_switch, o->rank,
@@ -230,7 +152,7 @@
 is_held (const struct simulation *sim)
 {
   for (uint32_t r = 0; r < SIM_RANKS; r++)
-    if (sim->ranks[r].held_step == sim->step + 1)
+    if (sim->ranks[r].held_step == sim->clock.step + 1)
       return true;
   return false;
 }
@@ -263,16 +185,9 @@
   if (idle_ms > 0 && g_rand_int_range (sim->rand, 0, 10) == 0)
     sim->next_pass_ms
         += g_rand_int_range (sim->rand, (gint32)idle_ms / 2, (gint32)idle_ms);
-  sim->step++;
+  sim->clock.step++;
   for (uint32_t r = 0; r < SIM_RANKS; r++)
-    {
-      struct sim_rank *k = &sim->ranks[r];
-      if (k->armed_version > k->map_version && k->armed_step == sim->step)
-        {
-          k->map_version = k->armed_version;
-          memcpy (k->map, k->next, sizeof k->map);
-        }
-    }
+    group_rank_begin_pass (&sim->ranks[r], &sim->clock);
   for (uint32_t r = 1; r < SIM_RANKS; r++)
     {
       g_assert_cmpuint (sim->ranks[r].map_version, ==,
@@ -287,41 +202,21 @@
 {
   for (uint32_t r = 0; r < SIM_RANKS; r++)
     {
-      struct sim_rank *k = &sim->ranks[r];
-      if (k->copying_version > 0 && sim->now >= k->copy_end_ms)
-        {
-          k->prepared_version = k->copying_version;
-          k->copying_version = 0;
-        }
+      struct group_rank *k = &sim->ranks[r];
+      if (sim->now >= k->copy_end_ms)
+        group_rank_copied (k);
     }
 }
 
 static void
 report (struct simulation *sim, uint32_t leader, uint32_t r, bool attached)
 {
-  const struct sim_rank *k = &sim->ranks[r];
-  const struct sim_agent *a = &sim->agents[r];
+  const struct group_rank *k = &sim->ranks[r];
   uint16_t rows[SIM_SETS * SIM_PLACES];
   struct bb_group_switch_rank s
-      = { .attached = attached,
-          .open = true,
-          .epoch = sim->epoch,
-          .step = sim->step,
-          .map_version = k->map_version,
-          .prepared_version = k->prepared_version,
-          .armed_version
-          = k->armed_version > k->map_version ? k->armed_version : 0,
-          .armed_step = k->armed_step,
-          .held_step = k->held_step,
-          .last_leader = a->last_leader,
-          .disarmed_version = a->disarmed_version,
-          .disarmed_epoch = sim->epoch,
-          .relayed_epoch = a->relayed_epoch,
-          .relayed_version = a->relayed_version,
-          .relayed_rank = a->relayed_rank,
-          .relayed_accepted = a->relayed_accepted,
-          .row_version = k->map_version };
+      = group_rank_state (k, &sim->agents[r].notes, &sim->clock);
 
+  s.attached = attached;
   for (uint32_t set = 0; set < SIM_SETS; set++)
     memcpy (rows + (size_t)set * SIM_PLACES,
             k->map + ((size_t)set * SIM_RANKS + r) * SIM_PLACES,
@@ -440,7 +335,7 @@
   stop_leader (sim, r);
   *a = (struct sim_agent){ .life = life,
                            .leads = leads,
-                           .last_leader = BB_GROUP_NO_RANK,
+                           .notes = { .last_leader = BB_GROUP_NO_RANK },
                            .dead_until_ms = sim->now + down_ms };
 }
 
@@ -473,7 +368,7 @@
 
   sim->options = *o;
   sim->rand = g_rand_new_with_seed (o->seed);
-  sim->epoch = 1;
+  sim->clock.epoch = 1;
   sim->now = 1000;
   for (uint32_t r = 0; r < SIM_RANKS; r++)
     {
--- a/test/harness/group_sim.h
+++ b/test/harness/group_sim.h
@@ -6,6 +6,7 @@
    killed and start again with nothing.  */
 
 #include "group_map.h"
+#include "group_rank.h"
 
 #include <glib.h>
 
@@ -41,22 +42,6 @@
   bb_ms run_ms;
 };
 
-/* A rank, which takes orders as the platform defines them.  */
-struct sim_rank
-{
-  uint64_t map_version;
-  uint64_t prepared_version;
-  uint64_t highest_version; /* highest version that it was ordered to
-                               prepare */
-  uint64_t armed_version;
-  uint64_t armed_step;
-  uint64_t held_step;
-  bb_ms copy_end_ms; /* when the copy of copying_version ends */
-  uint64_t copying_version;
-  uint16_t map[SIM_MAP_PLACES];  /* in use */
-  uint16_t next[SIM_MAP_PLACES]; /* prepared, or being copied */
-};
-
 /* An order on its way, and its result.  */
 struct sim_order
 {
@@ -78,12 +63,7 @@
   uint32_t leads;        /* how often it began to lead */
   bb_ms frozen_until_ms; /* when the agent and its VM wake */
   bb_ms dead_until_ms;   /* when its process is started again */
-  uint64_t relayed_epoch;
-  uint64_t relayed_version;
-  uint32_t relayed_rank;
-  bool relayed_accepted;
-  uint32_t last_leader;
-  uint64_t disarmed_version;
+  struct group_agent notes;
   struct bb_group_switch group_switch;
 };
 
@@ -92,10 +72,9 @@
   struct sim_options options;
   GRand *rand;
   bb_ms now;
-  struct sim_rank ranks[SIM_RANKS];
+  struct group_rank ranks[SIM_RANKS];
   struct sim_agent agents[SIM_RANKS];
-  uint64_t epoch;
-  uint64_t step;
+  struct group_clock clock;
   bb_ms next_pass_ms;
   struct sim_order orders[SIM_ORDERS_MAX];
   uint32_t orders_end; /* index after the last used order */
--- a/test/test_group_late.c
+++ b/test/test_group_late.c
@@ -42,7 +42,7 @@
           && leader->group_switch.phase == BB_GROUP_SWITCH_ARMING)
         {
           sim->next_pass_ms = PLAY_MAX_MS;
-          sim->step = leader->group_switch.step - 1;
+          sim->clock.step = leader->group_switch.step - 1;
           for (uint32_t i = 0; i < sim->orders_end; i++)
             if (sim->orders[i].used
                 && sim->orders[i].command.op == BB_GROUP_SWITCH_ARM)
@@ -64,7 +64,7 @@
       simulation_tick (sim);
     }
   g_assert_cmpint (killed_ms, >, 0);
-  g_assert_cmpuint (sim->step, >, 100);
+  g_assert_cmpuint (sim->clock.step, >, 100);
   simulation_free (sim);
 }
 
@@ -110,11 +110,11 @@
   struct sim_order *go = NULL;
   bb_ms work_ms = 0;
 
-  sim->step = 20;
+  sim->clock.step = 20;
   sim->next_pass_ms = INT64_MAX;
   for (uint32_t r = 0; r < SIM_RANKS; r++)
     sim->ranks[r].prepared_version = sim->ranks[r].highest_version = 1;
-  sim->ranks[1].held_step = sim->step + 2;
+  sim->ranks[1].held_step = sim->clock.step + 2;
   for (sim->now = SIM_TICK_MS; sim->now < PLAY_MAX_MS; sim->now += SIM_TICK_MS)
     {
       simulation_tick (sim);
@@ -132,7 +132,7 @@
         }
     }
   g_assert_cmpint (work_ms, >, 0);
-  g_assert_cmpuint (sim->step, >, 100);
+  g_assert_cmpuint (sim->clock.step, >, 100);
   simulation_free (sim);
 }
 
@@ -170,7 +170,7 @@
       killed = true;
     }
   g_assert_true (killed);
-  g_assert_cmpuint (sim->step, >, 100);
+  g_assert_cmpuint (sim->clock.step, >, 100);
   simulation_free (sim);
 }
 
--- a/test/test_group_switch.c
+++ b/test/test_group_switch.c
@@ -34,7 +34,7 @@
     g_assert_cmpint (sim->longest_hold_ms, <, HOLD_MAX_MS);
   g_assert_cmpuint (switches, >, 0);
   /* The group must not stall.  */
-  g_assert_cmpuint (sim->step, >, has_idle_periods ? 20 : 50);
+  g_assert_cmpuint (sim->clock.step, >, has_idle_periods ? 20 : 50);
   simulation_free (sim);
 }
 
@@ -87,7 +87,7 @@
 {
   for (uint64_t passes = 0; passes < 2; passes++)
     {
-      sim->step += 2 * passes;
+      sim->clock.step += 2 * passes;
       for (uint32_t r = 0; r < SIM_RANKS; r++)
         simulation_report (sim, leader, r);
     }
@@ -109,7 +109,7 @@
   bb_group_switch_begin (&sim->agents[0].group_switch, next, sim->now);
   g_assert_cmpint (sim->agents[0].group_switch.phase, ==,
                    BB_GROUP_SWITCH_PREPARING);
-  sim->epoch = 2;
+  sim->clock.epoch = 2;
   simulation_report (sim, 0, 1);
   g_assert_cmpint (sim->agents[0].group_switch.phase, ==,
                    BB_GROUP_SWITCH_IDLE);
@@ -134,7 +134,7 @@
   sim->ranks[1].held_step = 9;
   sim->ranks[1].armed_version = 1;
   sim->ranks[1].armed_step = 9;
-  sim->step = 8;
+  sim->clock.step = 8;
   for (sim->now = 1000; sim->now < 4000; sim->now += SIM_TICK_MS)
     {
       for (uint32_t r = 0; r < SIM_RANKS; r++)
