--- a/cmd/rank/engine.c
+++ b/cmd/rank/engine.c
@@ -74,6 +74,7 @@
   if (r.epoch != e->report.epoch)
     e->lists_known = false;
   e->report = r;
+  e->reported = e->polled;
   e->in_group = r.in_group;
   e->reported_ms = now;
 }
@@ -162,6 +163,8 @@
   out.target = bb_bytes_of (targets[kind]);
   p->request = kind;
   p->in_flight = true;
+  if (kind == REQUEST_REPORT)
+    p->agent->engine.polled = p->agent->engine.accepted;
   if (kind == REQUEST_COUNTS)
     p->counts_requested_ms = agent_now (p->agent);
   bb_h1_fetch (p->pool, &out, &limits, on_response, p);
@@ -182,12 +185,36 @@
   remote_send_order (a, a->settings->upstream_address, o, fn, user);
 }
 
+bool
+engine_see_fence (struct agent *a, uint64_t fence)
+{
+#ifndef BB_MUTANT_rank_fence
+  if (fence < a->engine.fence_seen)
+    return false;
+#endif
+  a->engine.fence_seen = fence;
+  return true;
+}
+
+void
+engine_accept_fence (struct agent *a, uint64_t fence, uint64_t epoch)
+{
+  struct accepted_fence *accepted = &a->engine.accepted;
+
+  if (epoch == accepted->epoch && fence < accepted->fence)
+    return;
+  accepted->fence = fence;
+  accepted->epoch = epoch;
+}
+
 void
 engine_note_leader (struct agent *a, uint32_t rank, enum bb_order_op op,
                     uint64_t version, uint64_t epoch)
 {
   struct engine *e = &a->engine;
 
+  if (op == BB_ORDER_FENCE)
+    return;
   e->leader_rank = rank;
   if (op == BB_ORDER_PREPARE)
     {
@@ -278,6 +305,8 @@
   m->gave_version = e->relayed_version;
   m->gave_rank = e->relayed_rank;
   m->gave_taken = e->relayed_accepted;
+  m->fence_seen = e->fence_seen;
+  m->fence_accepted = e->reported.epoch == r->epoch ? e->reported.fence : 0;
   m->queued = r->queued;
   m->running = r->running;
   if (e->lists_known && e->lists_epoch == r->epoch)
--- a/cmd/rank/leader.c
+++ b/cmd/rank/leader.c
@@ -80,9 +80,10 @@
   struct leader *l = &leader;
 
   l->agent = a;
-  l->fence = 1;
   leader_orders_init (l);
   leader_plan_init (l);
   l->remote_addresses = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  l->remote_fences
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   leader_listen (l);
 }
--- a/cmd/rank/leader.h
+++ b/cmd/rank/leader.h
@@ -65,10 +65,12 @@
   uint64_t passed_on_hash; /* of the last map that was passed on */
   uint64_t last_order_id;
   GHashTable *pending_orders; /* struct pending_order by id */
-  uint64_t fence;
   enum bb_group_switch_phase logged_phase;
   /* Addresses of engines polled by HTTP, by rank.  */
   GHashTable *remote_addresses;
+  /* What engines accepted that this agent ordered by HTTP: struct
+     accepted_fence by address.  */
+  GHashTable *remote_fences;
 };
 
 /* leader_connections.c */
@@ -132,6 +134,10 @@
 /* Takes the result of the order ID: an HTTP status, or 0 where there was no
    response.  */
 void leader_handle_result (struct leader *l, uint64_t id, uint16_t status);
+/* Returns the highest fence that the engine at ADDRESS has accepted of the
+   orders that this agent sent to it by HTTP.  */
+struct accepted_fence leader_remote_fence (const struct leader *l,
+                                           const char *address);
 /* Drops the orders sent to F, whose results cannot come any more.  */
 void leader_drop_orders_of (struct leader *l, const struct follower_conn *f);
 /* Drops all orders that have no result yet.  */
--- a/cmd/rank/leader_group.c
+++ b/cmd/rank/leader_group.c
@@ -67,6 +67,8 @@
                                         .relayed_version = m->gave_version,
                                         .relayed_rank = m->gave_rank,
                                         .relayed_accepted = m->gave_taken,
+                                        .fence_seen = m->fence_seen,
+                                        .fence_accepted = m->fence_accepted,
                                         .row_version = m->lists_version };
 }
 
--- a/cmd/rank/leader_orders.c
+++ b/cmd/rank/leader_orders.c
@@ -20,6 +20,8 @@
 {
   struct leader *leader;
   uint64_t id;
+  char *address;
+  struct accepted_fence fence; /* of the order */
 };
 
 /* Updates the metric after a change of the table.  */
@@ -63,21 +65,51 @@
   count_pending (l);
 }
 
+/* Records that the engine at the address of D has accepted its order.  */
+static void
+note_accepted (const struct direct_order *d)
+{
+  struct leader *l = d->leader;
+  struct agent *a = l->agent;
+  struct accepted_fence *accepted;
+
+  if (strcmp (d->address, a->settings->upstream_address) == 0)
+    {
+      engine_accept_fence (a, d->fence.fence, d->fence.epoch);
+      return;
+    }
+  accepted = g_new (struct accepted_fence, 1);
+  *accepted = d->fence;
+  g_hash_table_replace (l->remote_fences, g_strdup (d->address), accepted);
+}
+
 static void
 on_direct_result (uint16_t status, void *user)
 {
   struct direct_order *d = user;
 
+  if (status == 200 || status == 202)
+    note_accepted (d);
   leader_handle_result (d->leader, d->id, status);
+  g_free (d->address);
   g_free (d);
 }
 
+struct accepted_fence
+leader_remote_fence (const struct leader *l, const char *address)
+{
+  const struct accepted_fence *accepted
+      = g_hash_table_lookup (l->remote_fences, address);
+
+  return accepted ? *accepted : (struct accepted_fence){ 0 };
+}
+
 static enum bb_order_op
 convert_op (enum bb_group_switch_op op)
 {
   static const enum bb_order_op ops[]
-      = { BB_ORDER_PREPARE, BB_ORDER_ARM, BB_ORDER_HOLD, BB_ORDER_GO,
-          BB_ORDER_DISARM };
+      = { BB_ORDER_PREPARE, BB_ORDER_ARM,    BB_ORDER_HOLD,
+          BB_ORDER_GO,      BB_ORDER_DISARM, BB_ORDER_FENCE };
 
   return ops[op];
 }
@@ -93,7 +125,7 @@
                              .version = o->order.version,
                              .step = o->order.step,
                              .epoch = o->order.epoch,
-                             .fence = l->fence,
+                             .fence = o->order.fence,
                              .target = bb_bytes_of (address),
                              .target_rank = o->rank,
                              .from_rank = l->map_switch.self_rank,
@@ -116,7 +148,7 @@
                         .version = o->order.version,
                         .step = o->order.step,
                         .epoch = o->order.epoch,
-                        .fence = l->fence,
+                        .fence = o->order.fence,
                         .map = o->order.map,
                         .sets = s->sets,
                         .ranks = s->ranks,
@@ -124,24 +156,12 @@
 
   call->leader = l;
   call->id = o->id;
+  call->address = g_strdup (address);
+  call->fence = (struct accepted_fence){ .fence = o->order.fence,
+                                         .epoch = o->order.epoch };
   remote_send_order (l->agent, address, &d, on_direct_result, call);
 }
 
-/* Whether the present phase ends a switch.  Orders that continue one are not
-   among these: a leader that was paused may still consider a switch in
-   progress although its followers have left; it must not continue that switch
-   on its own.  */
-static bool
-ends_switch (const struct leader *l)
-{
-  enum bb_group_switch_phase phase = l->map_switch.phase;
-
-  return phase == BB_GROUP_SWITCH_FORWARDING
-         || phase == BB_GROUP_SWITCH_DISARMING
-         || phase == BB_GROUP_SWITCH_CLEARING
-         || phase == BB_GROUP_SWITCH_GOING;
-}
-
 static struct pending_order *
 add_pending (struct leader *l, uint32_t rank,
              const struct bb_group_switch_order *order,
@@ -157,6 +177,21 @@
   return o;
 }
 
+/* Whether this agent may send O to RANK by HTTP.  To its own engine it may
+   unless another leader has ordered that since.  To another rank it may send
+   what ends a switch: a leader that was paused, and considers a switch in
+   progress although its followers have left, must not continue that switch on
+   its own.  */
+static bool
+may_send_directly (const struct leader *l, uint32_t rank,
+                   const struct bb_group_switch_order *o)
+{
+  if (rank == l->map_switch.self_rank)
+    return engine_see_fence (l->agent, o->fence);
+  return o->via_rank == l->map_switch.self_rank
+         || bb_group_switch_sends_directly (&l->map_switch);
+}
+
 void
 leader_send_order (uint32_t rank, const struct bb_group_switch_order *order,
                    void *user)
@@ -173,7 +208,7 @@
   if (!by_self && f)
     send_to_follower (l, f, add_pending (l, rank, order, f),
                       order->via_rank == rank ? NULL : address);
-  else if (address && (by_self || ends_switch (l)))
+  else if (address && may_send_directly (l, rank, order))
     {
       if (rank == self)
         engine_note_leader (l->agent, self, convert_op (order->op),
--- a/cmd/rank/leader_poll.c
+++ b/cmd/rank/leader_poll.c
@@ -21,7 +21,8 @@
 {
   struct leader *leader;
   char *address;
-  char *host; /* host part of address */
+  char *host;                     /* host part of address */
+  struct accepted_fence accepted; /* by the engine, when the poll began */
 };
 
 static void
@@ -61,6 +62,8 @@
   else if (r && r->in_group && l->active)
     {
       struct bb_rank_state m = state_of_report (r);
+      if (poll->accepted.epoch == r->epoch)
+        m.fence_accepted = poll->accepted.fence;
       g_hash_table_replace (l->remote_addresses, GUINT_TO_POINTER (r->rank),
                             g_strdup (poll->address));
       leader_update_rank (l, &m, false);
@@ -96,6 +99,7 @@
   poll->leader = l;
   poll->address = g_strdup (address);
   poll->host = host;
+  poll->accepted = leader_remote_fence (l, address);
   remote_get_report (l->agent, address, on_report, poll);
   return true;
 }
--- a/cmd/rank/orders.c
+++ b/cmd/rank/orders.c
@@ -6,7 +6,8 @@
 
 enum
 {
-  MAP_WAIT_MS = 80 /* a map that comes through the head needs less */
+  MAP_WAIT_MS = 80, /* a map that comes through the head needs less */
+  STATUS_FENCED = 412
 };
 
 /* An order that was sent to an engine and has no result yet.  */
@@ -15,9 +16,10 @@
   uint64_t connection; /* number of the connection that it came on, which may
                           have ended */
   uint64_t id;
-  bool relayed;     /* it was sent to another rank's engine */
-  uint64_t version; /* map version of a relayed order */
-  uint64_t epoch;   /* epoch of a relayed order */
+  bool relayed; /* it was sent to another rank's engine */
+  uint64_t version;
+  uint64_t epoch;
+  uint64_t fence;
 };
 
 /* A PREPARE whose map has not arrived.  */
@@ -38,10 +40,13 @@
 {
   struct pending_order *o = user;
   struct engine *engine = &agent->engine;
+  bool accepted = status == 200 || status == 202;
 
-  if (o->relayed && o->version == engine->relayed_version
-      && o->epoch == engine->relayed_epoch && (status == 200 || status == 202))
+  if (accepted && o->relayed && o->version == engine->relayed_version
+      && o->epoch == engine->relayed_epoch)
     engine->relayed_accepted = true;
+  if (accepted && !o->relayed)
+    engine_accept_fence (agent, o->fence, o->epoch);
   on_order_result (o->connection, o->id, status);
   g_free (o);
 }
@@ -53,6 +58,9 @@
 
   o->connection = connection;
   o->id = m->id;
+  o->version = m->version;
+  o->epoch = m->epoch;
+  o->fence = m->fence;
   return o;
 }
 
@@ -90,18 +98,33 @@
          && engine->relayed_rank == m->from_rank;
 }
 
+/* Refuses M, whose leader another one has replaced.  */
+static void
+refuse (const struct bb_rank_order *m, uint64_t connection)
+{
+  bb_log_event ("order_fenced", "{s:i, s:i, s:I, s:I}", "op", (int)m->op,
+                "from", (int)m->from_rank, "fence", (json_int_t)m->fence,
+                "seen", (json_int_t)agent->engine.fence_seen);
+  on_order_result (connection, m->id, STATUS_FENCED);
+}
+
 /* Sends M to the engine of another rank.  */
 static void
 relay (const struct bb_rank_order *m, uint64_t connection)
 {
-  struct pending_order *pending = pending_of (m, connection);
+  struct pending_order *pending;
   struct bb_order o = order_of (m);
-  char *address = bb_bytes_strdup (m->target);
+  char *address;
 
+  if (m->fence < agent->engine.fence_seen)
+    {
+      refuse (m, connection);
+      return;
+    }
+  pending = pending_of (m, connection);
+  address = bb_bytes_strdup (m->target);
   note_arm (m, m->target_rank); /* before it is sent */
   pending->relayed = true;
-  pending->version = m->version;
-  pending->epoch = m->epoch;
   remote_send_order (agent, address, &o, on_result, pending);
   g_free (address);
 }
@@ -113,6 +136,13 @@
 {
   struct bb_order o = order_of (m);
 
+  if (!engine_see_fence (agent, m->fence))
+    {
+      refuse (m, connection);
+      return;
+    }
+  if (m->own_armed && !is_noted (m))
+    note_arm (m, m->from_rank);
   if (map)
     {
       o.map = g_bytes_get_data (map->bytes, NULL);
@@ -170,8 +200,6 @@
         }
     }
   waiting.exists = false;
-  if (m->own_armed && !is_noted (m))
-    note_arm (m, m->from_rank);
   carry_out (m, connection, map);
 }
 
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -40,6 +40,13 @@
   STATUS_MAP_MISSING = 428
 };
 
+/* The fence of an order that an engine has accepted.  */
+struct accepted_fence
+{
+  uint64_t fence; /* 0: none */
+  uint64_t epoch; /* of the group; a rank that restarts forgets its fence */
+};
+
 /* Last known state of the local engine, to be sent to the leader.  */
 struct engine
 {
@@ -69,6 +76,11 @@
   bool relayed_accepted;     /* the other rank's engine answered 200 or 202 */
   uint64_t disarmed_version; /* map version of the last disarm order */
   uint64_t disarmed_epoch;
+  uint64_t fence_seen; /* highest fence of the orders sent to the engine */
+  struct accepted_fence accepted; /* the highest, of those that it accepted */
+  struct accepted_fence polled;   /* accepted when the poll under way began */
+  struct accepted_fence reported; /* accepted when the last report was asked
+                                     for */
   uint32_t leader_rank;       /* rank of the leader that sent the last order */
   uint64_t preparing_version; /* map version of the last PREPARE order */
   bb_ms preparing_ms;         /* when it was sent to the engine */
@@ -121,9 +133,15 @@
 /* Sends order O to the local engine; FN is called once with the result.  */
 void engine_send_order (struct agent *a, const struct bb_order *o,
                         engine_result_fn *fn, void *user);
+/* Returns whether an order with FENCE may be sent to the engine, and records
+   it if so: no order with a higher one was.  The engine may be one that does
+   not fence.  */
+bool engine_see_fence (struct agent *a, uint64_t fence);
+/* Records that the engine has accepted an order with FENCE in EPOCH.  */
+void engine_accept_fence (struct agent *a, uint64_t fence, uint64_t epoch);
 /* Records that the leader, the agent of RANK, has sent order OP to the local
-   engine.  VERSION and EPOCH are those of the order; they are kept for a
-   disarm order.  */
+   engine, unless OP is a FENCE.  VERSION and EPOCH are those of the order;
+   they are kept for a disarm order.  */
 void engine_note_leader (struct agent *a, uint32_t rank, enum bb_order_op op,
                          uint64_t version, uint64_t epoch);
 /* Fills M, which points into A then, with the last known state of the local
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -176,6 +176,15 @@
    - completes the switch without it if it has confirmed an ARM;
    - waits for it otherwise.
 
+   Each leader has a generation number, the fence, which is higher than all
+   that it knows of; all its orders carry it.  A rank, and the agent that
+   passes an order on to it, refuses an order whose fence is lower than one
+   that it has seen.  Before a leader ends the switch of another one, all ranks
+   but a silent one accept its fence, and it decides by states that were read
+   after that.  So a leader that was left, and does not know it, can change
+   nothing by then, and learns by the refusal of an order, or by the state of a
+   rank, that what it knows of the switch does not hold any more.
+
    Orders without an answer are sent again.  A rank refuses an ARM or a HOLD
    for a pass that has begun.  A rank that restarts puts the group in a new
    epoch, in which no version, order or state of an earlier epoch is valid.  */
@@ -186,7 +195,8 @@
   BB_GROUP_SWITCH_ARM,
   BB_GROUP_SWITCH_HOLD,
   BB_GROUP_SWITCH_GO,
-  BB_GROUP_SWITCH_DISARM
+  BB_GROUP_SWITCH_DISARM,
+  BB_GROUP_SWITCH_FENCE /* changes nothing: the rank sees the fence */
 };
 
 /* An order to a rank.  */
@@ -196,6 +206,7 @@
   uint64_t version;    /* version of the map */
   uint64_t step;       /* number of the pass that is held */
   uint64_t epoch;      /* epoch of the group */
+  uint64_t fence;      /* generation number of the leader */
   const uint16_t *map; /* the map of a PREPARE; NULL for other orders */
   uint32_t via_rank;   /* rank whose agent sends the order */
   bool own_armed; /* the leader's rank may be armed with VERSION; the agent
@@ -235,6 +246,10 @@
   uint64_t relayed_version;  /* version of the last ARM relayed */
   uint32_t relayed_rank;     /* rank that the last ARM was relayed to */
   bool relayed_accepted;     /* the rank accepted the last ARM relayed */
+  uint64_t fence_seen;       /* highest fence of the orders that its agent
+                                passed on; 0: none */
+  uint64_t fence_accepted;   /* highest fence of the orders that it accepted
+                                before this state was read; 0: none */
   uint64_t row_epoch;        /* epoch of its rows in the leader's map */
   uint64_t row_version;      /* version of its rows in the leader's map */
   bool done;                 /* it has carried out the order of this phase */
@@ -282,8 +297,14 @@
   uint16_t incarnation; /* random, other each time that an agent begins to
                            lead; set by the owner */
   uint64_t epoch;
-  uint64_t version;          /* map version of the present switch */
-  uint64_t highest_version;  /* highest version seen or used in this epoch */
+  uint64_t version;         /* map version of the present switch */
+  uint64_t highest_version; /* highest version seen or used in this epoch */
+  uint64_t fence;           /* generation number of this leader; 0: it takes
+                               one before it sends an order */
+  uint64_t highest_fence;   /* highest fence seen or used */
+  bb_ms fence_taken_ms;
+  uint32_t fences_refused;   /* in a row, by a rank that has seen a higher one
+                                which no agent reports */
   uint64_t step;             /* number of the pass that is held */
   uint64_t closed_step;      /* last pass that this leader or one before it may
                                 have held in this epoch */
@@ -320,13 +341,15 @@
 /* Takes the STATE that RANK reported.  ROWS holds its row of each set in the
    map of version STATE->row_version; NULL: not reported.  Ignores the fields
    of STATE that SW keeps itself: known, reported_ms, row_epoch, done,
-   order_sent_ms and orders_sent.  */
+   order_sent_ms and orders_sent; where the agent of RANK is not attached, also
+   what it alone can report: last_leader, the fields of disarmed and relayed
+   orders, and fence_seen.  */
 void bb_group_switch_update_rank (struct bb_group_switch *sw, uint32_t rank,
                                   const struct bb_group_switch_rank *state,
                                   const uint16_t *rows, bb_ms now);
 
 /* Takes the result of order O, sent to RANK: STATUS is an HTTP status, or 0
-   where no answer came.  Results of earlier phases and epochs are
+   where no answer came.  Results of earlier phases, epochs and fences are
    ignored.  */
 void bb_group_switch_order_result (struct bb_group_switch *sw, uint32_t rank,
                                    const struct bb_group_switch_order *o,
@@ -337,6 +360,11 @@
    one that another leader left.  */
 void bb_group_switch_tick (struct bb_group_switch *sw, bb_ms now);
 
+/* Whether the switch is in a phase whose orders go to a rank directly where
+   its agent is not attached: one that ends a switch, and must not wait for the
+   agent.  */
+bool bb_group_switch_sends_directly (const struct bb_group_switch *sw);
+
 /* Whether a switch can begin: none is under way, there are at least two ranks,
    all ranks have reported of late in one epoch, are open and attached and use
    the same map, and the rows of that map are known.  */
--- a/include/bilberry/messages.h
+++ b/include/bilberry/messages.h
@@ -600,6 +600,8 @@
   uint32_t led_by;
   uint64_t given_up;
   uint64_t given_up_epoch;
+  uint64_t fence_seen;
+  uint64_t fence_accepted;
 };
 
 /* Asks an agent to send an order to its rank or, if target is set, to the rank
--- a/include/bilberry/platform.h
+++ b/include/bilberry/platform.h
@@ -358,6 +358,7 @@
   BB_ORDER_DISARM,  /* withdraw an ARM */
   BB_ORDER_HOLD,    /* keep the group from beginning a pass */
   BB_ORDER_GO,      /* end a HOLD */
+  BB_ORDER_FENCE,   /* change nothing, but see the fence */
   BB_ORDER_OPS
 };
 
@@ -367,7 +368,8 @@
   uint64_t version; /* version of the map, in PREPARE, ARM and DISARM */
   uint64_t step;    /* number of a pass, in ARM, HOLD and GO */
   uint64_t epoch;   /* epoch of the group */
-  uint64_t fence;   /* fencing token */
+  uint64_t fence;   /* fencing token; an order with a lower one than the
+                       replica has seen gets 412 */
   /* The map of a PREPARE: by set and rank a row of PLACES experts, with
      UINT16_MAX in empty places.  */
   const uint16_t *map;
--- a/libgroup/ranks.c
+++ b/libgroup/ranks.c
@@ -3,12 +3,8 @@
 #include "switch.h"
 
 void
-switch_enter_phase (struct bb_group_switch *sw,
-                    enum bb_group_switch_phase phase, bb_ms now)
+switch_forget_orders (struct bb_group_switch *sw)
 {
-  sw->phase = phase;
-  sw->phase_since_ms = now;
-  sw->refused_ms = 0;
   for (uint32_t r = 0; r < sw->size.ranks; r++)
     {
       sw->ranks[r].done = false;
@@ -17,6 +13,34 @@
     }
 }
 
+void
+switch_enter_phase (struct bb_group_switch *sw,
+                    enum bb_group_switch_phase phase, bb_ms now)
+{
+  sw->phase = phase;
+  sw->phase_since_ms = now;
+  sw->refused_ms = 0;
+  switch_forget_orders (sw);
+}
+
+void
+switch_abandon (struct bb_group_switch *sw, const char *why, bb_ms now)
+{
+  sw->abandoned++;
+  sw->abandoned_why = why;
+  switch_enter_phase (sw, BB_GROUP_SWITCH_IDLE, now);
+}
+
+uint32_t
+switch_count_detached (const struct bb_group_switch *sw)
+{
+  uint32_t n = 0;
+
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    n += !sw->ranks[r].attached;
+  return n;
+}
+
 bool
 switch_is_fresh (const struct bb_group_switch *sw, uint32_t rank,
                  bb_ms max_age_ms, bb_ms now)
@@ -81,6 +105,7 @@
           .version = sw->version,
           .step = sw->step,
           .epoch = sw->epoch,
+          .fence = sw->fence,
           .map = op == BB_GROUP_SWITCH_PREPARE ? sw->next_map : NULL,
           .via_rank = via,
           .own_armed = sw->phase == BB_GROUP_SWITCH_FORWARDING
@@ -138,13 +163,14 @@
 switch_next_version (struct bb_group_switch *sw)
 {
   const uint64_t stride = (uint64_t)BB_GROUP_RANKS_MAX << 16;
+  uint64_t highest = MAX (sw->highest_version, sw->highest_fence);
   uint64_t giver = (uint64_t)sw->incarnation * BB_GROUP_RANKS_MAX;
 
 #ifdef BB_MUTANT_switch_giver
   giver = 0;
 #endif
   sw->highest_version
-      = (sw->highest_version / stride + 1) * stride + giver + sw->self_rank;
+      = (highest / stride + 1) * stride + giver + sw->self_rank;
   return sw->highest_version;
 }
 
--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -93,9 +93,39 @@
   return true;
 }
 
+/* Whether the agent of RANK has told that the leader's rank may be armed with
+   the version of this switch.  */
+static bool
+knows_own_armed (const struct bb_group_switch *sw, uint32_t rank)
+{
+  const struct bb_group_switch_rank *k = &sw->ranks[rank];
+
+  return k->attached && k->relayed_epoch == sw->epoch
+         && k->relayed_version == sw->version
+         && k->relayed_rank == sw->self_rank;
+}
+
+/* Whether the leader's rank may be armed: all others have carried out the ARM,
+   and whichever leader comes next finds an agent that tells of it, since that
+   one is followed by all agents but DETACHED_RANKS_MAX, and in a group of two
+   by its own alone.  */
+static bool
+may_arm_own (const struct bb_group_switch *sw)
+{
+  uint32_t unaware_max = MIN (DETACHED_RANKS_MAX, sw->size.ranks - 2);
+  uint32_t unaware = 0;
+
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    unaware += r != sw->self_rank && !knows_own_armed (sw, r);
+#ifdef BB_MUTANT_switch_own_known
+  unaware = 0;
+#endif
+  return others_are_done (sw) && unaware <= unaware_max;
+}
+
 /* Sends the ARM to the ranks that are armed already, to the others once those
-   have answered, and to the leader's own once all others have: by then their
-   agents know that it may be armed.  */
+   have answered, and to the leader's own once all others have and their agents
+   tell that it may be armed.  */
 void
 switch_continue_forwarding (struct bb_group_switch *sw, bb_ms now)
 {
@@ -111,7 +141,7 @@
       }
   for (uint32_t r = 0; r < sw->size.ranks && !armed_pending; r++)
     if (switch_order_is_due (sw, r, retry_ms, now)
-        && (r != sw->self_rank || others_are_done (sw)))
+        && (r != sw->self_rank || may_arm_own (sw)))
       switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
 }
 
@@ -125,19 +155,6 @@
                           switch_round_retry_ms (sw), now);
 }
 
-/* Returns how many ranks have no agent that follows this leader.  Such an
-   agent may follow another leader, which may be ending the same switch in a
-   different way.  */
-static uint32_t
-count_detached (const struct bb_group_switch *sw)
-{
-  uint32_t n = 0;
-
-  for (uint32_t r = 0; r < sw->size.ranks; r++)
-    n += !sw->ranks[r].attached;
-  return n;
-}
-
 /* Whether the rows of RANK in the map in use are known.  */
 static bool
 is_row_known (const struct bb_group_switch *sw, uint32_t rank)
@@ -244,27 +261,57 @@
     switch_begin_clearing (sw, now);
 }
 
-void
-switch_settle (struct bb_group_switch *sw, bb_ms now)
+/* Whether a decision is due: another leader may have left a switch, or a rank
+   has refused the fence of this one.  */
+static bool
+is_unsettled (const struct bb_group_switch *sw)
 {
-  uint32_t armed = switch_find_armed (sw);
-  uint32_t held = switch_find_held (sw);
+  return !switch_none_pending (sw) || sw->fences_refused > 0;
+}
 
-  if (now - sw->phase_since_ms < SETTLE_DELAY_MS)
-    return;
-  find_missing_rank (sw, now);
-  if (!switch_all_fresh (sw, SETTLE_STATE_MAX_AGE_MS, now))
-    return;
+/* Has the ranks accept the fence of this leader.  A leader without one is new,
+   and what is pending is not its own, so it does not wait for that to end.
+   Returns whether all have accepted it.  */
+static bool
+fence_ranks (struct bb_group_switch *sw, bool waited, bb_ms now)
+{
+#ifdef BB_MUTANT_switch_fence
+  return true;
+#endif
+  if (sw->fence == 0)
+    switch_take_fence (sw, now);
+  if (switch_all_fenced (sw))
+    return true;
+  if (waited || sw->fence_taken_ms >= sw->phase_since_ms)
+    switch_send_fences (sw, now);
+  return false;
+}
+
+/* Whether all that a decision rests on is known: recent states of all ranks
+   but one, read after they had accepted the fence of this leader.  */
+static bool
+is_informed (struct bb_group_switch *sw, bb_ms now)
+{
+  bool waited = now - sw->phase_since_ms >= SETTLE_DELAY_MS;
+
+  if (waited)
+    find_missing_rank (sw, now);
 #ifndef BB_MUTANT_lead_strangers
-  if (!switch_none_pending (sw) && count_detached (sw) > DETACHED_RANKS_MAX)
-    return;
+  if (is_unsettled (sw) && switch_count_detached (sw) > DETACHED_RANKS_MAX)
+    return false;
 #endif
-  if (switch_none_pending (sw))
-    {
-      sw->missing_rank = sw->size.ranks;
-      switch_enter_phase (sw, BB_GROUP_SWITCH_IDLE, now);
-      return;
-    }
+  if (is_unsettled (sw) && !fence_ranks (sw, waited, now))
+    return false;
+  return waited && switch_all_fresh (sw, SETTLE_STATE_MAX_AGE_MS, now);
+}
+
+/* Decides on the switch of which ranks are armed, ARMED being the first one,
+   or hold a pass.  */
+static void
+decide (struct bb_group_switch *sw, uint32_t armed, bb_ms now)
+{
+  uint32_t held = switch_find_held (sw);
+
   sw->held_rank = held < sw->size.ranks ? held : sw->self_rank;
   sw->step = held < sw->size.ranks ? sw->ranks[held].held_step : 0;
   if (armed < sw->size.ranks)
@@ -296,6 +343,21 @@
   switch_continue_forwarding (sw, now);
 }
 
+void
+switch_settle (struct bb_group_switch *sw, bb_ms now)
+{
+  if (!is_informed (sw, now))
+    return;
+  sw->fences_refused = 0;
+  if (!switch_none_pending (sw))
+    {
+      decide (sw, switch_find_armed (sw), now);
+      return;
+    }
+  sw->missing_rank = sw->size.ranks;
+  switch_enter_phase (sw, BB_GROUP_SWITCH_IDLE, now);
+}
+
 /* Whether a rank cannot prepare the version of CLEARING: it has a higher one,
    which another leader gave it.  */
 static bool
--- a/libgroup/switch.c
+++ b/libgroup/switch.c
@@ -61,6 +61,16 @@
   sw->next_map = NULL;
 }
 
+bool
+bb_group_switch_sends_directly (const struct bb_group_switch *sw)
+{
+  return sw->phase == BB_GROUP_SWITCH_GOING
+         || sw->phase == BB_GROUP_SWITCH_SETTLING
+         || sw->phase == BB_GROUP_SWITCH_FORWARDING
+         || sw->phase == BB_GROUP_SWITCH_DISARMING
+         || sw->phase == BB_GROUP_SWITCH_CLEARING;
+}
+
 /* Whether all passes have begun that were held before.  An order to go on that
    is carried out late would end a hold of the same pass.  */
 static bool
@@ -79,7 +89,7 @@
 bb_group_switch_is_ready (const struct bb_group_switch *sw, bb_ms now)
 {
   if (sw->phase != BB_GROUP_SWITCH_IDLE || sw->size.ranks < 2
-      || sw->missing_rank != sw->size.ranks
+      || sw->fences_refused > 0 || sw->missing_rank != sw->size.ranks
       || !switch_all_fresh (sw, STATE_MAX_AGE_MS, now)
       || !switch_none_pending (sw) || !is_past_closed_step (sw))
     return false;
@@ -132,19 +142,13 @@
   memcpy (sw->next_map, next,
           bb_group_places (&sw->size) * sizeof *sw->next_map);
   bb_group_sort_rows (&sw->size, sw->next_map);
+  if (sw->fence == 0)
+    switch_take_fence (sw, now);
   sw->version = switch_next_version (sw);
   switch_enter_phase (sw, BB_GROUP_SWITCH_PREPARING, now);
   switch_send_due_orders (sw, BB_GROUP_SWITCH_PREPARE, PREPARE_RETRY_MS, now);
 }
 
-static void
-abandon (struct bb_group_switch *sw, const char *why, bb_ms now)
-{
-  sw->abandoned++;
-  sw->abandoned_why = why;
-  switch_enter_phase (sw, BB_GROUP_SWITCH_IDLE, now);
-}
-
 static void
 copy_rows (struct bb_group_switch *sw, uint32_t rank, const uint16_t *rows)
 {
@@ -168,7 +172,7 @@
   sw->closed_step = 0;
   sw->missing_rank = sw->size.ranks;
   if (sw->phase != BB_GROUP_SWITCH_IDLE)
-    abandon (sw, "the group formed anew", now);
+    switch_abandon (sw, "the group formed anew", now);
 }
 
 static void
@@ -212,6 +216,7 @@
   k->relayed_version = before->relayed_version;
   k->relayed_rank = before->relayed_rank;
   k->relayed_accepted = before->relayed_accepted;
+  k->fence_seen = before->fence_seen;
 }
 
 void
@@ -247,10 +252,10 @@
   update_epoch (sw, k->epoch, now);
   update_highest_version (sw, k);
   update_closed_step (sw, k, !before.known);
-  if ((sw->phase == BB_GROUP_SWITCH_PREPARING
-       || sw->phase == BB_GROUP_SWITCH_CLEARING)
-      && k->prepared_version == sw->version)
-    k->done = true;
+  switch_update_fence (sw, k, now);
+  if (sw->phase == BB_GROUP_SWITCH_PREPARING
+      || sw->phase == BB_GROUP_SWITCH_CLEARING)
+    k->done = k->prepared_version == sw->version;
 }
 
 static bool
@@ -287,10 +292,15 @@
                               const struct bb_group_switch_order *o,
                               uint16_t status, bb_ms now)
 {
-  bool refused = status == STATUS_CONFLICT || status == STATUS_FENCED;
+  bool refused = status == STATUS_CONFLICT;
 
-  if (rank >= sw->size.ranks || o->epoch != sw->epoch)
+  if (rank >= sw->size.ranks || o->epoch != sw->epoch || o->fence != sw->fence)
     return;
+  if (status == STATUS_FENCED)
+    {
+      switch_handle_fenced (sw, now);
+      return;
+    }
   switch (o->op)
     {
     case BB_GROUP_SWITCH_PREPARE:
@@ -305,7 +315,7 @@
           break;
         }
       if (sw->phase == BB_GROUP_SWITCH_PREPARING)
-        abandon (sw, "a rank refused the map", now);
+        switch_abandon (sw, "a rank refused the map", now);
       else if (sw->phase == BB_GROUP_SWITCH_CLEARING
                && !switch_is_armed (sw, rank))
         switch_begin_clearing (sw, now);
@@ -336,6 +346,10 @@
           && is_ok (status))
         sw->ranks[rank].done = true;
       break;
+    case BB_GROUP_SWITCH_FENCE:
+      if (sw->phase == BB_GROUP_SWITCH_SETTLING && is_ok (status))
+        sw->ranks[rank].done = true;
+      break;
     }
 }
 
@@ -352,12 +366,12 @@
 static void
 continue_preparing (struct bb_group_switch *sw, bb_ms now)
 {
-  if (switch_all_done (sw))
+  if (switch_all_done (sw) && switch_count_detached (sw) == 0)
     begin_hold (sw, now);
   else if (now - sw->phase_since_ms > PREPARE_TIMEOUT_MS)
-    abandon (sw, "a rank did not prepare the map in time", now);
+    switch_abandon (sw, "a rank did not prepare the map in time", now);
   else if (!switch_all_fresh (sw, STATE_MAX_AGE_MS, now))
-    abandon (sw, "a rank is silent", now);
+    switch_abandon (sw, "a rank is silent", now);
   else
     switch_send_due_orders (sw, BB_GROUP_SWITCH_PREPARE, PREPARE_RETRY_MS,
                             now);
@@ -388,14 +402,15 @@
   switch (sw->phase)
     {
     case BB_GROUP_SWITCH_IDLE:
-      if (!switch_none_pending (sw))
+      if (!switch_none_pending (sw) || sw->fences_refused > 0)
         switch_enter_phase (sw, BB_GROUP_SWITCH_SETTLING, now);
       break;
     case BB_GROUP_SWITCH_PREPARING:
       continue_preparing (sw, now);
       break;
     case BB_GROUP_SWITCH_HOLDING:
-      if (switch_order_is_due (sw, sw->held_rank, ORDER_RETRY_MS, now))
+      if (switch_count_detached (sw) == 0
+          && switch_order_is_due (sw, sw->held_rank, ORDER_RETRY_MS, now))
         switch_send_order (sw, sw->held_rank, BB_GROUP_SWITCH_HOLD,
                            sw->self_rank, now);
       break;
--- a/libgroup/switch.h
+++ b/libgroup/switch.h
@@ -3,8 +3,9 @@
 
 /* The parts of the map switch.  switch.c runs a switch that this leader began,
    and handles states, results and ticks; settle.c completes or revokes one
-   that another leader left; ranks.c queries the states of the ranks and sends
-   orders to them.  Each file calls only those named after it.  */
+   that another leader left; fence.c keeps the generation number of the leader;
+   ranks.c queries the states of the ranks and sends orders to them.  Each file
+   calls only those named after it.  */
 
 #include "bilberry/group.h"
 
@@ -29,7 +30,29 @@
 void switch_continue_clearing (struct bb_group_switch *sw, bb_ms now);
 void switch_continue_disarming (struct bb_group_switch *sw, bb_ms now);
 
+/* fence.c */
+/* Takes a fence above all known ones.  */
+void switch_take_fence (struct bb_group_switch *sw, bb_ms now);
+/* Whether all ranks but the missing one have accepted the fence of this leader
+   before their state was read: no leader before it can change them since.  */
+bool switch_all_fenced (const struct bb_group_switch *sw);
+/* Sends the fence to the ranks that have not accepted it.  */
+void switch_send_fences (struct bb_group_switch *sw, bb_ms now);
+/* Takes the fences that the state K tells of.  */
+void switch_update_fence (struct bb_group_switch *sw,
+                          const struct bb_group_switch_rank *k, bb_ms now);
+/* Takes the refusal of an order because of its fence.  */
+void switch_handle_fenced (struct bb_group_switch *sw, bb_ms now);
+
 /* ranks.c */
+/* Gives the switch up for the reason WHY, a phrase for the log.  */
+void switch_abandon (struct bb_group_switch *sw, const char *why, bb_ms now);
+/* Marks the order of this phase as neither sent to any rank nor carried
+   out.  */
+void switch_forget_orders (struct bb_group_switch *sw);
+/* Returns how many ranks have no agent that follows this leader.  Such an
+   agent may follow another leader.  */
+uint32_t switch_count_detached (const struct bb_group_switch *sw);
 /* Enters PHASE at NOW, and marks its order as not sent to any rank.  */
 void switch_enter_phase (struct bb_group_switch *sw,
                          enum bb_group_switch_phase phase, bb_ms now);
--- a/libproto/messages.c
+++ b/libproto/messages.c
@@ -3085,7 +3085,7 @@
 static void
 put_rank_state (msgpack_packer *pk, const struct bb_rank_state *v)
 {
-  msgpack_pack_map (pk, 23);
+  msgpack_pack_map (pk, 25);
   msgpack_pack_uint8 (pk, 1);
   bb_wire_put_str (pk, v->upstream);
   msgpack_pack_uint8 (pk, 2);
@@ -3132,6 +3132,10 @@
   msgpack_pack_uint64 (pk, v->given_up);
   msgpack_pack_uint8 (pk, 25);
   msgpack_pack_uint64 (pk, v->given_up_epoch);
+  msgpack_pack_uint8 (pk, 26);
+  msgpack_pack_uint64 (pk, v->fence_seen);
+  msgpack_pack_uint8 (pk, 27);
+  msgpack_pack_uint64 (pk, v->fence_accepted);
 }
 
 static bool
@@ -3281,6 +3285,18 @@
           v->given_up_epoch = (uint64_t)n;
           seen |= UINT64_C (1) << 25;
           break;
+        case 26:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "fence_seen", e))
+            return false;
+          v->fence_seen = (uint64_t)n;
+          seen |= UINT64_C (1) << 26;
+          break;
+        case 27:
+          if (!bb_wire_get_uint (o, U64_MAX, &n, "fence_accepted", e))
+            return false;
+          v->fence_accepted = (uint64_t)n;
+          seen |= UINT64_C (1) << 27;
+          break;
         default:
           break;
         }
@@ -5094,6 +5110,8 @@
   { BB_MSG_RANK_STATE, 23, false, "led_by" },
   { BB_MSG_RANK_STATE, 24, false, "given_up" },
   { BB_MSG_RANK_STATE, 25, false, "given_up_epoch" },
+  { BB_MSG_RANK_STATE, 26, false, "fence_seen" },
+  { BB_MSG_RANK_STATE, 27, false, "fence_accepted" },
   { BB_MSG_RANK_ORDER, 1, true, "id" },
   { BB_MSG_RANK_ORDER, 2, true, "op" },
   { BB_MSG_RANK_ORDER, 3, false, "version" },
--- a/test/harness/group_rank.c
+++ b/test/harness/group_rank.c
@@ -59,6 +59,9 @@
 {
   if (o->epoch != c->epoch)
     return GROUP_RANK_CONFLICT;
+  if (o->fence < k->fence && !k->ignores_fences)
+    return GROUP_RANK_FENCED;
+  k->fence = MAX (k->fence, o->fence);
   switch (o->op)
     {
     case BB_GROUP_SWITCH_PREPARE:
@@ -73,6 +76,8 @@
       return GROUP_RANK_DONE;
     case BB_GROUP_SWITCH_DISARM:
       return disarm (k, o->version);
+    case BB_GROUP_SWITCH_FENCE:
+      return GROUP_RANK_DONE;
     }
   return GROUP_RANK_CONFLICT;
 }
@@ -115,6 +120,8 @@
     .relayed_version = a->relayed_version,
     .relayed_rank = a->relayed_rank,
     .relayed_accepted = a->relayed_accepted,
+    .fence_seen = a->fence_seen,
+    .fence_accepted = a->fence_accepted,
     .row_version = k->map_version
   };
 }
@@ -130,29 +137,36 @@
   a->relayed_accepted = false;
 }
 
-void
+bool
 group_agent_note (struct group_agent *a, uint32_t rank, uint32_t leader,
                   const struct bb_group_switch_order *o)
 {
   bool noted = a->relayed_epoch == o->epoch && a->relayed_version == o->version
                && a->relayed_rank == leader;
 
+  if (o->fence < a->fence_seen)
+    return false;
+  if (o->via_rank == rank)
+    a->fence_seen = o->fence;
   if (o->op == BB_GROUP_SWITCH_ARM && o->via_rank != rank
       && o->via_rank != leader)
     note_arm (a, rank, o);
   else if (o->own_armed && o->via_rank != leader && !noted)
     note_arm (a, leader, o);
-  if (o->via_rank != rank)
-    return;
+  if (o->via_rank != rank || o->op == BB_GROUP_SWITCH_FENCE)
+    return true;
   a->last_leader = leader;
   if (o->op == BB_GROUP_SWITCH_DISARM)
     a->disarmed_version = o->version;
+  return true;
 }
 
 void
 group_agent_note_accepted (struct group_agent *a, uint32_t rank,
                            const struct bb_group_switch_order *o)
 {
+  if (o->via_rank == rank)
+    a->fence_accepted = MAX (a->fence_accepted, o->fence);
   if (o->op == BB_GROUP_SWITCH_ARM && o->version == a->relayed_version
       && rank == a->relayed_rank)
     a->relayed_accepted = true;
--- a/test/harness/group_rank.h
+++ b/test/harness/group_rank.h
@@ -13,7 +13,8 @@
   /* Results of orders.  */
   GROUP_RANK_DONE = 200,
   GROUP_RANK_BEGUN = 202,
-  GROUP_RANK_CONFLICT = 409
+  GROUP_RANK_CONFLICT = 409,
+  GROUP_RANK_FENCED = 412
 };
 
 /* The engine of a rank.  */
@@ -28,6 +29,8 @@
   uint64_t held_step;
   uint64_t copying_version; /* 0: no copy is under way */
   bb_ms copy_end_ms;        /* when that copy ends, set by the caller */
+  uint64_t fence;           /* highest fence seen */
+  bool ignores_fences;      /* the platform does not fence */
   uint16_t map[GROUP_RANK_PLACES_MAX];  /* in use */
   uint16_t next[GROUP_RANK_PLACES_MAX]; /* prepared, or being copied */
 };
@@ -41,6 +44,8 @@
   bool relayed_accepted;
   uint32_t last_leader; /* BB_GROUP_NO_RANK: none */
   uint64_t disarmed_version;
+  uint64_t fence_seen;
+  uint64_t fence_accepted;
 };
 
 /* The group that a rank is part of.  */
@@ -71,8 +76,8 @@
                                               const struct group_clock *c);
 
 /* Records at A, the agent through which LEADER sends O to RANK, what it knows
-   of O.  */
-void group_agent_note (struct group_agent *a, uint32_t rank, uint32_t leader,
+   of O.  Returns false where it refuses O because of its fence.  */
+bool group_agent_note (struct group_agent *a, uint32_t rank, uint32_t leader,
                        const struct bb_group_switch_order *o);
 
 /* Records at A that RANK has accepted O, which A passed on to it.  */
--- a/test/harness/group_sim.c
+++ b/test/harness/group_sim.c
@@ -46,17 +46,6 @@
              : g_rand_int_range (sim->rand, 1, 10);
 }
 
-/* Whether the phase of a leader is one in which it orders engines without an
-   agent itself.  */
-static bool
-ends_switch (const struct bb_group_switch *sw)
-{
-  return sw->phase == BB_GROUP_SWITCH_FORWARDING
-         || sw->phase == BB_GROUP_SWITCH_DISARMING
-         || sw->phase == BB_GROUP_SWITCH_CLEARING
-         || sw->phase == BB_GROUP_SWITCH_GOING;
-}
-
 static struct sim_order *
 add_order (struct simulation *sim)
 {
@@ -80,6 +69,7 @@
   bool direct = !own && is_dead (sim, o->via_rank);
   uint32_t active = 0;
   struct sim_order *sent;
+  bool refused = false;
   bool late;
 
   while (active < SIM_RANKS && !sim->agents[active].is_leader)
@@ -89,15 +79,19 @@
     return;
   if (rank != o->via_rank && is_frozen (sim, rank))
     return;
-  if (direct && !ends_switch (&sim->agents[leader].group_switch))
+  if (direct
+      && !bb_group_switch_sends_directly (&sim->agents[leader].group_switch))
     return;
   if (!direct)
-    group_agent_note (&sim->agents[o->via_rank].notes, rank, leader, o);
-  late = g_rand_double (sim->rand) < sim->options.late_share;
+    refused
+        = !group_agent_note (&sim->agents[o->via_rank].notes, rank, leader, o);
+  late = g_rand_double (sim->rand) < sim->options.late_share && !refused;
   sent = add_order (sim);
   *sent = (struct sim_order){
     .used = true,
     .answered = !late,
+    .refused = refused,
+    .direct = direct,
     .rank = rank,
     .leader = leader,
     .life = sim->agents[leader].life,
@@ -110,6 +104,20 @@
     memcpy (sent->map, o->map, sizeof sent->map);
 }
 
+/* Records that the rank of ORDER has accepted it.  */
+static void
+note_accepted (struct simulation *sim, const struct sim_order *order)
+{
+  const struct bb_group_switch_order *o = &order->command;
+  struct sim_agent *leader = &sim->agents[order->leader];
+
+  if (!order->direct)
+    group_agent_note_accepted (&sim->agents[o->via_rank].notes, order->rank,
+                               o);
+  else if (leader->life == order->life)
+    leader->fences_accepted[order->rank] = o->fence;
+}
+
 /* Carries out ORDER and returns the status.  */
 static uint16_t
 handle_order (struct simulation *sim, const struct sim_order *order)
@@ -131,16 +139,15 @@
   for (uint32_t i = 0; i < sim->orders_end; i++)
     {
       struct sim_order *o = &sim->orders[i];
-      struct sim_agent *via = &sim->agents[o->command.via_rank];
       struct sim_agent *leader = &sim->agents[o->leader];
       uint16_t status;
       if (!o->used || o->due_ms > sim->now)
         continue;
       o->used = false;
-      status = handle_order (sim, o);
+      status = o->refused ? GROUP_RANK_FENCED : handle_order (sim, o);
       sim->sending_leader = o->leader;
-      if (o->answered && status != GROUP_RANK_CONFLICT)
-        group_agent_note_accepted (&via->notes, o->rank, &o->command);
+      if (o->answered && status < GROUP_RANK_CONFLICT)
+        note_accepted (sim, o);
       if (o->answered && leader->is_leader && leader->life == o->life
           && !is_frozen (sim, o->leader))
         bb_group_switch_order_result (&leader->group_switch, o->rank,
@@ -217,6 +224,8 @@
       = group_rank_state (k, &sim->agents[r].notes, &sim->clock);
 
   s.attached = attached;
+  if (!attached)
+    s.fence_accepted = sim->agents[leader].fences_accepted[r];
   for (uint32_t set = 0; set < SIM_SETS; set++)
     memcpy (rows + (size_t)set * SIM_PLACES,
             k->map + ((size_t)set * SIM_RANKS + r) * SIM_PLACES,
--- a/test/harness/group_sim.h
+++ b/test/harness/group_sim.h
@@ -47,6 +47,8 @@
 {
   bool used;
   bool answered;
+  bool refused; /* by the agent that was to pass it on */
+  bool direct;  /* its leader sent it without an agent */
   uint32_t rank;
   uint32_t leader;
   uint32_t life; /* of the leader's process */
@@ -64,6 +66,8 @@
   bb_ms frozen_until_ms; /* when the agent and its VM wake */
   bb_ms dead_until_ms;   /* when its process is started again */
   struct group_agent notes;
+  /* As a leader, the fences that ranks accepted which it ordered itself.  */
+  uint64_t fences_accepted[SIM_RANKS];
   struct bb_group_switch group_switch;
 };
 
--- a/test/test_group_explore.c
+++ b/test/test_group_explore.c
@@ -37,7 +37,7 @@
                                   without a word */
   POLL_ROUNDS = 2,             /* between polls of a rank without its agent */
   ORDERS_MAX = 48,
-  TEST_STATES = 200000
+  TEST_STATES = 300000
 };
 
 /* An order on its way.  */
@@ -45,6 +45,7 @@
 {
   bool used;
   bool late; /* gets no answer, and is carried out when the search says so */
+  bool refused; /* by the agent that was to pass it on */
   uint32_t rank;
   uint32_t leader;
   uint16_t incarnation; /* of the leader */
@@ -68,6 +69,8 @@
   /* Rounds until it notices that the agent of a rank has left; 0: it knows.
    */
   uint32_t unnoticed[RANKS];
+  /* The fences that ranks accepted which it ordered itself.  */
+  uint64_t fences_accepted[RANKS];
   struct bb_group_switch group_switch; /* its maps are those below */
   uint16_t current_map[MAP_PLACES];
   uint16_t next_map[MAP_PLACES];
@@ -96,11 +99,39 @@
   uint32_t late_orders;
   bool unnoticed; /* agents also leave without a word */
   bool unlisted;  /* agent 1 does not know the address of rank 0 */
+  bool unfenced;  /* the platform does not fence, the agents alone do */
+};
+
+/* What happened on the way to a state.  */
+struct event
+{
+  enum
+  {
+    EVENT_ROUND,
+    EVENT_MOVE,
+    EVENT_MOVE_UNNOTICED,
+    EVENT_DELAY,
+    EVENT_CARRY_OUT
+  } kind;
+  uint32_t subject; /* rank of the agent, or index of the order */
+};
+
+enum
+{
+  EVENTS_MAX = 256
+};
+
+/* The events on the way from the first state to the present one.  */
+struct path
+{
+  struct event events[EVENTS_MAX];
+  uint32_t count;
 };
 
 struct search
 {
   const struct bounds *bounds;
+  struct path path;
   uint64_t states_max;
   uint64_t states;
   uint64_t completed; /* ends of runs in which the group goes on */
@@ -118,17 +149,6 @@
   return st->agents[r].follows == leader;
 }
 
-/* Whether the phase of SW is one in which it orders ranks without an agent
-   itself.  */
-static bool
-ends_switch (const struct bb_group_switch *sw)
-{
-  return sw->phase == BB_GROUP_SWITCH_FORWARDING
-         || sw->phase == BB_GROUP_SWITCH_DISARMING
-         || sw->phase == BB_GROUP_SWITCH_CLEARING
-         || sw->phase == BB_GROUP_SWITCH_GOING;
-}
-
 /* Whether LEADER can send to rank R itself.  */
 static bool
 is_reached (const struct state *st, uint32_t leader, uint32_t r)
@@ -157,16 +177,19 @@
   bool own = o->via_rank == leader;
   bool attached = own || l->group_switch.ranks[o->via_rank].attached;
   struct order *sent;
+  bool refused = false;
 
   if (attached && !own && !follows (st, o->via_rank, leader))
     return;
   if (!attached
-      && (!ends_switch (&l->group_switch) || !is_reached (st, leader, rank)))
+      && (!bb_group_switch_sends_directly (&l->group_switch)
+          || !is_reached (st, leader, rank)))
     return;
   if (attached)
-    group_agent_note (&via->notes, rank, leader, o);
+    refused = !group_agent_note (&via->notes, rank, leader, o);
   sent = add_order (st);
   *sent = (struct order){ .used = true,
+                          .refused = refused,
                           .rank = rank,
                           .leader = leader,
                           .incarnation = l->group_switch.incarnation,
@@ -224,9 +247,12 @@
 {
   struct leader *l = &st->leaders[o->leader];
   const struct agent *via = &st->agents[o->command.via_rank];
-  bool relayed = o->connection != 0 && o->command.via_rank != o->leader;
+  bool direct = o->connection == 0;
+  bool relayed = !direct && o->command.via_rank != o->leader;
 
-  if (relayed && status != GROUP_RANK_CONFLICT)
+  if (status < GROUP_RANK_CONFLICT && direct)
+    l->fences_accepted[o->rank] = o->command.fence;
+  else if (status < GROUP_RANK_CONFLICT)
     group_agent_note_accepted (&st->agents[o->command.via_rank].notes, o->rank,
                                &o->command);
   if (!l->leads || l->group_switch.incarnation != o->incarnation
@@ -242,11 +268,12 @@
 carry_out (struct state *st, uint32_t i)
 {
   struct order o = st->orders[i];
-  uint16_t status;
+  uint16_t status = GROUP_RANK_FENCED;
 
   st->orders[i].used = false;
-  status = group_rank_order (&st->ranks[o.rank], &st->clock, &o.command, o.map,
-                             MAP_PLACES, false);
+  if (!o.refused)
+    status = group_rank_order (&st->ranks[o.rank], &st->clock, &o.command,
+                               o.map, MAP_PLACES, false);
   if (!o.late)
     pass_result (st, &o, status);
 }
@@ -272,13 +299,13 @@
   return false;
 }
 
-/* Begins the next pass unless it is held.  All ranks must use the same map in
-   it.  */
-static void
+/* Begins the next pass unless it is held.  Returns whether all ranks use the
+   same map.  */
+static bool
 run_pass (struct state *st)
 {
   if (is_held (st))
-    return;
+    return true;
   st->clock.step++;
   for (uint32_t r = 0; r < RANKS; r++)
     group_rank_begin_pass (&st->ranks[r], &st->clock);
@@ -287,10 +314,8 @@
         || memcmp (st->ranks[r].map, st->ranks[0].map,
                    MAP_PLACES * sizeof *st->ranks[r].map)
                != 0)
-      g_error (
-          "a pass begins with two maps, in round %u after %u moves and %u "
-          "late orders",
-          st->round, st->moves, st->late_orders);
+      return false;
+  return true;
 }
 
 /* Reports rank R to LEADER, by its agent or, where that is not ATTACHED, by a
@@ -303,6 +328,8 @@
       = group_rank_state (k, &st->agents[r].notes, &st->clock);
 
   s.attached = attached;
+  if (!attached)
+    s.fence_accepted = st->leaders[leader].fences_accepted[r];
   st->acting = leader;
   bb_group_switch_update_rank (&st->leaders[leader].group_switch, r, &s,
                                attached ? k->map + (size_t)r * PLACES : NULL,
@@ -329,15 +356,18 @@
     }
 }
 
-static void
+/* Returns whether all ranks use the same map.  */
+static bool
 play_round (struct state *st)
 {
+  bool same;
+
   st->now += ROUND_MS;
   st->round++;
   carry_out_orders (st);
   for (uint32_t r = 0; r < RANKS; r++)
     group_rank_copied (&st->ranks[r]);
-  run_pass (st);
+  same = run_pass (st);
   for (uint32_t i = 0; i < LEADERS; i++)
     if (st->leaders[i].leads)
       {
@@ -345,6 +375,7 @@
         st->acting = i;
         bb_group_switch_tick (&st->leaders[i].group_switch, st->now);
       }
+  return same;
 }
 
 /* Has agent R leave the leader that it follows for the other one; that of rank
@@ -393,6 +424,7 @@
 
   add_time (h, st, s.phase_since_ms);
   add_time (h, st, s.refused_ms);
+  add_number (h, s.fence_taken_ms >= s.phase_since_ms);
   for (uint32_t r = 0; r < RANKS; r++)
     {
       add_time (h, st, s.ranks[r].reported_ms);
@@ -403,7 +435,7 @@
       XXH3_64bits_update (h, &s.ranks[r], sizeof s.ranks[r]);
     }
   memset (s.ranks, 0, sizeof s.ranks);
-  s.phase_since_ms = s.refused_ms = 0;
+  s.phase_since_ms = s.refused_ms = s.fence_taken_ms = 0;
   s.current_map = s.next_map = NULL;
   s.abandoned_why = NULL;
   s.abandoned = s.switches = 0;
@@ -432,6 +464,7 @@
       const struct leader *l = &st->leaders[i];
       add_number (h, l->leads);
       XXH3_64bits_update (h, l->unnoticed, sizeof l->unnoticed);
+      XXH3_64bits_update (h, l->fences_accepted, sizeof l->fences_accepted);
       if (l->leads)
         add_switch (h, st, &l->group_switch);
     }
@@ -440,7 +473,7 @@
       const struct order *o = &st->orders[i];
       if (!o->used)
         continue;
-      add_number (h, o->late);
+      add_number (h, (uint64_t)o->late << 1 | o->refused);
       add_number (h, (uint64_t)o->rank << 32 | o->leader);
       add_number (h, o->incarnation);
       add_number (h,
@@ -469,6 +502,85 @@
   return true;
 }
 
+/* Carries out event E.  Returns whether all ranks use the same map.  */
+static bool
+apply (struct state *st, const struct event *e)
+{
+  switch (e->kind)
+    {
+    case EVENT_ROUND:
+      return play_round (st);
+    case EVENT_MOVE:
+      move_agent (st, e->subject, false);
+      break;
+    case EVENT_MOVE_UNNOTICED:
+      move_agent (st, e->subject, true);
+      break;
+    case EVENT_DELAY:
+      st->orders[e->subject].late = true;
+      st->late_orders++;
+      break;
+    case EVENT_CARRY_OUT:
+      carry_out (st, e->subject);
+      break;
+    }
+  return true;
+}
+
+static void
+print_event (const struct state *st, const struct event *e)
+{
+  static const char *const names[]
+      = { "round", "agent leaves", "agent leaves unnoticed", "order is late",
+          "late order is carried out" };
+  const struct order *o = &st->orders[e->subject];
+
+  if (e->kind == EVENT_DELAY || e->kind == EVENT_CARRY_OUT)
+    g_printerr ("%s: op %d of leader %u to rank %u\n", names[e->kind],
+                (int)o->command.op, o->leader, o->rank);
+  else if (e->kind != EVENT_ROUND)
+    g_printerr ("%s: %u\n", names[e->kind], e->subject);
+}
+
+static void
+print_state (const struct state *st)
+{
+  g_printerr ("round %u, pass %" G_GUINT64_FORMAT ":", st->round,
+              st->clock.step);
+  for (uint32_t i = 0; i < LEADERS; i++)
+    if (st->leaders[i].leads)
+      g_printerr (
+          " %u %s", i,
+          bb_group_switch_phase_name (st->leaders[i].group_switch.phase));
+  for (uint32_t r = 0; r < RANKS; r++)
+    g_printerr ("; map %" G_GINT64_MODIFIER "x prepared %" G_GINT64_MODIFIER
+                "x armed %" G_GINT64_MODIFIER "x held %" G_GINT64_MODIFIER
+                "u fence %" G_GINT64_MODIFIER "x",
+                st->ranks[r].map_version, st->ranks[r].prepared_version,
+                st->ranks[r].armed_version, st->ranks[r].held_step,
+                st->ranks[r].fence);
+  g_printerr ("\n");
+}
+
+static struct state *begin_switch (const struct bounds *b);
+
+/* Prints the path to a state in which ranks use two maps, and fails.  */
+G_NORETURN static void
+fail (const struct search *s)
+{
+  struct state *st = begin_switch (s->bounds);
+
+  for (uint32_t i = 0; i < s->path.count; i++)
+    {
+      print_event (st, &s->path.events[i]);
+      apply (st, &s->path.events[i]);
+      if (s->path.events[i].kind == EVENT_ROUND)
+        print_state (st);
+    }
+  g_error ("a pass begins with two maps, after %u moves and %u late orders",
+           st->moves, st->late_orders);
+}
+
 static void visit (struct search *s, const struct state *st);
 
 static struct state *
@@ -481,19 +593,31 @@
   return st;
 }
 
+/* Visits the state that follows FROM by event E.  */
+static void
+follow (struct search *s, const struct state *from, struct event e)
+{
+  struct state *st = copy_state (from);
+
+  g_assert_cmpuint (s->path.count, <, EVENTS_MAX);
+  s->path.events[s->path.count++] = e;
+  if (!apply (st, &e))
+    fail (s);
+  visit (s, st);
+  s->path.count--;
+  g_free (st);
+}
+
 /* Visits each state that follows FROM by an agent that leaves its leader.  */
 static void
 move_all (struct search *s, const struct state *from)
 {
   for (uint32_t r = 1; r < RANKS && from->moves < s->bounds->moves; r++)
-    for (int unnoticed = 0; unnoticed <= (int)s->bounds->unnoticed;
-         unnoticed++)
-      {
-        struct state *st = copy_state (from);
-        move_agent (st, r, unnoticed);
-        visit (s, st);
-        g_free (st);
-      }
+    {
+      follow (s, from, (struct event){ EVENT_MOVE, r });
+      if (s->bounds->unnoticed)
+        follow (s, from, (struct event){ EVENT_MOVE_UNNOTICED, r });
+    }
 }
 
 /* Visits each state that follows FROM by an order that becomes late, or by a
@@ -502,30 +626,16 @@
 delay_all (struct search *s, const struct state *from)
 {
   for (uint32_t i = 0; i < ORDERS_MAX; i++)
-    {
-      const struct order *o = &from->orders[i];
-      struct state *st;
-      if (!o->used
-          || (!o->late && from->late_orders >= s->bounds->late_orders))
-        continue;
-      st = copy_state (from);
-      if (o->late)
-        carry_out (st, i);
-      else
-        {
-          st->orders[i].late = true;
-          st->late_orders++;
-        }
-      visit (s, st);
-      g_free (st);
-    }
+    if (from->orders[i].used && from->orders[i].late)
+      follow (s, from, (struct event){ EVENT_CARRY_OUT, i });
+    else if (from->orders[i].used && !from->orders[i].refused
+             && from->late_orders < s->bounds->late_orders)
+      follow (s, from, (struct event){ EVENT_DELAY, i });
 }
 
 static void
 visit (struct search *s, const struct state *st)
 {
-  struct state *next;
-
   if (s->states >= s->states_max || !mark_seen (s, st))
     return;
   s->states++;
@@ -536,16 +646,13 @@
     }
   delay_all (s, st);
   move_all (s, st);
-  next = copy_state (st);
-  play_round (next);
-  visit (s, next);
-  g_free (next);
+  follow (s, st, (struct event){ EVENT_ROUND, 0 });
 }
 
 /* Returns a group in which the agent of rank 0 leads and has begun to switch
    maps.  */
 static struct state *
-begin_switch (void)
+begin_switch (const struct bounds *b)
 {
   struct state *st = g_new0 (struct state, 1);
   struct bb_group_switch *sw = &st->leaders[0].group_switch;
@@ -553,8 +660,10 @@
 
   st->clock.epoch = 1;
   st->now = 1000;
+  st->unlisted = b->unlisted;
   for (uint32_t r = 0; r < RANKS; r++)
     {
+      st->ranks[r].ignores_fences = b->unfenced;
       st->agents[r] = (struct agent){ .notes.last_leader = BB_GROUP_NO_RANK,
                                       .connection = 1 };
       group_map_fill (st->ranks[r].map, &size);
@@ -577,9 +686,8 @@
 explore (gconstpointer data)
 {
   struct search s = { .bounds = data, .states_max = states_max };
-  struct state *st = begin_switch ();
+  struct state *st = begin_switch (data);
 
-  st->unlisted = s.bounds->unlisted;
   s.seen_capacity = 1024;
   while (s.seen_capacity < 2 * states_max)
     s.seen_capacity *= 2;
@@ -604,7 +712,9 @@
     .moves = 4,
     .unnoticed = true,
     .unlisted = true },
-  { .name = "unlisted-late", .moves = 4, .late_orders = 1, .unlisted = true }
+  { .name = "unlisted-late", .moves = 4, .late_orders = 1, .unlisted = true },
+  { .name = "unfenced", .moves = 4, .unlisted = true, .unfenced = true },
+  { .name = "unfenced-late", .moves = 4, .late_orders = 1, .unfenced = true }
 };
 
 int
--- a/test/test_group_switch.c
+++ b/test/test_group_switch.c
@@ -121,7 +121,8 @@
 /* A leader that wakes while the other agents follow another leader still gets
    the states of their ranks, without their agents.  It must not end the
    switch, which the other leader may be ending in a different way, unless all
-   agents but one are its own followers.  */
+   agents but one are its own followers, and all ranks have accepted its
+   fence.  */
 static void
 test_detached_ranks (void)
 {
@@ -146,13 +147,21 @@
     }
   g_assert_cmpint (sw->phase, ==, BB_GROUP_SWITCH_SETTLING);
   g_assert_cmpuint (sim->ranks[1].armed_version, ==, 1);
-  for (uint32_t r = 0; r < SIM_RANKS; r++)
+  g_assert_cmpuint (sw->fence, ==, 0);
+  for (uint32_t accepted = 0; accepted <= SIM_RANKS; accepted++)
     {
-      simulation_report (sim, 0, r);
-      sw->ranks[r].attached = r < SIM_RANKS - 1;
+      if (accepted > 0)
+        sim->agents[accepted - 1].notes.fence_accepted = sw->fence;
+      for (uint32_t r = 0; r < SIM_RANKS; r++)
+        {
+          simulation_report (sim, 0, r);
+          sw->ranks[r].attached = r < SIM_RANKS - 1;
+        }
+      bb_group_switch_tick (sw, sim->now);
+      g_assert_cmpint (sw->phase, ==,
+                       accepted < SIM_RANKS ? BB_GROUP_SWITCH_SETTLING
+                                            : BB_GROUP_SWITCH_FORWARDING);
     }
-  bb_group_switch_tick (sw, sim->now);
-  g_assert_cmpint (sw->phase, ==, BB_GROUP_SWITCH_FORWARDING);
   simulation_free (sim);
 }
 
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -350,6 +350,13 @@
   g_assert_cmpstr (text, ==,
                    "{\"op\":\"hold\",\"epoch\":1,\"fence\":9,\"step\":77}");
   free (text);
+  /* A fence withdraws the ARM of a version that no map has.  */
+  o.op = BB_ORDER_FENCE;
+  text = bb_order_encode (&o);
+  g_assert_cmpstr (text, ==,
+                   "{\"op\":\"disarm\",\"epoch\":1,\"fence\":9,"
+                   "\"version\":9}");
+  free (text);
 }
 
 /* An item never returns to an older revision, in whatever order its changes
--- a/test/test_rank_follow.c
+++ b/test/test_rank_follow.c
@@ -24,6 +24,7 @@
   STATES_AFTER = 20,
   HANG_MS = 3000,
   PREPARE_MS = 2000,
+  FENCED = 412,            /* result of an order of a replaced leader */
   MAP_MISSING = 428,       /* result of a PREPARE whose map the agent lacks */
   LINK_MS = 60,            /* later than the one before a reply may arrive */
   ENGINE_TIMEOUT_MS = 300, /* after which an agent gives up a poll */
@@ -374,6 +375,58 @@
   lead_no_more (&l);
 }
 
+/* Has the follower send an order OP with FENCE to its engine, or to another one
+   at TARGET.  Returns the result.  */
+static uint16_t
+order_with_fence (struct played_leader *l, enum bb_order_op op,
+                  const char *target, uint64_t fence)
+{
+  struct bb_rank_order m = { .id = ++l->last_order_id,
+                             .op = (uint8_t)op,
+                             .version = 7,
+                             .step = 1000,
+                             .epoch = 1,
+                             .fence = fence,
+                             .target = bb_bytes_of (target),
+                             .target_rank = 2 };
+  msgpack_sbuffer out;
+  struct bb_message result;
+  uint16_t status;
+
+  msgpack_sbuffer_init (&out);
+  bb_put_rank_order (&out, &m);
+  frame_send (l->follower, &out);
+  msgpack_sbuffer_destroy (&out);
+  g_assert_true (
+      frame_await (l->follower, BB_MSG_RANK_RESULT, &result, PREPARE_MS));
+  status = result.u.rank_result.status;
+  bb_message_free (&result);
+  return status;
+}
+
+/* A leader goes on ordering after another one has, which its followers left it
+   for (review/11).  They refuse its orders, also to other ranks, and tell the
+   fence of the other leader.  */
+static void
+test_replaced_leader (void)
+{
+  struct played_leader l;
+  struct bb_rank_state state;
+
+  lead (&l);
+  await_states (&l, 3);
+  g_assert_cmpuint (order_with_fence (&l, BB_ORDER_HOLD, "", 5), ==, 200);
+  g_assert_cmpuint (order_with_fence (&l, BB_ORDER_FENCE, "", 6), ==, 200);
+  state = await_states (&l, STATES_AFTER);
+  g_assert_cmpuint (state.fence_seen, ==, 6);
+  g_assert_cmpuint (state.fence_accepted, ==, 6);
+  g_assert_cmpuint (order_with_fence (&l, BB_ORDER_GO, "", 5), ==, FENCED);
+  g_assert_cmpuint (order_with_fence (&l, BB_ORDER_ARM, "127.0.0.1:1", 5), ==,
+                    FENCED);
+  g_assert_cmpuint (order_with_fence (&l, BB_ORDER_GO, "", 6), ==, 200);
+  lead_no_more (&l);
+}
+
 static struct bb_rank_state
 drawn_state (const uint32_t *n, struct bb_bytes bytes)
 {
@@ -515,6 +568,7 @@
   g_test_add_func ("/rank/other-map-of-version", test_other_map_of_version);
   g_test_add_func ("/rank/hostile-messages", test_hostile_messages);
   g_test_add_func ("/rank/relayed-epoch", test_relayed_epoch);
+  g_test_add_func ("/rank/replaced-leader", test_replaced_leader);
   g_test_add_func ("/rank/result-of-lost-leader", test_result_of_lost_leader);
   return g_test_run ();
 }
