libgroup: a version is revoked only where the next leader learns of it

Cause: a leader disarmed the ranks that another had armed, and the agents of these alone knew that the version was revoked. Where its followers then left for the first leader, that one completed the version, and a DISARM carried out late, which need not be checked against a fence again, undid the arming of one rank: a pass with two maps. The search finds it in three ranks with four moves and one late order, /unfenced-unlisted-late, where late orders are not checked again. Change: a phase REVOKING tells all agents but one before the first DISARM. A leader that completes a switch sends the ARM again to a rank that it has ordered without its agent, as that one does not know yet that the leader's rank may be armed; the switch stood still without this.

--- a/cmd/rank/engine.c
+++ b/cmd/rank/engine.c
@@ -213,15 +213,14 @@
 {
   struct engine *e = &a->engine;
 
-  if (op == BB_ORDER_FENCE)
-    return;
-  e->leader_rank = rank;
+  if (op != BB_ORDER_FENCE)
+    e->leader_rank = rank;
   if (op == BB_ORDER_PREPARE)
     {
       e->preparing_version = version;
       e->preparing_ms = agent_now (a);
     }
-  if (op != BB_ORDER_DISARM)
+  if (op != BB_ORDER_DISARM && (op != BB_ORDER_FENCE || version == 0))
     return;
   e->disarmed_version = version;
   e->disarmed_epoch = epoch;
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -140,8 +140,8 @@
 /* Records that the engine has accepted an order with FENCE in EPOCH.  */
 void engine_accept_fence (struct agent *a, uint64_t fence, uint64_t epoch);
 /* Records that the leader, the agent of RANK, has sent order OP to the local
-   engine, unless OP is a FENCE.  VERSION and EPOCH are those of the order;
-   they are kept for a disarm order.  */
+   engine.  VERSION and EPOCH are those of the order; they are kept where it
+   disarms VERSION or, as a FENCE, tells that it is revoked.  */
 void engine_note_leader (struct agent *a, uint32_t rank, enum bb_order_op op,
                          uint64_t version, uint64_t epoch);
 /* Fills M, which points into A then, with the last known state of the local
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -196,14 +196,16 @@
   BB_GROUP_SWITCH_HOLD,
   BB_GROUP_SWITCH_GO,
   BB_GROUP_SWITCH_DISARM,
-  BB_GROUP_SWITCH_FENCE /* changes nothing: the rank sees the fence */
+  BB_GROUP_SWITCH_FENCE /* changes nothing: the rank sees the fence, and its
+                           agent that a version is revoked */
 };
 
 /* An order to a rank.  */
 struct bb_group_switch_order
 {
   enum bb_group_switch_op op;
-  uint64_t version;    /* version of the map */
+  uint64_t version;    /* version of the map; of a FENCE, the version that is
+                          revoked, or 0 */
   uint64_t step;       /* number of the pass that is held */
   uint64_t epoch;      /* epoch of the group */
   uint64_t fence;      /* generation number of the leader */
@@ -238,7 +240,8 @@
   uint32_t last_leader;      /* rank of the leader that sent the last order
                                 which its agent passed on to it;
                                 BB_GROUP_NO_RANK: none, or not known */
-  uint64_t disarmed_version; /* version that its agent last had it disarm */
+  uint64_t disarmed_version; /* version that its agent last had it disarm, or
+                                was told is revoked */
   uint64_t disarmed_epoch;   /* epoch of disarmed_version */
   uint64_t relayed_epoch;    /* epoch of the last ARM that its agent relayed,
                                 which means sent to another rank; or of the
@@ -258,8 +261,8 @@
   uint32_t orders_sent; /* how often the order of this phase was sent */
 };
 
-/* The phases of a switch.  SETTLING, FORWARDING, DISARMING and CLEARING deal
-   with a switch that another leader left unfinished.  */
+/* The phases of a switch.  SETTLING, FORWARDING, REVOKING, DISARMING and
+   CLEARING deal with a switch that another leader left unfinished.  */
 enum bb_group_switch_phase
 {
   BB_GROUP_SWITCH_IDLE,
@@ -272,6 +275,8 @@
                                  left */
   BB_GROUP_SWITCH_FORWARDING, /* arms the remaining ranks for a switch that
                                  another leader left */
+  BB_GROUP_SWITCH_REVOKING,   /* tells the agents that the version of another
+                                 leader's switch is revoked */
   BB_GROUP_SWITCH_DISARMING,  /* disarms all ranks that are armed */
   BB_GROUP_SWITCH_CLEARING    /* has the ranks prepare the map in use, so that
                                  a late ARM of the revoked version is
--- a/libgroup/fence.c
+++ b/libgroup/fence.c
@@ -54,7 +54,7 @@
       bb_ms retry_ms = k->done ? SETTLE_STATE_MAX_AGE_MS : unanswered_ms;
       if (!is_fenced (sw, r)
           && switch_is_fresh (sw, r, SETTLE_STATE_MAX_AGE_MS, now)
-          && (k->order_sent_ms == 0 || now - k->order_sent_ms >= retry_ms))
+          && switch_was_sent_before (sw, r, retry_ms, now))
         switch_send_order (sw, r, BB_GROUP_SWITCH_FENCE, r, now);
     }
 }
--- a/libgroup/ranks.c
+++ b/libgroup/ranks.c
@@ -100,9 +100,10 @@
 switch_send_order (struct bb_group_switch *sw, uint32_t rank,
                    enum bb_group_switch_op op, uint32_t via, bb_ms now)
 {
+  bool revokes = sw->phase == BB_GROUP_SWITCH_REVOKING;
   struct bb_group_switch_order o
       = { .op = op,
-          .version = sw->version,
+          .version = op == BB_GROUP_SWITCH_FENCE && !revokes ? 0 : sw->version,
           .step = sw->step,
           .epoch = sw->epoch,
           .fence = sw->fence,
@@ -132,13 +133,20 @@
 }
 
 bool
-switch_order_is_due (const struct bb_group_switch *sw, uint32_t rank,
-                     bb_ms retry_ms, bb_ms now)
+switch_was_sent_before (const struct bb_group_switch *sw, uint32_t rank,
+                        bb_ms retry_ms, bb_ms now)
 {
   const struct bb_group_switch_rank *k = &sw->ranks[rank];
 
-  return !k->done
-         && (k->order_sent_ms == 0 || now - k->order_sent_ms >= retry_ms);
+  return k->order_sent_ms == 0 || now - k->order_sent_ms >= retry_ms;
+}
+
+bool
+switch_order_is_due (const struct bb_group_switch *sw, uint32_t rank,
+                     bb_ms retry_ms, bb_ms now)
+{
+  return !sw->ranks[rank].done
+         && switch_was_sent_before (sw, rank, retry_ms, now);
 }
 
 void
--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -105,14 +105,20 @@
          && k->relayed_rank == sw->self_rank;
 }
 
+/* Returns how many agents need not know what a leader may do next: as many as
+   may be missing where the next one decides.  In a group of two that may be
+   the other agent alone, so both must know.  */
+static uint32_t
+unaware_max (const struct bb_group_switch *sw)
+{
+  return sw->size.ranks > 2 ? DETACHED_RANKS_MAX : 0;
+}
+
 /* Whether the leader's rank may be armed: all others have carried out the ARM,
-   and whichever leader comes next finds an agent that tells of it, since that
-   one is followed by all agents but DETACHED_RANKS_MAX, and in a group of two
-   by its own alone.  */
+   and whichever leader comes next finds an agent that tells of it.  */
 static bool
 may_arm_own (const struct bb_group_switch *sw)
 {
-  uint32_t unaware_max = MIN (DETACHED_RANKS_MAX, sw->size.ranks - 2);
   uint32_t unaware = 0;
 
   for (uint32_t r = 0; r < sw->size.ranks; r++)
@@ -120,7 +126,17 @@
 #ifdef BB_MUTANT_switch_own_known
   unaware = 0;
 #endif
-  return others_are_done (sw) && unaware <= unaware_max;
+  return others_are_done (sw) && unaware <= unaware_max (sw);
+}
+
+/* Whether RANK, not the leader's, is to get the ARM: it has not carried it
+   out, or was ordered without its agent, which does not know of the leader's
+   rank.  */
+static bool
+is_arm_needed (const struct bb_group_switch *sw, uint32_t rank)
+{
+  return !sw->ranks[rank].done
+         || (sw->ranks[rank].attached && !knows_own_armed (sw, rank));
 }
 
 /* Sends the ARM to the ranks that are armed already, to the others once those
@@ -140,9 +156,37 @@
           switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
       }
   for (uint32_t r = 0; r < sw->size.ranks && !armed_pending; r++)
-    if (switch_order_is_due (sw, r, retry_ms, now)
-        && (r != sw->self_rank || may_arm_own (sw)))
-      switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
+    if (r == sw->self_rank ? may_arm_own (sw) : is_arm_needed (sw, r))
+      if (switch_was_sent_before (sw, r, retry_ms, now))
+        switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
+}
+
+/* Whether the agent of RANK knows that the version of this switch is
+   revoked.  */
+static bool
+knows_revoked (const struct bb_group_switch *sw, uint32_t rank)
+{
+  const struct bb_group_switch_rank *k = &sw->ranks[rank];
+
+  return k->done
+         || (k->disarmed_epoch == sw->epoch
+             && k->disarmed_version == sw->version);
+}
+
+/* Whether a DISARM may be sent: whichever leader comes next learns that the
+   version is revoked, and does not complete it, although the DISARM may be
+   carried out late.  */
+static bool
+may_disarm (const struct bb_group_switch *sw)
+{
+  uint32_t unaware = 0;
+
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    unaware += !knows_revoked (sw, r);
+#ifdef BB_MUTANT_switch_revoked_known
+  unaware = 0;
+#endif
+  return unaware <= unaware_max (sw);
 }
 
 static void
@@ -155,6 +199,31 @@
                           switch_round_retry_ms (sw), now);
 }
 
+void
+switch_continue_revoking (struct bb_group_switch *sw, bb_ms now)
+{
+  bb_ms retry_ms = switch_round_retry_ms (sw);
+
+  if (may_disarm (sw))
+    {
+      begin_disarm (sw, now);
+      return;
+    }
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    if (sw->ranks[r].attached && !knows_revoked (sw, r)
+        && switch_order_is_due (sw, r, retry_ms, now))
+      switch_send_order (sw, r, BB_GROUP_SWITCH_FENCE, r, now);
+}
+
+/* Begins to disarm all ranks that are armed with the version of this
+   switch.  */
+static void
+begin_revoke (struct bb_group_switch *sw, bb_ms now)
+{
+  switch_enter_phase (sw, BB_GROUP_SWITCH_REVOKING, now);
+  switch_continue_revoking (sw, now);
+}
+
 /* Whether the rows of RANK in the map in use are known.  */
 static bool
 is_row_known (const struct bb_group_switch *sw, uint32_t rank)
@@ -323,7 +392,7 @@
     {
       enum relayed_arm arm = relayed_arm_to_missing (sw, sw->version);
       if (arm == ARM_NOT_SENT && only_missing_rank_led (sw))
-        begin_disarm (sw, now);
+        begin_revoke (sw, now);
       if (arm != ARM_ACCEPTED || armed == sw->size.ranks)
         return;
     }
@@ -334,7 +403,7 @@
     }
   if (is_disarmed (sw, sw->version))
     {
-      begin_disarm (sw, now);
+      begin_revoke (sw, now);
       return;
     }
   switch_enter_phase (sw, BB_GROUP_SWITCH_FORWARDING, now);
@@ -380,7 +449,7 @@
   if (armed < sw->size.ranks)
     {
       sw->version = sw->ranks[armed].armed_version;
-      begin_disarm (sw, now);
+      begin_revoke (sw, now);
     }
   else if (switch_all_done (sw))
     switch_begin_going (sw, now);
--- a/libgroup/switch.c
+++ b/libgroup/switch.c
@@ -21,8 +21,9 @@
 bb_group_switch_phase_name (enum bb_group_switch_phase p)
 {
   static const char *const names[]
-      = { "idle",  "preparing", "holding",    "arming",    "arming_own",
-          "going", "settling",  "forwarding", "disarming", "clearing" };
+      = { "idle",       "preparing", "holding",  "arming",
+          "arming_own", "going",     "settling", "forwarding",
+          "revoking",   "disarming", "clearing" };
 
   return p <= BB_GROUP_SWITCH_CLEARING ? names[p] : "unknown";
 }
@@ -347,7 +348,10 @@
         sw->ranks[rank].done = true;
       break;
     case BB_GROUP_SWITCH_FENCE:
-      if (sw->phase == BB_GROUP_SWITCH_SETTLING && is_ok (status))
+      if (is_ok (status)
+          && (sw->phase == BB_GROUP_SWITCH_SETTLING
+              || (sw->phase == BB_GROUP_SWITCH_REVOKING
+                  && o->version == sw->version)))
         sw->ranks[rank].done = true;
       break;
     }
@@ -385,6 +389,7 @@
   if (sw->phase != BB_GROUP_SWITCH_ARMING
       && sw->phase != BB_GROUP_SWITCH_ARMING_OWN
       && sw->phase != BB_GROUP_SWITCH_FORWARDING
+      && sw->phase != BB_GROUP_SWITCH_REVOKING
       && sw->phase != BB_GROUP_SWITCH_DISARMING
       && sw->phase != BB_GROUP_SWITCH_CLEARING)
     return false;
@@ -440,6 +445,9 @@
     case BB_GROUP_SWITCH_SETTLING:
       switch_settle (sw, now);
       break;
+    case BB_GROUP_SWITCH_REVOKING:
+      switch_continue_revoking (sw, now);
+      break;
     case BB_GROUP_SWITCH_DISARMING:
       switch_continue_disarming (sw, now);
       break;
--- a/libgroup/switch.h
+++ b/libgroup/switch.h
@@ -25,8 +25,10 @@
 /* Has the ranks prepare the map in use under a newer version, so that they
    refuse a late ARM of the revoked version.  */
 void switch_begin_clearing (struct bb_group_switch *sw, bb_ms now);
-/* Do what is due in the phases FORWARDING, CLEARING and DISARMING.  */
+/* Do what is due in the phases FORWARDING, REVOKING, CLEARING and
+   DISARMING.  */
 void switch_continue_forwarding (struct bb_group_switch *sw, bb_ms now);
+void switch_continue_revoking (struct bb_group_switch *sw, bb_ms now);
 void switch_continue_clearing (struct bb_group_switch *sw, bb_ms now);
 void switch_continue_disarming (struct bb_group_switch *sw, bb_ms now);
 
@@ -81,6 +83,10 @@
    that have not carried it out, so that these orders stay within their share
    of the link.  */
 bb_ms switch_round_retry_ms (const struct bb_group_switch *sw);
+/* Whether the order of this phase was not sent to RANK in the last
+   RETRY_MS.  */
+bool switch_was_sent_before (const struct bb_group_switch *sw, uint32_t rank,
+                             bb_ms retry_ms, bb_ms now);
 /* Whether RANK has not carried out the order of this phase, and it was not
    sent in the last RETRY_MS.  */
 bool switch_order_is_due (const struct bb_group_switch *sw, uint32_t rank,
--- a/test/harness/group_rank.c
+++ b/test/harness/group_rank.c
@@ -55,13 +55,14 @@
 uint16_t
 group_rank_order (struct group_rank *k, const struct group_clock *c,
                   const struct bb_group_switch_order *o, const uint16_t *map,
-                  uint32_t places, bool repeat_ok)
+                  uint32_t places, bool repeat_ok, bool late)
 {
   if (o->epoch != c->epoch)
     return GROUP_RANK_CONFLICT;
-  if (o->fence < k->fence && !k->ignores_fences)
+  if (o->fence < k->fence && !k->ignores_fences && !late)
     return GROUP_RANK_FENCED;
-  k->fence = MAX (k->fence, o->fence);
+  if (!late)
+    k->fence = MAX (k->fence, o->fence);
   switch (o->op)
     {
     case BB_GROUP_SWITCH_PREPARE:
@@ -153,10 +154,12 @@
     note_arm (a, rank, o);
   else if (o->own_armed && o->via_rank != leader && !noted)
     note_arm (a, leader, o);
-  if (o->via_rank != rank || o->op == BB_GROUP_SWITCH_FENCE)
+  if (o->via_rank != rank)
     return true;
-  a->last_leader = leader;
-  if (o->op == BB_GROUP_SWITCH_DISARM)
+  if (o->op != BB_GROUP_SWITCH_FENCE)
+    a->last_leader = leader;
+  if (o->op == BB_GROUP_SWITCH_DISARM
+      || (o->op == BB_GROUP_SWITCH_FENCE && o->version != 0))
     a->disarmed_version = o->version;
   return true;
 }
--- a/test/harness/group_rank.h
+++ b/test/harness/group_rank.h
@@ -58,11 +58,12 @@
 /* Carries out O, with the PLACES of its MAP where it is a PREPARE, and returns
    the status.  A PREPARE that is begun has its copy end when group_rank_copied
    is called.  REPEAT_OK: a repeated PREPARE whose copy is under way gets 200,
-   not 409.  */
+   not 409.  LATE: O is carried out long after it came, without a check of its
+   fence, as the platform does not say that it is checked again.  */
 uint16_t group_rank_order (struct group_rank *k, const struct group_clock *c,
                            const struct bb_group_switch_order *o,
                            const uint16_t *map, uint32_t places,
-                           bool repeat_ok);
+                           bool repeat_ok, bool late);
 
 /* Ends the copy that is under way.  */
 void group_rank_copied (struct group_rank *k);
--- a/test/harness/group_sim.c
+++ b/test/harness/group_sim.c
@@ -123,9 +123,9 @@
 handle_order (struct simulation *sim, const struct sim_order *order)
 {
   struct group_rank *k = &sim->ranks[order->rank];
-  uint16_t status
-      = group_rank_order (k, &sim->clock, &order->command, order->map,
-                          SIM_MAP_PLACES, sim->options.repeat_ok);
+  uint16_t status = group_rank_order (
+      k, &sim->clock, &order->command, order->map, SIM_MAP_PLACES,
+      sim->options.repeat_ok, !order->answered);
 
   if (order->command.op == BB_GROUP_SWITCH_PREPARE
       && status == GROUP_RANK_BEGUN)
