libgroup: a version that a rank cannot use any more is revoked

Cause: a leader completed a version whose map one rank had replaced, as another leader had begun to clear it; that rank refuses the ARM for good, and the group stood still (found by /unfenced-arm with an ARM carried out late, after the search began to ask that the group goes on). Change: settling and FORWARDING revoke a version that a rank has neither prepared nor armed nor in use.

--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -129,38 +129,6 @@
   return others_are_done (sw) && unaware <= unaware_max (sw);
 }
 
-/* Whether RANK, not the leader's, is to get the ARM: it has not carried it
-   out, or was ordered without its agent, which does not know of the leader's
-   rank.  */
-static bool
-is_arm_needed (const struct bb_group_switch *sw, uint32_t rank)
-{
-  return !sw->ranks[rank].done
-         || (sw->ranks[rank].attached && !knows_own_armed (sw, rank));
-}
-
-/* Sends the ARM to the ranks that are armed already, to the others once those
-   have answered, and to the leader's own once all others have and their agents
-   tell that it may be armed.  */
-void
-switch_continue_forwarding (struct bb_group_switch *sw, bb_ms now)
-{
-  bb_ms retry_ms = switch_round_retry_ms (sw);
-  bool armed_pending = false;
-
-  for (uint32_t r = 0; r < sw->size.ranks; r++)
-    if (switch_is_armed (sw, r) && !sw->ranks[r].done)
-      {
-        armed_pending = true;
-        if (switch_order_is_due (sw, r, ORDER_RETRY_MS, now))
-          switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
-      }
-  for (uint32_t r = 0; r < sw->size.ranks && !armed_pending; r++)
-    if (r == sw->self_rank ? may_arm_own (sw) : is_arm_needed (sw, r))
-      if (switch_was_sent_before (sw, r, retry_ms, now))
-        switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
-}
-
 /* Whether the agent of RANK knows that the version of this switch is
    revoked.  */
 static bool
@@ -224,6 +192,61 @@
   switch_continue_revoking (sw, now);
 }
 
+/* Whether all ranks can still use the version of this switch.  One that
+   another leader has given another map since refuses the ARM for good.  */
+static bool
+can_complete (const struct bb_group_switch *sw)
+{
+#ifdef BB_MUTANT_switch_can_complete
+  return true;
+#endif
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    {
+      const struct bb_group_switch_rank *k = &sw->ranks[r];
+      if (r != sw->missing_rank && k->prepared_version != sw->version
+          && k->armed_version != sw->version && k->map_version != sw->version)
+        return false;
+    }
+  return true;
+}
+
+/* Whether RANK, not the leader's, is to get the ARM: it has not carried it
+   out, or was ordered without its agent, which does not know of the leader's
+   rank.  */
+static bool
+is_arm_needed (const struct bb_group_switch *sw, uint32_t rank)
+{
+  return !sw->ranks[rank].done
+         || (sw->ranks[rank].attached && !knows_own_armed (sw, rank));
+}
+
+/* Sends the ARM to the ranks that are armed already, to the others once those
+   have answered, and to the leader's own once all others have and their agents
+   tell that it may be armed.  */
+void
+switch_continue_forwarding (struct bb_group_switch *sw, bb_ms now)
+{
+  bb_ms retry_ms = switch_round_retry_ms (sw);
+  bool armed_pending = false;
+
+  if (!can_complete (sw))
+    {
+      begin_revoke (sw, now);
+      return;
+    }
+  for (uint32_t r = 0; r < sw->size.ranks; r++)
+    if (switch_is_armed (sw, r) && !sw->ranks[r].done)
+      {
+        armed_pending = true;
+        if (switch_order_is_due (sw, r, ORDER_RETRY_MS, now))
+          switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
+      }
+  for (uint32_t r = 0; r < sw->size.ranks && !armed_pending; r++)
+    if (r == sw->self_rank ? may_arm_own (sw) : is_arm_needed (sw, r))
+      if (switch_was_sent_before (sw, r, retry_ms, now))
+        switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
+}
+
 /* Whether the rows of RANK in the map in use are known.  */
 static bool
 is_row_known (const struct bb_group_switch *sw, uint32_t rank)
@@ -344,11 +367,11 @@
 static bool
 fence_ranks (struct bb_group_switch *sw, bool waited, bb_ms now)
 {
+  if (sw->fence == 0)
+    switch_take_fence (sw, now);
 #ifdef BB_MUTANT_switch_fence
   return true;
 #endif
-  if (sw->fence == 0)
-    switch_take_fence (sw, now);
   if (switch_all_fenced (sw))
     return true;
   if (waited || sw->fence_taken_ms >= sw->phase_since_ms)
@@ -392,7 +415,12 @@
     {
       enum relayed_arm arm = relayed_arm_to_missing (sw, sw->version);
       if (arm == ARM_NOT_SENT && only_missing_rank_led (sw))
-        begin_revoke (sw, now);
+        {
+          if (armed < sw->size.ranks)
+            begin_revoke (sw, now);
+          else
+            begin_disarm (sw, now);
+        }
       if (arm != ARM_ACCEPTED || armed == sw->size.ranks)
         return;
     }
@@ -401,7 +429,7 @@
       end_hold (sw, now);
       return;
     }
-  if (is_disarmed (sw, sw->version))
+  if (is_disarmed (sw, sw->version) || !can_complete (sw))
     {
       begin_revoke (sw, now);
       return;
