libgroup: in a group of two a missing rank does not keep a switch from being revoked

Cause: read in the diff: with two ranks of which one is silent, no agent may be unaware of the revocation, so the group would wait for the silent one, as it did not before. Change: one agent may always be unaware there; only the leader's own rank of a group of two waits for the other agent. No test plays a group of two with a silent leader; the cases of three ranks are unchanged.

--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -105,20 +105,13 @@
          && k->relayed_rank == sw->self_rank;
 }
 
-/* Returns how many agents need not know what a leader may do next: as many as
-   may be missing where the next one decides.  In a group of two that may be
-   the other agent alone, so both must know.  */
-static uint32_t
-unaware_max (const struct bb_group_switch *sw)
-{
-  return sw->size.ranks > 2 ? DETACHED_RANKS_MAX : 0;
-}
-
 /* Whether the leader's rank may be armed: all others have carried out the ARM,
-   and whichever leader comes next finds an agent that tells of it.  */
+   and whichever leader comes next finds an agent that tells of it.  In a group
+   of two that can be the other agent alone.  */
 static bool
 may_arm_own (const struct bb_group_switch *sw)
 {
+  uint32_t unaware_max = sw->size.ranks > 2 ? DETACHED_RANKS_MAX : 0;
   uint32_t unaware = 0;
 
   for (uint32_t r = 0; r < sw->size.ranks; r++)
@@ -126,7 +119,7 @@
 #ifdef BB_MUTANT_switch_own_known
   unaware = 0;
 #endif
-  return others_are_done (sw) && unaware <= unaware_max (sw);
+  return others_are_done (sw) && unaware <= unaware_max;
 }
 
 /* Whether the agent of RANK knows that the version of this switch is
@@ -154,7 +147,7 @@
 #ifdef BB_MUTANT_switch_revoked_known
   unaware = 0;
 #endif
-  return unaware <= unaware_max (sw);
+  return unaware <= DETACHED_RANKS_MAX;
 }
 
 static void
