libgroup: the statuses of orders, and the stride of numbers, stand once

Cause: read in the diff. 200 or 202 was tested in libgroup, twice in cmd/rank and again in the tests' rank; 412 and 409 were named in three places; the stride between versions stood in fence.c and ranks.c; relay() compared fences beside engine_see_fence, without its guard. Change: bb_group_order_status and bb_group_order_is_accepted in group.h, NUMBER_STRIDE, engine_is_fenced; switch_next_version, which draws fences too, is switch_next_number.

--- a/cmd/rank/engine.c
+++ b/cmd/rank/engine.c
@@ -185,13 +185,20 @@
   remote_send_order (a, a->settings->upstream_address, o, fn, user);
 }
 
+bool
+engine_is_fenced (const struct agent *a, uint64_t fence)
+{
+#ifdef BB_MUTANT_rank_fence
+  return false;
+#endif
+  return fence < a->engine.fence_seen;
+}
+
 bool
 engine_see_fence (struct agent *a, uint64_t fence)
 {
-#ifndef BB_MUTANT_rank_fence
-  if (fence < a->engine.fence_seen)
+  if (engine_is_fenced (a, fence))
     return false;
-#endif
   a->engine.fence_seen = fence;
   return true;
 }
--- a/cmd/rank/leader_orders.c
+++ b/cmd/rank/leader_orders.c
@@ -35,7 +35,7 @@
 static void
 pass_result (struct leader *l, const struct pending_order *o, uint16_t status)
 {
-  if (status != 200 && status != 202)
+  if (!bb_group_order_is_accepted (status))
     bb_log_event ("order_refused", "{s:i, s:i, s:i, s:I, s:I}", "op",
                   (int)o->order.op, "rank", (int)o->rank, "status",
                   (int)status, "version", (json_int_t)o->order.version, "step",
@@ -88,7 +88,7 @@
 {
   struct direct_order *d = user;
 
-  if (status == 200 || status == 202)
+  if (bb_group_order_is_accepted (status))
     note_accepted (d);
   leader_handle_result (d->leader, d->id, status);
   g_free (d->address);
--- a/cmd/rank/orders.c
+++ b/cmd/rank/orders.c
@@ -6,8 +6,7 @@
 
 enum
 {
-  MAP_WAIT_MS = 80, /* a map that comes through the head needs less */
-  STATUS_FENCED = 412
+  MAP_WAIT_MS = 80 /* a map that comes through the head needs less */
 };
 
 /* An order that was sent to an engine and has no result yet.  */
@@ -40,7 +39,7 @@
 {
   struct pending_order *o = user;
   struct engine *engine = &agent->engine;
-  bool accepted = status == 200 || status == 202;
+  bool accepted = bb_group_order_is_accepted (status);
 
   if (accepted && o->relayed && o->version == engine->relayed_version
       && o->epoch == engine->relayed_epoch)
@@ -105,7 +104,7 @@
   bb_log_event ("order_fenced", "{s:i, s:i, s:I, s:I}", "op", (int)m->op,
                 "from", (int)m->from_rank, "fence", (json_int_t)m->fence,
                 "seen", (json_int_t)agent->engine.fence_seen);
-  on_order_result (connection, m->id, STATUS_FENCED);
+  on_order_result (connection, m->id, BB_GROUP_ORDER_FENCED);
 }
 
 /* Sends M to the engine of another rank.  */
@@ -116,7 +115,7 @@
   struct bb_order o = order_of (m);
   char *address;
 
-  if (m->fence < agent->engine.fence_seen)
+  if (engine_is_fenced (agent, m->fence))
     {
       refuse (m, connection);
       return;
--- a/cmd/rank/rank.h
+++ b/cmd/rank/rank.h
@@ -133,6 +133,8 @@
 /* Sends order O to the local engine; FN is called once with the result.  */
 void engine_send_order (struct agent *a, const struct bb_order *o,
                         engine_result_fn *fn, void *user);
+/* Whether an order with a higher fence than FENCE was sent to the engine.  */
+bool engine_is_fenced (const struct agent *a, uint64_t fence);
 /* Returns whether an order with FENCE may be sent to the engine, and records
    it if so: no order with a higher one was.  The engine may be one that does
    not fence.  */
--- a/include/bilberry/group.h
+++ b/include/bilberry/group.h
@@ -200,6 +200,18 @@
                            agent that a version is revoked */
 };
 
+/* What a rank answers to an order.  */
+enum bb_group_order_status
+{
+  BB_GROUP_ORDER_DONE = 200, /* done, or holds already */
+  BB_GROUP_ORDER_BEGUN = 202,
+  BB_GROUP_ORDER_CONFLICT = 409, /* does not fit the state of the rank */
+  BB_GROUP_ORDER_FENCED = 412    /* a higher fence was seen */
+};
+
+/* Whether STATUS means that the rank has taken the order.  */
+bool bb_group_order_is_accepted (uint16_t status);
+
 /* An order to a rank.  */
 struct bb_group_switch_order
 {
--- a/libgroup/fence.c
+++ b/libgroup/fence.c
@@ -14,12 +14,11 @@
 void
 switch_take_fence (struct bb_group_switch *sw, bb_ms now)
 {
-  const uint64_t stride = (uint64_t)BB_GROUP_RANKS_MAX << 16;
   uint32_t doublings = MIN (sw->fences_refused, SKIP_DOUBLINGS_MAX);
 
   if (doublings > 1)
-    sw->highest_fence += stride << (doublings - 1);
-  sw->fence = switch_next_version (sw);
+    sw->highest_fence += (uint64_t)NUMBER_STRIDE << (doublings - 1);
+  sw->fence = switch_next_number (sw);
 #ifdef BB_MUTANT_switch_fence
   sw->fence = 1;
 #endif
--- a/libgroup/ranks.c
+++ b/libgroup/ranks.c
@@ -168,9 +168,8 @@
 }
 
 uint64_t
-switch_next_version (struct bb_group_switch *sw)
+switch_next_number (struct bb_group_switch *sw)
 {
-  const uint64_t stride = (uint64_t)BB_GROUP_RANKS_MAX << 16;
   uint64_t highest = MAX (sw->highest_version, sw->highest_fence);
   uint64_t giver = (uint64_t)sw->incarnation * BB_GROUP_RANKS_MAX;
 
@@ -178,7 +177,7 @@
   giver = 0;
 #endif
   sw->highest_version
-      = (highest / stride + 1) * stride + giver + sw->self_rank;
+      = (highest / NUMBER_STRIDE + 1) * NUMBER_STRIDE + giver + sw->self_rank;
   return sw->highest_version;
 }
 
--- a/libgroup/settle.c
+++ b/libgroup/settle.c
@@ -235,9 +235,9 @@
           switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
       }
   for (uint32_t r = 0; r < sw->size.ranks && !armed_pending; r++)
-    if (r == sw->self_rank ? may_arm_own (sw) : is_arm_needed (sw, r))
-      if (switch_was_sent_before (sw, r, retry_ms, now))
-        switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
+    if ((r == sw->self_rank ? may_arm_own (sw) : is_arm_needed (sw, r))
+        && switch_was_sent_before (sw, r, retry_ms, now))
+      switch_send_order (sw, r, BB_GROUP_SWITCH_ARM, r, now);
 }
 
 /* Whether the rows of RANK in the map in use are known.  */
@@ -313,7 +313,7 @@
   if (unknown < sw->size.ranks)
     fill_unknown_rows (sw, unknown, sw->next_map);
   bb_group_sort_rows (&sw->size, sw->next_map);
-  sw->version = switch_next_version (sw);
+  sw->version = switch_next_number (sw);
   switch_enter_phase (sw, BB_GROUP_SWITCH_CLEARING, now);
   if (sw->missing_rank < sw->size.ranks)
     sw->ranks[sw->missing_rank].done = true;
--- a/libgroup/switch.c
+++ b/libgroup/switch.c
@@ -10,11 +10,7 @@
 {
   PREPARE_TIMEOUT_MS = 8000, /* the switch is abandoned after this */
   PREPARE_RETRY_MS = 120,
-  HOLD_AHEAD_STEPS = 2, /* passes from the last one seen to the held one */
-  STATUS_OK = 200,
-  STATUS_ACCEPTED = 202,
-  STATUS_CONFLICT = 409,
-  STATUS_FENCED = 412
+  HOLD_AHEAD_STEPS = 2 /* passes from the last one seen to the held one */
 };
 
 const char *
@@ -145,7 +141,7 @@
   bb_group_sort_rows (&sw->size, sw->next_map);
   if (sw->fence == 0)
     switch_take_fence (sw, now);
-  sw->version = switch_next_version (sw);
+  sw->version = switch_next_number (sw);
   switch_enter_phase (sw, BB_GROUP_SWITCH_PREPARING, now);
   switch_send_due_orders (sw, BB_GROUP_SWITCH_PREPARE, PREPARE_RETRY_MS, now);
 }
@@ -259,10 +255,10 @@
     k->done = k->prepared_version == sw->version;
 }
 
-static bool
-is_ok (uint16_t status)
+bool
+bb_group_order_is_accepted (uint16_t status)
 {
-  return status == STATUS_OK || status == STATUS_ACCEPTED;
+  return status == BB_GROUP_ORDER_DONE || status == BB_GROUP_ORDER_BEGUN;
 }
 
 /* Takes the result of an ARM, and goes on to the next phase where all are
@@ -275,7 +271,8 @@
   struct bb_group_switch_rank *k = &sw->ranks[rank];
 
   if (o->step != sw->step || o->version != sw->version
-      || !(is_ok (status) || k->map_version == sw->version))
+      || !(bb_group_order_is_accepted (status)
+           || k->map_version == sw->version))
     return;
   k->done = true;
   if (sw->phase == BB_GROUP_SWITCH_ARMING && switch_all_done (sw))
@@ -293,11 +290,11 @@
                               const struct bb_group_switch_order *o,
                               uint16_t status, bb_ms now)
 {
-  bool refused = status == STATUS_CONFLICT;
+  bool refused = status == BB_GROUP_ORDER_CONFLICT;
 
   if (rank >= sw->size.ranks || o->epoch != sw->epoch || o->fence != sw->fence)
     return;
-  if (status == STATUS_FENCED)
+  if (status == BB_GROUP_ORDER_FENCED)
     {
       switch_handle_fenced (sw, now);
       return;
@@ -324,7 +321,7 @@
     case BB_GROUP_SWITCH_HOLD:
       if (sw->phase != BB_GROUP_SWITCH_HOLDING || o->step != sw->step)
         break;
-      if (is_ok (status))
+      if (bb_group_order_is_accepted (status))
         begin_arm (sw, now);
       else if (refused)
         begin_hold (sw, now);
@@ -337,18 +334,18 @@
       break;
     case BB_GROUP_SWITCH_GO:
       if (sw->phase != BB_GROUP_SWITCH_GOING || o->step != sw->step
-          || !(is_ok (status) || refused))
+          || !(bb_group_order_is_accepted (status) || refused))
         break;
       sw->switches++;
       switch_enter_phase (sw, BB_GROUP_SWITCH_IDLE, now);
       break;
     case BB_GROUP_SWITCH_DISARM:
       if (sw->phase == BB_GROUP_SWITCH_DISARMING && o->version == sw->version
-          && is_ok (status))
+          && bb_group_order_is_accepted (status))
         sw->ranks[rank].done = true;
       break;
     case BB_GROUP_SWITCH_FENCE:
-      if (is_ok (status)
+      if (bb_group_order_is_accepted (status)
           && (sw->phase == BB_GROUP_SWITCH_SETTLING
               || (sw->phase == BB_GROUP_SWITCH_REVOKING
                   && o->version == sw->version)))
--- a/libgroup/switch.h
+++ b/libgroup/switch.h
@@ -14,6 +14,8 @@
   STATE_MAX_AGE_MS = 600, /* an older state of a rank is not used */
   /* An older state is not used while settling.  */
   SETTLE_STATE_MAX_AGE_MS = 250,
+  /* From one version or fence to the next one of the same leader.  */
+  NUMBER_STRIDE = BB_GROUP_RANKS_MAX << 16,
   ORDER_RETRY_MS = 20 /* wait before an order without an answer is sent again;
                          short, as the group may stand still */
 };
@@ -98,10 +100,11 @@
                              bb_ms now);
 /* Whether all ranks have carried out the order of this phase.  */
 bool switch_all_done (const struct bb_group_switch *sw);
-/* Returns a version above all known ones.  It carries the leader's rank and
-   incarnation: two agents that lead at the same time, or one that leads again
-   and has forgotten its versions, must not use one version for two maps.  */
-uint64_t switch_next_version (struct bb_group_switch *sw);
+/* Returns a number above all known versions and fences, for either.  It
+   carries the leader's rank and incarnation: two agents that lead at the same
+   time, or one that leads again and has forgotten its versions, must not use
+   one version for two maps.  */
+uint64_t switch_next_number (struct bb_group_switch *sw);
 /* Has the held rank go on.  */
 void switch_begin_going (struct bb_group_switch *sw, bb_ms now);
 
--- a/test/harness/group_rank.c
+++ b/test/harness/group_rank.c
@@ -8,14 +8,14 @@
 {
   if (o->version == k->prepared_version
       || (repeat_ok && o->version == k->copying_version))
-    return GROUP_RANK_DONE;
+    return BB_GROUP_ORDER_DONE;
   if (o->version <= k->highest_version || k->armed_version > k->map_version)
-    return GROUP_RANK_CONFLICT;
+    return BB_GROUP_ORDER_CONFLICT;
   k->highest_version = o->version;
   k->copying_version = o->version;
   k->prepared_version = 0;
   memcpy (k->next, map, places * sizeof *map);
-  return GROUP_RANK_BEGUN;
+  return BB_GROUP_ORDER_BEGUN;
 }
 
 static uint16_t
@@ -23,33 +23,33 @@
      const struct bb_group_switch_order *o)
 {
   if (k->armed_version == o->version && k->armed_step == o->step)
-    return GROUP_RANK_DONE;
+    return BB_GROUP_ORDER_DONE;
   if (k->prepared_version != o->version || o->step <= c->step)
-    return GROUP_RANK_CONFLICT;
+    return BB_GROUP_ORDER_CONFLICT;
   k->armed_version = o->version;
   k->armed_step = o->step;
-  return GROUP_RANK_BEGUN;
+  return BB_GROUP_ORDER_BEGUN;
 }
 
 static uint16_t
 hold (struct group_rank *k, const struct group_clock *c, uint64_t step)
 {
   if (k->held_step == step)
-    return GROUP_RANK_DONE;
+    return BB_GROUP_ORDER_DONE;
   if (k->held_step != 0 || step <= c->step)
-    return GROUP_RANK_CONFLICT;
+    return BB_GROUP_ORDER_CONFLICT;
   k->held_step = step;
-  return GROUP_RANK_BEGUN;
+  return BB_GROUP_ORDER_BEGUN;
 }
 
 static uint16_t
 disarm (struct group_rank *k, uint64_t version)
 {
   if (k->map_version == version)
-    return GROUP_RANK_CONFLICT;
+    return BB_GROUP_ORDER_CONFLICT;
   if (k->armed_version == version)
     k->armed_version = 0;
-  return GROUP_RANK_DONE;
+  return BB_GROUP_ORDER_DONE;
 }
 
 uint16_t
@@ -58,9 +58,9 @@
                   uint32_t places, bool repeat_ok, bool late)
 {
   if (o->epoch != c->epoch)
-    return GROUP_RANK_CONFLICT;
+    return BB_GROUP_ORDER_CONFLICT;
   if (o->fence < k->fence && !k->ignores_fences && !late)
-    return GROUP_RANK_FENCED;
+    return BB_GROUP_ORDER_FENCED;
   if (!late)
     k->fence = MAX (k->fence, o->fence);
   switch (o->op)
@@ -74,13 +74,13 @@
     case BB_GROUP_SWITCH_GO:
       if (k->held_step == o->step)
         k->held_step = 0;
-      return GROUP_RANK_DONE;
+      return BB_GROUP_ORDER_DONE;
     case BB_GROUP_SWITCH_DISARM:
       return disarm (k, o->version);
     case BB_GROUP_SWITCH_FENCE:
-      return GROUP_RANK_DONE;
+      return BB_GROUP_ORDER_DONE;
     }
-  return GROUP_RANK_CONFLICT;
+  return BB_GROUP_ORDER_CONFLICT;
 }
 
 void
--- a/test/harness/group_rank.h
+++ b/test/harness/group_rank.h
@@ -9,12 +9,7 @@
 enum
 {
   /* Places of the largest map that a rank of a test holds.  */
-  GROUP_RANK_PLACES_MAX = 64,
-  /* Results of orders.  */
-  GROUP_RANK_DONE = 200,
-  GROUP_RANK_BEGUN = 202,
-  GROUP_RANK_CONFLICT = 409,
-  GROUP_RANK_FENCED = 412
+  GROUP_RANK_PLACES_MAX = 64
 };
 
 /* The engine of a rank.  */
--- a/test/harness/group_sim.c
+++ b/test/harness/group_sim.c
@@ -128,7 +128,7 @@
       sim->options.repeat_ok, !order->answered);
 
   if (order->command.op == BB_GROUP_SWITCH_PREPARE
-      && status == GROUP_RANK_BEGUN)
+      && status == BB_GROUP_ORDER_BEGUN)
     k->copy_end_ms = sim->now + g_rand_int_range (sim->rand, 50, 400);
   return status;
 }
@@ -144,9 +144,9 @@
       if (!o->used || o->due_ms > sim->now)
         continue;
       o->used = false;
-      status = o->refused ? GROUP_RANK_FENCED : handle_order (sim, o);
+      status = o->refused ? BB_GROUP_ORDER_FENCED : handle_order (sim, o);
       sim->sending_leader = o->leader;
-      if (o->answered && status < GROUP_RANK_CONFLICT)
+      if (o->answered && bb_group_order_is_accepted (status))
         note_accepted (sim, o);
       if (o->answered && leader->is_leader && leader->life == o->life
           && !is_frozen (sim, o->leader))
--- a/test/harness/group_world.c
+++ b/test/harness/group_world.c
@@ -77,7 +77,7 @@
   sent->command.map = NULL;
 }
 
-/* Has the leaders of ST, a copy of another state, use its own memory.  */
+/* Has the leaders of W, a copy of another world, use its own memory.  */
 static void
 set_pointers (struct world *w)
 {
@@ -127,9 +127,9 @@
   bool direct = o->connection == 0;
   bool relayed = !direct && o->command.via_rank != o->leader;
 
-  if (status < GROUP_RANK_CONFLICT && direct)
+  if (bb_group_order_is_accepted (status) && direct)
     l->fences_accepted[o->rank] = o->command.fence;
-  else if (status < GROUP_RANK_CONFLICT)
+  else if (bb_group_order_is_accepted (status))
     group_agent_note_accepted (&w->agents[o->command.via_rank].notes, o->rank,
                                &o->command);
   if (!l->leads || l->group_switch.incarnation != o->incarnation
@@ -145,7 +145,7 @@
 carry_out (struct world *w, uint32_t i)
 {
   struct world_order o = w->orders[i];
-  uint16_t status = GROUP_RANK_FENCED;
+  uint16_t status = BB_GROUP_ORDER_FENCED;
 
   w->orders[i].used = false;
   if (!o.refused)
